--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+BIN := bin/foxcroft
+
+.PHONY: build generate check-generated fmt vet lint test race run measure
+
+build:
+	go build -o $(BIN) .
+
+# generate needs protoc (Debian: protobuf-compiler); the build does not.
+generate:
+	go build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	protoc --plugin=protoc-gen-go=bin/protoc-gen-go --proto_path=proto --go_out=. --go_opt=module=github.com/foxcroft/foxcroft proto/peer.proto
+	go run github.com/google/wire/cmd/wire ./pkg/entry
+
+run: build
+	scripts/run.sh $(or $(DEPLOYMENT),andina)
+
+RACE_PACKAGES := ./pkg/peer/... ./pkg/entry/... ./pkg/target/... ./pkg/client/... ./pkg/standin/... ./pkg/platform/... ./test/...
+
+fmt:
+	@files=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$files" ]; then echo "gofmt these files:"; echo "$$files"; exit 1; fi
+
+vet:
+	go vet ./...
+
+lint:
+	go tool staticcheck ./...
+
+# test is what CI runs: format, vet, linter, all tests, and the concurrent
+# packages again under the race detector.
+test: build fmt vet lint
+	go test ./...
+	go test -race $(RACE_PACKAGES)
+
+# check-generated makes the generated code anew and fails if it differs.
+check-generated: generate
+	git diff --exit-code -- pkg/peerpb pkg/entry/wire_gen.go
--- /dev/null
+++ b/pkg/client/client.go
@@ -0,0 +1,301 @@
+// Package client is the callers' library. It takes homes from answers,
+// submits a job again under the same id when an answer is lost, and moves to a
+// new id only after an answer that says that nothing ran.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	crand "crypto/rand"
+
+	"github.com/foxcroft/foxcroft/pkg/errkind"
+	"github.com/foxcroft/foxcroft/pkg/jobapi"
+	"github.com/foxcroft/foxcroft/pkg/once"
+	"github.com/foxcroft/foxcroft/pkg/retry"
+)
+
+const (
+	partBytes       = 16
+	idleConnections = 256
+	defaultDeadline = 10 * time.Second
+	homePause       = 100 * time.Millisecond
+	remedyMayRun    = "check at the service whether the job ran before you submit it under a new id"
+)
+
+// RenewSeparator parts the caller's own part of an id from the count of the
+// ids that the job had before.
+const RenewSeparator = ":"
+
+// Options configure a Client.
+type Options struct {
+	Entries []string      // addresses (IP:port) of the balancer, or of entry hosts
+	Direct  bool          // submit to the primary's own address, where callers can reach it
+	Attempt time.Duration // how long one try may take; 0 means up to the job's deadline
+}
+
+// Client submits jobs. It is safe for concurrent use.
+type Client struct {
+	options Options
+	http    *http.Client
+	home    atomic.Pointer[jobapi.Home]
+	sent    atomic.Uint64
+}
+
+// New makes a client.
+func New(options Options) *Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConnections, DisableCompression: true}
+	return &Client{options: options, http: &http.Client{Transport: transport}}
+}
+
+// Job is a job to submit.
+type Job struct {
+	Service  string
+	Team     string
+	Class    string        // any word that tells kinds of work apart
+	Deadline time.Duration // 0 means ten seconds
+	Tasks    []json.RawMessage
+	Part     string // the caller's own part of the id; drawn when empty
+}
+
+// Result is a complete job.
+type Result struct {
+	ID      string
+	Results [][]byte // one a task, in order
+	Tries   int      // submissions it took
+}
+
+// MayHaveRun reports whether tasks of a job that ended in err may have run.
+// Only when it is false may the job be submitted anew without harm.
+func MayHaveRun(err error) bool {
+	if e := new(JobError); asJobError(err, &e) {
+		return e.Outcome != once.Refused
+	}
+	return err != nil
+}
+
+// JobError is how a job ended that is not complete. Its cause is an
+// *errkind.Error.
+type JobError struct {
+	ID      string
+	Outcome once.Outcome
+	Err     *errkind.Error
+}
+
+// Error returns the outcome, the message and the remedy.
+func (e *JobError) Error() string { return "job " + e.Outcome.String() + ": " + e.Err.Error() }
+
+// Unwrap returns the typed error.
+func (e *JobError) Unwrap() error { return e.Err }
+
+// submission is a job on its way to an answer.
+type submission struct {
+	job      Job
+	part     string
+	id       string
+	address  string // of the home's primary, if callers may reach it
+	deadline time.Time
+	tries    int
+	ids      int // that the job had so far
+}
+
+// Submit submits a job and waits for its answer. The error is a *JobError.
+func (c *Client) Submit(ctx context.Context, job Job) (*Result, error) {
+	if job.Deadline == 0 {
+		job.Deadline = defaultDeadline
+	}
+	s := &submission{job: job, part: job.Part, deadline: time.Now().Add(job.Deadline)}
+	if s.part == "" {
+		s.part = newPart()
+	}
+	ctx, cancel := context.WithDeadline(ctx, s.deadline)
+	defer cancel()
+	if err := c.takeHome(ctx, s); err != nil {
+		return nil, &JobError{Outcome: once.Refused, Err: errkind.From(err)}
+	}
+	for {
+		s.tries++
+		reply, err := c.post(ctx, s)
+		if err == nil && reply.Outcome == once.Complete.String() {
+			return &Result{ID: s.id, Results: reply.Answer().Results, Tries: s.tries}, nil
+		}
+		step, wait := nextStep(reply, err, time.Until(s.deadline))
+		if step == retry.GiveUp || !sleep(ctx, wait) {
+			return nil, finalError(s.id, reply, err)
+		}
+		if step == retry.SameID {
+			continue
+		}
+		c.home.Store(nil)
+		if reply.Home != "" {
+			c.home.Store(&jobapi.Home{Home: reply.Home, HomeAddress: reply.HomeAddress})
+		}
+		if err := c.takeHome(ctx, s); err != nil {
+			return nil, finalError(s.id, reply, nil)
+		}
+	}
+}
+
+func nextStep(reply *jobapi.Answer, err error, left time.Duration) (retry.Step, time.Duration) {
+	if err != nil {
+		return retry.AfterLostAnswer(left)
+	}
+	a := reply.Answer()
+	return retry.AfterAnswer(a.Outcome, a.Kind, a.RetryAfter, left)
+}
+
+func finalError(id string, reply *jobapi.Answer, err error) error {
+	if err != nil {
+		return &JobError{ID: id, Outcome: once.Unknown, Err: errkind.Wrap(err, errkind.MayHaveRun, remedyMayRun, "no answer came before the deadline")}
+	}
+	a := reply.Answer()
+	return &JobError{ID: id, Outcome: a.Outcome, Err: &errkind.Error{Kind: a.Kind, Message: a.Message, Remedy: a.Remedy, RetryAfter: a.RetryAfter}}
+}
+
+// takeHome gives the submission an id under a current home.
+func (c *Client) takeHome(ctx context.Context, s *submission) error {
+	home := c.home.Load()
+	for home == nil {
+		fetched, err := c.fetchHome(ctx)
+		if err == nil {
+			c.home.Store(fetched)
+			home = fetched
+			break
+		}
+		if !sleep(ctx, homePause) {
+			return err
+		}
+	}
+	s.ids++
+	s.id = home.Home + "~" + s.part
+	if s.ids > 1 {
+		// The home may be the same as before, and an id that was refused stays so.
+		s.id += RenewSeparator + strconv.Itoa(s.ids)
+	}
+	s.address = home.HomeAddress
+	return nil
+}
+
+func (c *Client) fetchHome(ctx context.Context) (*jobapi.Home, error) {
+	var home jobapi.Home
+	body, status, err := c.do(ctx, http.MethodGet, c.anyEntry(), jobapi.PathHome, nil)
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, errkind.New(errkind.NotReady, "wait until an entry host says ready", "no home is to be had: %.200s", body)
+	}
+	return &home, json.Unmarshal(body, &home)
+}
+
+// post sends a submission once. An error means that no answer came.
+func (c *Client) post(ctx context.Context, s *submission) (*jobapi.Answer, error) {
+	if c.options.Attempt > 0 {
+		bounded, cancel := context.WithTimeout(ctx, c.options.Attempt)
+		defer cancel()
+		ctx = bounded
+	}
+	body, err := json.Marshal(jobapi.Job{
+		ID:         s.id,
+		Service:    s.job.Service,
+		Team:       s.job.Team,
+		Class:      s.job.Class,
+		DeadlineMS: max(1, time.Until(s.deadline).Milliseconds()),
+		Tasks:      s.job.Tasks,
+	})
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.BadRequest, "give each task a JSON value", "the job cannot be encoded")
+	}
+	reply, _, err := c.do(ctx, http.MethodPost, c.entryFor(s), jobapi.PathJobs, body)
+	if err != nil {
+		return nil, err
+	}
+	var answer jobapi.Answer
+	if err := json.Unmarshal(reply, &answer); err != nil {
+		return nil, errkind.Wrap(err, errkind.Internal, "check what answers at the entry address", "the reply is not an answer")
+	}
+	if answer.ID != s.id && answer.ID != "" {
+		return nil, errkind.New(errkind.Internal, "check the balancer", "the reply answers id %s", answer.ID)
+	}
+	if answer.Home != "" && answer.Outcome != once.Refused.String() {
+		c.home.Store(&jobapi.Home{Home: answer.Home, HomeAddress: answer.HomeAddress})
+	}
+	return &answer, nil
+}
+
+// Cancel ends a job as far as it has not started and returns its outcome.
+func (c *Client) Cancel(ctx context.Context, id string) (once.Outcome, error) {
+	reply, _, err := c.do(ctx, http.MethodDelete, c.anyEntry(), jobapi.PathJobs+"/"+id, nil)
+	if err != nil {
+		return once.Unknown, err
+	}
+	var answer jobapi.Answer
+	if err := json.Unmarshal(reply, &answer); err != nil {
+		return once.Unknown, errkind.Wrap(err, errkind.Internal, "check what answers at the entry address", "the reply is not an answer")
+	}
+	return once.ParseOutcome(answer.Outcome), nil
+}
+
+// Sent returns the number of requests sent so far.
+func (c *Client) Sent() uint64 { return c.sent.Load() }
+
+func (c *Client) do(ctx context.Context, method, address, path string, body []byte) ([]byte, int, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, 0, errkind.Wrap(err, errkind.BadRequest, "give addresses as IP:port", "no request can be made")
+	}
+	c.sent.Add(1)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer response.Body.Close()
+	reply, err := io.ReadAll(response.Body)
+	return reply, response.StatusCode, err
+}
+
+// entryFor returns the primary's address for the first try, if that is
+// wanted, and any entry after.
+func (c *Client) entryFor(s *submission) string {
+	if c.options.Direct && s.tries == 1 && s.address != "" {
+		return s.address
+	}
+	return c.anyEntry()
+}
+
+func (c *Client) anyEntry() string {
+	return c.options.Entries[rand.IntN(len(c.options.Entries))]
+}
+
+func newPart() string {
+	part := make([]byte, partBytes)
+	_, _ = crand.Read(part) // never fails
+	return hex.EncodeToString(part)
+}
+
+func asJobError(err error, into **JobError) bool {
+	e, ok := err.(*JobError)
+	if ok {
+		*into = e
+	}
+	return ok
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/pkg/common/common.go
@@ -0,0 +1,80 @@
+// Package common holds what every component is handed: a log, a clock and a
+// source of randomness.
+package common
+
+import (
+	"crypto/rand"
+	"io"
+	mathrand "math/rand/v2"
+	"time"
+
+	"github.com/charmbracelet/log"
+)
+
+// Clock tells monotonic time as the duration since the process started. It
+// never goes backwards and is comparable only within one process.
+type Clock interface {
+	Now() time.Duration
+}
+
+// Common is handed to every constructor.
+type Common struct {
+	Log   *log.Logger
+	Clock Clock
+	Rand  io.Reader // 128-bit identities come from here
+}
+
+// NewCommon makes a Common with the system's clock and randomness.
+func NewCommon(logger *log.Logger) *Common {
+	return &Common{Log: logger, Clock: NewSystemClock(), Rand: rand.Reader}
+}
+
+// NewTestCommon makes a Common that logs nothing, for tests.
+func NewTestCommon() *Common {
+	return NewCommon(log.New(io.Discard))
+}
+
+// With returns a copy whose log carries further fields.
+func (c *Common) With(keyvals ...any) *Common {
+	copied := *c
+	copied.Log = c.Log.With(keyvals...)
+	return &copied
+}
+
+// NewLogger returns a logger that writes JSON lines at level ("debug",
+// "info", "warn" or "error"). The message of each line is its event name.
+func NewLogger(w io.Writer, level string) (*log.Logger, error) {
+	parsed, err := log.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	return log.NewWithOptions(w, log.Options{
+		Level:           parsed,
+		ReportTimestamp: true,
+		TimeFormat:      time.RFC3339Nano,
+		Formatter:       log.JSONFormatter,
+	}), nil
+}
+
+type systemClock struct{ start time.Time }
+
+// NewSystemClock returns a clock that counts from now.
+func NewSystemClock() Clock { return systemClock{start: time.Now()} }
+
+// Now implements Clock.
+func (c systemClock) Now() time.Duration { return time.Since(c.start) }
+
+// ManualClock is a clock that tests move by hand.
+type ManualClock struct{ At time.Duration }
+
+// Now implements Clock.
+func (c *ManualClock) Now() time.Duration { return c.At }
+
+// Jitter spreads d by up to a quarter either way, so that hosts which began
+// together do not act together. unit is a random number in [0, 1).
+func Jitter(d time.Duration, unit float64) time.Duration {
+	return time.Duration(float64(d) * (0.75 + 0.5*unit))
+}
+
+// Unit returns a random number in [0, 1).
+func Unit() float64 { return mathrand.Float64() }
--- /dev/null
+++ b/pkg/entry/dispatcher.go
@@ -0,0 +1,302 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/admit"
+	"github.com/foxcroft/foxcroft/pkg/common"
+	"github.com/foxcroft/foxcroft/pkg/config"
+	"github.com/foxcroft/foxcroft/pkg/errkind"
+	"github.com/foxcroft/foxcroft/pkg/member"
+	"github.com/foxcroft/foxcroft/pkg/metrics"
+	"github.com/foxcroft/foxcroft/pkg/once"
+	"github.com/foxcroft/foxcroft/pkg/retry"
+	"github.com/foxcroft/foxcroft/pkg/route"
+	"github.com/foxcroft/foxcroft/pkg/schedule"
+	"github.com/foxcroft/foxcroft/pkg/target"
+	"github.com/pkg/errors"
+)
+
+// finishFunc takes the answer of a job that a dispatcher has ended.
+type finishFunc func(j *job, answer *once.Answer)
+
+// dealSender sends a message of lending and reports whether the link was up.
+type dealSender func(pool string, deal route.Deal, wait time.Duration) bool
+
+// dispatcher carries out what the scheduler of one pool decides: it does the
+// attempts and sends the messages of lending. Nothing blocks while mu is held.
+type dispatcher struct {
+	*common.Common
+	pool    string
+	client  *target.Client
+	metrics *metrics.Metrics
+	finish  finishFunc
+	send    dealSender
+
+	mu        sync.Mutex
+	scheduler *schedule.Scheduler[*job]
+	batch     time.Duration // how long messages of lending that do not hurry may wait
+	wakeAt    time.Duration // when the timer fires, if later than now
+	timer     *time.Timer
+}
+
+type start = schedule.Start[*job]
+
+func newDispatcher(c *common.Common, host, pool string, retryRatio float64, client *target.Client, m *metrics.Metrics, finish finishFunc, send dealSender) *dispatcher {
+	d := &dispatcher{
+		Common:    c.With("pool", pool),
+		pool:      pool,
+		client:    client,
+		metrics:   m,
+		finish:    finish,
+		send:      send,
+		scheduler: schedule.New[*job](host, retryRatio),
+	}
+	d.timer = time.AfterFunc(time.Hour, func() { d.update(func() {}) })
+	return d
+}
+
+// configure takes a configuration and the hosts there are. service is the one
+// whose policy rules the pool.
+func (d *dispatcher) configure(doc *config.Document, service *config.Service, view *member.View) error {
+	policy, err := route.Policies.Get(service.Routing)
+	if err != nil {
+		return err
+	}
+	order, err := admit.Orderings.Get(service.Order)
+	if err != nil {
+		return err
+	}
+	rules := schedule.Rules{
+		Policy:      policy,
+		Order:       order,
+		BorrowAfter: service.BorrowAfter,
+		Shares:      func(team string) admit.Share { return shareOf(doc.Teams[team]) },
+	}
+	d.update(func() {
+		d.batch = service.BatchWindow
+		d.scheduler.Configure(rules, targetsOf(doc.Pools[d.pool], view), view.Owners(), lendersOf(view))
+	})
+	return nil
+}
+
+func shareOf(team *config.Team) admit.Share {
+	if team == nil {
+		return admit.Share{Weight: 1} // taken out of the configuration while it had jobs
+	}
+	return admit.Share{Weight: team.Weight, Quota: team.QuotaSlots}
+}
+
+func targetsOf(pool *config.Pool, view *member.View) []route.Target {
+	var targets []route.Target
+	for _, executor := range pool.ExecutorsIn(view.Self.Domain) {
+		targets = append(targets, route.Target{Address: executor.Address, Slots: pool.Slots})
+	}
+	return targets
+}
+
+func lendersOf(view *member.View) []route.Lender {
+	var lenders []route.Lender
+	for _, peer := range view.Peers {
+		lenders = append(lenders, route.Lender{
+			Host:   peer.Name,
+			Near:   peer.Domain == view.Self.Domain,
+			Idle:   peer.Free,
+			Parted: peer.Leaving,
+		})
+	}
+	return lenders
+}
+
+// update changes the scheduler's state and carries out what follows.
+func (d *dispatcher) update(change func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	change()
+	d.launch(d.pump())
+}
+
+// admit decides whether a job is taken in.
+func (d *dispatcher) admit(j *job) *errkind.Error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	request := schedule.Request{
+		Team:     j.team.Name,
+		Tasks:    len(j.tasks),
+		Left:     j.deadline - d.Clock.Now(),
+		MaxQueue: j.service.MaxQueue,
+	}
+	return d.scheduler.Admit(request, common.Unit())
+}
+
+// enqueue takes in a job that may start.
+func (d *dispatcher) enqueue(j *job) {
+	d.update(func() { d.scheduler.Add(j.item) })
+}
+
+// stop ends a job early; see job.stop.
+func (d *dispatcher) stop(j *job, err *errkind.Error) {
+	answer := j.stop(err)
+	if answer == nil {
+		return
+	}
+	d.update(func() { d.scheduler.Drop(j.item) })
+	d.finish(j, answer)
+}
+
+// pump lets the scheduler decide, sends the messages of lending and returns
+// the tasks to start. The caller holds mu.
+func (d *dispatcher) pump() []start {
+	now := d.Clock.Now()
+	starts, deals := d.scheduler.Pump(now, common.Unit)
+	for _, deal := range deals {
+		wait := d.batch
+		if deal.Kind == route.Hand || deal.Want > 0 {
+			wait = 0 // a task waits for it
+		}
+		if !d.send(d.pool, deal, wait) {
+			d.scheduler.Lending().Undelivered(deal)
+		}
+	}
+	d.setTimer(now)
+	return starts
+}
+
+func (d *dispatcher) setTimer(now time.Duration) {
+	at, ok := d.scheduler.WakeAt(now)
+	if !ok || d.wakeAt > now && d.wakeAt <= at {
+		return
+	}
+	d.wakeAt = at
+	d.timer.Reset(at - now)
+}
+
+func (d *dispatcher) launch(starts []start) {
+	for _, s := range starts {
+		go d.run(s)
+	}
+}
+
+// run does attempts, one after another, until there is no task to go on with.
+func (d *dispatcher) run(s start) {
+	for {
+		next, ok := d.attempt(s)
+		if !ok {
+			return
+		}
+		s = next
+	}
+}
+
+// attempt does one attempt and returns the next task for the same goroutine.
+func (d *dispatcher) attempt(s start) (start, bool) {
+	j := s.Item.Job
+	index := j.takeIndex()
+	wasWritten := false
+	result := d.client.Run(j.ctx, target.Attempt{
+		Address: s.Address,
+		Task:    j.taskName(index),
+		Payload: j.tasks[index],
+		MayWrite: func() bool {
+			wasWritten = j.mayWrite(d.Clock.Now())
+			return wasWritten
+		},
+	})
+	d.metrics.AttemptEnded(j.labels, resultName(result.Err), s.Began-j.received)
+	again := d.settle(j, index, result, wasWritten)
+	return d.complete(s, outcomeOf(result), again)
+}
+
+// settle takes a result into its job and reports whether the task waits again.
+func (d *dispatcher) settle(j *job, index int, result target.Result, wasWritten bool) bool {
+	if result.Err == nil {
+		if j.succeed(index, result.Output) {
+			d.finish(j, j.completeAnswer())
+		}
+		return false
+	}
+	if result.Progress.MayRetry() {
+		return j.notStarted(index, wasWritten)
+	}
+	d.stop(j, result.Err)
+	return false
+}
+
+func (d *dispatcher) complete(s start, outcome route.Outcome, again bool) (start, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scheduler.Complete(s, outcome, again, d.Clock.Now())
+	starts := d.pump()
+	if len(starts) == 0 {
+		return start{}, false
+	}
+	d.launch(starts[1:])
+	return starts[0], true
+}
+
+func resultName(err *errkind.Error) string {
+	if err == nil {
+		return "served"
+	}
+	return string(err.Kind)
+}
+
+func outcomeOf(result target.Result) route.Outcome {
+	switch {
+	case result.Err == nil || result.Err.Kind == errkind.TaskFailed:
+		return route.Served
+	case result.Leaving:
+		return route.LeavingNow
+	case result.Progress == retry.RefusedIdle:
+		return route.Full
+	case errors.Is(result.Err, target.ErrWithdrawn):
+		return route.Withdrawn
+	}
+	return route.Unreachable
+}
+
+// setLeaving takes the platform's word on targets, by address.
+func (d *dispatcher) setLeaving(leaving map[string]bool) {
+	d.update(func() {
+		for address, isLeaving := range leaving {
+			d.scheduler.SetLeaving(address, isLeaving)
+		}
+	})
+}
+
+// onAsk takes a peer's wish for slots.
+func (d *dispatcher) onAsk(host string, want int, waited time.Duration) {
+	d.update(func() {
+		d.scheduler.Lending().OnAsk(route.Wish{Host: host, Want: want, Since: d.Clock.Now() - waited})
+	})
+}
+
+// onHand takes slots that a peer lent; they go back at once when no task
+// waits any more.
+func (d *dispatcher) onHand(host string, grants []route.Grant) {
+	d.update(func() { d.scheduler.Lending().OnHand(host, grants) })
+}
+
+// onHandBack takes slots back from a peer.
+func (d *dispatcher) onHandBack(host string, grants []route.Grant) {
+	d.update(func() { d.scheduler.Lending().OnHandBack(host, grants) })
+}
+
+// onGone drops all dealings with a host that is gone or began anew.
+func (d *dispatcher) onGone(host string) {
+	d.update(func() { d.scheduler.Lending().Forget(host) })
+}
+
+// onIdle takes a peer's word on its idle slots.
+func (d *dispatcher) onIdle(host string, idle int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scheduler.Lending().SetIdle(host, idle)
+}
+
+func (d *dispatcher) load() schedule.Load {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.Load(d.Clock.Now())
+}
--- /dev/null
+++ b/pkg/entry/host.go
@@ -0,0 +1,254 @@
+// Package entry is an entry host: it takes callers' jobs, agrees with its
+// backup that they start once, and has targets run their tasks. The decisions
+// are in pkg/once, pkg/schedule (with pkg/admit, pkg/route and pkg/retry) and
+// pkg/member; this package carries them out.
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/foxcroft/foxcroft/pkg/common"
+	"github.com/foxcroft/foxcroft/pkg/config"
+	"github.com/foxcroft/foxcroft/pkg/confstore"
+	"github.com/foxcroft/foxcroft/pkg/member"
+	"github.com/foxcroft/foxcroft/pkg/metrics"
+	"github.com/foxcroft/foxcroft/pkg/once"
+	"github.com/foxcroft/foxcroft/pkg/peer"
+	"github.com/foxcroft/foxcroft/pkg/platform"
+	"github.com/foxcroft/foxcroft/pkg/settings"
+	"github.com/foxcroft/foxcroft/pkg/target"
+	"github.com/pkg/errors"
+)
+
+// targetConnections is the number of connections that a host keeps to a
+// target at most. An executor takes 64, and nine hosts may use it.
+const targetConnections = 7
+
+// otherReaders is how much less often than the domain's reader the other
+// hosts ask the platform for a newer configuration.
+const otherReaders = 3
+
+// Host is an entry host.
+type Host struct {
+	*common.Common
+	settings *settings.Entry
+	inc      once.Incarnation
+	platform platform.Platform
+	store    *confstore.Store
+	counters *peer.Counters
+	metrics  *metrics.Metrics
+	targets  *target.Client
+	memory   *memory
+	members  *members
+	conf     *conf
+	keys     *keys
+
+	leaving  atomic.Bool // the health check says so
+	closing  atomic.Bool // no new submissions
+	fetching atomic.Bool // a configuration, from a peer
+
+	poolsMu sync.Mutex // orders changes of pools
+	pools   atomic.Pointer[map[string]*dispatcher]
+
+	callers    *http.Server
+	callerSide net.Listener
+	peerSide   *peer.Server
+	stopLoops  context.CancelFunc
+}
+
+// NewHost makes an entry host. Start runs it.
+func NewHost(c *common.Common, s *settings.Entry, inc once.Incarnation, p platform.Platform) (*Host, error) {
+	c = c.With("host", s.Name)
+	h := &Host{
+		Common:   c,
+		settings: s,
+		inc:      inc,
+		platform: p,
+		store:    confstore.New(p),
+		counters: &peer.Counters{},
+		targets:  target.NewClient(inc.String(), targetConnections),
+		memory:   newMemory(inc, s.Domain, s.Once),
+		keys:     newKeys(c, p, s.KeyRetention),
+	}
+	h.pools.Store(&map[string]*dispatcher{})
+	h.conf = newConf(c, func(*inForce) { h.reconfigure() })
+	h.members = newMembers(c, s, inc, h.counters, h)
+	instruments, err := metrics.New(h.counters, h.gauges)
+	if err != nil {
+		return nil, err
+	}
+	h.metrics = instruments
+	return h, nil
+}
+
+// Start listens and begins to serve.
+func (h *Host) Start() error {
+	peerListener, err := net.Listen("tcp", h.settings.PeerAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	h.callerSide, err = net.Listen("tcp", h.settings.CallerAddress)
+	if err != nil {
+		_ = peerListener.Close()
+		return errors.Wrap(err, "listen for callers")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	h.stopLoops = cancel
+	h.peerSide = peer.NewServer(h.Common, peerListener, h, h.members, h.counters)
+	h.callers = &http.Server{Handler: h.newFront(), ErrorLog: quietLog()}
+	h.members.refresh()
+	go h.peerSide.Serve()
+	go func() { _ = h.callers.Serve(h.callerSide) }()
+	go h.keys.run(ctx)
+	go every(ctx, h.settings.ConfigPoll, h.pollConfig())
+	go every(ctx, h.settings.ListPoll, func() error { return h.pollHosts(ctx) })
+	h.Log.Info("started", "incarnation", h.inc.String(), "callers", h.settings.CallerAddress, "peers", h.settings.PeerAddress)
+	return nil
+}
+
+// pollConfig returns the poll of the platform for a newer configuration. The
+// domain's reader asks each time, the others less often, in case the reader
+// is cut off.
+func (h *Host) pollConfig() func() error {
+	turn := 0
+	return func() error {
+		turn++
+		if !h.members.view().IsReader && h.conf.get() != nil && turn%otherReaders != 0 {
+			return nil
+		}
+		err := h.conf.poll(context.Background(), h.store)
+		if err != nil {
+			h.Log.Warn("config_poll_failed", "error", err.Error())
+		}
+		return err
+	}
+}
+
+// pollHosts reads the platform's list of hosts.
+func (h *Host) pollHosts(ctx context.Context) error {
+	defer h.members.refresh()
+	hosts, err := h.platform.Hosts(ctx)
+	if err != nil {
+		h.Log.Warn("host_list_failed", "error", err.Error())
+		return err
+	}
+	var listed []member.Listed
+	leaving := map[string]bool{}
+	for _, host := range hosts {
+		if host.PeerAddress != "" {
+			listed = append(listed, member.Listed{Name: host.Name, Domain: host.Domain, Address: host.PeerAddress, Leaving: host.Leaving})
+		}
+		if host.Executor != "" {
+			leaving[host.Executor] = host.Leaving
+		}
+	}
+	h.members.setListed(listed)
+	h.eachDispatcher(func(d *dispatcher) { d.setLeaving(leaving) })
+	return nil
+}
+
+// reconfigure has the dispatchers take the configuration and the membership
+// as they are now, and makes dispatchers for new pools.
+func (h *Host) reconfigure() {
+	h.poolsMu.Lock()
+	defer h.poolsMu.Unlock()
+	current := h.conf.get()
+	if current == nil {
+		return
+	}
+	pools := h.withNewPools(current.doc)
+	view := h.members.view()
+	for name, d := range pools {
+		service := policyService(current.doc, name)
+		if service == nil {
+			continue // out of the configuration; its jobs run out
+		}
+		if err := d.configure(current.doc, service, view); err != nil {
+			h.Log.Error("pool_not_configured", "pool", name, "error", err.Error())
+		}
+	}
+}
+
+func (h *Host) withNewPools(doc *config.Document) map[string]*dispatcher {
+	pools := map[string]*dispatcher{}
+	for name, d := range *h.pools.Load() {
+		pools[name] = d
+	}
+	for name := range doc.Pools {
+		if pools[name] == nil && policyService(doc, name) != nil {
+			pools[name] = newDispatcher(h.Common, h.settings.Name, name, h.settings.RetryRatio, h.targets, h.metrics, h.finish, h.sendDeal)
+		}
+	}
+	h.pools.Store(&pools)
+	return pools
+}
+
+// policyService returns the service whose policy rules a pool: the first by
+// name of those whose work can go there.
+func policyService(doc *config.Document, pool string) *config.Service {
+	var first *config.Service
+	consider := func(service *config.Service) {
+		if service != nil && (first == nil || service.Name < first.Name) {
+			first = service
+		}
+	}
+	for _, service := range doc.Services {
+		if service.Pool == pool {
+			consider(service)
+		}
+	}
+	for _, rule := range doc.Rules {
+		if rule.Pool != pool {
+			continue
+		}
+		for _, service := range doc.Services {
+			if rule.Service == "" || rule.Service == service.Name {
+				consider(service)
+			}
+		}
+	}
+	return first
+}
+
+func (h *Host) dispatcher(pool string) *dispatcher { return (*h.pools.Load())[pool] }
+
+func (h *Host) eachDispatcher(do func(*dispatcher)) {
+	for _, d := range *h.pools.Load() {
+		do(d)
+	}
+}
+
+// onIdle takes a peer's word on its idle slots.
+func (h *Host) onIdle(host string, idle int) {
+	h.eachDispatcher(func(d *dispatcher) { d.onIdle(host, idle) })
+}
+
+// totals returns the tasks that wait and the idle slots, over all pools.
+func (h *Host) totals() (waiting, free int) {
+	h.eachDispatcher(func(d *dispatcher) {
+		load := d.load()
+		waiting += load.Waiting
+		free += load.Free
+	})
+	return waiting, free
+}
+
+func (h *Host) gauges() metrics.Gauges {
+	gauges := metrics.Gauges{
+		IDs:     int64(h.memory.ids()),
+		Peers:   int64(len(h.members.view().Peers)),
+		Version: int64(h.conf.version()),
+	}
+	h.eachDispatcher(func(d *dispatcher) {
+		load := d.load()
+		gauges.Waiting += int64(load.Waiting)
+		gauges.Busy += int64(load.Busy)
+		gauges.Free += int64(load.Free)
+		gauges.Suspects += int64(len(load.Suspects))
+	})
+	return gauges
+}
--- /dev/null
+++ b/pkg/entry/members.go
@@ -0,0 +1,183 @@
+package entry
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/common"
+	"github.com/foxcroft/foxcroft/pkg/member"
+	"github.com/foxcroft/foxcroft/pkg/once"
+	"github.com/foxcroft/foxcroft/pkg/peer"
+	"github.com/foxcroft/foxcroft/pkg/peerpb"
+	"github.com/foxcroft/foxcroft/pkg/settings"
+)
+
+// gossipEvery is the number of heartbeats between those that carry the
+// addresses of the domain's hosts.
+const gossipEvery = 16
+
+// members keeps the links to other entry hosts and the view of who is there.
+// It implements peer.Observer.
+type members struct {
+	*common.Common
+	self    member.Peer
+	links   *peer.Set
+	host    *Host
+	current atomic.Pointer[member.View]
+	beats   atomic.Uint64
+
+	mu    sync.Mutex
+	table *member.Table
+}
+
+func newMembers(c *common.Common, s *settings.Entry, inc once.Incarnation, counters *peer.Counters, host *Host) *members {
+	self := member.Peer{Name: s.Name, Domain: s.Domain, Address: s.PeerAddress, Incarnation: inc}
+	m := &members{
+		Common: c,
+		self:   self,
+		host:   host,
+		table:  member.NewTable(self, s.Seeds, s.Link.PerDomain),
+	}
+	m.links = peer.NewSet(c, s.Link, m, counters)
+	m.current.Store(m.table.View(once.Incarnation{}))
+	return m
+}
+
+// view returns the present view.
+func (m *members) view() *member.View { return m.current.Load() }
+
+// update changes the table and publishes a new view.
+func (m *members) update(change func(*member.Table)) {
+	m.mu.Lock()
+	change(m.table)
+	view := m.table.View(m.view().Backup)
+	m.current.Store(view)
+	m.mu.Unlock()
+	m.host.reconfigure()
+}
+
+// refresh opens the wanted links and closes the others.
+func (m *members) refresh() {
+	m.mu.Lock()
+	wanted := m.table.Wanted(m.Clock.Now())
+	m.mu.Unlock()
+	m.links.Keep(wanted)
+}
+
+// send sends a one-way message to the host of a name.
+func (m *members) send(name string, message *peerpb.Message, wait time.Duration) bool {
+	for _, p := range m.view().Peers {
+		if p.Name != name {
+			continue
+		}
+		link := m.links.Link(p.Address)
+		if link == nil {
+			return false
+		}
+		link.Send(message, wait)
+		return true
+	}
+	return false
+}
+
+// linkTo returns the link to a peer, or nil.
+func (m *members) linkTo(p member.Peer) *peer.Link { return m.links.Link(p.Address) }
+
+// Hello implements peer.Observer.
+func (m *members) Hello() *peerpb.Hello {
+	return &peerpb.Hello{
+		Name:        m.self.Name,
+		Domain:      m.self.Domain,
+		Address:     m.self.Address,
+		Incarnation: m.self.Incarnation[:],
+		Leaving:     m.host.leaving.Load(),
+	}
+}
+
+// LinkUp implements peer.Observer.
+func (m *members) LinkUp(address string, hello *peerpb.Hello) {
+	p := peerOf(hello)
+	p.Address = address
+	m.update(func(t *member.Table) { t.Up(p) })
+}
+
+func peerOf(hello *peerpb.Hello) member.Peer {
+	p := member.Peer{Name: hello.Name, Domain: hello.Domain, Address: hello.Address, Leaving: hello.Leaving}
+	copy(p.Incarnation[:], hello.Incarnation)
+	return p
+}
+
+// LinkDown implements peer.Observer.
+func (m *members) LinkDown(address string) {
+	m.update(func(t *member.Table) { t.Down(address) })
+}
+
+// Heartbeat implements peer.Observer.
+func (m *members) Heartbeat() *peerpb.Heartbeat {
+	waiting, free := m.host.totals()
+	beat := &peerpb.Heartbeat{
+		Version: m.host.conf.version(),
+		Leaving: m.host.leaving.Load(),
+		Waiting: uint32(waiting),
+		Free:    uint32(free),
+	}
+	if m.beats.Add(1)%gossipEvery == 1 {
+		for _, p := range m.view().Domain() {
+			beat.Addresses = append(beat.Addresses, p.Address)
+		}
+	}
+	return beat
+}
+
+// HeartbeatReply implements peer.Observer.
+func (m *members) HeartbeatReply(address string, beat *peerpb.Heartbeat) {
+	for _, p := range m.view().Peers {
+		if p.Address == address {
+			m.heard(p, beat)
+		}
+	}
+}
+
+// heard takes what a peer's heartbeat tells.
+func (m *members) heard(p member.Peer, beat *peerpb.Heartbeat) {
+	if len(beat.Addresses) > 0 && p.Domain == m.self.Domain {
+		m.mu.Lock()
+		m.table.Told(beat.Addresses, m.Clock.Now())
+		m.mu.Unlock()
+	}
+	if beat.Leaving != p.Leaving {
+		p.Leaving = beat.Leaving
+		m.update(func(t *member.Table) { t.Up(p) })
+	}
+	m.noteLoad(p, beat)
+	m.host.onIdle(p.Name, int(beat.Free))
+	if beat.Version > m.host.conf.version() {
+		go m.host.fetchConfig(p)
+	}
+}
+
+// noteLoad keeps a peer's load for status, without telling the dispatchers
+// that the membership changed.
+func (m *members) noteLoad(p member.Peer, beat *peerpb.Heartbeat) {
+	p.Version, p.Waiting, p.Free = beat.Version, int(beat.Waiting), int(beat.Free)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, known := m.view().ByIncarnation(p.Incarnation); !known {
+		return // its link went down in the meantime
+	}
+	m.table.Up(p)
+	m.current.Store(m.table.View(m.view().Backup))
+}
+
+// setListed takes a new reading of the platform's list.
+func (m *members) setListed(hosts []member.Listed) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.SetListed(hosts)
+}
+
+// setLeaving marks this host as leaving.
+func (m *members) setLeaving() {
+	m.update(func(t *member.Table) { t.SetLeaving() })
+}
--- /dev/null
+++ b/pkg/entry/peers.go
@@ -0,0 +1,151 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/errkind"
+	"github.com/foxcroft/foxcroft/pkg/member"
+	"github.com/foxcroft/foxcroft/pkg/once"
+	"github.com/foxcroft/foxcroft/pkg/peer"
+	"github.com/foxcroft/foxcroft/pkg/peerpb"
+	"github.com/foxcroft/foxcroft/pkg/route"
+)
+
+// Handle implements peer.Handler. What is quick is done in place, so that
+// records keep their order; what waits goes to a goroutine.
+func (h *Host) Handle(from *peerpb.Hello, m *peerpb.Message, reply peer.Reply) {
+	switch body := m.Body.(type) {
+	case *peerpb.Message_Record:
+		h.onRecord(body.Record, reply)
+	case *peerpb.Message_Copy:
+		h.memory.copy(once.ID{Home: fromHome(body.Copy.Home), Part: body.Copy.Part}, fromAnswer(body.Copy.Answer))
+	case *peerpb.Message_FenceHome:
+		h.memory.fenceHome(fromHome(body.FenceHome.Home), h.Clock.Now())
+	case *peerpb.Message_Heartbeat:
+		h.onHeartbeat(from, body.Heartbeat, reply)
+	case *peerpb.Message_Submit:
+		go h.onSubmit(body.Submit, reply)
+	case *peerpb.Message_Ask:
+		go h.onAsk(body.Ask, reply)
+	case *peerpb.Message_Cancel:
+		go h.onCancel(body.Cancel, reply)
+	case *peerpb.Message_FetchConfig:
+		h.onFetchConfig(reply)
+	case *peerpb.Message_Borrow, *peerpb.Message_Lend, *peerpb.Message_Return:
+		h.onLending(from, m)
+	default:
+		reply(peer.FailureMessage(errkind.New(errkind.BadRequest, "upgrade the older host", "the message is not known")), 0)
+	}
+}
+
+// Greeted implements peer.Handler: a peer that begins anew holds none of our
+// slots.
+func (h *Host) Greeted(from *peerpb.Hello) {
+	h.eachDispatcher(func(d *dispatcher) { d.onGone(from.Name) })
+}
+
+func (h *Host) onRecord(m *peerpb.Record, reply peer.Reply) {
+	id := once.ID{Home: fromHome(m.Home), Part: m.Part}
+	ack := h.memory.record(id, m.Digest, h.Clock.Now())
+	reply(&peerpb.Message{Body: &peerpb.Message_RecordReply{RecordReply: &peerpb.RecordReply{Ack: uint32(ack)}}}, 0)
+}
+
+func (h *Host) onHeartbeat(from *peerpb.Hello, beat *peerpb.Heartbeat, reply peer.Reply) {
+	reply(&peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: h.members.Heartbeat()}}, 0)
+	var inc once.Incarnation
+	copy(inc[:], from.Incarnation)
+	if p, ok := h.members.view().ByIncarnation(inc); ok {
+		h.members.heard(p, beat)
+	}
+}
+
+func (h *Host) onSubmit(m *peerpb.Submit, reply peer.Reply) {
+	r := fromJob(m.Job, m.Digest, h.Clock.Now())
+	reply(answerMessage(h.serveForwarded(m.Id, r, m.Hops, h.resolve)), 0)
+}
+
+func (h *Host) onAsk(m *peerpb.Ask, reply peer.Reply) {
+	r := fromJob(m.Job, m.Digest, h.Clock.Now())
+	reply(answerMessage(h.serveForwarded(m.Id, r, m.Hops, h.answerAsBackup)), 0)
+}
+
+type resolver func(ctx context.Context, id once.ID, r *request, hops uint32) *once.Answer
+
+// serveForwarded serves a submission that another host passed on.
+func (h *Host) serveForwarded(idText string, r *request, hops uint32, resolve resolver) *once.Answer {
+	id, err := once.ParseID(idText)
+	if err != nil {
+		return outcomeOfError(err)
+	}
+	answer := resolve(context.Background(), id, r, hops)
+	if answer == nil {
+		return unreachable("no answer came within the deadline")
+	}
+	return answer
+}
+
+func (h *Host) onCancel(m *peerpb.Cancel, reply peer.Reply) {
+	id, err := once.ParseID(m.Id)
+	if err != nil {
+		reply(answerMessage(outcomeOfError(err)), 0)
+		return
+	}
+	answer := h.cancel(id)
+	if answer == nil {
+		answer = unreachable("no answer came within the deadline")
+	}
+	reply(answerMessage(answer), 0)
+}
+
+func (h *Host) onFetchConfig(reply peer.Reply) {
+	current := h.conf.get()
+	if current == nil {
+		reply(peer.FailureMessage(notReady()), 0)
+		return
+	}
+	reply(&peerpb.Message{Body: &peerpb.Message_Config{Config: &peerpb.Config{
+		Version: current.version, Digest: current.digest, Body: current.body,
+	}}}, 0)
+}
+
+// fetchConfig gets a newer configuration from a peer that has one.
+func (h *Host) fetchConfig(from member.Peer) {
+	link := h.members.linkTo(from)
+	if link == nil || !h.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	defer h.fetching.Store(false)
+	ctx, cancel := context.WithTimeout(context.Background(), h.settings.Link.SuspectAfter)
+	defer cancel()
+	reply, err := link.Call(ctx, &peerpb.Message{Body: &peerpb.Message_FetchConfig{FetchConfig: &peerpb.FetchConfig{}}}, 0)
+	if err != nil {
+		return
+	}
+	m := reply.GetConfig()
+	if err := h.conf.offer(m.GetVersion(), m.GetDigest(), m.GetBody()); err != nil {
+		h.Log.Error("config_refused", "version", m.GetVersion(), "error", err.Error())
+	}
+}
+
+func (h *Host) onLending(from *peerpb.Hello, m *peerpb.Message) {
+	switch body := m.Body.(type) {
+	case *peerpb.Message_Borrow:
+		if d := h.dispatcher(body.Borrow.Pool); d != nil {
+			d.onAsk(from.Name, int(body.Borrow.Want), time.Duration(body.Borrow.WaitedUs)*time.Microsecond)
+		}
+	case *peerpb.Message_Lend:
+		if d := h.dispatcher(body.Lend.Pool); d != nil {
+			d.onHand(from.Name, toGrants(body.Lend.Slots))
+		}
+	case *peerpb.Message_Return:
+		if d := h.dispatcher(body.Return.Pool); d != nil {
+			d.onHandBack(from.Name, toGrants(body.Return.Slots))
+		}
+	}
+}
+
+// sendDeal sends a message of lending and reports whether the link was up.
+func (h *Host) sendDeal(pool string, deal route.Deal, wait time.Duration) bool {
+	return h.members.send(deal.Host, dealMessage(pool, deal), wait)
+}
--- /dev/null
+++ b/pkg/kernel/kernel.go
@@ -0,0 +1,63 @@
+// Package kernel is the registry in which plug-ins register themselves from
+// their init functions. The daemons look plug-ins up by area and name, as the
+// settings say.
+package kernel
+
+import (
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/foxcroft/foxcroft/pkg/errkind"
+)
+
+// Registry holds the plug-ins of one area, such as routing policies.
+type Registry[T any] struct {
+	area    string
+	mu      sync.RWMutex
+	plugins map[string]T
+}
+
+// NewRegistry makes an empty registry for an area.
+func NewRegistry[T any](area string) *Registry[T] {
+	return &Registry[T]{area: area, plugins: map[string]T{}}
+}
+
+// Register adds a plug-in. It panics when the name is taken, since that is a
+// mistake in the program.
+func (r *Registry[T]) Register(name string, plugin T) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, taken := r.plugins[name]; taken {
+		panic("kernel: " + r.area + " plug-in " + name + " is registered twice")
+	}
+	r.plugins[name] = plugin
+}
+
+// Get returns the plug-in of a name, or a BadSettings error that lists the
+// names there are.
+func (r *Registry[T]) Get(name string) (T, error) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	plugin, ok := r.plugins[name]
+	if !ok {
+		return plugin, errkind.New(errkind.BadSettings, "use one of "+strings.Join(r.names(), ", "), "%s %q is not known", r.area, name)
+	}
+	return plugin, nil
+}
+
+// Names returns the sorted names of the plug-ins.
+func (r *Registry[T]) Names() []string {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.names()
+}
+
+func (r *Registry[T]) names() []string {
+	names := make([]string, 0, len(r.plugins))
+	for name := range r.plugins {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/pkg/member/member.go
@@ -0,0 +1,231 @@
+// Package member decides which entry hosts a host keeps links to, which of
+// them count as live, which one is its backup, and which one reads the
+// platform for its failure domain. It does no I/O. Nothing that must be safe
+// rests on its judgements: a host taken for dead may well be alive.
+package member
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/foxcroft/foxcroft/pkg/once"
+)
+
+// gossipLife is how long an address that peers told of stays a candidate
+// unless it is told again or a link to it is up.
+const gossipLife = 30 * time.Second
+
+// Listed is a host in the platform's list, which may be old or wrong.
+type Listed struct {
+	Name    string
+	Domain  string
+	Address string // for peers, IP:port
+	Leaving bool
+}
+
+// Peer is what is known of another entry host.
+type Peer struct {
+	Name        string
+	Domain      string
+	Address     string
+	Incarnation once.Incarnation
+	Leaving     bool
+	Version     uint64 // of the configuration in force there
+	Waiting     int    // tasks waiting for a slot there
+	Free        int    // idle slots there
+}
+
+// Table is a host's view of the others. It is not safe for concurrent use.
+type Table struct {
+	self      Peer
+	seeds     []string
+	perDomain int
+	listed    map[string]Listed        // by address
+	gossip    map[string]time.Duration // by address: when last told
+	up        map[string]Peer          // by address: links that are up
+}
+
+// NewTable makes a table. seeds are addresses in the host's own domain;
+// perDomain is the number of links to keep to each other domain.
+func NewTable(self Peer, seeds []string, perDomain int) *Table {
+	return &Table{
+		self:      self,
+		seeds:     seeds,
+		perDomain: perDomain,
+		listed:    map[string]Listed{},
+		gossip:    map[string]time.Duration{},
+		up:        map[string]Peer{},
+	}
+}
+
+// SetListed takes a new reading of the platform's list.
+func (t *Table) SetListed(hosts []Listed) {
+	t.listed = make(map[string]Listed, len(hosts))
+	for _, host := range hosts {
+		t.listed[host.Address] = host
+	}
+}
+
+// Told takes addresses of the own domain that a peer told of.
+func (t *Table) Told(addresses []string, now time.Duration) {
+	for _, address := range addresses {
+		t.gossip[address] = now
+	}
+}
+
+// Up takes the news that a link is up, or that its peer told something new.
+func (t *Table) Up(peer Peer) { t.up[peer.Address] = peer }
+
+// Down takes the news that a link went down.
+func (t *Table) Down(address string) { delete(t.up, address) }
+
+// Wanted returns the sorted addresses to keep links to: every host of the own
+// domain, and a few of each other domain.
+func (t *Table) Wanted(now time.Duration) []string {
+	wanted := map[string]bool{}
+	for _, seed := range t.seeds {
+		wanted[seed] = true
+	}
+	for address, at := range t.gossip {
+		_, isUp := t.up[address]
+		if isUp || now-at <= gossipLife {
+			wanted[address] = true
+			continue
+		}
+		delete(t.gossip, address)
+	}
+	others := map[string][]string{}
+	for address, host := range t.listed {
+		if host.Domain == t.self.Domain {
+			wanted[address] = true
+			continue
+		}
+		others[host.Domain] = append(others[host.Domain], address)
+	}
+	for _, addresses := range others {
+		for _, address := range t.nearest(addresses) {
+			wanted[address] = true
+		}
+	}
+	delete(wanted, t.self.Address)
+	return sortedKeys(wanted)
+}
+
+// nearest picks the links to another domain by rendezvous hashing, so that
+// the hosts of a domain spread over those of the other.
+func (t *Table) nearest(addresses []string) []string {
+	sort.Slice(addresses, func(i, j int) bool {
+		return Score(t.self.Name, addresses[i]) > Score(t.self.Name, addresses[j])
+	})
+	return addresses[:min(len(addresses), t.perDomain)]
+}
+
+// Score is the rendezvous weight of a pair; the pair with the highest wins.
+func Score(key, candidate string) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(key)
+	_, _ = digest.WriteString("\x00")
+	_, _ = digest.WriteString(candidate)
+	return digest.Sum64()
+}
+
+// View is a snapshot of the table for request paths. It is never changed.
+type View struct {
+	Self     Peer
+	Peers    []Peer // links that are up, by address
+	Backup   once.Incarnation
+	IsReader bool // this host reads the platform for its domain
+}
+
+// View makes a snapshot. It keeps the backup of the one before, if that host
+// is still up and staying.
+func (t *Table) View(backup once.Incarnation) *View {
+	v := &View{Self: t.self, IsReader: true}
+	for _, address := range sortedKeys(t.up) {
+		peer := t.up[address]
+		v.Peers = append(v.Peers, peer)
+		if peer.Domain == t.self.Domain && !peer.Leaving && peer.Name < t.self.Name {
+			v.IsReader = false
+		}
+	}
+	v.Backup = chooseBackup(v.Domain(), t.self.Name, backup)
+	return v
+}
+
+// chooseBackup spreads the primaries of a domain over its hosts.
+func chooseBackup(peers []Peer, self string, before once.Incarnation) once.Incarnation {
+	var best once.Incarnation
+	var bestScore uint64
+	for _, peer := range peers {
+		if peer.Incarnation == before {
+			return before
+		}
+		if score := Score(self, peer.Name); best.IsZero() || score > bestScore {
+			best, bestScore = peer.Incarnation, score
+		}
+	}
+	return best
+}
+
+// Domain returns the peers of the own domain that are up and staying.
+func (v *View) Domain() []Peer {
+	var peers []Peer
+	for _, peer := range v.Peers {
+		if peer.Domain == v.Self.Domain && !peer.Leaving {
+			peers = append(peers, peer)
+		}
+	}
+	return peers
+}
+
+// Owners returns the names of the hosts among which the slots of the own
+// domain are divided, this one included unless it is leaving.
+func (v *View) Owners() []string {
+	var names []string
+	for _, peer := range v.Domain() {
+		names = append(names, peer.Name)
+	}
+	if !v.Self.Leaving {
+		names = append(names, v.Self.Name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// ByIncarnation returns the peer of an incarnation.
+func (v *View) ByIncarnation(inc once.Incarnation) (Peer, bool) {
+	for _, peer := range v.Peers {
+		if peer.Incarnation == inc {
+			return peer, true
+		}
+	}
+	return Peer{}, false
+}
+
+// InDomain returns a peer of a domain to relay through, spread by key.
+func (v *View) InDomain(domain, key string) (Peer, bool) {
+	var best Peer
+	var bestScore uint64
+	for _, peer := range v.Peers {
+		if peer.Domain != domain || peer.Leaving {
+			continue
+		}
+		if score := Score(key, peer.Name); best.Address == "" || score > bestScore {
+			best, bestScore = peer, score
+		}
+	}
+	return best, best.Address != ""
+}
+
+// SetLeaving marks this host as leaving.
+func (t *Table) SetLeaving() { t.self.Leaving = true }
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/pkg/peer/counters.go
@@ -0,0 +1,63 @@
+package peer
+
+import (
+	"sync/atomic"
+
+	"github.com/foxcroft/foxcroft/pkg/peerpb"
+)
+
+// Class groups the messages between entry hosts for counting.
+type Class uint8
+
+// The classes of messages.
+const (
+	ClassRecord  Class = iota // records and their replies
+	ClassCopy                 // answers copied to backups
+	ClassForward              // jobs passed on, and their answers
+	ClassLend                 // slots borrowed, lent and returned
+	ClassControl              // hello, heartbeats, configuration, fences
+	classCount
+)
+
+var classNames = [classCount]string{"record", "copy", "forward", "lend", "control"}
+
+// String returns the name under which the class is counted.
+func (c Class) String() string { return classNames[c] }
+
+// Counters counts what this process sent to peers.
+type Counters struct {
+	frames [classCount]atomic.Uint64
+	bytes  [classCount]atomic.Uint64
+}
+
+// Classes returns all classes.
+func Classes() []Class {
+	return []Class{ClassRecord, ClassCopy, ClassForward, ClassLend, ClassControl}
+}
+
+// Frames returns the number of frames sent; a frame counts for the class of
+// its first message, so that batching shows.
+func (c *Counters) Frames(class Class) uint64 { return c.frames[class].Load() }
+
+// Bytes returns the bytes of those frames.
+func (c *Counters) Bytes(class Class) uint64 { return c.bytes[class].Load() }
+
+func (c *Counters) sent(batch []*peerpb.Message, bytes int) {
+	class := classOf(batch[0])
+	c.frames[class].Add(1)
+	c.bytes[class].Add(uint64(bytes))
+}
+
+func classOf(m *peerpb.Message) Class {
+	switch m.Body.(type) {
+	case *peerpb.Message_Record, *peerpb.Message_RecordReply:
+		return ClassRecord
+	case *peerpb.Message_Copy:
+		return ClassCopy
+	case *peerpb.Message_Submit, *peerpb.Message_Answer, *peerpb.Message_Cancel, *peerpb.Message_Ask:
+		return ClassForward
+	case *peerpb.Message_Borrow, *peerpb.Message_Lend, *peerpb.Message_Return:
+		return ClassLend
+	}
+	return ClassControl
+}
--- /dev/null
+++ b/pkg/peer/pipe.go
@@ -0,0 +1,122 @@
+package peer
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/peerpb"
+	"google.golang.org/protobuf/encoding/protodelim"
+)
+
+const (
+	bufferBytes   = 64 << 10
+	maxFrameBytes = 256 << 20
+)
+
+// pipe writes and reads frames on one stream. Messages that wait together
+// leave in one frame.
+type pipe struct {
+	conn     net.Conn
+	counters *Counters
+	kick     chan struct{}
+	closed   chan struct{}
+	once     sync.Once
+
+	mu      sync.Mutex
+	pending []*peerpb.Message
+	due     time.Time // when the first pending message has to leave
+}
+
+func newPipe(conn net.Conn, counters *Counters) *pipe {
+	p := &pipe{conn: conn, counters: counters, kick: make(chan struct{}, 1), closed: make(chan struct{})}
+	go p.writeLoop()
+	return p
+}
+
+// send queues a message, which leaves within wait.
+func (p *pipe) send(m *peerpb.Message, wait time.Duration) {
+	due := time.Now().Add(wait)
+	p.mu.Lock()
+	if len(p.pending) == 0 || due.Before(p.due) {
+		p.due = due
+	}
+	p.pending = append(p.pending, m)
+	p.mu.Unlock()
+	select {
+	case p.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (p *pipe) close() {
+	p.once.Do(func() {
+		close(p.closed)
+		_ = p.conn.Close()
+	})
+}
+
+func (p *pipe) writeLoop() {
+	defer p.close()
+	out := bufio.NewWriterSize(p.conn, bufferBytes)
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		select {
+		case <-p.closed:
+			return
+		case <-p.kick:
+		case <-timer.C:
+		}
+		batch, wait := p.take()
+		if len(batch) == 0 {
+			timer.Reset(wait)
+			continue
+		}
+		if err := p.write(out, batch); err != nil {
+			return
+		}
+	}
+}
+
+// take returns the pending messages when the first is due, or how long to
+// wait for it.
+func (p *pipe) take() ([]*peerpb.Message, time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.pending) == 0 {
+		return nil, time.Hour
+	}
+	if wait := time.Until(p.due); wait > 0 {
+		return nil, wait
+	}
+	batch := p.pending
+	p.pending = nil
+	return batch, 0
+}
+
+func (p *pipe) write(out *bufio.Writer, batch []*peerpb.Message) error {
+	n, err := protodelim.MarshalTo(out, &peerpb.Frame{Messages: batch})
+	if err != nil {
+		return err
+	}
+	p.counters.sent(batch, n)
+	return out.Flush()
+}
+
+// readLoop hands each message to handle until the stream ends.
+func (p *pipe) readLoop(handle func(*peerpb.Message)) error {
+	defer p.close()
+	in := bufio.NewReaderSize(p.conn, bufferBytes)
+	options := protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}
+	for {
+		frame := &peerpb.Frame{}
+		if err := options.UnmarshalFrom(in, frame); err != nil {
+			return err
+		}
+		for _, m := range frame.Messages {
+			handle(m)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/peer/server.go
@@ -0,0 +1,139 @@
+package peer
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/common"
+	"github.com/foxcroft/foxcroft/pkg/errkind"
+	"github.com/foxcroft/foxcroft/pkg/peerpb"
+	"github.com/hashicorp/yamux"
+)
+
+// Reply sends the reply to a call, which may wait for company.
+type Reply func(m *peerpb.Message, wait time.Duration)
+
+// Handler serves the messages of peers. Handle is called in the order of
+// arrival on a stream and must not block; slow work goes to a goroutine.
+type Handler interface {
+	Handle(from *peerpb.Hello, m *peerpb.Message, reply Reply)
+	// Greeted is called when a peer opens a link.
+	Greeted(from *peerpb.Hello)
+}
+
+// Server accepts the links of peers.
+type Server struct {
+	*common.Common
+	listener net.Listener
+	handler  Handler
+	observer Observer
+	counters *Counters
+
+	mu       sync.Mutex
+	sessions map[*yamux.Session]bool
+}
+
+// NewServer makes a server on a listener. Serve runs it.
+func NewServer(c *common.Common, listener net.Listener, handler Handler, observer Observer, counters *Counters) *Server {
+	return &Server{Common: c, listener: listener, handler: handler, observer: observer, counters: counters, sessions: map[*yamux.Session]bool{}}
+}
+
+// Serve accepts links until Close.
+func (s *Server) Serve() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		mux, err := yamux.Server(conn, muxConfig())
+		if err != nil {
+			_ = conn.Close()
+			continue
+		}
+		s.track(mux, true)
+		go s.serveSession(mux)
+	}
+}
+
+// Close ends the listener and all sessions.
+func (s *Server) Close() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for mux := range s.sessions {
+		_ = mux.Close()
+	}
+}
+
+func (s *Server) track(mux *yamux.Session, open bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if open {
+		s.sessions[mux] = true
+		return
+	}
+	delete(s.sessions, mux)
+}
+
+func (s *Server) serveSession(mux *yamux.Session) {
+	defer s.track(mux, false)
+	defer mux.Close()
+	served := &servedSession{server: s}
+	for {
+		stream, err := mux.Accept()
+		if err != nil {
+			return
+		}
+		p := newPipe(stream, s.counters)
+		go func() {
+			_ = p.readLoop(func(m *peerpb.Message) { served.handle(p, m) })
+		}()
+	}
+}
+
+// servedSession is one peer's link as seen by the server.
+type servedSession struct {
+	server *Server
+	mu     sync.Mutex
+	hello  *peerpb.Hello
+}
+
+func (s *servedSession) handle(p *pipe, m *peerpb.Message) {
+	reply := func(answer *peerpb.Message, wait time.Duration) {
+		answer.Call = m.Call
+		answer.Reply = true
+		p.send(answer, wait)
+	}
+	if hello := m.GetHello(); hello != nil {
+		s.setHello(hello)
+		s.server.handler.Greeted(hello)
+		reply(&peerpb.Message{Body: &peerpb.Message_Hello{Hello: s.server.observer.Hello()}}, 0)
+		return
+	}
+	from := s.getHello()
+	if from == nil {
+		reply(FailureMessage(errkind.New(errkind.BadRequest, "send a hello first", "the link has no hello")), 0)
+		return
+	}
+	s.server.handler.Handle(from, m, reply)
+}
+
+func (s *servedSession) setHello(hello *peerpb.Hello) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hello = hello
+}
+
+func (s *servedSession) getHello() *peerpb.Hello {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hello
+}
+
+// FailureMessage makes the reply to a call that could not be served.
+func FailureMessage(err *errkind.Error) *peerpb.Message {
+	return &peerpb.Message{Body: &peerpb.Message_Failure{Failure: &peerpb.Failure{
+		Kind: string(err.Kind), Message: err.Message, Remedy: err.Remedy,
+	}}}
+}
--- /dev/null
+++ b/pkg/peer/set.go
@@ -0,0 +1,53 @@
+package peer
+
+import (
+	"sync"
+
+	"github.com/foxcroft/foxcroft/pkg/common"
+	"github.com/foxcroft/foxcroft/pkg/settings"
+)
+
+// Set keeps the links to the wanted peers.
+type Set struct {
+	*common.Common
+	settings settings.Link
+	observer Observer
+	counters *Counters
+
+	mu    sync.RWMutex
+	links map[string]*Link // by address
+}
+
+// NewSet makes an empty set.
+func NewSet(c *common.Common, s settings.Link, observer Observer, counters *Counters) *Set {
+	return &Set{Common: c, settings: s, observer: observer, counters: counters, links: map[string]*Link{}}
+}
+
+// Keep opens links to the addresses that have none and closes the others.
+func (s *Set) Keep(addresses []string) {
+	wanted := map[string]bool{}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, address := range addresses {
+		wanted[address] = true
+		if s.links[address] == nil {
+			s.links[address] = NewLink(s.Common, address, s.settings, s.observer, s.counters)
+		}
+	}
+	for address, link := range s.links {
+		if !wanted[address] {
+			link.Close()
+			delete(s.links, address)
+		}
+	}
+}
+
+// Link returns the link to an address, or nil.
+func (s *Set) Link(address string) *Link {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.links[address]
+}
+
+// Close ends all links.
+func (s *Set) Close() { s.Keep(nil) }
--- /dev/null
+++ b/pkg/platform/http.go
@@ -0,0 +1,140 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/errkind"
+)
+
+const (
+	callTimeout   = 2 * time.Second
+	maxReplyBytes = 64 << 20
+	remedyRetry   = "try again when the platform's service answers"
+)
+
+func init() {
+	Clients.Register("http", func(address string) Platform { return NewHTTPClient(address) })
+}
+
+// HTTPClient is the Platform over HTTP and JSON.
+type HTTPClient struct {
+	base   string
+	http   *http.Client
+	reads  atomic.Uint64
+	writes atomic.Uint64
+}
+
+// NewHTTPClient makes a client of the service at an address (IP:port).
+func NewHTTPClient(address string) *HTTPClient {
+	return &HTTPClient{base: "http://" + address, http: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
+}
+
+// Counts returns the reads and writes sent so far.
+func (c *HTTPClient) Counts() (reads, writes uint64) { return c.reads.Load(), c.writes.Load() }
+
+// Get implements Table.
+func (c *HTTPClient) Get(ctx context.Context, key string) (Row, error) {
+	var row Row
+	err := c.read(ctx, "/v1/table/row?key="+url.QueryEscape(key), &row)
+	return row, err
+}
+
+// Scan implements Table.
+func (c *HTTPClient) Scan(ctx context.Context, prefix string) ([]Row, error) {
+	var rows []Row
+	err := c.read(ctx, "/v1/table/rows?prefix="+url.QueryEscape(prefix), &rows)
+	return rows, err
+}
+
+// Commit implements Table.
+func (c *HTTPClient) Commit(ctx context.Context, writes []Write) error {
+	body, err := json.Marshal(writes)
+	if err != nil {
+		return errkind.Wrap(err, errkind.Internal, "report it", "the writes cannot be encoded")
+	}
+	_, err = c.write(ctx, http.MethodPost, "/v1/table/commit", body)
+	return err
+}
+
+// PutObject implements Objects.
+func (c *HTTPClient) PutObject(ctx context.Context, digest string, body []byte) error {
+	_, err := c.write(ctx, http.MethodPut, "/v1/objects/"+digest, body)
+	return err
+}
+
+// GetObject implements Objects.
+func (c *HTTPClient) GetObject(ctx context.Context, digest string) ([]byte, error) {
+	c.reads.Add(1)
+	return c.do(ctx, http.MethodGet, "/v1/objects/"+digest, nil)
+}
+
+// Hosts implements HostList.
+func (c *HTTPClient) Hosts(ctx context.Context) ([]Host, error) {
+	var hosts []Host
+	err := c.read(ctx, "/v1/hosts", &hosts)
+	return hosts, err
+}
+
+func (c *HTTPClient) read(ctx context.Context, path string, into any) error {
+	c.reads.Add(1)
+	reply, err := c.do(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(reply, into); err != nil {
+		return errkind.Wrap(err, errkind.PlatformDown, remedyRetry, "the platform's reply cannot be read")
+	}
+	return nil
+}
+
+func (c *HTTPClient) write(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	c.writes.Add(1)
+	return c.do(ctx, method, path, body)
+}
+
+func (c *HTTPClient) do(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.Internal, "report it", "the request cannot be made")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, lostKind(err, method, connected)
+	}
+	defer response.Body.Close()
+	reply, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	if err != nil {
+		return nil, lostKind(err, method, connected)
+	}
+	return reply, statusError(response.StatusCode, reply)
+}
+
+// lostKind tells a call that had no effect from one that may have had one.
+func lostKind(err error, method string, connected bool) error {
+	if method == http.MethodGet || !connected {
+		return errkind.Wrap(err, errkind.PlatformDown, remedyRetry, "the platform's service does not answer")
+	}
+	return errkind.Wrap(err, errkind.PlatformMaybe, "read back whether the write took effect", "the platform's answer was lost")
+}
+
+func statusError(status int, reply []byte) error {
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusNotFound:
+		return errkind.New(errkind.NotFound, "check the name", "the platform has no such row or object")
+	case http.StatusConflict:
+		return errkind.New(errkind.Conflict, "read the row again and decide anew", "a row has another version than expected")
+	}
+	return errkind.New(errkind.PlatformDown, remedyRetry, "the platform's service answers with status %d: %.200s", status, reply)
+}
--- /dev/null
+++ b/pkg/route/health.go
@@ -0,0 +1,143 @@
+package route
+
+import "time"
+
+// Limits of finding slow targets.
+const (
+	shrinkage     = 8           // pool samples that a target's own are weighed against
+	suspectRatio  = 2.5         // times the pool's mean that make a target a suspect
+	clearRatio    = 1.5         // and that clear it again
+	hangingRatio  = 5           // times the pool's mean that accuse an attempt under way
+	meanWeight    = 0.02        // of a new sample in the pool's mean
+	targetWeight  = 0.15        // of a new sample in a target's mean
+	firstTrial    = time.Second // after becoming a suspect
+	longestTrial  = 30 * time.Second
+	sampleMemory  = 7 // samples that a target's mean remembers, 1/targetWeight
+	minimumSample = 100 * time.Microsecond
+)
+
+// Health finds targets whose times lie far above the pool's.
+type Health struct {
+	mean    float64 // seconds, over the pool
+	samples int
+}
+
+// targetHealth is what Health remembers of one target.
+type targetHealth struct {
+	mean    float64 // seconds, exponentially weighted
+	samples int
+	suspect bool
+	pause   time.Duration   // between trials
+	trialAt time.Duration   // next trial
+	began   []time.Duration // of the attempts under way, oldest first
+}
+
+func newHealth() *Health { return &Health{} }
+
+// begin notes the start of an attempt, so that one that hangs counts before
+// it ends.
+func (h *Health) begin(t *slotState, now time.Duration) {
+	t.health.began = append(t.health.began, now)
+	if t.health.suspect {
+		t.health.trialAt = now + t.health.pause
+	}
+}
+
+func (h *Health) end(t *slotState, began time.Duration, outcome Outcome, now time.Duration) {
+	t.health.drop(began)
+	elapsed := now - began
+	if outcome != Served || elapsed < minimumSample {
+		return
+	}
+	h.learn(t, elapsed.Seconds())
+	h.judge(t, h.ratio(t), now)
+}
+
+// learn updates the means. A suspect's times stay out of the pool's mean.
+func (h *Health) learn(t *slotState, seconds float64) {
+	t.health.samples++
+	weight := max(targetWeight, 1/float64(t.health.samples))
+	t.health.mean += weight * (seconds - t.health.mean)
+	if t.health.suspect {
+		return
+	}
+	h.samples++
+	weight = max(meanWeight, 1/float64(h.samples))
+	h.mean += weight * (seconds - h.mean)
+}
+
+// ratio compares a target with the pool. With few samples of its own the
+// target is drawn towards the pool.
+func (h *Health) ratio(t *slotState) float64 {
+	if h.mean == 0 {
+		return 1
+	}
+	own := float64(min(t.health.samples, sampleMemory))
+	shrunk := (own*t.health.mean + shrinkage*h.mean) / (own + shrinkage)
+	return shrunk / h.mean
+}
+
+func (h *Health) judge(t *slotState, ratio float64, now time.Duration) {
+	health := &t.health
+	switch {
+	case !health.suspect && ratio > suspectRatio:
+		h.accuse(t, now)
+	case health.suspect && ratio < clearRatio:
+		health.suspect = false
+	case health.suspect:
+		health.pause = min(longestTrial, 2*health.pause)
+		health.trialAt = now + health.pause
+	}
+}
+
+func (h *Health) accuse(t *slotState, now time.Duration) {
+	t.health.suspect = true
+	t.health.pause = firstTrial
+	t.health.trialAt = now + firstTrial
+}
+
+// allows reports whether a target may get a task: a suspect gets one at a
+// time, now and then.
+func (h *Health) allows(t *slotState, now time.Duration) bool {
+	if !t.health.suspect {
+		h.checkHanging(t, now)
+	}
+	if !t.health.suspect {
+		return true
+	}
+	return t.busy == 0 && now >= t.health.trialAt
+}
+
+// checkHanging accuses a target whose oldest attempt runs far longer than
+// the pool's mean: the attempt counts with the time that it took so far.
+func (h *Health) checkHanging(t *slotState, now time.Duration) {
+	if h.mean == 0 || len(t.health.began) == 0 {
+		return
+	}
+	age := (now - t.health.began[0]).Seconds()
+	if age > hangingRatio*h.mean && age > 2*t.health.mean {
+		h.accuse(t, now)
+	}
+}
+
+func (h *Health) isSuspect(t *slotState) bool { return t.health.suspect }
+
+func (t *targetHealth) drop(began time.Duration) {
+	for i, at := range t.began {
+		if at == began {
+			t.began = append(t.began[:i], t.began[i+1:]...)
+			return
+		}
+	}
+}
+
+// Suspects returns the addresses of the targets under suspicion.
+func (s *Slots) Suspects() []string {
+	var suspects []string
+	for _, state := range s.order {
+		if state.health.suspect {
+			suspects = append(suspects, state.address)
+		}
+	}
+	return suspects
+}
--- /dev/null
+++ b/scripts/run.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Starts a small installation, applies a configuration, submits a job, prints
+# its whole answer and cleans up.
+#   scripts/run.sh [andina|braendeovn]
+set -eu -o pipefail
+cd "$(dirname "$0")/.."
+DEPLOYMENT=${1:-andina}
+OUT=$(mktemp -d)
+EXTRA_SETTINGS=$'[stop]\nnotice = 100ms'
+. scripts/cluster.sh
+trap 'cluster_stop; rm -rf "$OUT"' EXIT
+cluster_start "$DEPLOYMENT"
+cluster_apply "examples/$DEPLOYMENT.ini"
+"$BIN" submit -entries "$ENTRIES" -service "$SERVICE" -team "$TEAM" -tasks 12 -ms 50
+"$BIN" status -entries "$ENTRIES" -platform "$PLATFORM"
