Kills, freezes, cuts and planned stops under load; overhead and record cost

Cause: the once-only rules were only explored in the small.

The record is switched off by a process setting, [once] unsafe_skip_record, no longer by a configuration key, which would have let an operator break promises 1 and 4.

--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -29,6 +29,7 @@
 	commander.Register(&statusCommand{}, "operators")
 	commander.Register(&submitCommand{}, "callers")
 	commander.Register(&loadCommand{}, "measurements")
+	commander.Register(&overheadCommand{}, "measurements")
 	flag.Parse()
 	return int(commander.Execute(context.Background()))
 }
--- a/pkg/cli/standin.go
+++ b/pkg/cli/standin.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/standin/platformd"
+	"github.com/foxcroft/foxcroft/pkg/standin/relayd"
 	"github.com/foxcroft/foxcroft/pkg/standin/targetd"
 	"github.com/google/subcommands"
 )
@@ -20,13 +22,15 @@
 	slots       int
 	connections int
 	latency     time.Duration
+	relays      string
 }
 
 func (*standinCommand) Name() string     { return "standin" }
 func (*standinCommand) Synopsis() string { return "run a stand-in for the platform or for targets" }
 func (*standinCommand) Usage() string {
-	return `foxcroft standin [flags] platform|target
-  Run a stand-in, for tests and for trying foxcroft out. Its faults are
+	return `foxcroft standin [flags] platform|target|relay
+  Run a stand-in for the platform, for targets, or for the network between
+  entry hosts, for tests and for trying foxcroft out. Its faults are
   switches under /control; see docs/STANDINS.md.
   Example: foxcroft standin -listen 127.0.0.1:7000 platform
   Example: foxcroft standin -listen 127.0.0.1:7100 -executors 127.0.0.1:7101,127.0.0.1:7102 target
@@ -38,7 +42,8 @@
 	f.StringVar(&c.executors, "executors", "", "target: `addresses` of the executors, parted by commas")
 	f.IntVar(&c.slots, "slots", 8, "target: tasks that an executor runs at once")
 	f.IntVar(&c.connections, "connections", 64, "target: connections that an executor takes")
-	f.DurationVar(&c.latency, "latency", 0, "target: added one way to each message")
+	f.DurationVar(&c.latency, "latency", 0, "target, relay: added one way to each message")
+	f.StringVar(&c.relays, "relays", "", "relay: `pairs` listen=to, parted by commas")
 }
 
 func (c *standinCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -47,8 +52,10 @@
 		return c.serve(platformd.NewHandler(platformd.NewStore(common.NewSystemClock())))
 	case "target":
 		return c.runTargets()
+	case "relay":
+		return c.runRelays()
 	}
-	return misuse("standin needs platform or target, after the flags")
+	return misuse("standin needs platform, target or relay, after the flags")
 }
 
 func (c *standinCommand) runTargets() subcommands.ExitStatus {
@@ -66,6 +73,23 @@
 	return c.serve(targetd.NewControl(ledger, executors))
 }
 
+func (c *standinCommand) runRelays() subcommands.ExitStatus {
+	relays := map[string]*relayd.Relay{}
+	for _, pair := range splitList(c.relays) {
+		address, to, found := strings.Cut(pair, "=")
+		if !found {
+			return misuse("relay %q needs the form listen=to", pair)
+		}
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return fail(err)
+		}
+		relays[address] = relayd.NewRelay(to, c.latency)
+		go relays[address].Serve(listener)
+	}
+	return c.serve(relayd.NewControl(relays))
+}
+
 func (c *standinCommand) serve(handler http.Handler) subcommands.ExitStatus {
 	listener, err := net.Listen("tcp", c.listen)
 	if err != nil {
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -53,7 +53,6 @@
 	MaxTasks        int // tasks in a job
 	MaxQueue        int // tasks waiting at an entry host
 	CopyAnswers     CopyAnswers
-	Record          bool          // have the backup record ids; off only for measurements
 	BatchWindow     time.Duration // how long records and answer copies wait for company
 	BorrowAfter     time.Duration // how long a task waits before slots are borrowed
 	Routing         string        // name of a routing policy
--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -136,7 +136,6 @@
 		MaxTasks:        s.Int("max_tasks", 960, 1, maxJobTasks),
 		MaxQueue:        s.Int("max_queue", 20_000, 1, maxQueueTasks),
 		CopyAnswers:     CopyAnswers(s.OneOf("copy_answers", string(defaults.copyAnswers), string(CopyAll), string(CopySmall), string(CopyNone))),
-		Record:          s.Bool("record", true),
 		BatchWindow:     s.Duration("batch_window", defaults.batchWindow, 0, time.Second),
 		BorrowAfter:     s.Duration("borrow_after", defaults.borrowAfter, 0, time.Minute),
 		Routing:         s.String("routing", "shares"),
--- a/pkg/entry/members.go
+++ b/pkg/entry/members.go
@@ -24,6 +24,7 @@
 	self    member.Peer
 	links   *peer.Set
 	host    *Host
+	gossip  bool
 	current atomic.Pointer[member.View]
 	beats   atomic.Uint64
 
@@ -37,6 +38,7 @@
 		Common: c,
 		self:   self,
 		host:   host,
+		gossip: s.Link.Gossip,
 		table:  member.NewTable(self, s.Seeds, s.Link.PerDomain),
 	}
 	m.links = peer.NewSet(c, s.Link, m, counters)
@@ -122,7 +124,7 @@
 		Waiting: uint32(waiting),
 		Free:    uint32(free),
 	}
-	if m.beats.Add(1)%gossipEvery == 1 {
+	if m.gossip && m.beats.Add(1)%gossipEvery == 1 {
 		for _, p := range m.view().Domain() {
 			beat.Addresses = append(beat.Addresses, p.Address)
 		}
--- a/pkg/entry/status.go
+++ b/pkg/entry/status.go
@@ -2,7 +2,10 @@
 
 import (
 	"net/http"
+	"runtime"
 	"sort"
+	"syscall"
+	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/jobapi"
 	"github.com/foxcroft/foxcroft/pkg/peer"
@@ -42,5 +45,19 @@
 		status.Messages[class.String()] = h.counters.Frames(class)
 		status.Bytes[class.String()] = h.counters.Bytes(class)
 	}
+	status.CPUSeconds, status.MemoryBytes = processCost()
 	return status
 }
+
+// processCost returns the processor time and the memory that the process has
+// taken from the system and not given back.
+func processCost() (cpuSeconds float64, memoryBytes uint64) {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0, 0
+	}
+	cpu := time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	return cpu.Seconds(), memory.Sys - memory.HeapReleased
+}
--- a/pkg/entry/submit.go
+++ b/pkg/entry/submit.go
@@ -181,7 +181,7 @@
 		return
 	}
 	context.AfterFunc(j.ctx, func() { d.stop(j, deadlinePassed()) })
-	if verdict == once.Record && j.service.Record && !h.recordAtBackup(j) {
+	if verdict == once.Record && !h.settings.SkipRecord && !h.recordAtBackup(j) {
 		refused := h.memory.recordLost(j.id)
 		if j.stop(recordRefused()) != nil {
 			h.finish(j, refused)
@@ -253,7 +253,7 @@
 
 // copyAnswer sends an answer to the backup if the service's policy says so.
 func (h *Host) copyAnswer(j *job) {
-	if !j.id.Home.HasBackup() || !j.service.Record || j.answer.Outcome == once.Refused {
+	if !j.id.Home.HasBackup() || h.settings.SkipRecord || j.answer.Outcome == once.Refused {
 		return
 	}
 	switch j.service.CopyAnswers {
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -142,8 +142,13 @@
 // is still up and staying.
 func (t *Table) View(backup once.Incarnation) *View {
 	v := &View{Self: t.self, IsReader: true}
+	seen := map[once.Incarnation]bool{t.self.Incarnation: true}
 	for _, address := range sortedKeys(t.up) {
 		peer := t.up[address]
+		if seen[peer.Incarnation] {
+			continue // two addresses lead to it
+		}
+		seen[peer.Incarnation] = true
 		v.Peers = append(v.Peers, peer)
 		if peer.Domain == t.self.Domain && !peer.Leaving && peer.Name < t.self.Name {
 			v.IsReader = false
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -24,6 +24,7 @@
 	LogLevel      string
 	MaxBodyBytes  int // of a submission
 	Once          once.Policy
+	SkipRecord    bool // start without a record: breaks promises 1 and 4, for measuring what records cost
 	Link          Link
 	ConfigPoll    time.Duration // how often the domain's reader asks the platform for a newer version
 	ListPoll      time.Duration // how often the host list is read
@@ -39,6 +40,7 @@
 	SuspectAfter  time.Duration // silence after which a link is given up
 	RecordTimeout time.Duration // how long the backup may take to acknowledge
 	PerDomain     int           // links kept to each other failure domain
+	Gossip        bool          // peers tell each other the addresses of the domain's hosts
 }
 
 // Load reads an entry host's settings from a file.
@@ -84,6 +86,7 @@
 		KeyRetention:  limits.Duration("key_retention", 24*time.Hour, time.Minute, 30*24*time.Hour),
 		RetryRatio:    limits.Float("retry_ratio", 0.1, 0, 1),
 		Once:          parseOnce(file.Only("once")),
+		SkipRecord:    file.Only("once").Bool("unsafe_skip_record", false),
 		Link:          parseLink(file.Only("link")),
 		StopGrace:     stop.Duration("grace", 30*time.Second, 0, 10*time.Minute),
 		LeaveNotice:   stop.Duration("notice", time.Second, 0, time.Minute),
@@ -108,6 +111,7 @@
 		Heartbeat:     s.Duration("heartbeat", 500*time.Millisecond, time.Millisecond, time.Minute),
 		SuspectAfter:  s.Duration("suspect_after", 1500*time.Millisecond, 2*time.Millisecond, time.Minute),
 		RecordTimeout: s.Duration("record_timeout", 500*time.Millisecond, time.Millisecond, time.Minute),
+		Gossip:        s.Bool("gossip", true),
 		PerDomain:     s.Int("per_domain", 3, 0, 1000),
 	}
 }
