Contract tests and fault tables; slow targets found and taken back

A target at a tenth of its speed hid by slowing the pool's mean that it is compared with, and a recovered one stayed a suspect, since each trial counted little and doubled the pause.

Ruled out: a lower suspectRatio, which would accuse targets for the spread of task times.

Change: a sample counts for at most three times the mean in the pool's mean; a suspect's trial counts half in its own; a trial that went well brings the next one soon. An INI section without a name crashed the reader (found by fuzzing); it is a problem with a remedy now.

--- a/pkg/inifile/inifile.go
+++ b/pkg/inifile/inifile.go
@@ -53,6 +53,10 @@
 			continue
 		}
 		words := strings.Fields(s.Name())
+		if len(words) == 0 {
+			f.add(1, "a section has no name; write [name]")
+			continue
+		}
 		f.sections = append(f.sections, &Section{Name: words[0], Args: words[1:], file: f, raw: s, used: map[string]bool{}})
 	}
 	return f, nil
--- /dev/null
+++ b/pkg/member/member_test.go
@@ -0,0 +1,101 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/once"
+	qt "github.com/frankban/quicktest"
+)
+
+func peerNamed(i int, domain string) Peer {
+	return Peer{Name: fmt.Sprintf("%s-%d", domain, i), Domain: domain, Address: fmt.Sprintf("%s:%d", domain, i), Incarnation: once.Incarnation{byte(i), domain[0]}}
+}
+
+func TestWanted(t *testing.T) {
+	listed := func(domain string, n int) []Listed {
+		var list []Listed
+		for i := range n {
+			p := peerNamed(i+1, domain)
+			list = append(list, Listed{Name: p.Name, Domain: domain, Address: p.Address})
+		}
+		return list
+	}
+	scenarios := []struct {
+		testName string
+		prepare  func(*Table)
+		now      time.Duration
+		count    int
+	}{
+		{"nothing known", func(*Table) {}, 0, 1},
+		{"own domain listed, without itself", func(t *Table) { t.SetListed(listed("a", 3)) }, 0, 3},
+		{"few of another domain", func(t *Table) { t.SetListed(listed("b", 30)) }, 0, 3},
+		{"few of each of eight domains", func(t *Table) {
+			var all []Listed
+			for _, domain := range []string{"b", "c", "d", "e", "f", "g", "h", "i"} {
+				all = append(all, listed(domain, 30)...)
+			}
+			t.SetListed(all)
+		}, 0, 17},
+		{"told by peers", func(t *Table) { t.Told([]string{"x:1"}, 0) }, 0, 2},
+		{"told by peers long ago", func(t *Table) { t.Told([]string{"x:1"}, 0) }, gossipLife + 1, 1},
+		{"told long ago, but up", func(t *Table) { t.Told([]string{"x:1"}, 0); t.Up(Peer{Address: "x:1"}) }, gossipLife + 1, 2},
+		{"off the list", func(t *Table) { t.SetListed(listed("a", 3)); t.SetListed(nil) }, 0, 1},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			table := NewTable(peerNamed(1, "a"), []string{"seed:1"}, 2)
+			s.prepare(table)
+			qt.Assert(t, table.Wanted(s.now), qt.HasLen, s.count)
+		})
+	}
+}
+
+func TestView(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		change   func(*Table)
+		owners   int
+		backup   bool
+		reader   bool
+	}{
+		{"alone", func(*Table) {}, 1, false, true},
+		{"with two peers", func(t *Table) { t.Up(peerNamed(1, "a")); t.Up(peerNamed(3, "a")) }, 3, true, false},
+		{"a peer is gone", func(t *Table) { t.Up(peerNamed(1, "a")); t.Down("a:1") }, 1, false, true},
+		{"a peer is leaving", func(t *Table) { p := peerNamed(1, "a"); p.Leaving = true; t.Up(p) }, 1, false, true},
+		{"another domain's hosts", func(t *Table) { t.Up(peerNamed(1, "b")) }, 1, false, true},
+		{"itself is leaving", func(t *Table) { t.Up(peerNamed(1, "a")); t.SetLeaving() }, 1, true, false},
+		{"two addresses of one host", func(t *Table) { p := peerNamed(1, "a"); t.Up(p); p.Address = "z"; t.Up(p) }, 2, true, false},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			table := NewTable(peerNamed(2, "a"), nil, 2)
+			s.change(table)
+			view := table.View(once.Incarnation{})
+			qt.Assert(t, view.Owners(), qt.HasLen, s.owners)
+			qt.Assert(t, !view.Backup.IsZero(), qt.Equals, s.backup)
+			qt.Assert(t, view.IsReader, qt.Equals, s.reader)
+		})
+	}
+}
+
+// TestBackupIsKept: the backup changes only when it goes, since a change costs
+// new homes.
+func TestBackupIsKept(t *testing.T) {
+	table := NewTable(peerNamed(1, "a"), nil, 2)
+	for i := 2; i <= 9; i++ {
+		table.Up(peerNamed(i, "a"))
+	}
+	first := table.View(once.Incarnation{}).Backup
+	for i := 10; i <= 30; i++ {
+		table.Up(peerNamed(i, "a"))
+	}
+	qt.Assert(t, table.View(first).Backup, qt.Equals, first)
+	backup, ok := table.View(first).ByIncarnation(first)
+	qt.Assert(t, ok, qt.IsTrue)
+	table.Down(backup.Address)
+	next := table.View(first).Backup
+	qt.Assert(t, next, qt.Not(qt.Equals), first)
+	qt.Assert(t, next.IsZero(), qt.IsFalse)
+}
--- a/pkg/route/health.go
+++ b/pkg/route/health.go
@@ -6,10 +6,12 @@
 const (
 	shrinkage     = 8           // pool samples that a target's own are weighed against
 	suspectRatio  = 2.5         // times the pool's mean that make a target a suspect
+	clampRatio    = 3           // times the pool's mean that a sample counts for in it at most
 	clearRatio    = 1.5         // and that clear it again
 	hangingRatio  = 5           // times the pool's mean that accuse an attempt under way
 	meanWeight    = 0.02        // of a new sample in the pool's mean
 	targetWeight  = 0.15        // of a new sample in a target's mean
+	trialWeight   = 0.5         // of a suspect's new sample, so that few trials clear it
 	firstTrial    = time.Second // after becoming a suspect
 	longestTrial  = 30 * time.Second
 	sampleMemory  = 7 // samples that a target's mean remembers, 1/targetWeight
@@ -50,19 +52,26 @@
 		return
 	}
 	h.learn(t, elapsed.Seconds())
-	h.judge(t, h.ratio(t), now)
+	h.judge(t, elapsed.Seconds(), now)
 }
 
 // learn updates the means. A suspect's times stay out of the pool's mean.
 func (h *Health) learn(t *slotState, seconds float64) {
 	t.health.samples++
 	weight := max(targetWeight, 1/float64(t.health.samples))
+	if t.health.suspect {
+		weight = trialWeight
+	}
 	t.health.mean += weight * (seconds - t.health.mean)
 	if t.health.suspect {
 		return
 	}
 	h.samples++
 	weight = max(meanWeight, 1/float64(h.samples))
+	if h.samples > sampleMemory {
+		// Else a slow target would hide by slowing the mean.
+		seconds = min(seconds, clampRatio*h.mean)
+	}
 	h.mean += weight * (seconds - h.mean)
 }
 
@@ -77,17 +86,28 @@
 	return shrunk / h.mean
 }
 
-func (h *Health) judge(t *slotState, ratio float64, now time.Duration) {
+// judge accuses a target, clears it, or sets its next trial: soon after a
+// trial that went well, later and later after others.
+func (h *Health) judge(t *slotState, latest float64, now time.Duration) {
 	health := &t.health
-	switch {
-	case !health.suspect && ratio > suspectRatio:
-		h.accuse(t, now)
-	case health.suspect && ratio < clearRatio:
+	ratio := h.ratio(t)
+	if !health.suspect {
+		if ratio > suspectRatio {
+			h.accuse(t, now)
+		}
+		return
+	}
+	if ratio < clearRatio {
 		health.suspect = false
-	case health.suspect:
+		return
+	}
+	wasSlow := latest > suspectRatio*h.mean
+	if wasSlow {
 		health.pause = min(longestTrial, 2*health.pause)
-		health.trialAt = now + health.pause
+	} else {
+		health.pause = firstTrial
 	}
+	health.trialAt = now + health.pause
 }
 
 func (h *Health) accuse(t *slotState, now time.Duration) {
