--- a/pkg/entry/dispatcher.go
+++ b/pkg/entry/dispatcher.go
@@ -102,9 +102,9 @@
 		lenders = append(lenders, route.Lender{
 			Host:   peer.Name,
 			Near:   peer.Domain == view.Self.Domain,
-			Idle:   peer.Free,
-			Usable: peer.Usable,
 			Parted: peer.Leaving,
+
+			PeerLoad: route.PeerLoad{Idle: peer.Free, Usable: peer.Usable, Waiting: peer.Waiting},
 		})
 	}
 	return lenders
@@ -289,11 +289,11 @@
 	d.update(func() { d.scheduler.Lending().Forget(host) })
 }
 
-// onLoad takes a peer's word on its slots.
-func (d *dispatcher) onLoad(host string, idle, usable int) {
+// onLoad takes a peer's word on its slots and tasks.
+func (d *dispatcher) onLoad(host string, load route.PeerLoad) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.scheduler.Lending().SetLoad(host, idle, usable)
+	d.scheduler.Lending().SetLoad(host, load)
 }
 
 func (d *dispatcher) load() schedule.Load {
--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -18,6 +18,10 @@
 // for the primary's answer.
 const answerSlack = time.Second
 
+// unreachableReturn is when a caller may ask again after hosts could not be
+// reached: links come back within it, or are given up.
+const unreachableReturn = 250 * time.Millisecond
+
 // longestDeadline bounds the wait for jobs under their service's default
 // deadline, which this host need not know.
 const longestDeadline = 4 * time.Minute
@@ -155,7 +159,7 @@
 
 func unreachable(format string, args ...any) *once.Answer {
 	err := errkind.New(errkind.PeerDown, "submit the same id again; if this goes on, treat the job as one that may have run", format, args...)
-	err.RetryAfter = time.Second
+	err.RetryAfter = unreachableReturn
 	return once.NewAnswer(once.Unknown, err)
 }
 
--- a/pkg/entry/host.go
+++ b/pkg/entry/host.go
@@ -19,6 +19,7 @@
 	"github.com/foxcroft/foxcroft/pkg/once"
 	"github.com/foxcroft/foxcroft/pkg/peer"
 	"github.com/foxcroft/foxcroft/pkg/platform"
+	"github.com/foxcroft/foxcroft/pkg/route"
 	"github.com/foxcroft/foxcroft/pkg/schedule"
 	"github.com/foxcroft/foxcroft/pkg/settings"
 	"github.com/foxcroft/foxcroft/pkg/target"
@@ -223,9 +224,9 @@
 	}
 }
 
-// onLoad takes a peer's word on its slots.
-func (h *Host) onLoad(host string, idle, usable int) {
-	h.eachDispatcher(func(d *dispatcher) { d.onLoad(host, idle, usable) })
+// onLoad takes a peer's word on its slots and tasks.
+func (h *Host) onLoad(host string, load route.PeerLoad) {
+	h.eachDispatcher(func(d *dispatcher) { d.onLoad(host, load) })
 }
 
 // totals returns the load over all pools.
--- a/pkg/entry/members.go
+++ b/pkg/entry/members.go
@@ -10,6 +10,7 @@
 	"github.com/foxcroft/foxcroft/pkg/once"
 	"github.com/foxcroft/foxcroft/pkg/peer"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
+	"github.com/foxcroft/foxcroft/pkg/route"
 	"github.com/foxcroft/foxcroft/pkg/settings"
 )
 
@@ -154,7 +155,7 @@
 		m.update(func(t *member.Table) { t.Up(p) })
 	}
 	m.noteLoad(p, beat)
-	m.host.onLoad(p.Name, int(beat.Free), int(beat.Usable))
+	m.host.onLoad(p.Name, route.PeerLoad{Idle: int(beat.Free), Usable: int(beat.Usable), Waiting: int(beat.Waiting)})
 	if beat.Version > m.host.conf.version() {
 		go m.host.fetchConfig(p)
 	}
--- a/pkg/route/lending.go
+++ b/pkg/route/lending.go
@@ -5,13 +5,19 @@
 	"time"
 )
 
+// PeerLoad is what a peer last told of its slots and tasks.
+type PeerLoad struct {
+	Idle    int // slots
+	Usable  int // slots that it may fill at once
+	Waiting int // tasks
+}
+
 // Lender is a peer that slots may be borrowed from.
 type Lender struct {
 	Host   string
 	Near   bool // in the own domain
-	Idle   int  // slots, as last heard
-	Usable int  // slots that it may fill at once, as last heard
 	Parted bool // leaving: nothing is asked of it
+	PeerLoad
 }
 
 // DealKind tells the messages of lending apart.
@@ -77,30 +83,25 @@
 	})
 }
 
-// SetLoad takes a peer's word on its slots.
-func (l *Lending) SetLoad(host string, idle, usable int) {
+// SetLoad takes a peer's word on its slots and tasks.
+func (l *Lending) SetLoad(host string, load PeerLoad) {
 	for i := range l.lenders {
 		if l.lenders[i].Host == host {
-			l.lenders[i].Idle, l.lenders[i].Usable = idle, usable
+			l.lenders[i].PeerLoad = load
 		}
 	}
 }
 
-// MayGet reports whether some peer has slots, which it could lend in time.
-func (l *Lending) MayGet() bool {
+// PeerSum returns the load of all peers together, as last heard.
+func (l *Lending) PeerSum() PeerLoad {
+	var sum PeerLoad
 	for _, lender := range l.lenders {
-		if !lender.Parted && lender.Usable > 0 {
-			return true
+		if lender.Parted {
+			continue
 		}
-	}
-	return false
-}
-
-// Idle returns the slots that lie idle at peers, as last heard.
-func (l *Lending) Idle() int {
-	sum := 0
-	for _, lender := range l.lenders {
-		sum += lender.Idle
+		sum.Idle += lender.Idle
+		sum.Usable += lender.Usable
+		sum.Waiting += lender.Waiting
 	}
 	return sum
 }
--- a/pkg/route/lending_test.go
+++ b/pkg/route/lending_test.go
@@ -11,7 +11,7 @@
 	l := NewLending(newSlots("shares", owners...))
 	var lenders []Lender
 	for _, owner := range owners {
-		lenders = append(lenders, Lender{Host: owner, Near: true, Idle: 4, Usable: 8})
+		lenders = append(lenders, Lender{Host: owner, Near: true, PeerLoad: PeerLoad{Idle: 4, Usable: 8}})
 	}
 	l.SetLenders(lenders)
 	return l
@@ -51,7 +51,7 @@
 // not keep the others from being asked for the rest.
 func TestStaleIdleCounts(t *testing.T) {
 	l := lendingOf("b", "c")
-	l.SetLoad("b", 20, 20)
+	l.SetLoad("b", PeerLoad{Idle: 20, Usable: 20})
 	deals := l.Balance(Need{Tasks: 10}, 0)
 	qt.Assert(t, deals, qt.HasLen, 1)
 	l.OnHand("b", []Grant{{Address: "10.0.0.0:1", Count: 3}})
@@ -63,7 +63,11 @@
 
 func TestNearPeersAreAskedFirst(t *testing.T) {
 	l := NewLending(newSlots("shares", "b"))
-	l.SetLenders([]Lender{{Host: "far", Idle: 9}, {Host: "parted", Near: true, Idle: 9, Parted: true}, {Host: "b", Near: true, Idle: 1}})
+	l.SetLenders([]Lender{
+		{Host: "far", PeerLoad: PeerLoad{Idle: 9}},
+		{Host: "parted", Near: true, Parted: true, PeerLoad: PeerLoad{Idle: 9}},
+		{Host: "b", Near: true, PeerLoad: PeerLoad{Idle: 1}},
+	})
 	deals := l.Balance(Need{Tasks: 1}, 0)
 	qt.Assert(t, deals, qt.HasLen, 1)
 	qt.Assert(t, deals[0].Host, qt.Equals, "b")
--- a/pkg/schedule/schedule.go
+++ b/pkg/schedule/schedule.go
@@ -77,10 +77,11 @@
 // Admit returns nil when a job is taken in, or why not.
 func (s *Scheduler[J]) Admit(r Request, unit float64) *errkind.Error {
 	share := s.rules.Shares(r.Team)
+	peers := s.lendingPeers()
 	load := admit.Load{
-		Waiting:     s.queue.Waiting(),
+		Waiting:     s.queue.Waiting() + peers.Waiting,
 		TeamWaiting: s.queue.WaitingOf(r.Team),
-		Capacity:    s.capacity(),
+		Capacity:    max(s.slots.Usable(), s.slots.Busy()) + peers.Usable,
 		Weight:      share.Weight,
 		WeightSum:   s.queue.WeightSum(r.Team),
 		Quota:       share.Quota,
@@ -90,18 +91,14 @@
 	return admit.Decide(load, r.Tasks, r.Left, unit)
 }
 
-// capacity is the slots that this host can hope to use: its own, those it has
-// borrowed, and those that lie idle at peers.
-func (s *Scheduler[J]) capacity() int {
-	usable := max(s.slots.Usable(), s.slots.Busy())
+// lendingPeers returns the load of the peers, with whom this host makes one
+// pool as far as slots are lent: a task waits about as long as all hosts'
+// tasks take on all hosts' slots.
+func (s *Scheduler[J]) lendingPeers() route.PeerLoad {
 	if !s.rules.Policy.Lends() {
-		return usable
+		return route.PeerLoad{}
 	}
-	capacity := usable + s.lending.Idle()
-	if capacity == 0 && s.lending.MayGet() {
-		return 1 // a leaving host, or one without targets of its own, borrows
-	}
-	return capacity
+	return s.lending.PeerSum()
 }
 
 // Add takes in a job that may start. Pump must follow.
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -92,12 +92,30 @@
     for ((h = 1; h <= HOSTS_PER_DOMAIN; h++)); do
       announce "${DOMAINS[$((d - 1))]}-$h" "${DOMAINS[$((d - 1))]}" "127.$NET.1$d.$h:8081"
       ENTRIES="$ENTRIES${ENTRIES:+,}127.$NET.1$d.$h:8080"
+    done
+  done
+  for ((d = 1; d <= DOMAINS_USED; d++)); do
+    for ((h = 1; h <= HOSTS_PER_DOMAIN; h++)); do
       start_entry "$d" "$h"
       ENTRY_PIDS+=($!)
     done
   done
 }
 
+cluster_wait_links() { # until every host has a link to every other, 20 s at most
+  local i wanted=$((HOSTS_PER_DOMAIN * DOMAINS_USED - 1)) entry up
+  for ((i = 0; i < 200; i++)); do
+    up=0
+    for entry in ${ENTRIES//,/ }; do
+      [ "$(curl -sf "http://$entry/v1/status" | grep -o '"backup":' | wc -l)" -ge "$wanted" ] && up=$((up + 1))
+    done
+    [ "$up" -gt "$wanted" ] && return 0
+    sleep 0.1
+  done
+  echo "not all links are up" >&2
+  return 1
+}
+
 cluster_apply() { # cluster_apply FILE [BASE]
   "$BIN" apply -platform "$PLATFORM" -base "${2:-0}" -wait 10s -entries "$ENTRIES" "$1"
 }
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -53,7 +53,7 @@
   ENTRIES="$ENTRIES${ENTRIES:+,}127.1.11.$h:8080"
 done
 cluster_apply examples/faults.ini >&2
-sleep 1
+cluster_wait_links
 
 "$BIN" load -quiet -json -entries "$ENTRIES" -controls "$CONTROLS" -scenario scenarios/faults.ini \
   -duration "${SECONDS_OF_LOAD}s" -attempt 3s -policy faults >"$OUT/report.json" &
--- a/scripts/record-cost.sh
+++ b/scripts/record-cost.sh
@@ -14,7 +14,7 @@
     EXTRA_SETTINGS=$'[stop]\nnotice = 100ms\n[once]\nunsafe_skip_record = '$skip
     cluster_start andina
     cluster_apply examples/faults.ini >&2
-    sleep 1
+    cluster_wait_links
     "$BIN" load -quiet -json -entries "$ENTRIES" -controls "$CONTROLS" -scenario scenarios/record-cost.ini \
       -duration "${SECONDS_OF_LOAD}s" -policy "skip_record=$skip" |
       grep -E '"(policy|jobs|response_p50_ms|response_p99_ms|record|copy|forward|job_against_ideal_p50)"' | tr -d '\n'
