Slots of its own come back to a host at once; strict clairvoyant ideal

Cause: single tasks waited 100 to 400 ms while another host ran 960 tasks on lent slots. Three faults: freed slots went to the borrower's own waiting tasks before the recall was looked at; slots that were handed back did not count as what was wished for, so the next task asked nobody; and peers without idle slots were asked only after 20 ms though they held the asker's own slots.

Change: recalls go first and are counted; holders of one's own slots are asked at once, others without idle slots after 20 ms; slots that nobody waits for go back within 5 ms, several in a message; the ideal serves fewest tasks first.

--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -139,7 +139,7 @@
 		BatchWindow:     s.Duration("batch_window", defaults.batchWindow, 0, time.Second),
 		BorrowAfter:     s.Duration("borrow_after", defaults.borrowAfter, 0, time.Minute),
 		Routing:         s.String("routing", "shares"),
-		Order:           s.String("order", "fifo"),
+		Order:           s.String("order", "fewest"),
 	}
 }
 
--- a/pkg/entry/dispatcher.go
+++ b/pkg/entry/dispatcher.go
@@ -41,6 +41,10 @@
 	timer     *time.Timer
 }
 
+// idleReturnWait is how long slots that nobody is known to wait for are kept
+// back, so that several go back in one message.
+const idleReturnWait = 5 * time.Millisecond
+
 type start = schedule.Start[*job]
 
 func newDispatcher(c *common.Common, host, pool string, retryRatio float64, client *target.Client, m *metrics.Metrics, finish finishFunc, send dealSender) *dispatcher {
@@ -152,9 +156,9 @@
 	now := d.Clock.Now()
 	starts, deals := d.scheduler.Pump(now, common.Unit)
 	for _, deal := range deals {
-		wait := d.batch
-		if deal.Kind == route.Hand || deal.Want > 0 {
-			wait = 0 // a task waits for it
+		wait := max(d.batch, idleReturnWait)
+		if deal.Urgent {
+			wait = 0
 		}
 		if !d.send(d.pool, deal, wait) {
 			d.scheduler.Lending().Undelivered(deal)
--- a/pkg/entry/members.go
+++ b/pkg/entry/members.go
@@ -155,16 +155,25 @@
 		m.update(func(t *member.Table) { t.Up(p) })
 	}
 	m.noteLoad(p, beat)
-	m.host.onLoad(p.Name, route.PeerLoad{Idle: int(beat.Free), Usable: int(beat.Usable), Waiting: int(beat.Waiting)})
+	m.host.onLoad(p.Name, route.PeerLoad{Idle: int(beat.Free), Usable: m.usable(beat), Waiting: int(beat.Waiting)})
 	if beat.Version > m.host.conf.version() {
 		go m.host.fetchConfig(p)
 	}
 }
 
+// usable returns the slots that a peer may fill. One that does not have our
+// configuration yet will have some.
+func (m *members) usable(beat *peerpb.Heartbeat) int {
+	if beat.Version < m.host.conf.version() {
+		return max(1, int(beat.Usable))
+	}
+	return int(beat.Usable)
+}
+
 // noteLoad keeps a peer's load for status, without telling the dispatchers
 // that the membership changed.
 func (m *members) noteLoad(p member.Peer, beat *peerpb.Heartbeat) {
-	p.Version, p.Waiting, p.Free, p.Usable = beat.Version, int(beat.Waiting), int(beat.Free), int(beat.Usable)
+	p.Version, p.Waiting, p.Free, p.Usable = beat.Version, int(beat.Waiting), int(beat.Free), m.usable(beat)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if _, known := m.view().ByIncarnation(p.Incarnation); !known {
--- a/pkg/load/report.go
+++ b/pkg/load/report.go
@@ -23,6 +23,8 @@
 // time of its longest task. AgainstIdeal is the quantile of the slowdown over
 // the same quantile with one clairvoyant queue; JobAgainstIdeal is the
 // quantile of each job's own response over its ideal one, which is stricter.
+// The clairvoyant queue serves the job with the fewest tasks first; AgainstFIFO
+// compares with one that serves in order of arrival.
 type Report struct {
 	Scenario           string            `json:"scenario"`
 	Policy             string            `json:"policy"`
@@ -35,6 +37,7 @@
 	Goodput            float64           `json:"goodput"` // work of complete jobs over what the slots could do while jobs arrived
 	SlowdownP50        float64           `json:"slowdown_p50"`
 	SlowdownP99        float64           `json:"slowdown_p99"`
+	AgainstFIFOP99     float64           `json:"against_fifo_p99"`
 	AgainstIdealP50    float64           `json:"against_ideal_p50"`
 	AgainstIdealP99    float64           `json:"against_ideal_p99"`
 	JobAgainstIdealP50 float64           `json:"job_against_ideal_p50"`
@@ -51,14 +54,16 @@
 	CrossedOrPartial   int               `json:"crossed_or_partial"`
 	Unserved           int               `json:"complete_without_start"`
 	Groups             []Group           `json:"groups"`
+	Sizes              []Group           `json:"sizes"` // by tasks in a job, in place of team and class
 
 	slowdowns, ideals []float64 // sorted, of complete jobs, for the plot
 }
 
-// Group is the part of a report for a team and class.
+// Group is the part of a report for a team and class, or for a job size.
 type Group struct {
-	Team          string  `json:"team"`
-	Class         string  `json:"class"`
+	Team          string  `json:"team,omitempty"`
+	Class         string  `json:"class,omitempty"`
+	Size          string  `json:"size,omitempty"`
 	Jobs          int64   `json:"jobs"`
 	SlowdownP50   float64 `json:"slowdown_p50"`
 	SlowdownP99   float64 `json:"slowdown_p99"`
@@ -90,9 +95,9 @@
 		RefusedByKind:    map[string]int{},
 		MayHaveRunByKind: map[string]int{},
 	}
-	ideal := Ideal(arrivals, s.Slots, s.Latency)
-	all, idealAll, perJob := newHistograms(), newHistograms(), newHistograms()
-	groups := map[[2]string]*histograms{}
+	ideal, fifo := Ideal(arrivals, s.Slots, s.Latency, FewestFirst), Ideal(arrivals, s.Slots, s.Latency, FIFO)
+	all, idealAll, fifoAll, perJob := newHistograms(), newHistograms(), newHistograms(), newHistograms()
+	groups, sizes := map[Group]*histograms{}, map[Group]*histograms{}
 	var work time.Duration
 	for i := range arrivals {
 		a, e := &arrivals[i], results[i]
@@ -107,12 +112,10 @@
 		slowdown, idealSlowdown := ratio(e.response, a.Longest()), ratio(ideal[i], a.Longest())
 		all.record(slowdown, e.response)
 		idealAll.record(idealSlowdown, ideal[i])
+		fifoAll.record(ratio(fifo[i], a.Longest()), fifo[i])
 		perJob.record(ratio(e.response, ideal[i]), e.response)
-		key := [2]string{a.Team, a.Class}
-		if groups[key] == nil {
-			groups[key] = newHistograms()
-		}
-		groups[key].record(slowdown, e.response)
+		recordGroup(groups, Group{Team: a.Team, Class: a.Class}, slowdown, e.response)
+		recordGroup(sizes, Group{Size: sizeClass(len(a.Tasks))}, slowdown, e.response)
 		r.slowdowns = append(r.slowdowns, slowdown)
 		r.ideals = append(r.ideals, idealSlowdown)
 	}
@@ -120,10 +123,27 @@
 	sort.Float64s(r.ideals)
 	r.Goodput = work.Seconds() / (s.Duration.Seconds() * float64(s.Slots))
 	r.setQuantiles(all, idealAll, perJob)
-	r.setGroups(groups)
+	r.AgainstFIFOP99 = quotient(r.SlowdownP99, quantile(fifoAll.slowdown, 99))
+	r.Groups, r.Sizes = summarize(groups), summarize(sizes)
 	return r
 }
 
+// sizeClass names the power of four that a job's tasks do not exceed.
+func sizeClass(tasks int) string {
+	limit := 1
+	for limit < tasks {
+		limit *= 4
+	}
+	return fmt.Sprintf("up to %4d tasks", limit)
+}
+
+func recordGroup(groups map[Group]*histograms, key Group, slowdown float64, response time.Duration) {
+	if groups[key] == nil {
+		groups[key] = newHistograms()
+	}
+	groups[key].record(slowdown, response)
+}
+
 func ratio(a, b time.Duration) float64 {
 	if b <= 0 {
 		return 1
@@ -158,17 +178,18 @@
 	r.ResponseP50MS, r.ResponseP99MS = millis(all.response, 50), millis(all.response, 99)
 }
 
-func (r *Report) setGroups(groups map[[2]string]*histograms) {
-	for key, h := range groups {
-		r.Groups = append(r.Groups, Group{
-			Team: key[0], Class: key[1], Jobs: h.slowdown.TotalCount(),
-			SlowdownP50: quantile(h.slowdown, 50), SlowdownP99: quantile(h.slowdown, 99),
-			ResponseP50MS: millis(h.response, 50), ResponseP99MS: millis(h.response, 99),
-		})
+func summarize(groups map[Group]*histograms) []Group {
+	var list []Group
+	for group, h := range groups {
+		group.Jobs = h.slowdown.TotalCount()
+		group.SlowdownP50, group.SlowdownP99 = quantile(h.slowdown, 50), quantile(h.slowdown, 99)
+		group.ResponseP50MS, group.ResponseP99MS = millis(h.response, 50), millis(h.response, 99)
+		list = append(list, group)
 	}
-	sort.Slice(r.Groups, func(i, j int) bool {
-		return r.Groups[i].Team+"/"+r.Groups[i].Class < r.Groups[j].Team+"/"+r.Groups[j].Class
+	sort.Slice(list, func(i, j int) bool {
+		return list[i].Team+list[i].Class+list[i].Size < list[j].Team+list[j].Class+list[j].Size
 	})
+	return list
 }
 
 func quantile(h *hdrhistogram.Histogram, q float64) float64 {
@@ -243,7 +264,7 @@
 	fmt.Fprintf(table, "messages\t%v\t\n", r.Messages)
 	fmt.Fprintf(table, "wasted messages a task\t%.4f\t\n", r.WastedPerTask)
 	fmt.Fprintf(table, "double starts %d\tfalse not run %d\tcrossed or partial %d\n", r.DoubleStarts, r.FalseNotRun, r.CrossedOrPartial)
-	for _, g := range r.Groups {
-		fmt.Fprintf(table, "%s %s\t%d jobs\tslowdown p50 %.3f p99 %.3f, response p50 %.1f ms p99 %.1f ms\n", g.Team, g.Class, g.Jobs, g.SlowdownP50, g.SlowdownP99, g.ResponseP50MS, g.ResponseP99MS)
+	for _, g := range append(append([]Group(nil), r.Groups...), r.Sizes...) {
+		fmt.Fprintf(table, "%s %s %s\t%d jobs\tslowdown p50 %.3f p99 %.3f, response p50 %.1f ms p99 %.1f ms\n", g.Team, g.Class, g.Size, g.Jobs, g.SlowdownP50, g.SlowdownP99, g.ResponseP50MS, g.ResponseP99MS)
 	}
 }
--- a/pkg/peer/counters.go
+++ b/pkg/peer/counters.go
@@ -14,12 +14,14 @@
 	ClassRecord  Class = iota // records and their replies
 	ClassCopy                 // answers copied to backups
 	ClassForward              // jobs passed on, and their answers
-	ClassLend                 // slots borrowed, lent and returned
+	ClassAsk                  // wishes for slots
+	ClassHand                 // slots lent
+	ClassReturn               // slots returned
 	ClassControl              // hello, heartbeats, configuration, fences
 	classCount
 )
 
-var classNames = [classCount]string{"record", "copy", "forward", "lend", "control"}
+var classNames = [classCount]string{"record", "copy", "forward", "ask", "hand", "return", "control"}
 
 // String returns the name under which the class is counted.
 func (c Class) String() string { return classNames[c] }
@@ -32,7 +34,7 @@
 
 // Classes returns all classes.
 func Classes() []Class {
-	return []Class{ClassRecord, ClassCopy, ClassForward, ClassLend, ClassControl}
+	return []Class{ClassRecord, ClassCopy, ClassForward, ClassAsk, ClassHand, ClassReturn, ClassControl}
 }
 
 // Frames returns the number of frames sent; a frame counts for the class of
@@ -56,8 +58,12 @@
 		return ClassCopy
 	case *peerpb.Message_Submit, *peerpb.Message_Answer, *peerpb.Message_Cancel, *peerpb.Message_Ask:
 		return ClassForward
-	case *peerpb.Message_Borrow, *peerpb.Message_Lend, *peerpb.Message_Return:
-		return ClassLend
+	case *peerpb.Message_Borrow:
+		return ClassAsk
+	case *peerpb.Message_Lend:
+		return ClassHand
+	case *peerpb.Message_Return:
+		return ClassReturn
 	}
 	return ClassControl
 }
--- a/pkg/route/lend.go
+++ b/pkg/route/lend.go
@@ -48,24 +48,45 @@
 	}
 }
 
-// GiveBack takes idle borrowed slots out of the account, at most those of
-// lender when it is not "", and returns them by lender.
-func (s *Slots) GiveBack(lender string) map[string][]Grant {
+// GiveBack takes all idle borrowed slots out of the account and returns them
+// by lender.
+func (s *Slots) GiveBack() map[string][]Grant {
 	back := map[string][]Grant{}
 	for _, state := range s.order {
-		for from, count := range state.borrowed {
-			if lender != "" && from != lender {
-				continue
-			}
-			count = min(count, state.room())
-			if count == 0 {
-				continue
-			}
-			state.takeBorrowed(from, count)
-			back[from] = append(back[from], Grant{Address: state.address, Count: count})
+		for lender := range state.borrowed {
+			back[lender] = state.giveBack(back[lender], lender, state.borrSum)
 		}
 	}
 	s.dropEmpty()
+	return dropNone(back)
+}
+
+// GiveBackTo takes up to count idle slots of one lender out of the account.
+func (s *Slots) GiveBackTo(lender string, count int) []Grant {
+	var grants []Grant
+	for _, state := range s.order {
+		left := count - CountSlots(grants)
+		grants = state.giveBack(grants, lender, left)
+	}
+	s.dropEmpty()
+	return grants
+}
+
+func (t *slotState) giveBack(grants []Grant, lender string, count int) []Grant {
+	count = min(count, t.borrowed[lender], t.room())
+	if count <= 0 {
+		return grants
+	}
+	t.takeBorrowed(lender, count)
+	return append(grants, Grant{Address: t.address, Count: count})
+}
+
+func dropNone(back map[string][]Grant) map[string][]Grant {
+	for lender, grants := range back {
+		if len(grants) == 0 {
+			delete(back, lender)
+		}
+	}
 	return back
 }
 
--- a/pkg/route/lending.go
+++ b/pkg/route/lending.go
@@ -37,6 +37,7 @@
 	Want   int
 	Waited time.Duration // of the task that waits longest, for Ask
 	Grants []Grant
+	Urgent bool // a task waits for it
 }
 
 // Need is what the waiting tasks ask for.
@@ -46,19 +47,34 @@
 	After  time.Duration // how long a task waits before slots are asked for
 }
 
+// NextStep returns how long until waiting alone makes Balance ask for more, or
+// false when it will not.
+func (n Need) NextStep() (time.Duration, bool) {
+	for _, threshold := range []time.Duration{n.After, n.After + askBusyAfter} {
+		if n.Tasks > 0 && n.Waited < threshold {
+			return threshold - n.Waited, true
+		}
+	}
+	return 0, false
+}
+
 // Lending decides when to borrow slots from peers, when to lend idle ones and
 // when to give back what was borrowed. It is not safe for concurrent use.
 type Lending struct {
 	slots   *Slots
 	wishes  *Wishes
 	lenders []Lender
-	asked   map[string]int  // by host: slots wished for there
-	recall  map[string]bool // hosts that want their slots back
+	asked   map[string]int // by host: slots wished for there
+	recall  map[string]int // by host: slots of its own that it wants back
 }
 
+// askBusyAfter is how much longer tasks wait before peers are asked that have
+// no idle slots as far as is known; a wish there is met when slots fall idle.
+const askBusyAfter = 20 * time.Millisecond
+
 // NewLending makes a lending over an account of slots.
 func NewLending(slots *Slots) *Lending {
-	return &Lending{slots: slots, wishes: NewWishes(), asked: map[string]int{}, recall: map[string]bool{}}
+	return &Lending{slots: slots, wishes: NewWishes(), asked: map[string]int{}, recall: map[string]int{}}
 }
 
 // SetLenders takes the peers that there are, and drops all dealings with
@@ -114,25 +130,39 @@
 	l.slots.Forget(host)
 }
 
-// Balance decides what to send after a change.
-func (l *Lending) Balance(need Need, now time.Duration) []Deal {
+// ReturnRecalled gives idle slots back to the lenders that wish for them. It
+// has to come before waiting tasks take the slots.
+func (l *Lending) ReturnRecalled() []Deal {
 	var deals []Deal
-	for host := range l.recall {
-		deals = l.giveBack(deals, host)
+	for lender, count := range l.recall {
+		grants := l.slots.GiveBackTo(lender, count)
+		if len(grants) == 0 {
+			continue
+		}
+		deals = append(deals, Deal{Kind: HandBack, Host: lender, Grants: grants, Urgent: true})
+		l.recall[lender] -= CountSlots(grants)
+		if l.recall[lender] <= 0 {
+			delete(l.recall, lender)
+		}
 	}
+	return deals
+}
+
+// Balance decides what to send after waiting tasks have taken their slots.
+func (l *Lending) Balance(need Need, now time.Duration) []Deal {
+	var deals []Deal
 	if need.Tasks > 0 {
 		return l.borrow(deals, need)
 	}
-	deals = l.giveBack(deals, "")
+	for lender, grants := range l.slots.GiveBack() {
+		deals = append(deals, Deal{Kind: HandBack, Host: lender, Grants: grants})
+	}
 	deals = l.withdraw(deals)
 	return l.lendIdle(deals, now)
 }
 
 // borrow asks as many peers as seem needed to cover the tasks that wait.
 func (l *Lending) borrow(deals []Deal, need Need) []Deal {
-	if need.Waited < need.After {
-		return deals
-	}
 	missing := need.Tasks
 	for _, lender := range l.lenders {
 		// A wish beyond a peer's idle slots may not be met for long.
@@ -142,16 +172,37 @@
 		if missing <= 0 {
 			break
 		}
-		if lender.Parted || l.asked[lender.Host] > 0 {
+		if lender.Parted || l.asked[lender.Host] > 0 && !l.shouldAskMore(lender.Host, missing) {
+			continue
+		}
+		if need.Waited < l.patience(lender, need) {
 			continue
 		}
 		l.asked[lender.Host] = missing
-		deals = append(deals, Deal{Kind: Ask, Host: lender.Host, Want: missing, Waited: need.Waited})
+		deals = append(deals, Deal{Kind: Ask, Host: lender.Host, Want: missing, Waited: need.Waited, Urgent: true})
 		missing -= lender.Idle
 	}
 	return deals
 }
 
+// shouldAskMore reports whether a host that holds slots of ours was asked for
+// far fewer than are needed now.
+func (l *Lending) shouldAskMore(host string, missing int) bool {
+	return missing >= 2*l.asked[host] && l.slots.LentTo(host) > l.asked[host]
+}
+
+// patience is how long tasks wait before a peer is asked. Slots of our own are
+// asked back at once.
+func (l *Lending) patience(lender Lender, need Need) time.Duration {
+	switch {
+	case l.slots.LentTo(lender.Host) > 0:
+		return 0
+	case lender.Idle > 0:
+		return need.After
+	}
+	return need.After + askBusyAfter
+}
+
 func (l *Lending) withdraw(deals []Deal) []Deal {
 	for host := range l.asked {
 		delete(l.asked, host)
@@ -160,13 +211,6 @@
 	return deals
 }
 
-func (l *Lending) giveBack(deals []Deal, host string) []Deal {
-	for lender, grants := range l.slots.GiveBack(host) {
-		deals = append(deals, Deal{Kind: HandBack, Host: lender, Grants: grants})
-	}
-	return deals
-}
-
 // lendIdle lends idle slots to the peers that have waited longest.
 func (l *Lending) lendIdle(deals []Deal, now time.Duration) []Deal {
 	for {
@@ -180,7 +224,7 @@
 		}
 		wish.Want -= CountSlots(grants)
 		l.wishes.Set(wish)
-		deals = append(deals, Deal{Kind: Hand, Host: wish.Host, Grants: grants})
+		deals = append(deals, Deal{Kind: Hand, Host: wish.Host, Grants: grants, Urgent: true})
 	}
 }
 
@@ -188,7 +232,7 @@
 // that it lent to us.
 func (l *Lending) OnAsk(wish Wish) {
 	l.wishes.Set(wish)
-	l.recall[wish.Host] = wish.Want > 0
+	l.recall[wish.Host] = wish.Want
 	if wish.Want == 0 {
 		delete(l.recall, wish.Host)
 	}
@@ -199,6 +243,11 @@
 	l.slots.Borrowed(host, grants)
 	count := CountSlots(grants)
 	l.takeIdle(host, count, l.asked[host] > count)
+	l.met(host, count)
+}
+
+// met counts slots that came off what was wished for at a host.
+func (l *Lending) met(host string, count int) {
 	if l.asked[host] > count {
 		l.asked[host] -= count
 		return
@@ -220,8 +269,11 @@
 	}
 }
 
-// OnHandBack takes slots back from a peer.
-func (l *Lending) OnHandBack(host string, grants []Grant) { l.slots.Returned(host, grants) }
+// OnHandBack takes slots back from a peer, which may be what was wished for.
+func (l *Lending) OnHandBack(host string, grants []Grant) {
+	l.slots.Returned(host, grants)
+	l.met(host, CountSlots(grants))
+}
 
 // Undelivered takes the news that a deal could not be sent.
 func (l *Lending) Undelivered(deal Deal) {
--- a/pkg/route/lending_test.go
+++ b/pkg/route/lending_test.go
@@ -109,11 +109,28 @@
 			if s.recall {
 				l.OnAsk(Wish{Host: "b", Want: 1})
 			}
-			qt.Assert(t, kinds(l.Balance(s.need, 0)), qt.DeepEquals, s.expected)
+			deals := append(l.ReturnRecalled(), l.Balance(s.need, 0)...)
+			qt.Assert(t, kinds(deals), qt.DeepEquals, s.expected)
 		})
 	}
 }
 
+// TestRecallAgain: slots that came back count as what was wished for, so that
+// the next task asks again, and a greater need asks for more.
+func TestRecallAgain(t *testing.T) {
+	l := lendingOf("b")
+	l.OnAsk(Wish{Host: "b", Want: 6})
+	lent := l.Balance(Need{}, 0)[0].Grants
+	l.SetLoad("b", PeerLoad{})
+	qt.Assert(t, kinds(l.Balance(Need{Tasks: 1}, 0)), qt.DeepEquals, []DealKind{Ask})
+	more := l.Balance(Need{Tasks: 4}, 0)
+	qt.Assert(t, more, qt.HasLen, 1)
+	qt.Assert(t, more[0].Want, qt.Equals, 4)
+	l.OnHandBack("b", []Grant{{Address: lent[0].Address, Count: 1}})
+	l.OnHandBack("b", []Grant{{Address: lent[0].Address, Count: 3}})
+	qt.Assert(t, kinds(l.Balance(Need{Tasks: 1}, 0)), qt.DeepEquals, []DealKind{Ask})
+}
+
 func TestUndeliveredDeals(t *testing.T) {
 	l := lendingOf("b")
 	before := l.slots.Usable()
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -78,7 +78,7 @@
 				borrowed += 2
 			},
 			"give back": func(*rapid.T) {
-				for _, grants := range s.GiveBack("") {
+				for _, grants := range s.GiveBack() {
 					borrowed -= CountSlots(grants)
 				}
 			},
--- a/pkg/schedule/schedule.go
+++ b/pkg/schedule/schedule.go
@@ -80,7 +80,7 @@
 	peers := s.lendingPeers()
 	load := admit.Load{
 		Waiting:     s.queue.Waiting() + peers.Waiting,
-		TeamWaiting: s.queue.WaitingOf(r.Team),
+		TeamWaiting: s.teamWaiting(r.Team, peers),
 		Capacity:    max(s.slots.Usable(), s.slots.Busy()) + peers.Usable,
 		Weight:      share.Weight,
 		WeightSum:   s.queue.WeightSum(r.Team),
@@ -101,6 +101,16 @@
 	return s.lending.PeerSum()
 }
 
+// teamWaiting returns a team's waiting tasks on all hosts, taking its part at
+// the peers to be its part here; of an idle host's peers it assumes the most.
+func (s *Scheduler[J]) teamWaiting(team string, peers route.PeerLoad) int {
+	own, ofTeam := s.queue.Waiting(), s.queue.WaitingOf(team)
+	if own == 0 {
+		return peers.Waiting
+	}
+	return ofTeam + peers.Waiting*ofTeam/own
+}
+
 // Add takes in a job that may start. Pump must follow.
 func (s *Scheduler[J]) Add(item *admit.Item[J]) { s.queue.Add(item) }
 
@@ -111,6 +121,10 @@
 // decides on borrowing and lending. unit draws a random number in [0, 1).
 func (s *Scheduler[J]) Pump(now time.Duration, unit func() float64) ([]Start[J], []route.Deal) {
 	var starts []Start[J]
+	var deals []route.Deal
+	if s.rules.Policy.Lends() {
+		deals = s.lending.ReturnRecalled()
+	}
 	for now >= s.pausedTo && s.queue.CanStart() {
 		address, ok := s.slots.Acquire(now, unit())
 		if !ok {
@@ -122,7 +136,7 @@
 	if !s.rules.Policy.Lends() {
 		return starts, nil
 	}
-	return starts, s.lending.Balance(s.need(now), now)
+	return starts, append(deals, s.lending.Balance(s.need(now), now)...)
 }
 
 func (s *Scheduler[J]) need(now time.Duration) route.Need {
@@ -165,9 +179,8 @@
 	if s.pausedTo > now && (!found || s.pausedTo < at) {
 		at, found = s.pausedTo, true
 	}
-	oldest, _ := s.queue.Oldest()
-	if due := oldest + s.rules.BorrowAfter; due > now && (!found || due < at) {
-		at, found = due, true
+	if wait, ok := s.need(now).NextStep(); ok && (!found || now+wait < at) {
+		at, found = now+wait, true
 	}
 	return at, found
 }
--- /dev/null
+++ b/pkg/schedule/schedule_test.go
@@ -0,0 +1,121 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/admit"
+	"github.com/foxcroft/foxcroft/pkg/errkind"
+	"github.com/foxcroft/foxcroft/pkg/route"
+	qt "github.com/frankban/quicktest"
+)
+
+func half() float64 { return 0.5 }
+
+// newScheduler makes host "a"'s scheduler over one target of its own with the
+// given slots, and a peer "b" that has told its load.
+func newScheduler(t *testing.T, slots int, peer route.PeerLoad) *Scheduler[string] {
+	policy, err := route.Policies.Get("shares")
+	qt.Assert(t, err, qt.IsNil)
+	order, err := admit.Orderings.Get("fifo")
+	qt.Assert(t, err, qt.IsNil)
+	s := New[string]("a", 0.1)
+	rules := Rules{Policy: policy, Order: order, Shares: func(string) admit.Share { return admit.Share{Weight: 1} }}
+	s.Configure(rules, []route.Target{{Address: "10.0.0.1:1", Slots: slots}}, []string{"a"}, []route.Lender{{Host: "b", Near: true, PeerLoad: peer}})
+	return s
+}
+
+func add(s *Scheduler[string], job string, tasks int) {
+	s.Add(&admit.Item[string]{Job: job, Team: "t", Left: tasks})
+}
+
+func TestTasksWaitForSlots(t *testing.T) {
+	s := newScheduler(t, 2, route.PeerLoad{})
+	add(s, "j", 3)
+	starts, _ := s.Pump(0, half)
+	qt.Assert(t, starts, qt.HasLen, 2)
+	s.Complete(starts[0], route.Served, false, time.Second)
+	next, _ := s.Pump(time.Second, half)
+	qt.Assert(t, next, qt.HasLen, 1)
+	qt.Assert(t, s.Load(time.Second).Waiting, qt.Equals, 0)
+}
+
+func TestWhatDidNotStartWaitsAgain(t *testing.T) {
+	s := newScheduler(t, 1, route.PeerLoad{})
+	add(s, "j", 1)
+	starts, _ := s.Pump(0, half)
+	s.Complete(starts[0], route.Full, true, 0)
+	starts, _ = s.Pump(0, half)
+	qt.Assert(t, starts, qt.HasLen, 0, qt.Commentf("a target that is full gets a pause"))
+	at, ok := s.WakeAt(0)
+	qt.Assert(t, ok, qt.IsTrue)
+	starts, _ = s.Pump(at, half)
+	qt.Assert(t, starts, qt.HasLen, 1)
+}
+
+// TestRecalledSlotsGoBackFirst: a lender that wants its slots gets them though
+// the borrower's own tasks wait, and gets no more than it wants.
+func TestRecalledSlotsGoBackFirst(t *testing.T) {
+	s := newScheduler(t, 1, route.PeerLoad{Idle: 3, Usable: 3})
+	add(s, "large", 20)
+	_, deals := s.Pump(0, half)
+	qt.Assert(t, deals, qt.HasLen, 1)
+	qt.Assert(t, deals[0].Kind, qt.Equals, route.Ask)
+	s.Lending().OnHand("b", []route.Grant{{Address: "10.0.0.9:1", Count: 3}})
+	starts, _ := s.Pump(0, half)
+	qt.Assert(t, starts, qt.HasLen, 3)
+	s.Lending().OnAsk(route.Wish{Host: "b", Want: 1})
+	for i, start := range starts {
+		s.Complete(start, route.Served, false, time.Second)
+		next, deals := s.Pump(time.Second, half)
+		if i == 0 {
+			qt.Assert(t, next, qt.HasLen, 0)
+			qt.Assert(t, deals[0].Kind, qt.Equals, route.HandBack)
+			qt.Assert(t, route.CountSlots(deals[0].Grants), qt.Equals, 1)
+			continue
+		}
+		qt.Assert(t, next, qt.HasLen, 1, qt.Commentf("the rest is kept"))
+	}
+}
+
+func TestAdmitCountsThePeers(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		peer     route.PeerLoad
+		tasks    int
+		expected errkind.Kind
+	}{
+		{"idle peer", route.PeerLoad{Idle: 8, Usable: 8}, 50, ""},
+		{"busy peer", route.PeerLoad{Usable: 8, Waiting: 400}, 50, errkind.Overloaded},
+		{"no slots anywhere else", route.PeerLoad{}, 50, errkind.Overloaded},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			s := newScheduler(t, 2, sc.peer)
+			add(s, "j", 1)
+			starts, _ := s.Pump(0, half)
+			s.Complete(starts[0], route.Served, false, time.Second)
+			err := s.Admit(Request{Team: "t", Tasks: sc.tasks, Left: 10 * time.Second, MaxQueue: 1000}, 0)
+			if sc.expected == "" {
+				qt.Assert(t, err == nil, qt.IsTrue)
+				return
+			}
+			qt.Assert(t, err.Kind, qt.Equals, sc.expected)
+		})
+	}
+}
+
+func TestRetriesPauseWithoutABudget(t *testing.T) {
+	s := newScheduler(t, 1000, route.PeerLoad{})
+	add(s, "j", 500)
+	starts, _ := s.Pump(0, half)
+	qt.Assert(t, starts, qt.HasLen, 500)
+	for _, start := range starts {
+		s.Complete(start, route.Withdrawn, true, 0)
+	}
+	again, _ := s.Pump(0, half)
+	qt.Assert(t, again, qt.HasLen, 0, qt.Commentf("500 retries exceed the budget"))
+	at, ok := s.WakeAt(0)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, at, qt.Equals, budgetPause)
+}
