--- a/pkg/admit/queue.go
+++ b/pkg/admit/queue.go
@@ -20,8 +20,8 @@
 	Arrived  time.Duration // when the job was taken in
 	Deadline time.Duration
 
-	key   float64 // place inside the team, lowest first
-	index int     // in the team's heap, or notQueued
+	place time.Duration // inside the team, lowest first
+	index int           // in the team's heap, or notQueued
 }
 
 const notQueued = -1
@@ -33,9 +33,10 @@
 }
 
 // Ordering gives a waiting job its place inside its team: the lowest runs
-// first. Orderings register themselves in Orderings and are named by a
+// first. A place is a time by the host's clock, so that its distance from now
+// compares between hosts. Orderings register themselves in Orderings and are named by a
 // service's order key.
-type Ordering func(left int, arrived, deadline time.Duration) float64
+type Ordering func(left int, arrived, deadline time.Duration) time.Duration
 
 // Orderings are the orderings that there are.
 var Orderings = kernel.NewRegistry[Ordering]("order")
@@ -46,14 +47,14 @@
 const patiencePerTask = 5 * time.Millisecond
 
 func init() {
-	Orderings.Register("fifo", func(_ int, arrived, _ time.Duration) float64 {
-		return arrived.Seconds()
+	Orderings.Register("fifo", func(_ int, arrived, _ time.Duration) time.Duration {
+		return arrived
 	})
-	Orderings.Register("fewest", func(left int, arrived, _ time.Duration) float64 {
-		return (arrived + time.Duration(left)*patiencePerTask).Seconds()
+	Orderings.Register("fewest", func(left int, arrived, _ time.Duration) time.Duration {
+		return arrived + time.Duration(left)*patiencePerTask
 	})
-	Orderings.Register("slack", func(_ int, _, deadline time.Duration) float64 {
-		return deadline.Seconds()
+	Orderings.Register("slack", func(_ int, _, deadline time.Duration) time.Duration {
+		return deadline
 	})
 }
 
@@ -89,7 +90,7 @@
 		// A team that was idle starts level with the others; it saves nothing up.
 		team.virtual = max(team.virtual, q.virtual)
 	}
-	item.key = q.order(item.Left, item.Arrived, item.Deadline)
+	item.place = q.order(item.Left, item.Arrived, item.Deadline)
 	heap.Push(&team.items, item)
 	team.waiting += item.Left
 	q.waiting += item.Left
@@ -119,7 +120,7 @@
 		heap.Pop(&team.items)
 		return item
 	}
-	item.key = q.order(item.Left, item.Arrived, item.Deadline)
+	item.place = q.order(item.Left, item.Arrived, item.Deadline)
 	heap.Fix(&team.items, 0)
 	return item
 }
@@ -203,6 +204,22 @@
 	return oldest, found
 }
 
+// First returns the lowest place of the waiting jobs that quotas let start, or
+// false when there is none.
+func (q *Queue[J]) First() (time.Duration, bool) {
+	first, found := time.Duration(0), false
+	for name, team := range q.teams {
+		quota := q.shares(name).Quota
+		if team.waiting == 0 || quota > 0 && team.running >= quota {
+			continue
+		}
+		if place := team.items[0].place; !found || place < first {
+			first, found = place, true
+		}
+	}
+	return first, found
+}
+
 // WeightSum returns the weights of the teams that have tasks waiting or
 // running, counting team in any case.
 func (q *Queue[J]) WeightSum(team string) int {
@@ -224,11 +241,11 @@
 	return team
 }
 
-// itemHeap implements heap.Interface over the keys.
+// itemHeap implements heap.Interface over the places.
 type itemHeap[J any] []*Item[J]
 
 func (h itemHeap[J]) Len() int           { return len(h) }
-func (h itemHeap[J]) Less(i, j int) bool { return h[i].key < h[j].key }
+func (h itemHeap[J]) Less(i, j int) bool { return h[i].place < h[j].place }
 
 func (h itemHeap[J]) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -67,7 +67,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, len(paths) >= 2, qt.IsTrue)
 	for _, path := range paths {
-		if strings.HasPrefix(filepath.Base(path), "entry") {
+		if filepath.Base(path) == "entry-host.ini" { // settings, not a configuration
 			continue
 		}
 		t.Run(filepath.Base(path), func(t *testing.T) {
--- a/pkg/entry/convert.go
+++ b/pkg/entry/convert.go
@@ -93,7 +93,7 @@
 	switch deal.Kind {
 	case route.Ask:
 		return &peerpb.Message{Body: &peerpb.Message_Borrow{Borrow: &peerpb.Borrow{
-			Pool: pool, Want: uint32(deal.Want), WaitedUs: deal.Waited.Microseconds(),
+			Pool: pool, Want: uint32(deal.Want), PlaceUs: deal.Place.Microseconds(),
 		}}}
 	case route.Hand:
 		return &peerpb.Message{Body: &peerpb.Message_Lend{Lend: &peerpb.Lend{Pool: pool, Slots: toSlotCounts(deal.Grants)}}}
--- a/pkg/entry/dispatcher.go
+++ b/pkg/entry/dispatcher.go
@@ -72,11 +72,13 @@
 	if err != nil {
 		return err
 	}
+	hosts := max(1, len(view.Owners()))
 	rules := schedule.Rules{
 		Policy:      policy,
 		Order:       order,
 		BorrowAfter: service.BorrowAfter,
-		Shares:      func(team string) admit.Share { return shareOf(doc.Teams[team]) },
+		Yield:       service.Yield,
+		Shares:      func(team string) admit.Share { return shareOf(doc.Teams[team], hosts) },
 	}
 	d.update(func() {
 		d.batch = service.BatchWindow
@@ -85,11 +87,13 @@
 	return nil
 }
 
-func shareOf(team *config.Team) admit.Share {
+// shareOf returns a team's share at one of a domain's hosts, each of which
+// applies an equal part of the quota, rounded up.
+func shareOf(team *config.Team, hosts int) admit.Share {
 	if team == nil {
 		return admit.Share{Weight: 1} // taken out of the configuration while it had jobs
 	}
-	return admit.Share{Weight: team.Weight, Quota: team.QuotaSlots}
+	return admit.Share{Weight: team.Weight, Quota: (team.QuotaSlots + hosts - 1) / hosts}
 }
 
 func targetsOf(pool *config.Pool, view *member.View) []route.Target {
@@ -270,10 +274,10 @@
 	})
 }
 
-// onAsk takes a peer's wish for slots.
-func (d *dispatcher) onAsk(host string, want int, waited time.Duration) {
+// onAsk takes a peer's wish for slots. place is that of its first job, from now.
+func (d *dispatcher) onAsk(host string, want int, place time.Duration) {
 	d.update(func() {
-		d.scheduler.Lending().OnAsk(route.Wish{Host: host, Want: want, Since: d.Clock.Now() - waited})
+		d.scheduler.Lending().OnAsk(route.Wish{Host: host, Want: want, Place: d.Clock.Now() + place})
 	})
 }
 
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -132,7 +132,7 @@
 	switch body := m.Body.(type) {
 	case *peerpb.Message_Borrow:
 		if d := h.dispatcher(body.Borrow.Pool); d != nil {
-			d.onAsk(from.Name, int(body.Borrow.Want), time.Duration(body.Borrow.WaitedUs)*time.Microsecond)
+			d.onAsk(from.Name, int(body.Borrow.Want), time.Duration(body.Borrow.PlaceUs)*time.Microsecond)
 		}
 	case *peerpb.Message_Lend:
 		if d := h.dispatcher(body.Lend.Pool); d != nil {
--- a/pkg/route/lend.go
+++ b/pkg/route/lend.go
@@ -145,7 +145,7 @@
 type Wish struct {
 	Host  string
 	Want  int
-	Since time.Duration // by the lender's clock, when the waiting began
+	Place time.Duration // of the first waiting job in its order, by this host's clock
 }
 
 // Wishes are the peers that want slots. They are not safe for concurrent use.
@@ -168,16 +168,13 @@
 // Drop takes back the wish of a host.
 func (w *Wishes) Drop(host string) { delete(w.byHost, host) }
 
-// Longest returns the wish that has waited longest.
-func (w *Wishes) Longest() (Wish, bool) {
+// First returns the wish whose job comes first in its order.
+func (w *Wishes) First() (Wish, bool) {
 	var best Wish
 	for _, wish := range w.byHost {
-		if best.Host == "" || wish.Since < best.Since || wish.Since == best.Since && wish.Host < best.Host {
+		if best.Host == "" || wish.Place < best.Place || wish.Place == best.Place && wish.Host < best.Host {
 			best = wish
 		}
 	}
 	return best, best.Host != ""
 }
-
-// Len returns the number of wishes.
-func (w *Wishes) Len() int { return len(w.byHost) }
--- a/pkg/route/lending.go
+++ b/pkg/route/lending.go
@@ -35,7 +35,7 @@
 	Kind   DealKind
 	Host   string
 	Want   int
-	Waited time.Duration // of the task that waits longest, for Ask
+	Place  time.Duration // for Ask: of the first waiting job in its order, from now
 	Grants []Grant
 	Urgent bool // a task waits for it
 }
@@ -44,9 +44,15 @@
 type Need struct {
 	Tasks  int           // that could start if there were slots
 	Waited time.Duration // of the one that waits longest
+	Place  time.Duration // of the first job in its order, by the host's clock
+	Yield  bool          // give slots up for peers' jobs that come well before
 	After  time.Duration // how long a task waits before slots are asked for
 }
 
+// yieldMargin is how much earlier a peer's job has to come to get slots that
+// this host's own tasks wait for.
+const yieldMargin = 100 * time.Millisecond
+
 // NextStep returns how long until waiting alone makes Balance ask for more, or
 // false when it will not.
 func (n Need) NextStep() (time.Duration, bool) {
@@ -130,10 +136,48 @@
 	l.slots.Forget(host)
 }
 
-// ReturnRecalled gives idle slots back to the lenders that wish for them. It
-// has to come before waiting tasks take the slots.
-func (l *Lending) ReturnRecalled() []Deal {
-	var deals []Deal
+// Yield gives up idle slots before waiting tasks take them: those that their
+// lenders want back, and those that a peer wants for a job that comes well
+// before the first of this host's own.
+func (l *Lending) Yield(need Need, now time.Duration) []Deal {
+	deals := l.returnRecalled(nil)
+	if need.Tasks == 0 || !need.Yield {
+		return deals
+	}
+	for {
+		wish, ok := l.wishes.First()
+		if !ok || wish.Place+yieldMargin > need.Place {
+			return deals
+		}
+		before := len(deals)
+		deals = l.yieldTo(deals, &wish, now)
+		if len(deals) == before {
+			return deals
+		}
+		l.wishes.Set(wish)
+	}
+}
+
+// yieldTo lends a peer slots of this host's own, and sends borrowed ones back
+// to their lenders, whom the peer has asked too.
+func (l *Lending) yieldTo(deals []Deal, wish *Wish, now time.Duration) []Deal {
+	if grants := l.slots.Lend(wish.Host, wish.Want, now); len(grants) > 0 {
+		wish.Want -= CountSlots(grants)
+		deals = append(deals, Deal{Kind: Hand, Host: wish.Host, Grants: grants, Urgent: true})
+	}
+	for _, lender := range l.lenders {
+		if wish.Want == 0 {
+			break
+		}
+		if grants := l.slots.GiveBackTo(lender.Host, wish.Want); len(grants) > 0 {
+			wish.Want -= CountSlots(grants)
+			deals = append(deals, Deal{Kind: HandBack, Host: lender.Host, Grants: grants, Urgent: true})
+		}
+	}
+	return deals
+}
+
+func (l *Lending) returnRecalled(deals []Deal) []Deal {
 	for lender, count := range l.recall {
 		grants := l.slots.GiveBackTo(lender, count)
 		if len(grants) == 0 {
@@ -152,7 +196,7 @@
 func (l *Lending) Balance(need Need, now time.Duration) []Deal {
 	var deals []Deal
 	if need.Tasks > 0 {
-		return l.borrow(deals, need)
+		return l.borrow(deals, need, now)
 	}
 	for lender, grants := range l.slots.GiveBack() {
 		deals = append(deals, Deal{Kind: HandBack, Host: lender, Grants: grants})
@@ -162,27 +206,53 @@
 }
 
 // borrow asks as many peers as seem needed to cover the tasks that wait.
-func (l *Lending) borrow(deals []Deal, need Need) []Deal {
+func (l *Lending) borrow(deals []Deal, need Need, now time.Duration) []Deal {
 	missing := need.Tasks
 	for _, lender := range l.lenders {
 		// A wish beyond a peer's idle slots may not be met for long.
 		missing -= min(l.asked[lender.Host], lender.Idle)
 	}
-	for _, lender := range l.lenders {
+	idle, busy := l.dueLenders(need, missing)
+	for _, lender := range idle {
 		if missing <= 0 {
-			break
+			return deals
 		}
+		deals = append(deals, l.ask(lender, missing, need, now))
+		missing -= lender.Idle
+	}
+	for i, lender := range busy {
+		if missing <= 0 {
+			return deals
+		}
+		// Several may give slots up, so each is asked for a part.
+		part := (missing + len(busy) - i - 1) / (len(busy) - i)
+		deals = append(deals, l.ask(lender, part, need, now))
+		missing -= part
+	}
+	return deals
+}
+
+func (l *Lending) ask(lender Lender, want int, need Need, now time.Duration) Deal {
+	l.asked[lender.Host] = want
+	return Deal{Kind: Ask, Host: lender.Host, Want: want, Place: need.Place - now, Urgent: true}
+}
+
+// dueLenders returns the peers to ask now, those with idle slots apart.
+func (l *Lending) dueLenders(need Need, missing int) (idle, busy []Lender) {
+	for _, lender := range l.lenders {
 		if lender.Parted || l.asked[lender.Host] > 0 && !l.shouldAskMore(lender.Host, missing) {
 			continue
 		}
 		if need.Waited < l.patience(lender, need) {
 			continue
 		}
-		l.asked[lender.Host] = missing
-		deals = append(deals, Deal{Kind: Ask, Host: lender.Host, Want: missing, Waited: need.Waited, Urgent: true})
-		missing -= lender.Idle
+		if lender.Idle > 0 {
+			idle = append(idle, lender)
+			continue
+		}
+		busy = append(busy, lender)
 	}
-	return deals
+	return idle, busy
 }
 
 // shouldAskMore reports whether a host that holds slots of ours was asked for
@@ -211,10 +281,10 @@
 	return deals
 }
 
-// lendIdle lends idle slots to the peers that have waited longest.
+// lendIdle lends idle slots to the peers whose jobs come first.
 func (l *Lending) lendIdle(deals []Deal, now time.Duration) []Deal {
 	for {
-		wish, ok := l.wishes.Longest()
+		wish, ok := l.wishes.First()
 		if !ok {
 			return deals
 		}
--- a/pkg/route/lending_test.go
+++ b/pkg/route/lending_test.go
@@ -73,16 +73,40 @@
 	qt.Assert(t, deals[0].Host, qt.Equals, "b")
 }
 
-func TestIdleSlotsGoToTheLongestWait(t *testing.T) {
+func TestIdleSlotsGoToTheFirstInOrder(t *testing.T) {
 	l := lendingOf("b", "c")
-	l.OnAsk(Wish{Host: "b", Want: 2, Since: 5})
-	l.OnAsk(Wish{Host: "c", Want: 3, Since: 4})
+	l.OnAsk(Wish{Host: "b", Want: 2, Place: 5})
+	l.OnAsk(Wish{Host: "c", Want: 3, Place: 4})
 	deals := l.Balance(Need{}, 10)
 	qt.Assert(t, kinds(deals), qt.DeepEquals, []DealKind{Hand, Hand})
 	qt.Assert(t, deals[0].Host, qt.Equals, "c")
 	qt.Assert(t, CountSlots(deals[0].Grants), qt.Equals, 3)
 }
 
+// TestYield: a host whose tasks wait gives slots up only for a job that comes
+// well before its own first, no more than wanted, its own slots and borrowed.
+func TestYield(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		want     int
+		place    time.Duration
+		expected []DealKind
+	}{
+		{"a later job", 2, 2 * time.Second, nil},
+		{"hardly earlier", 2, time.Second - yieldMargin/2, nil},
+		{"much earlier", 2, 0, []DealKind{Hand}},
+		{"much earlier, wants much", 99, 0, []DealKind{Hand, HandBack}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			l := lendingOf("b", "c")
+			l.OnHand("c", []Grant{{Address: "10.9.9.9:1", Count: 3}})
+			l.OnAsk(Wish{Host: "b", Want: s.want, Place: s.place})
+			qt.Assert(t, kinds(l.Yield(Need{Tasks: 1, Place: time.Second, Yield: true}, 0)), qt.DeepEquals, s.expected)
+		})
+	}
+}
+
 func TestLenderWithWaitingTasksKeepsItsSlots(t *testing.T) {
 	l := lendingOf("b")
 	l.OnAsk(Wish{Host: "b", Want: 2})
@@ -109,7 +133,7 @@
 			if s.recall {
 				l.OnAsk(Wish{Host: "b", Want: 1})
 			}
-			deals := append(l.ReturnRecalled(), l.Balance(s.need, 0)...)
+			deals := append(l.Yield(s.need, 0), l.Balance(s.need, 0)...)
 			qt.Assert(t, kinds(deals), qt.DeepEquals, s.expected)
 		})
 	}
--- a/pkg/schedule/schedule.go
+++ b/pkg/schedule/schedule.go
@@ -24,6 +24,7 @@
 	Policy      route.Policy
 	Order       admit.Ordering
 	BorrowAfter time.Duration
+	Yield       bool // give slots up for peers' jobs that come well before
 	Shares      func(team string) admit.Share
 }
 
@@ -123,7 +124,7 @@
 	var starts []Start[J]
 	var deals []route.Deal
 	if s.rules.Policy.Lends() {
-		deals = s.lending.ReturnRecalled()
+		deals = s.lending.Yield(s.need(now), now)
 	}
 	for now >= s.pausedTo && s.queue.CanStart() {
 		address, ok := s.slots.Acquire(now, unit())
@@ -141,7 +142,8 @@
 
 func (s *Scheduler[J]) need(now time.Duration) route.Need {
 	oldest, _ := s.queue.Oldest()
-	return route.Need{Tasks: s.queue.Startable(), Waited: now - oldest, After: s.rules.BorrowAfter}
+	first, _ := s.queue.First()
+	return route.Need{Tasks: s.queue.Startable(), Waited: now - oldest, Place: first, Yield: s.rules.Yield, After: s.rules.BorrowAfter}
 }
 
 // Complete frees the slot of an attempt. again says that the task did not
