--- a/pkg/cli/entry.go
+++ b/pkg/cli/entry.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime/pprof"
 
 	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/entry"
@@ -15,6 +16,7 @@
 type entryCommand struct {
 	settings string
 	check    bool
+	profile  string
 }
 
 func (*entryCommand) Name() string     { return "entry" }
@@ -29,6 +31,7 @@
 func (c *entryCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.settings, "settings", "", "the settings `file`; see docs/CONFIG.md")
 	f.BoolVar(&c.check, "check", false, "check the settings and exit")
+	f.StringVar(&c.profile, "cpuprofile", "", "write a processor profile into this `file` until the stop")
 }
 
 func (c *entryCommand) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -51,6 +54,11 @@
 	if err != nil {
 		return fail(err)
 	}
+	stopProfile, err := startProfile(c.profile)
+	if err != nil {
+		return fail(err)
+	}
+	defer stopProfile()
 	if err := host.Start(); err != nil {
 		return fail(err)
 	}
@@ -58,3 +66,22 @@
 	host.Stop()
 	return subcommands.ExitSuccess
 }
+
+// startProfile writes a processor profile until the function that it returns
+// is called. An empty path means none.
+func startProfile(path string) (func(), error) {
+	if path == "" {
+		return func() {}, nil
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := pprof.StartCPUProfile(file); err != nil {
+		return nil, err
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		_ = file.Close()
+	}, nil
+}
--- a/pkg/integration/driver_test.go
+++ b/pkg/integration/driver_test.go
@@ -124,6 +124,8 @@
 record_timeout = 2s
 [stop]
 notice = 0s
+[limits]
+max_body_bytes = 65536
 `, d.network)
 	s, err := settings.Parse("driver", []byte(text))
 	qt.Assert(d.t, err, qt.IsNil)
--- /dev/null
+++ b/pkg/peer/link_test.go
@@ -0,0 +1,173 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/common"
+	"github.com/foxcroft/foxcroft/pkg/errkind"
+	"github.com/foxcroft/foxcroft/pkg/peerpb"
+	"github.com/foxcroft/foxcroft/pkg/settings"
+	"github.com/foxcroft/foxcroft/pkg/standin/relayd"
+	qt "github.com/frankban/quicktest"
+)
+
+// fakeHost observes links and serves records in ways that a test sets.
+type fakeHost struct {
+	up      atomic.Int64
+	handle  func(m *peerpb.Message, reply Reply)
+	greeted atomic.Int64
+}
+
+func (f *fakeHost) LinkUp(string, *peerpb.Hello)             { f.up.Add(1) }
+func (f *fakeHost) LinkDown(string)                          { f.up.Add(-1) }
+func (f *fakeHost) HeartbeatReply(string, *peerpb.Heartbeat) {}
+func (f *fakeHost) Hello() *peerpb.Hello                     { return &peerpb.Hello{Name: "fake"} }
+func (f *fakeHost) Heartbeat() *peerpb.Heartbeat             { return &peerpb.Heartbeat{} }
+func (f *fakeHost) Greeted(*peerpb.Hello)                    { f.greeted.Add(1) }
+func (f *fakeHost) Handle(_ *peerpb.Hello, m *peerpb.Message, reply Reply) {
+	if m.GetHeartbeat() != nil {
+		reply(&peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: &peerpb.Heartbeat{}}}, 0)
+		return
+	}
+	f.handle(m, reply)
+}
+
+type rig struct {
+	link     *Link
+	relay    *relayd.Relay
+	server   *Server
+	local    *fakeHost
+	counters *Counters
+}
+
+// newRig links a host to another through a relay that can be cut.
+func newRig(t *testing.T, handle func(m *peerpb.Message, reply Reply)) *rig {
+	c := common.NewTestCommon()
+	serverSide, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	relaySide, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	remote := &fakeHost{handle: handle}
+	r := &rig{local: &fakeHost{}, counters: &Counters{}, relay: relayd.NewRelay(serverSide.Addr().String(), 0)}
+	r.server = NewServer(c, serverSide, remote, remote, &Counters{})
+	go r.server.Serve()
+	go r.relay.Serve(relaySide)
+	link := settings.Link{Heartbeat: 20 * time.Millisecond, SuspectAfter: 300 * time.Millisecond}
+	r.link = NewLink(c, relaySide.Addr().String(), link, r.local, r.counters)
+	t.Cleanup(func() {
+		r.relay.SetCut(false)
+		r.link.Close()
+		r.server.Close()
+		_ = relaySide.Close()
+	})
+	r.eventually(t, func() bool { return r.local.up.Load() == 1 })
+	return r
+}
+
+func (r *rig) eventually(t *testing.T, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(30 * time.Second); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("it never came about")
+		}
+	}
+}
+
+func record(part string) *peerpb.Message {
+	return &peerpb.Message{Body: &peerpb.Message_Record{Record: &peerpb.Record{Part: part}}}
+}
+
+func acknowledge(ack uint32) *peerpb.Message {
+	return &peerpb.Message{Body: &peerpb.Message_RecordReply{RecordReply: &peerpb.RecordReply{Ack: ack}}}
+}
+
+func TestCalls(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		handle   func(m *peerpb.Message, reply Reply)
+		during   func(r *rig)
+		expected errkind.Kind
+	}{
+		{"answered", func(_ *peerpb.Message, reply Reply) { reply(acknowledge(7), 0) }, nil, ""},
+		{"answered twice", func(_ *peerpb.Message, reply Reply) { reply(acknowledge(7), 0); reply(acknowledge(8), 0) }, nil, ""},
+		{"answered late, in company", func(_ *peerpb.Message, reply Reply) { reply(acknowledge(7), 20*time.Millisecond) }, nil, ""},
+		{"a failure", func(_ *peerpb.Message, reply Reply) {
+			reply(FailureMessage(errkind.New(errkind.NotReady, "wait", "not yet")), 0)
+		}, nil, errkind.NotReady},
+		{"the peer is cut off", func(*peerpb.Message, Reply) {}, func(r *rig) { r.relay.SetCut(true) }, errkind.PeerDown},
+		{"the peer dies", func(*peerpb.Message, Reply) {}, func(r *rig) { r.server.Close() }, errkind.PeerDown},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			r := newRig(t, s.handle)
+			if s.during != nil {
+				s.during(r)
+			}
+			reply, err := r.link.Call(context.Background(), record("x"), 0)
+			if s.expected != "" {
+				qt.Assert(t, errkind.Of(err), qt.Equals, s.expected)
+				return
+			}
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, reply.GetRecordReply().GetAck(), qt.Equals, uint32(7))
+		})
+	}
+}
+
+// TestLateReplyReachesNobody: the reply to a call that was given up does not
+// answer the next one.
+func TestLateReplyReachesNobody(t *testing.T) {
+	release := make(chan struct{})
+	r := newRig(t, func(m *peerpb.Message, reply Reply) {
+		if m.GetRecord().Part == "slow" {
+			go func() {
+				<-release
+				reply(acknowledge(1), 0)
+			}()
+			return
+		}
+		close(release)
+		time.Sleep(10 * time.Millisecond) // lets the late reply leave first
+		reply(acknowledge(2), 0)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := r.link.Call(ctx, record("slow"), 0)
+	qt.Assert(t, errkind.Of(err), qt.Equals, errkind.PeerDown)
+	reply, err := r.link.Call(context.Background(), record("quick"), 0)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, reply.GetRecordReply().GetAck(), qt.Equals, uint32(2))
+}
+
+// TestMessagesTravelTogether: messages that may wait share a frame.
+func TestMessagesTravelTogether(t *testing.T) {
+	r := newRig(t, func(_ *peerpb.Message, reply Reply) { reply(acknowledge(1), 0) })
+	const calls = 20
+	done := make(chan error, calls)
+	for range calls {
+		go func() {
+			_, err := r.link.Call(context.Background(), record("x"), 500*time.Millisecond)
+			done <- err
+		}()
+	}
+	for range calls {
+		qt.Assert(t, <-done, qt.IsNil)
+	}
+	qt.Assert(t, r.counters.Frames(ClassRecord) < calls/2, qt.IsTrue, qt.Commentf("%d frames", r.counters.Frames(ClassRecord)))
+}
+
+// TestLinkComesBack: after a cut the link is up again by itself.
+func TestLinkComesBack(t *testing.T) {
+	r := newRig(t, func(_ *peerpb.Message, reply Reply) { reply(acknowledge(1), 0) })
+	r.relay.SetCut(true)
+	r.eventually(t, func() bool { return r.local.up.Load() == 0 })
+	r.relay.SetCut(false)
+	r.eventually(t, func() bool {
+		_, err := r.link.Call(context.Background(), record("x"), 0)
+		return err == nil
+	})
+}
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -67,7 +67,8 @@
 start_entry() { # start_entry domain-index host-index
   local name="${DOMAINS[$(($1 - 1))]}-$2"
   entry_settings "$1" "$2" >"$OUT/$name.ini"
-  spawn "$name" "$BIN" entry -settings "$OUT/$name.ini"
+  # shellcheck disable=SC2086
+  spawn "$name" "$BIN" entry -settings "$OUT/$name.ini" ${ENTRY_FLAGS:-}
 }
 
 start_targets() { # start_targets domain-index
