Suspicion takes a third of the targets at most, and trials wake the queue

Cause: scripts/overhead.sh failed now and then with a job that ran into its deadline: 1,935 tasks waited, 64 slots were free and no task ran (status and goroutines of a stalled host). Its only target had become a suspect, which gets single trials, and nothing woke the queue when a trial was due.

Ruled out: a lost attempt in net/http's connection limit (no attempt was under way).

Change: one target in three may be a suspect; the next trial counts for the wake-up. Both have tests that fail without.

--- a/pkg/route/health.go
+++ b/pkg/route/health.go
@@ -8,6 +8,7 @@
 	suspectRatio  = 2.5         // times the pool's mean that make a target a suspect
 	clampRatio    = 3           // times the pool's mean that a sample counts for in it at most
 	clearRatio    = 1.5         // and that clear it again
+	suspectShare  = 3           // one target in so many may be a suspect
 	hangingRatio  = 5           // times the pool's mean that accuse an attempt under way
 	meanWeight    = 0.02        // of a new sample in the pool's mean
 	targetWeight  = 0.15        // of a new sample in a target's mean
@@ -20,8 +21,10 @@
 
 // Health finds targets whose times lie far above the pool's.
 type Health struct {
-	mean    float64 // seconds, over the pool
-	samples int
+	mean     float64 // seconds, over the pool
+	samples  int
+	targets  int // that there are
+	suspects int // of them
 }
 
 // targetHealth is what Health remembers of one target.
@@ -99,6 +102,7 @@
 	}
 	if ratio < clearRatio {
 		health.suspect = false
+		h.suspects--
 		return
 	}
 	wasSlow := latest > suspectRatio*h.mean
@@ -110,7 +114,13 @@
 	health.trialAt = now + health.pause
 }
 
+// accuse makes a target a suspect, unless too many are already: when all are
+// slow, it is not the targets.
 func (h *Health) accuse(t *slotState, now time.Duration) {
+	if suspectShare*(h.suspects+1) > h.targets {
+		return
+	}
+	h.suspects++
 	t.health.suspect = true
 	t.health.pause = firstTrial
 	t.health.trialAt = now + firstTrial
@@ -140,6 +150,24 @@
 	}
 }
 
+// count takes the targets that there are.
+func (h *Health) count(states []*slotState) {
+	h.targets, h.suspects = len(states), 0
+	for _, state := range states {
+		if state.health.suspect {
+			h.suspects++
+		}
+	}
+}
+
+// nextTrial returns when a target may get a task as far as its health goes.
+func (h *Health) nextTrial(t *slotState) time.Duration {
+	if !t.health.suspect {
+		return 0
+	}
+	return t.health.trialAt
+}
+
 func (h *Health) isSuspect(t *slotState) bool { return t.health.suspect }
 
 func (t *targetHealth) drop(began time.Duration) {
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -183,6 +183,49 @@
 	qt.Assert(t, s.Suspects(), qt.DeepEquals, []string{hanging})
 }
 
+// TestFewAreSuspects: suspicion never takes away more than a third of the
+// targets, so the only one is never a suspect.
+func TestFewAreSuspects(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 7} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			s := NewSlots("a", policy("shares"))
+			s.SetTargets(targets(n, 8), []string{"a"})
+			for range 50 {
+				address, _ := s.Acquire(0, 0)
+				s.Release(address, 0, Served, time.Millisecond)
+			}
+			for range 7 * n {
+				s.Acquire(time.Second, 0)
+			}
+			s.Acquire(time.Minute, 0)
+			qt.Assert(t, s.Suspects(), qt.HasLen, n/3)
+		})
+	}
+}
+
+func TestNextUsableIsTheNextTrial(t *testing.T) {
+	s := NewSlots("a", policy("shares"))
+	s.SetTargets(targets(3, 2), []string{"a"})
+	for range 50 {
+		address, _ := s.Acquire(0, 0)
+		s.Release(address, 0, Served, time.Millisecond)
+	}
+	for range 3 {
+		s.Acquire(time.Second, 0)
+	}
+	for range 2 {
+		s.Acquire(2*time.Second, 0) // notices the attempts that hang, and takes what is left
+	}
+	qt.Assert(t, s.Suspects(), qt.HasLen, 1)
+	s.Release(s.Suspects()[0], time.Second, Served, 2*time.Second)
+	_, ok := s.Acquire(2*time.Second, 0)
+	qt.Assert(t, ok, qt.IsFalse, qt.Commentf("only a suspect has room"))
+	at, ok := s.NextUsable(2 * time.Second)
+	qt.Assert(t, ok, qt.IsTrue)
+	_, ok = s.Acquire(at, 0)
+	qt.Assert(t, ok, qt.IsTrue)
+}
+
 func TestBaselinesUseEverySlot(t *testing.T) {
 	for _, name := range []string{"random", "round-robin", "least-in-flight", "two-choices"} {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/route/slots.go
+++ b/pkg/route/slots.go
@@ -123,6 +123,7 @@
 		s.order = append(s.order, state)
 	}
 	sort.Slice(s.order, func(i, j int) bool { return s.order[i].address < s.order[j].address })
+	s.health.count(s.order)
 }
 
 // room is the number of further attempts that the account allows.
@@ -243,16 +244,17 @@
 	return busy
 }
 
-// NextUsable returns when the soonest pause of a target with room ends, or
-// false when no target is pausing.
+// NextUsable returns when the soonest pause of a target with room ends, or the
+// next trial of a suspect is due, or false when there is neither.
 func (s *Slots) NextUsable(now time.Duration) (time.Duration, bool) {
 	soonest, found := time.Duration(0), false
 	for _, state := range s.order {
-		if state.avoid || state.room() == 0 || state.retryAt <= now {
+		at := max(state.retryAt, s.health.nextTrial(state))
+		if state.avoid || state.room() == 0 || at <= now {
 			continue
 		}
-		if !found || state.retryAt < soonest {
-			soonest, found = state.retryAt, true
+		if !found || at < soonest {
+			soonest, found = at, true
 		}
 	}
 	return soonest, found
