Yielding reverted: it collapses under overload

Slots went to and fro between hosts that all had waiting tasks: 39 wasted messages a task, hosts too busy to answer heartbeats.

Ruled out: admission alone (with yield off the same load completes).

Change: hosts with waiting tasks give up slots only to their owners; the key yield is gone.

--- a/Makefile
+++ b/Makefile
@@ -9,13 +9,17 @@
 generate:
 	go build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
 	protoc --plugin=protoc-gen-go=bin/protoc-gen-go --proto_path=proto --go_out=. --go_opt=module=github.com/foxcroft/foxcroft proto/peer.proto
-	go run github.com/google/wire/cmd/wire ./pkg/entry
+	go tool wire ./pkg/entry
 
 run: build
 	scripts/run.sh $(or $(DEPLOYMENT),andina)
 
 RACE_PACKAGES := ./pkg/peer/... ./pkg/entry/... ./pkg/target/... ./pkg/client/... ./pkg/standin/... ./pkg/platform/... ./pkg/integration/...
 
+# measure prints one JSON object a scenario and policy; see docs/LOAD.md.
+measure: build
+	scripts/measure.sh
+
 fmt:
 	@files=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$files" ]; then echo "gofmt these files:"; echo "$$files"; exit 1; fi
 
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -55,7 +55,6 @@
 	CopyAnswers     CopyAnswers
 	BatchWindow     time.Duration // how long records and answer copies wait for company
 	BorrowAfter     time.Duration // how long a task waits before slots are borrowed
-	Yield           bool          // give slots up for peers' jobs that come well before
 	Routing         string        // name of a routing policy
 	Order           string        // name of an ordering inside a team
 }
--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -138,7 +138,6 @@
 		CopyAnswers:     CopyAnswers(s.OneOf("copy_answers", string(defaults.copyAnswers), string(CopyAll), string(CopySmall), string(CopyNone))),
 		BatchWindow:     s.Duration("batch_window", defaults.batchWindow, 0, time.Second),
 		BorrowAfter:     s.Duration("borrow_after", defaults.borrowAfter, 0, time.Minute),
-		Yield:           s.Bool("yield", defaults.yield),
 		Routing:         s.String("routing", "shares"),
 		Order:           s.String("order", "fewest"),
 	}
@@ -150,9 +149,8 @@
 	copyAnswers CopyAnswers
 	batchWindow time.Duration
 	borrowAfter time.Duration
-	yield       bool
 }{
-	WeighResponseTime: {copyAnswers: CopySmall, yield: true},
+	WeighResponseTime: {copyAnswers: CopySmall},
 	WeighMessages:     {copyAnswers: CopyNone, batchWindow: 5 * time.Millisecond, borrowAfter: 20 * time.Millisecond},
 }
 
--- a/pkg/entry/dispatcher.go
+++ b/pkg/entry/dispatcher.go
@@ -77,7 +77,6 @@
 		Policy:      policy,
 		Order:       order,
 		BorrowAfter: service.BorrowAfter,
-		Yield:       service.Yield,
 		Shares:      func(team string) admit.Share { return shareOf(doc.Teams[team], hosts) },
 	}
 	d.update(func() {
--- a/pkg/route/lending.go
+++ b/pkg/route/lending.go
@@ -45,14 +45,9 @@
 	Tasks  int           // that could start if there were slots
 	Waited time.Duration // of the one that waits longest
 	Place  time.Duration // of the first job in its order, by the host's clock
-	Yield  bool          // give slots up for peers' jobs that come well before
 	After  time.Duration // how long a task waits before slots are asked for
 }
 
-// yieldMargin is how much earlier a peer's job has to come to get slots that
-// this host's own tasks wait for.
-const yieldMargin = 100 * time.Millisecond
-
 // NextStep returns how long until waiting alone makes Balance ask for more, or
 // false when it will not.
 func (n Need) NextStep() (time.Duration, bool) {
@@ -136,48 +131,10 @@
 	l.slots.Forget(host)
 }
 
-// Yield gives up idle slots before waiting tasks take them: those that their
-// lenders want back, and those that a peer wants for a job that comes well
-// before the first of this host's own.
-func (l *Lending) Yield(need Need, now time.Duration) []Message {
-	messages := l.returnRecalled(nil)
-	if need.Tasks == 0 || !need.Yield {
-		return messages
-	}
-	for {
-		wish, ok := l.wishes.First()
-		if !ok || wish.Place+yieldMargin > need.Place {
-			return messages
-		}
-		before := len(messages)
-		messages = l.yieldTo(messages, &wish, now)
-		if len(messages) == before {
-			return messages
-		}
-		l.wishes.Set(wish)
-	}
-}
-
-// yieldTo lends a peer slots of this host's own, and sends borrowed ones back
-// to their lenders, whom the peer has asked too.
-func (l *Lending) yieldTo(messages []Message, wish *Wish, now time.Duration) []Message {
-	if grants := l.slots.Lend(wish.Host, wish.Want, now); len(grants) > 0 {
-		wish.Want -= CountSlots(grants)
-		messages = append(messages, Message{Kind: KindLend, Host: wish.Host, Grants: grants, Urgent: true})
-	}
-	for _, lender := range l.lenders {
-		if wish.Want == 0 {
-			break
-		}
-		if grants := l.slots.GiveBackTo(lender.Host, wish.Want); len(grants) > 0 {
-			wish.Want -= CountSlots(grants)
-			messages = append(messages, Message{Kind: KindReturn, Host: lender.Host, Grants: grants, Urgent: true})
-		}
-	}
-	return messages
-}
-
-func (l *Lending) returnRecalled(messages []Message) []Message {
+// ReturnRecalled gives idle slots back to the lenders that wish for them. It
+// has to come before waiting tasks take the slots.
+func (l *Lending) ReturnRecalled() []Message {
+	var messages []Message
 	for lender, count := range l.recall {
 		grants := l.slots.GiveBackTo(lender, count)
 		if len(grants) == 0 {
--- a/pkg/route/lending_test.go
+++ b/pkg/route/lending_test.go
@@ -83,30 +83,6 @@
 	qt.Assert(t, CountSlots(messages[0].Grants), qt.Equals, 3)
 }
 
-// TestYield: a host whose tasks wait gives slots up only for a job that comes
-// well before its own first, no more than wanted, its own slots and borrowed.
-func TestYield(t *testing.T) {
-	scenarios := []struct {
-		testName string
-		want     int
-		place    time.Duration
-		expected []MessageKind
-	}{
-		{"a later job", 2, 2 * time.Second, nil},
-		{"hardly earlier", 2, time.Second - yieldMargin/2, nil},
-		{"much earlier", 2, 0, []MessageKind{KindLend}},
-		{"much earlier, wants much", 99, 0, []MessageKind{KindLend, KindReturn}},
-	}
-	for _, s := range scenarios {
-		t.Run(s.testName, func(t *testing.T) {
-			l := lendingOf("b", "c")
-			l.OnLend("c", []Grant{{Address: "10.9.9.9:1", Count: 3}})
-			l.OnBorrow(Wish{Host: "b", Want: s.want, Place: s.place})
-			qt.Assert(t, kinds(l.Yield(Need{Tasks: 1, Place: time.Second, Yield: true}, 0)), qt.DeepEquals, s.expected)
-		})
-	}
-}
-
 func TestLenderWithWaitingTasksKeepsItsSlots(t *testing.T) {
 	l := lendingOf("b")
 	l.OnBorrow(Wish{Host: "b", Want: 2})
@@ -133,7 +109,7 @@
 			if s.recall {
 				l.OnBorrow(Wish{Host: "b", Want: 1})
 			}
-			messages := append(l.Yield(s.need, 0), l.Balance(s.need, 0)...)
+			messages := append(l.ReturnRecalled(), l.Balance(s.need, 0)...)
 			qt.Assert(t, kinds(messages), qt.DeepEquals, s.expected)
 		})
 	}
--- a/pkg/schedule/schedule.go
+++ b/pkg/schedule/schedule.go
@@ -24,7 +24,6 @@
 	Policy      route.Policy
 	Order       admit.Ordering
 	BorrowAfter time.Duration
-	Yield       bool // give slots up for peers' jobs that come well before
 	Shares      func(team string) admit.Share
 }
 
@@ -128,7 +127,7 @@
 	var starts []Start[J]
 	var messages []route.Message
 	if s.rules.Policy.Lends() {
-		messages = s.lending.Yield(s.need(now), now)
+		messages = s.lending.ReturnRecalled()
 	}
 	for now >= s.pausedTo && s.queue.CanStart() {
 		address, ok := s.slots.Acquire(now, unit())
@@ -147,7 +146,7 @@
 func (s *Scheduler[J]) need(now time.Duration) route.Need {
 	oldest, _ := s.queue.Oldest()
 	first, _ := s.queue.First()
-	return route.Need{Tasks: s.queue.Startable(), Waited: now - oldest, Place: first, Yield: s.rules.Yield, After: s.rules.BorrowAfter}
+	return route.Need{Tasks: s.queue.Startable(), Waited: now - oldest, Place: first, After: s.rules.BorrowAfter}
 }
 
 // Complete frees the slot of an attempt. again says that the task did not
