The library waits for the answer that comes at the deadline

Cause: at twice the capacity 196 of 389 jobs ended as may have run without any fault: the library gave up at the deadline, when the hosts' answer was on its way. TestClientWaitsForTheAnswerAtTheDeadline failed first.

Ruled out: fenced homes and silent peers (none in the logs).

Change: it waits a second longer for that answer.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -29,6 +29,7 @@
 	idleConnections = 256
 	defaultDeadline = 10 * time.Second
 	homePause       = 100 * time.Millisecond
+	answerSlack     = time.Second // that the answer may take after the deadline
 	freshHome       = 200 * time.Millisecond // a wait after which a home is asked for anew
 	remedyMayRun    = "check at the service whether the job ran before you submit it under a new id"
 )
@@ -118,7 +119,9 @@
 	if s.part == "" {
 		s.part = newPart()
 	}
-	ctx, cancel := context.WithDeadline(ctx, s.deadline)
+	// The host answers at the deadline; giving up just then would make a job
+	// that was not run look as if it may have run.
+	ctx, cancel := context.WithDeadline(ctx, s.deadline.Add(answerSlack))
 	defer cancel()
 	if err := c.takeHome(ctx, s); err != nil {
 		return nil, &JobError{Outcome: once.Refused, Err: errkind.From(err)}
