--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -1,10 +1,11 @@
 #!/usr/bin/env bash
 # Kills, freezes and cuts off entry hosts under load, while callers submit
 # again at random hosts. Fails when a promise was broken.
-#   scripts/faults.sh [seconds]
+#   scripts/faults.sh [seconds] [faults, of: kill freeze cut pause stop]
 set -eu -o pipefail
 cd "$(dirname "$0")/.."
 SECONDS_OF_LOAD=${1:-60}
+read -r -a FAULTS <<<"${2:-kill freeze cut pause stop}"
 OUT=$(mktemp -d)
 DOMAINS_USED=1
 . scripts/cluster.sh
@@ -61,12 +62,12 @@
 KILLS=0 FREEZES=0 CUTS=0 STOPS=0 STEP=0
 while kill -0 "$LOAD" 2>/dev/null; do
   victim=$((STEP % 3 + 1)) other=$(((STEP + 1) % 3 + 1))
-  case $((STEP % 5)) in
-    0) kill -KILL "${HOST_PIDS[$victim]}"; KILLS=$((KILLS + 1)); sleep 1; start_host "$victim" ;;
-    1) kill -STOP "${HOST_PIDS[$victim]}"; FREEZES=$((FREEZES + 1)); sleep 2.5; kill -CONT "${HOST_PIDS[$victim]}" ;;
-    2) cut_pair "$victim" "$other" true; CUTS=$((CUTS + 1)); sleep 2.5; cut_pair "$victim" "$other" false ;;
-    3) kill -STOP "${HOST_PIDS[$victim]}"; FREEZES=$((FREEZES + 1)); sleep 0.7; kill -CONT "${HOST_PIDS[$victim]}" ;;
-    4) kill -TERM "${HOST_PIDS[$victim]}"; STOPS=$((STOPS + 1)); sleep 1.5; start_host "$victim" ;;
+  case ${FAULTS[$((STEP % ${#FAULTS[@]}))]} in
+    kill) kill -KILL "${HOST_PIDS[$victim]}"; KILLS=$((KILLS + 1)); sleep 1; start_host "$victim" ;;
+    freeze) kill -STOP "${HOST_PIDS[$victim]}"; FREEZES=$((FREEZES + 1)); sleep 2.5; kill -CONT "${HOST_PIDS[$victim]}" ;;
+    cut) cut_pair "$victim" "$other" true; CUTS=$((CUTS + 1)); sleep 2.5; cut_pair "$victim" "$other" false ;;
+    pause) kill -STOP "${HOST_PIDS[$victim]}"; FREEZES=$((FREEZES + 1)); sleep 0.7; kill -CONT "${HOST_PIDS[$victim]}" ;;
+    stop) kill -TERM "${HOST_PIDS[$victim]}"; STOPS=$((STOPS + 1)); sleep 1.5; start_host "$victim" ;;
   esac
   STEP=$((STEP + 1))
   sleep 2
