--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -29,7 +29,7 @@
 	idleConnections = 256
 	defaultDeadline = 10 * time.Second
 	homePause       = 100 * time.Millisecond
-	answerSlack     = time.Second // that the answer may take after the deadline
+	answerSlack     = time.Second            // that the answer may take after the deadline
 	freshHome       = 200 * time.Millisecond // a wait after which a home is asked for anew
 	remedyMayRun    = "check at the service whether the job ran before you submit it under a new id"
 )
