--- a/pkg/cli/standin.go
+++ b/pkg/cli/standin.go
@@ -31,7 +31,7 @@
 	return `foxcroft standin [flags] platform|target|relay
   Run a stand-in for the platform, for targets, or for the network between
   entry hosts, for tests and for trying foxcroft out. Its faults are
-  switches under /control; see docs/STANDINS.md.
+  switches under /control; see docs/LOAD.md.
   Example: foxcroft standin -listen 127.0.0.1:7000 platform
   Example: foxcroft standin -listen 127.0.0.1:7100 -executors 127.0.0.1:7101,127.0.0.1:7102 target
 `
--- a/pkg/kernel/kernel.go
+++ b/pkg/kernel/kernel.go
@@ -46,13 +46,7 @@
 	return plugin, nil
 }
 
-// Names returns the sorted names of the plug-ins.
-func (r *Registry[T]) Names() []string {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.names()
-}
-
+// names returns the sorted names of the plug-ins.
 func (r *Registry[T]) names() []string {
 	names := make([]string, 0, len(r.plugins))
 	for name := range r.plugins {
--- a/pkg/platform/http.go
+++ b/pkg/platform/http.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"sync/atomic"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/errkind"
@@ -26,10 +25,8 @@
 
 // HTTPClient is the Platform over HTTP and JSON.
 type HTTPClient struct {
-	base   string
-	http   *http.Client
-	reads  atomic.Uint64
-	writes atomic.Uint64
+	base string
+	http *http.Client
 }
 
 // NewHTTPClient makes a client of the service at an address (IP:port).
@@ -37,9 +34,6 @@
 	return &HTTPClient{base: "http://" + address, http: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
 }
 
-// Counts returns the reads and writes sent so far.
-func (c *HTTPClient) Counts() (reads, writes uint64) { return c.reads.Load(), c.writes.Load() }
-
 // Get implements Table.
 func (c *HTTPClient) Get(ctx context.Context, key string) (Row, error) {
 	var row Row
@@ -60,19 +54,18 @@
 	if err != nil {
 		return errkind.Wrap(err, errkind.Internal, "report it", "the writes cannot be encoded")
 	}
-	_, err = c.write(ctx, http.MethodPost, "/v1/table/commit", body)
+	_, err = c.do(ctx, http.MethodPost, "/v1/table/commit", body)
 	return err
 }
 
 // PutObject implements Objects.
 func (c *HTTPClient) PutObject(ctx context.Context, digest string, body []byte) error {
-	_, err := c.write(ctx, http.MethodPut, "/v1/objects/"+digest, body)
+	_, err := c.do(ctx, http.MethodPut, "/v1/objects/"+digest, body)
 	return err
 }
 
 // GetObject implements Objects.
 func (c *HTTPClient) GetObject(ctx context.Context, digest string) ([]byte, error) {
-	c.reads.Add(1)
 	return c.do(ctx, http.MethodGet, "/v1/objects/"+digest, nil)
 }
 
@@ -84,7 +77,6 @@
 }
 
 func (c *HTTPClient) read(ctx context.Context, path string, into any) error {
-	c.reads.Add(1)
 	reply, err := c.do(ctx, http.MethodGet, path, nil)
 	if err != nil {
 		return err
@@ -95,11 +87,6 @@
 	return nil
 }
 
-func (c *HTTPClient) write(ctx context.Context, method, path string, body []byte) ([]byte, error) {
-	c.writes.Add(1)
-	return c.do(ctx, method, path, body)
-}
-
 func (c *HTTPClient) do(ctx context.Context, method, path string, body []byte) ([]byte, error) {
 	connected := false
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -121,6 +121,15 @@
   "$BIN" apply -platform "$PLATFORM" -base "${2:-0}" -wait 10s -entries "$ENTRIES" "$1"
 }
 
+cluster_up() { # cluster_up DEPLOYMENT: all hosts with its example in force, until the script ends
+  OUT=$(mktemp -d)
+  trap 'cluster_stop; rm -rf "$OUT"' EXIT
+  EXTRA_SETTINGS=$'[stop]\nnotice = 100ms'
+  cluster_start "$1"
+  cluster_apply "examples/$1.ini" >&2
+  cluster_wait_links
+}
+
 cluster_stop() { # a planned stop of what is left
   local pid
   [ ${#PIDS[@]} -eq 0 ] && return
--- a/scripts/in-force.sh
+++ b/scripts/in-force.sh
@@ -6,13 +6,8 @@
 set -eu -o pipefail
 cd "$(dirname "$0")/.."
 VERSIONS=${1:-20}
-OUT=$(mktemp -d)
 . scripts/cluster.sh
-EXTRA_SETTINGS=$'[stop]\nnotice = 100ms'
-trap 'cluster_stop; rm -rf "$OUT"' EXIT
-cluster_start andina
-cluster_apply examples/andina.ini >&2
-cluster_wait_links
+cluster_up andina
 version=1
 for faults in '{}' '{"list_down":true,"slow_ms":200}'; do
   curl -sf -X POST "http://$PLATFORM/control/faults" -d "$faults"
--- a/scripts/overload.sh
+++ b/scripts/overload.sh
@@ -4,13 +4,8 @@
 #   scripts/overload.sh [seconds a run]
 set -eu -o pipefail
 cd "$(dirname "$0")/.."
-OUT=$(mktemp -d)
 . scripts/cluster.sh
-EXTRA_SETTINGS=$'[stop]\nnotice = 100ms'
-trap 'cluster_stop; rm -rf "$OUT"' EXIT
-cluster_start andina
-cluster_apply examples/andina.ini >&2
-cluster_wait_links
+cluster_up andina
 for run in "0.9 overload" "1.2 overload" "2.0 overload" "0.6 burst" "0.7 overload"; do
   set -- "${1:-15}" $run
   "$BIN" load -quiet -json -entries "$ENTRIES" -controls "$CONTROLS" -scenario "scenarios/$3.ini" -load "$2" -duration "$1s" -policy shares |
--- a/scripts/slow-target.sh
+++ b/scripts/slow-target.sh
@@ -5,13 +5,8 @@
 set -eu -o pipefail
 cd "$(dirname "$0")/.."
 SECONDS_OF_LOAD=${1:-20}
-OUT=$(mktemp -d)
 . scripts/cluster.sh
-EXTRA_SETTINGS=$'[stop]\nnotice = 100ms'
-trap 'cluster_stop; rm -rf "$OUT"' EXIT
-cluster_start andina
-cluster_apply examples/andina.ini >&2
-cluster_wait_links
+cluster_up andina
 for slow in 1 10 1 10; do
   curl -sf -X POST "http://127.1.1.250:7000/control/faults" -d "{\"address\":\"127.1.1.1:7100\",\"slow\":$slow}"
   sleep 1
