Pools are seen only once they are configured

Change: the map of pools is published after its new ones are configured; a pool that cannot be configured is left out.

--- a/pkg/entry/host.go
+++ b/pkg/entry/host.go
@@ -171,10 +171,17 @@
 		}
 		if err := d.configure(current.doc, service, view); err != nil {
 			h.Log.Error("pool_not_configured", "pool", name, "error", err.Error())
+			if !h.hasPool(name) {
+				delete(pools, name)
+			}
 		}
 	}
+	// Others see a pool only once it is configured.
+	h.pools.Store(&pools)
 }
 
+func (h *Host) hasPool(name string) bool { return h.dispatcher(name) != nil }
+
 func (h *Host) withNewPools(doc *config.Document) map[string]*dispatcher {
 	pools := map[string]*dispatcher{}
 	for name, d := range *h.pools.Load() {
@@ -185,7 +192,6 @@
 			pools[name] = newDispatcher(h.Common, h.settings.Name, name, h.settings.RetryRatio, h.targets, h.metrics, h.finish, h.sendLending)
 		}
 	}
-	h.pools.Store(&pools)
 	return pools
 }
 
