validate knows the routing policies and orders

Cause: a misspelt routing or order passed validate and was only noticed by a host's log. Both are choices of the document now, from the registries; two rows of TestParse failed first.

--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -44,6 +44,8 @@
 		{"service without its pool", "[service desk]\npool = p", "[service desk]\npool = q", `(?s)c.ini:4: service desk names pool "q".*`},
 		{"team with an unknown service", "services = desk", "services = dusk", `c.ini:11: service "dusk" is not defined; add \[service dusk\]`},
 		{"fewer connections than slots", "connections = 64", "connections = 4", `c.ini:7: pool p has fewer connections than slots.*`},
+		{"unknown routing", "[service desk]", "[service desk]\nrouting = best", `c.ini:4: routing = "best" is not a choice; use one of least-in-flight, .*`},
+		{"unknown order", "[service desk]", "[service desk]\norder = lifo", `c.ini:4: order = "lifo" is not a choice; use one of fewest, fifo, slack`},
 		{"domain twice", "domains = d1, d2", "domains = d1, d1", `c.ini:2: failure domain d1 stands in two places; keep one`},
 		{"unknown key", "weight = 2", "wieght = 2", `c.ini:12: key wieght is not known in \[team a\].*`},
 		{"deadlines crossed", "[service desk]", "[service desk]\ndefault_deadline = 2m", `c.ini:4: default_deadline is longer than max_deadline.*`},
--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -3,8 +3,10 @@
 import (
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/admit"
 	"github.com/foxcroft/foxcroft/pkg/errkind"
 	"github.com/foxcroft/foxcroft/pkg/inifile"
+	"github.com/foxcroft/foxcroft/pkg/route"
 )
 
 // Limits of the values in a document.
@@ -138,8 +140,8 @@
 		CopyAnswers:     CopyAnswers(s.OneOf("copy_answers", string(defaults.copyAnswers), string(CopyAll), string(CopySmall), string(CopyNone))),
 		BatchWindow:     s.Duration("batch_window", defaults.batchWindow, 0, time.Second),
 		BorrowAfter:     s.Duration("borrow_after", defaults.borrowAfter, 0, time.Minute),
-		Routing:         s.String("routing", "shares"),
-		Order:           s.String("order", "fewest"),
+		Routing:         s.OneOf("routing", "shares", route.Policies.Names()...),
+		Order:           s.OneOf("order", "fewest", admit.Orderings.Names()...),
 	}
 }
 
--- a/pkg/kernel/kernel.go
+++ b/pkg/kernel/kernel.go
@@ -46,7 +46,13 @@
 	return plugin, nil
 }
 
-// names returns the sorted names of the plug-ins.
+// Names returns the sorted names of the plug-ins.
+func (r *Registry[T]) Names() []string {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.names()
+}
+
 func (r *Registry[T]) names() []string {
 	names := make([]string, 0, len(r.plugins))
 	for name := range r.plugins {
