--- a/pkg/entry/dispatcher.go
+++ b/pkg/entry/dispatcher.go
@@ -111,12 +111,17 @@
 			Near:    peer.Domain == view.Self.Domain,
 			Leaving: peer.Leaving,
 
-			PeerLoad: route.PeerLoad{Idle: peer.Free, Usable: peer.Usable, Waiting: peer.Waiting},
+			PeerLoad: loadOf(peer),
 		})
 	}
 	return lenders
 }
 
+// loadOf returns what a peer last told of its slots and tasks.
+func loadOf(peer member.Peer) route.PeerLoad {
+	return route.PeerLoad{Idle: peer.Free, Usable: peer.Usable, Waiting: peer.Waiting}
+}
+
 // update changes the scheduler's state and carries out what follows.
 func (d *dispatcher) update(change func()) {
 	d.mu.Lock()
--- a/pkg/entry/host.go
+++ b/pkg/entry/host.go
@@ -171,7 +171,7 @@
 		}
 		if err := d.configure(current.doc, service, view); err != nil {
 			h.Log.Error("pool_not_configured", "pool", name, "error", err.Error())
-			if !h.hasPool(name) {
+			if h.dispatcher(name) == nil {
 				delete(pools, name)
 			}
 		}
@@ -180,8 +180,6 @@
 	h.pools.Store(&pools)
 }
 
-func (h *Host) hasPool(name string) bool { return h.dispatcher(name) != nil }
-
 func (h *Host) withNewPools(doc *config.Document) map[string]*dispatcher {
 	pools := map[string]*dispatcher{}
 	for name, d := range *h.pools.Load() {
--- a/pkg/entry/members.go
+++ b/pkg/entry/members.go
@@ -10,7 +10,6 @@
 	"github.com/foxcroft/foxcroft/pkg/once"
 	"github.com/foxcroft/foxcroft/pkg/peer"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
-	"github.com/foxcroft/foxcroft/pkg/route"
 	"github.com/foxcroft/foxcroft/pkg/settings"
 )
 
@@ -154,8 +153,9 @@
 		p.Leaving = beat.Leaving
 		m.update(func(t *member.Table) { t.Refresh(p) })
 	}
-	m.noteLoad(p, beat)
-	m.host.onLoad(p.Name, route.PeerLoad{Idle: int(beat.Free), Usable: m.usable(beat), Waiting: int(beat.Waiting)})
+	p.Version, p.Waiting, p.Free, p.Usable = beat.Version, int(beat.Waiting), int(beat.Free), m.usable(beat)
+	m.noteLoad(p)
+	m.host.onLoad(p.Name, loadOf(p))
 	if beat.Version > m.host.conf.version() {
 		go m.host.fetchConfig(p)
 	}
@@ -172,8 +172,7 @@
 
 // noteLoad keeps a peer's load for status, without telling the dispatchers
 // that the membership changed.
-func (m *members) noteLoad(p member.Peer, beat *peerpb.Heartbeat) {
-	p.Version, p.Waiting, p.Free, p.Usable = beat.Version, int(beat.Waiting), int(beat.Free), m.usable(beat)
+func (m *members) noteLoad(p member.Peer) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.table.Refresh(p)
--- a/pkg/route/lend.go
+++ b/pkg/route/lend.go
@@ -58,11 +58,13 @@
 	back := map[string][]Grant{}
 	for _, state := range s.order {
 		for lender := range state.borrowed {
-			back[lender] = state.giveBack(back[lender], lender, state.borrSum)
+			if grants := state.giveBack(back[lender], lender, state.borrSum); len(grants) > 0 {
+				back[lender] = grants
+			}
 		}
 	}
 	s.dropEmpty()
-	return dropNone(back)
+	return back
 }
 
 // GiveBackTo takes up to count idle slots of one lender out of the account.
@@ -85,15 +87,6 @@
 	return append(grants, Grant{Address: t.address, Count: count})
 }
 
-func dropNone(back map[string][]Grant) map[string][]Grant {
-	for lender, grants := range back {
-		if len(grants) == 0 {
-			delete(back, lender)
-		}
-	}
-	return back
-}
-
 func (t *slotState) takeBorrowed(from string, count int) {
 	t.borrSum -= count
 	t.borrowed[from] -= count
--- a/pkg/route/lending.go
+++ b/pkg/route/lending.go
@@ -102,11 +102,19 @@
 
 // SetLoad takes a peer's word on its slots and tasks.
 func (l *Lending) SetLoad(host string, load PeerLoad) {
+	if lender := l.lender(host); lender != nil {
+		lender.PeerLoad = load
+	}
+}
+
+// lender returns the peer of a name, or nil.
+func (l *Lending) lender(host string) *Lender {
 	for i := range l.lenders {
 		if l.lenders[i].Host == host {
-			l.lenders[i].PeerLoad = load
+			return &l.lenders[i]
 		}
 	}
+	return nil
 }
 
 // PeerSum returns the load of all peers together, as last heard.
@@ -285,14 +293,13 @@
 // takeIdle counts slots that a peer lent off its idle ones. A peer that lent
 // less than was asked for has none left.
 func (l *Lending) takeIdle(host string, count int, all bool) {
-	for i := range l.lenders {
-		if l.lenders[i].Host != host {
-			continue
-		}
-		l.lenders[i].Idle = max(0, l.lenders[i].Idle-count)
-		if all {
-			l.lenders[i].Idle = 0
-		}
+	lender := l.lender(host)
+	if lender == nil {
+		return
+	}
+	lender.Idle = max(0, lender.Idle-count)
+	if all {
+		lender.Idle = 0
 	}
 }
 
