--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 generate:
 	go build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
 	protoc --plugin=protoc-gen-go=bin/protoc-gen-go --proto_path=proto --go_out=. --go_opt=module=github.com/foxcroft/foxcroft proto/peer.proto
-	go tool wire ./pkg/entry
+	go tool wire ./pkg/entry ./pkg/node
 
 run: build
 	scripts/run.sh $(or $(DEPLOYMENT),andina)
@@ -37,4 +37,4 @@
 
 # check-generated makes the generated code anew and fails if it differs.
 check-generated: generate
-	git diff --exit-code -- pkg/peerpb pkg/entry/wire_gen.go
+	git diff --exit-code -- pkg/peerpb pkg/entry/wire_gen.go pkg/node/wire_gen.go
--- a/main.go
+++ b/main.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"github.com/foxcroft/foxcroft/pkg/cli"
+	_ "github.com/foxcroft/foxcroft/platform" // registers the adapter to the users' platform
 )
 
 func main() { os.Exit(cli.Run()) }
--- /dev/null
+++ b/pkg/cell/adopt.go
@@ -0,0 +1,111 @@
+package cell
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/job"
+)
+
+// Settled reports whether no run of a former owner can be alive that this one
+// doesn't know of: every executor has answered, or its leases are over.
+func (c *Cell) Settled(now time.Duration) bool {
+	longest := c.params.LongestHold + time.Duration(2*clockDrift*float64(c.params.LongestHold))
+	if now > c.claimedAt+longest {
+		return true
+	}
+	for _, e := range c.order {
+		if !e.adopted && !e.gone {
+			return false
+		}
+	}
+	return len(c.order) > 0
+}
+
+// parseTask splits the name of a task into its job's id and its key.
+func parseTask(name string) (string, job.TaskKey, bool) {
+	parts := strings.Split(name, ".")
+	if len(parts) != 4 {
+		return "", job.TaskKey{}, false
+	}
+	step, stepErr := strconv.Atoi(parts[2])
+	index, indexErr := strconv.Atoi(parts[3])
+	return parts[0], job.TaskKey{Step: step, Index: index}, stepErr == nil && indexErr == nil
+}
+
+// adoptRun takes a run that a former owner ordered, and gives it to its job if
+// that is here.
+func (c *Cell) adoptRun(e *executor, entry RunningTask, now time.Duration) {
+	r := &run{executor: e, name: entry.Task, number: entry.Run, state: running, percent: entry.Percent}
+	e.add(r)
+	id, key, ok := parseTask(entry.Task)
+	if w := c.works[id]; ok && w != nil {
+		c.claimRun(w, w.task(key), r)
+	}
+	if r.work == nil {
+		c.note(Notice{Event: "orphan_found", Executor: e.info.ID, Task: entry.Task})
+	}
+}
+
+// claimRun gives a run without a job to a task that waits.
+func (c *Cell) claimRun(w *work, t *task, r *run) {
+	if t == nil || t.done || t.current != nil || r.state == stopping {
+		return
+	}
+	step := &w.job.Steps[t.key.Step]
+	r.work, r.task, r.needs = w, t, step.Needs
+	r.estimate = w.estimate(t.key.Step)
+	r.executor.orphans--
+	r.executor.used = r.executor.used.Add(step.Needs)
+	t.current = r
+	t.lastRun = max(t.lastRun, r.number)
+	w.started = true
+}
+
+// adoptDone remembers a task that ended well under a former owner.
+func (c *Cell) adoptDone(name string) {
+	id, key, ok := parseTask(name)
+	if !ok {
+		return
+	}
+	if w := c.works[id]; w != nil {
+		if t := w.task(key); t != nil && t.current == nil {
+			t.done = true
+			c.finishIfDone(w)
+		}
+		return
+	}
+	c.done[name] = true
+}
+
+// adopt gives a job the runs and ends that a former owner left.
+func (c *Cell) adopt(w *work) {
+	for _, tasks := range w.steps {
+		for _, t := range tasks {
+			name := job.TaskName(w.job.ID, t.key)
+			if c.done[name] {
+				t.done, w.started = true, true
+				delete(c.done, name)
+			}
+			for _, e := range c.order {
+				if r := e.runs[name]; r != nil && r.work == nil {
+					c.claimRun(w, t, r)
+				}
+			}
+		}
+	}
+}
+
+// stopOrphans stops the runs that no job has claimed in time.
+func (c *Cell) stopOrphans(e *executor, now time.Duration) {
+	if e.orphans == 0 || now < c.claimedAt+c.params.OrphanGrace {
+		return
+	}
+	for _, r := range e.sortedRuns() {
+		if r.work == nil && r.state != stopping {
+			e.orphans--
+			c.stopRun(r, "orphan")
+		}
+	}
+}
--- /dev/null
+++ b/pkg/cell/answers.go
@@ -0,0 +1,380 @@
+package cell
+
+import (
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/job"
+)
+
+// Verdict is how a call to an executor went.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Accepted   Verdict = iota
+	Fenced             // a higher token has been seen
+	Outdated           // the run isn't above one that ended or was stopped there
+	Late               // the deadline had passed when the order arrived
+	NoRoom             // it doesn't fit
+	Unhealthy          // refused, and nothing was done
+	WrongLife          // another life of the executor answered: this one is over
+	Unanswered         // it may have been done, or may be done yet
+	Rejected           // refused for another reason, and nothing was done
+	Unreached          // no connection could be made, so nothing was done
+)
+
+var verdictNames = [...]string{"accepted", "fenced", "outdated", "late", "no_room", "unhealthy", "wrong_life", "unanswered", "rejected", "unreached"}
+
+// String returns the name of the verdict in logs and metrics.
+func (v Verdict) String() string { return verdictNames[v] }
+
+// EndKind is how a run ended.
+type EndKind uint8
+
+// The ends of runs.
+const (
+	EndDone EndKind = iota
+	EndFailed
+	EndStopped
+	EndLapsed
+	EndOther
+)
+
+// RunningTask is a run that an executor lists.
+type RunningTask struct {
+	Task    string
+	Run     int64
+	Percent int
+}
+
+// EndedTask is an end that an executor lists.
+type EndedTask struct {
+	Number int64
+	Task   string
+	Run    int64
+	Kind   EndKind
+}
+
+// HoldAnswer is an executor's answer to a hold.
+type HoldAnswer struct {
+	Verdict Verdict
+	Clock   time.Duration // 0 when not told
+	Running []RunningTask
+	Ended   []EndedTask
+}
+
+// noRoomPause is how long an executor gets no start after it had no room.
+const noRoomPause = 20 * time.Millisecond
+
+// StartAnswered takes the answer to a start. clock is the executor's, or 0.
+func (c *Cell) StartAnswered(id, name string, number int64, verdict Verdict, clock, now time.Duration) {
+	e := c.executors[id]
+	if e == nil || c.fenced {
+		return
+	}
+	c.heard(e, clock, now)
+	if c.takeVerdict(e, verdict, now) {
+		return
+	}
+	r := e.runs[name]
+	if r == nil || r.number != number {
+		c.advance(now)
+		return
+	}
+	switch verdict {
+	case Accepted:
+		c.settleStart(r, running)
+	case Unanswered:
+		c.settleStart(r, unknown)
+	default:
+		c.refusedStart(e, r, verdict, now)
+	}
+	c.advance(now)
+}
+
+// settleStart takes a start that was carried out, or may have been. A stop
+// that was asked for meanwhile goes out now, so that it can't overtake.
+func (c *Cell) settleStart(r *run, state runState) {
+	switch {
+	case r.state == starting:
+		r.state = state
+	case r.state == stopping && r.stopDue:
+		r.stopDue = false
+		c.orderStop(r, "withdrawn")
+	}
+}
+
+// refusedStart takes a start that did nothing.
+func (c *Cell) refusedStart(e *executor, r *run, verdict Verdict, now time.Duration) {
+	t := c.drop(r)
+	switch verdict {
+	case NoRoom:
+		e.fullTill = now + noRoomPause
+	case Unhealthy:
+		c.blame(e, "unhealthy", r.name, now)
+	case Rejected:
+		if t != nil {
+			t.failedOn = append(t.failedOn, e.info.ID)
+		}
+	}
+}
+
+// StopAnswered takes the answer to a stop. The end itself comes with a hold.
+func (c *Cell) StopAnswered(id string, verdict Verdict, clock, now time.Duration) {
+	e := c.executors[id]
+	if e == nil || c.fenced {
+		return
+	}
+	c.heard(e, clock, now)
+	c.takeVerdict(e, verdict, now)
+	c.advance(now)
+}
+
+// heard takes the clock in an answer.
+func (c *Cell) heard(e *executor, clock, now time.Duration) {
+	if clock > 0 {
+		e.clock.observe(clock, now)
+	}
+}
+
+// takeVerdict handles the verdicts that concern the executor or the ownership
+// as a whole. It reports whether the ownership is over.
+func (c *Cell) takeVerdict(e *executor, verdict Verdict, now time.Duration) bool {
+	switch verdict {
+	case Fenced:
+		c.note(Notice{Event: "owner_fenced", Executor: e.info.ID, Detail: strconv.FormatInt(c.token, 10)})
+		c.Release("fenced")
+		return true
+	case WrongLife:
+		if !e.gone {
+			c.note(Notice{Event: "executor_replaced", Executor: e.info.ID})
+		}
+		e.gone = true
+		e.listed = false
+	case Unanswered, Unreached:
+		if !e.silent {
+			c.note(Notice{Event: "executor_silent", Executor: e.info.ID, Age: now - e.clock.seenAt})
+		}
+		e.silent = true
+		c.dirty = true
+	}
+	return false
+}
+
+// Pauses between the looks at a silent executor.
+const (
+	firstSilentPause   = 100 * time.Millisecond
+	longestSilentPause = 800 * time.Millisecond
+)
+
+// hold issues the next hold of an executor, if it needs one.
+func (c *Cell) hold(e *executor, now time.Duration) {
+	if e.holding || e.gone || now < e.retryAt {
+		return
+	}
+	if e.adopted && len(e.runs) == 0 && !e.silent {
+		return
+	}
+	if !e.adopted && !e.listed {
+		return
+	}
+	command := Command{Kind: Hold, Executor: e.info, Token: c.token, LastSeen: e.listedTo}
+	// A takeover looks before it renews: what runs may be nobody's.
+	// A silent executor may take the order in much later, when its runs count
+	// as ended; so its leases aren't renewed before it has answered.
+	if e.adopted && !e.silent && e.clock.known {
+		command.Deadline = e.clock.at(now) + c.params.Lease
+		e.granted = max(e.granted, command.Deadline)
+	}
+	if e.adopted && !e.silent {
+		command.Wait = c.params.HoldWait
+	}
+	e.holding = true
+	c.commands = append(c.commands, command)
+}
+
+// HoldAnswered takes the answer to a hold that was sent at sentAt.
+func (c *Cell) HoldAnswered(id string, answer HoldAnswer, sentAt, now time.Duration) {
+	e := c.executors[id]
+	if e == nil || c.fenced {
+		return
+	}
+	e.holding = false
+	c.heard(e, answer.Clock, now)
+	if c.takeVerdict(e, answer.Verdict, now) {
+		return
+	}
+	if answer.Verdict != Accepted {
+		e.silentPause = min(max(2*e.silentPause, firstSilentPause), longestSilentPause)
+		e.retryAt = now + e.silentPause
+		c.advance(now)
+		return
+	}
+	e.silentPause = 0
+	if e.silent {
+		e.silent = false
+		c.dirty = true
+		c.note(Notice{Event: "executor_answers", Executor: e.info.ID})
+	}
+	c.takeEnds(e, answer.Ended, now)
+	c.takeRunning(e, answer, sentAt, now)
+	if !e.adopted {
+		e.adopted = true
+		c.dirty = true
+		c.note(Notice{Event: "executor_adopted", Executor: e.info.ID, Detail: strconv.Itoa(len(answer.Running))})
+	}
+	c.advance(now)
+}
+
+// takeEnds takes the ends that are new.
+func (c *Cell) takeEnds(e *executor, ended []EndedTask, now time.Duration) {
+	for _, end := range ended {
+		if end.Number <= e.listedTo {
+			continue
+		}
+		e.listedTo = end.Number
+		r := e.runs[end.Task]
+		if r == nil || r.number != end.Run {
+			if end.Kind == EndDone && !e.adopted {
+				c.adoptDone(end.Task)
+			}
+			continue
+		}
+		c.takeEnd(e, r, end.Kind, now)
+	}
+}
+
+// takeEnd takes the end of a run of ours.
+func (c *Cell) takeEnd(e *executor, r *run, kind EndKind, now time.Duration) {
+	w := r.work
+	t := c.drop(r)
+	switch kind {
+	case EndDone:
+		c.judgeTime(e, r, now)
+		if t != nil {
+			t.done = true
+			c.finishIfDone(w)
+		}
+	case EndFailed:
+		c.taskFailed(e, r, w, t, now)
+	}
+}
+
+func (c *Cell) judgeTime(e *executor, r *run, now time.Duration) {
+	if r.orderAt == 0 || r.estimate == 0 {
+		return
+	}
+	took := now - r.orderAt
+	e.health.measure(took, r.estimate)
+	if isSlow(took, r.estimate) {
+		c.blame(e, "slow", r.name, now)
+		return
+	}
+	e.health.succeeded()
+}
+
+// isSlow reports whether a time is far above its estimate. The estimates of
+// short tasks say little.
+func isSlow(took, estimate time.Duration) bool {
+	return took > time.Duration(slowRatio*float64(estimate))+slowestJudged
+}
+
+func (c *Cell) taskFailed(e *executor, r *run, w *work, t *task, now time.Duration) {
+	c.blame(e, "task_failed", r.name, now)
+	if t == nil {
+		return
+	}
+	t.failures++
+	t.failedOn = append(t.failedOn, e.info.ID)
+	if len(t.failedOn) > 1 {
+		c.exonerate(t)
+	}
+	if t.failures >= max(1, w.job.MaxAttempts) {
+		c.finish(w, job.Outcome{Kind: job.Failed, Reason: "task_failed", Started: true})
+	}
+}
+
+// takeRunning compares what the executor runs with what it should run.
+func (c *Cell) takeRunning(e *executor, answer HoldAnswer, sentAt, now time.Duration) {
+	listed := map[string]RunningTask{}
+	for _, entry := range answer.Running {
+		listed[entry.Task] = entry
+		if e.runs[entry.Task] == nil {
+			c.adoptRun(e, entry, now)
+		}
+	}
+	for _, r := range e.sortedRuns() {
+		entry, present := listed[r.name]
+		if present && entry.Run == r.number {
+			c.stillRunning(e, r, entry, now)
+			continue
+		}
+		if c.surelyAbsent(e, r, sentAt, answer.Clock) {
+			c.drop(r)
+		}
+	}
+}
+
+// surelyAbsent reports whether a run that a hold didn't list can't run any
+// more: it had started before the hold was sent, or its start has expired.
+func (c *Cell) surelyAbsent(e *executor, r *run, sentAt, clock time.Duration) bool {
+	if r.state == starting || r.stopDue {
+		return false
+	}
+	if r.state == running && r.orderAt < sentAt {
+		return true
+	}
+	return clock > r.deadline
+}
+
+// stillRunning takes the progress of a run.
+func (c *Cell) stillRunning(e *executor, r *run, entry RunningTask, now time.Duration) {
+	if r.state == starting || r.state == unknown {
+		r.state = running
+	}
+	r.percent = entry.Percent
+	if r.state != running || r.work == nil || r.orderAt == 0 {
+		return
+	}
+	c.judgeProgress(e, r, now)
+}
+
+// Limits of stopping a run that is far behind.
+const (
+	behindFloor  = 120 * time.Millisecond // nothing is judged sooner
+	maxRescues   = 2
+	rescueFactor = 2 // of the estimate that has to be left
+)
+
+// judgeProgress finds runs that stand still or crawl. Their executor gets no
+// new work; the run itself is stopped when a new one would end far sooner.
+func (c *Cell) judgeProgress(e *executor, r *run, now time.Duration) {
+	elapsed := now - r.orderAt
+	if elapsed < behindFloor {
+		return
+	}
+	projected := elapsed * 100 / time.Duration(max(r.percent, 1))
+	if !isSlow(projected, r.estimate) || (r.percent == 0 && elapsed < 3*r.estimate/4) {
+		return
+	}
+	c.blame(e, "behind", r.name, now)
+	left := projected - elapsed
+	if r.task.rescues >= maxRescues || left < rescueFactor*r.estimate+2*c.params.StopTime {
+		return
+	}
+	r.task.rescues++
+	r.task.failedOn = append(r.task.failedOn, e.info.ID)
+	c.note(Notice{Event: "run_behind", Executor: e.info.ID, Job: r.work.job.ID, Task: r.name, Detail: strconv.Itoa(r.percent) + "%", Age: elapsed})
+	c.stopRun(r, "behind")
+}
+
+func (e *executor) sortedRuns() []*run {
+	runs := make([]*run, 0, len(e.runs))
+	for _, r := range e.runs {
+		runs = append(runs, r)
+	}
+	sort.Slice(runs, func(i, j int) bool { return runs[i].name < runs[j].name })
+	return runs
+}
--- /dev/null
+++ b/pkg/cell/cell.go
@@ -0,0 +1,304 @@
+// Package cell decides what the owner of a cell does: which executor runs each
+// task of the jobs that were handed to it and when, how long leases last, what
+// an unanswered order means, and when a job has ended. A cell is a group of
+// executors that have one owner at a time.
+//
+// The package does no I/O. Events come in through the methods of Cell, with
+// the time; what is to be done comes out of Take. A Cell isn't safe for
+// concurrent use.
+package cell
+
+import (
+	"sort"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/ownership"
+)
+
+// Params are the times that leases and holds follow.
+type Params struct {
+	Lease       time.Duration // how far ahead a hold sets the end of all leases
+	StartLease  time.Duration // how far ahead a start sets it
+	HoldWait    time.Duration // how long a hold may wait for an end
+	LongestHold time.Duration // the longest lease that any owner can have given
+	OrphanGrace time.Duration // how long runs of no known job are kept after a takeover
+	StopTime    time.Duration // what a stop may take at an executor
+}
+
+// DefaultParams returns the times for a longest hold. The lease ends well
+// within it, and a hold returns well before a lease ends.
+func DefaultParams(longestHold, stopTime time.Duration) Params {
+	return Params{
+		Lease:       longestHold * 8 / 10,
+		StartLease:  longestHold / 2,
+		HoldWait:    longestHold / 4,
+		LongestHold: longestHold,
+		OrphanGrace: longestHold * 4 / 10,
+		StopTime:    stopTime,
+	}
+}
+
+// CommandKind tells commands apart.
+type CommandKind uint8
+
+// The commands to executors.
+const (
+	Start CommandKind = iota
+	Stop
+	Hold
+)
+
+// Command is a call to an executor that the cell asks for.
+type Command struct {
+	Kind     CommandKind
+	Executor catalog.Executor
+	Token    int64
+	Task     string        // of a start or stop
+	Run      int64         // of a start or stop
+	Spec     string        // of a start
+	Deadline time.Duration // on the executor's clock; 0 for a hold that renews nothing
+	LastSeen int64         // of a hold: the newest end that needs no repeating
+	Wait     time.Duration // of a hold
+	Job      string        // id of the job, for logs
+	Reason   string        // of a stop, for logs
+}
+
+// Finished is a job that has ended here.
+type Finished struct {
+	ID      string
+	Outcome job.Outcome
+}
+
+// Notice is a change in what the cell believes, for the log.
+type Notice struct {
+	Event    string
+	Executor string
+	Job      string
+	Task     string
+	Detail   string
+	Age      time.Duration // of the input that decided it
+}
+
+// Cell is the owner's side of a group of executors.
+type Cell struct {
+	params     Params
+	token      int64
+	claimedAt  time.Duration
+	executors  map[string]*executor // by id
+	order      []*executor          // sorted by id
+	works      map[string]*work     // by job id
+	done       map[string]bool      // tasks listed as done that no job has claimed yet
+	commands   []Command
+	finished   []Finished
+	notices    []Notice
+	fenced     bool
+	pausedTill time.Duration // no starts before
+	dirty      bool          // room or work has changed since the last placement
+}
+
+// New makes a cell that was claimed at now with a token above all that the
+// claimer has seen.
+func New(params Params, token int64, now time.Duration) *Cell {
+	return &Cell{
+		params:    params,
+		token:     token,
+		claimedAt: now,
+		executors: map[string]*executor{},
+		works:     map[string]*work{},
+		done:      map[string]bool{},
+	}
+}
+
+// Token returns the fencing token of this ownership.
+func (c *Cell) Token() int64 { return c.token }
+
+// Fenced reports whether an executor has refused the token: somebody else owns
+// the cell.
+func (c *Cell) Fenced() bool { return c.fenced }
+
+// Take returns what has come up since the last call.
+func (c *Cell) Take() ([]Command, []Finished, []Notice) {
+	commands, finished, notices := c.commands, c.finished, c.notices
+	c.commands, c.finished, c.notices = nil, nil, nil
+	return commands, finished, notices
+}
+
+// SetExecutors takes a new reading of the cell's executors. One that is no
+// longer listed gets no new work, and is forgotten once its leases are over.
+func (c *Cell) SetExecutors(listed []catalog.Executor, now time.Duration) {
+	seen := map[string]bool{}
+	for _, info := range listed {
+		seen[info.ID] = true
+		c.setExecutor(info, now)
+	}
+	for id, e := range c.executors {
+		e.listed = seen[id]
+	}
+	c.dirty = true
+	c.advance(now)
+}
+
+func (c *Cell) setExecutor(info catalog.Executor, now time.Duration) {
+	e := c.executors[info.ID]
+	if e == nil {
+		e = newExecutor(info)
+		c.executors[info.ID] = e
+		c.order = append(c.order, e)
+		sort.Slice(c.order, func(i, j int) bool { return c.order[i].info.ID < c.order[j].info.ID })
+	}
+	if info.Draining && !e.info.Draining {
+		c.note(Notice{Event: "executor_draining", Executor: info.ID})
+	}
+	// A reading may be older than what the executor itself has told.
+	info.Draining = info.Draining || e.info.Draining
+	e.info = info
+	if info.Clock > 0 {
+		e.clock.observe(info.Clock, now)
+	}
+}
+
+// Submit takes a job. settleAt is the earliest time for a start, or 0. It
+// reports false when the job is here already, which it then joins.
+func (c *Cell) Submit(j *job.Job, epoch int, progress []job.Progress, settleAt, now time.Duration) bool {
+	if known := c.works[j.ID]; known != nil {
+		known.epoch = max(known.epoch, epoch)
+		return false
+	}
+	w := newWork(j, epoch, settleAt)
+	w.apply(progress)
+	c.works[j.ID] = w
+	c.adopt(w)
+	c.dirty = true
+	c.finishIfDone(w)
+	c.advance(now)
+	return true
+}
+
+// Withdraw drops a job whose caller no longer waits and stops its runs.
+func (c *Cell) Withdraw(id string, reason string, now time.Duration) bool {
+	w := c.works[id]
+	if w == nil {
+		return false
+	}
+	c.remove(w, reason)
+	c.advance(now)
+	return true
+}
+
+// Release ends the ownership: every job goes back with what is known of its
+// tasks, and nothing is started or stopped any more.
+func (c *Cell) Release(reason string) {
+	c.fenced = true
+	for _, w := range c.sortedWorks() {
+		c.finish(w, job.Outcome{Kind: job.Moved, Reason: reason, Started: w.started, Progress: w.progress()})
+	}
+	c.commands = nil
+}
+
+// Has reports whether a job is here.
+func (c *Cell) Has(id string) bool { return c.works[id] != nil }
+
+// Tick lets time pass: leases end, jobs reach their deadlines.
+func (c *Cell) Tick(now time.Duration) {
+	if c.fenced {
+		return
+	}
+	c.dirty = true
+	c.expireWorks(now)
+	c.advance(now)
+}
+
+// Pause starts nothing until then. A process that stood still pauses its cells
+// until it has learnt what the others have concluded from its silence.
+func (c *Cell) Pause(until time.Duration) {
+	c.pausedTill = until
+}
+
+// Busy reports whether time matters to the cell.
+func (c *Cell) Busy() bool {
+	if len(c.works) > 0 {
+		return true
+	}
+	for _, e := range c.order {
+		if len(e.runs) > 0 || !e.adopted {
+			return true
+		}
+	}
+	return false
+}
+
+// advance brings everything up to now.
+func (c *Cell) advance(now time.Duration) {
+	if c.fenced {
+		return
+	}
+	for _, e := range c.order {
+		c.expireLeases(e, now)
+		c.stopOrphans(e, now)
+	}
+	c.forgetExecutors(now)
+	c.place(now)
+	for _, e := range c.order {
+		c.hold(e, now)
+	}
+}
+
+func (c *Cell) forgetExecutors(now time.Duration) {
+	kept := c.order[:0]
+	for _, e := range c.order {
+		unused := !e.listed && len(e.runs) == 0 && !e.holding
+		if unused && (e.adopted || e.gone || now > c.claimedAt+c.params.LongestHold) {
+			delete(c.executors, e.info.ID)
+			continue
+		}
+		kept = append(kept, e)
+	}
+	c.order = kept
+}
+
+func (c *Cell) note(n Notice) { c.notices = append(c.notices, n) }
+
+func (c *Cell) sortedWorks() []*work {
+	works := make([]*work, 0, len(c.works))
+	for _, w := range c.works {
+		works = append(works, w)
+	}
+	sort.Slice(works, func(i, j int) bool { return works[i].job.ID < works[j].job.ID })
+	return works
+}
+
+// Load returns how busy the cell is.
+func (c *Cell) Load(now time.Duration) ownership.Load {
+	var load ownership.Load
+	services := map[string]bool{}
+	for _, e := range c.order {
+		if !e.usable(now) {
+			continue
+		}
+		load.Ready = true
+		load.CapacityCPU += e.info.Capacity.CPU
+		load.FreeCPU += max(0, e.free().CPU)
+		if !services[e.info.Service] {
+			services[e.info.Service] = true
+			load.Services = append(load.Services, e.info.Service)
+		}
+	}
+	sort.Strings(load.Services)
+	for _, w := range c.works {
+		load.QueuedWork += w.waitingWork()
+	}
+	return load
+}
+
+// Waiting counts, by route, the jobs of which no task has started.
+func (c *Cell) Waiting() map[string]int {
+	counts := map[string]int{}
+	for _, w := range c.works {
+		if !w.started {
+			counts[w.job.Route]++
+		}
+	}
+	return counts
+}
--- /dev/null
+++ b/pkg/cell/clock.go
@@ -0,0 +1,37 @@
+package cell
+
+import "time"
+
+// clockDrift is how much slower an executor's clock may run than ours.
+const clockDrift = 0.02
+
+// remoteClock estimates an executor's clock from its answers. The estimate
+// never lies ahead of the executor's clock, but for its drift: an answer shows
+// a time that had passed already when the answer arrived.
+type remoteClock struct {
+	known  bool
+	shown  time.Duration // the executor's clock in the best answer
+	seenAt time.Duration // our clock at its arrival
+}
+
+// observe takes the time in an answer that arrived at now.
+func (c *remoteClock) observe(shown, now time.Duration) {
+	if c.known && shown < c.least(now) {
+		return
+	}
+	c.known = true
+	c.shown = shown
+	c.seenAt = now
+}
+
+// least returns a time that the executor's clock has reached by now even if it
+// runs slow.
+func (c *remoteClock) least(now time.Duration) time.Duration {
+	elapsed := now - c.seenAt
+	return c.shown + elapsed - time.Duration(float64(elapsed)*clockDrift)
+}
+
+// at returns the best estimate of the executor's clock at now.
+func (c *remoteClock) at(now time.Duration) time.Duration {
+	return c.shown + now - c.seenAt
+}
--- /dev/null
+++ b/pkg/cell/executor.go
@@ -0,0 +1,284 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/job"
+)
+
+// runState is what is known of a run.
+type runState uint8
+
+const (
+	starting runState = iota // the order is under way
+	unknown                  // the order got no answer: it may run, or start yet
+	running
+	stopping // a stop was ordered
+)
+
+// run is one start of a task on an executor. It takes room until an end is
+// listed, the start is refused, or its lease is surely over.
+type run struct {
+	executor *executor
+	name     string // of the task at the executor
+	number   int64
+	work     *work // nil for a run that nobody waits for
+	task     *task // nil likewise
+	needs    job.Resources
+	state    runState
+	stopDue  bool          // a stop waits for the answer to the start
+	deadline time.Duration // of the start, on the executor's clock
+	orderAt  time.Duration // on our clock
+	percent  int
+	estimate time.Duration
+}
+
+// executor is the owner's view of one life of an executor.
+type executor struct {
+	info        catalog.Executor
+	listed      bool
+	clock       remoteClock
+	adopted     bool          // it has answered a hold with our token
+	gone        bool          // this life of it is over
+	silent      bool          // its last call got no answer
+	holding     bool          // a hold is under way
+	retryAt     time.Duration // no hold before
+	fullTill    time.Duration // it has refused a start for want of room
+	silentPause time.Duration // between the looks while silent
+	granted     time.Duration // the latest end of a lease that any order of ours gave, on its clock
+	lastSeen    int64
+	listedTo    int64 // the newest end that was taken in
+	runs        map[string]*run
+	used        job.Resources
+	orphans     int // runs of no known job
+	health      health
+}
+
+func newExecutor(info catalog.Executor) *executor {
+	return &executor{info: info, listed: true, runs: map[string]*run{}}
+}
+
+func (e *executor) free() job.Resources { return e.info.Capacity.Sub(e.used) }
+
+// usable reports whether the executor may get work at all.
+func (e *executor) usable(now time.Duration) bool {
+	return e.listed && e.adopted && !e.gone && !e.silent && !e.info.Draining && e.orphans == 0 && e.health.allows(now)
+}
+
+func (e *executor) add(r *run) {
+	e.runs[r.name] = r
+	e.used = e.used.Add(r.needs)
+	if r.work == nil {
+		e.orphans++
+	}
+}
+
+// drop takes a run off the executor and returns its task, which waits again
+// unless the caller says otherwise.
+func (c *Cell) drop(r *run) *task {
+	e := r.executor
+	if e.runs[r.name] != r {
+		return nil
+	}
+	delete(e.runs, r.name)
+	e.used = e.used.Sub(r.needs)
+	if r.work == nil && r.state != stopping {
+		e.orphans--
+	}
+	c.dirty = true
+	t := r.task
+	if t != nil && t.current == r {
+		t.current = nil
+	}
+	return t
+}
+
+// place starts waiting tasks where there is room, in the order of the jobs.
+func (c *Cell) place(now time.Duration) {
+	if !c.dirty {
+		return
+	}
+	if now < c.pausedTill {
+		return
+	}
+	c.dirty = false
+	candidates := c.candidates(now)
+	if len(candidates) == 0 || !c.anyFits(candidates) {
+		return
+	}
+	for _, w := range c.ranked(now) {
+		c.placeWork(candidates, w, now)
+	}
+}
+
+// anyFits reports whether a waiting task might fit somewhere. It keeps a full
+// cell from ranking its queue at every event.
+func (c *Cell) anyFits(candidates []*executor) bool {
+	var room int64
+	for _, e := range candidates {
+		room = max(room, e.free().CPU)
+	}
+	for _, w := range c.works {
+		if w.leastCPU <= room {
+			return true
+		}
+	}
+	return false
+}
+
+// placeWork starts what fits of a job.
+func (c *Cell) placeWork(candidates []*executor, w *work, now time.Duration) {
+	fullStep := -1
+	for _, t := range w.waitingTasks() {
+		if t.key.Step == fullStep {
+			continue
+		}
+		if e := c.choose(candidates, w, t); e != nil {
+			c.start(e, w, t, now)
+		} else if len(t.failedOn) == 0 {
+			fullStep = t.key.Step // its other tasks want the same
+		}
+	}
+}
+
+// candidates returns the executors that have room for something.
+func (c *Cell) candidates(now time.Duration) []*executor {
+	var candidates []*executor
+	for _, e := range c.order {
+		if e.usable(now) && now >= e.fullTill && e.free().CPU > 0 {
+			candidates = append(candidates, e)
+		}
+	}
+	return candidates
+}
+
+// choose returns the executor for a task: the one that it fills best, so that
+// no room is left that fits nothing.
+func (c *Cell) choose(candidates []*executor, w *work, t *task) *executor {
+	step := &w.job.Steps[t.key.Step]
+	var best *executor
+	var bestCost float64
+	for _, e := range candidates {
+		if !c.suits(e, w, t, step) {
+			continue
+		}
+		cost := placementCost(e, step, w.estimate(t.key.Step))
+		if best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	return best
+}
+
+// suits reports whether a task may run on an executor.
+func (c *Cell) suits(e *executor, w *work, t *task, step *job.Step) bool {
+	if e.info.Service != w.job.Service || !e.free().Fits(step.Needs) {
+		return false
+	}
+	if e.health.onTrial() && (len(e.runs) > 0 || t.failures > 0) {
+		return false
+	}
+	if step.Constraint != "" && !e.info.HasLabel(step.Constraint) {
+		return false
+	}
+	for _, id := range t.failedOn {
+		if id == e.info.ID {
+			return false
+		}
+	}
+	return step.AntiAffinity == 0 || e.countStep(w, t.key.Step) < step.AntiAffinity
+}
+
+func (e *executor) countStep(w *work, step int) int {
+	count := 0
+	for _, r := range e.runs {
+		if r.work == w && r.task.key.Step == step {
+			count++
+		}
+	}
+	return count
+}
+
+const (
+	farCost      = 4.0 // for running far from the data
+	paceWeight   = 0.5 // of an executor's speed, for long tasks
+	longTask     = 400 * time.Millisecond
+	coresInCost  = 1000.0
+	suspectsCost = 8.0
+)
+
+// placementCost is lower for a better fit: little room left over, near the
+// data, and fast for a long task.
+func placementCost(e *executor, step *job.Step, estimate time.Duration) float64 {
+	left := e.free().Sub(step.Needs)
+	cost := float64(left.CPU) / coresInCost
+	if step.Affinity != "" && !e.info.HasLabel(step.Affinity) {
+		cost += farCost
+	}
+	if e.health.failures > 0 {
+		cost += suspectsCost
+	}
+	if estimate >= longTask {
+		cost += paceWeight * float64(e.info.Capacity.CPU) / coresInCost * e.health.pace
+	}
+	return cost
+}
+
+// start orders a run.
+func (c *Cell) start(e *executor, w *work, t *task, now time.Duration) {
+	step := &w.job.Steps[t.key.Step]
+	r := &run{
+		executor: e,
+		name:     job.TaskName(w.job.ID, t.key),
+		number:   w.nextRun(t),
+		work:     w,
+		task:     t,
+		needs:    step.Needs,
+		deadline: e.clock.at(now) + c.params.StartLease,
+		orderAt:  now,
+		estimate: w.estimate(t.key.Step),
+	}
+	t.current = r
+	w.started = true
+	e.add(r)
+	e.granted = max(e.granted, r.deadline)
+	c.commands = append(c.commands, Command{
+		Kind: Start, Executor: e.info, Token: c.token, Task: r.name, Run: r.number,
+		Spec: w.job.Spec, Deadline: r.deadline, Job: w.job.ID,
+	})
+}
+
+// stopRun orders the end of a run that nobody waits for any more. The run
+// takes room until its end is seen.
+func (c *Cell) stopRun(r *run, reason string) {
+	if r.state == stopping {
+		return
+	}
+	r.stopDue = r.state == starting
+	r.state = stopping
+	if !r.stopDue {
+		c.orderStop(r, reason)
+	}
+}
+
+func (c *Cell) orderStop(r *run, reason string) {
+	c.commands = append(c.commands, Command{
+		Kind: Stop, Executor: r.executor.info, Token: c.token, Task: r.name, Run: r.number, Reason: reason,
+	})
+}
+
+// expireLeases frees the runs of an executor that hasn't answered for so long
+// that its leases are over.
+func (c *Cell) expireLeases(e *executor, now time.Duration) {
+	if len(e.runs) == 0 || !e.silent && !e.gone {
+		return
+	}
+	if !e.gone && e.clock.least(now) <= e.granted {
+		return
+	}
+	for _, r := range e.sortedRuns() {
+		c.note(Notice{Event: "lease_over", Executor: e.info.ID, Task: r.name, Age: now - e.clock.seenAt})
+		c.drop(r)
+	}
+}
--- /dev/null
+++ b/pkg/cell/work.go
@@ -0,0 +1,267 @@
+package cell
+
+import (
+	"sort"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/job"
+)
+
+// unknownEstimate stands for the time of a task whose caller gave no guess.
+const unknownEstimate = 200 * time.Millisecond
+
+// lateFactor is how many times the objective an answer may take and still be
+// worth something.
+const lateFactor = 3
+
+// task is one task of a job.
+type task struct {
+	key      job.TaskKey
+	done     bool
+	failures int
+	lastRun  int64
+	current  *run // what may be running; nil when the task waits or is done
+	failedOn []string
+	rescues  int // runs stopped for being far behind
+}
+
+// work is a job at its owner.
+type work struct {
+	job      *job.Job
+	epoch    int
+	settleAt time.Duration
+	steps    [][]*task
+	leastCPU int64 // that a task of it asks for
+	started  bool  // a task may have started, here or at a former owner
+}
+
+func newWork(j *job.Job, epoch int, settleAt time.Duration) *work {
+	w := &work{job: j, epoch: epoch, settleAt: settleAt, started: epoch > 1}
+	for stepIndex, step := range j.Steps {
+		if stepIndex == 0 || step.Needs.CPU < w.leastCPU {
+			w.leastCPU = step.Needs.CPU
+		}
+		tasks := make([]*task, step.Count)
+		for i := range tasks {
+			tasks[i] = &task{key: job.TaskKey{Step: stepIndex, Index: i}}
+		}
+		w.steps = append(w.steps, tasks)
+	}
+	return w
+}
+
+// apply takes what a former owner knew.
+func (w *work) apply(progress []job.Progress) {
+	for _, p := range progress {
+		if t := w.task(p.Key); t != nil {
+			t.done = t.done || p.Done
+			t.failures = max(t.failures, p.Failures)
+			t.lastRun = max(t.lastRun, p.Run)
+		}
+	}
+}
+
+// progress returns what the next owner should know.
+func (w *work) progress() []job.Progress {
+	var progress []job.Progress
+	for _, tasks := range w.steps {
+		for _, t := range tasks {
+			if t.done || t.failures > 0 || t.lastRun > 0 {
+				progress = append(progress, job.Progress{Key: t.key, Done: t.done, Failures: t.failures, Run: t.lastRun})
+			}
+		}
+	}
+	return progress
+}
+
+func (w *work) task(key job.TaskKey) *task {
+	if key.Step < 0 || key.Step >= len(w.steps) || key.Index < 0 || key.Index >= len(w.steps[key.Step]) {
+		return nil
+	}
+	return w.steps[key.Step][key.Index]
+}
+
+// runsPerEpoch separates the run numbers of one owner from those of the next,
+// which can't know how many the former one used.
+const runsPerEpoch = 1000
+
+// nextRun returns a run number above all that were used for the task.
+func (w *work) nextRun(t *task) int64 {
+	t.lastRun = max(t.lastRun, int64(w.epoch-1)*runsPerEpoch) + 1
+	return t.lastRun
+}
+
+// stepReady reports whether the steps that come before are done.
+func (w *work) stepReady(step int) bool {
+	for _, earlier := range w.job.Steps[step].After {
+		for _, t := range w.steps[earlier] {
+			if !t.done {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// waitingTasks returns the tasks that may start now.
+func (w *work) waitingTasks() []*task {
+	var waiting []*task
+	for step, tasks := range w.steps {
+		if !w.stepReady(step) {
+			continue
+		}
+		for _, t := range tasks {
+			if !t.done && t.current == nil {
+				waiting = append(waiting, t)
+			}
+		}
+	}
+	return waiting
+}
+
+func (w *work) allDone() bool {
+	for _, tasks := range w.steps {
+		for _, t := range tasks {
+			if !t.done {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// estimate returns the expected time of a task of a step.
+func (w *work) estimate(step int) time.Duration {
+	if estimate := w.job.Steps[step].Estimate; estimate > 0 {
+		return estimate
+	}
+	return unknownEstimate
+}
+
+// waitingWork returns the estimated work that hasn't started, in thousandths
+// of a core x milliseconds.
+func (w *work) waitingWork() int64 {
+	var total int64
+	for step, tasks := range w.steps {
+		each := w.job.Steps[step].Needs.CPU * w.estimate(step).Milliseconds()
+		for _, t := range tasks {
+			if !t.done && t.current == nil {
+				total += each
+			}
+		}
+	}
+	return total
+}
+
+// leastTime returns the longest estimate among tasks that haven't started.
+func (w *work) leastTime() time.Duration {
+	var longest time.Duration
+	for step, tasks := range w.steps {
+		for _, t := range tasks {
+			if !t.done && t.current == nil {
+				longest = max(longest, w.estimate(step))
+				break
+			}
+		}
+	}
+	return longest
+}
+
+// rank orders jobs: the lower comes first.
+type rank struct {
+	tier int   // 0: can make its objective; 1: can be late; 2: worth little
+	work int64 // left to start
+}
+
+func (w *work) rank(now time.Duration) rank {
+	ends := now + w.leastTime()
+	objective := w.job.Objective - w.job.Received
+	tier := 2
+	switch {
+	case ends <= w.job.Objective:
+		tier = 0
+	case ends <= w.job.Received+lateFactor*objective:
+		tier = 1
+	}
+	return rank{tier: tier, work: w.waitingWork()}
+}
+
+func (r rank) before(o rank) bool {
+	if r.tier != o.tier {
+		return r.tier < o.tier
+	}
+	return r.work < o.work
+}
+
+// ranked returns the jobs that have tasks to start, in order.
+func (c *Cell) ranked(now time.Duration) []*work {
+	type entry struct {
+		work *work
+		rank rank
+	}
+	entries := make([]entry, 0, len(c.works))
+	for _, w := range c.works {
+		if w.settleAt > now || (w.epoch > 1 && !c.Settled(now)) {
+			continue
+		}
+		if r := w.rank(now); r.work > 0 {
+			entries = append(entries, entry{work: w, rank: r})
+		}
+	}
+	sort.Slice(entries, func(i, j int) bool {
+		if entries[i].rank != entries[j].rank {
+			return entries[i].rank.before(entries[j].rank)
+		}
+		return entries[i].work.job.ID < entries[j].work.job.ID
+	})
+	works := make([]*work, len(entries))
+	for i, e := range entries {
+		works[i] = e.work
+	}
+	return works
+}
+
+// finishIfDone ends a job whose tasks are all done.
+func (c *Cell) finishIfDone(w *work) {
+	if w.allDone() {
+		c.finish(w, job.Outcome{Kind: job.Completed, Started: true})
+	}
+}
+
+// finish ends a job and reports it.
+func (c *Cell) finish(w *work, outcome job.Outcome) {
+	c.finished = append(c.finished, Finished{ID: w.job.ID, Outcome: outcome})
+	if outcome.Kind == job.Moved {
+		delete(c.works, w.job.ID)
+		return
+	}
+	c.remove(w, outcome.Kind.String())
+}
+
+// remove forgets a job and stops what may run of it.
+func (c *Cell) remove(w *work, reason string) {
+	delete(c.works, w.job.ID)
+	for _, tasks := range w.steps {
+		for _, t := range tasks {
+			if t.current != nil {
+				r := t.current
+				r.work, r.task, t.current = nil, nil, nil
+				c.stopRun(r, reason)
+			}
+		}
+	}
+	c.dirty = true
+}
+
+// expireWorks ends the jobs whose deadlines can't be met any more: at once
+// when nothing of them has started, at the deadline otherwise.
+func (c *Cell) expireWorks(now time.Duration) {
+	for _, w := range c.sortedWorks() {
+		switch {
+		case !w.started && now+w.leastTime() > w.job.Deadline:
+			c.finish(w, job.Outcome{Kind: job.Refused, Reason: "deadline_too_short"})
+		case now > w.job.Deadline:
+			c.finish(w, job.Outcome{Kind: job.Expired, Reason: "deadline_passed", Started: true})
+		}
+	}
+}
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -23,6 +23,7 @@
 	commander.Register(commander.HelpCommand(), "")
 	commander.Register(commander.FlagsCommand(), "")
 	commander.Register(&entryCommand{}, "processes")
+	commander.Register(&nodeCommand{}, "processes")
 	commander.Register(&standinCommand{}, "processes")
 	commander.Register(&applyCommand{}, "operators")
 	commander.Register(&validateCommand{}, "operators")
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -45,6 +45,10 @@
 	h.eachDispatcher(func(d *dispatcher) { d.onGone(from.Name) })
 }
 
+// Left implements peer.Handler. Nothing is concluded from it: what a peer's
+// silence means is told by the link to it.
+func (h *Host) Left(*peerpb.Hello) {}
+
 func (h *Host) onRecord(m *peerpb.Record, reply peer.Reply) {
 	id := once.ID{Home: fromHome(m.Home), Part: m.Part}
 	ack := h.memory.record(id, m.Digest, h.Clock.Now())
--- /dev/null
+++ b/pkg/job/job.go
@@ -0,0 +1,131 @@
+// Package job holds the types of jobs whose tasks run under leases: what a
+// caller submits, how its tasks are named, and how it ended.
+package job
+
+import (
+	"strconv"
+	"time"
+)
+
+// Resources is what a task asks for, or what an executor has.
+type Resources struct {
+	CPU      int64 // thousandths of a core
+	MemoryMB int64
+	GPU      int64
+}
+
+// Add returns the sum of both.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{CPU: r.CPU + o.CPU, MemoryMB: r.MemoryMB + o.MemoryMB, GPU: r.GPU + o.GPU}
+}
+
+// Sub returns r less o.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{CPU: r.CPU - o.CPU, MemoryMB: r.MemoryMB - o.MemoryMB, GPU: r.GPU - o.GPU}
+}
+
+// Fits reports whether o fits into r.
+func (r Resources) Fits(o Resources) bool {
+	return o.CPU <= r.CPU && o.MemoryMB <= r.MemoryMB && o.GPU <= r.GPU
+}
+
+// Step is a set of like tasks.
+type Step struct {
+	Count        int
+	Needs        Resources     // of each task
+	Estimate     time.Duration // a rough guess of a task's time; 0 when unknown
+	After        []int         // earlier steps whose tasks must all be done first
+	Constraint   string        // label that the executor must have; empty for none
+	Affinity     string        // label of the rack that holds the data; empty for none
+	AntiAffinity int           // tasks of the step on one executor at most; 0 for no limit
+}
+
+// Job is a caller's job in the product's own terms.
+type Job struct {
+	ID          string // chosen by the caller; names the job for good
+	Route       string // name of the route that it came by
+	Service     string // whose executors run its tasks
+	Priority    int    // 0 comes first
+	MaxAttempts int    // ends by failure that a task may have
+	Spec        string // handed to every task
+	Steps       []Step
+	Received    time.Duration // on the clock of the process that holds this value
+	Deadline    time.Duration // the caller waits no longer
+	Objective   time.Duration // answers up to then are good ones
+}
+
+// TaskCount returns the number of tasks over all steps.
+func (j *Job) TaskCount() int {
+	count := 0
+	for _, step := range j.Steps {
+		count += step.Count
+	}
+	return count
+}
+
+// TaskKey names a task within its job.
+type TaskKey struct {
+	Step  int
+	Index int
+}
+
+// TaskName returns the name under which executors know a task of a job that
+// runs once: ID.0.STEP.INDEX.
+func TaskName(id string, key TaskKey) string {
+	return id + ".0." + strconv.Itoa(key.Step) + "." + strconv.Itoa(key.Index)
+}
+
+// Progress is what an owner tells the next one of a task.
+type Progress struct {
+	Key      TaskKey
+	Done     bool
+	Failures int
+	Run      int64 // highest run number used
+}
+
+// Kind says how a job ended at an owner.
+type Kind uint8
+
+// The ways in which a job ends at an owner.
+const (
+	Completed Kind = iota + 1 // every task is done
+	Failed                    // a task has failed as often as it may
+	Refused                   // nothing ran, and nothing of it will
+	Expired                   // the deadline came after a task may have started
+	Moved                     // the owner gave the cell up; hand the job to the next
+	Lost                      // no owner can be asked; tasks may run until their leases end
+)
+
+var kindNames = [...]string{"none", "completed", "failed", "refused", "expired", "moved", "lost"}
+
+// String returns the name of the kind in logs and metrics.
+func (k Kind) String() string {
+	if int(k) < len(kindNames) {
+		return kindNames[k]
+	}
+	return "unknown"
+}
+
+// Outcome is the end of a job at an owner.
+type Outcome struct {
+	Kind       Kind
+	Reason     string // for logs
+	RetryAfter time.Duration
+	Started    bool // a task of it may have started
+	Progress   []Progress
+}
+
+// ObjectiveTime returns the time within which an answer is a good one: stretch
+// times the longest chain of estimated work, and target more.
+func (j *Job) ObjectiveTime(stretch float64, target time.Duration) time.Duration {
+	chains := make([]time.Duration, len(j.Steps))
+	var longest time.Duration
+	for i, step := range j.Steps {
+		chains[i] = step.Estimate
+		for _, earlier := range step.After {
+			chains[i] = max(chains[i], chains[earlier]+step.Estimate)
+		}
+		longest = max(longest, chains[i])
+	}
+	return time.Duration(stretch*float64(longest)) + target
+}
--- /dev/null
+++ b/pkg/node/front.go
@@ -0,0 +1,273 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/ownership"
+	"github.com/foxcroft/foxcroft/pkg/peerpb"
+)
+
+const (
+	// noOwnerWait is how long a job of which nothing has run waits for an
+	// owner before it is refused.
+	noOwnerWait = 1500 * time.Millisecond
+	// comeBack is the advice to callers that were refused.
+	comeBack = time.Second
+	// ownerPause keeps a front from asking one that gives jobs back at once.
+	ownerPause = 20 * time.Millisecond
+)
+
+// front holds callers' jobs open and hands each to the owner of a cell.
+type front struct {
+	node  *Node
+	calls *calls
+
+	mu   sync.Mutex
+	open map[string]*openJob // by job id
+}
+
+// openJob is a job that a caller of this node waits for.
+type openJob struct {
+	job     *job.Job
+	started bool
+	cancel  context.CancelFunc
+}
+
+func newFront(n *Node) *front {
+	return &front{
+		node:  n,
+		calls: &calls{executors: n.adapter.Executors(), clock: n.Clock.Now},
+		open:  map[string]*openJob{},
+	}
+}
+
+// Submit implements Service.
+func (n *Node) Submit(ctx context.Context, j *job.Job) job.Outcome {
+	return n.front.submit(ctx, j)
+}
+
+// Waiting implements Service.
+func (n *Node) Waiting(route string) int {
+	count := 0
+	for _, o := range n.allOwners() {
+		o.mu.Lock()
+		count += o.state.Waiting()[route]
+		o.mu.Unlock()
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, counts := range n.peerCounts {
+		count += counts[route]
+	}
+	return count
+}
+
+// State implements Service.
+func (n *Node) State(id string) (started, known bool) {
+	n.front.mu.Lock()
+	defer n.front.mu.Unlock()
+	open := n.front.open[id]
+	if open == nil {
+		return false, false
+	}
+	return open.started, true
+}
+
+// Cancel implements Service.
+func (n *Node) Cancel(id string) bool {
+	n.front.mu.Lock()
+	open := n.front.open[id]
+	n.front.mu.Unlock()
+	if open == nil {
+		return false
+	}
+	open.cancel()
+	return true
+}
+
+// submit follows a job from owner to owner until it has ended.
+func (f *front) submit(ctx context.Context, j *job.Job) job.Outcome {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.mu.Lock()
+	f.open[j.ID] = &openJob{job: j, cancel: cancel}
+	f.mu.Unlock()
+	outcome := f.follow(ctx, j)
+	f.mu.Lock()
+	delete(f.open, j.ID)
+	f.mu.Unlock()
+	f.node.Log.Info("job_ended", "job", j.ID, "route", j.Route, "outcome", outcome.Kind.String(), "reason", outcome.Reason,
+		"started", outcome.Started, "took_ms", (f.node.Clock.Now() - j.Received).Milliseconds())
+	return outcome
+}
+
+// attempt is what a front remembers of a job between owners.
+type attempt struct {
+	epoch    int
+	progress []job.Progress
+	started  bool
+	lostCell string        // whose owner went silent with the job
+	settleAt time.Duration // no start in another cell before
+}
+
+func (f *front) follow(ctx context.Context, j *job.Job) job.Outcome {
+	state := attempt{epoch: 1}
+	for {
+		claim, ok := f.awaitOwner(ctx, j, &state)
+		if !ok {
+			return f.giveUp(ctx, j, &state)
+		}
+		outcome := f.dispatch(ctx, j, claim, &state)
+		if ctx.Err() != nil {
+			return job.Outcome{Kind: job.Expired, Reason: "caller_left", Started: true}
+		}
+		switch outcome.Kind {
+		case job.Moved:
+			state.progress = outcome.Progress
+			state.started = state.started || outcome.Started
+			state.lostCell = ""
+			f.pause(ctx)
+		case job.Lost:
+			state.started = true
+			state.lostCell = claim.Cell
+			state.settleAt = f.node.Clock.Now() + f.node.settleTime()
+		default:
+			outcome.Started = outcome.Started || state.started
+			return outcome
+		}
+		state.epoch++
+		f.node.Log.Info("job_handed_on", "job", j.ID, "cell", claim.Cell, "token", claim.Token, "epoch", state.epoch, "why", outcome.Kind.String(), "reason", outcome.Reason)
+	}
+}
+
+// settleTime is how long after losing an owner its runs may go on: until it
+// has missed this node, or its leases have ended.
+func (n *Node) settleTime() time.Duration {
+	return n.settings.LongestHold + n.settings.LongestHold/10
+}
+
+func (f *front) pause(ctx context.Context) {
+	timer := time.NewTimer(ownerPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// giveUp ends a job for which no owner was found, or whose caller has left.
+func (f *front) giveUp(ctx context.Context, j *job.Job, state *attempt) job.Outcome {
+	if ctx.Err() != nil {
+		return job.Outcome{Kind: job.Expired, Reason: "caller_left", Started: state.started}
+	}
+	if state.started {
+		return job.Outcome{Kind: job.Expired, Reason: "no_owner", Started: true}
+	}
+	return job.Outcome{Kind: job.Refused, Reason: "no_owner", RetryAfter: comeBack}
+}
+
+// awaitOwner returns the owner to hand a job to, waiting for one if need be.
+func (f *front) awaitOwner(ctx context.Context, j *job.Job, state *attempt) (ownership.Claim, bool) {
+	limit := min(j.Deadline, f.node.Clock.Now()+noOwnerWait)
+	for {
+		changed := f.node.changed.wait()
+		if claim, ok := f.choose(j, state); ok {
+			return claim, true
+		}
+		left := limit - f.node.Clock.Now()
+		if left <= 0 {
+			return ownership.Claim{}, false
+		}
+		timer := time.NewTimer(left)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ownership.Claim{}, false
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// choose picks an owner. A job whose owner was lost stays with the cell, where
+// the next owner finds its runs.
+func (f *front) choose(j *job.Job, state *attempt) (ownership.Claim, bool) {
+	n := f.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if state.lostCell != "" && n.Clock.Now() < state.settleAt {
+		return n.claims.Owner(state.lostCell)
+	}
+	return ownership.Choose(n.claims.Owned(), n.settings.Zone, j.Service, largestNeed(j))
+}
+
+func largestNeed(j *job.Job) int64 {
+	var need int64
+	for _, step := range j.Steps {
+		need = max(need, step.Needs.CPU)
+	}
+	return need
+}
+
+// dispatch hands a job to an owner and waits for its end there.
+func (f *front) dispatch(ctx context.Context, j *job.Job, claim ownership.Claim, state *attempt) job.Outcome {
+	f.node.Log.Debug("job_dispatched", "job", j.ID, "cell", claim.Cell, "owner", claim.Owner, "token", claim.Token, "epoch", state.epoch, "queued_work", claim.Load.QueuedWork)
+	settleAt := time.Duration(0)
+	if state.lostCell != "" && state.lostCell != claim.Cell {
+		settleAt = state.settleAt
+	}
+	if claim.Owner == f.node.settings.PeerAddress {
+		return f.dispatchHere(ctx, j, claim, state, settleAt)
+	}
+	return f.dispatchToPeer(ctx, j, claim, state, settleAt)
+}
+
+func (f *front) dispatchHere(ctx context.Context, j *job.Job, claim ownership.Claim, state *attempt, settleAt time.Duration) job.Outcome {
+	o := f.node.owner(claim.Cell)
+	if o == nil {
+		return job.Outcome{Kind: job.Moved, Reason: "not_owner", Progress: state.progress}
+	}
+	done := make(chan job.Outcome, 1)
+	self := f.node.settings.PeerAddress
+	o.submit(j, state.epoch, state.progress, settleAt, waiter{front: self, reply: func(outcome job.Outcome) { done <- outcome }})
+	select {
+	case outcome := <-done:
+		return outcome
+	case <-ctx.Done():
+		o.withdraw(j.ID, self, "caller_left")
+		return job.Outcome{Kind: job.Expired, Reason: "caller_left", Started: true}
+	}
+}
+
+func (f *front) dispatchToPeer(ctx context.Context, j *job.Job, claim ownership.Claim, state *attempt, settleAt time.Duration) job.Outcome {
+	link := f.node.links.Link(claim.Owner)
+	if link == nil {
+		return job.Outcome{Kind: job.Moved, Reason: "no_link", Progress: state.progress}
+	}
+	now := f.node.Clock.Now()
+	settle := max(0, settleAt-now)
+	m := toDispatch(j, claim.Cell, state.epoch, state.progress, settle, now)
+	answer, err := link.Call(ctx, &peerpb.Message{Body: &peerpb.Message_Dispatch{Dispatch: m}}, 0)
+	if ctx.Err() != nil {
+		link.Send(&peerpb.Message{Body: &peerpb.Message_Withdraw{Withdraw: &peerpb.Withdraw{Id: j.ID, Cell: claim.Cell, Epoch: uint32(state.epoch)}}}, 0)
+		return job.Outcome{Kind: job.Expired, Reason: "caller_left", Started: true}
+	}
+	if err != nil {
+		return job.Outcome{Kind: job.Lost, Reason: err.Error()}
+	}
+	outcome := answer.GetOutcome()
+	if outcome == nil {
+		return job.Outcome{Kind: job.Lost, Reason: "wrong_answer"}
+	}
+	return fromOutcome(outcome)
+}
+
+func (n *Node) owner(cellName string) *owner {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.owners[cellName]
+}
--- /dev/null
+++ b/pkg/node/members.go
@@ -0,0 +1,301 @@
+package node
+
+import (
+	"context"
+	"io"
+	"log"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/errkind"
+	"github.com/foxcroft/foxcroft/pkg/member"
+	"github.com/foxcroft/foxcroft/pkg/ownership"
+	"github.com/foxcroft/foxcroft/pkg/peer"
+	"github.com/foxcroft/foxcroft/pkg/peerpb"
+)
+
+func quietLog() *log.Logger { return log.New(io.Discard, "", 0) }
+
+// refreshLinks opens and closes links as the table of members wants it.
+func (n *Node) refreshLinks() {
+	n.mu.Lock()
+	wanted := n.members.Wanted(n.Clock.Now())
+	n.mu.Unlock()
+	n.links.Keep(wanted)
+}
+
+// setRows takes a new reading of the nodes' rows.
+func (n *Node) setRows(rows []Member) {
+	listed := make([]member.Listed, 0, len(rows))
+	byName := map[string]Member{}
+	for _, row := range rows {
+		byName[row.Name] = row
+		listed = append(listed, member.Listed{Name: row.Name, Domain: row.Zone, Address: row.PeerAddress})
+	}
+	n.mu.Lock()
+	n.rows = byName
+	n.members.SetListed(listed)
+	n.mu.Unlock()
+	n.refreshLinks()
+	n.changed.signal()
+}
+
+// ownershipView returns what this node sees of the others. n.mu is held.
+func (n *Node) ownershipView() ownership.View {
+	view := ownership.View{Self: ownership.Host{Address: n.settings.PeerAddress, Zone: n.settings.Zone, Leaving: n.leaving.Load()}}
+	known := map[string]bool{n.settings.PeerAddress: true}
+	for _, p := range n.members.View(n.inc).Peers {
+		view.Up = append(view.Up, ownership.Host{Address: p.Address, Zone: p.Domain, Leaving: p.Leaving})
+		known[p.Address] = true
+	}
+	for _, row := range n.rows {
+		known[row.PeerAddress] = true
+	}
+	view.Known = len(known)
+	return view
+}
+
+// Hello implements peer.Observer.
+func (n *Node) Hello() *peerpb.Hello {
+	return &peerpb.Hello{
+		Name:        n.settings.Name,
+		Domain:      n.settings.Zone,
+		Address:     n.settings.PeerAddress,
+		Incarnation: n.inc[:],
+		Leaving:     n.leaving.Load(),
+	}
+}
+
+// LinkUp implements peer.Observer.
+func (n *Node) LinkUp(address string, hello *peerpb.Hello) {
+	p := member.Peer{Name: hello.Name, Domain: hello.Domain, Address: address, Leaving: hello.Leaving}
+	copy(p.Incarnation[:], hello.Incarnation)
+	n.mu.Lock()
+	n.members.Up(p)
+	n.mu.Unlock()
+	n.changed.signal()
+}
+
+// LinkDown implements peer.Observer.
+func (n *Node) LinkDown(address string) {
+	n.mu.Lock()
+	n.members.Down(address)
+	n.claims.Drop(address)
+	delete(n.peerCounts, address)
+	n.mu.Unlock()
+	for _, o := range n.allOwners() {
+		o.frontGone(address)
+	}
+	n.changed.signal()
+	go n.claimCells(n.Clock.Now())
+}
+
+// Heartbeat implements peer.Observer.
+func (n *Node) Heartbeat() *peerpb.Heartbeat {
+	beat := &peerpb.Heartbeat{Leaving: n.leaving.Load()}
+	if current := n.configuration.Load(); current != nil {
+		beat.Version = current.snapshot.Revision
+	}
+	if listing := n.executors.Load(); listing != nil {
+		beat.ExecutorsRevision = listing.revision
+	}
+	for _, claim := range n.ownClaims() {
+		beat.Cells = append(beat.Cells, toCellLoad(claim))
+	}
+	counts := map[string]int{}
+	for _, o := range n.allOwners() {
+		o.mu.Lock()
+		for route, count := range o.state.Waiting() {
+			counts[route] += count
+		}
+		o.mu.Unlock()
+	}
+	for route, count := range counts {
+		beat.RouteCounts = append(beat.RouteCounts, &peerpb.RouteCount{Route: route, Waiting: uint32(count)})
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, p := range n.members.View(n.inc).Peers {
+		beat.Addresses = append(beat.Addresses, p.Address)
+	}
+	return beat
+}
+
+// HeartbeatReply implements peer.Observer.
+func (n *Node) HeartbeatReply(address string, beat *peerpb.Heartbeat) { n.heard(address, beat) }
+
+// heard takes what a peer's heartbeat tells.
+func (n *Node) heard(address string, beat *peerpb.Heartbeat) {
+	n.mu.Lock()
+	p, up := n.peerAt(address)
+	if !up {
+		// Claims of a peer that can't be called are of no use.
+		n.mu.Unlock()
+		return
+	}
+	if p.Leaving != beat.Leaving {
+		p.Leaving = beat.Leaving
+		n.members.Refresh(p)
+	}
+	before := n.claims.Owned()
+	n.claims.SetClaims(address, fromCellLoads(beat.Cells))
+	counts := map[string]int{}
+	for _, c := range beat.RouteCounts {
+		counts[c.Route] = int(c.Waiting)
+	}
+	n.peerCounts[address] = counts
+	n.members.Told(beat.Addresses, n.Clock.Now())
+	after := n.claims.Owned()
+	n.mu.Unlock()
+	if ownersDiffer(before, after) {
+		n.changed.signal()
+	}
+	n.refreshLinks()
+	n.compareNews(address, beat)
+}
+
+func (n *Node) peerAt(address string) (member.Peer, bool) {
+	for _, p := range n.members.View(n.inc).Peers {
+		if p.Address == address {
+			return p, true
+		}
+	}
+	return member.Peer{}, false
+}
+
+func ownersDiffer(before, after []ownership.Claim) bool {
+	if len(before) != len(after) {
+		return true
+	}
+	for i := range before {
+		if before[i].Cell != after[i].Cell || before[i].Token != after[i].Token || before[i].Load.Ready != after[i].Load.Ready {
+			return true
+		}
+	}
+	return false
+}
+
+// Greeted implements peer.Handler.
+func (n *Node) Greeted(from *peerpb.Hello) {
+	n.mu.Lock()
+	n.members.Told([]string{from.Address}, n.Clock.Now())
+	n.mu.Unlock()
+	n.refreshLinks()
+}
+
+// Left implements peer.Handler: the jobs that came by the link are the
+// sender's again.
+func (n *Node) Left(from *peerpb.Hello) {
+	for _, o := range n.allOwners() {
+		o.frontGone(from.Address)
+	}
+}
+
+// Handle implements peer.Handler.
+func (n *Node) Handle(from *peerpb.Hello, m *peerpb.Message, reply peer.Reply) {
+	switch body := m.Body.(type) {
+	case *peerpb.Message_Heartbeat:
+		reply(&peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: n.Heartbeat()}}, 0)
+		n.heard(from.Address, body.Heartbeat)
+	case *peerpb.Message_Dispatch:
+		n.onDispatch(from, body.Dispatch, reply)
+	case *peerpb.Message_Withdraw:
+		if o := n.owner(body.Withdraw.Cell); o != nil {
+			o.withdraw(body.Withdraw.Id, from.Address, "caller_left")
+		}
+	case *peerpb.Message_HandOver:
+		n.onHandOver(body.HandOver)
+	case *peerpb.Message_FetchSnapshot:
+		n.onFetchSnapshot(body.FetchSnapshot, reply)
+	default:
+		reply(peer.FailureMessage(errkind.New(errkind.BadRequest, "upgrade the older host", "the message is not known")), 0)
+	}
+}
+
+// onHandOver gives a cell to the node that has fenced its executors.
+func (n *Node) onHandOver(m *peerpb.HandOver) {
+	if o := n.owner(m.Cell); o != nil && o.token < int64(m.Token) {
+		go n.release(o, "taken_over")
+	}
+}
+
+func (n *Node) sendHandOver(address, cellName string, token int64) {
+	if link := n.links.Link(address); link != nil {
+		link.Send(&peerpb.Message{Body: &peerpb.Message_HandOver{HandOver: &peerpb.HandOver{Cell: cellName, Token: uint64(token)}}}, 0)
+	}
+}
+
+// onFenced takes the news that executors obey another owner.
+func (n *Node) onFenced(o *owner) {
+	n.mu.Lock()
+	n.claims.Fenced(o.cell, n.Clock.Now())
+	n.mu.Unlock()
+	n.release(o, "fenced")
+}
+
+// onDispatch takes a job from another front.
+func (n *Node) onDispatch(from *peerpb.Hello, m *peerpb.Dispatch, reply peer.Reply) {
+	o := n.owner(m.Cell)
+	progress := fromProgress(m.Progress)
+	if o == nil {
+		reply(toOutcome(notOwner(progress)), 0)
+		return
+	}
+	now := n.Clock.Now()
+	settleAt := time.Duration(0)
+	if m.SettleUs > 0 {
+		settleAt = now + microseconds(m.SettleUs)
+	}
+	o.submit(fromDispatch(m, now), int(m.Epoch), progress, settleAt, waiter{
+		front: from.Address,
+		reply: func(outcome jobOutcome) { reply(toOutcome(outcome), 0) },
+	})
+}
+
+// Stop is a planned stop: this node takes no new connections, hands its cells
+// to others, answers what callers wait for, and goes.
+func (n *Node) Stop() {
+	n.Log.Info("stopping", "grace", n.settings.Grace.String())
+	n.leaving.Store(true)
+	n.links.Nudge()
+	limit := n.Clock.Now() + n.settings.Grace*8/10
+	for n.Clock.Now() < limit && !n.drained(limit) {
+		time.Sleep(tickInterval)
+	}
+	n.withdrawRow()
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Grace/10)
+	defer cancel()
+	for _, server := range n.servers {
+		_ = server.Shutdown(ctx)
+	}
+	for _, o := range n.allOwners() {
+		n.release(o, "stopped")
+	}
+	n.stop()
+	n.links.Close()
+	n.peers.Close()
+	n.Log.Info("stopped")
+}
+
+// balancerDelay is how long the balancer may take to see that a node leaves.
+const balancerDelay = 2200 * time.Millisecond
+
+// drained reports whether nothing is left to do: the balancer has noticed, the
+// cells are handed over and the callers have their answers.
+func (n *Node) drained(limit time.Duration) bool {
+	start := limit - n.settings.Grace*8/10
+	if n.Clock.Now() < start+balancerDelay {
+		return false
+	}
+	n.front.mu.Lock()
+	open := len(n.front.open)
+	n.front.mu.Unlock()
+	return open == 0 && len(n.allOwners()) == 0
+}
+
+func (n *Node) withdrawRow() {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	if err := n.store.Withdraw(ctx, n.settings.Name); err != nil {
+		n.Log.Warn("row_not_removed", "error", err.Error())
+	}
+}
--- /dev/null
+++ b/pkg/node/news.go
@@ -0,0 +1,247 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/common"
+	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/peer"
+	"github.com/foxcroft/foxcroft/pkg/peerpb"
+)
+
+type jobOutcome = job.Outcome
+
+func notOwner(progress []job.Progress) job.Outcome {
+	return job.Outcome{Kind: job.Moved, Reason: "not_owner", Progress: progress}
+}
+
+// The kinds of news that nodes pass on.
+const (
+	newsConfiguration uint32 = iota + 1
+	newsExecutors
+)
+
+// Paces of reading the store, which all nodes share.
+const (
+	storeTimeout      = 2 * time.Second
+	executorsInterval = 500 * time.Millisecond // of owners
+	othersInterval    = 2 * time.Second        // of the other nodes
+	firstStoreBackoff = 100 * time.Millisecond
+	lastStoreBackoff  = 1500 * time.Millisecond
+	peerFetchTimeout  = time.Second
+)
+
+// inForce is a configuration in force.
+type inForce struct {
+	snapshot Snapshot
+	parsed   *catalog.Configuration
+}
+
+// runNews reads the store until ctx ends.
+func (n *Node) runNews(ctx context.Context) {
+	go n.watch(ctx, "configuration", n.readConfiguration, n.store.AwaitConfiguration)
+	go n.watchMembers(ctx)
+	n.pollExecutors(ctx)
+}
+
+// watch reads, waits for a change and reads again. Failures slow it down.
+func (n *Node) watch(ctx context.Context, what string, read func(context.Context) (uint64, error), await func(context.Context, uint64) (uint64, error)) {
+	backoff := firstStoreBackoff
+	position := uint64(0)
+	down := false
+	for ctx.Err() == nil {
+		var err error
+		if position == 0 {
+			position, err = read(ctx)
+		} else {
+			var next uint64
+			next, err = await(ctx, position)
+			if err == nil && next != position {
+				_, err = read(ctx)
+				if err == nil {
+					position = next
+				}
+			}
+		}
+		if err == nil {
+			if down {
+				n.Log.Info("store_regained", "news", what)
+			}
+			down = false
+			backoff = firstStoreBackoff
+			continue
+		}
+		if !down {
+			n.Log.Warn("store_lost", "news", what, "error", err.Error())
+		}
+		down = true
+		position = 0
+		common.Sleep(ctx, common.Jitter(backoff, common.Unit()))
+		backoff = min(2*backoff, lastStoreBackoff)
+	}
+}
+
+func (n *Node) readConfiguration(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	snapshot, err := n.store.Configuration(ctx)
+	if err != nil {
+		return 0, err
+	}
+	n.offerConfiguration(snapshot, "store")
+	return snapshot.Revision, nil
+}
+
+// offerConfiguration takes a configuration into force if it is newer.
+func (n *Node) offerConfiguration(snapshot Snapshot, from string) {
+	if len(snapshot.Body) == 0 {
+		return
+	}
+	parsed, err := n.adapter.DecodeConfiguration(snapshot)
+	if err != nil {
+		n.Log.Error("configuration_unreadable", "from", from, "error", err.Error())
+		return
+	}
+	snapshot.Revision = parsed.Version
+	next := &inForce{snapshot: snapshot, parsed: parsed}
+	for {
+		current := n.configuration.Load()
+		if current != nil && current.parsed.Version >= parsed.Version {
+			return
+		}
+		if n.configuration.CompareAndSwap(current, next) {
+			break
+		}
+	}
+	n.Log.Info("configuration_in_force", "version", parsed.Version, "from", from)
+	n.links.Nudge()
+}
+
+func (n *Node) watchMembers(ctx context.Context) {
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		err := n.store.Announce(callCtx, Member{Name: n.settings.Name, Zone: n.settings.Zone, PeerAddress: n.settings.PeerAddress})
+		cancel()
+		if err == nil {
+			break
+		}
+		n.Log.Warn("row_not_written", "error", err.Error())
+		common.Sleep(ctx, common.Jitter(lastStoreBackoff, common.Unit()))
+	}
+	n.watch(ctx, "members", n.readMembers, n.store.AwaitMembers)
+}
+
+func (n *Node) readMembers(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	rows, position, err := n.store.Members(ctx)
+	if err != nil {
+		return 0, err
+	}
+	n.setRows(rows)
+	return position, nil
+}
+
+// pollExecutors reads the executors again and again: owners often, the others
+// now and then, so that they can take over while the store is down.
+func (n *Node) pollExecutors(ctx context.Context) {
+	backoff := firstStoreBackoff
+	for ctx.Err() == nil {
+		wait := othersInterval
+		if len(n.allOwners()) > 0 {
+			wait = executorsInterval
+		}
+		if err := n.readExecutors(ctx); err != nil {
+			wait = backoff
+			backoff = min(2*backoff, lastStoreBackoff)
+		} else {
+			backoff = firstStoreBackoff
+		}
+		common.Sleep(ctx, common.Jitter(wait, common.Unit()))
+	}
+}
+
+func (n *Node) readExecutors(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	snapshot, err := n.store.Executors(ctx)
+	if err != nil {
+		return err
+	}
+	n.offerExecutors(snapshot, "store")
+	return nil
+}
+
+// offerExecutors takes a reading of the executors if it is newer.
+func (n *Node) offerExecutors(snapshot Snapshot, from string) {
+	current := n.executors.Load()
+	if current != nil && current.revision >= snapshot.Revision {
+		return
+	}
+	parsed, err := n.adapter.DecodeExecutors(snapshot)
+	if err != nil {
+		n.Log.Error("executors_unreadable", "from", from, "error", err.Error())
+		return
+	}
+	next := &listing{revision: snapshot.Revision, snapshot: snapshot, zones: map[string][]catalog.Executor{}}
+	for _, executor := range parsed.ByID {
+		next.zones[executor.Zone] = append(next.zones[executor.Zone], executor)
+	}
+	if !n.executors.CompareAndSwap(current, next) {
+		return
+	}
+	for _, o := range n.allOwners() {
+		o.setExecutors(next)
+	}
+}
+
+// compareNews fetches what a peer has newer.
+func (n *Node) compareNews(address string, beat *peerpb.Heartbeat) {
+	if current := n.configuration.Load(); current == nil || beat.Version > current.snapshot.Revision {
+		if beat.Version > 0 {
+			go n.fetch(address, newsConfiguration)
+		}
+	}
+	current := n.executors.Load()
+	stale := current == nil && beat.ExecutorsRevision > 0
+	if stale || (current != nil && n.storeSilent() && beat.ExecutorsRevision > current.revision) {
+		go n.fetch(address, newsExecutors)
+	}
+}
+
+// storeSilent reports whether this node reads the store less well than others.
+func (n *Node) storeSilent() bool { return false }
+
+// fetch asks a peer for its newest news of a kind.
+func (n *Node) fetch(address string, kind uint32) {
+	link := n.links.Link(address)
+	if link == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), peerFetchTimeout)
+	defer cancel()
+	answer, err := link.Call(ctx, &peerpb.Message{Body: &peerpb.Message_FetchSnapshot{FetchSnapshot: &peerpb.FetchSnapshot{Kind: kind}}}, 0)
+	if err != nil || answer.GetSnapshot() == nil {
+		return
+	}
+	m := answer.GetSnapshot()
+	snapshot := Snapshot{Revision: m.Revision, Body: m.Body}
+	if kind == newsConfiguration {
+		n.offerConfiguration(snapshot, address)
+		return
+	}
+	n.offerExecutors(snapshot, address)
+}
+
+func (n *Node) onFetchSnapshot(m *peerpb.FetchSnapshot, reply peer.Reply) {
+	snapshot := Snapshot{}
+	if current := n.configuration.Load(); m.Kind == newsConfiguration && current != nil {
+		snapshot = current.snapshot
+	}
+	if listing := n.executors.Load(); m.Kind == newsExecutors && listing != nil {
+		snapshot = listing.snapshot
+	}
+	reply(&peerpb.Message{Body: &peerpb.Message_Snapshot{Snapshot: &peerpb.Snapshot{Kind: m.Kind, Revision: snapshot.Revision, Body: snapshot.Body}}}, 0)
+}
--- /dev/null
+++ b/pkg/node/node.go
@@ -0,0 +1,319 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/cell"
+	"github.com/foxcroft/foxcroft/pkg/common"
+	"github.com/foxcroft/foxcroft/pkg/member"
+	"github.com/foxcroft/foxcroft/pkg/once"
+	"github.com/foxcroft/foxcroft/pkg/ownership"
+	"github.com/foxcroft/foxcroft/pkg/peer"
+	"github.com/foxcroft/foxcroft/pkg/settings"
+	"github.com/pkg/errors"
+)
+
+// Intervals of the node's own work.
+const (
+	tickInterval  = 25 * time.Millisecond  // of the cells that are owned
+	claimInterval = 100 * time.Millisecond // of looking for cells without an owner
+)
+
+// Node is one host.
+type Node struct {
+	*common.Common
+	settings *settings.Node
+	inc      once.Incarnation
+	adapter  Adapter
+	store    Store
+	counters *peer.Counters
+	links    *peer.Set
+	peers    *peer.Server
+
+	leaving       atomic.Bool
+	configuration atomic.Pointer[inForce]
+	executors     atomic.Pointer[listing]
+	changed       *broadcast // membership or claims have changed
+
+	mu         sync.Mutex // guards what follows
+	members    *member.Table
+	claims     *ownership.Table
+	rows       map[string]Member // the nodes' rows in the store, by name
+	peerCounts map[string]map[string]int
+	owners     map[string]*owner
+
+	front *front
+
+	servers []*http.Server
+	stop    context.CancelFunc
+}
+
+// NewNode makes a node. Start runs it.
+func NewNode(c *common.Common, s *settings.Node, inc once.Incarnation, adapter Adapter) *Node {
+	c = c.With("node", s.Name)
+	n := &Node{
+		Common:     c,
+		settings:   s,
+		inc:        inc,
+		adapter:    adapter,
+		store:      adapter.Store(),
+		counters:   &peer.Counters{},
+		changed:    newBroadcast(),
+		rows:       map[string]Member{},
+		peerCounts: map[string]map[string]int{},
+		owners:     map[string]*owner{},
+	}
+	self := member.Peer{Name: s.Name, Domain: s.Zone, Address: s.PeerAddress, Incarnation: inc}
+	n.members = member.NewTable(self, seedsWithout(s.Seeds, s.PeerAddress), allOfOtherZones)
+	n.claims = ownership.NewTable(ownership.DefaultLimits(), c.Clock.Now())
+	link := settings.Link{Heartbeat: s.Heartbeat, SuspectAfter: s.SuspectAfter}
+	n.links = peer.NewSet(c, link, n, n.counters)
+	n.front = newFront(n)
+	return n
+}
+
+// allOfOtherZones is the number of links that a node keeps to each other zone.
+const allOfOtherZones = 16
+
+func seedsWithout(seeds []string, own string) []string {
+	var others []string
+	for _, seed := range seeds {
+		if seed != own {
+			others = append(others, seed)
+		}
+	}
+	return others
+}
+
+// Start listens and begins to serve.
+func (n *Node) Start() error {
+	peerListener, err := net.Listen("tcp", n.settings.PeerAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	n.peers = peer.NewServer(n.Common, peerListener, n, n, n.counters)
+	go n.peers.Serve()
+	n.refreshLinks()
+	if err := n.serve(n.settings.ReadyAddress, n.adapter.Readiness(n), nil); err != nil {
+		return err
+	}
+	if err := n.serve(n.settings.FrontAddress, n.adapter.Front(n), n.configureFront); err != nil {
+		return err
+	}
+	go n.runNews(ctx)
+	go n.runCells(ctx)
+	n.Log.Info("started", "incarnation", n.inc.String(), "zone", n.settings.Zone, "front", n.settings.FrontAddress, "peers", n.settings.PeerAddress)
+	return nil
+}
+
+func (n *Node) serve(address string, handler http.Handler, configure func(*http.Server)) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listen on "+address)
+	}
+	server := &http.Server{Handler: handler, ErrorLog: quietLog(), ReadHeaderTimeout: defaultHeaderTimeout}
+	if configure != nil {
+		configure(server)
+	}
+	n.servers = append(n.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+const (
+	defaultHeaderTimeout = 3 * time.Second
+	defaultHeaderBytes   = 16 << 10
+	defaultIdleTimeout   = 15 * time.Second
+)
+
+// configureFront sets the limits of callers' connections. They are those of
+// the first configuration's usual values; the adapter enforces later ones.
+func (n *Node) configureFront(server *http.Server) {
+	server.MaxHeaderBytes = defaultHeaderBytes
+	server.IdleTimeout = defaultIdleTimeout
+}
+
+// runCells ticks the cells that this node owns and claims those that lack an
+// owner.
+func (n *Node) runCells(ctx context.Context) {
+	nextClaim := time.Duration(0)
+	for {
+		interval := claimInterval
+		if n.tickOwners() {
+			interval = tickInterval
+		}
+		if now := n.Clock.Now(); now >= nextClaim {
+			n.claimCells(now)
+			n.refreshOwnClaims()
+			nextClaim = now + claimInterval
+		}
+		if !common.Sleep(ctx, interval) {
+			return
+		}
+	}
+}
+
+func (n *Node) tickOwners() bool {
+	busy := false
+	for _, o := range n.allOwners() {
+		busy = o.tick() || busy
+	}
+	return busy
+}
+
+func (n *Node) allOwners() []*owner {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	owners := make([]*owner, 0, len(n.owners))
+	for _, o := range n.owners {
+		owners = append(owners, o)
+	}
+	return owners
+}
+
+// claimCells claims the cells that this node should own now.
+func (n *Node) claimCells(now time.Duration) {
+	listing := n.executors.Load()
+	if listing == nil {
+		return
+	}
+	for zone := range listing.zones {
+		n.mu.Lock()
+		owned := n.owners[zone] != nil
+		claim := !owned && n.claims.ShouldClaim(zone, zone, n.ownershipView(), now)
+		n.mu.Unlock()
+		if claim {
+			n.claim(zone, now)
+		}
+	}
+	n.yieldForeign()
+}
+
+// claim becomes the owner of a cell. A former owner that is still there gives
+// its jobs back once the executors have been fenced.
+func (n *Node) claim(cellName string, now time.Duration) {
+	n.mu.Lock()
+	former, hasFormer := n.claims.Owner(cellName)
+	token := n.claims.NextToken(time.Now().Unix(), uint32(n.inc[0])<<16|uint32(n.inc[1])<<8|uint32(n.inc[2]))
+	o := newOwner(n, cellName, token, now)
+	if hasFormer {
+		o.former = former.Owner
+	}
+	n.owners[cellName] = o
+	n.mu.Unlock()
+	n.Log.Info("cell_claimed", "cell", cellName, "token", token, "former", o.former)
+	o.setExecutors(n.executors.Load())
+	n.publishClaims()
+}
+
+// yieldForeign gives up cells of other zones once those zones have nodes again.
+func (n *Node) yieldForeign() {
+	for _, o := range n.allOwners() {
+		if o.cell == n.settings.Zone {
+			continue
+		}
+		if n.zoneHasNodes(o.cell) {
+			n.release(o, "zone_is_back")
+		}
+	}
+}
+
+func (n *Node) zoneHasNodes(zone string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, host := range n.ownershipView().Up {
+		if host.Zone == zone && !host.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// release ends the ownership of a cell and hands its jobs back.
+func (n *Node) release(o *owner, reason string) {
+	n.mu.Lock()
+	if n.owners[o.cell] == o {
+		delete(n.owners, o.cell)
+	}
+	n.claims.SetClaims(n.settings.PeerAddress, nil)
+	n.mu.Unlock()
+	n.Log.Info("cell_released", "cell", o.cell, "token", o.token, "reason", reason)
+	n.publishClaims()
+	o.release(reason)
+}
+
+// publishClaims tells peers what this node owns, at once.
+func (n *Node) publishClaims() {
+	claims := n.ownClaims()
+	n.mu.Lock()
+	n.claims.SetClaims(n.settings.PeerAddress, claims)
+	n.mu.Unlock()
+	n.changed.signal()
+	n.links.Nudge()
+}
+
+// refreshOwnClaims notes how busy the own cells are, and tells peers at once
+// when one of them has become able to serve.
+func (n *Node) refreshOwnClaims() {
+	claims := n.ownClaims()
+	n.mu.Lock()
+	before := n.claims.Owned()
+	n.claims.SetClaims(n.settings.PeerAddress, claims)
+	after := n.claims.Owned()
+	n.mu.Unlock()
+	if ownersDiffer(before, after) {
+		n.changed.signal()
+		n.links.Nudge()
+	}
+}
+
+func (n *Node) ownClaims() []ownership.Claim {
+	now := n.Clock.Now()
+	var claims []ownership.Claim
+	for _, o := range n.allOwners() {
+		claims = append(claims, ownership.Claim{Cell: o.cell, Token: o.token, Owner: n.settings.PeerAddress, Load: o.load(now)})
+	}
+	return claims
+}
+
+// Configuration implements Service.
+func (n *Node) Configuration() *catalog.Configuration {
+	if current := n.configuration.Load(); current != nil {
+		return current.parsed
+	}
+	return nil
+}
+
+// Now implements Service.
+func (n *Node) Now() time.Duration { return n.Clock.Now() }
+
+// Leaving implements Service.
+func (n *Node) Leaving() bool { return n.leaving.Load() }
+
+// Ready implements Service: a node gets callers while it has a configuration
+// and sees an owner that can run something.
+func (n *Node) Ready() bool {
+	if n.leaving.Load() || n.Configuration() == nil {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, claim := range n.claims.Owned() {
+		if claim.Load.Ready {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) cellParams() cell.Params {
+	return cell.DefaultParams(n.settings.LongestHold, n.settings.StopTime)
+}
--- /dev/null
+++ b/pkg/node/owner.go
@@ -0,0 +1,241 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/cell"
+	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/ownership"
+)
+
+const (
+	// keepOutcomes is how long an owner answers for a job that has ended, for
+	// a front that lost the answer.
+	keepOutcomes = 5 * time.Second
+	// longestGap between two looks at a cell after which this process must
+	// have stood still.
+	longestGap = 400 * time.Millisecond
+	// afterGap is how long a cell then starts nothing, so that what others
+	// have concluded from the silence can be heard.
+	afterGap = 300 * time.Millisecond
+)
+
+// reply hands the outcome of a job to one that waits for it.
+type reply func(job.Outcome)
+
+// waiter is a front that waits for a job.
+type waiter struct {
+	front string // address of its node for peers
+	reply reply
+}
+
+// ended is the kept outcome of a job.
+type ended struct {
+	outcome job.Outcome
+	at      time.Duration
+}
+
+// owner runs a cell: it feeds events into the decisions and carries out what
+// they ask for.
+type owner struct {
+	node   *Node
+	cell   string
+	token  int64
+	former string // address of the owner before, which is told once its executors are fenced; empty when none
+
+	mu      sync.Mutex
+	state   *cell.Cell
+	waiters map[string][]waiter // by job id
+	ended   map[string]ended
+	lastRun time.Duration
+	over    bool
+}
+
+func newOwner(n *Node, cellName string, token int64, now time.Duration) *owner {
+	return &owner{
+		node:    n,
+		cell:    cellName,
+		token:   token,
+		state:   cell.New(n.cellParams(), token, now),
+		waiters: map[string][]waiter{},
+		ended:   map[string]ended{},
+		lastRun: now,
+	}
+}
+
+// do feeds one event into the cell and carries out what comes of it.
+func (o *owner) do(event func(state *cell.Cell, now time.Duration)) {
+	o.mu.Lock()
+	now := o.node.Clock.Now()
+	o.noticeGap(now)
+	event(o.state, now)
+	commands, finished, notices := o.state.Take()
+	replies := o.settle(finished, now)
+	fenced := o.state.Fenced() && !o.over
+	o.over = o.over || fenced
+	o.mu.Unlock()
+	for _, notice := range notices {
+		o.log(notice)
+	}
+	for _, command := range commands {
+		o.node.front.calls.run(o, command)
+	}
+	for _, answer := range replies {
+		answer()
+	}
+	if fenced {
+		o.node.onFenced(o)
+	}
+}
+
+// noticeGap pauses the cell when this process has stood still.
+func (o *owner) noticeGap(now time.Duration) {
+	gap := now - o.lastRun
+	o.lastRun = now
+	if gap > longestGap && o.state.Busy() {
+		o.node.Log.Warn("owner_stood_still", "cell", o.cell, "gap_ms", gap.Milliseconds())
+		o.state.Pause(now + afterGap)
+	}
+}
+
+// settle matches ended jobs with those that wait for them.
+func (o *owner) settle(finished []cell.Finished, now time.Duration) []func() {
+	var replies []func()
+	for _, f := range finished {
+		for _, w := range o.waiters[f.ID] {
+			replies = append(replies, func() { w.reply(f.Outcome) })
+		}
+		delete(o.waiters, f.ID)
+		if f.Outcome.Kind != job.Moved {
+			o.ended[f.ID] = ended{outcome: f.Outcome, at: now}
+		}
+	}
+	return replies
+}
+
+// submit takes a job from a front.
+func (o *owner) submit(j *job.Job, epoch int, progress []job.Progress, settleAt time.Duration, w waiter) {
+	o.mu.Lock()
+	if o.over {
+		o.mu.Unlock()
+		w.reply(job.Outcome{Kind: job.Moved, Reason: "not_owner", Progress: progress, Started: epoch > 1})
+		return
+	}
+	if known, ok := o.ended[j.ID]; ok {
+		o.mu.Unlock()
+		w.reply(known.outcome)
+		return
+	}
+	o.waiters[j.ID] = append(o.waiters[j.ID], w)
+	o.mu.Unlock()
+	o.do(func(state *cell.Cell, now time.Duration) {
+		state.Submit(j, epoch, progress, settleAt, now)
+	})
+}
+
+// withdraw takes back the wish of a front. The job ends once nobody waits.
+func (o *owner) withdraw(id, front, reason string) {
+	o.mu.Lock()
+	kept := o.waiters[id][:0]
+	for _, w := range o.waiters[id] {
+		if w.front != front {
+			kept = append(kept, w)
+		}
+	}
+	o.waiters[id] = kept
+	last := len(kept) == 0
+	if last {
+		delete(o.waiters, id)
+	}
+	o.mu.Unlock()
+	if last {
+		o.do(func(state *cell.Cell, now time.Duration) { state.Withdraw(id, reason, now) })
+	}
+}
+
+// frontGone takes back all wishes of a front that is gone, or whose link is
+// down: it will hand its jobs to an owner again, or its callers will.
+func (o *owner) frontGone(front string) {
+	o.mu.Lock()
+	var ids []string
+	for id, waiters := range o.waiters {
+		for _, w := range waiters {
+			if w.front == front {
+				ids = append(ids, id)
+				break
+			}
+		}
+	}
+	o.mu.Unlock()
+	for _, id := range ids {
+		o.node.Log.Info("job_withdrawn", "job", id, "cell", o.cell, "reason", "front_gone", "front", front)
+		o.withdraw(id, front, "front_gone")
+	}
+}
+
+// tick lets time pass and reports whether it matters.
+func (o *owner) tick() bool {
+	busy := false
+	o.do(func(state *cell.Cell, now time.Duration) {
+		state.Tick(now)
+		busy = state.Busy()
+		for id, e := range o.ended {
+			if now > e.at+keepOutcomes {
+				delete(o.ended, id)
+			}
+		}
+	})
+	o.tellFormer()
+	return busy
+}
+
+// tellFormer has the former owner give its jobs back, once its executors no
+// longer listen to it.
+func (o *owner) tellFormer() {
+	o.mu.Lock()
+	former := o.former
+	ready := o.state.Settled(o.node.Clock.Now())
+	if former != "" && ready {
+		o.former = ""
+	}
+	o.mu.Unlock()
+	if former != "" && ready {
+		o.node.sendHandOver(former, o.cell, o.token)
+	}
+}
+
+func (o *owner) setExecutors(listing *listing) {
+	if listing == nil {
+		return
+	}
+	listed := listing.zones[o.cell]
+	o.do(func(state *cell.Cell, now time.Duration) { state.SetExecutors(listed, now) })
+}
+
+func (o *owner) load(now time.Duration) ownership.Load {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.state.Load(now)
+}
+
+// release hands all jobs back.
+func (o *owner) release(reason string) {
+	o.do(func(state *cell.Cell, _ time.Duration) {
+		o.over = true
+		state.Release(reason)
+	})
+}
+
+func (o *owner) log(notice cell.Notice) {
+	o.node.Log.Info(notice.Event, "cell", o.cell, "executor", notice.Executor, "job", notice.Job, "task", notice.Task,
+		"detail", notice.Detail, "age_ms", notice.Age.Milliseconds())
+}
+
+// listing is one reading of the executors, by zone.
+type listing struct {
+	revision uint64
+	snapshot Snapshot
+	zones    map[string][]catalog.Executor
+}
--- /dev/null
+++ b/pkg/node/ports.go
@@ -0,0 +1,116 @@
+// Package node is a host that dispatches leased tasks: it takes callers' jobs
+// as their front, owns cells of executors, and learns news from the store and
+// from other nodes. The decisions are in pkg/cell and pkg/ownership; this
+// package carries them out. An adapter speaks with callers, executors and the
+// store in the platform's own terms.
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/cell"
+	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/kernel"
+	"github.com/foxcroft/foxcroft/pkg/settings"
+)
+
+// Snapshot is one state of some news, in the form in which the store holds it,
+// so that nodes can pass it on unread.
+type Snapshot struct {
+	Revision uint64 // rises with each change
+	Body     []byte
+}
+
+// Member is a node's row in the store.
+type Member struct {
+	Name        string
+	Zone        string
+	PeerAddress string
+}
+
+// Store is the platform's metadata store. A call that fails may have been
+// done. Implementations are safe for concurrent use.
+type Store interface {
+	// Configuration returns the newest configuration.
+	Configuration(ctx context.Context) (Snapshot, error)
+	// AwaitConfiguration waits for a change after a position of the history
+	// and returns the next position.
+	AwaitConfiguration(ctx context.Context, after uint64) (uint64, error)
+	// Executors returns the executors that have published themselves.
+	Executors(ctx context.Context) (Snapshot, error)
+	// Members returns the nodes' rows and the position of the history.
+	Members(ctx context.Context) ([]Member, uint64, error)
+	// AwaitMembers is AwaitConfiguration for the nodes' rows.
+	AwaitMembers(ctx context.Context, after uint64) (uint64, error)
+	// Announce writes this node's row.
+	Announce(ctx context.Context, member Member) error
+	// Withdraw removes this node's row.
+	Withdraw(ctx context.Context, name string) error
+}
+
+// StartOrder asks an executor to start a run.
+type StartOrder struct {
+	Task     string
+	Run      int64
+	Spec     string
+	Deadline time.Duration // on the executor's clock
+	Token    int64
+}
+
+// HoldOrder asks an executor what it runs, and renews its leases.
+type HoldOrder struct {
+	Deadline time.Duration // on the executor's clock; 0 renews nothing
+	Token    int64
+	LastSeen int64
+	Wait     time.Duration
+}
+
+// Executors carries orders to executors. The calls return within the context's
+// time and never fail: a call without an answer is a verdict too.
+type Executors interface {
+	Start(ctx context.Context, executor *catalog.Executor, order StartOrder) (cell.Verdict, time.Duration)
+	Stop(ctx context.Context, executor *catalog.Executor, task string, run, token int64) (cell.Verdict, time.Duration)
+	Hold(ctx context.Context, executor *catalog.Executor, order HoldOrder) cell.HoldAnswer
+	// Forget closes the connections to an executor that is gone.
+	Forget(address string)
+}
+
+// Service is what an adapter's front may ask of the node.
+type Service interface {
+	// Configuration returns the configuration in force, or nil before there is one.
+	Configuration() *catalog.Configuration
+	// Submit runs a job and returns its end. It returns early when ctx ends.
+	Submit(ctx context.Context, j *job.Job) job.Outcome
+	// Waiting returns the number of a route's jobs of which no task has begun.
+	Waiting(route string) int
+	// State returns the state of a job that this node holds open for a caller.
+	State(id string) (started, known bool)
+	// Cancel withdraws a job that this node holds open for a caller.
+	Cancel(id string) bool
+	// Ready reports whether this node should get new connections.
+	Ready() bool
+	// Leaving reports whether a planned stop has begun.
+	Leaving() bool
+	// Now returns the time that jobs are measured by.
+	Now() time.Duration
+}
+
+// Adapter translates between the product and one platform.
+type Adapter interface {
+	Store() Store
+	Executors() Executors
+	// DecodeConfiguration reads a configuration in the store's form.
+	DecodeConfiguration(snapshot Snapshot) (*catalog.Configuration, error)
+	// DecodeExecutors reads the executors in the store's form.
+	DecodeExecutors(snapshot Snapshot) (*catalog.Executors, error)
+	// Front serves callers.
+	Front(service Service) http.Handler
+	// Readiness serves the balancer's check.
+	Readiness(service Service) http.Handler
+}
+
+// Adapters is the registry of adapters by name.
+var Adapters = kernel.NewRegistry[func(*settings.Node) Adapter]("adapter")
--- /dev/null
+++ b/pkg/node/reload.go
@@ -0,0 +1,18 @@
+package node
+
+import "github.com/foxcroft/foxcroft/pkg/settings"
+
+// Reload reads the settings anew. What can change while the node runs is the
+// seeds; a faulty file changes nothing.
+func (n *Node) Reload(path string) {
+	s, err := settings.LoadNode(path)
+	if err != nil {
+		n.Log.Error("settings_refused", "error", err.Error())
+		return
+	}
+	n.mu.Lock()
+	n.members.Told(seedsWithout(s.Seeds, n.settings.PeerAddress), n.Clock.Now())
+	n.mu.Unlock()
+	n.refreshLinks()
+	n.Log.Info("settings_reloaded", "seeds", len(s.Seeds))
+}
--- /dev/null
+++ b/pkg/node/wire.go
@@ -0,0 +1,16 @@
+//go:build wireinject
+
+package node
+
+import (
+	"github.com/charmbracelet/log"
+	"github.com/foxcroft/foxcroft/pkg/common"
+	"github.com/foxcroft/foxcroft/pkg/settings"
+	"github.com/google/wire"
+)
+
+// Initialize wires a node.
+func Initialize(s *settings.Node, logger *log.Logger) (*Node, error) {
+	wire.Build(common.NewCommon, provideIncarnation, provideAdapter, NewNode)
+	return nil, nil
+}
--- /dev/null
+++ b/pkg/ownership/ownership.go
@@ -0,0 +1,287 @@
+// Package ownership decides which host owns a cell of executors. It does no
+// I/O, writes nothing to a store and holds no vote: a host claims a cell by
+// fencing its executors with a token above all that it has seen, and the
+// executors refuse the former owner from then on. So a wrong judgement here
+// costs time and nothing else; the rules below keep such judgements few.
+package ownership
+
+import (
+	"sort"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/member"
+)
+
+// Claim is a host's word that it owns a cell.
+type Claim struct {
+	Cell  string
+	Token int64
+	Owner string // address of the host for its peers
+	Load  Load
+}
+
+// Load is what an owner tells of a cell.
+type Load struct {
+	CapacityCPU int64
+	FreeCPU     int64
+	QueuedWork  int64
+	Ready       bool
+	Services    []string
+}
+
+// Serves reports whether the cell has usable executors of a service.
+func (l Load) Serves(service string) bool {
+	for _, name := range l.Services {
+		if name == service {
+			return true
+		}
+	}
+	return false
+}
+
+// Host is what the decision needs to know of a host.
+type Host struct {
+	Address string
+	Zone    string
+	Leaving bool
+}
+
+// View is what a host sees when it decides.
+type View struct {
+	Self  Host
+	Up    []Host // other hosts whose links are up
+	Known int    // hosts that should be there, this one included
+}
+
+// Limits are the waits before claims.
+type Limits struct {
+	Start    time.Duration // after the start of the process, to hear of owners
+	Isolated time.Duration // without an owner, for a host that sees under half of the others
+	Outside  time.Duration // without any host of the zone, for hosts of other zones
+	Fenced   time.Duration // after a higher token from a host that isn't seen
+}
+
+// DefaultLimits returns the waits used in production.
+func DefaultLimits() Limits {
+	return Limits{
+		Start:    700 * time.Millisecond,
+		Isolated: 2 * time.Second,
+		Outside:  3 * time.Second,
+		Fenced:   2 * time.Second,
+	}
+}
+
+// Table holds the claims that a host knows of. It isn't safe for concurrent
+// use.
+type Table struct {
+	limits  Limits
+	started time.Duration
+	claims  map[string]map[string]Claim // by cell and owner's address
+	highest int64                       // token seen anywhere
+	cells   map[string]*cellState
+}
+
+type cellState struct {
+	ownerless time.Duration // since when no owner has been seen; 0 while there is one
+	zoneEmpty time.Duration // since when no host of the zone has been seen
+	noClaim   time.Duration // no claim before
+	fenced    int           // times in a row that an unseen host has fenced us
+}
+
+// NewTable makes a table for a process that started at now.
+func NewTable(limits Limits, now time.Duration) *Table {
+	return &Table{limits: limits, started: now, claims: map[string]map[string]Claim{}, cells: map[string]*cellState{}}
+}
+
+// SetClaims takes all claims of a host.
+func (t *Table) SetClaims(owner string, claims []Claim) {
+	t.Drop(owner)
+	for _, claim := range claims {
+		claim.Owner = owner
+		if t.claims[claim.Cell] == nil {
+			t.claims[claim.Cell] = map[string]Claim{}
+		}
+		t.claims[claim.Cell][owner] = claim
+		t.highest = max(t.highest, claim.Token)
+	}
+}
+
+// Drop forgets the claims of a host that isn't seen any more.
+func (t *Table) Drop(owner string) {
+	for _, byOwner := range t.claims {
+		delete(byOwner, owner)
+	}
+}
+
+// Owner returns the claim with the highest token on a cell.
+func (t *Table) Owner(cell string) (Claim, bool) {
+	var best Claim
+	found := false
+	for _, claim := range t.claims[cell] {
+		if !found || claim.Token > best.Token {
+			best, found = claim, true
+		}
+	}
+	return best, found
+}
+
+// Owned returns the standing claims, one for each cell, sorted by cell.
+func (t *Table) Owned() []Claim {
+	var claims []Claim
+	for cell := range t.claims {
+		if claim, ok := t.Owner(cell); ok {
+			claims = append(claims, claim)
+		}
+	}
+	sort.Slice(claims, func(i, j int) bool { return claims[i].Cell < claims[j].Cell })
+	return claims
+}
+
+// tokenBits is the part of a token that is its maker's own, so that no two
+// hosts make the same one.
+const tokenBits = 20
+
+// NextToken returns a token above all that are known, and above those made
+// before a restart of everything: second counts seconds since a fixed time.
+func (t *Table) NextToken(second int64, own uint32) int64 {
+	counter := max(t.highest>>tokenBits+1, second)
+	token := counter<<tokenBits | int64(own&(1<<tokenBits-1))
+	t.highest = token
+	return token
+}
+
+// Fenced takes the news that an executor refused our token. seen tells that
+// the host which owns the cell now is known.
+func (t *Table) Fenced(cell string, now time.Duration) {
+	state := t.state(cell)
+	// The token that fenced us is unknown; the next has to be above it.
+	t.highest += 1 << (tokenBits + fencedStep)
+	if state.fenced < longestFencedRun {
+		state.fenced++
+	}
+	state.noClaim = now + t.limits.Fenced*time.Duration(state.fenced)
+}
+
+const (
+	fencedStep       = 5 // doublings by which the counter jumps after a fence
+	longestFencedRun = 4
+)
+
+// Settled takes the news that a claim of ours has held.
+func (t *Table) Settled(cell string) { t.state(cell).fenced = 0 }
+
+func (t *Table) state(cell string) *cellState {
+	state := t.cells[cell]
+	if state == nil {
+		state = &cellState{}
+		t.cells[cell] = state
+	}
+	return state
+}
+
+// ShouldClaim reports whether this host should claim a cell of a zone now.
+func (t *Table) ShouldClaim(cell, zone string, view View, now time.Duration) bool {
+	state := t.state(cell)
+	zoneHosts := hostsOf(view, zone)
+	inside := view.Self.Zone == zone
+	owner, owned := t.Owner(cell)
+	if owned && !t.yields(owner, zone, view, inside) {
+		state.ownerless = 0
+		return false
+	}
+	if state.ownerless == 0 {
+		state.ownerless = now
+	}
+	if len(zoneHosts) > 0 && !inside {
+		state.zoneEmpty = 0
+		return false
+	}
+	if !inside && state.zoneEmpty == 0 {
+		state.zoneEmpty = now
+	}
+	if view.Self.Leaving || now < t.started+t.limits.Start || now < state.noClaim {
+		return false
+	}
+	isolated := 2*(len(view.Up)+1) < view.Known
+	if inside {
+		return first(cell, view.Self, zoneHosts) && (!isolated || now >= state.ownerless+t.limits.Isolated)
+	}
+	return !isolated && now >= state.zoneEmpty+t.limits.Outside && first(cell, view.Self, view.Up)
+}
+
+// yields reports whether the owner of a cell should be replaced: it leaves, or
+// it is of another zone while this host is of the cell's own.
+func (t *Table) yields(owner Claim, zone string, view View, inside bool) bool {
+	if owner.Owner == view.Self.Address {
+		return false
+	}
+	for _, host := range view.Up {
+		if host.Address == owner.Owner {
+			return host.Leaving || (inside && host.Zone != zone)
+		}
+	}
+	return true // not seen any more
+}
+
+func hostsOf(view View, zone string) []Host {
+	var hosts []Host
+	for _, host := range view.Up {
+		if host.Zone == zone && !host.Leaving {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
+// first reports whether a host comes first among others for a cell, by
+// rendezvous hashing.
+func first(cell string, self Host, others []Host) bool {
+	own := member.Score(cell, self.Address)
+	for _, other := range others {
+		if !other.Leaving && member.Score(cell, other.Address) > own {
+			return false
+		}
+	}
+	return true
+}
+
+// Margins of sending a job to another cell than the caller's own.
+const (
+	hopCost    = 10 * time.Millisecond // of another zone
+	staleShare = 0.5                   // of the own wait that must be gained
+)
+
+// Choose returns the claim to hand a job of a service to: the own zone's
+// unless another cell would start it much sooner.
+func Choose(claims []Claim, ownCell, service string, needsCPU int64) (Claim, bool) {
+	var best Claim
+	var bestWait time.Duration
+	found := false
+	for _, claim := range claims {
+		if !claim.Load.Ready || !claim.Load.Serves(service) {
+			continue
+		}
+		wait := expectedWait(claim.Load, needsCPU)
+		if claim.Cell != ownCell {
+			wait = hopCost + time.Duration(float64(wait)/staleShare)
+		}
+		if !found || wait < bestWait {
+			best, bestWait, found = claim, wait, true
+		}
+	}
+	return best, found
+}
+
+// expectedWait estimates how long the first task of a job will wait.
+func expectedWait(load Load, needsCPU int64) time.Duration {
+	if load.QueuedWork == 0 && load.FreeCPU >= needsCPU {
+		return 0
+	}
+	if load.CapacityCPU == 0 {
+		return time.Hour
+	}
+	return time.Duration(load.QueuedWork/load.CapacityCPU)*time.Millisecond + crowdedWait
+}
+
+// crowdedWait is the least that a job waits where no room is left.
+const crowdedWait = 20 * time.Millisecond
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -41,6 +41,7 @@
 	observer Observer
 	counters *Counters
 	session  atomic.Pointer[session]
+	nudge    chan struct{} // asks for a heartbeat at once
 	cancel   context.CancelFunc
 }
 
@@ -60,7 +61,7 @@
 // NewLink makes a link and starts dialling.
 func NewLink(c *common.Common, address string, s settings.Link, observer Observer, counters *Counters) *Link {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &Link{Common: c.With("peer", address), address: address, settings: s, observer: observer, counters: counters, cancel: cancel}
+	l := &Link{Common: c.With("peer", address), address: address, settings: s, observer: observer, counters: counters, nudge: make(chan struct{}, 1), cancel: cancel}
 	go l.run(ctx)
 	return l
 }
@@ -120,7 +121,7 @@
 		if err != nil {
 			l.Log.Debug("link_failed", "error", err.Error())
 			common.Sleep(ctx, common.Jitter(backoff, common.Unit()))
-			backoff = min(2*backoff, longestBackoff)
+			backoff = min(2*backoff, longestBackoff, l.settings.SuspectAfter)
 			continue
 		}
 		backoff = firstBackoff
@@ -186,11 +187,20 @@
 	}
 }
 
+// Nudge sends a heartbeat at once, for news that should not wait.
+func (l *Link) Nudge() {
+	select {
+	case l.nudge <- struct{}{}:
+	default:
+	}
+}
+
 // beat sends heartbeats until the session dies or its peer falls silent.
 func (l *Link) beat(ctx context.Context, s *session) {
 	ticker := time.NewTicker(l.settings.Heartbeat)
 	defer ticker.Stop()
 	s.lastHeard.Store(int64(l.Clock.Now()))
+	lastTurn := l.Clock.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -198,7 +208,14 @@
 		case <-s.mux.CloseChan():
 			return
 		case <-ticker.C:
+		case <-l.nudge:
+		}
+		// A silence is the peer's only while this process was awake itself.
+		if now := l.Clock.Now(); now-lastTurn > l.settings.SuspectAfter {
+			l.Log.Warn("paused", "gap", (now - lastTurn).String())
+			s.lastHeard.Store(int64(now))
 		}
+		lastTurn = l.Clock.Now()
 		silence := l.Clock.Now() - time.Duration(s.lastHeard.Load())
 		if silence > l.settings.SuspectAfter {
 			l.Log.Warn("peer_silent", "silence", silence.String())
@@ -264,7 +281,7 @@
 
 func (s *session) pipeFor(m *peerpb.Message) *pipe {
 	switch m.Body.(type) {
-	case *peerpb.Message_Submit, *peerpb.Message_FetchConfig:
+	case *peerpb.Message_Submit, *peerpb.Message_FetchConfig, *peerpb.Message_Dispatch, *peerpb.Message_FetchSnapshot:
 		return s.jobs
 	}
 	return s.control
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -20,6 +20,8 @@
 	Handle(from *peerpb.Hello, m *peerpb.Message, reply Reply)
 	// Greeted is called when a peer opens a link.
 	Greeted(from *peerpb.Hello)
+	// Left is called when a link that a peer opened has ended.
+	Left(from *peerpb.Hello)
 }
 
 // Server accepts the links of peers.
@@ -80,6 +82,11 @@
 	defer s.track(mux, false)
 	defer mux.Close()
 	served := &servedSession{server: s}
+	defer func() {
+		if from := served.getHello(); from != nil {
+			s.handler.Left(from)
+		}
+	}()
 	for {
 		stream, err := mux.Accept()
 		if err != nil {
--- a/pkg/peer/set.go
+++ b/pkg/peer/set.go
@@ -49,5 +49,14 @@
 	return s.links[address]
 }
 
+// Nudge sends a heartbeat on every link at once.
+func (s *Set) Nudge() {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, link := range s.links {
+		link.Nudge()
+	}
+}
+
 // Close ends all links.
 func (s *Set) Close() { s.Keep(nil) }
--- /dev/null
+++ b/pkg/settings/node.go
@@ -0,0 +1,111 @@
+package settings
+
+import (
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/errkind"
+	"github.com/foxcroft/foxcroft/pkg/inifile"
+)
+
+// Node is the settings of a host that dispatches leased tasks.
+type Node struct {
+	Name           string // unique, kept over restarts
+	Zone           string // failure domain
+	Zones          []string
+	Adapter        string   // plug-in that speaks with callers, executors and the store
+	FrontAddress   string   // for callers
+	ReadyAddress   string   // for the balancer's readiness check
+	ControlAddress string   // for nodes' start-up; empty for none
+	PeerAddress    string   // for other nodes
+	MetricsAddress string   // for the metrics; empty for none
+	Seeds          []string // peer addresses to try before the store has told of others
+	StoreAddress   string
+	LongestHold    time.Duration // longest lease that executors grant
+	StopTime       time.Duration // what a stop may take at an executor
+	Heartbeat      time.Duration // between peers
+	SuspectAfter   time.Duration // silence after which a peer is suspected
+	Grace          time.Duration // of a planned stop
+	ConfigBound    time.Duration // in which a configuration has to be in force
+	DrainBound     time.Duration // in which a draining executor gets no more work
+	MemoryMB       int
+	LogLevel       string
+}
+
+// LoadNode reads a node's settings from a file.
+func LoadNode(path string) (*Node, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.BadSettings, "name a file that can be read with -settings or FOXCROFT_NODE_FILE", "the settings cannot be read")
+	}
+	return ParseNode(path, data)
+}
+
+// ParseNode reads a node's settings. name stands in messages.
+func ParseNode(name string, data []byte) (*Node, error) {
+	file, err := inifile.Parse(name, data, errkind.BadSettings)
+	if err != nil {
+		return nil, err
+	}
+	file.Known("node", "listen", "peers", "store", "lease", "stop", "bounds", "limits", "log")
+	node := parseNode(file)
+	if err := file.Err(); err != nil {
+		return nil, err
+	}
+	return node, nil
+}
+
+func parseNode(file *inifile.File) *Node {
+	node := file.Only("node")
+	listen := file.Only("listen")
+	peers := file.Only("peers")
+	lease := file.Only("lease")
+	bounds := file.Only("bounds")
+	return &Node{
+		Name:           node.Required("name", "give the host a unique name"),
+		Zone:           node.Required("zone", "name the failure domain of the host"),
+		Zones:          node.List("zones"),
+		Adapter:        node.Required("adapter", "name the plug-in that speaks with the platform"),
+		FrontAddress:   listen.Address("front", ""),
+		ReadyAddress:   listen.Address("ready", ""),
+		ControlAddress: optionalAddress(listen, "control"),
+		PeerAddress:    listen.Address("peers", ""),
+		MetricsAddress: optionalAddress(listen, "metrics"),
+		Seeds:          withPort(peers.Addresses("seeds"), peers.Int("port", 0, 0, 65535)),
+		Heartbeat:      peers.Duration("heartbeat", 150*time.Millisecond, time.Millisecond, time.Minute),
+		SuspectAfter:   peers.Duration("suspect_after", 600*time.Millisecond, 2*time.Millisecond, time.Minute),
+		StoreAddress:   file.Only("store").Address("address", ""),
+		LongestHold:    lease.Duration("longest_hold", time.Second, 50*time.Millisecond, time.Minute),
+		StopTime:       lease.Duration("stop_time", 50*time.Millisecond, 0, time.Minute),
+		Grace:          file.Only("stop").Duration("grace", 6*time.Second, 0, time.Hour),
+		ConfigBound:    bounds.Duration("config", 2*time.Second, 10*time.Millisecond, time.Minute),
+		DrainBound:     bounds.Duration("drain", 2*time.Second, 10*time.Millisecond, time.Minute),
+		MemoryMB:       file.Only("limits").Int("memory_mb", 256, 32, 1<<20),
+		LogLevel:       file.Only("log").OneOf("level", "info", "debug", "info", "warn", "error"),
+	}
+}
+
+// optionalAddress reads an address that may be missing or empty.
+func optionalAddress(s *inifile.Section, key string) string {
+	if !s.Has(key) || s.String(key, "") == "" {
+		return ""
+	}
+	return s.Address(key, "")
+}
+
+// withPort gives every address the port that nodes listen on for peers, where
+// the seeds are known by another one. Port 0 leaves them as they are.
+func withPort(addresses []string, port int) []string {
+	if port == 0 {
+		return addresses
+	}
+	for i, address := range addresses {
+		host, _, err := net.SplitHostPort(address)
+		if err == nil {
+			addresses[i] = net.JoinHostPort(host, strconv.Itoa(port))
+		}
+	}
+	return addresses
+}
