Two causes of a task running twice: holds that overtake starts, jobs given back while they run

Cause: (1) a hold sent after a start was ordered, but before it was answered, was taken for proof that the run had gone. (2) a job that a leaving owner gave back went to another cell while its runs went on in the old one. Change: a hold proves absence only for runs seen before it was sent; a job given back after a start stays with its cell until its runs have surely ended. Test: TestHoldThatOvertookAStartIsNoProofOfAbsence failed first.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -37,7 +37,7 @@
 // adoptRun takes a run that a former owner ordered, and gives it to its job if
 // that is here.
 func (c *Cell) adoptRun(e *executor, entry RunningTask, now time.Duration) {
-	r := &run{executor: e, name: entry.Task, number: entry.Run, state: running, percent: entry.Percent}
+	r := &run{executor: e, name: entry.Task, number: entry.Run, state: running, seenAt: now, percent: entry.Percent}
 	e.add(r)
 	id, key, ok := parseTask(entry.Task)
 	if w := c.works[id]; ok && w != nil {
--- a/pkg/cell/answers.go
+++ b/pkg/cell/answers.go
@@ -85,9 +85,9 @@
 	}
 	switch verdict {
 	case Accepted:
-		c.settleStart(r, running)
+		c.settleStart(r, running, now)
 	case Unanswered:
-		c.settleStart(r, unknown)
+		c.settleStart(r, unknown, now)
 	default:
 		c.refusedStart(e, r, verdict, now)
 	}
@@ -96,7 +96,8 @@
 
 // settleStart takes a start that was carried out, or may have been. A stop
 // that was asked for meanwhile goes out now, so that it can't overtake.
-func (c *Cell) settleStart(r *run, state runState) {
+func (c *Cell) settleStart(r *run, state runState, now time.Duration) {
+	r.seenAt = now
 	switch {
 	case r.state == starting:
 		r.state = state
@@ -323,7 +324,7 @@
 	if r.state == starting || r.stopDue {
 		return false
 	}
-	if r.state == running && r.orderAt < sentAt {
+	if r.state == running && r.seenAt < sentAt {
 		return true
 	}
 	return clock > r.deadline
@@ -333,6 +334,7 @@
 func (c *Cell) stillRunning(e *executor, r *run, entry RunningTask, now time.Duration) {
 	if r.state == starting || r.state == unknown {
 		r.state = running
+		r.seenAt = now
 	}
 	r.percent = entry.Percent
 	if r.state != running || r.work == nil || r.orderAt == 0 {
--- /dev/null
+++ b/pkg/cell/cell_test.go
@@ -0,0 +1,117 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/job"
+	qt "github.com/frankban/quicktest"
+)
+
+const ms = time.Millisecond
+
+// driver plays executors and fronts against a cell.
+type driver struct {
+	c        *qt.C
+	cell     *Cell
+	now      time.Duration
+	commands []Command
+	finished map[string]job.Outcome
+}
+
+func newDriver(c *qt.C, executors ...catalog.Executor) *driver {
+	d := &driver{c: c, cell: New(DefaultParams(time.Second, 50*ms), 7, 0), finished: map[string]job.Outcome{}}
+	d.cell.SetExecutors(executors, d.now)
+	d.take()
+	return d
+}
+
+// adopted makes a driver whose executors have answered their first hold.
+func adopted(c *qt.C, count int) *driver {
+	var executors []catalog.Executor
+	for i := range count {
+		executors = append(executors, testExecutor(i))
+	}
+	d := newDriver(c, executors...)
+	for i := range count {
+		d.holdAnswer(i, HoldAnswer{Clock: time.Minute + d.now}, d.now)
+	}
+	d.commands = nil
+	return d
+}
+
+func executorID(i int) string { return fmt.Sprintf("executor-%d", i) }
+
+func testExecutor(i int) catalog.Executor {
+	return catalog.Executor{ID: executorID(i), Service: "service", Address: fmt.Sprintf("10.0.0.%d:1", i+1), Capacity: job.Resources{CPU: 16000, MemoryMB: 1000}}
+}
+
+func testJob(id string, tasks int, now time.Duration) *job.Job {
+	return &job.Job{
+		ID: id, Route: "route", Service: "service", MaxAttempts: 2, Spec: "spec",
+		Steps:    []job.Step{{Count: tasks, Needs: job.Resources{CPU: 6800, MemoryMB: 10}, Estimate: 200 * ms}},
+		Received: now, Deadline: now + 3*time.Second, Objective: now + 400*ms,
+	}
+}
+
+func (d *driver) take() {
+	commands, finished, _ := d.cell.Take()
+	d.commands = append(d.commands, commands...)
+	for _, f := range finished {
+		d.finished[f.ID] = f.Outcome
+	}
+}
+
+func (d *driver) submit(j *job.Job, epoch int) {
+	d.cell.Submit(j, epoch, nil, 0, d.now)
+	d.take()
+}
+
+func (d *driver) tick(after time.Duration) {
+	d.now += after
+	d.cell.Tick(d.now)
+	d.take()
+}
+
+func (d *driver) holdAnswer(i int, answer HoldAnswer, sentAt time.Duration) {
+	d.cell.HoldAnswered(executorID(i), answer, sentAt, d.now)
+	d.take()
+}
+
+func (d *driver) startAnswer(command Command, verdict Verdict) {
+	d.cell.StartAnswered(command.Executor.ID, command.Task, command.Run, verdict, time.Minute+d.now, d.now)
+	d.take()
+}
+
+// of returns and forgets the commands of a kind.
+func (d *driver) of(kind CommandKind) []Command {
+	var found, rest []Command
+	for _, command := range d.commands {
+		if command.Kind == kind {
+			found = append(found, command)
+		} else {
+			rest = append(rest, command)
+		}
+	}
+	d.commands = rest
+	return found
+}
+
+func TestHoldThatOvertookAStartIsNoProofOfAbsence(t *testing.T) {
+	c := qt.New(t)
+	d := adopted(c, 1)
+	d.submit(testJob("a", 1, d.now), 1)
+	start := d.of(Start)[0]
+	d.now += ms
+	sentAt := d.now // the hold leaves while the start is under way
+	d.now += ms
+	d.startAnswer(start, Accepted)
+	d.holdAnswer(0, HoldAnswer{Clock: time.Minute + d.now}, sentAt)
+	c.Assert(d.of(Start), qt.HasLen, 0)
+
+	d.now += ms
+	d.holdAnswer(0, HoldAnswer{Clock: time.Minute + d.now}, d.now)
+	c.Assert(d.of(Start), qt.HasLen, 1, qt.Commentf("a hold sent later proves that the run is gone"))
+}
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -30,6 +30,7 @@
 	stopDue  bool          // a stop waits for the answer to the start
 	deadline time.Duration // of the start, on the executor's clock
 	orderAt  time.Duration // on our clock
+	seenAt   time.Duration // on our clock: its start was answered, or a hold listed it first
 	percent  int
 	estimate time.Duration
 }
--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -109,10 +109,33 @@
 	epoch    int
 	progress []job.Progress
 	started  bool
-	lostCell string        // whose owner went silent with the job
-	settleAt time.Duration // no start in another cell before
+	lostCell string        // where runs of it may go on
+	settleAt time.Duration // they have ended by then
 }
 
+// moved takes a job back from an owner that gave its cell up. Its runs go on
+// there, for the next owner of the cell to adopt.
+func (a *attempt) moved(cellName string, outcome job.Outcome, settleAt time.Duration) {
+	a.progress = outcome.Progress
+	if outcome.Reason == reasonNotOwner {
+		return // it hasn't been there
+	}
+	a.started = a.started || outcome.Started
+	if outcome.Started {
+		a.lostCell, a.settleAt = cellName, settleAt
+	}
+}
+
+// lost takes a job back from an owner that can't be asked.
+func (a *attempt) lost(cellName string, settleAt time.Duration) {
+	a.started = true
+	a.progress = nil
+	a.lostCell, a.settleAt = cellName, settleAt
+}
+
+// reasonNotOwner marks a job that was given back untouched.
+const reasonNotOwner = "not_owner"
+
 func (f *front) follow(ctx context.Context, j *job.Job) job.Outcome {
 	state := attempt{epoch: 1}
 	for {
@@ -126,14 +149,10 @@
 		}
 		switch outcome.Kind {
 		case job.Moved:
-			state.progress = outcome.Progress
-			state.started = state.started || outcome.Started
-			state.lostCell = ""
+			state.moved(claim.Cell, outcome, f.node.Clock.Now()+f.node.settleTime())
 			f.pause(ctx)
 		case job.Lost:
-			state.started = true
-			state.lostCell = claim.Cell
-			state.settleAt = f.node.Clock.Now() + f.node.settleTime()
+			state.lost(claim.Cell, f.node.Clock.Now()+f.node.settleTime())
 		default:
 			outcome.Started = outcome.Started || state.started
 			return outcome
@@ -229,7 +248,7 @@
 func (f *front) dispatchHere(ctx context.Context, j *job.Job, claim ownership.Claim, state *attempt, settleAt time.Duration) job.Outcome {
 	o := f.node.owner(claim.Cell)
 	if o == nil {
-		return job.Outcome{Kind: job.Moved, Reason: "not_owner", Progress: state.progress}
+		return job.Outcome{Kind: job.Moved, Reason: reasonNotOwner, Progress: state.progress}
 	}
 	done := make(chan job.Outcome, 1)
 	self := f.node.settings.PeerAddress
@@ -246,7 +265,7 @@
 func (f *front) dispatchToPeer(ctx context.Context, j *job.Job, claim ownership.Claim, state *attempt, settleAt time.Duration) job.Outcome {
 	link := f.node.links.Link(claim.Owner)
 	if link == nil {
-		return job.Outcome{Kind: job.Moved, Reason: "no_link", Progress: state.progress}
+		return job.Outcome{Kind: job.Moved, Reason: reasonNotOwner, Progress: state.progress}
 	}
 	now := f.node.Clock.Now()
 	settle := max(0, settleAt-now)
--- a/pkg/node/news.go
+++ b/pkg/node/news.go
@@ -14,7 +14,7 @@
 type jobOutcome = job.Outcome
 
 func notOwner(progress []job.Progress) job.Outcome {
-	return job.Outcome{Kind: job.Moved, Reason: "not_owner", Progress: progress}
+	return job.Outcome{Kind: job.Moved, Reason: reasonNotOwner, Progress: progress}
 }
 
 // The kinds of news that nodes pass on.
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -120,7 +120,7 @@
 	o.mu.Lock()
 	if o.over {
 		o.mu.Unlock()
-		w.reply(job.Outcome{Kind: job.Moved, Reason: "not_owner", Progress: progress, Started: epoch > 1})
+		w.reply(job.Outcome{Kind: job.Moved, Reason: reasonNotOwner, Progress: progress, Started: epoch > 1})
 		return
 	}
 	if known, ok := o.ended[j.ID]; ok {
