--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -11,16 +11,33 @@
 // Settled reports whether no run of a former owner can be alive that this one
 // doesn't know of: every executor has answered, or its leases are over.
 func (c *Cell) Settled(now time.Duration) bool {
-	longest := c.params.LongestHold + time.Duration(2*clockDrift*float64(c.params.LongestHold))
-	if now > c.claimedAt+longest {
-		return true
-	}
+	return now > c.claimedAt+c.longestLease() || (c.allAdopted() && len(c.order) > 0)
+}
+
+// longestLease is how long, on our clock, a lease can go on that was given a
+// moment ago.
+func (c *Cell) longestLease() time.Duration {
+	return c.params.LongestHold + time.Duration(2*clockDrift*float64(c.params.LongestHold))
+}
+
+func (c *Cell) allAdopted() bool {
 	for _, e := range c.order {
 		if !e.adopted && !e.gone {
 			return false
 		}
 	}
-	return len(c.order) > 0
+	return true
+}
+
+// unseenUntil returns until when runs of a job that a former owner has given
+// back now may go on at executors that haven't answered this owner yet. That
+// they have been out of reach for long says nothing: the former owner may have
+// reached them all the while.
+func (c *Cell) unseenUntil(now time.Duration) time.Duration {
+	if c.allAdopted() {
+		return 0
+	}
+	return now + c.longestLease()
 }
 
 // parseTask splits the name of a task into its job's id and its key.
@@ -48,16 +65,16 @@
 	}
 }
 
-// claimRun gives a run without a job to a task that waits.
+// claimRun gives a run without a job to a task that waits. One that is being
+// stopped counts too: the task can't start again before its end.
 func (c *Cell) claimRun(w *work, t *task, r *run) {
-	if t == nil || t.done || t.current != nil || r.state == stopping {
+	if t == nil || t.done || t.current != nil {
 		return
 	}
 	step := &w.job.Steps[t.key.Step]
+	r.executor.used = r.executor.used.Sub(r.needs).Add(step.Needs)
 	r.work, r.task, r.needs = w, t, step.Needs
 	r.estimate = w.estimate(t.key.Step)
-	r.executor.orphans--
-	r.executor.used = r.executor.used.Add(step.Needs)
 	t.current = r
 	t.lastRun = max(t.lastRun, r.number)
 	w.started = true
@@ -99,12 +116,11 @@
 
 // stopOrphans stops the runs that no job has claimed in time.
 func (c *Cell) stopOrphans(e *executor, now time.Duration) {
-	if e.orphans == 0 || now < c.claimedAt+c.params.OrphanGrace {
+	if !e.adopted || now < e.adoptedAt+c.params.OrphanGrace {
 		return
 	}
 	for _, r := range e.sortedRuns() {
 		if r.work == nil && r.state != stopping {
-			e.orphans--
 			c.stopRun(r, "orphan")
 		}
 	}
--- a/pkg/cell/answers.go
+++ b/pkg/cell/answers.go
@@ -223,6 +223,7 @@
 	c.takeRunning(e, answer, sentAt, now)
 	if !e.adopted {
 		e.adopted = true
+		e.adoptedAt = now
 		c.dirty = true
 		c.note(Notice{Event: "executor_adopted", Executor: e.info.ID, Detail: strconv.Itoa(len(answer.Running))})
 	}
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -167,6 +167,9 @@
 		return false
 	}
 	w := newWork(j, epoch, settleAt)
+	if unseen := c.unseenUntil(now); epoch > 1 && unseen > settleAt {
+		w.settleAt, w.unseen = unseen, settleAt == 0
+	}
 	w.apply(progress)
 	c.works[j.ID] = w
 	c.adopt(w)
--- a/pkg/cell/cell_test.go
+++ b/pkg/cell/cell_test.go
@@ -115,3 +115,45 @@
 	d.holdAnswer(0, HoldAnswer{Clock: time.Minute + d.now}, d.now)
 	c.Assert(d.of(Start), qt.HasLen, 1, qt.Commentf("a hold sent later proves that the run is gone"))
 }
+
+func TestJobGivenBackWaitsForExecutorsThatHaveNotAnswered(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver(c, testExecutor(0), testExecutor(1))
+	d.holdAnswer(0, HoldAnswer{Clock: time.Minute}, 0)
+	d.tick(5 * time.Second) // the other executor has been out of reach for long
+	d.submit(testJob("a", 1, d.now), 2)
+	c.Assert(d.of(Start), qt.HasLen, 0, qt.Commentf("the former owner may have reached it until now"))
+	d.tick(1050 * ms)
+	c.Assert(d.of(Start), qt.HasLen, 1)
+}
+
+func TestJobGivenBackStartsOnceAllExecutorsHaveAnswered(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver(c, testExecutor(0), testExecutor(1))
+	d.holdAnswer(0, HoldAnswer{Clock: time.Minute}, 0)
+	d.submit(testJob("a", 1, d.now), 2)
+	c.Assert(d.of(Start), qt.HasLen, 0)
+	d.now += 10 * ms
+	running := []RunningTask{{Task: "a.0.0.0", Run: 1, Percent: 10}}
+	d.holdAnswer(1, HoldAnswer{Clock: time.Minute, Running: running}, d.now)
+	c.Assert(d.of(Start), qt.HasLen, 0, qt.Commentf("its run is adopted"))
+	d.now += 10 * ms
+	ends := []EndedTask{{Number: 1, Task: "a.0.0.0", Run: 1, Kind: EndDone}}
+	d.holdAnswer(1, HoldAnswer{Clock: time.Minute, Ended: ends}, d.now)
+	c.Assert(d.finished["a"].Kind, qt.Equals, job.Completed)
+}
+
+func TestTaskWaitsForTheEndOfAnOrphanThatIsBeingStopped(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver(c, testExecutor(0), testExecutor(1))
+	running := []RunningTask{{Task: "a.0.0.0", Run: 1, Percent: 10}}
+	d.holdAnswer(0, HoldAnswer{Clock: time.Minute, Running: running}, d.now)
+	d.holdAnswer(1, HoldAnswer{Clock: time.Minute}, d.now)
+	d.tick(500 * ms)
+	c.Assert(d.of(Stop), qt.HasLen, 1)
+	d.submit(testJob("a", 1, d.now), 2)
+	c.Assert(d.of(Start), qt.HasLen, 0)
+	ends := []EndedTask{{Number: 1, Task: "a.0.0.0", Run: 1, Kind: EndStopped}}
+	d.holdAnswer(0, HoldAnswer{Clock: time.Minute + d.now, Ended: ends}, d.now)
+	c.Assert(d.of(Start), qt.HasLen, 1)
+}
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -40,7 +40,8 @@
 	info        catalog.Executor
 	listed      bool
 	clock       remoteClock
-	adopted     bool          // it has answered a hold with our token
+	adopted     bool // it has answered a hold with our token
+	adoptedAt   time.Duration
 	gone        bool          // this life of it is over
 	silent      bool          // its last call got no answer
 	holding     bool          // a hold is under way
@@ -64,15 +65,23 @@
 
 // usable reports whether the executor may get work at all.
 func (e *executor) usable(now time.Duration) bool {
-	return e.listed && e.adopted && !e.gone && !e.silent && !e.info.Draining && e.orphans == 0 && e.health.allows(now)
+	return e.listed && e.adopted && !e.gone && !e.silent && !e.info.Draining && !e.hasOrphans() && e.health.allows(now)
 }
 
 func (e *executor) add(r *run) {
 	e.runs[r.name] = r
 	e.used = e.used.Add(r.needs)
-	if r.work == nil {
-		e.orphans++
+}
+
+// hasOrphans reports whether runs of no known job go on here. What they take
+// is unknown, so nothing is started beside them.
+func (e *executor) hasOrphans() bool {
+	for _, r := range e.runs {
+		if r.work == nil && r.state != stopping {
+			return true
+		}
 	}
+	return false
 }
 
 // drop takes a run off the executor and returns its task, which waits again
@@ -84,9 +93,6 @@
 	}
 	delete(e.runs, r.name)
 	e.used = e.used.Sub(r.needs)
-	if r.work == nil && r.state != stopping {
-		e.orphans--
-	}
 	c.dirty = true
 	t := r.task
 	if t != nil && t.current == r {
--- a/pkg/cell/work.go
+++ b/pkg/cell/work.go
@@ -29,7 +29,8 @@
 type work struct {
 	job      *job.Job
 	epoch    int
-	settleAt time.Duration
+	settleAt time.Duration // no start before
+	unseen   bool          // settleAt stands only for executors that haven't answered this owner
 	steps    [][]*task
 	leastCPU int64 // that a task of it asks for
 	started  bool  // a task may have started, here or at a former owner
@@ -201,7 +202,7 @@
 	}
 	entries := make([]entry, 0, len(c.works))
 	for _, w := range c.works {
-		if w.settleAt > now || (w.epoch > 1 && !c.Settled(now)) {
+		if w.settleAt > now && !(w.unseen && c.allAdopted()) {
 			continue
 		}
 		if r := w.rank(now); r.work > 0 {
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"io"
 	"log"
 	"time"
@@ -251,51 +250,3 @@
 	})
 }
 
-// Stop is a planned stop: this node takes no new connections, hands its cells
-// to others, answers what callers wait for, and goes.
-func (n *Node) Stop() {
-	n.Log.Info("stopping", "grace", n.settings.Grace.String())
-	n.leaving.Store(true)
-	n.links.Nudge()
-	limit := n.Clock.Now() + n.settings.Grace*8/10
-	for n.Clock.Now() < limit && !n.drained(limit) {
-		time.Sleep(tickInterval)
-	}
-	n.withdrawRow()
-	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Grace/10)
-	defer cancel()
-	for _, server := range n.servers {
-		_ = server.Shutdown(ctx)
-	}
-	for _, o := range n.allOwners() {
-		n.release(o, "stopped")
-	}
-	n.stop()
-	n.links.Close()
-	n.peers.Close()
-	n.Log.Info("stopped")
-}
-
-// balancerDelay is how long the balancer may take to see that a node leaves.
-const balancerDelay = 2200 * time.Millisecond
-
-// drained reports whether nothing is left to do: the balancer has noticed, the
-// cells are handed over and the callers have their answers.
-func (n *Node) drained(limit time.Duration) bool {
-	start := limit - n.settings.Grace*8/10
-	if n.Clock.Now() < start+balancerDelay {
-		return false
-	}
-	n.front.mu.Lock()
-	open := len(n.front.open)
-	n.front.mu.Unlock()
-	return open == 0 && len(n.allOwners()) == 0
-}
-
-func (n *Node) withdrawRow() {
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
-	defer cancel()
-	if err := n.store.Withdraw(ctx, n.settings.Name); err != nil {
-		n.Log.Warn("row_not_removed", "error", err.Error())
-	}
-}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -48,7 +48,8 @@
 	peerCounts map[string]map[string]int
 	owners     map[string]*owner
 
-	front *front
+	front   *front
+	foreign *foreignZones
 
 	servers []*http.Server
 	stop    context.CancelFunc
@@ -75,6 +76,7 @@
 	link := settings.Link{Heartbeat: s.Heartbeat, SuspectAfter: s.SuspectAfter}
 	n.links = peer.NewSet(c, link, n, n.counters)
 	n.front = newFront(n)
+	n.foreign = newForeignZones()
 	return n
 }
 
@@ -190,7 +192,10 @@
 		owned := n.owners[zone] != nil
 		claim := !owned && n.claims.ShouldClaim(zone, zone, n.ownershipView(), now)
 		n.mu.Unlock()
-		if claim {
+		switch {
+		case !claim:
+			n.foreign.forget(zone)
+		case zone == n.settings.Zone || n.mayClaimForeign(zone, now):
 			n.claim(zone, now)
 		}
 	}
--- /dev/null
+++ b/pkg/node/stop.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// balancerDelay is how long the balancer may take to see that a node
+	// leaves: two checks a second apart, and some more.
+	balancerDelay = 2200 * time.Millisecond
+	// stopShare is the part of the grace after which a planned stop no longer
+	// waits for the answers under way.
+	stopShare = 0.95
+)
+
+// Stop is a planned stop: this node takes no new connections, hands its cells
+// to others, answers what callers wait for, and goes.
+func (n *Node) Stop() {
+	n.Log.Info("stopping", "grace", n.settings.Grace.String())
+	limit := n.Clock.Now() + time.Duration(stopShare*float64(n.settings.Grace))
+	n.leaving.Store(true)
+	n.links.Nudge()
+	n.awaitDrained(min(n.Clock.Now()+balancerDelay, limit), limit)
+	n.closeServers(limit - n.Clock.Now())
+	n.withdrawRow()
+	for _, o := range n.allOwners() {
+		n.release(o, "stopped")
+	}
+	n.stop()
+	n.links.Close()
+	n.peers.Close()
+	n.Log.Info("stopped")
+}
+
+// awaitDrained waits until the balancer has had its time, the cells are handed
+// over and callers have their answers, or until limit.
+func (n *Node) awaitDrained(earliest, limit time.Duration) {
+	for n.Clock.Now() < limit {
+		if n.Clock.Now() >= earliest && n.openJobs() == 0 && len(n.allOwners()) == 0 {
+			return
+		}
+		time.Sleep(tickInterval)
+	}
+}
+
+func (n *Node) openJobs() int {
+	n.front.mu.Lock()
+	defer n.front.mu.Unlock()
+	return len(n.front.open)
+}
+
+// closeServers stops listening and waits for the answers under way.
+func (n *Node) closeServers(left time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), max(left, tickInterval))
+	defer cancel()
+	var group sync.WaitGroup
+	for _, server := range n.servers {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			_ = server.Shutdown(ctx)
+		}()
+	}
+	group.Wait()
+}
+
+func (n *Node) withdrawRow() {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	if err := n.store.Withdraw(ctx, n.settings.Name); err != nil {
+		n.Log.Warn("row_not_removed", "error", err.Error())
+	}
+}
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -121,7 +121,7 @@
 		if err != nil {
 			l.Log.Debug("link_failed", "error", err.Error())
 			common.Sleep(ctx, common.Jitter(backoff, common.Unit()))
-			backoff = min(2*backoff, longestBackoff, l.settings.SuspectAfter)
+			backoff = min(2*backoff, longestBackoff, l.settings.SuspectAfter/2)
 			continue
 		}
 		backoff = firstBackoff
@@ -138,7 +138,7 @@
 
 // open dials, opens both streams and exchanges hellos.
 func (l *Link) open() (*session, *peerpb.Hello, error) {
-	conn, err := net.DialTimeout("tcp", l.address, dialTimeout)
+	conn, err := net.DialTimeout("tcp", l.address, min(dialTimeout, l.settings.SuspectAfter))
 	if err != nil {
 		return nil, nil, err
 	}
