Late messages of a link that was given up, and old lists of executors, start nothing twice

Ruled out: fencing itself; the executors refused every old token. Change: a takeover reads the executors anew and counts only such a list as complete; links that are given up are reset, and nothing is handled once the peer has left; a job is handed only over a link that is up, with a pause.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -11,7 +11,7 @@
 // Settled reports whether no run of a former owner can be alive that this one
 // doesn't know of: every executor has answered, or its leases are over.
 func (c *Cell) Settled(now time.Duration) bool {
-	return now > c.claimedAt+c.longestLease() || (c.allAdopted() && len(c.order) > 0)
+	return now > c.claimedAt+c.longestLease() || c.allAdopted()
 }
 
 // longestLease is how long, on our clock, a lease can go on that was given a
@@ -20,7 +20,12 @@
 	return c.params.LongestHold + time.Duration(2*clockDrift*float64(c.params.LongestHold))
 }
 
+// allAdopted reports whether every executor that the former owner can have
+// known has answered this one.
 func (c *Cell) allAdopted() bool {
+	if !c.complete {
+		return false
+	}
 	for _, e := range c.order {
 		if !e.adopted && !e.gone {
 			return false
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -94,6 +94,7 @@
 	finished   []Finished
 	notices    []Notice
 	fenced     bool
+	complete   bool          // the executors listed are all that the former owner can have known
 	pausedTill time.Duration // no starts before
 	dirty      bool          // room or work has changed since the last placement
 }
@@ -125,6 +126,10 @@
 	return commands, finished, notices
 }
 
+// Complete takes the word that the next reading of the executors, and those
+// after it, are newer than all that the former owner acted on.
+func (c *Cell) Complete() { c.complete = true }
+
 // SetExecutors takes a new reading of the cell's executors. One that is no
 // longer listed gets no new work, and is forgotten once its leases are over.
 func (c *Cell) SetExecutors(listed []catalog.Executor, now time.Duration) {
--- a/pkg/cell/cell_test.go
+++ b/pkg/cell/cell_test.go
@@ -23,6 +23,7 @@
 
 func newDriver(c *qt.C, executors ...catalog.Executor) *driver {
 	d := &driver{c: c, cell: New(DefaultParams(time.Second, 50*ms), 7, 0), finished: map[string]job.Outcome{}}
+	d.cell.Complete()
 	d.cell.SetExecutors(executors, d.now)
 	d.take()
 	return d
@@ -157,3 +158,20 @@
 	d.holdAnswer(0, HoldAnswer{Clock: time.Minute + d.now, Ended: ends}, d.now)
 	c.Assert(d.of(Start), qt.HasLen, 1)
 }
+
+func TestJobGivenBackWaitsForACompleteList(t *testing.T) {
+	c := qt.New(t)
+	d := &driver{c: c, cell: New(DefaultParams(time.Second, 50*ms), 7, 0), finished: map[string]job.Outcome{}}
+	d.submit(testJob("a", 1, d.now), 2) // comes before the first list
+	d.cell.SetExecutors([]catalog.Executor{testExecutor(0)}, d.now)
+	d.take()
+	d.holdAnswer(0, HoldAnswer{Clock: time.Minute}, d.now)
+	c.Assert(d.of(Start), qt.HasLen, 0, qt.Commentf("an old list may lack the executor that runs it"))
+
+	d.cell.Complete()
+	d.cell.SetExecutors([]catalog.Executor{testExecutor(0), testExecutor(1)}, d.now)
+	d.take()
+	c.Assert(d.of(Start), qt.HasLen, 0)
+	d.holdAnswer(1, HoldAnswer{Clock: time.Minute}, d.now)
+	c.Assert(d.of(Start), qt.HasLen, 1)
+}
--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -116,10 +116,10 @@
 // moved takes a job back from an owner that gave its cell up. Its runs go on
 // there, for the next owner of the cell to adopt.
 func (a *attempt) moved(cellName string, outcome job.Outcome, settleAt time.Duration) {
-	a.progress = outcome.Progress
 	if outcome.Reason == reasonNotOwner {
 		return // it hasn't been there
 	}
+	a.progress = outcome.Progress
 	a.started = a.started || outcome.Started
 	if outcome.Started {
 		a.lostCell, a.settleAt = cellName, settleAt
@@ -153,10 +153,14 @@
 			f.pause(ctx)
 		case job.Lost:
 			state.lost(claim.Cell, f.node.Clock.Now()+f.node.settleTime())
+			f.pause(ctx)
 		default:
 			outcome.Started = outcome.Started || state.started
 			return outcome
 		}
+		if outcome.Reason == reasonNotOwner {
+			continue
+		}
 		state.epoch++
 		f.node.Log.Info("job_handed_on", "job", j.ID, "cell", claim.Cell, "token", claim.Token, "epoch", state.epoch, "why", outcome.Kind.String(), "reason", outcome.Reason)
 	}
@@ -248,7 +252,7 @@
 func (f *front) dispatchHere(ctx context.Context, j *job.Job, claim ownership.Claim, state *attempt, settleAt time.Duration) job.Outcome {
 	o := f.node.owner(claim.Cell)
 	if o == nil {
-		return job.Outcome{Kind: job.Moved, Reason: reasonNotOwner, Progress: state.progress}
+		return job.Outcome{Kind: job.Moved, Reason: reasonNotOwner}
 	}
 	done := make(chan job.Outcome, 1)
 	self := f.node.settings.PeerAddress
@@ -264,8 +268,8 @@
 
 func (f *front) dispatchToPeer(ctx context.Context, j *job.Job, claim ownership.Claim, state *attempt, settleAt time.Duration) job.Outcome {
 	link := f.node.links.Link(claim.Owner)
-	if link == nil {
-		return job.Outcome{Kind: job.Moved, Reason: reasonNotOwner, Progress: state.progress}
+	if link == nil || !link.Up() {
+		return job.Outcome{Kind: job.Moved, Reason: reasonNotOwner}
 	}
 	now := f.node.Clock.Now()
 	settle := max(0, settleAt-now)
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/errkind"
+	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/member"
 	"github.com/foxcroft/foxcroft/pkg/ownership"
 	"github.com/foxcroft/foxcroft/pkg/peer"
@@ -234,9 +235,8 @@
 // onDispatch takes a job from another front.
 func (n *Node) onDispatch(from *peerpb.Hello, m *peerpb.Dispatch, reply peer.Reply) {
 	o := n.owner(m.Cell)
-	progress := fromProgress(m.Progress)
 	if o == nil {
-		reply(toOutcome(notOwner(progress)), 0)
+		reply(toOutcome(job.Outcome{Kind: job.Moved, Reason: reasonNotOwner}), 0)
 		return
 	}
 	now := n.Clock.Now()
@@ -244,9 +244,8 @@
 	if m.SettleUs > 0 {
 		settleAt = now + microseconds(m.SettleUs)
 	}
-	o.submit(fromDispatch(m, now), int(m.Epoch), progress, settleAt, waiter{
+	o.submit(fromDispatch(m, now), int(m.Epoch), fromProgress(m.Progress), settleAt, waiter{
 		front: from.Address,
-		reply: func(outcome jobOutcome) { reply(toOutcome(outcome), 0) },
+		reply: func(outcome job.Outcome) { reply(toOutcome(outcome), 0) },
 	})
 }
-
--- a/pkg/node/news.go
+++ b/pkg/node/news.go
@@ -6,17 +6,10 @@
 
 	"github.com/foxcroft/foxcroft/pkg/catalog"
 	"github.com/foxcroft/foxcroft/pkg/common"
-	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/peer"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
 )
 
-type jobOutcome = job.Outcome
-
-func notOwner(progress []job.Progress) job.Outcome {
-	return job.Outcome{Kind: job.Moved, Reason: reasonNotOwner, Progress: progress}
-}
-
 // The kinds of news that nodes pass on.
 const (
 	newsConfiguration uint32 = iota + 1
@@ -31,6 +24,7 @@
 	firstStoreBackoff = 100 * time.Millisecond
 	lastStoreBackoff  = 1500 * time.Millisecond
 	peerFetchTimeout  = time.Second
+	unknownAge        = -1 // of a reading that a peer passed on
 )
 
 // inForce is a configuration in force.
@@ -159,23 +153,36 @@
 		} else {
 			backoff = firstStoreBackoff
 		}
-		common.Sleep(ctx, common.Jitter(wait, common.Unit()))
+		n.sleepUnlessClaimed(ctx, common.Jitter(wait, common.Unit()))
+	}
+}
+
+// sleepUnlessClaimed waits for d, or until this node has claimed a cell, whose
+// executors it wants to know anew.
+func (n *Node) sleepUnlessClaimed(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-n.claimed:
 	}
 }
 
 func (n *Node) readExecutors(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	askedAt := n.Clock.Now()
 	snapshot, err := n.store.Executors(ctx)
 	if err != nil {
 		return err
 	}
-	n.offerExecutors(snapshot, "store")
+	n.offerExecutors(snapshot, "store", askedAt)
 	return nil
 }
 
 // offerExecutors takes a reading of the executors if it is newer.
-func (n *Node) offerExecutors(snapshot Snapshot, from string) {
+func (n *Node) offerExecutors(snapshot Snapshot, from string, askedAt time.Duration) {
 	current := n.executors.Load()
 	if current != nil && current.revision >= snapshot.Revision {
 		return
@@ -185,7 +192,7 @@
 		n.Log.Error("executors_unreadable", "from", from, "error", err.Error())
 		return
 	}
-	next := &listing{revision: snapshot.Revision, snapshot: snapshot, zones: map[string][]catalog.Executor{}}
+	next := &listing{revision: snapshot.Revision, askedAt: askedAt, snapshot: snapshot, zones: map[string][]catalog.Executor{}}
 	for _, executor := range parsed.ByID {
 		next.zones[executor.Zone] = append(next.zones[executor.Zone], executor)
 	}
@@ -232,7 +239,7 @@
 		n.offerConfiguration(snapshot, address)
 		return
 	}
-	n.offerExecutors(snapshot, address)
+	n.offerExecutors(snapshot, address, unknownAge)
 }
 
 func (n *Node) onFetchSnapshot(m *peerpb.FetchSnapshot, reply peer.Reply) {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -39,7 +39,8 @@
 	leaving       atomic.Bool
 	configuration atomic.Pointer[inForce]
 	executors     atomic.Pointer[listing]
-	changed       *broadcast // membership or claims have changed
+	changed       *broadcast    // membership or claims have changed
+	claimed       chan struct{} // asks for a new reading of the executors
 
 	mu         sync.Mutex // guards what follows
 	members    *member.Table
@@ -66,6 +67,7 @@
 		store:      adapter.Store(),
 		counters:   &peer.Counters{},
 		changed:    newBroadcast(),
+		claimed:    make(chan struct{}, 1),
 		rows:       map[string]Member{},
 		peerCounts: map[string]map[string]int{},
 		owners:     map[string]*owner{},
@@ -216,6 +218,10 @@
 	n.mu.Unlock()
 	n.Log.Info("cell_claimed", "cell", cellName, "token", token, "former", o.former)
 	o.setExecutors(n.executors.Load())
+	select {
+	case n.claimed <- struct{}{}:
+	default:
+	}
 	n.publishClaims()
 }
 
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -40,10 +40,11 @@
 // owner runs a cell: it feeds events into the decisions and carries out what
 // they ask for.
 type owner struct {
-	node   *Node
-	cell   string
-	token  int64
-	former string // address of the owner before, which is told once its executors are fenced; empty when none
+	node      *Node
+	cell      string
+	token     int64
+	claimedAt time.Duration
+	former    string // address of the owner before, which is told once its executors are fenced; empty when none
 
 	mu      sync.Mutex
 	state   *cell.Cell
@@ -55,13 +56,14 @@
 
 func newOwner(n *Node, cellName string, token int64, now time.Duration) *owner {
 	return &owner{
-		node:    n,
-		cell:    cellName,
-		token:   token,
-		state:   cell.New(n.cellParams(), token, now),
-		waiters: map[string][]waiter{},
-		ended:   map[string]ended{},
-		lastRun: now,
+		node:      n,
+		cell:      cellName,
+		token:     token,
+		claimedAt: now,
+		state:     cell.New(n.cellParams(), token, now),
+		waiters:   map[string][]waiter{},
+		ended:     map[string]ended{},
+		lastRun:   now,
 	}
 }
 
@@ -94,7 +96,7 @@
 func (o *owner) noticeGap(now time.Duration) {
 	gap := now - o.lastRun
 	o.lastRun = now
-	if gap > longestGap && o.state.Busy() {
+	if gap > longestGap {
 		o.node.Log.Warn("owner_stood_still", "cell", o.cell, "gap_ms", gap.Milliseconds())
 		o.state.Pause(now + afterGap)
 	}
@@ -120,7 +122,7 @@
 	o.mu.Lock()
 	if o.over {
 		o.mu.Unlock()
-		w.reply(job.Outcome{Kind: job.Moved, Reason: reasonNotOwner, Progress: progress, Started: epoch > 1})
+		w.reply(job.Outcome{Kind: job.Moved, Reason: reasonNotOwner})
 		return
 	}
 	if known, ok := o.ended[j.ID]; ok {
@@ -211,7 +213,12 @@
 		return
 	}
 	listed := listing.zones[o.cell]
-	o.do(func(state *cell.Cell, now time.Duration) { state.SetExecutors(listed, now) })
+	o.do(func(state *cell.Cell, now time.Duration) {
+		if listing.askedAt >= o.claimedAt {
+			state.Complete()
+		}
+		state.SetExecutors(listed, now)
+	})
 }
 
 func (o *owner) load(now time.Duration) ownership.Load {
@@ -236,6 +243,7 @@
 // listing is one reading of the executors, by zone.
 type listing struct {
 	revision uint64
+	askedAt  time.Duration // the store was asked for it
 	snapshot Snapshot
 	zones    map[string][]catalog.Executor
 }
--- /dev/null
+++ b/pkg/peer/ended_test.go
@@ -0,0 +1,55 @@
+package peer
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/common"
+	"github.com/foxcroft/foxcroft/pkg/peerpb"
+	"github.com/foxcroft/foxcroft/pkg/settings"
+	qt "github.com/frankban/quicktest"
+)
+
+func TestNothingIsHandledAfterThePeerHasLeft(t *testing.T) {
+	c := qt.New(t)
+	var handled atomic.Int64
+	host := &fakeHost{handle: func(*peerpb.Message, Reply) { handled.Add(1) }}
+	served := &servedSession{server: &Server{Common: common.NewTestCommon(), handler: host, observer: host}}
+	served.setHello(&peerpb.Hello{Name: "front"})
+	dispatch := &peerpb.Message{Body: &peerpb.Message_Dispatch{Dispatch: &peerpb.Dispatch{Id: "a"}}}
+
+	served.handle(nil, dispatch)
+	c.Assert(handled.Load(), qt.Equals, int64(1))
+	c.Assert(served.end().Name, qt.Equals, "front")
+	served.handle(nil, dispatch)
+	c.Assert(handled.Load(), qt.Equals, int64(1))
+}
+
+func TestALinkThatIsGivenUpResetsItsConnection(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	ended := make(chan error, 1)
+	go func() {
+		// A peer that accepts and never answers: the link gives it up.
+		conn, err := listener.Accept()
+		if err != nil {
+			ended <- err
+			return
+		}
+		_, err = io.Copy(io.Discard, conn)
+		ended <- err
+	}()
+	link := settings.Link{Heartbeat: 20 * time.Millisecond, SuspectAfter: 100 * time.Millisecond}
+	host := &fakeHost{}
+	l := NewLink(common.NewTestCommon(), listener.Addr().String(), link, host, &Counters{})
+	defer l.Close()
+	err = <-ended
+	c.Assert(errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("the connection ended with %v", err))
+}
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -47,6 +47,7 @@
 
 // session is one connection's life.
 type session struct {
+	conn      net.Conn
 	mux       *yamux.Session
 	control   *pipe // short messages
 	jobs      *pipe // jobs, answers and configuration bodies
@@ -103,6 +104,9 @@
 	}
 }
 
+// Up reports whether the link is up.
+func (l *Link) Up() bool { return l.session.Load() != nil }
+
 // Send sends a one-way message. A message on a link that is down is lost.
 func (l *Link) Send(m *peerpb.Message, wait time.Duration) {
 	if s := l.session.Load(); s != nil {
@@ -147,7 +151,7 @@
 		_ = conn.Close()
 		return nil, nil, err
 	}
-	s := &session{mux: mux, calls: map[uint64]chan *peerpb.Message{}}
+	s := &session{conn: conn, mux: mux, calls: map[uint64]chan *peerpb.Message{}}
 	for _, stream := range []**pipe{&s.control, &s.jobs} {
 		opened, err := mux.Open()
 		if err != nil {
@@ -267,6 +271,11 @@
 }
 
 func (s *session) close() {
+	// What is under way counts as lost here, so it mustn't arrive later: a
+	// reset drops it, an ordinary close would deliver it after a cut.
+	if tcp, ok := s.conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
 	_ = s.mux.Close()
 	s.control.close()
 	s.jobs.close()
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -83,7 +83,7 @@
 	defer mux.Close()
 	served := &servedSession{server: s}
 	defer func() {
-		if from := served.getHello(); from != nil {
+		if from := served.end(); from != nil {
 			s.handler.Left(from)
 		}
 	}()
@@ -104,9 +104,27 @@
 	server *Server
 	mu     sync.Mutex
 	hello  *peerpb.Hello
+	ended  bool
+
+	// handling is held while a message is handled, so that none is handled
+	// after the handler was told that the peer has left.
+	handling sync.RWMutex
+}
+
+// end marks the session as ended and returns its hello, or nil.
+func (s *servedSession) end() *peerpb.Hello {
+	s.handling.Lock()
+	defer s.handling.Unlock()
+	s.ended = true
+	return s.getHello()
 }
 
 func (s *servedSession) handle(p *pipe, m *peerpb.Message) {
+	s.handling.RLock()
+	defer s.handling.RUnlock()
+	if s.ended {
+		return // the peer takes what it sent for lost
+	}
 	reply := func(answer *peerpb.Message, wait time.Duration) {
 		answer.Call = m.Call
 		answer.Reply = true
