Claims at once where all peers were heard; hopeless jobs refused at once

Cause: after all machines lost power nothing ran for 0.75 s after their start, as each waited 700 ms to hear of owners; jobs behind a queue that outlasts their deadlines were held to the end. Change: a node that has heard from every host of the store's rows claims at once; links exchange a heartbeat as they come up; a job of which nothing has started is refused, with a time to come back, when the work that ranks before it takes longer than its deadline.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -215,6 +215,7 @@
 	}
 	c.dirty = true
 	c.expireWorks(now)
+	c.refuseHopeless(now)
 	c.advance(now)
 }
 
--- a/pkg/cell/work.go
+++ b/pkg/cell/work.go
@@ -254,6 +254,29 @@
 	c.dirty = true
 }
 
+// refuseHopeless refuses the jobs of which nothing has started and which, with
+// the work that comes before them, can't be done by their deadlines.
+func (c *Cell) refuseHopeless(now time.Duration) {
+	var capacity, running int64
+	for _, e := range c.order {
+		if e.usable(now) {
+			capacity += e.info.Capacity.CPU
+			running += e.used.CPU
+		}
+	}
+	if capacity == 0 || 2*running < capacity {
+		return
+	}
+	var ahead int64
+	for _, w := range c.ranked(now) {
+		wait := time.Duration(float64(ahead)/float64(capacity)) * time.Millisecond
+		ahead += w.waitingWork()
+		if !w.started && now+wait+w.leastTime() > w.job.Deadline {
+			c.finish(w, job.Outcome{Kind: job.Refused, Reason: "overloaded", RetryAfter: wait})
+		}
+	}
+}
+
 // expireWorks ends the jobs whose deadlines can't be met any more: at once
 // when nothing of them has started, at the deadline otherwise.
 func (c *Cell) expireWorks(now time.Duration) {
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -44,7 +44,7 @@
 	view := ownership.View{Self: ownership.Host{Address: n.settings.PeerAddress, Zone: n.settings.Zone, Leaving: n.leaving.Load()}}
 	known := map[string]bool{n.settings.PeerAddress: true}
 	for _, p := range n.members.View(n.inc).Peers {
-		view.Up = append(view.Up, ownership.Host{Address: p.Address, Zone: p.Domain, Leaving: p.Leaving})
+		view.Up = append(view.Up, ownership.Host{Address: p.Address, Zone: p.Domain, Leaving: p.Leaving, Heard: n.claims.Heard(p.Address)})
 		known[p.Address] = true
 	}
 	for _, row := range n.rows {
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -44,6 +44,7 @@
 	Address string
 	Zone    string
 	Leaving bool
+	Heard   bool // it has told which cells it owns
 }
 
 // View is what a host sees when it decides.
@@ -77,6 +78,7 @@
 	limits  Limits
 	started time.Duration
 	claims  map[string]map[string]Claim // by cell and owner's address
+	heard   map[string]bool             // by host's address
 	highest int64                       // token seen anywhere
 	cells   map[string]*cellState
 }
@@ -90,12 +92,16 @@
 
 // NewTable makes a table for a process that started at now.
 func NewTable(limits Limits, now time.Duration) *Table {
-	return &Table{limits: limits, started: now, claims: map[string]map[string]Claim{}, cells: map[string]*cellState{}}
+	return &Table{limits: limits, started: now, claims: map[string]map[string]Claim{}, heard: map[string]bool{}, cells: map[string]*cellState{}}
 }
 
+// Heard reports whether a host that is seen has told its claims.
+func (t *Table) Heard(owner string) bool { return t.heard[owner] }
+
 // SetClaims takes all claims of a host.
 func (t *Table) SetClaims(owner string, claims []Claim) {
 	t.Drop(owner)
+	t.heard[owner] = true
 	for _, claim := range claims {
 		claim.Owner = owner
 		if t.claims[claim.Cell] == nil {
@@ -108,6 +114,7 @@
 
 // Drop forgets the claims of a host that isn't seen any more.
 func (t *Table) Drop(owner string) {
+	delete(t.heard, owner)
 	for _, byOwner := range t.claims {
 		delete(byOwner, owner)
 	}
@@ -199,7 +206,8 @@
 	if !inside && state.zoneEmpty == 0 {
 		state.zoneEmpty = now
 	}
-	if view.Self.Leaving || now < t.started+t.limits.Start || now < state.noClaim {
+	tooEarly := now < t.started+t.limits.Start && !allHeard(view)
+	if view.Self.Leaving || tooEarly || now < state.noClaim {
 		return false
 	}
 	isolated := 2*(len(view.Up)+1) < view.Known
@@ -223,6 +231,17 @@
 	return true // not seen any more
 }
 
+// allHeard reports whether every host that should be there has told which
+// cells it owns.
+func allHeard(view View) bool {
+	for _, host := range view.Up {
+		if !host.Heard {
+			return false
+		}
+	}
+	return view.Known > 1 && len(view.Up)+1 >= view.Known
+}
+
 func hostsOf(view View, zone string) []Host {
 	var hosts []Host
 	for _, host := range view.Up {
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -205,6 +205,7 @@
 	defer ticker.Stop()
 	s.lastHeard.Store(int64(l.Clock.Now()))
 	lastTurn := l.Clock.Now()
+	l.Nudge()
 	for {
 		select {
 		case <-ctx.Done():
