Cells of bounded size, few links across zones

Cause: on the grown deployment every node kept links to 42 others and told each of all the others in every heartbeat; one owner had a zone's 117 executors.

--- a/pkg/node/foreign.go
+++ b/pkg/node/foreign.go
@@ -73,7 +73,7 @@
 	}
 }
 
-// mayClaimForeign reports whether a zone without nodes may be claimed by this
+// mayClaimForeign reports whether cells of a zone without nodes may be claimed by this
 // node of another zone, and looks at its executors now and then.
 func (n *Node) mayClaimForeign(zone string, now time.Duration) bool {
 	claim, look := n.foreign.due(zone, now)
@@ -89,7 +89,7 @@
 		return
 	}
 	reached := false
-	for i, executor := range listing.zones[zone] {
+	for i, executor := range listing.inZone(zone) {
 		if i == probedAtOnce || reached {
 			break
 		}
--- /dev/null
+++ b/pkg/node/listing.go
@@ -0,0 +1,41 @@
+package node
+
+import (
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/ownership"
+)
+
+// listing is one reading of the executors, by cell.
+type listing struct {
+	revision uint64
+	askedAt  time.Duration // the store was asked for it
+	snapshot Snapshot
+	cells    map[string][]catalog.Executor
+}
+
+// newListing sorts a reading into cells.
+func newListing(snapshot Snapshot, askedAt time.Duration, executors *catalog.Executors) *listing {
+	sizes := map[string]int{}
+	for _, executor := range executors.ByID {
+		sizes[executor.Zone]++
+	}
+	l := &listing{revision: snapshot.Revision, askedAt: askedAt, snapshot: snapshot, cells: map[string][]catalog.Executor{}}
+	for _, executor := range executors.ByID {
+		name := ownership.CellOf(executor.Zone, executor.Address, ownership.CellCount(sizes[executor.Zone]))
+		l.cells[name] = append(l.cells[name], executor)
+	}
+	return l
+}
+
+// inZone returns the executors of a zone.
+func (l *listing) inZone(zone string) []catalog.Executor {
+	var executors []catalog.Executor
+	for name, listed := range l.cells {
+		if ownership.ZoneOf(name) == zone {
+			executors = append(executors, listed...)
+		}
+	}
+	return executors
+}
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -47,8 +47,8 @@
 		view.Up = append(view.Up, ownership.Host{Address: p.Address, Zone: p.Domain, Leaving: p.Leaving, Heard: n.claims.Heard(p.Address)})
 		known[p.Address] = true
 	}
-	for _, row := range n.rows {
-		known[row.PeerAddress] = true
+	for _, address := range n.members.Wanted(n.Clock.Now()) {
+		known[address] = true
 	}
 	view.Known = len(known)
 	return view
@@ -114,12 +114,21 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, p := range n.members.View(n.inc).Peers {
-		beat.Addresses = append(beat.Addresses, p.Address)
+	for _, claim := range n.claims.Owned() {
+		beat.Owners = append(beat.Owners, claim.Owner)
+	}
+	if n.beats.Add(1)%gossipEvery == 1 {
+		for _, p := range n.members.View(n.inc).Domain() {
+			beat.Addresses = append(beat.Addresses, p.Address)
+		}
 	}
 	return beat
 }
 
+// gossipEvery is how many heartbeats pass, over all links, between those that
+// tell the addresses of the zone's nodes.
+const gossipEvery = 32
+
 // HeartbeatReply implements peer.Observer.
 func (n *Node) HeartbeatReply(address string, beat *peerpb.Heartbeat) { n.heard(address, beat) }
 
@@ -143,7 +152,10 @@
 		counts[c.Route] = int(c.Waiting)
 	}
 	n.peerCounts[address] = counts
-	n.members.Told(beat.Addresses, n.Clock.Now())
+	if p.Domain == n.settings.Zone {
+		n.members.Told(beat.Addresses, n.Clock.Now())
+	}
+	n.members.Told(without(beat.Owners, n.settings.PeerAddress), n.Clock.Now())
 	after := n.claims.Owned()
 	n.mu.Unlock()
 	if ownersDiffer(before, after) {
--- a/pkg/node/news.go
+++ b/pkg/node/news.go
@@ -192,10 +192,7 @@
 		n.Log.Error("executors_unreadable", "from", from, "error", err.Error())
 		return
 	}
-	next := &listing{revision: snapshot.Revision, askedAt: askedAt, snapshot: snapshot, zones: map[string][]catalog.Executor{}}
-	for _, executor := range parsed.ByID {
-		next.zones[executor.Zone] = append(next.zones[executor.Zone], executor)
-	}
+	next := newListing(snapshot, askedAt, parsed)
 	if !n.executors.CompareAndSwap(current, next) {
 		return
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -37,6 +37,7 @@
 	peers    *peer.Server
 
 	leaving       atomic.Bool
+	beats         atomic.Uint64 // heartbeats made
 	configuration atomic.Pointer[inForce]
 	executors     atomic.Pointer[listing]
 	changed       *broadcast    // membership or claims have changed
@@ -73,7 +74,7 @@
 		owners:     map[string]*owner{},
 	}
 	self := member.Peer{Name: s.Name, Domain: s.Zone, Address: s.PeerAddress, Incarnation: inc}
-	n.members = member.NewTable(self, seedsWithout(s.Seeds, s.PeerAddress), allOfOtherZones)
+	n.members = member.NewTable(self, without(s.Seeds, s.PeerAddress), linksToOtherZones)
 	n.claims = ownership.NewTable(ownership.DefaultLimits(), c.Clock.Now())
 	link := settings.Link{Heartbeat: s.Heartbeat, SuspectAfter: s.SuspectAfter}
 	n.links = peer.NewSet(c, link, n, n.counters)
@@ -82,14 +83,16 @@
 	return n
 }
 
-// allOfOtherZones is the number of links that a node keeps to each other zone.
-const allOfOtherZones = 16
+// linksToOtherZones is the number of links that a node keeps to each other
+// zone, beside those to the owners of its cells.
+const linksToOtherZones = 3
 
-func seedsWithout(seeds []string, own string) []string {
+// without returns the addresses but the own one.
+func without(addresses []string, own string) []string {
 	var others []string
-	for _, seed := range seeds {
-		if seed != own {
-			others = append(others, seed)
+	for _, address := range addresses {
+		if address != own {
+			others = append(others, address)
 		}
 	}
 	return others
@@ -189,19 +192,19 @@
 	if listing == nil {
 		return
 	}
-	for zone := range listing.zones {
+	for name := range listing.cells {
+		zone := ownership.ZoneOf(name)
 		n.mu.Lock()
-		owned := n.owners[zone] != nil
-		claim := !owned && n.claims.ShouldClaim(zone, zone, n.ownershipView(), now)
+		owned := n.owners[name] != nil
+		claim := !owned && n.claims.ShouldClaim(name, zone, n.ownershipView(), now)
 		n.mu.Unlock()
 		switch {
 		case !claim:
-			n.foreign.forget(zone)
 		case zone == n.settings.Zone || n.mayClaimForeign(zone, now):
-			n.claim(zone, now)
+			n.claim(name, now)
 		}
 	}
-	n.yieldForeign()
+	n.yieldCells(listing)
 }
 
 // claim becomes the owner of a cell. A former owner that is still there gives
@@ -225,14 +228,18 @@
 	n.publishClaims()
 }
 
-// yieldForeign gives up cells of other zones once those zones have nodes again.
-func (n *Node) yieldForeign() {
+// yieldCells gives up cells of other zones once those zones have nodes again,
+// and cells that no longer exist once their work is done.
+func (n *Node) yieldCells(listing *listing) {
 	for _, o := range n.allOwners() {
-		if o.cell == n.settings.Zone {
-			continue
-		}
-		if n.zoneHasNodes(o.cell) {
+		zone := ownership.ZoneOf(o.cell)
+		_, exists := listing.cells[o.cell]
+		switch {
+		case zone != n.settings.Zone && n.zoneHasNodes(zone):
+			n.foreign.forget(zone)
 			n.release(o, "zone_is_back")
+		case !exists && !o.busy():
+			n.release(o, "cell_is_gone")
 		}
 	}
 }
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/foxcroft/foxcroft/pkg/catalog"
 	"github.com/foxcroft/foxcroft/pkg/cell"
 	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/ownership"
@@ -212,7 +211,7 @@
 	if listing == nil {
 		return
 	}
-	listed := listing.zones[o.cell]
+	listed := listing.cells[o.cell]
 	o.do(func(state *cell.Cell, now time.Duration) {
 		if listing.askedAt >= o.claimedAt {
 			state.Complete()
@@ -221,6 +220,13 @@
 	})
 }
 
+// busy reports whether the cell has work or runs.
+func (o *owner) busy() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.state.Busy()
+}
+
 func (o *owner) load(now time.Duration) ownership.Load {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -239,11 +245,3 @@
 	o.node.Log.Info(notice.Event, "cell", o.cell, "executor", notice.Executor, "job", notice.Job, "task", notice.Task,
 		"detail", notice.Detail, "age_ms", notice.Age.Milliseconds())
 }
-
-// listing is one reading of the executors, by zone.
-type listing struct {
-	revision uint64
-	askedAt  time.Duration // the store was asked for it
-	snapshot Snapshot
-	zones    map[string][]catalog.Executor
-}
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -270,9 +270,10 @@
 	staleShare = 0.5                   // of the own wait that must be gained
 )
 
-// Choose returns the claim to hand a job of a service to: the own zone's
-// unless another cell would start it much sooner.
-func Choose(claims []Claim, ownCell, service string, needsCPU int64) (Claim, bool) {
+// Choose returns the claim to hand a job of a service to: one of the own zone
+// unless another cell would start it much sooner; of equals the one with the
+// most room.
+func Choose(claims []Claim, ownZone, service string, needsCPU int64) (Claim, bool) {
 	var best Claim
 	var bestWait time.Duration
 	found := false
@@ -281,10 +282,11 @@
 			continue
 		}
 		wait := expectedWait(claim.Load, needsCPU)
-		if claim.Cell != ownCell {
+		if ZoneOf(claim.Cell) != ownZone {
 			wait = hopCost + time.Duration(float64(wait)/staleShare)
 		}
-		if !found || wait < bestWait {
+		better := wait < bestWait || (wait == bestWait && claim.Load.FreeCPU > best.Load.FreeCPU)
+		if !found || better {
 			best, bestWait, found = claim, wait, true
 		}
 	}
