--- a/pkg/cli/node.go
+++ b/pkg/cli/node.go
@@ -76,7 +76,7 @@
 }
 
 // gcPercent lets the small heap of a node grow before it is collected.
-const gcPercent = 400
+const gcPercent = 200
 
 // awaitStop waits for SIGTERM or SIGINT and calls reload at each SIGHUP.
 func awaitStop(reload func()) {
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -34,6 +34,7 @@
 	Version     uint64 // of the configuration in force there
 	Waiting     int    // tasks waiting for a slot there
 	Free        int    // idle slots there
+	Weight      int    // thousandths of a core that the host may use; 0 when not told
 	Usable      int    // slots that it may fill at once; 1 before it has told
 }
 
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -41,10 +41,10 @@
 
 // ownershipView returns what this node sees of the others. n.mu is held.
 func (n *Node) ownershipView() ownership.View {
-	view := ownership.View{Self: ownership.Host{Address: n.settings.PeerAddress, Zone: n.settings.Zone, Leaving: n.leaving.Load()}}
+	view := ownership.View{Self: ownership.Host{Address: n.settings.PeerAddress, Zone: n.settings.Zone, Leaving: n.leaving.Load(), Weight: n.settings.Weight}}
 	known := map[string]bool{n.settings.PeerAddress: true}
 	for _, p := range n.members.View(n.inc).Peers {
-		view.Up = append(view.Up, ownership.Host{Address: p.Address, Zone: p.Domain, Leaving: p.Leaving, Heard: n.claims.Heard(p.Address)})
+		view.Up = append(view.Up, ownership.Host{Address: p.Address, Zone: p.Domain, Leaving: p.Leaving, Weight: p.Weight, Heard: n.claims.Heard(p.Address)})
 		known[p.Address] = true
 	}
 	for _, address := range n.members.Wanted(n.Clock.Now()) {
@@ -62,12 +62,27 @@
 		Address:     n.settings.PeerAddress,
 		Incarnation: n.inc[:],
 		Leaving:     n.leaving.Load(),
+		Weight:      uint32(n.settings.Weight),
 	}
 }
 
+// quietSlowdown is how much more slowly links beat at whose ends nobody owns a
+// cell: nothing waits for news of the other.
+const quietSlowdown = 4
+
+// Slowdown implements peer.Pacer.
+func (n *Node) Slowdown(address string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.owners) > 0 || n.claims.Owns(address) {
+		return 1
+	}
+	return quietSlowdown
+}
+
 // LinkUp implements peer.Observer.
 func (n *Node) LinkUp(address string, hello *peerpb.Hello) {
-	p := member.Peer{Name: hello.Name, Domain: hello.Domain, Address: address, Leaving: hello.Leaving}
+	p := member.Peer{Name: hello.Name, Domain: hello.Domain, Address: address, Leaving: hello.Leaving, Weight: int(hello.Weight)}
 	copy(p.Incarnation[:], hello.Incarnation)
 	n.mu.Lock()
 	n.members.Up(p)
--- a/pkg/node/news.go
+++ b/pkg/node/news.go
@@ -20,7 +20,7 @@
 const (
 	storeTimeout      = 2 * time.Second
 	executorsInterval = 500 * time.Millisecond // of owners
-	othersInterval    = 2 * time.Second        // of the other nodes
+	othersInterval    = 5 * time.Second        // of the other nodes
 	firstStoreBackoff = 100 * time.Millisecond
 	lastStoreBackoff  = 1500 * time.Millisecond
 	peerFetchTimeout  = time.Second
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -100,7 +100,7 @@
 
 // Start listens and begins to serve.
 func (n *Node) Start() error {
-	peerListener, err := net.Listen("tcp", n.settings.PeerAddress)
+	peerListener, err := net.Listen("tcp", n.settings.PeerListen)
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -6,6 +6,7 @@
 package ownership
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -44,6 +45,7 @@
 	Address string
 	Zone    string
 	Leaving bool
+	Weight  int  // thousandths of a core that it may use; 0 when not told
 	Heard   bool // it has told which cells it owns
 }
 
@@ -132,6 +134,16 @@
 	return best, found
 }
 
+// Owns reports whether a host claims any cell.
+func (t *Table) Owns(owner string) bool {
+	for _, byOwner := range t.claims {
+		if _, ok := byOwner[owner]; ok {
+			return true
+		}
+	}
+	return false
+}
+
 // Owned returns the standing claims, one for each cell, sorted by cell.
 func (t *Table) Owned() []Claim {
 	var claims []Claim
@@ -253,17 +265,29 @@
 }
 
 // first reports whether a host comes first among others for a cell, by
-// rendezvous hashing.
+// rendezvous hashing. An owner does far more than the other hosts, so those
+// with little processor time come last.
 func first(cell string, self Host, others []Host) bool {
-	own := member.Score(cell, self.Address)
+	own := weightedScore(cell, self)
 	for _, other := range others {
-		if !other.Leaving && member.Score(cell, other.Address) > own {
+		if !other.Leaving && weightedScore(cell, other) > own {
 			return false
 		}
 	}
 	return true
 }
 
+// weightPower makes a host's processor time count more than its share.
+const weightPower = 3
+
+// weightedScore is the rendezvous weight of a pair in which a host is chosen
+// with a chance in proportion to a power of its weight.
+func weightedScore(cell string, host Host) float64 {
+	unit := (float64(member.Score(cell, host.Address)>>11) + 0.5) / (1 << 53)
+	weight := math.Pow(float64(max(host.Weight, 1)), weightPower)
+	return -weight / math.Log(unit)
+}
+
 // Margins of sending a job to another cell than the caller's own.
 const (
 	hopCost    = 10 * time.Millisecond // of another zone
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -32,6 +32,13 @@
 	Heartbeat() *peerpb.Heartbeat
 }
 
+// Pacer is an Observer that wants some links to beat more slowly than others.
+type Pacer interface {
+	// Slowdown returns how many times the settings' interval and limit of
+	// silence hold on the link to an address; 1 at least.
+	Slowdown(address string) int
+}
+
 // Link is the outgoing side of the connection to one peer. It dials again
 // whenever the connection is lost.
 type Link struct {
@@ -201,8 +208,8 @@
 
 // beat sends heartbeats until the session dies or its peer falls silent.
 func (l *Link) beat(ctx context.Context, s *session) {
-	ticker := time.NewTicker(l.settings.Heartbeat)
-	defer ticker.Stop()
+	timer := time.NewTimer(l.settings.Heartbeat)
+	defer timer.Stop()
 	s.lastHeard.Store(int64(l.Clock.Now()))
 	lastTurn := l.Clock.Now()
 	l.Nudge()
@@ -212,17 +219,20 @@
 			return
 		case <-s.mux.CloseChan():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		case <-l.nudge:
 		}
+		slowdown := l.slowdown()
+		limit := slowdown * l.settings.SuspectAfter
+		timer.Reset(slowdown * l.settings.Heartbeat)
 		// A silence is the peer's only while this process was awake itself.
-		if now := l.Clock.Now(); now-lastTurn > l.settings.SuspectAfter {
+		if now := l.Clock.Now(); now-lastTurn > limit {
 			l.Log.Warn("paused", "gap", (now - lastTurn).String())
 			s.lastHeard.Store(int64(now))
 		}
 		lastTurn = l.Clock.Now()
 		silence := l.Clock.Now() - time.Duration(s.lastHeard.Load())
-		if silence > l.settings.SuspectAfter {
+		if silence > limit {
 			l.Log.Warn("peer_silent", "silence", silence.String())
 			return
 		}
@@ -230,8 +240,16 @@
 	}
 }
 
+// slowdown returns the factor on the interval and the limit of silence.
+func (l *Link) slowdown() time.Duration {
+	if pacer, ok := l.observer.(Pacer); ok {
+		return time.Duration(pacer.Slowdown(l.address))
+	}
+	return 1
+}
+
 func (l *Link) heartbeat(s *session) {
-	ctx, cancel := context.WithTimeout(context.Background(), l.settings.SuspectAfter)
+	ctx, cancel := context.WithTimeout(context.Background(), l.slowdown()*l.settings.SuspectAfter)
 	defer cancel()
 	reply, err := l.Call(ctx, &peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: l.observer.Heartbeat()}}, 0)
 	if err != nil || reply.GetHeartbeat() == nil {
--- a/pkg/peer/pipe.go
+++ b/pkg/peer/pipe.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	bufferBytes   = 64 << 10
+	bufferBytes   = 8 << 10
 	maxFrameBytes = 256 << 20
 )
 
--- a/pkg/settings/node.go
+++ b/pkg/settings/node.go
@@ -19,7 +19,8 @@
 	FrontAddress   string   // for callers
 	ReadyAddress   string   // for the balancer's readiness check
 	ControlAddress string   // for nodes' start-up; empty for none
-	PeerAddress    string   // for other nodes
+	PeerAddress    string   // at which other nodes reach this one; its name among them
+	PeerListen     string   // where this node listens for them; PeerAddress unless it is behind a relay
 	MetricsAddress string   // for the metrics; empty for none
 	Seeds          []string // peer addresses to try before the store has told of others
 	StoreAddress   string
@@ -31,9 +32,13 @@
 	ConfigBound    time.Duration // in which a configuration has to be in force
 	DrainBound     time.Duration // in which a draining executor gets no more work
 	MemoryMB       int
+	Weight         int // thousandths of a core that the host may use
 	LogLevel       string
 }
 
+// thousandth turns cores into thousandths of a core.
+const thousandth = 1000
+
 // LoadNode reads a node's settings from a file.
 func LoadNode(path string) (*Node, error) {
 	data, err := os.ReadFile(path)
@@ -63,6 +68,7 @@
 	peers := file.Only("peers")
 	lease := file.Only("lease")
 	bounds := file.Only("bounds")
+	peerAddress := listen.Address("peers", "")
 	return &Node{
 		Name:           node.Required("name", "give the host a unique name"),
 		Zone:           node.Required("zone", "name the failure domain of the host"),
@@ -71,7 +77,8 @@
 		FrontAddress:   listen.Address("front", ""),
 		ReadyAddress:   listen.Address("ready", ""),
 		ControlAddress: optionalAddress(listen, "control"),
-		PeerAddress:    listen.Address("peers", ""),
+		PeerAddress:    peerAddress,
+		PeerListen:     listen.Address("peers_listen", peerAddress),
 		MetricsAddress: optionalAddress(listen, "metrics"),
 		Seeds:          withPort(peers.Addresses("seeds"), peers.Int("port", 0, 0, 65535)),
 		Heartbeat:      peers.Duration("heartbeat", 150*time.Millisecond, time.Millisecond, time.Minute),
@@ -83,6 +90,7 @@
 		ConfigBound:    bounds.Duration("config", 2*time.Second, 10*time.Millisecond, time.Minute),
 		DrainBound:     bounds.Duration("drain", 2*time.Second, 10*time.Millisecond, time.Minute),
 		MemoryMB:       file.Only("limits").Int("memory_mb", 256, 32, 1<<20),
+		Weight:         int(thousandth * file.Only("limits").Float("cpu_share", 1, 0.001, 1024)),
 		LogLevel:       file.Only("log").OneOf("level", "info", "debug", "info", "warn", "error"),
 	}
 }
