--- a/pkg/standin/relayd/relay.go
+++ b/pkg/standin/relayd/relay.go
@@ -4,9 +4,12 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -17,28 +20,72 @@
 
 // Relay passes connections on to an address.
 type Relay struct {
-	to    string
-	delay time.Duration // added to each piece of data, one way
+	to string
 
-	mu  sync.Mutex
-	cut bool
+	mu      sync.Mutex
+	delay   time.Duration // added to each piece of data, one way
+	cutTo   bool          // nothing passes towards the address
+	cutFrom bool          // nothing passes back
+	conns   map[net.Conn]bool
 }
 
 // NewRelay makes a relay to an address.
-func NewRelay(to string, delay time.Duration) *Relay { return &Relay{to: to, delay: delay} }
+func NewRelay(to string, delay time.Duration) *Relay {
+	return &Relay{to: to, delay: delay, conns: map[net.Conn]bool{}}
+}
 
 // SetCut cuts the relay, or mends it. What was sent during a cut arrives after
-// it, as over TCP.
-func (r *Relay) SetCut(cut bool) {
+// it, as over TCP, unless its sender has reset the connection meanwhile.
+func (r *Relay) SetCut(cut bool) { r.SetCutWays(cut, cut) }
+
+// SetCutWays cuts or mends each way by itself.
+func (r *Relay) SetCutWays(to, from bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cutTo, r.cutFrom = to, from
+}
+
+// SetDelay changes the delay.
+func (r *Relay) SetDelay(delay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = delay
+}
+
+// Reset resets all connections that are open now.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for conn := range r.conns {
+		resetConn(conn)
+	}
+}
+
+func resetConn(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// state returns whether a way is cut, and the delay.
+func (r *Relay) state(towards bool) (bool, time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.cut = cut
+	if towards {
+		return r.cutTo, r.delay
+	}
+	return r.cutFrom, r.delay
 }
 
-func (r *Relay) isCut() bool {
+func (r *Relay) track(conn net.Conn, open bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.cut
+	if open {
+		r.conns[conn] = true
+		return
+	}
+	delete(r.conns, conn)
 }
 
 // Serve relays the connections of a listener until it is closed.
@@ -53,38 +100,70 @@
 }
 
 func (r *Relay) relay(from net.Conn) {
+	r.track(from, true)
+	defer r.track(from, false)
 	defer from.Close()
 	to, err := net.Dial("tcp", r.to)
 	if err != nil {
 		return
 	}
+	r.track(to, true)
+	defer r.track(to, false)
 	defer to.Close()
 	done := make(chan struct{}, 2)
-	pass := func(dst, src net.Conn) {
-		r.pass(dst, src)
+	pass := func(dst, src net.Conn, towards bool) {
+		r.pass(dst, src, towards)
 		done <- struct{}{}
 	}
-	go pass(to, from)
-	go pass(from, to)
+	go pass(to, from, true)
+	go pass(from, to, false)
 	<-done
 }
 
-func (r *Relay) pass(dst, src net.Conn) {
-	buffer := make([]byte, bufferBytes)
-	for {
-		n, err := src.Read(buffer)
-		for r.isCut() {
-			time.Sleep(cutPoll)
-		}
-		time.Sleep(r.delay)
-		if n > 0 {
-			if _, err := dst.Write(buffer[:n]); err != nil {
+// heldPieces is how many pieces of data a way holds back during a cut.
+const heldPieces = 64
+
+// pass copies one way. A reader of its own notices a reset during a cut, which
+// drops what is held back.
+func (r *Relay) pass(dst, src net.Conn, towards bool) {
+	pieces := make(chan []byte, heldPieces)
+	var wasReset atomic.Bool
+	go func() {
+		defer close(pieces)
+		for {
+			buffer := make([]byte, bufferBytes)
+			n, err := src.Read(buffer)
+			if n > 0 {
+				pieces <- buffer[:n]
+			}
+			if err != nil {
+				wasReset.Store(errors.Is(err, syscall.ECONNRESET) || errors.Is(err, net.ErrClosed))
 				return
 			}
 		}
-		if err != nil {
-			return
+	}()
+	for piece := range pieces {
+		cut, delay := r.state(towards)
+		for cut {
+			time.Sleep(cutPoll)
+			cut, delay = r.state(towards)
+		}
+		time.Sleep(delay)
+		if wasReset.Load() {
+			break
 		}
+		if _, err := dst.Write(piece); err != nil {
+			break
+		}
+	}
+	for cut, _ := r.state(towards); cut && !wasReset.Load(); cut, _ = r.state(towards) {
+		time.Sleep(cutPoll)
+	}
+	if wasReset.Load() {
+		resetConn(dst)
+	}
+	_ = src.Close()
+	for range pieces { // lets the reader end
 	}
 }
 
