--- /dev/null
+++ b/pkg/ownership/ownership_test.go
@@ -0,0 +1,152 @@
+package ownership
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	zone  = "here"
+	later = time.Minute
+)
+
+func host(address, zone string) Host {
+	return Host{Address: address, Zone: zone, Weight: 400, Heard: true}
+}
+
+func claimOf(owner string, token int64) []Claim { return []Claim{{Cell: zone, Token: token}} }
+
+func TestShouldClaim(t *testing.T) {
+	leaving := host("b", zone)
+	leaving.Leaving = true
+	type scenario struct {
+		testName string
+		view     View
+		claims   map[string]int64 // token by owner
+		now      time.Duration
+		looked   time.Duration // at an earlier time, without an owner
+		want     bool
+	}
+	scenarios := []scenario{
+		{testName: "alone and no owner", view: View{Self: host("a", zone), Known: 1}, now: later, want: true},
+		{testName: "too early to have heard of owners", view: View{Self: host("a", zone), Known: 1}, now: 100 * time.Millisecond},
+		{testName: "early, but all have told", view: View{Self: host("a", zone), Up: []Host{host("b", "there")}, Known: 2}, now: 100 * time.Millisecond, want: true},
+		{testName: "another owns it", view: View{Self: host("a", zone), Up: []Host{host("b", zone)}, Known: 2}, claims: map[string]int64{"b": 5}, now: later},
+		{testName: "the owner isn't seen any more", view: View{Self: host("a", zone), Known: 2}, claims: map[string]int64{"b": 5}, now: later, want: true},
+		{testName: "the owner leaves", view: View{Self: host("a", zone), Up: []Host{leaving}, Known: 2}, claims: map[string]int64{"b": 5}, now: later, want: true},
+		{testName: "the owner is of another zone", view: View{Self: host("a", zone), Up: []Host{host("b", "there")}, Known: 2}, claims: map[string]int64{"b": 5}, now: later, want: true},
+		{testName: "leaving itself", view: View{Self: leaving, Known: 1}, now: later},
+		{testName: "isolated: waits", view: View{Self: host("a", zone), Known: 5}, now: later},
+		{testName: "isolated for long", view: View{Self: host("a", zone), Known: 5}, looked: later, now: later + 3*time.Second, want: true},
+		{testName: "the zone has hosts of its own", view: View{Self: host("a", "there"), Up: []Host{host("b", zone)}, Known: 2}, looked: later, now: later + 10*time.Second},
+		{testName: "the zone is empty, but not for long", view: View{Self: host("a", "there"), Known: 1}, looked: later, now: later + time.Second},
+		{testName: "the zone is empty for long", view: View{Self: host("a", "there"), Known: 1}, looked: later, now: later + 4*time.Second, want: true},
+		{testName: "the zone is out of sight of an isolated host", view: View{Self: host("a", "there"), Known: 5}, looked: later, now: later + 10*time.Second},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			table := NewTable(DefaultLimits(), 0)
+			for owner, token := range s.claims {
+				table.SetClaims(owner, claimOf(owner, token))
+			}
+			if s.looked > 0 {
+				table.ShouldClaim(zone, zone, s.view, s.looked)
+			}
+			qt.Assert(t, table.ShouldClaim(zone, zone, s.view, s.now), qt.Equals, s.want)
+		})
+	}
+}
+
+func TestOnlyOneHostOfAZoneClaims(t *testing.T) {
+	hosts := []Host{host("a", zone), host("b", zone), host("c", zone)}
+	claims := 0
+	for i, self := range hosts {
+		others := append(append([]Host{}, hosts[:i]...), hosts[i+1:]...)
+		if NewTable(DefaultLimits(), 0).ShouldClaim(zone, zone, View{Self: self, Up: others, Known: 3}, later) {
+			claims++
+		}
+	}
+	qt.Assert(t, claims, qt.Equals, 1)
+}
+
+func TestAFencedHostWaitsLongerEachTime(t *testing.T) {
+	c := qt.New(t)
+	table := NewTable(DefaultLimits(), 0)
+	view := View{Self: host("a", zone), Known: 1}
+	now := later
+	for _, wait := range []time.Duration{2 * time.Second, 4 * time.Second, 6 * time.Second} {
+		table.Fenced(zone, now)
+		c.Assert(table.ShouldClaim(zone, zone, view, now+wait-time.Millisecond), qt.IsFalse)
+		c.Assert(table.ShouldClaim(zone, zone, view, now+wait), qt.IsTrue)
+		now += wait
+	}
+}
+
+func TestTokens(t *testing.T) {
+	c := qt.New(t)
+	table := NewTable(DefaultLimits(), 0)
+	first := table.NextToken(1000, 1)
+	second := table.NextToken(1000, 2)
+	c.Assert(second > first, qt.IsTrue)
+	table.SetClaims("b", claimOf("b", second+1<<40))
+	c.Assert(table.NextToken(1000, 1) > second+1<<40, qt.IsTrue, qt.Commentf("above all that were seen"))
+	restarted := NewTable(DefaultLimits(), 0)
+	c.Assert(restarted.NextToken(1001, 1) > first, qt.IsTrue, qt.Commentf("above those from before a restart"))
+	other := NewTable(DefaultLimits(), 0)
+	c.Assert(other.NextToken(1000, 2), qt.Not(qt.Equals), first, qt.Commentf("no two hosts make the same"))
+	fenced := restarted.NextToken(1001, 1)
+	restarted.Fenced(zone, 0)
+	c.Assert(restarted.NextToken(1001, 1)-fenced > 16<<tokenBits, qt.IsTrue, qt.Commentf("jumps after a fence"))
+}
+
+func TestChoose(t *testing.T) {
+	load := func(queued, free int64) Load {
+		return Load{CapacityCPU: 1000, FreeCPU: free, QueuedWork: queued, Ready: true, Services: []string{"s"}}
+	}
+	type scenario struct {
+		testName string
+		claims   []Claim
+		want     string
+	}
+	scenarios := []scenario{
+		{testName: "no claim"},
+		{testName: "the own zone while it has room", claims: []Claim{{Cell: "here", Load: load(0, 500)}, {Cell: "there", Load: load(0, 1000)}}, want: "here"},
+		{testName: "another zone when the own queue is long", claims: []Claim{{Cell: "here", Load: load(200_000, 0)}, {Cell: "there", Load: load(0, 1000)}}, want: "there"},
+		{testName: "the own zone when both queues are long", claims: []Claim{{Cell: "here", Load: load(200_000, 0)}, {Cell: "there", Load: load(150_000, 0)}}, want: "here"},
+		{testName: "another zone when the own has no owner that is ready", claims: []Claim{{Cell: "here", Load: Load{Services: []string{"s"}}}, {Cell: "there", Load: load(0, 1000)}}, want: "there"},
+		{testName: "only a cell that serves it", claims: []Claim{{Cell: "here", Load: Load{Ready: true, Services: []string{"other"}}}}},
+		{testName: "the roomier of two cells of the own zone", claims: []Claim{{Cell: "here/2.0", Load: load(0, 300)}, {Cell: "here/2.1", Load: load(0, 500)}}, want: "here/2.1"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			claim, found := Choose(s.claims, "here", "s", 100)
+			qt.Assert(t, claim.Cell, qt.Equals, s.want)
+			qt.Assert(t, found, qt.Equals, s.want != "")
+		})
+	}
+}
+
+func TestCells(t *testing.T) {
+	c := qt.New(t)
+	for _, s := range []struct{ executors, want int }{{0, 1}, {48, 1}, {76, 1}, {77, 2}, {152, 2}, {153, 4}, {3222, 64}} {
+		c.Assert(CellCount(s.executors), qt.Equals, s.want, qt.Commentf("%d executors", s.executors))
+	}
+	c.Assert(CellOf("z", "10.0.0.1:1", 1), qt.Equals, "z")
+	c.Assert(ZoneOf(CellOf("z", "10.0.0.1:1", 4)), qt.Equals, "z")
+	c.Assert(CellOf("z", "10.0.0.1:1", 4), qt.Equals, CellOf("z", "10.0.0.1:1", 4))
+}
+
+func TestAHostWithLittleProcessorTimeRarelyOwns(t *testing.T) {
+	small, large := host("small", zone), host("large", zone)
+	small.Weight, large.Weight = 192, 800
+	owned := 0
+	const cells = 1000
+	for i := range cells {
+		if first(CellOf(zone, string(rune(i)), 1<<20), small, []Host{large}) {
+			owned++
+		}
+	}
+	qt.Assert(t, owned < cells/20, qt.IsTrue, qt.Commentf("%d of %d", owned, cells))
+}
