Waits that a silent store swallowed end once it answers again

A feed that was sent while the store was silent never gets an answer, and was waited for 23 s. Ruled out: lost history (410 reads anew), passing on (no node had the version).

--- a/pkg/node/news.go
+++ b/pkg/node/news.go
@@ -18,7 +18,7 @@
 
 // Paces of reading the store, which all nodes share.
 const (
-	storeTimeout      = 2 * time.Second
+	storeTimeout      = time.Second
 	executorsInterval = 500 * time.Millisecond // of owners
 	othersInterval    = 5 * time.Second        // of the other nodes
 	firstStoreBackoff = 100 * time.Millisecond
@@ -51,7 +51,7 @@
 			position, err = read(ctx)
 		} else {
 			var next uint64
-			next, err = await(ctx, position)
+			next, err = n.awaitChange(ctx, position, await)
 			if err == nil && next != position {
 				_, err = read(ctx)
 				if err == nil {
@@ -77,6 +77,23 @@
 	}
 }
 
+// awaitChange waits for a change. A call that the store swallowed while it was
+// silent would never be answered, so the wait ends, with an error that has the
+// news read anew, once the store answers again.
+func (n *Node) awaitChange(ctx context.Context, position uint64, await func(context.Context, uint64) (uint64, error)) (uint64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	regained := n.regained.wait()
+	go func() {
+		select {
+		case <-regained:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return await(ctx, position)
+}
+
 func (n *Node) readConfiguration(ctx context.Context) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -142,15 +159,21 @@
 // now and then, so that they can take over while the store is down.
 func (n *Node) pollExecutors(ctx context.Context) {
 	backoff := firstStoreBackoff
+	failing := false
 	for ctx.Err() == nil {
 		wait := othersInterval
 		if len(n.allOwners()) > 0 {
 			wait = executorsInterval
 		}
 		if err := n.readExecutors(ctx); err != nil {
+			failing = true
 			wait = backoff
 			backoff = min(2*backoff, lastStoreBackoff)
 		} else {
+			if failing {
+				n.regained.signal()
+			}
+			failing = false
 			backoff = firstStoreBackoff
 		}
 		n.sleepUnlessClaimed(ctx, common.Jitter(wait, common.Unit()))
--- /dev/null
+++ b/pkg/node/news_test.go
@@ -0,0 +1,117 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/common"
+	"github.com/foxcroft/foxcroft/pkg/once"
+	"github.com/foxcroft/foxcroft/pkg/settings"
+	"github.com/pkg/errors"
+	qt "github.com/frankban/quicktest"
+)
+
+// fakeStore is a store whose waits are swallowed while it is silent, and which
+// fails then.
+type fakeStore struct {
+	Store
+	version atomic.Uint64
+	silent  atomic.Bool
+}
+
+func (f *fakeStore) Configuration(context.Context) (Snapshot, error) {
+	if f.silent.Load() {
+		return Snapshot{}, errors.New("silent")
+	}
+	version := f.version.Load()
+	return Snapshot{Revision: version, Body: []byte{byte(version)}}, nil
+}
+
+func (f *fakeStore) AwaitConfiguration(ctx context.Context, after uint64) (uint64, error) {
+	for {
+		if f.silent.Load() {
+			<-ctx.Done() // swallowed for good
+			return 0, ctx.Err()
+		}
+		if version := f.version.Load(); version != after {
+			return version, nil
+		}
+		if !common.Sleep(ctx, time.Millisecond) {
+			return 0, ctx.Err()
+		}
+	}
+}
+
+func (f *fakeStore) Executors(context.Context) (Snapshot, error) {
+	if f.silent.Load() {
+		return Snapshot{}, errors.New("silent")
+	}
+	return Snapshot{Revision: f.version.Load()}, nil
+}
+
+type fakeAdapter struct {
+	Adapter
+	store *fakeStore
+}
+
+func (f *fakeAdapter) Store() Store         { return f.store }
+func (f *fakeAdapter) Executors() Executors { return nil }
+func (f *fakeAdapter) DecodeConfiguration(snapshot Snapshot) (*catalog.Configuration, error) {
+	return catalog.NewConfiguration(uint64(snapshot.Body[0]), nil, nil, catalog.Limits{}), nil
+}
+func (f *fakeAdapter) DecodeExecutors(snapshot Snapshot) (*catalog.Executors, error) {
+	return &catalog.Executors{Revision: snapshot.Revision}, nil
+}
+
+func newTestNode(store *fakeStore) *Node {
+	s := &settings.Node{Name: "a", Zone: "z", PeerAddress: "127.0.0.1:1", Heartbeat: time.Second, SuspectAfter: time.Second}
+	return NewNode(common.NewTestCommon(), s, once.Incarnation{1}, &fakeAdapter{store: store})
+}
+
+// eventually waits until condition holds.
+func eventually(c *qt.C, condition func() bool) {
+	c.Helper()
+	end := time.Now().Add(20 * time.Second)
+	for !condition() {
+		if time.Now().After(end) {
+			c.Fatal("it doesn't come about")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestAConfigurationIsReadAfterTheStoreSwallowedAWait(t *testing.T) {
+	c := qt.New(t)
+	store := &fakeStore{}
+	store.version.Store(1)
+	n := newTestNode(store)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go n.watch(ctx, "configuration", n.readConfiguration, n.store.AwaitConfiguration)
+	go n.pollExecutors(ctx)
+	version := func() uint64 {
+		if configuration := n.Configuration(); configuration != nil {
+			return configuration.Version
+		}
+		return 0
+	}
+	eventually(c, func() bool { return version() == 1 })
+
+	store.silent.Store(true)
+	store.version.Store(2)
+	n.claimed <- struct{}{} // a look at the executors, which fails
+	time.Sleep(20 * time.Millisecond)
+	store.silent.Store(false)
+	eventually(c, func() bool { return version() == 2 })
+}
+
+func TestAnOlderConfigurationIsNotTaken(t *testing.T) {
+	c := qt.New(t)
+	n := newTestNode(&fakeStore{})
+	n.offerConfiguration(Snapshot{Body: []byte{5}}, "store")
+	n.offerConfiguration(Snapshot{Body: []byte{4}}, "peer")
+	c.Assert(n.Configuration().Version, qt.Equals, uint64(5))
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -41,6 +41,7 @@
 	configuration atomic.Pointer[inForce]
 	executors     atomic.Pointer[listing]
 	changed       *broadcast    // membership or claims have changed
+	regained      *broadcast    // the store answers again
 	claimed       chan struct{} // asks for a new reading of the executors
 
 	mu         sync.Mutex // guards what follows
@@ -68,6 +69,7 @@
 		store:      adapter.Store(),
 		counters:   &peer.Counters{},
 		changed:    newBroadcast(),
+		regained:   newBroadcast(),
 		claimed:    make(chan struct{}, 1),
 		rows:       map[string]Member{},
 		peerCounts: map[string]map[string]int{},
