Metrics of a node on their address; a link that beats faster isn't silent yet

Cause: no metrics on this path; a quiet link whose interval fell from 600 to 150 ms was at once over the shorter limit of silence. Change: OpenTelemetry instruments by route, outcome, verdict and reason, served at /metrics; the limit of silence follows the interval that was in force.

--- a/pkg/cli/node.go
+++ b/pkg/cli/node.go
@@ -67,6 +67,7 @@
 	if err != nil {
 		return fail(err)
 	}
+	host.CountDroppedLines(out.Dropped)
 	if err := host.Start(); err != nil {
 		return fail(err)
 	}
--- /dev/null
+++ b/pkg/metrics/node.go
@@ -0,0 +1,133 @@
+package metrics
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// NodeGauges are read when a node's metrics are scraped.
+type NodeGauges struct {
+	OpenJobs       int64 // that callers of this node wait for
+	Cells          int64 // that this node owns
+	QueuedWork     int64 // thousandths of a core x milliseconds, in its cells
+	FreeCPU        int64 // thousandths of a core, in its cells
+	Peers          int64 // links that are up
+	Version        int64 // of the configuration in force
+	ExecutorsAgeMS int64 // since the newest reading of the executors was asked for
+	LogDropped     int64 // lines
+}
+
+// Node are the instruments of a node.
+type Node struct {
+	registry *prometheus.Registry
+	response metric.Float64Histogram
+	orders   metric.Int64Counter
+	claims   metric.Int64Counter
+	handOns  metric.Int64Counter
+	store    metric.Int64Counter
+}
+
+// NewNode makes a node's instruments. gauges is called at each scrape.
+func NewNode(gauges func() NodeGauges) (*Node, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo())
+	if err != nil {
+		return nil, errors.Wrap(err, "make the exporter")
+	}
+	meter := sdk.NewMeterProvider(sdk.WithReader(exporter)).Meter("foxcroft")
+	n := &Node{registry: registry}
+	if err := n.makeInstruments(meter); err != nil {
+		return nil, errors.Wrap(err, "make the instruments")
+	}
+	return n, errors.Wrap(observeNode(meter, gauges), "make the gauges")
+}
+
+func (n *Node) makeInstruments(meter metric.Meter) error {
+	var err error
+	n.response, err = meter.Float64Histogram("foxcroft_node_job_seconds", metric.WithUnit("s"),
+		metric.WithDescription("From the receipt of a job to its answer, by route and outcome."),
+		metric.WithExplicitBucketBoundaries(timeBuckets...))
+	if err != nil {
+		return err
+	}
+	counters := []struct {
+		target      *metric.Int64Counter
+		name        string
+		description string
+	}{
+		{&n.orders, "foxcroft_node_orders", "Orders to executors, by kind and verdict."},
+		{&n.claims, "foxcroft_node_ownership_changes", "Cells claimed and released, by reason."},
+		{&n.handOns, "foxcroft_node_jobs_handed_on", "Jobs handed to another owner, by reason."},
+		{&n.store, "foxcroft_node_store_failures", "Failed readings of the store, by news."},
+	}
+	for _, counter := range counters {
+		if *counter.target, err = meter.Int64Counter(counter.name, metric.WithDescription(counter.description)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func observeNode(meter metric.Meter, gauges func() NodeGauges) error {
+	fields := []struct {
+		name string
+		read func(NodeGauges) int64
+	}{
+		{"foxcroft_node_jobs_open", func(g NodeGauges) int64 { return g.OpenJobs }},
+		{"foxcroft_node_cells_owned", func(g NodeGauges) int64 { return g.Cells }},
+		{"foxcroft_node_queued_work", func(g NodeGauges) int64 { return g.QueuedWork }},
+		{"foxcroft_node_free_cpu", func(g NodeGauges) int64 { return g.FreeCPU }},
+		{"foxcroft_node_peers_up", func(g NodeGauges) int64 { return g.Peers }},
+		{"foxcroft_node_config_version", func(g NodeGauges) int64 { return g.Version }},
+		{"foxcroft_node_executors_age_ms", func(g NodeGauges) int64 { return g.ExecutorsAgeMS }},
+		{"foxcroft_node_log_lines_dropped", func(g NodeGauges) int64 { return g.LogDropped }},
+	}
+	for _, field := range fields {
+		_, err := meter.Int64ObservableGauge(field.name, metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(field.read(gauges()))
+			return nil
+		}))
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// JobEnded counts a job.
+func (n *Node) JobEnded(route, outcome string, took time.Duration) {
+	n.response.Record(context.Background(), took.Seconds(),
+		metric.WithAttributes(attribute.String("route", route), attribute.String("outcome", outcome)))
+}
+
+// OrderAnswered counts an order to an executor.
+func (n *Node) OrderAnswered(kind, verdict string) {
+	n.orders.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind), attribute.String("verdict", verdict)))
+}
+
+// OwnershipChanged counts a cell that was claimed or released.
+func (n *Node) OwnershipChanged(reason string) {
+	n.claims.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
+}
+
+// JobHandedOn counts a job that goes to another owner.
+func (n *Node) JobHandedOn(reason string) {
+	n.handOns.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
+}
+
+// StoreFailed counts a reading of the store that failed.
+func (n *Node) StoreFailed(news string) {
+	n.store.Add(context.Background(), 1, metric.WithAttributes(attribute.String("news", news)))
+}
+
+// Handler serves the metrics.
+func (n *Node) Handler() http.Handler { return promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}) }
--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -37,6 +37,7 @@
 	verdict, clock := c.executors.Start(ctx, &command.Executor, StartOrder{
 		Task: command.Task, Run: command.Run, Spec: command.Spec, Deadline: command.Deadline, Token: command.Token,
 	})
+	o.node.metrics.OrderAnswered("start", verdict.String())
 	if verdict != cell.Accepted {
 		o.node.Log.Info("start_refused", "cell", o.cell, "executor", command.Executor.ID, "task", command.Task, "run", command.Run, "verdict", verdict.String())
 	}
@@ -49,6 +50,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
 	verdict, clock := c.executors.Stop(ctx, &command.Executor, command.Task, command.Run, command.Token)
+	o.node.metrics.OrderAnswered("stop", verdict.String())
 	o.do(func(state *cell.Cell, now time.Duration) {
 		state.StopAnswered(command.Executor.ID, verdict, clock, now)
 	})
@@ -61,6 +63,7 @@
 	answer := c.executors.Hold(ctx, &command.Executor, HoldOrder{
 		Deadline: command.Deadline, Token: command.Token, LastSeen: command.LastSeen, Wait: command.Wait,
 	})
+	o.node.metrics.OrderAnswered("hold", answer.Verdict.String())
 	o.do(func(state *cell.Cell, now time.Duration) {
 		state.HoldAnswered(command.Executor.ID, answer, sentAt, now)
 	})
--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -99,6 +99,7 @@
 	f.mu.Lock()
 	delete(f.open, j.ID)
 	f.mu.Unlock()
+	f.node.metrics.JobEnded(j.Route, outcome.Kind.String(), f.node.Clock.Now()-j.Received)
 	f.node.Log.Info("job_ended", "job", j.ID, "route", j.Route, "outcome", outcome.Kind.String(), "reason", outcome.Reason,
 		"started", outcome.Started, "took_ms", (f.node.Clock.Now() - j.Received).Milliseconds())
 	return outcome
@@ -162,6 +163,7 @@
 			continue
 		}
 		state.epoch++
+		f.node.metrics.JobHandedOn(outcome.Kind.String())
 		f.node.Log.Info("job_handed_on", "job", j.ID, "cell", claim.Cell, "token", claim.Token, "epoch", state.epoch, "why", outcome.Kind.String(), "reason", outcome.Reason)
 	}
 }
--- /dev/null
+++ b/pkg/node/gauges.go
@@ -0,0 +1,31 @@
+package node
+
+import "github.com/foxcroft/foxcroft/pkg/metrics"
+
+// gauges reads what a scrape of the metrics shows.
+func (n *Node) gauges() metrics.NodeGauges {
+	now := n.Clock.Now()
+	g := metrics.NodeGauges{OpenJobs: int64(n.openJobs())}
+	for _, o := range n.allOwners() {
+		load := o.load(now)
+		g.Cells++
+		g.QueuedWork += load.QueuedWork
+		g.FreeCPU += load.FreeCPU
+	}
+	if configuration := n.Configuration(); configuration != nil {
+		g.Version = int64(configuration.Version)
+	}
+	if listing := n.executors.Load(); listing != nil && listing.askedAt >= 0 {
+		g.ExecutorsAgeMS = (now - listing.askedAt).Milliseconds()
+	}
+	if n.logDropped != nil {
+		g.LogDropped = int64(n.logDropped())
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	g.Peers = int64(len(n.members.View(n.inc).Peers))
+	return g
+}
+
+// CountDroppedLines has the metrics show how many lines the log has dropped.
+func (n *Node) CountDroppedLines(dropped func() uint64) { n.logDropped = dropped }
--- a/pkg/node/news.go
+++ b/pkg/node/news.go
@@ -67,6 +67,7 @@
 			backoff = firstStoreBackoff
 			continue
 		}
+		n.metrics.StoreFailed(what)
 		if !down {
 			n.Log.Warn("store_lost", "news", what, "error", err.Error())
 		}
@@ -166,6 +167,7 @@
 			wait = executorsInterval
 		}
 		if err := n.readExecutors(ctx); err != nil {
+			n.metrics.StoreFailed("executors")
 			failing = true
 			wait = backoff
 			backoff = min(2*backoff, lastStoreBackoff)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/foxcroft/foxcroft/pkg/cell"
 	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/member"
+	"github.com/foxcroft/foxcroft/pkg/metrics"
 	"github.com/foxcroft/foxcroft/pkg/once"
 	"github.com/foxcroft/foxcroft/pkg/ownership"
 	"github.com/foxcroft/foxcroft/pkg/peer"
@@ -33,6 +34,7 @@
 	adapter  Adapter
 	store    Store
 	counters *peer.Counters
+	metrics  *metrics.Node
 	links    *peer.Set
 	peers    *peer.Server
 
@@ -54,12 +56,13 @@
 	front   *front
 	foreign *foreignZones
 
-	servers []*http.Server
-	stop    context.CancelFunc
+	logDropped func() uint64 // nil when it isn't counted
+	servers    []*http.Server
+	stop       context.CancelFunc
 }
 
 // NewNode makes a node. Start runs it.
-func NewNode(c *common.Common, s *settings.Node, inc once.Incarnation, adapter Adapter) *Node {
+func NewNode(c *common.Common, s *settings.Node, inc once.Incarnation, adapter Adapter) (*Node, error) {
 	c = c.With("node", s.Name)
 	n := &Node{
 		Common:     c,
@@ -82,7 +85,9 @@
 	n.links = peer.NewSet(c, link, n, n.counters)
 	n.front = newFront(n)
 	n.foreign = newForeignZones()
-	return n
+	instruments, err := metrics.NewNode(n.gauges)
+	n.metrics = instruments
+	return n, err
 }
 
 // linksToOtherZones is the number of links that a node keeps to each other
@@ -117,6 +122,11 @@
 	if err := n.serve(n.settings.FrontAddress, n.adapter.Front(n), n.configureFront); err != nil {
 		return err
 	}
+	if address := n.settings.MetricsAddress; address != "" {
+		if err := n.serve(address, metricsHandler(n.metrics), nil); err != nil {
+			return err
+		}
+	}
 	go n.runNews(ctx)
 	go n.runCells(ctx)
 	n.Log.Info("started", "incarnation", n.inc.String(), "zone", n.settings.Zone, "front", n.settings.FrontAddress, "peers", n.settings.PeerAddress)
@@ -137,6 +147,15 @@
 	return nil
 }
 
+// metricsPath is where a node's metrics are served.
+const metricsPath = "/metrics"
+
+func metricsHandler(m *metrics.Node) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+metricsPath, m.Handler())
+	return mux
+}
+
 const (
 	defaultHeaderTimeout = 3 * time.Second
 	defaultHeaderBytes   = 16 << 10
@@ -221,6 +240,7 @@
 	}
 	n.owners[cellName] = o
 	n.mu.Unlock()
+	n.metrics.OwnershipChanged("claimed")
 	n.Log.Info("cell_claimed", "cell", cellName, "token", token, "former", o.former)
 	o.setExecutors(n.executors.Load())
 	select {
@@ -265,6 +285,7 @@
 	}
 	n.claims.SetClaims(n.settings.PeerAddress, nil)
 	n.mu.Unlock()
+	n.metrics.OwnershipChanged(reason)
 	n.Log.Info("cell_released", "cell", o.cell, "token", o.token, "reason", reason)
 	n.publishClaims()
 	o.release(reason)
--- a/pkg/node/wire_gen.go
+++ b/pkg/node/wire_gen.go
@@ -25,6 +25,9 @@
 	if err != nil {
 		return nil, err
 	}
-	node := NewNode(commonCommon, s, incarnation, adapter)
+	node, err := NewNode(commonCommon, s, incarnation, adapter)
+	if err != nil {
+		return nil, err
+	}
 	return node, nil
 }
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -212,6 +212,7 @@
 	defer timer.Stop()
 	s.lastHeard.Store(int64(l.Clock.Now()))
 	lastTurn := l.Clock.Now()
+	lastLimit := l.settings.SuspectAfter
 	l.Nudge()
 	for {
 		select {
@@ -223,7 +224,9 @@
 		case <-l.nudge:
 		}
 		slowdown := l.slowdown()
-		limit := slowdown * l.settings.SuspectAfter
+		// What was a good interval until now is no silence yet.
+		limit := max(slowdown*l.settings.SuspectAfter, lastLimit)
+		lastLimit = slowdown * l.settings.SuspectAfter
 		timer.Reset(slowdown * l.settings.Heartbeat)
 		// A silence is the peer's only while this process was awake itself.
 		if now := l.Clock.Now(); now-lastTurn > limit {
