--- a/pkg/cell/answers.go
+++ b/pkg/cell/answers.go
@@ -42,6 +42,11 @@
 	EndOther
 )
 
+var endNames = [...]string{"done", "failed", "stopped", "lapsed", "other"}
+
+// String returns the name of the end in logs.
+func (k EndKind) String() string { return endNames[k] }
+
 // RunningTask is a run that an executor lists.
 type RunningTask struct {
 	Task    string
@@ -251,6 +256,7 @@
 // takeEnd takes the end of a run of ours.
 func (c *Cell) takeEnd(e *executor, r *run, kind EndKind, now time.Duration) {
 	w := r.work
+	c.note(Notice{Event: "task_ended", Executor: e.info.ID, Job: r.jobID(), Task: r.name, Detail: kind.String(), Age: now - r.orderAt})
 	t := c.drop(r)
 	switch kind {
 	case EndDone:
@@ -314,6 +320,7 @@
 			continue
 		}
 		if c.surelyAbsent(e, r, sentAt, answer.Clock) {
+			c.note(Notice{Event: "run_absent", Executor: e.info.ID, Job: r.jobID(), Task: r.name, Age: now - sentAt})
 			c.drop(r)
 		}
 	}
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/catalog"
@@ -35,6 +36,14 @@
 	estimate time.Duration
 }
 
+// jobID returns the id of the job that waits for the run, or nothing.
+func (r *run) jobID() string {
+	if r.work == nil {
+		return ""
+	}
+	return r.work.job.ID
+}
+
 // executor is the owner's view of one life of an executor.
 type executor struct {
 	info        catalog.Executor
@@ -250,6 +259,7 @@
 	w.started = true
 	e.add(r)
 	e.granted = max(e.granted, r.deadline)
+	c.note(Notice{Event: "task_started", Executor: e.info.ID, Job: w.job.ID, Task: r.name, Detail: strconv.FormatInt(r.number, 10), Age: now - w.job.Received})
 	c.commands = append(c.commands, Command{
 		Kind: Start, Executor: e.info, Token: c.token, Task: r.name, Run: r.number,
 		Spec: w.job.Spec, Deadline: r.deadline, Job: w.job.ID,
@@ -285,7 +295,7 @@
 		return
 	}
 	for _, r := range e.sortedRuns() {
-		c.note(Notice{Event: "lease_over", Executor: e.info.ID, Task: r.name, Age: now - e.clock.seenAt})
+		c.note(Notice{Event: "lease_over", Executor: e.info.ID, Job: r.jobID(), Task: r.name, Age: now - e.clock.seenAt})
 		c.drop(r)
 	}
 }
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -28,6 +28,7 @@
 	commander.Register(&applyCommand{}, "operators")
 	commander.Register(&validateCommand{}, "operators")
 	commander.Register(&statusCommand{}, "operators")
+	commander.Register(&explainCommand{}, "operators")
 	commander.Register(&submitCommand{}, "callers")
 	commander.Register(&loadCommand{}, "measurements")
 	commander.Register(&overheadCommand{}, "measurements")
--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -240,7 +240,7 @@
 
 // dispatch hands a job to an owner and waits for its end there.
 func (f *front) dispatch(ctx context.Context, j *job.Job, claim ownership.Claim, state *attempt) job.Outcome {
-	f.node.Log.Debug("job_dispatched", "job", j.ID, "cell", claim.Cell, "owner", claim.Owner, "token", claim.Token, "epoch", state.epoch, "queued_work", claim.Load.QueuedWork)
+	f.node.Log.Info("job_dispatched", "job", j.ID, "cell", claim.Cell, "owner", claim.Owner, "token", claim.Token, "epoch", state.epoch, "queued_work", claim.Load.QueuedWork)
 	settleAt := time.Duration(0)
 	if state.lostCell != "" && state.lostCell != claim.Cell {
 		settleAt = state.settleAt
