--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -144,6 +144,7 @@
 		if !ok {
 			return f.giveUp(ctx, j, &state)
 		}
+		f.markDispatched(j.ID)
 		outcome := f.dispatch(ctx, j, claim, &state)
 		if ctx.Err() != nil {
 			return job.Outcome{Kind: job.Expired, Reason: "caller_left", Started: true}
@@ -168,6 +169,15 @@
 	}
 }
 
+// markDispatched notes that a job is with an owner, who may start it any time.
+func (f *front) markDispatched(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if open := f.open[id]; open != nil {
+		open.started = true
+	}
+}
+
 // settleTime is how long after losing an owner its runs may go on: until it
 // has missed this node, or its leases have ended.
 func (n *Node) settleTime() time.Duration {
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"io"
 	"log"
 	"time"
@@ -33,10 +34,14 @@
 	}
 	n.mu.Lock()
 	n.rows = byName
+	_, announced := byName[n.settings.Name]
 	n.members.SetListed(listed)
 	n.mu.Unlock()
 	n.refreshLinks()
 	n.changed.signal()
+	if !announced && !n.leaving.Load() {
+		go n.announce(context.Background())
+	}
 }
 
 // ownershipView returns what this node sees of the others. n.mu is held.
--- a/pkg/node/news.go
+++ b/pkg/node/news.go
@@ -132,19 +132,23 @@
 }
 
 func (n *Node) watchMembers(ctx context.Context) {
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		err := n.store.Announce(callCtx, Member{Name: n.settings.Name, Zone: n.settings.Zone, PeerAddress: n.settings.PeerAddress})
-		cancel()
-		if err == nil {
-			break
-		}
-		n.Log.Warn("row_not_written", "error", err.Error())
+	for ctx.Err() == nil && !n.announce(ctx) {
 		common.Sleep(ctx, common.Jitter(lastStoreBackoff, common.Unit()))
 	}
 	n.watch(ctx, "members", n.readMembers, n.store.AwaitMembers)
 }
 
+// announce writes this node's row and reports whether that went well.
+func (n *Node) announce(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	err := n.store.Announce(ctx, Member{Name: n.settings.Name, Zone: n.settings.Zone, PeerAddress: n.settings.PeerAddress})
+	if err != nil {
+		n.Log.Warn("row_not_written", "error", err.Error())
+	}
+	return err == nil
+}
+
 func (n *Node) readMembers(ctx context.Context) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -168,10 +172,12 @@
 		}
 		if err := n.readExecutors(ctx); err != nil {
 			n.metrics.StoreFailed("executors")
+			n.storeFails.Store(true)
 			failing = true
 			wait = backoff
 			backoff = min(2*backoff, lastStoreBackoff)
 		} else {
+			n.storeFails.Store(false)
 			if failing {
 				n.regained.signal()
 			}
@@ -235,14 +241,11 @@
 	}
 	current := n.executors.Load()
 	stale := current == nil && beat.ExecutorsRevision > 0
-	if stale || (current != nil && n.storeSilent() && beat.ExecutorsRevision > current.revision) {
+	if stale || (current != nil && n.storeFails.Load() && beat.ExecutorsRevision > current.revision) {
 		go n.fetch(address, newsExecutors)
 	}
 }
 
-// storeSilent reports whether this node reads the store less well than others.
-func (n *Node) storeSilent() bool { return false }
-
 // fetch asks a peer for its newest news of a kind.
 func (n *Node) fetch(address string, kind uint32) {
 	link := n.links.Link(address)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -39,6 +39,7 @@
 	peers    *peer.Server
 
 	leaving       atomic.Bool
+	storeFails    atomic.Bool   // the last reading of the executors failed
 	beats         atomic.Uint64 // heartbeats made
 	configuration atomic.Pointer[inForce]
 	executors     atomic.Pointer[listing]
@@ -49,7 +50,8 @@
 	mu         sync.Mutex // guards what follows
 	members    *member.Table
 	claims     *ownership.Table
-	rows       map[string]Member // the nodes' rows in the store, by name
+	rows       map[string]Member        // the nodes' rows in the store, by name
+	lastSeen   map[string]time.Duration // when a node of a row was last seen, by name
 	peerCounts map[string]map[string]int
 	owners     map[string]*owner
 
@@ -75,6 +77,7 @@
 		regained:   newBroadcast(),
 		claimed:    make(chan struct{}, 1),
 		rows:       map[string]Member{},
+		lastSeen:   map[string]time.Duration{},
 		peerCounts: map[string]map[string]int{},
 		owners:     map[string]*owner{},
 	}
@@ -128,6 +131,7 @@
 		}
 	}
 	go n.runNews(ctx)
+	go n.runRows(ctx)
 	go n.runCells(ctx)
 	n.Log.Info("started", "incarnation", n.inc.String(), "zone", n.settings.Zone, "front", n.settings.FrontAddress, "peers", n.settings.PeerAddress)
 	return nil
@@ -355,6 +359,21 @@
 	return false
 }
 
+// Shares of the time after which callers send a job again. By then no run of
+// the first submission may be alive, whoever has died.
+const (
+	leaseShare   = 0.77 // for the leases of a lost owner
+	takeoverTime = 200 * time.Millisecond
+)
+
+// cellParams returns the times of leases. They keep, whatever the settings:
+// lease < resubmission, and
+// suspicion + takeover + grace of orphans + stop < resubmission.
 func (n *Node) cellParams() cell.Params {
-	return cell.DefaultParams(n.settings.LongestHold, n.settings.StopTime)
+	resubmit := n.settings.ResubmitAfter
+	hold := min(n.settings.LongestHold, time.Duration(leaseShare*float64(resubmit)))
+	params := cell.DefaultParams(hold, n.settings.StopTime)
+	grace := resubmit - n.settings.SuspectAfter - takeoverTime - n.settings.StopTime
+	params.OrphanGrace = max(0, min(params.OrphanGrace, grace))
+	return params
 }
--- /dev/null
+++ b/pkg/node/rows.go
@@ -0,0 +1,66 @@
+package node
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/common"
+)
+
+// Limits of removing the rows of nodes that are gone for good. A node that was
+// only out of sight writes its row anew when it sees that it is missing.
+const (
+	rowsInterval = 10 * time.Second
+	rowLife      = 60 * time.Second // out of sight
+)
+
+// runRows removes the rows of nodes of this zone that have been out of sight
+// for long. Else those of replaced machines would add up.
+func (n *Node) runRows(ctx context.Context) {
+	for common.Sleep(ctx, common.Jitter(rowsInterval, common.Unit())) {
+		for _, name := range n.staleRows(n.Clock.Now()) {
+			n.removeRow(ctx, name)
+		}
+	}
+}
+
+// staleRows returns the names of rows to remove.
+func (n *Node) staleRows(now time.Duration) []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	view := n.ownershipView()
+	if 2*(len(view.Up)+1) < view.Known {
+		return nil // it may be this node that is out of sight
+	}
+	up := map[string]bool{n.settings.PeerAddress: true}
+	for _, host := range view.Up {
+		up[host.Address] = true
+	}
+	var stale []string
+	for name, row := range n.rows {
+		_, known := n.lastSeen[name]
+		if up[row.PeerAddress] || !known {
+			n.lastSeen[name] = now
+		}
+		if row.Zone == n.settings.Zone && now > n.lastSeen[name]+rowLife {
+			stale = append(stale, name)
+		}
+	}
+	sort.Strings(stale)
+	return stale
+}
+
+func (n *Node) removeRow(ctx context.Context, name string) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	err := n.store.Withdraw(ctx, name)
+	n.Log.Info("row_removed", "member", name, "error", errorText(err))
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- a/pkg/settings/node.go
+++ b/pkg/settings/node.go
@@ -12,25 +12,22 @@
 
 // Node is the settings of a host that dispatches leased tasks.
 type Node struct {
-	Name           string // unique, kept over restarts
-	Zone           string // failure domain
-	Zones          []string
+	Name           string   // unique, kept over restarts
+	Zone           string   // failure domain
 	Adapter        string   // plug-in that speaks with callers, executors and the store
 	FrontAddress   string   // for callers
 	ReadyAddress   string   // for the balancer's readiness check
-	ControlAddress string   // for nodes' start-up; empty for none
 	PeerAddress    string   // at which other nodes reach this one; its name among them
 	PeerListen     string   // where this node listens for them; PeerAddress unless it is behind a relay
 	MetricsAddress string   // for the metrics; empty for none
 	Seeds          []string // peer addresses to try before the store has told of others
 	StoreAddress   string
 	LongestHold    time.Duration // longest lease that executors grant
+	ResubmitAfter  time.Duration // how soon callers send a job again whose answer is missing
 	StopTime       time.Duration // what a stop may take at an executor
 	Heartbeat      time.Duration // between peers
 	SuspectAfter   time.Duration // silence after which a peer is suspected
 	Grace          time.Duration // of a planned stop
-	ConfigBound    time.Duration // in which a configuration has to be in force
-	DrainBound     time.Duration // in which a draining executor gets no more work
 	MemoryMB       int
 	Weight         int // thousandths of a core that the host may use
 	LogLevel       string
@@ -54,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	file.Known("node", "listen", "peers", "store", "lease", "stop", "bounds", "limits", "log")
+	file.Known("node", "listen", "peers", "store", "lease", "stop", "limits", "log")
 	node := parseNode(file)
 	if err := file.Err(); err != nil {
 		return nil, err
@@ -67,16 +64,13 @@
 	listen := file.Only("listen")
 	peers := file.Only("peers")
 	lease := file.Only("lease")
-	bounds := file.Only("bounds")
 	peerAddress := listen.Address("peers", "")
 	return &Node{
 		Name:           node.Required("name", "give the host a unique name"),
 		Zone:           node.Required("zone", "name the failure domain of the host"),
-		Zones:          node.List("zones"),
 		Adapter:        node.Required("adapter", "name the plug-in that speaks with the platform"),
 		FrontAddress:   listen.Address("front", ""),
 		ReadyAddress:   listen.Address("ready", ""),
-		ControlAddress: optionalAddress(listen, "control"),
 		PeerAddress:    peerAddress,
 		PeerListen:     listen.Address("peers_listen", peerAddress),
 		MetricsAddress: optionalAddress(listen, "metrics"),
@@ -85,10 +79,9 @@
 		SuspectAfter:   peers.Duration("suspect_after", 600*time.Millisecond, 2*time.Millisecond, time.Minute),
 		StoreAddress:   file.Only("store").Address("address", ""),
 		LongestHold:    lease.Duration("longest_hold", time.Second, 50*time.Millisecond, time.Minute),
+		ResubmitAfter:  lease.Duration("resubmit_after", 1300*time.Millisecond, 100*time.Millisecond, time.Hour),
 		StopTime:       lease.Duration("stop_time", 50*time.Millisecond, 0, time.Minute),
 		Grace:          file.Only("stop").Duration("grace", 6*time.Second, 0, time.Hour),
-		ConfigBound:    bounds.Duration("config", 2*time.Second, 10*time.Millisecond, time.Minute),
-		DrainBound:     bounds.Duration("drain", 2*time.Second, 10*time.Millisecond, time.Minute),
 		MemoryMB:       file.Only("limits").Int("memory_mb", 256, 32, 1<<20),
 		Weight:         int(thousandth * file.Only("limits").Float("cpu_share", 1, 0.001, 1024)),
 		LogLevel:       file.Only("log").OneOf("level", "info", "debug", "info", "warn", "error"),
