--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -100,22 +100,17 @@
 	return err
 }
 
-func observeGauges(meter metric.Meter, gauges func() Gauges) error {
-	fields := []struct {
-		name string
-		read func(Gauges) int64
-	}{
-		{"foxcroft_tasks_waiting", func(g Gauges) int64 { return g.Waiting }},
-		{"foxcroft_slots_busy", func(g Gauges) int64 { return g.Busy }},
-		{"foxcroft_slots_free", func(g Gauges) int64 { return g.Free }},
-		{"foxcroft_ids_kept", func(g Gauges) int64 { return g.IDs }},
-		{"foxcroft_peers_up", func(g Gauges) int64 { return g.Peers }},
-		{"foxcroft_config_version", func(g Gauges) int64 { return g.Version }},
-		{"foxcroft_targets_suspect", func(g Gauges) int64 { return g.Suspects }},
-	}
+// gaugeField is a gauge that is read from a snapshot.
+type gaugeField[T any] struct {
+	name string
+	read func(T) int64
+}
+
+// observeFields makes a gauge of each field of the snapshots that take gives.
+func observeFields[T any](meter metric.Meter, take func() T, fields []gaugeField[T]) error {
 	for _, field := range fields {
 		_, err := meter.Int64ObservableGauge(field.name, metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			o.Observe(field.read(gauges()))
+			o.Observe(field.read(take()))
 			return nil
 		}))
 		if err != nil {
@@ -125,6 +120,18 @@
 	return nil
 }
 
+func observeGauges(meter metric.Meter, gauges func() Gauges) error {
+	return observeFields(meter, gauges, []gaugeField[Gauges]{
+		{"foxcroft_tasks_waiting", func(g Gauges) int64 { return g.Waiting }},
+		{"foxcroft_slots_busy", func(g Gauges) int64 { return g.Busy }},
+		{"foxcroft_slots_free", func(g Gauges) int64 { return g.Free }},
+		{"foxcroft_ids_kept", func(g Gauges) int64 { return g.IDs }},
+		{"foxcroft_peers_up", func(g Gauges) int64 { return g.Peers }},
+		{"foxcroft_config_version", func(g Gauges) int64 { return g.Version }},
+		{"foxcroft_targets_suspect", func(g Gauges) int64 { return g.Suspects }},
+	})
+}
+
 func observePeers(meter metric.Meter, counters *peer.Counters) error {
 	observe := func(read func(peer.Class) uint64) metric.Int64Callback {
 		return func(_ context.Context, o metric.Int64Observer) error {
--- a/pkg/metrics/node.go
+++ b/pkg/metrics/node.go
@@ -78,10 +78,7 @@
 }
 
 func observeNode(meter metric.Meter, gauges func() NodeGauges) error {
-	fields := []struct {
-		name string
-		read func(NodeGauges) int64
-	}{
+	return observeFields(meter, gauges, []gaugeField[NodeGauges]{
 		{"foxcroft_node_jobs_open", func(g NodeGauges) int64 { return g.OpenJobs }},
 		{"foxcroft_node_cells_owned", func(g NodeGauges) int64 { return g.Cells }},
 		{"foxcroft_node_queued_work", func(g NodeGauges) int64 { return g.QueuedWork }},
@@ -90,17 +87,7 @@
 		{"foxcroft_node_config_version", func(g NodeGauges) int64 { return g.Version }},
 		{"foxcroft_node_executors_age_ms", func(g NodeGauges) int64 { return g.ExecutorsAgeMS }},
 		{"foxcroft_node_log_lines_dropped", func(g NodeGauges) int64 { return g.LogDropped }},
-	}
-	for _, field := range fields {
-		_, err := meter.Int64ObservableGauge(field.name, metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			o.Observe(field.read(gauges()))
-			return nil
-		}))
-		if err != nil {
-			return err
-		}
-	}
-	return nil
+	})
 }
 
 // JobEnded counts a job.
--- /dev/null
+++ b/pkg/metrics/node_test.go
@@ -0,0 +1,33 @@
+package metrics
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestNodeMetricsAreServed(t *testing.T) {
+	c := qt.New(t)
+	n, err := NewNode(func() NodeGauges { return NodeGauges{OpenJobs: 3, Version: 7} })
+	c.Assert(err, qt.IsNil)
+	n.JobEnded("route", "completed", 100*time.Millisecond)
+	n.OrderAnswered("start", "accepted")
+	n.OwnershipChanged("claimed")
+	n.JobHandedOn("lost")
+	n.StoreFailed("executors")
+	recorder := httptest.NewRecorder()
+	n.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	for _, want := range []string{
+		`foxcroft_node_job_seconds_count{outcome="completed",route="route"} 1`,
+		`foxcroft_node_orders_total{kind="start",verdict="accepted"} 1`,
+		`foxcroft_node_ownership_changes_total{reason="claimed"} 1`,
+		`foxcroft_node_jobs_handed_on_total{reason="lost"} 1`,
+		`foxcroft_node_store_failures_total{news="executors"} 1`,
+		"foxcroft_node_jobs_open 3", "foxcroft_node_config_version 7",
+	} {
+		c.Assert(strings.Contains(recorder.Body.String(), want), qt.IsTrue, qt.Commentf("%s in\n%s", want, recorder.Body))
+	}
+}
