Tried and reverted: refusing jobs without room whose answer would be worth nothing

Tried: jobs of which nothing has started and for which there is no room are refused once they can't make three times their objective. Conclusion: reverted; a late answer may still serve somebody. A test of the refusal that stays is kept.

--- /dev/null
+++ b/pkg/cell/order_test.go
@@ -0,0 +1,36 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/job"
+	qt "github.com/frankban/quicktest"
+)
+
+// fill occupies an executor of 16 cores with two tasks of a long job.
+func (d *driver) fill(c *qt.C) {
+	long := testJob("long", 2, d.now)
+	long.Deadline = d.now + time.Minute
+	d.submit(long, 1)
+	for _, start := range d.of(Start) {
+		d.startAnswer(start, Accepted)
+	}
+	c.Assert(d.finished, qt.HasLen, 0)
+}
+
+func TestAJobBehindMoreWorkThanItsDeadlineAllowsIsRefused(t *testing.T) {
+	c := qt.New(t)
+	d := adopted(c, 1)
+	d.fill(c)
+	for _, id := range []string{"b", "c", "d"} {
+		d.submit(testJob(id, 2, d.now), 1)
+	}
+	last := testJob("last", 4, d.now)
+	last.Deadline = d.now + 500*ms
+	d.submit(last, 1)
+	d.tick(ms)
+	c.Assert(d.finished["last"].Kind, qt.Equals, job.Refused)
+	c.Assert(d.finished["last"].RetryAfter > 0, qt.IsTrue, qt.Commentf("with a time to come back"))
+	c.Assert(d.finished, qt.HasLen, 1)
+}
