Strong hosts take cells over from weak ones; a host just started waits for the others' rows

Change: no claim before 350 ms, in which all machines of a first start write their rows; a host takes a cell over, as planned, from an owner with less than half of its processor share, if it comes first for the cell.

--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -59,6 +59,7 @@
 // Limits are the waits before claims.
 type Limits struct {
 	Start    time.Duration // after the start of the process, to hear of owners
+	Rows     time.Duration // after the start, until which the store's rows may lack hosts that start too
 	Isolated time.Duration // without an owner, for a host that sees under half of the others
 	Outside  time.Duration // without any host of the zone, for hosts of other zones
 	Fenced   time.Duration // after a higher token from a host that isn't seen
@@ -68,6 +69,7 @@
 func DefaultLimits() Limits {
 	return Limits{
 		Start:    700 * time.Millisecond,
+		Rows:     350 * time.Millisecond,
 		Isolated: 2 * time.Second,
 		Outside:  3 * time.Second,
 		Fenced:   2 * time.Second,
@@ -204,7 +206,7 @@
 	zoneHosts := hostsOf(view, zone)
 	inside := view.Self.Zone == zone
 	owner, owned := t.Owner(cell)
-	if owned && !t.yields(owner, zone, view, inside) {
+	if owned && !t.yields(owner, cell, zone, view, inside) {
 		state.ownerless = 0
 		return false
 	}
@@ -218,7 +220,8 @@
 	if !inside && state.zoneEmpty == 0 {
 		state.zoneEmpty = now
 	}
-	tooEarly := now < t.started+t.limits.Start && !allHeard(view)
+	heard := now >= t.started+t.limits.Rows && allHeard(view)
+	tooEarly := now < t.started+t.limits.Start && !heard
 	if view.Self.Leaving || tooEarly || now < state.noClaim {
 		return false
 	}
@@ -229,15 +232,20 @@
 	return !isolated && now >= state.zoneEmpty+t.limits.Outside && first(cell, view.Self, view.Up)
 }
 
+// weakShare is the part of this host's processor time below which an owner of
+// the zone should give its cell to this host.
+const weakShare = 0.5
+
 // yields reports whether the owner of a cell should be replaced: it leaves, or
-// it is of another zone while this host is of the cell's own.
-func (t *Table) yields(owner Claim, zone string, view View, inside bool) bool {
+// it is of another zone, or far weaker, while this host is of the cell's own.
+func (t *Table) yields(owner Claim, cell, zone string, view View, inside bool) bool {
 	if owner.Owner == view.Self.Address {
 		return false
 	}
 	for _, host := range view.Up {
 		if host.Address == owner.Owner {
-			return host.Leaving || (inside && host.Zone != zone)
+			weak := float64(host.Weight) < weakShare*float64(view.Self.Weight) && first(cell, view.Self, hostsOf(view, zone))
+			return host.Leaving || (inside && (host.Zone != zone || weak))
 		}
 	}
 	return true // not seen any more
