--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 run: build
 	scripts/run.sh $(or $(DEPLOYMENT),andina)
 
-RACE_PACKAGES := ./pkg/peer/... ./pkg/entry/... ./pkg/target/... ./pkg/client/... ./pkg/standin/... ./pkg/platform/... ./pkg/integration/...
+RACE_PACKAGES := ./pkg/peer/... ./pkg/entry/... ./pkg/target/... ./pkg/client/... ./pkg/standin/... ./pkg/platform/... ./pkg/integration/... ./pkg/node/... ./pkg/logbuffer/... ./platform ./platform/standin/...
 
 # measure prints one JSON object a scenario and policy; see docs/LOAD.md.
 measure: build
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -58,11 +58,9 @@
 	fullTill    time.Duration // it has refused a start for want of room
 	silentPause time.Duration // between the looks while silent
 	granted     time.Duration // the latest end of a lease that any order of ours gave, on its clock
-	lastSeen    int64
-	listedTo    int64 // the newest end that was taken in
+	listedTo    int64         // the newest end that was taken in
 	runs        map[string]*run
 	used        job.Resources
-	orphans     int // runs of no known job
 	health      health
 }
 
