--- a/pkg/cell/answers.go
+++ b/pkg/cell/answers.go
@@ -8,68 +8,6 @@
 	"github.com/foxcroft/foxcroft/pkg/job"
 )
 
-// Verdict is how a call to an executor went.
-type Verdict uint8
-
-// The verdicts.
-const (
-	Accepted   Verdict = iota
-	Fenced             // a higher token has been seen
-	Outdated           // the run isn't above one that ended or was stopped there
-	Late               // the deadline had passed when the order arrived
-	NoRoom             // it doesn't fit
-	Unhealthy          // refused, and nothing was done
-	WrongLife          // another life of the executor answered: this one is over
-	Unanswered         // it may have been done, or may be done yet
-	Rejected           // refused for another reason, and nothing was done
-	Unreached          // no connection could be made, so nothing was done
-)
-
-var verdictNames = [...]string{"accepted", "fenced", "outdated", "late", "no_room", "unhealthy", "wrong_life", "unanswered", "rejected", "unreached"}
-
-// String returns the name of the verdict in logs and metrics.
-func (v Verdict) String() string { return verdictNames[v] }
-
-// EndKind is how a run ended.
-type EndKind uint8
-
-// The ends of runs.
-const (
-	EndDone EndKind = iota
-	EndFailed
-	EndStopped
-	EndLapsed
-	EndOther
-)
-
-var endNames = [...]string{"done", "failed", "stopped", "lapsed", "other"}
-
-// String returns the name of the end in logs.
-func (k EndKind) String() string { return endNames[k] }
-
-// RunningTask is a run that an executor lists.
-type RunningTask struct {
-	Task    string
-	Run     int64
-	Percent int
-}
-
-// EndedTask is an end that an executor lists.
-type EndedTask struct {
-	Number int64
-	Task   string
-	Run    int64
-	Kind   EndKind
-}
-
-// HoldAnswer is an executor's answer to a hold.
-type HoldAnswer struct {
-	Verdict Verdict
-	Clock   time.Duration // 0 when not told
-	Running []RunningTask
-	Ended   []EndedTask
-}
-
 // noRoomPause is how long an executor gets no start after it had no room.
 const noRoomPause = 20 * time.Millisecond
 
@@ -270,25 +208,6 @@
 	}
 }
 
-func (c *Cell) judgeTime(e *executor, r *run, now time.Duration) {
-	if r.orderAt == 0 || r.estimate == 0 {
-		return
-	}
-	took := now - r.orderAt
-	e.health.measure(took, r.estimate)
-	if isSlow(took, r.estimate) {
-		c.blame(e, "slow", r.name, now)
-		return
-	}
-	e.health.succeeded()
-}
-
-// isSlow reports whether a time is far above its estimate. The estimates of
-// short tasks say little.
-func isSlow(took, estimate time.Duration) bool {
-	return took > time.Duration(slowRatio*float64(estimate))+slowestJudged
-}
-
 func (c *Cell) taskFailed(e *executor, r *run, w *work, t *task, now time.Duration) {
 	c.blame(e, "task_failed", r.name, now)
 	if t == nil {
@@ -351,35 +270,6 @@
 	c.judgeProgress(e, r, now)
 }
 
-// Limits of stopping a run that is far behind.
-const (
-	behindFloor  = 120 * time.Millisecond // nothing is judged sooner
-	maxRescues   = 2
-	rescueFactor = 2 // of the estimate that has to be left
-)
-
-// judgeProgress finds runs that stand still or crawl. Their executor gets no
-// new work; the run itself is stopped when a new one would end far sooner.
-func (c *Cell) judgeProgress(e *executor, r *run, now time.Duration) {
-	elapsed := now - r.orderAt
-	if elapsed < behindFloor {
-		return
-	}
-	projected := elapsed * 100 / time.Duration(max(r.percent, 1))
-	if !isSlow(projected, r.estimate) || (r.percent == 0 && elapsed < 3*r.estimate/4) {
-		return
-	}
-	c.blame(e, "behind", r.name, now)
-	left := projected - elapsed
-	if r.task.rescues >= maxRescues || left < rescueFactor*r.estimate+2*c.params.StopTime {
-		return
-	}
-	r.task.rescues++
-	r.task.failedOn = append(r.task.failedOn, e.info.ID)
-	c.note(Notice{Event: "run_behind", Executor: e.info.ID, Job: r.work.job.ID, Task: r.name, Detail: strconv.Itoa(r.percent) + "%", Age: elapsed})
-	c.stopRun(r, "behind")
-}
-
 func (e *executor) sortedRuns() []*run {
 	runs := make([]*run, 0, len(e.runs))
 	for _, r := range e.runs {
--- /dev/null
+++ b/pkg/cell/verdicts.go
@@ -0,0 +1,65 @@
+package cell
+
+import "time"
+
+// Verdict is how a call to an executor went.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Accepted   Verdict = iota
+	Fenced             // a higher token has been seen
+	Outdated           // the run isn't above one that ended or was stopped there
+	Late               // the deadline had passed when the order arrived
+	NoRoom             // it doesn't fit
+	Unhealthy          // refused, and nothing was done
+	WrongLife          // another life of the executor answered: this one is over
+	Unanswered         // it may have been done, or may be done yet
+	Rejected           // refused for another reason, and nothing was done
+	Unreached          // no connection could be made, so nothing was done
+)
+
+var verdictNames = [...]string{"accepted", "fenced", "outdated", "late", "no_room", "unhealthy", "wrong_life", "unanswered", "rejected", "unreached"}
+
+// String returns the name of the verdict in logs and metrics.
+func (v Verdict) String() string { return verdictNames[v] }
+
+// EndKind is how a run ended.
+type EndKind uint8
+
+// The ends of runs.
+const (
+	EndDone EndKind = iota
+	EndFailed
+	EndStopped
+	EndLapsed
+	EndOther
+)
+
+var endNames = [...]string{"done", "failed", "stopped", "lapsed", "other"}
+
+// String returns the name of the end in logs.
+func (k EndKind) String() string { return endNames[k] }
+
+// RunningTask is a run that an executor lists.
+type RunningTask struct {
+	Task    string
+	Run     int64
+	Percent int
+}
+
+// EndedTask is an end that an executor lists.
+type EndedTask struct {
+	Number int64
+	Task   string
+	Run    int64
+	Kind   EndKind
+}
+
+// HoldAnswer is an executor's answer to a hold.
+type HoldAnswer struct {
+	Verdict Verdict
+	Clock   time.Duration // 0 when not told
+	Running []RunningTask
+	Ended   []EndedTask
+}
