A node that is back needs not wait for the others' rows

Change: rows are read before the own one is written; a node that finds its own there is back, and the rows are those of all. Test: a row of TestShouldClaim.

--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -34,7 +34,11 @@
 	}
 	n.mu.Lock()
 	n.rows = byName
-	_, announced := byName[n.settings.Name]
+	own, announced := byName[n.settings.Name]
+	if !n.rowsRead {
+		n.rowsRead = true
+		n.back = announced && own.PeerAddress == n.settings.PeerAddress
+	}
 	n.members.SetListed(listed)
 	n.mu.Unlock()
 	n.refreshLinks()
@@ -56,6 +60,7 @@
 		known[address] = true
 	}
 	view.Known = len(known)
+	view.Back = n.back
 	return view
 }
 
--- a/pkg/node/news.go
+++ b/pkg/node/news.go
@@ -131,7 +131,10 @@
 	n.links.Nudge()
 }
 
+// watchMembers reads the rows once before it writes the own one: they tell
+// whether this node is back or new.
 func (n *Node) watchMembers(ctx context.Context) {
+	_, _ = n.readMembers(ctx)
 	for ctx.Err() == nil && !n.announce(ctx) {
 		common.Sleep(ctx, common.Jitter(lastStoreBackoff, common.Unit()))
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -51,6 +51,8 @@
 	members    *member.Table
 	claims     *ownership.Table
 	rows       map[string]Member        // the nodes' rows in the store, by name
+	rowsRead   bool                     // once
+	back       bool                     // the own row was there at the first reading
 	lastSeen   map[string]time.Duration // when a node of a row was last seen, by name
 	peerCounts map[string]map[string]int
 	owners     map[string]*owner
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -54,6 +54,7 @@
 	Self  Host
 	Up    []Host // other hosts whose links are up
 	Known int    // hosts that should be there, this one included
+	Back  bool   // this host had a row before it started, so the others have theirs too
 }
 
 // Limits are the waits before claims.
@@ -220,7 +221,7 @@
 	if !inside && state.zoneEmpty == 0 {
 		state.zoneEmpty = now
 	}
-	heard := now >= t.started+t.limits.Rows && allHeard(view)
+	heard := (view.Back || now >= t.started+t.limits.Rows) && allHeard(view)
 	tooEarly := now < t.started+t.limits.Start && !heard
 	if view.Self.Leaving || tooEarly || now < state.noClaim {
 		return false
--- a/pkg/ownership/ownership_test.go
+++ b/pkg/ownership/ownership_test.go
@@ -36,6 +36,7 @@
 		{testName: "too early to have heard of owners", view: View{Self: host("a", zone), Known: 1}, now: 100 * time.Millisecond},
 		{testName: "early, but all have told", view: View{Self: host("a", zone), Up: []Host{host("b", "there")}, Known: 2}, now: 400 * time.Millisecond, want: true},
 		{testName: "all of the rows have told, but rows may be missing yet", view: View{Self: host("a", zone), Up: []Host{host("b", "there")}, Known: 2}, now: 300 * time.Millisecond},
+		{testName: "early, but back: the rows are those of all", view: View{Self: host("a", zone), Up: []Host{host("b", "there")}, Known: 2, Back: true}, now: 100 * time.Millisecond, want: true},
 		{testName: "the owner is far weaker", view: View{Self: host("a", zone), Up: []Host{weak}, Known: 2}, claims: map[string]int64{"b": 5}, now: later, want: true},
 		{testName: "the owner is a little weaker", view: View{Self: host("a", zone), Up: []Host{slightlyWeak}, Known: 2}, claims: map[string]int64{"b": 5}, now: later},
 		{testName: "another owns it", view: View{Self: host("a", zone), Up: []Host{host("b", zone)}, Known: 2}, claims: map[string]int64{"b": 5}, now: later},
