--- a/pkg/logbuffer/logbuffer.go
+++ b/pkg/logbuffer/logbuffer.go
@@ -20,7 +20,9 @@
 	lines   chan []byte
 	dropped atomic.Uint64
 	done    chan struct{}
-	once    sync.Once
+
+	mu     sync.RWMutex // held for reading by writers, for writing to close
+	closed bool
 }
 
 // New makes a buffer of so many lines in front of out.
@@ -30,8 +32,15 @@
 	return b
 }
 
-// Write implements io.Writer. Each call is one line.
+// Write implements io.Writer. Each call is one line. After Close lines are
+// dropped.
 func (b *Buffer) Write(line []byte) (int, error) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	if b.closed {
+		b.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case b.lines <- bytes.Clone(line):
 	default:
@@ -43,9 +52,14 @@
 // Dropped returns how many lines were dropped since the start.
 func (b *Buffer) Dropped() uint64 { return b.dropped.Load() }
 
-// Close writes what is buffered. Nothing may be written after it.
+// Close writes what is buffered.
 func (b *Buffer) Close() {
-	b.once.Do(func() { close(b.lines) })
+	b.mu.Lock()
+	if !b.closed {
+		b.closed = true
+		close(b.lines)
+	}
+	b.mu.Unlock()
 	<-b.done
 }
 
--- a/pkg/logbuffer/logbuffer_test.go
+++ b/pkg/logbuffer/logbuffer_test.go
@@ -70,3 +70,16 @@
 	b.Close()
 	c.Assert(out.String(), qt.Equals, want)
 }
+
+func TestALineAfterTheEndIsDropped(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	b := New(&out, 4)
+	b.Close()
+	n, err := b.Write([]byte("late\n")) // a goroutine that outlives the stop
+	c.Assert(err, qt.IsNil)
+	c.Assert(n, qt.Equals, 5)
+	c.Assert(b.Dropped(), qt.Equals, uint64(1))
+	c.Assert(out.String(), qt.Equals, "")
+	b.Close()
+}
