--- a/pkg/cell/health.go
+++ b/pkg/cell/health.go
@@ -8,7 +8,7 @@
 	longestEjection = 3 * time.Second
 	trialsToClear   = 2
 	paceWeightNew   = 0.1 // of a new time in the pace
-	slowRatio       = 3.5 // of a time to its estimate that counts as slow
+	slowRatio       = 5.0 // of a time to its estimate that counts as slow
 	ejectedShare    = 3   // one executor in so many may be out at once
 	slowestJudged   = 30 * time.Millisecond
 )
