A cell is claimed once by goroutines that collide; one count of waiting jobs

Cause, found by reading: a link that goes down and the regular look could both decide to claim a cell; the second ownership replaced the first, which went on ordering with its lower token until it was fenced, and then held up claims. Change: claim looks again under the lock. The count of waiting jobs by route, which stood twice, is one function. Test: TestACellIsClaimedOnceByGoroutinesThatCollide failed first.

--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -51,12 +51,7 @@
 
 // Waiting implements Service.
 func (n *Node) Waiting(route string) int {
-	count := 0
-	for _, o := range n.allOwners() {
-		o.mu.Lock()
-		count += o.state.Waiting()[route]
-		o.mu.Unlock()
-	}
+	count := n.ownWaiting()[route]
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, counts := range n.peerCounts {
@@ -65,6 +60,20 @@
 	return count
 }
 
+// ownWaiting counts, by route, the jobs in this node's cells of which no task
+// has started.
+func (n *Node) ownWaiting() map[string]int {
+	counts := map[string]int{}
+	for _, o := range n.allOwners() {
+		o.mu.Lock()
+		for route, count := range o.state.Waiting() {
+			counts[route] += count
+		}
+		o.mu.Unlock()
+	}
+	return counts
+}
+
 // State implements Service.
 func (n *Node) State(id string) (started, known bool) {
 	n.front.mu.Lock()
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -126,15 +126,7 @@
 	for _, claim := range n.ownClaims() {
 		beat.Cells = append(beat.Cells, toCellLoad(claim))
 	}
-	counts := map[string]int{}
-	for _, o := range n.allOwners() {
-		o.mu.Lock()
-		for route, count := range o.state.Waiting() {
-			counts[route] += count
-		}
-		o.mu.Unlock()
-	}
-	for route, count := range counts {
+	for route, count := range n.ownWaiting() {
 		beat.RouteCounts = append(beat.RouteCounts, &peerpb.RouteCount{Route: route, Waiting: uint32(count)})
 	}
 	n.mu.Lock()
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -238,6 +238,10 @@
 // its jobs back once the executors have been fenced.
 func (n *Node) claim(cellName string, now time.Duration) {
 	n.mu.Lock()
+	if n.owners[cellName] != nil {
+		n.mu.Unlock()
+		return // claimed by another goroutine a moment ago
+	}
 	former, hasFormer := n.claims.Owner(cellName)
 	token := n.claims.NextToken(time.Now().Unix(), uint32(n.inc[0])<<16|uint32(n.inc[1])<<8|uint32(n.inc[2]))
 	o := newOwner(n, cellName, token, now)
