--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -113,9 +113,6 @@
 	}
 }
 
-// Token returns the fencing token of this ownership.
-func (c *Cell) Token() int64 { return c.token }
-
 // Fenced reports whether an executor has refused the token: somebody else owns
 // the cell.
 func (c *Cell) Fenced() bool { return c.fenced }
@@ -206,9 +203,6 @@
 	c.commands = nil
 }
 
-// Has reports whether a job is here.
-func (c *Cell) Has(id string) bool { return c.works[id] != nil }
-
 // Tick lets time pass: leases end, jobs reach their deadlines.
 func (c *Cell) Tick(now time.Duration) {
 	if c.fenced {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -168,8 +168,9 @@
 	defaultIdleTimeout   = 15 * time.Second
 )
 
-// configureFront sets the limits of callers' connections. They are those of
-// the first configuration's usual values; the adapter enforces later ones.
+// configureFront sets the limits of callers' connections: fixed ones, as the
+// server is made before there is a configuration. Of the configuration's limits
+// only that of the body is enforced, by the adapter.
 func (n *Node) configureFront(server *http.Server) {
 	server.MaxHeaderBytes = defaultHeaderBytes
 	server.IdleTimeout = defaultIdleTimeout
--- a/pkg/node/ports.go
+++ b/pkg/node/ports.go
@@ -74,8 +74,6 @@
 	Start(ctx context.Context, executor *catalog.Executor, order StartOrder) (cell.Verdict, time.Duration)
 	Stop(ctx context.Context, executor *catalog.Executor, task string, run, token int64) (cell.Verdict, time.Duration)
 	Hold(ctx context.Context, executor *catalog.Executor, order HoldOrder) cell.HoldAnswer
-	// Forget closes the connections to an executor that is gone.
-	Forget(address string)
 }
 
 // Service is what an adapter's front may ask of the node.
