--- a/Makefile
+++ b/Makefile
@@ -30,10 +30,11 @@
 	go tool staticcheck ./...
 
 # test is what CI runs: format, vet, linter, all tests, and the concurrent
-# packages again under the race detector.
+# packages again under the race detector. No result is taken from the cache: it
+# doesn't know of the program that the soak builds and runs.
 test: build fmt vet lint
-	go test ./...
-	go test -race $(RACE_PACKAGES)
+	go test -count=1 ./...
+	go test -count=1 -race $(RACE_PACKAGES)
 
 # check-generated makes the generated code anew and fails if it differs.
 check-generated: generate
--- a/pkg/metrics/node.go
+++ b/pkg/metrics/node.go
@@ -34,6 +34,7 @@
 	claims   metric.Int64Counter
 	handOns  metric.Int64Counter
 	store    metric.Int64Counter
+	labels   labelCache
 }
 
 // NewNode makes a node's instruments. gauges is called at each scrape.
@@ -92,13 +93,12 @@
 
 // JobEnded counts a job.
 func (n *Node) JobEnded(route, outcome string, took time.Duration) {
-	n.response.Record(context.Background(), took.Seconds(),
-		metric.WithAttributes(attribute.String("route", route), attribute.String("outcome", outcome)))
+	n.response.Record(context.Background(), took.Seconds(), n.labels.pair("route", route, "outcome", outcome))
 }
 
 // OrderAnswered counts an order to an executor.
 func (n *Node) OrderAnswered(kind, verdict string) {
-	n.orders.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind), attribute.String("verdict", verdict)))
+	n.orders.Add(context.Background(), 1, n.labels.pair("kind", kind, "verdict", verdict))
 }
 
 // OwnershipChanged counts a cell that was claimed or released.
--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/cell"
@@ -17,26 +16,40 @@
 type calls struct {
 	executors Executors
 	clock     func() time.Duration
+	workers   *workers[call]
+}
+
+// call is a command with the owner that waits for its answer.
+type call struct {
+	owner   *owner
+	command cell.Command
+}
+
+func newCalls(executors Executors, clock func() time.Duration) *calls {
+	c := &calls{executors: executors, clock: clock}
+	c.workers = newWorkers(c.carryOut)
+	return c
 }
 
 // run carries out a command and feeds its answer back. It doesn't block.
 func (c *calls) run(o *owner, command cell.Command) {
-	switch command.Kind {
+	c.workers.run(call{owner: o, command: command})
+}
+
+func (c *calls) carryOut(todo call) {
+	switch todo.command.Kind {
 	case cell.Start:
-		go c.start(o, command)
+		c.start(todo.owner, &todo.command)
 	case cell.Stop:
-		go c.stop(o, command)
+		c.stop(todo.owner, &todo.command)
 	case cell.Hold:
-		go c.hold(o, command)
+		c.hold(todo.owner, &todo.command)
 	}
 }
 
-func (c *calls) start(o *owner, command cell.Command) {
-	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
-	defer cancel()
-	verdict, clock := c.executors.Start(ctx, &command.Executor, StartOrder{
-		Task: command.Task, Run: command.Run, Spec: command.Spec, Deadline: command.Deadline, Token: command.Token,
-	})
+func (c *calls) start(o *owner, command *cell.Command) {
+	order := StartOrder{Task: command.Task, Run: command.Run, Spec: command.Spec, Deadline: command.Deadline, Token: command.Token}
+	verdict, clock := c.executors.Start(&command.Executor, order, orderTimeout)
 	o.node.metrics.OrderAnswered("start", verdict.String())
 	if verdict != cell.Accepted {
 		o.node.Log.Info("start_refused", "cell", o.cell, "executor", command.Executor.ID, "task", command.Task, "run", command.Run, "verdict", verdict.String())
@@ -46,23 +59,19 @@
 	})
 }
 
-func (c *calls) stop(o *owner, command cell.Command) {
-	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
-	defer cancel()
-	verdict, clock := c.executors.Stop(ctx, &command.Executor, command.Task, command.Run, command.Token)
+func (c *calls) stop(o *owner, command *cell.Command) {
+	order := StopOrder{Task: command.Task, Run: command.Run, Token: command.Token}
+	verdict, clock := c.executors.Stop(&command.Executor, order, orderTimeout)
 	o.node.metrics.OrderAnswered("stop", verdict.String())
 	o.do(func(state *cell.Cell, now time.Duration) {
 		state.StopAnswered(command.Executor.ID, verdict, clock, now)
 	})
 }
 
-func (c *calls) hold(o *owner, command cell.Command) {
-	ctx, cancel := context.WithTimeout(context.Background(), command.Wait+holdSlack)
-	defer cancel()
+func (c *calls) hold(o *owner, command *cell.Command) {
+	order := HoldOrder{Deadline: command.Deadline, Token: command.Token, LastSeen: command.LastSeen, Wait: command.Wait}
 	sentAt := c.clock()
-	answer := c.executors.Hold(ctx, &command.Executor, HoldOrder{
-		Deadline: command.Deadline, Token: command.Token, LastSeen: command.LastSeen, Wait: command.Wait,
-	})
+	answer := c.executors.Hold(&command.Executor, order, command.Wait+holdSlack)
 	o.node.metrics.OrderAnswered("hold", answer.Verdict.String())
 	o.do(func(state *cell.Cell, now time.Duration) {
 		state.HoldAnswered(command.Executor.ID, answer, sentAt, now)
--- a/pkg/node/foreign.go
+++ b/pkg/node/foreign.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -93,9 +92,7 @@
 		if i == probedAtOnce || reached {
 			break
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		verdict := n.front.calls.executors.Hold(ctx, &executor, HoldOrder{}).Verdict
-		cancel()
+		verdict := n.front.calls.executors.Hold(&executor, HoldOrder{}, probeTimeout).Verdict
 		reached = verdict != cell.Unanswered && verdict != cell.Unreached
 	}
 	n.foreign.looked(zone, reached, n.Clock.Now())
--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -39,7 +39,7 @@
 func newFront(n *Node) *front {
 	return &front{
 		node:  n,
-		calls: &calls{executors: n.adapter.Executors(), clock: n.Clock.Now},
+		calls: newCalls(n.adapter.Executors(), n.Clock.Now),
 		open:  map[string]*openJob{},
 	}
 }
--- a/pkg/node/ports.go
+++ b/pkg/node/ports.go
@@ -68,12 +68,19 @@
 	Wait     time.Duration
 }
 
-// Executors carries orders to executors. The calls return within the context's
-// time and never fail: a call without an answer is a verdict too.
+// StopOrder asks an executor to end a run.
+type StopOrder struct {
+	Task  string
+	Run   int64
+	Token int64
+}
+
+// Executors carries orders to executors. The calls return within a time and
+// never fail: a call without an answer is a verdict too.
 type Executors interface {
-	Start(ctx context.Context, executor *catalog.Executor, order StartOrder) (cell.Verdict, time.Duration)
-	Stop(ctx context.Context, executor *catalog.Executor, task string, run, token int64) (cell.Verdict, time.Duration)
-	Hold(ctx context.Context, executor *catalog.Executor, order HoldOrder) cell.HoldAnswer
+	Start(executor *catalog.Executor, order StartOrder, within time.Duration) (cell.Verdict, time.Duration)
+	Stop(executor *catalog.Executor, order StopOrder, within time.Duration) (cell.Verdict, time.Duration)
+	Hold(executor *catalog.Executor, order HoldOrder, within time.Duration) cell.HoldAnswer
 }
 
 // Service is what an adapter's front may ask of the node.
