Heartbeats towards hosts that own nothing ten times slower, made once for all links

In the profile a quarter is the handling of heartbeats (the table of members was copied and all links gone through for each), most of the rest their way through links. Change: hosts that own no cell get heartbeats ten times slower (four before), and owners no longer beat fast towards fronts: they watch the fronts' own heartbeats, and give a silent front its jobs back.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -182,6 +182,14 @@
 	return true
 }
 
+// Progress returns what the next owner of a job should know.
+func (c *Cell) Progress(id string) []job.Progress {
+	if w := c.works[id]; w != nil {
+		return w.progress()
+	}
+	return nil
+}
+
 // Withdraw drops a job whose caller no longer waits and stops its runs.
 func (c *Cell) Withdraw(id string, reason string, now time.Duration) bool {
 	w := c.works[id]
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -69,16 +69,27 @@
 	}
 }
 
-// Told takes addresses of the own domain that a peer told of.
-func (t *Table) Told(addresses []string, now time.Duration) {
+// Told takes addresses of the own domain that a peer told of, and reports
+// whether one of them is new.
+func (t *Table) Told(addresses []string, now time.Duration) bool {
+	news := false
 	for _, address := range addresses {
+		_, known := t.gossip[address]
+		news = news || !known
 		t.gossip[address] = now
 	}
+	return news
 }
 
 // Up takes the news that a link is up, or that its peer told something new.
 func (t *Table) Up(peer Peer) { t.up[peer.Address] = peer }
 
+// UpAt returns the peer at an address whose link is up.
+func (t *Table) UpAt(address string) (Peer, bool) {
+	peer, up := t.up[address]
+	return peer, up
+}
+
 // Refresh takes what a peer told, unless its link has gone down or leads to
 // another incarnation by now.
 func (t *Table) Refresh(peer Peer) {
--- a/pkg/node/convert.go
+++ b/pkg/node/convert.go
@@ -154,3 +154,12 @@
 }
 
 func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
+// fromRouteCounts returns the counts of waiting jobs by route.
+func fromRouteCounts(counts []*peerpb.RouteCount) map[string]int {
+	byRoute := make(map[string]int, len(counts))
+	for _, c := range counts {
+		byRoute[c.Route] = int(c.Waiting)
+	}
+	return byRoute
+}
--- a/pkg/node/listing.go
+++ b/pkg/node/listing.go
@@ -29,6 +29,17 @@
 	return l
 }
 
+// cellsOf returns the names of a zone's cells.
+func (l *listing) cellsOf(zone string) []string {
+	var names []string
+	for name := range l.cells {
+		if ownership.ZoneOf(name) == zone {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // inZone returns the executors of a zone.
 func (l *listing) inZone(zone string) []catalog.Executor {
 	var executors []catalog.Executor
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -76,20 +76,35 @@
 	}
 }
 
-// quietSlowdown is how much more slowly links beat at whose ends nobody owns a
-// cell: nothing waits for news of the other.
-const quietSlowdown = 4
+// quietSlowdown is how much more slowly links beat towards hosts that own no
+// cell, while all cells of the zone have owners: nothing waits for news of them.
+const quietSlowdown = 10
 
-// Slowdown implements peer.Pacer.
+// Slowdown implements peer.Pacer. Owners need not beat fast towards the fronts
+// whose jobs they have: they watch the fronts' own heartbeats.
 func (n *Node) Slowdown(address string) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if len(n.owners) > 0 || n.claims.Owns(address) {
+	if n.ownerless || n.claims.Owns(address) {
 		return 1
 	}
 	return quietSlowdown
 }
 
+// noticeOwnerless has all links beat fast once a cell of this zone lacks an
+// owner, so that hosts that are gone too are soon known as such.
+func (n *Node) noticeOwnerless(listing *listing) {
+	cells := listing.cellsOf(n.settings.Zone)
+	n.mu.Lock()
+	ownerless := !n.claims.AllOwned(cells)
+	news := ownerless && !n.ownerless
+	n.ownerless = ownerless
+	n.mu.Unlock()
+	if news {
+		n.links.Nudge()
+	}
+}
+
 // LinkUp implements peer.Observer.
 func (n *Node) LinkUp(address string, hello *peerpb.Hello) {
 	p := member.Peer{Name: hello.Name, Domain: hello.Domain, Address: address, Leaving: hello.Leaving, Weight: int(hello.Weight)}
@@ -108,51 +123,19 @@
 	delete(n.peerCounts, address)
 	n.mu.Unlock()
 	for _, o := range n.allOwners() {
-		o.frontGone(address)
+		o.frontGone(address, reasonFrontGone)
 	}
 	n.changed.signal()
 	go n.claimCells(n.Clock.Now())
 }
 
-// Heartbeat implements peer.Observer.
-func (n *Node) Heartbeat() *peerpb.Heartbeat {
-	beat := &peerpb.Heartbeat{Leaving: n.leaving.Load()}
-	if current := n.configuration.Load(); current != nil {
-		beat.Version = current.snapshot.Revision
-	}
-	if listing := n.executors.Load(); listing != nil {
-		beat.ExecutorsRevision = listing.revision
-	}
-	for _, claim := range n.ownClaims() {
-		beat.Cells = append(beat.Cells, toCellLoad(claim))
-	}
-	for route, count := range n.ownWaiting() {
-		beat.RouteCounts = append(beat.RouteCounts, &peerpb.RouteCount{Route: route, Waiting: uint32(count)})
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, claim := range n.claims.Owned() {
-		beat.Owners = append(beat.Owners, claim.Owner)
-	}
-	if n.beats.Add(1)%gossipEvery == 1 {
-		for _, p := range n.members.View(n.inc).Domain() {
-			beat.Addresses = append(beat.Addresses, p.Address)
-		}
-	}
-	return beat
-}
-
-// gossipEvery is how many heartbeats pass, over all links, between those that
-// tell the addresses of the zone's nodes.
-const gossipEvery = 32
-
 // HeartbeatReply implements peer.Observer.
 func (n *Node) HeartbeatReply(address string, beat *peerpb.Heartbeat) { n.heard(address, beat) }
 
 // heard takes what a peer's heartbeat tells.
 func (n *Node) heard(address string, beat *peerpb.Heartbeat) {
 	n.mu.Lock()
-	p, up := n.peerAt(address)
+	p, up := n.members.UpAt(address)
 	if !up {
 		// Claims of a peer that can't be called are of no use.
 		n.mu.Unlock()
@@ -162,45 +145,21 @@
 		p.Leaving = beat.Leaving
 		n.members.Refresh(p)
 	}
-	before := n.claims.Owned()
-	n.claims.SetClaims(address, fromCellLoads(beat.Cells))
-	counts := map[string]int{}
-	for _, c := range beat.RouteCounts {
-		counts[c.Route] = int(c.Waiting)
-	}
-	n.peerCounts[address] = counts
+	changed := n.claims.SetClaims(address, fromCellLoads(beat.Cells))
+	n.peerCounts[address] = fromRouteCounts(beat.RouteCounts)
+	newAddress := n.members.Told(without(beat.Owners, n.settings.PeerAddress), n.Clock.Now())
 	if p.Domain == n.settings.Zone {
-		n.members.Told(beat.Addresses, n.Clock.Now())
+		newAddress = n.members.Told(beat.Addresses, n.Clock.Now()) || newAddress
 	}
-	n.members.Told(without(beat.Owners, n.settings.PeerAddress), n.Clock.Now())
-	after := n.claims.Owned()
 	n.mu.Unlock()
-	if ownersDiffer(before, after) {
+	if changed {
 		n.changed.signal()
+		n.links.NudgeOne(address) // links to owners beat faster
 	}
-	n.refreshLinks()
-	n.compareNews(address, beat)
-}
-
-func (n *Node) peerAt(address string) (member.Peer, bool) {
-	for _, p := range n.members.View(n.inc).Peers {
-		if p.Address == address {
-			return p, true
-		}
-	}
-	return member.Peer{}, false
-}
-
-func ownersDiffer(before, after []ownership.Claim) bool {
-	if len(before) != len(after) {
-		return true
+	if newAddress {
+		n.refreshLinks()
 	}
-	for i := range before {
-		if before[i].Cell != after[i].Cell || before[i].Token != after[i].Token || before[i].Load.Ready != after[i].Load.Ready {
-			return true
-		}
-	}
-	return false
+	n.compareNews(address, beat)
 }
 
 // Greeted implements peer.Handler.
@@ -214,13 +173,15 @@
 // Left implements peer.Handler: the jobs that came by the link are the
 // sender's again.
 func (n *Node) Left(from *peerpb.Hello) {
+	n.arrivals.forget(from.Address)
 	for _, o := range n.allOwners() {
-		o.frontGone(from.Address)
+		o.frontGone(from.Address, reasonFrontGone)
 	}
 }
 
 // Handle implements peer.Handler.
 func (n *Node) Handle(from *peerpb.Hello, m *peerpb.Message, reply peer.Reply) {
+	n.arrivals.note(from.Address, n.Clock.Now())
 	switch body := m.Body.(type) {
 	case *peerpb.Message_Heartbeat:
 		reply(&peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: n.Heartbeat()}}, 0)
--- a/pkg/node/news.go
+++ b/pkg/node/news.go
@@ -128,6 +128,7 @@
 		}
 	}
 	n.Log.Info("configuration_in_force", "version", parsed.Version, "from", from)
+	n.heartbeats.outdate()
 	n.links.Nudge()
 }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -24,6 +24,7 @@
 const (
 	tickInterval  = 25 * time.Millisecond  // of the cells that are owned
 	claimInterval = 100 * time.Millisecond // of looking for cells without an owner
+	linksInterval = time.Second            // of looking for addresses that peers no longer tell of
 )
 
 // Node is one host.
@@ -39,13 +40,14 @@
 	peers    *peer.Server
 
 	leaving       atomic.Bool
-	storeFails    atomic.Bool   // the last reading of the executors failed
-	beats         atomic.Uint64 // heartbeats made
+	storeFails    atomic.Bool // the last reading of the executors failed
 	configuration atomic.Pointer[inForce]
 	executors     atomic.Pointer[listing]
 	changed       *broadcast    // membership or claims have changed
 	regained      *broadcast    // the store answers again
 	claimed       chan struct{} // asks for a new reading of the executors
+	heartbeats    heartbeats
+	arrivals      *arrivals
 
 	mu         sync.Mutex // guards what follows
 	members    *member.Table
@@ -53,6 +55,7 @@
 	rows       map[string]Member        // the nodes' rows in the store, by name
 	rowsRead   bool                     // once
 	back       bool                     // the own row was there at the first reading
+	ownerless  bool                     // a cell of this zone lacks an owner
 	lastSeen   map[string]time.Duration // when a node of a row was last seen, by name
 	peerCounts map[string]map[string]int
 	owners     map[string]*owner
@@ -78,6 +81,7 @@
 		changed:    newBroadcast(),
 		regained:   newBroadcast(),
 		claimed:    make(chan struct{}, 1),
+		arrivals:   newArrivals(),
 		rows:       map[string]Member{},
 		lastSeen:   map[string]time.Duration{},
 		peerCounts: map[string]map[string]int{},
@@ -179,7 +183,7 @@
 // runCells ticks the cells that this node owns and claims those that lack an
 // owner.
 func (n *Node) runCells(ctx context.Context) {
-	nextClaim := time.Duration(0)
+	nextClaim, nextLinks := time.Duration(0), time.Duration(0)
 	for {
 		interval := claimInterval
 		if n.tickOwners() {
@@ -188,8 +192,13 @@
 		if now := n.Clock.Now(); now >= nextClaim {
 			n.claimCells(now)
 			n.refreshOwnClaims()
+			n.dropSilentFronts(now)
 			nextClaim = now + claimInterval
 		}
+		if now := n.Clock.Now(); now >= nextLinks {
+			n.refreshLinks()
+			nextLinks = now + linksInterval
+		}
 		if !common.Sleep(ctx, interval) {
 			return
 		}
@@ -220,21 +229,30 @@
 	if listing == nil {
 		return
 	}
-	for name := range listing.cells {
+	n.noticeOwnerless(listing)
+	for _, name := range n.cellsToClaim(listing, now) {
 		zone := ownership.ZoneOf(name)
-		n.mu.Lock()
-		owned := n.owners[name] != nil
-		claim := !owned && n.claims.ShouldClaim(name, zone, n.ownershipView(), now)
-		n.mu.Unlock()
-		switch {
-		case !claim:
-		case zone == n.settings.Zone || n.mayClaimForeign(zone, now):
+		if zone == n.settings.Zone || n.mayClaimForeign(zone, now) {
 			n.claim(name, now)
 		}
 	}
 	n.yieldCells(listing)
 }
 
+// cellsToClaim returns the cells that this node should claim by what it sees.
+func (n *Node) cellsToClaim(listing *listing, now time.Duration) []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	view := n.ownershipView()
+	var names []string
+	for name := range listing.cells {
+		if n.owners[name] == nil && n.claims.ShouldClaim(name, ownership.ZoneOf(name), view, now) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // claim becomes the owner of a cell. A former owner that is still there gives
 // its jobs back once the executors have been fenced.
 func (n *Node) claim(cellName string, now time.Duration) {
@@ -308,6 +326,12 @@
 	n.mu.Lock()
 	n.claims.SetClaims(n.settings.PeerAddress, claims)
 	n.mu.Unlock()
+	n.tellNews()
+}
+
+// tellNews wakes what waits for owners, here and at the peers.
+func (n *Node) tellNews() {
+	n.heartbeats.outdate()
 	n.changed.signal()
 	n.links.Nudge()
 }
@@ -317,13 +341,10 @@
 func (n *Node) refreshOwnClaims() {
 	claims := n.ownClaims()
 	n.mu.Lock()
-	before := n.claims.Owned()
-	n.claims.SetClaims(n.settings.PeerAddress, claims)
-	after := n.claims.Owned()
+	changed := n.claims.SetClaims(n.settings.PeerAddress, claims)
 	n.mu.Unlock()
-	if ownersDiffer(before, after) {
-		n.changed.signal()
-		n.links.Nudge()
+	if changed {
+		n.tellNews()
 	}
 }
 
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -138,27 +138,66 @@
 
 // withdraw takes back the wish of a front. The job ends once nobody waits.
 func (o *owner) withdraw(id, front, reason string) {
+	taken, last := o.takeWaiters(id, front)
+	if len(taken) == 0 {
+		return
+	}
+	var progress []job.Progress
+	if last {
+		o.do(func(state *cell.Cell, now time.Duration) {
+			progress = state.Progress(id)
+			state.Withdraw(id, reason, now)
+		})
+	}
+	if reason != reasonFrontSilent {
+		return
+	}
+	// It may be alive after all, and would wait for an answer for nothing.
+	for _, w := range taken {
+		w.reply(job.Outcome{Kind: job.Moved, Reason: reason, Started: true, Progress: progress})
+	}
+}
+
+// takeWaiters removes those of a front's that wait for a job, and reports
+// whether nobody else does.
+func (o *owner) takeWaiters(id, front string) (taken []waiter, last bool) {
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	kept := o.waiters[id][:0]
 	for _, w := range o.waiters[id] {
-		if w.front != front {
-			kept = append(kept, w)
+		if w.front == front {
+			taken = append(taken, w)
+			continue
 		}
+		kept = append(kept, w)
 	}
 	o.waiters[id] = kept
-	last := len(kept) == 0
-	if last {
+	if len(kept) == 0 {
 		delete(o.waiters, id)
 	}
-	o.mu.Unlock()
-	if last {
-		o.do(func(state *cell.Cell, now time.Duration) { state.Withdraw(id, reason, now) })
+	return taken, len(kept) == 0
+}
+
+// fronts returns the addresses of the other nodes that wait for jobs.
+func (o *owner) fronts() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	seen := map[string]bool{o.node.settings.PeerAddress: true}
+	var fronts []string
+	for _, waiters := range o.waiters {
+		for _, w := range waiters {
+			if !seen[w.front] {
+				seen[w.front] = true
+				fronts = append(fronts, w.front)
+			}
+		}
 	}
+	return fronts
 }
 
-// frontGone takes back all wishes of a front that is gone, or whose link is
-// down: it will hand its jobs to an owner again, or its callers will.
-func (o *owner) frontGone(front string) {
+// frontGone takes back all wishes of a front that is gone or silent: it will
+// hand its jobs to an owner again, or its callers will.
+func (o *owner) frontGone(front, reason string) {
 	o.mu.Lock()
 	var ids []string
 	for id, waiters := range o.waiters {
@@ -171,8 +210,8 @@
 	}
 	o.mu.Unlock()
 	for _, id := range ids {
-		o.node.Log.Info("job_withdrawn", "job", id, "cell", o.cell, "reason", "front_gone", "front", front)
-		o.withdraw(id, front, "front_gone")
+		o.node.Log.Info("job_withdrawn", "job", id, "cell", o.cell, "reason", reason, "front", front)
+		o.withdraw(id, front, reason)
 	}
 }
 
--- /dev/null
+++ b/pkg/node/pace_test.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"testing"
+
+	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/ownership"
+	qt "github.com/frankban/quicktest"
+)
+
+func TestPaceOfHeartbeats(t *testing.T) {
+	const peer = "peer:1"
+	type scenario struct {
+		testName  string
+		ownClaims bool
+		peerOwns  bool
+		ownerless bool
+		want      int
+	}
+	scenarios := []scenario{
+		{testName: "towards an owner", peerOwns: true, want: 1},
+		{testName: "towards a host that owns nothing", want: quietSlowdown},
+		{testName: "from an owner to a front, which beats fast itself", ownClaims: true, want: quietSlowdown},
+		{testName: "a cell of the zone has no owner", ownerless: true, want: 1},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			n := newTestNode(c, &fakeStore{})
+			zone := n.settings.Zone
+			listed := newListing(Snapshot{Revision: 1}, 0, &catalog.Executors{ByID: map[string]catalog.Executor{"e": {ID: "e", Zone: zone}}})
+			claim := []ownership.Claim{{Cell: listed.cellsOf(zone)[0], Token: 1}}
+			switch {
+			case s.ownClaims:
+				n.claims.SetClaims(n.settings.PeerAddress, claim)
+			case s.peerOwns:
+				n.claims.SetClaims(peer, claim)
+			case !s.ownerless:
+				n.claims.SetClaims("other:1", claim)
+			}
+			n.noticeOwnerless(listed)
+			c.Assert(n.Slowdown(peer), qt.Equals, s.want)
+		})
+	}
+}
--- a/pkg/node/stop.go
+++ b/pkg/node/stop.go
@@ -21,6 +21,7 @@
 	n.Log.Info("stopping", "grace", n.settings.Grace.String())
 	limit := n.Clock.Now() + time.Duration(stopShare*float64(n.settings.Grace))
 	n.leaving.Store(true)
+	n.heartbeats.outdate()
 	n.links.Nudge()
 	n.awaitDrained(min(n.Clock.Now()+balancerDelay, limit), limit)
 	n.closeServers(limit - n.Clock.Now())
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -103,8 +103,10 @@
 // Heard reports whether a host that is seen has told its claims.
 func (t *Table) Heard(owner string) bool { return t.heard[owner] }
 
-// SetClaims takes all claims of a host.
-func (t *Table) SetClaims(owner string, claims []Claim) {
+// SetClaims takes all claims of a host, and reports whether it claims other
+// cells than before or has become able or unable to serve one.
+func (t *Table) SetClaims(owner string, claims []Claim) bool {
+	changed := t.differs(owner, claims)
 	t.Drop(owner)
 	t.heard[owner] = true
 	for _, claim := range claims {
@@ -115,6 +117,27 @@
 		t.claims[claim.Cell][owner] = claim
 		t.highest = max(t.highest, claim.Token)
 	}
+	return changed
+}
+
+// differs reports whether a host's claims are news, but for their loads.
+func (t *Table) differs(owner string, claims []Claim) bool {
+	known := 0
+	for _, byOwner := range t.claims {
+		if _, ok := byOwner[owner]; ok {
+			known++
+		}
+	}
+	if known != len(claims) {
+		return true
+	}
+	for _, claim := range claims {
+		before, ok := t.claims[claim.Cell][owner]
+		if !ok || before.Token != claim.Token || before.Load.Ready != claim.Load.Ready {
+			return true
+		}
+	}
+	return false
 }
 
 // Drop forgets the claims of a host that isn't seen any more.
@@ -147,6 +170,16 @@
 	return false
 }
 
+// AllOwned reports whether each of the cells has an owner.
+func (t *Table) AllOwned(cells []string) bool {
+	for _, cell := range cells {
+		if _, owned := t.Owner(cell); !owned {
+			return false
+		}
+	}
+	return true
+}
+
 // Owned returns the standing claims, one for each cell, sorted by cell.
 func (t *Table) Owned() []Claim {
 	var claims []Claim
--- a/pkg/peer/set.go
+++ b/pkg/peer/set.go
@@ -58,5 +58,12 @@
 	}
 }
 
+// NudgeOne sends a heartbeat on the link to an address at once.
+func (s *Set) NudgeOne(address string) {
+	if link := s.Link(address); link != nil {
+		link.Nudge()
+	}
+}
+
 // Close ends all links.
 func (s *Set) Close() { s.Keep(nil) }
