A cell goes through its executors and its queue with less work

Change: an executor remembers that it has no orphans; sorts without reflection; the queue is left when the room is less than the least task; only jobs that end are sorted at a tick. Behaviour is unchanged: the explorer and the tables pass as before.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -121,11 +121,11 @@
 
 // stopOrphans stops the runs that no job has claimed in time.
 func (c *Cell) stopOrphans(e *executor, now time.Duration) {
-	if !e.adopted || now < e.adoptedAt+c.params.OrphanGrace {
+	if !e.adopted || now < e.adoptedAt+c.params.OrphanGrace || !e.hasOrphans() {
 		return
 	}
 	for _, r := range e.sortedRuns() {
-		if r.work == nil && r.state != stopping {
+		if r.isOrphan() {
 			c.stopRun(r, "orphan")
 		}
 	}
--- a/pkg/cell/answers.go
+++ b/pkg/cell/answers.go
@@ -1,8 +1,9 @@
 package cell
 
 import (
-	"sort"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/job"
@@ -275,6 +276,6 @@
 	for _, r := range e.runs {
 		runs = append(runs, r)
 	}
-	sort.Slice(runs, func(i, j int) bool { return runs[i].name < runs[j].name })
+	slices.SortFunc(runs, func(a, b *run) int { return strings.Compare(a.name, b.name) })
 	return runs
 }
--- /dev/null
+++ b/pkg/cell/bench_test.go
@@ -0,0 +1,66 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/catalog"
+)
+
+// BenchmarkOverloadedCell measures what one task costs the decisions of a
+// cell of 60 executors while 800 jobs wait: its start, its end, and the
+// placement of the next.
+func BenchmarkOverloadedCell(b *testing.B) {
+	const executors, queued = 60, 800
+	now := time.Second
+	c := New(DefaultParams(time.Second, 50*ms), 7, 0)
+	c.Complete()
+	var listed []catalog.Executor
+	for i := range executors {
+		listed = append(listed, testExecutor(i))
+	}
+	c.SetExecutors(listed, now)
+	for i := range executors {
+		c.HoldAnswered(executorID(i), HoldAnswer{Clock: time.Minute + now}, now, now)
+	}
+	jobs := 0
+	refill := func() {
+		for len(c.works) < queued {
+			jobs++
+			j := testJob(fmt.Sprintf("%016x", jobs), 4, now)
+			j.Deadline = now + time.Hour
+			c.Submit(j, 1, nil, 0, now)
+		}
+	}
+	refill()
+	number := int64(0)
+	b.ResetTimer()
+	for range b.N {
+		now += 3 * ms
+		commands, _, _ := c.Take()
+		for _, command := range commands {
+			switch command.Kind {
+			case Start:
+				c.StartAnswered(command.Executor.ID, command.Task, command.Run, Accepted, time.Minute+now, now)
+			case Hold:
+				e := c.executors[command.Executor.ID]
+				answer := HoldAnswer{Clock: time.Minute + now}
+				for _, r := range e.sortedRuns() {
+					if r.state != running {
+						answer.Running = append(answer.Running, RunningTask{Task: r.name, Run: r.number})
+						continue
+					}
+					number++
+					answer.Ended = append(answer.Ended, EndedTask{Number: e.listedTo + 1 + int64(len(answer.Ended)), Task: r.name, Run: r.number})
+				}
+				c.HoldAnswered(command.Executor.ID, answer, now-ms, now)
+			}
+		}
+		if len(commands) == 0 {
+			c.Tick(now)
+		}
+		refill()
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(max(number, 1)), "ns/task")
+}
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -277,7 +277,7 @@
 	for _, w := range c.works {
 		works = append(works, w)
 	}
-	sort.Slice(works, func(i, j int) bool { return works[i].job.ID < works[j].job.ID })
+	sortByID(works)
 	return works
 }
 
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -60,6 +60,7 @@
 	granted     time.Duration // the latest end of a lease that any order of ours gave, on its clock
 	listedTo    int64         // the newest end that was taken in
 	runs        map[string]*run
+	mayOrphan   bool // some of the runs may be orphans; false only when none is
 	used        job.Resources
 	health      health
 }
@@ -77,20 +78,29 @@
 
 func (e *executor) add(r *run) {
 	e.runs[r.name] = r
+	e.mayOrphan = e.mayOrphan || r.work == nil
 	e.used = e.used.Add(r.needs)
 }
 
 // hasOrphans reports whether runs of no known job go on here. What they take
 // is unknown, so nothing is started beside them.
 func (e *executor) hasOrphans() bool {
+	if !e.mayOrphan {
+		return false
+	}
 	for _, r := range e.runs {
-		if r.work == nil && r.state != stopping {
+		if r.isOrphan() {
 			return true
 		}
 	}
+	e.mayOrphan = false
 	return false
 }
 
+// isOrphan reports whether a run goes on that no known job waits for. Runs get
+// so only when they are found: those of jobs that end are stopped at once.
+func (r *run) isOrphan() bool { return r.work == nil && r.state != stopping }
+
 // drop takes a run off the executor and returns its task, which waits again
 // unless the caller says otherwise.
 func (c *Cell) drop(r *run) *task {
@@ -119,11 +129,15 @@
 	c.dirty = false
 	c.placedAt = now
 	candidates := c.candidates(now)
-	if len(candidates) == 0 || !c.anyFits(candidates) {
+	least, waiting := c.leastNeed()
+	if !waiting || mostRoom(candidates) < least {
 		return
 	}
 	for _, w := range c.ranked(now) {
 		c.placeWork(candidates, w, now)
+		if mostRoom(candidates) < least {
+			return
+		}
 	}
 }
 
@@ -139,19 +153,25 @@
 	return len(c.works) > longQueue && now < c.placedAt+placePause
 }
 
-// anyFits reports whether a waiting task might fit somewhere. It keeps a full
-// cell from ranking its queue at every event.
-func (c *Cell) anyFits(candidates []*executor) bool {
-	var room int64
-	for _, e := range candidates {
-		room = max(room, e.free().CPU)
-	}
+// leastNeed returns the least processor room that a job here asks for, and
+// whether there is a job.
+func (c *Cell) leastNeed() (least int64, any bool) {
 	for _, w := range c.works {
-		if w.leastCPU <= room {
-			return true
+		if !any || w.leastCPU < least {
+			least, any = w.leastCPU, true
 		}
 	}
-	return false
+	return least, any
+}
+
+// mostRoom returns the largest free processor room among executors, or -1.
+// Together with leastNeed it keeps a full cell from going through its queue.
+func mostRoom(executors []*executor) int64 {
+	most := int64(-1)
+	for _, e := range executors {
+		most = max(most, e.info.Capacity.CPU-e.used.CPU)
+	}
+	return most
 }
 
 // placeWork starts what fits of a job.
--- a/pkg/cell/work.go
+++ b/pkg/cell/work.go
@@ -1,7 +1,9 @@
 package cell
 
 import (
-	"sort"
+	"cmp"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/job"
@@ -187,13 +189,6 @@
 	return rank{tier: tier, work: w.waitingWork()}
 }
 
-func (r rank) before(o rank) bool {
-	if r.tier != o.tier {
-		return r.tier < o.tier
-	}
-	return r.work < o.work
-}
-
 // ranked returns the jobs that have tasks to start, in order.
 func (c *Cell) ranked(now time.Duration) []*work {
 	type entry struct {
@@ -209,11 +204,8 @@
 			entries = append(entries, entry{work: w, rank: r})
 		}
 	}
-	sort.Slice(entries, func(i, j int) bool {
-		if entries[i].rank != entries[j].rank {
-			return entries[i].rank.before(entries[j].rank)
-		}
-		return entries[i].work.job.ID < entries[j].work.job.ID
+	slices.SortFunc(entries, func(a, b entry) int {
+		return cmp.Or(cmp.Compare(a.rank.tier, b.rank.tier), cmp.Compare(a.rank.work, b.rank.work), strings.Compare(a.work.job.ID, b.work.job.ID))
 	})
 	works := make([]*work, len(entries))
 	for i, e := range entries {
@@ -280,12 +272,27 @@
 // expireWorks ends the jobs whose deadlines can't be met any more: at once
 // when nothing of them has started, at the deadline otherwise.
 func (c *Cell) expireWorks(now time.Duration) {
-	for _, w := range c.sortedWorks() {
-		switch {
-		case !w.started && now+w.leastTime() > w.job.Deadline:
-			c.finish(w, job.Outcome{Kind: job.Refused, Reason: "deadline_too_short"})
-		case now > w.job.Deadline:
+	for _, w := range c.hopeless(now) {
+		if w.started {
 			c.finish(w, job.Outcome{Kind: job.Expired, Reason: "deadline_passed", Started: true})
+			continue
 		}
+		c.finish(w, job.Outcome{Kind: job.Refused, Reason: "deadline_too_short"})
 	}
 }
+
+// hopeless returns the jobs that can't meet their deadlines, sorted by id.
+func (c *Cell) hopeless(now time.Duration) []*work {
+	var works []*work
+	for _, w := range c.works {
+		if now > w.job.Deadline || (!w.started && now+w.leastTime() > w.job.Deadline) {
+			works = append(works, w)
+		}
+	}
+	sortByID(works)
+	return works
+}
+
+func sortByID(works []*work) {
+	slices.SortFunc(works, func(a, b *work) int { return strings.Compare(a.job.ID, b.job.ID) })
+}
