A lost order is known after 150 ms, and silences nobody

A start without an answer held its task for its whole lease (500 ms, known with the next hold, 250 ms later at worst), against an objective of 180 ms for the shortest class; and it took its executor out until a hold was answered, 5% of all at that time. Change: a start's own lease follows the task's estimate (150 to 500 ms); the hold beside it still gives the long one. A start without an answer only keeps the executor from further starts until any answer comes; holds alone tell that it is silent. While calls go unanswered, holds wait until the next news is due only. Orders count as unanswered after 100 ms, holds 120 ms after their wait. Tests: TestALostStartIsRepeatedSoon, TestAnUnansweredStartTakesNoOtherWorkAway, TestHowLongAHoldWaits, TestLeaseOfAStart.

--- a/pkg/cell/answers.go
+++ b/pkg/cell/answers.go
@@ -22,6 +22,7 @@
 	if c.takeVerdict(e, verdict, now) {
 		return
 	}
+	c.judgeOrder(e, verdict, now)
 	r := e.runs[name]
 	if r == nil || r.number != number {
 		c.advance(now)
@@ -73,10 +74,43 @@
 		return
 	}
 	c.heard(e, clock, now)
-	c.takeVerdict(e, verdict, now)
+	if c.takeVerdict(e, verdict, now) {
+		return
+	}
+	c.judgeOrder(e, verdict, now)
 	c.advance(now)
 }
 
+// judgeOrder takes whether an order was answered. A single one that wasn't
+// says little of the executor: the holds tell whether it is silent. Until the
+// next answer it gets nothing more to start.
+func (c *Cell) judgeOrder(e *executor, verdict Verdict, now time.Duration) {
+	switch verdict {
+	case Unanswered:
+		e.doubtful = true
+		c.lossyTill = now + lossyTime
+	case Unreached:
+		c.silence(e, now)
+	default:
+		c.trust(e)
+	}
+}
+
+// trust has an executor that has answered get starts again.
+func (c *Cell) trust(e *executor) {
+	c.dirty = c.dirty || e.doubtful
+	e.doubtful = false
+}
+
+// silence takes that an executor doesn't answer at all.
+func (c *Cell) silence(e *executor, now time.Duration) {
+	if !e.silent {
+		c.note(Notice{Event: "executor_silent", Executor: e.info.ID, Age: now - e.clock.seenAt})
+	}
+	e.silent = true
+	c.dirty = true
+}
+
 // heard takes the clock in an answer.
 func (c *Cell) heard(e *executor, clock, now time.Duration) {
 	if clock > 0 {
@@ -98,12 +132,6 @@
 		}
 		e.gone = true
 		e.listed = false
-	case Unanswered, Unreached:
-		if !e.silent {
-			c.note(Notice{Event: "executor_silent", Executor: e.info.ID, Age: now - e.clock.seenAt})
-		}
-		e.silent = true
-		c.dirty = true
 	}
 	return false
 }
@@ -134,7 +162,7 @@
 		e.granted = max(e.granted, command.Deadline)
 	}
 	if e.adopted && !e.silent {
-		command.Wait = c.params.HoldWait
+		command.Wait = c.holdWait(e, now)
 	}
 	e.holding = true
 	c.commands = append(c.commands, command)
@@ -152,12 +180,14 @@
 		return
 	}
 	if answer.Verdict != Accepted {
+		c.missedHold(e, answer.Verdict, now)
 		e.silentPause = min(max(2*e.silentPause, firstSilentPause), longestSilentPause)
 		e.retryAt = now + e.silentPause
 		c.advance(now)
 		return
 	}
 	e.silentPause = 0
+	c.trust(e)
 	if e.silent {
 		e.silent = false
 		c.dirty = true
@@ -174,6 +204,14 @@
 	c.advance(now)
 }
 
+// missedHold takes a hold that wasn't carried out, as far as is known.
+func (c *Cell) missedHold(e *executor, verdict Verdict, now time.Duration) {
+	if verdict == Unanswered || verdict == Unreached {
+		c.lossyTill = now + lossyTime
+		c.silence(e, now)
+	}
+}
+
 // takeEnds takes the ends that are new.
 func (c *Cell) takeEnds(e *executor, ended []EndedTask, now time.Duration) {
 	for _, end := range ended {
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -20,7 +20,7 @@
 // Params are the times that leases and holds follow.
 type Params struct {
 	Lease       time.Duration // how far ahead a hold sets the end of all leases
-	StartLease  time.Duration // how far ahead a start sets it
+	StartLease  time.Duration // how far ahead a start sets it at most
 	HoldWait    time.Duration // how long a hold may wait for an end
 	LongestHold time.Duration // the longest lease that any owner can have given
 	OrphanGrace time.Duration // how long runs of no known job are kept after a takeover
@@ -96,6 +96,7 @@
 	fenced     bool
 	complete   bool          // the executors listed are all that the former owner can have known
 	pausedTill time.Duration // no starts before
+	lossyTill  time.Duration // calls have gone unanswered a moment before
 	placedAt   time.Duration // the last time that the queue was gone through
 	dirty      bool          // room or work has changed since the last placement
 }
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -29,7 +29,8 @@
 	needs    job.Resources
 	state    runState
 	stopDue  bool          // a stop waits for the answer to the start
-	deadline time.Duration // of the start, on the executor's clock
+	lease    time.Duration // of the start
+	deadline time.Duration // its end, on the executor's clock
 	orderAt  time.Duration // on our clock
 	seenAt   time.Duration // on our clock: its start was answered, or a hold listed it first
 	percent  int
@@ -52,7 +53,8 @@
 	adopted     bool // it has answered a hold with our token
 	adoptedAt   time.Duration
 	gone        bool          // this life of it is over
-	silent      bool          // its last call got no answer
+	silent      bool          // its last hold got no answer
+	doubtful    bool          // a start got no answer, and nothing has come since
 	holding     bool          // a hold is under way
 	retryAt     time.Duration // no hold before
 	fullTill    time.Duration // it has refused a start for want of room
@@ -73,7 +75,7 @@
 
 // usable reports whether the executor may get work at all.
 func (e *executor) usable(now time.Duration) bool {
-	return e.listed && e.adopted && !e.gone && !e.silent && !e.info.Draining && !e.hasOrphans() && e.health.allows(now)
+	return e.listed && e.adopted && !e.gone && !e.silent && !e.doubtful && !e.info.Draining && !e.hasOrphans() && e.health.allows(now)
 }
 
 func (e *executor) add(r *run) {
@@ -275,6 +277,7 @@
 // start orders a run.
 func (c *Cell) start(e *executor, w *work, t *task, now time.Duration) {
 	step := &w.job.Steps[t.key.Step]
+	lease := c.startLease(w.estimate(t.key.Step))
 	r := &run{
 		executor: e,
 		name:     job.TaskName(w.job.ID, t.key),
@@ -282,7 +285,8 @@
 		work:     w,
 		task:     t,
 		needs:    step.Needs,
-		deadline: e.clock.at(now) + c.params.StartLease,
+		lease:    lease,
+		deadline: e.clock.at(now) + lease,
 		orderAt:  now,
 		estimate: w.estimate(t.key.Step),
 	}
--- /dev/null
+++ b/pkg/cell/lease.go
@@ -0,0 +1,44 @@
+package cell
+
+import "time"
+
+// Bounds of waiting for what an executor does.
+const (
+	shortestLease = 150 * time.Millisecond // of a start
+	shortestWait  = 40 * time.Millisecond  // of a hold, while calls go unanswered
+	waitMargin    = 30 * time.Millisecond  // beyond the moment at which a hold should tell something
+	lossyTime     = 2 * time.Second        // after a call that went unanswered
+)
+
+// startLease returns how far ahead a start sets the end of leases. It also
+// bounds how long an order without an answer can be carried out later, and so
+// how soon the task can start elsewhere: a short task can't wait for long. The
+// hold that goes out beside the start makes the lease longer.
+func (c *Cell) startLease(estimate time.Duration) time.Duration {
+	return min(max(estimate*3/2, shortestLease), c.params.StartLease)
+}
+
+// holdWait returns how long a hold may wait for an end. While calls go
+// unanswered it waits no longer than until the next news is due, so that an
+// end, or an order that was lost, is known soon after.
+func (c *Cell) holdWait(e *executor, now time.Duration) time.Duration {
+	wait := c.params.HoldWait
+	if now >= c.lossyTill {
+		return wait
+	}
+	for _, r := range e.runs {
+		if due := r.newsDue(); due > now {
+			wait = min(wait, due+waitMargin-now)
+		}
+	}
+	return max(wait, min(shortestWait, c.params.HoldWait))
+}
+
+// newsDue returns when a hold should tell something of a run: its end, or that
+// its start hasn't been carried out in time.
+func (r *run) newsDue() time.Duration {
+	if r.state == starting || r.state == unknown {
+		return r.orderAt + r.lease
+	}
+	return r.orderAt + r.estimate
+}
--- /dev/null
+++ b/pkg/cell/lost_order_test.go
@@ -0,0 +1,106 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/job"
+	qt "github.com/frankban/quicktest"
+)
+
+// shortJob has a task of the shortest kind, whose answer is worth little after
+// half a second.
+func shortJob(id string, now time.Duration) *job.Job {
+	j := testJob(id, 1, now)
+	j.Steps[0].Estimate = 60 * ms
+	return j
+}
+
+func TestLeaseOfAStart(t *testing.T) {
+	type scenario struct {
+		testName string
+		estimate time.Duration
+		want     time.Duration
+	}
+	scenarios := []scenario{
+		{testName: "a short task, whose lost order is soon given up", estimate: 60 * ms, want: shortestLease},
+		{testName: "one of middle length", estimate: 200 * ms, want: 300 * ms},
+		{testName: "a long task", estimate: 900 * ms, want: 500 * ms},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			cell := New(DefaultParams(time.Second, 50*ms), 1, 0)
+			qt.Assert(t, cell.startLease(s.estimate), qt.Equals, s.want)
+		})
+	}
+}
+
+func TestALostStartIsRepeatedSoon(t *testing.T) {
+	c := qt.New(t)
+	d := adopted(c, 2)
+	d.submit(shortJob("a", d.now), 1)
+	start := d.of(Start)[0]
+	d.of(Hold)
+	sentAt := d.now
+	d.now += 100 * ms
+	d.startAnswer(start, Unanswered)
+	c.Assert(d.of(Start), qt.HasLen, 0, qt.Commentf("it may start yet"))
+	d.now = sentAt + shortestLease + 10*ms
+	d.holdAnswer(0, HoldAnswer{Clock: time.Minute + d.now}, sentAt)
+	again := d.of(Start)
+	c.Assert(again, qt.HasLen, 1, qt.Commentf("the order's time has passed"))
+	c.Assert(again[0].Run > start.Run, qt.IsTrue)
+}
+
+func TestAnUnansweredStartTakesNoOtherWorkAway(t *testing.T) {
+	c := qt.New(t)
+	d := adopted(c, 1)
+	d.submit(testJob("a", 1, d.now), 1)
+	first := d.of(Start)[0]
+	d.now += ms
+	d.startAnswer(first, Accepted)
+	d.of(Hold)
+	d.submit(testJob("b", 1, d.now), 1)
+	second := d.of(Start)[0]
+	d.now += 100 * ms
+	d.startAnswer(second, Unanswered)
+	d.submit(shortJob("c", d.now), 1)
+	c.Assert(d.of(Start), qt.HasLen, 0, qt.Commentf("nothing more before the executor has answered something"))
+	// It answers the hold that was waiting: a's end, and b's run.
+	d.holdAnswer(0, HoldAnswer{
+		Clock:   time.Minute + d.now,
+		Running: []RunningTask{{Task: second.Task, Run: second.Run}},
+		Ended:   []EndedTask{{Number: 1, Task: first.Task, Run: first.Run, Kind: EndDone}},
+	}, 0)
+	c.Assert(d.of(Start), qt.HasLen, 1, qt.Commentf("it gets work again"))
+	holds := d.of(Hold)
+	c.Assert(holds, qt.HasLen, 1)
+	c.Assert(holds[0].Deadline > time.Minute+d.now, qt.IsTrue, qt.Commentf("and b's lease is renewed"))
+}
+
+func TestHowLongAHoldWaits(t *testing.T) {
+	type scenario struct {
+		testName string
+		lossy    bool
+		after    time.Duration // the start
+		want     time.Duration
+	}
+	scenarios := []scenario{
+		{testName: "all calls are answered", want: 250 * ms},
+		{testName: "calls go unanswered: until the end is due", lossy: true, want: 60*ms + waitMargin},
+		{testName: "nearly due", lossy: true, after: 55 * ms, want: shortestWait},
+		{testName: "overdue", lossy: true, after: 80 * ms, want: 250 * ms},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			d := adopted(c, 1)
+			d.submit(shortJob("a", d.now), 1)
+			d.startAnswer(d.of(Start)[0], Accepted)
+			if s.lossy {
+				d.cell.lossyTill = time.Minute
+			}
+			c.Assert(d.cell.holdWait(d.cell.executors[executorID(0)], s.after), qt.Equals, s.want)
+		})
+	}
+}
--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -8,8 +8,8 @@
 
 // Bounds of calls to executors, beyond what a hold waits by itself.
 const (
-	orderTimeout = 150 * time.Millisecond
-	holdSlack    = 200 * time.Millisecond
+	orderTimeout = 100 * time.Millisecond
+	holdSlack    = 120 * time.Millisecond
 )
 
 // calls carries out the commands of cells.
