The first look at an executor that missed a hold follows at once

Change: no pause after the first missed hold; starts of short tasks lease 100 ms; orders count as unanswered after 80 ms, holds 80 ms after their wait.

--- a/pkg/cell/answers.go
+++ b/pkg/cell/answers.go
@@ -136,12 +136,24 @@
 	return false
 }
 
-// Pauses between the looks at a silent executor.
+// Pauses between the looks at a silent executor. The first look follows at
+// once: a single hold may have gone unanswered.
 const (
 	firstSilentPause   = 100 * time.Millisecond
 	longestSilentPause = 800 * time.Millisecond
+	maxDoublings       = 3
 )
 
+// silentPause returns how long to wait after so many holds in a row that
+// weren't carried out.
+func silentPause(missed int) time.Duration {
+	if missed <= 1 {
+		return 0
+	}
+	doublings := min(missed-2, maxDoublings)
+	return min(firstSilentPause<<doublings, longestSilentPause)
+}
+
 // hold issues the next hold of an executor, if it needs one.
 func (c *Cell) hold(e *executor, now time.Duration) {
 	if e.holding || e.gone || now < e.retryAt {
@@ -181,12 +193,12 @@
 	}
 	if answer.Verdict != Accepted {
 		c.missedHold(e, answer.Verdict, now)
-		e.silentPause = min(max(2*e.silentPause, firstSilentPause), longestSilentPause)
-		e.retryAt = now + e.silentPause
+		e.missed++
+		e.retryAt = now + silentPause(e.missed)
 		c.advance(now)
 		return
 	}
-	e.silentPause = 0
+	e.missed = 0
 	c.trust(e)
 	if e.silent {
 		e.silent = false
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -47,24 +47,24 @@
 
 // executor is the owner's view of one life of an executor.
 type executor struct {
-	info        catalog.Executor
-	listed      bool
-	clock       remoteClock
-	adopted     bool // it has answered a hold with our token
-	adoptedAt   time.Duration
-	gone        bool          // this life of it is over
-	silent      bool          // its last hold got no answer
-	doubtful    bool          // a start got no answer, and nothing has come since
-	holding     bool          // a hold is under way
-	retryAt     time.Duration // no hold before
-	fullTill    time.Duration // it has refused a start for want of room
-	silentPause time.Duration // between the looks while silent
-	granted     time.Duration // the latest end of a lease that any order of ours gave, on its clock
-	listedTo    int64         // the newest end that was taken in
-	runs        map[string]*run
-	mayOrphan   bool // some of the runs may be orphans; false only when none is
-	used        job.Resources
-	health      health
+	info      catalog.Executor
+	listed    bool
+	clock     remoteClock
+	adopted   bool // it has answered a hold with our token
+	adoptedAt time.Duration
+	gone      bool          // this life of it is over
+	silent    bool          // its last hold got no answer
+	doubtful  bool          // a start got no answer, and nothing has come since
+	holding   bool          // a hold is under way
+	retryAt   time.Duration // no hold before
+	fullTill  time.Duration // it has refused a start for want of room
+	missed    int           // holds in a row that weren't carried out
+	granted   time.Duration // the latest end of a lease that any order of ours gave, on its clock
+	listedTo  int64         // the newest end that was taken in
+	runs      map[string]*run
+	mayOrphan bool // some of the runs may be orphans; false only when none is
+	used      job.Resources
+	health    health
 }
 
 func newExecutor(info catalog.Executor) *executor {
--- a/pkg/cell/lease.go
+++ b/pkg/cell/lease.go
@@ -4,9 +4,9 @@
 
 // Bounds of waiting for what an executor does.
 const (
-	shortestLease = 150 * time.Millisecond // of a start
+	shortestLease = 100 * time.Millisecond // of a start
 	shortestWait  = 40 * time.Millisecond  // of a hold, while calls go unanswered
-	waitMargin    = 30 * time.Millisecond  // beyond the moment at which a hold should tell something
+	waitMargin    = 15 * time.Millisecond  // beyond the moment at which a hold should tell something
 	lossyTime     = 2 * time.Second        // after a call that went unanswered
 )
 
--- a/pkg/cell/lost_order_test.go
+++ b/pkg/cell/lost_order_test.go
@@ -104,3 +104,22 @@
 		})
 	}
 }
+
+func TestPausesBetweenLooksAtASilentExecutor(t *testing.T) {
+	type scenario struct {
+		testName string
+		missed   int
+		want     time.Duration
+	}
+	scenarios := []scenario{
+		{testName: "a single hold may have been lost", missed: 1},
+		{testName: "the second in a row", missed: 2, want: firstSilentPause},
+		{testName: "the third", missed: 3, want: 2 * firstSilentPause},
+		{testName: "long silent", missed: 50, want: longestSilentPause},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			qt.Assert(t, silentPause(s.missed), qt.Equals, s.want)
+		})
+	}
+}
--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -8,8 +8,8 @@
 
 // Bounds of calls to executors, beyond what a hold waits by itself.
 const (
-	orderTimeout = 100 * time.Millisecond
-	holdSlack    = 120 * time.Millisecond
+	orderTimeout = 80 * time.Millisecond
+	holdSlack    = 80 * time.Millisecond
 )
 
 // calls carries out the commands of cells.
