A stopping node answers at once what it can't finish

Where under half of a zone's nodes are ready, callers still come to one that stops, here 5.5 s after SIGTERM of 6; at the end it closed their connections. Ruled out: readiness (it was not ready), the owner (the tasks ran). Change: a job that can't be done before the end gets a 503 at once with a time to come back; jobs still open near the end get their answer then: 503 where nothing has run, 504 else. Test: TestJobsOfAStoppingNode.

--- a/pkg/job/job.go
+++ b/pkg/job/job.go
@@ -118,6 +118,11 @@
 // ObjectiveTime returns the time within which an answer is a good one: stretch
 // times the longest chain of estimated work, and target more.
 func (j *Job) ObjectiveTime(stretch float64, target time.Duration) time.Duration {
+	return time.Duration(stretch*float64(j.LongestChain())) + target
+}
+
+// LongestChain returns the estimated time of the job with room for everything.
+func (j *Job) LongestChain() time.Duration {
 	chains := make([]time.Duration, len(j.Steps))
 	var longest time.Duration
 	for i, step := range j.Steps {
@@ -127,5 +132,5 @@
 		}
 		longest = max(longest, chains[i])
 	}
-	return time.Duration(stretch*float64(longest)) + target
+	return longest
 }
--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/job"
@@ -22,8 +24,9 @@
 
 // front holds callers' jobs open and hands each to the owner of a cell.
 type front struct {
-	node  *Node
-	calls *calls
+	node    *Node
+	calls   *calls
+	stopsAt atomic.Int64 // when open jobs are given up, as a time of the node's clock; 0 while no stop is under way
 
 	mu   sync.Mutex
 	open map[string]*openJob // by job id
@@ -33,7 +36,7 @@
 type openJob struct {
 	job     *job.Job
 	started bool
-	cancel  context.CancelFunc
+	cancel  context.CancelCauseFunc
 }
 
 func newFront(n *Node) *front {
@@ -93,27 +96,74 @@
 	if open == nil {
 		return false
 	}
-	open.cancel()
+	open.cancel(errCancelled)
 	return true
 }
 
-// submit follows a job from owner to owner until it has ended.
+// Why a front no longer waits for a job.
+var (
+	errCancelled = errors.New("caller_cancelled")
+	errStopping  = errors.New("stopping")
+)
+
+// abandoned returns the end of a job that the front no longer waits for.
+func abandoned(ctx context.Context, started bool) job.Outcome {
+	reason := "caller_left"
+	if cause := context.Cause(ctx); errors.Is(cause, errCancelled) || errors.Is(cause, errStopping) {
+		reason = cause.Error()
+	}
+	if reason == errStopping.Error() && !started {
+		return job.Outcome{Kind: job.Refused, Reason: reason, RetryAfter: comeBack}
+	}
+	return job.Outcome{Kind: job.Expired, Reason: reason, Started: started}
+}
+
+// submit answers for a job and tells its end.
 func (f *front) submit(ctx context.Context, j *job.Job) job.Outcome {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	f.mu.Lock()
-	f.open[j.ID] = &openJob{job: j, cancel: cancel}
-	f.mu.Unlock()
-	outcome := f.follow(ctx, j)
-	f.mu.Lock()
-	delete(f.open, j.ID)
-	f.mu.Unlock()
+	var outcome job.Outcome
+	if f.tooLateFor(j) {
+		outcome = job.Outcome{Kind: job.Refused, Reason: errStopping.Error(), RetryAfter: comeBack}
+	} else {
+		outcome = f.hold(ctx, j)
+	}
 	f.node.metrics.JobEnded(j.Route, outcome.Kind.String(), f.node.Clock.Now()-j.Received)
 	f.node.Log.Info("job_ended", "job", j.ID, "route", j.Route, "outcome", outcome.Kind.String(), "reason", outcome.Reason,
 		"started", outcome.Started, "took_ms", (f.node.Clock.Now() - j.Received).Milliseconds())
 	return outcome
 }
 
+// tooLateFor reports whether this node stops before a job can be done. Callers
+// may come until the end, where too few other nodes of the zone are ready.
+func (f *front) tooLateFor(j *job.Job) bool {
+	stopsAt := time.Duration(f.stopsAt.Load())
+	return stopsAt > 0 && f.node.Clock.Now()+j.LongestChain() > stopsAt
+}
+
+// hold keeps a job open and follows it from owner to owner until it has ended.
+func (f *front) hold(ctx context.Context, j *job.Job) job.Outcome {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	f.mu.Lock()
+	f.open[j.ID] = &openJob{job: j, cancel: cancel}
+	f.mu.Unlock()
+	defer func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.open, j.ID)
+	}()
+	return f.follow(ctx, j)
+}
+
+// giveUpOpen ends the wait for all open jobs, so that their callers get an
+// answer while this node can still give one.
+func (f *front) giveUpOpen() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, open := range f.open {
+		open.cancel(errStopping)
+	}
+}
+
 // attempt is what a front remembers of a job between owners.
 type attempt struct {
 	epoch    int
@@ -156,7 +206,7 @@
 		f.markDispatched(j.ID)
 		outcome := f.dispatch(ctx, j, claim, &state)
 		if ctx.Err() != nil {
-			return job.Outcome{Kind: job.Expired, Reason: "caller_left", Started: true}
+			return abandoned(ctx, true)
 		}
 		switch outcome.Kind {
 		case job.Moved:
@@ -205,7 +255,7 @@
 // giveUp ends a job for which no owner was found, or whose caller has left.
 func (f *front) giveUp(ctx context.Context, j *job.Job, state *attempt) job.Outcome {
 	if ctx.Err() != nil {
-		return job.Outcome{Kind: job.Expired, Reason: "caller_left", Started: state.started}
+		return abandoned(ctx, state.started)
 	}
 	if state.started {
 		return job.Outcome{Kind: job.Expired, Reason: "no_owner", Started: true}
@@ -283,7 +333,7 @@
 		return outcome
 	case <-ctx.Done():
 		o.withdraw(j.ID, self, "caller_left")
-		return job.Outcome{Kind: job.Expired, Reason: "caller_left", Started: true}
+		return abandoned(ctx, true)
 	}
 }
 
@@ -298,7 +348,7 @@
 	answer, err := link.Call(ctx, &peerpb.Message{Body: &peerpb.Message_Dispatch{Dispatch: m}}, 0)
 	if ctx.Err() != nil {
 		link.Send(&peerpb.Message{Body: &peerpb.Message_Withdraw{Withdraw: &peerpb.Withdraw{Id: j.ID, Cell: claim.Cell, Epoch: uint32(state.epoch)}}}, 0)
-		return job.Outcome{Kind: job.Expired, Reason: "caller_left", Started: true}
+		return abandoned(ctx, true)
 	}
 	if err != nil {
 		return job.Outcome{Kind: job.Lost, Reason: err.Error()}
--- a/pkg/node/stop.go
+++ b/pkg/node/stop.go
@@ -10,20 +10,26 @@
 	// balancerDelay is how long the balancer may take to see that a node
 	// leaves: two checks a second apart, and some more.
 	balancerDelay = 2200 * time.Millisecond
-	// stopShare is the part of the grace after which a planned stop no longer
-	// waits for the answers under way.
-	stopShare = 0.95
+	// jobsShare is the part of the grace after which a planned stop no longer
+	// waits for the jobs under way, and stopShare the part after which it no
+	// longer waits for their answers to be written.
+	jobsShare = 0.93
+	stopShare = 0.97
 )
 
 // Stop is a planned stop: this node takes no new connections, hands its cells
 // to others, answers what callers wait for, and goes.
 func (n *Node) Stop() {
 	n.Log.Info("stopping", "grace", n.settings.Grace.String())
-	limit := n.Clock.Now() + time.Duration(stopShare*float64(n.settings.Grace))
+	begin := n.Clock.Now()
+	jobsLimit := begin + time.Duration(jobsShare*float64(n.settings.Grace))
+	limit := begin + time.Duration(stopShare*float64(n.settings.Grace))
+	n.front.stopsAt.Store(int64(jobsLimit))
 	n.leaving.Store(true)
 	n.heartbeats.outdate()
 	n.links.Nudge()
-	n.awaitDrained(min(n.Clock.Now()+balancerDelay, limit), limit)
+	n.awaitDrained(min(begin+balancerDelay, jobsLimit), jobsLimit)
+	n.front.giveUpOpen()
 	n.closeServers(limit - n.Clock.Now())
 	n.withdrawRow()
 	for _, o := range n.allOwners() {
--- /dev/null
+++ b/pkg/node/stop_test.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/job"
+	qt "github.com/frankban/quicktest"
+)
+
+// Callers may come to a stopping node until its end. Each gets an answer.
+func TestJobsOfAStoppingNode(t *testing.T) {
+	type scenario struct {
+		testName string
+		stopsIn  time.Duration // 0: it doesn't stop
+		estimate time.Duration
+		giveUp   bool
+		want     job.Kind
+		reason   string
+	}
+	scenarios := []scenario{
+		{testName: "too little time is left: refused, come back elsewhere", stopsIn: 100 * time.Millisecond, estimate: time.Second, want: job.Refused, reason: "stopping"},
+		{testName: "there was time, but it found no owner by the end", stopsIn: time.Minute, estimate: time.Second, giveUp: true, want: job.Refused, reason: "stopping"},
+		{testName: "no stop, no owner", estimate: time.Second, want: job.Refused, reason: "no_owner"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			n := newTestNode(c, &fakeStore{})
+			n.executors.Store(newListing(Snapshot{Revision: 1}, 0, &catalog.Executors{}))
+			if s.stopsIn > 0 {
+				n.front.stopsAt.Store(int64(n.Clock.Now() + s.stopsIn))
+			}
+			j := &job.Job{ID: "00112233445566ff", Steps: []job.Step{{Count: 1, Estimate: s.estimate}}, Deadline: n.Clock.Now() + 2*time.Second}
+			if s.giveUp {
+				go func() {
+					for n.openJobs() == 0 {
+						time.Sleep(time.Millisecond)
+					}
+					n.front.giveUpOpen()
+				}()
+			}
+			outcome := n.front.submit(context.Background(), j)
+			c.Assert(outcome.Kind, qt.Equals, s.want)
+			c.Assert(outcome.Reason, qt.Equals, s.reason)
+		})
+	}
+}
