Tokens are times in ticks, and jump little after fences

The count of fences in a row was also never set back, so waits grew over a process's life. Ruled out: rows and links (all heard within 110 ms), the store. Change: a token counts sixteenths of a second since 1970 above 18 bits of the maker's own (53 bits, exact in JSON); after fences in a row it jumps 2, 4, .. 64 ticks. A host fenced by a token that no living host can have made tries again after 50 ms. A claim that has held ends the run of fences. TestTokens asked for a jump of 16 s; replaced by tests of what the jump is for: TestTokensDoNotRunAheadOfTheClock failed first, TestTokensOfADeadHostAreOvertakenSoon, TestAHostThatIsFencedByAnOwnerInSightWaits.

--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -214,10 +214,17 @@
 	}
 }
 
+// claimHeld takes the news that the executors of a cell obey this node.
+func (n *Node) claimHeld(cellName string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.claims.Settled(cellName)
+}
+
 // onFenced takes the news that executors obey another owner.
 func (n *Node) onFenced(o *owner) {
 	n.mu.Lock()
-	n.claims.Fenced(o.cell, n.Clock.Now())
+	n.claims.Fenced(o.cell, n.ownershipView(), n.Clock.Now())
 	n.mu.Unlock()
 	n.release(o, "fenced")
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -262,7 +262,7 @@
 		return // claimed by another goroutine a moment ago
 	}
 	former, hasFormer := n.claims.Owner(cellName)
-	token := n.claims.NextToken(time.Now().Unix(), uint32(n.inc[0])<<16|uint32(n.inc[1])<<8|uint32(n.inc[2]))
+	token := n.claims.NextToken(time.Now(), uint32(n.inc[0])<<16|uint32(n.inc[1])<<8|uint32(n.inc[2]))
 	o := newOwner(n, cellName, token, now)
 	if hasFormer {
 		o.former = former.Owner
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -50,6 +50,7 @@
 	waiters map[string][]waiter // by job id
 	ended   map[string]ended
 	lastRun time.Duration
+	settled bool // the executors obey this owner alone
 	over    bool
 }
 
@@ -227,22 +228,23 @@
 			}
 		}
 	})
-	o.tellFormer()
+	o.noticeSettled()
 	return busy
 }
 
-// tellFormer has the former owner give its jobs back, once its executors no
-// longer listen to it.
-func (o *owner) tellFormer() {
+// noticeSettled notes once that the claim has held, and has the former owner
+// give its jobs back, as its executors no longer listen to it.
+func (o *owner) noticeSettled() {
 	o.mu.Lock()
-	former := o.former
-	ready := o.state.Settled(o.node.Clock.Now())
-	if former != "" && ready {
-		o.former = ""
-	}
+	news := !o.settled && !o.over && o.state.Settled(o.node.Clock.Now())
+	o.settled = o.settled || news
 	o.mu.Unlock()
-	if former != "" && ready {
-		o.node.sendHandOver(former, o.cell, o.token)
+	if !news {
+		return
+	}
+	o.node.claimHeld(o.cell)
+	if o.former != "" {
+		o.node.sendHandOver(o.former, o.cell, o.token)
 	}
 }
 
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -64,6 +64,7 @@
 	Isolated time.Duration // without an owner, for a host that sees under half of the others
 	Outside  time.Duration // without any host of the zone, for hosts of other zones
 	Fenced   time.Duration // after a higher token from a host that isn't seen
+	Retry    time.Duration // after one that none of the hosts can have made now: all are seen, and none claims the cell
 }
 
 // DefaultLimits returns the waits used in production.
@@ -74,6 +75,7 @@
 		Isolated: 2 * time.Second,
 		Outside:  3 * time.Second,
 		Fenced:   2 * time.Second,
+		Retry:    50 * time.Millisecond,
 	}
 }
 
@@ -92,7 +94,7 @@
 	ownerless time.Duration // since when no owner has been seen; 0 while there is one
 	zoneEmpty time.Duration // since when no host of the zone has been seen
 	noClaim   time.Duration // no claim before
-	fenced    int           // times in a row that an unseen host has fenced us
+	fenced    int           // times in a row that we were fenced before a claim held
 }
 
 // NewTable makes a table for a process that started at now.
@@ -192,39 +194,6 @@
 	return claims
 }
 
-// tokenBits is the part of a token that is its maker's own, so that no two
-// hosts make the same one.
-const tokenBits = 20
-
-// NextToken returns a token above all that are known, and above those made
-// before a restart of everything: second counts seconds since a fixed time.
-func (t *Table) NextToken(second int64, own uint32) int64 {
-	counter := max(t.highest>>tokenBits+1, second)
-	token := counter<<tokenBits | int64(own&(1<<tokenBits-1))
-	t.highest = token
-	return token
-}
-
-// Fenced takes the news that an executor refused our token. seen tells that
-// the host which owns the cell now is known.
-func (t *Table) Fenced(cell string, now time.Duration) {
-	state := t.state(cell)
-	// The token that fenced us is unknown; the next has to be above it.
-	t.highest += 1 << (tokenBits + fencedStep)
-	if state.fenced < longestFencedRun {
-		state.fenced++
-	}
-	state.noClaim = now + t.limits.Fenced*time.Duration(state.fenced)
-}
-
-const (
-	fencedStep       = 5 // doublings by which the counter jumps after a fence
-	longestFencedRun = 4
-)
-
-// Settled takes the news that a claim of ours has held.
-func (t *Table) Settled(cell string) { t.state(cell).fenced = 0 }
-
 func (t *Table) state(cell string) *cellState {
 	state := t.cells[cell]
 	if state == nil {
--- a/pkg/ownership/ownership_test.go
+++ b/pkg/ownership/ownership_test.go
@@ -77,36 +77,6 @@
 	qt.Assert(t, claims, qt.Equals, 1)
 }
 
-func TestAFencedHostWaitsLongerEachTime(t *testing.T) {
-	c := qt.New(t)
-	table := NewTable(DefaultLimits(), 0)
-	view := View{Self: host("a", zone), Known: 1}
-	now := later
-	for _, wait := range []time.Duration{2 * time.Second, 4 * time.Second, 6 * time.Second} {
-		table.Fenced(zone, now)
-		c.Assert(table.ShouldClaim(zone, zone, view, now+wait-time.Millisecond), qt.IsFalse)
-		c.Assert(table.ShouldClaim(zone, zone, view, now+wait), qt.IsTrue)
-		now += wait
-	}
-}
-
-func TestTokens(t *testing.T) {
-	c := qt.New(t)
-	table := NewTable(DefaultLimits(), 0)
-	first := table.NextToken(1000, 1)
-	second := table.NextToken(1000, 2)
-	c.Assert(second > first, qt.IsTrue)
-	table.SetClaims("b", claimOf("b", second+1<<40))
-	c.Assert(table.NextToken(1000, 1) > second+1<<40, qt.IsTrue, qt.Commentf("above all that were seen"))
-	restarted := NewTable(DefaultLimits(), 0)
-	c.Assert(restarted.NextToken(1001, 1) > first, qt.IsTrue, qt.Commentf("above those from before a restart"))
-	other := NewTable(DefaultLimits(), 0)
-	c.Assert(other.NextToken(1000, 2), qt.Not(qt.Equals), first, qt.Commentf("no two hosts make the same"))
-	fenced := restarted.NextToken(1001, 1)
-	restarted.Fenced(zone, 0)
-	c.Assert(restarted.NextToken(1001, 1)-fenced > 16<<tokenBits, qt.IsTrue, qt.Commentf("jumps after a fence"))
-}
-
 func TestChoose(t *testing.T) {
 	load := func(queued, free int64) Load {
 		return Load{CapacityCPU: 1000, FreeCPU: free, QueuedWork: queued, Ready: true, Services: []string{"s"}}
--- /dev/null
+++ b/pkg/ownership/tokens_test.go
@@ -0,0 +1,90 @@
+package ownership
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var noon = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+
+func TestAFencedHostWaitsLongerEachTime(t *testing.T) {
+	c := qt.New(t)
+	table := NewTable(DefaultLimits(), 0)
+	view := View{Self: host("a", zone), Known: 1}
+	now := later
+	for _, wait := range []time.Duration{2 * time.Second, 4 * time.Second, 6 * time.Second} {
+		table.Fenced(zone, view, now)
+		c.Assert(table.ShouldClaim(zone, zone, view, now+wait-time.Millisecond), qt.IsFalse)
+		c.Assert(table.ShouldClaim(zone, zone, view, now+wait), qt.IsTrue)
+		now += wait
+	}
+	table.Settled(zone)
+	table.Fenced(zone, view, now)
+	c.Assert(table.ShouldClaim(zone, zone, view, now+2*time.Second), qt.IsTrue, qt.Commentf("a claim that held ends the run"))
+}
+
+func TestTokens(t *testing.T) {
+	c := qt.New(t)
+	table := NewTable(DefaultLimits(), 0)
+	first := table.NextToken(noon, 1)
+	second := table.NextToken(noon, 2)
+	c.Assert(second > first, qt.IsTrue)
+	c.Assert(second < 1<<53, qt.IsTrue, qt.Commentf("exact in a JSON number"))
+	table.SetClaims("b", claimOf("b", second+1<<40))
+	c.Assert(table.NextToken(noon, 1) > second+1<<40, qt.IsTrue, qt.Commentf("above all that were seen"))
+	restarted := NewTable(DefaultLimits(), 0)
+	c.Assert(restarted.NextToken(noon.Add(2*time.Second/ticksPerSecond), 1) > first, qt.IsTrue, qt.Commentf("above those from before a restart"))
+	other := NewTable(DefaultLimits(), 0)
+	c.Assert(other.NextToken(noon, 2), qt.Not(qt.Equals), first, qt.Commentf("no two hosts make the same"))
+}
+
+// Cuts make hosts fence each other. However often that was, a host that starts
+// anew makes tokens above theirs.
+func TestTokensDoNotRunAheadOfTheClock(t *testing.T) {
+	c := qt.New(t)
+	table := NewTable(DefaultLimits(), 0)
+	view := View{Self: host("a", zone), Known: 1}
+	now, day := later, noon
+	var last int64
+	for range 20 {
+		last = table.NextToken(day, 1)
+		table.Fenced(zone, view, now)
+		wait := table.state(zone).noClaim - now
+		now, day = now+wait, day.Add(wait)
+	}
+	last = max(last, table.NextToken(day, 1))
+	restarted := NewTable(DefaultLimits(), 0)
+	c.Assert(restarted.NextToken(day.Add(time.Second), 1) > last, qt.IsTrue)
+}
+
+// After a restart of everything the executors may know tokens of a host whose
+// clock went ahead. All hosts are seen and none owns the cell, so nobody has to
+// be spared.
+func TestTokensOfADeadHostAreOvertakenSoon(t *testing.T) {
+	c := qt.New(t)
+	dead := NewTable(DefaultLimits(), 0).NextToken(noon.Add(3*time.Second), 7)
+	table := NewTable(DefaultLimits(), 0)
+	other := host("b", zone)
+	other.Heard = true
+	view := View{Self: host("a", zone), Up: []Host{other}, Known: 2}
+	now, day := later, noon
+	for table.NextToken(day, 1) < dead {
+		table.Fenced(zone, view, now)
+		wait := table.state(zone).noClaim - now
+		now, day = now+wait, day.Add(wait)
+	}
+	c.Assert(now-later < 500*time.Millisecond, qt.IsTrue, qt.Commentf("took %s", now-later))
+}
+
+func TestAHostThatIsFencedByAnOwnerInSightWaits(t *testing.T) {
+	c := qt.New(t)
+	table := NewTable(DefaultLimits(), 0)
+	other := host("b", zone)
+	other.Heard = true
+	view := View{Self: host("a", zone), Up: []Host{other}, Known: 2}
+	table.SetClaims("b", claimOf("b", 5))
+	table.Fenced(zone, view, later)
+	c.Assert(table.state(zone).noClaim, qt.Equals, later+DefaultLimits().Fenced)
+}
