Looks at another zone begin anew at its next cut

Change: looks are kept only for zones whose cells this node would claim. Test: TestLooksAtAZoneBeginAnewAtTheNextCut.

--- a/pkg/node/foreign.go
+++ b/pkg/node/foreign.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/cell"
+	"github.com/foxcroft/foxcroft/pkg/ownership"
 )
 
 // A zone whose nodes are all out of sight may have lost them, or be cut off
@@ -33,11 +35,17 @@
 
 func newForeignZones() *foreignZones { return &foreignZones{zones: map[string]*foreignZone{}} }
 
-// forget ends the looks at a zone that needs no owner from elsewhere.
-func (f *foreignZones) forget(zone string) {
+// keepOnly ends the looks at all zones but those of the given cells, which
+// need an owner from elsewhere. A later look begins anew.
+func (f *foreignZones) keepOnly(cells []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.zones, zone)
+	for zone := range f.zones {
+		needed := slices.ContainsFunc(cells, func(cell string) bool { return ownership.ZoneOf(cell) == zone })
+		if !needed {
+			delete(f.zones, zone)
+		}
+	}
 }
 
 // due reports whether a zone may be claimed, and whether a look is due.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -230,7 +230,9 @@
 		return
 	}
 	n.noticeOwnerless(listing)
-	for _, name := range n.cellsToClaim(listing, now) {
+	names := n.cellsToClaim(listing, now)
+	n.foreign.keepOnly(names)
+	for _, name := range names {
 		zone := ownership.ZoneOf(name)
 		if zone == n.settings.Zone || n.mayClaimForeign(zone, now) {
 			n.claim(name, now)
@@ -287,7 +289,6 @@
 		_, exists := listing.cells[o.cell]
 		switch {
 		case zone != n.settings.Zone && n.zoneHasNodes(zone):
-			n.foreign.forget(zone)
 			n.release(o, "zone_is_back")
 		case !exists && !o.busy():
 			n.release(o, "cell_is_gone")
