A stop that was lost is ordered again

The job of a front that died is handed in elsewhere 1.3 s later, and the old run could still go on. Ruled out: leases of silent executors (not renewed), fences (every hold carries the owner's token). Change: a stop without an answer is ordered again at once, at a silent executor as soon as a hold lists the run. Test: TestALostStopIsRepeated.

--- a/pkg/cell/answers.go
+++ b/pkg/cell/answers.go
@@ -67,8 +67,10 @@
 	}
 }
 
-// StopAnswered takes the answer to a stop. The end itself comes with a hold.
-func (c *Cell) StopAnswered(id string, verdict Verdict, clock, now time.Duration) {
+// StopAnswered takes the answer to a stop. The end itself comes with a hold. A
+// stop that was lost is ordered again: the run's lease is renewed with those of
+// the others, and its job may run elsewhere by now.
+func (c *Cell) StopAnswered(id, name string, number int64, verdict Verdict, clock, now time.Duration) {
 	e := c.executors[id]
 	if e == nil || c.fenced {
 		return
@@ -78,9 +80,23 @@
 		return
 	}
 	c.judgeOrder(e, verdict, now)
+	if r := e.runs[name]; r != nil && r.number == number && r.state == stopping {
+		r.stopLost = verdict == Unanswered || verdict == Unreached
+		if !e.silent {
+			c.repeatStop(r)
+		}
+	}
 	c.advance(now)
 }
 
+// repeatStop orders a stop again that was lost.
+func (c *Cell) repeatStop(r *run) {
+	if r.stopLost {
+		r.stopLost = false
+		c.orderStop(r, "stop_lost")
+	}
+}
+
 // judgeOrder takes whether an order was answered. A single one that wasn't
 // says little of the executor: the holds tell whether it is silent. Until the
 // next answer it gets nothing more to start.
@@ -315,6 +331,7 @@
 		r.seenAt = now
 	}
 	r.percent = entry.Percent
+	c.repeatStop(r)
 	if r.state != running || r.work == nil || r.orderAt == 0 {
 		return
 	}
--- a/pkg/cell/explore_test.go
+++ b/pkg/cell/explore_test.go
@@ -232,7 +232,7 @@
 	case Start:
 		o.cell.StartAnswered(command.Executor.ID, command.Task, command.Run, verdict, hold.Clock, w.now)
 	case Stop:
-		o.cell.StopAnswered(command.Executor.ID, verdict, hold.Clock, w.now)
+		o.cell.StopAnswered(command.Executor.ID, command.Task, command.Run, verdict, hold.Clock, w.now)
 	case Hold:
 		o.cell.HoldAnswered(command.Executor.ID, hold, sentAt, w.now)
 	}
--- a/pkg/cell/lost_order_test.go
+++ b/pkg/cell/lost_order_test.go
@@ -123,3 +123,47 @@
 		})
 	}
 }
+
+// The job of a stopped run may be handed in elsewhere 1.3 s later, while holds
+// renew the leases of everything that runs here.
+func TestALostStopIsRepeated(t *testing.T) {
+	type scenario struct {
+		testName string
+		silent   bool // the executor has missed a hold meanwhile
+		verdict  Verdict
+		want     int
+	}
+	scenarios := []scenario{
+		{testName: "answered", verdict: Accepted},
+		{testName: "lost: at once", verdict: Unanswered, want: 1},
+		{testName: "lost at a silent executor: when it answers again", silent: true, verdict: Unanswered, want: 1},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			d, start := startedOn(c)
+			d.cell.Withdraw("a", "front_gone", d.now)
+			d.take()
+			stop := d.of(Stop)[0]
+			if s.silent {
+				d.holdUnanswered(start.Executor.ID)
+			}
+			d.now += 80 * ms
+			d.cell.StopAnswered(stop.Executor.ID, stop.Task, stop.Run, s.verdict, 0, d.now)
+			d.take()
+			if s.silent {
+				c.Assert(d.of(Stop), qt.HasLen, 0)
+			}
+			d.now += ms
+			sentAt := d.now
+			d.cell.HoldAnswered(start.Executor.ID, HoldAnswer{Clock: time.Minute + d.now, Running: []RunningTask{{Task: start.Task, Run: start.Run}}}, sentAt, d.now)
+			d.take()
+			again := d.of(Stop)
+			c.Assert(again, qt.HasLen, s.want)
+			for _, stop := range again {
+				c.Assert(stop.Task, qt.Equals, start.Task)
+				c.Assert(stop.Run, qt.Equals, start.Run)
+			}
+		})
+	}
+}
--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -64,7 +64,7 @@
 	verdict, clock := c.executors.Stop(&command.Executor, order, orderTimeout)
 	o.node.metrics.OrderAnswered("stop", verdict.String())
 	o.do(func(state *cell.Cell, now time.Duration) {
-		state.StopAnswered(command.Executor.ID, verdict, clock, now)
+		state.StopAnswered(command.Executor.ID, command.Task, command.Run, verdict, clock, now)
 	})
 }
 
