Hosts that have left as planned don't count as out of sight

The addresses of those that had stopped stayed known for 30 s, and seeds for good, so that it took itself for cut off from most hosts. Ruled out: rows (removed at the stops), the executors (they answered). Change: a peer that was leaving when its link went down is gone; seeds count as hosts to expect only while no list has been read.

--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -46,6 +46,7 @@
 	listed    map[string]Listed        // by address
 	gossip    map[string]time.Duration // by address: when last told
 	up        map[string]Peer          // by address: links that are up
+	left      map[string]bool          // by address: hosts that have stopped as planned
 }
 
 // NewTable makes a table. seeds are addresses in the host's own domain;
@@ -58,6 +59,7 @@
 		listed:    map[string]Listed{},
 		gossip:    map[string]time.Duration{},
 		up:        map[string]Peer{},
+		left:      map[string]bool{},
 	}
 }
 
@@ -69,11 +71,20 @@
 	}
 }
 
+// Greeted takes the news that a host has opened a link to this one.
+func (t *Table) Greeted(address string, now time.Duration) {
+	delete(t.left, address)
+	t.gossip[address] = now
+}
+
 // Told takes addresses of the own domain that a peer told of, and reports
-// whether one of them is new.
+// whether one of them is new. A peer may not know yet that a host has left.
 func (t *Table) Told(addresses []string, now time.Duration) bool {
 	news := false
 	for _, address := range addresses {
+		if t.left[address] {
+			continue
+		}
 		_, known := t.gossip[address]
 		news = news || !known
 		t.gossip[address] = now
@@ -82,7 +93,10 @@
 }
 
 // Up takes the news that a link is up, or that its peer told something new.
-func (t *Table) Up(peer Peer) { t.up[peer.Address] = peer }
+func (t *Table) Up(peer Peer) {
+	delete(t.left, peer.Address)
+	t.up[peer.Address] = peer
+}
 
 // UpAt returns the peer at an address whose link is up.
 func (t *Table) UpAt(address string) (Peer, bool) {
@@ -98,8 +112,32 @@
 	}
 }
 
-// Down takes the news that a link went down.
-func (t *Table) Down(address string) { delete(t.up, address) }
+// Down takes the news that a link went down. A peer that was leaving is gone,
+// and not one that is out of sight.
+func (t *Table) Down(address string) {
+	if t.up[address].Leaving {
+		t.left[address] = true
+		delete(t.gossip, address)
+	}
+	delete(t.up, address)
+}
+
+// Expected returns the addresses of the hosts that should be there, as far as
+// links to them are wanted. Seeds count only while no list has been read: they
+// may name hosts that are gone for good.
+func (t *Table) Expected(now time.Duration) []string {
+	var expected []string
+	for _, address := range t.Wanted(now) {
+		_, listed := t.listed[address]
+		_, told := t.gossip[address]
+		_, isUp := t.up[address]
+		seed := len(t.listed) == 0 && !t.left[address]
+		if seed || told || isUp || (listed && !t.left[address]) {
+			expected = append(expected, address)
+		}
+	}
+	return expected
+}
 
 // Wanted returns the sorted addresses to keep links to: every host of the own
 // domain, and a few of each other domain.
--- a/pkg/member/member_test.go
+++ b/pkg/member/member_test.go
@@ -13,15 +13,16 @@
 	return Peer{Name: fmt.Sprintf("%s-%d", domain, i), Domain: domain, Address: fmt.Sprintf("%s:%d", domain, i), Incarnation: once.Incarnation{byte(i), domain[0]}}
 }
 
-func TestWanted(t *testing.T) {
-	listed := func(domain string, n int) []Listed {
-		var list []Listed
-		for i := range n {
-			p := peerNamed(i+1, domain)
-			list = append(list, Listed{Name: p.Name, Domain: domain, Address: p.Address})
-		}
-		return list
+func listed(domain string, n int) []Listed {
+	var list []Listed
+	for i := range n {
+		p := peerNamed(i+1, domain)
+		list = append(list, Listed{Name: p.Name, Domain: domain, Address: p.Address})
 	}
+	return list
+}
+
+func TestWanted(t *testing.T) {
 	scenarios := []struct {
 		testName string
 		prepare  func(*Table)
@@ -116,3 +117,28 @@
 	qt.Assert(t, next, qt.Not(qt.Equals), first)
 	qt.Assert(t, next.IsZero(), qt.IsFalse)
 }
+
+func TestHostsThatShouldBeThere(t *testing.T) {
+	stay := func(t *Table) { t.SetListed(listed("a", 3)) }
+	leaving := peerNamed(1, "a")
+	leaving.Leaving = true
+	scenarios := []struct {
+		testName string
+		prepare  func(*Table)
+		count    int
+	}{
+		{"a seed, before there is a list", func(*Table) {}, 1},
+		{"a seed that isn't listed", stay, 2},
+		{"one out of sight", func(t *Table) { stay(t); t.Up(peerNamed(1, "a")); t.Down("a:1") }, 2},
+		{"one that has left, and is listed yet", func(t *Table) { stay(t); t.Up(leaving); t.Down("a:1") }, 1},
+		{"one that has left, as a peer doesn't know", func(t *Table) { t.SetListed(listed("a", 1)); t.Up(leaving); t.Down("a:1"); t.Told([]string{"a:1"}, 0) }, 0},
+		{"one that has left and is back", func(t *Table) { stay(t); t.Up(leaving); t.Down("a:1"); t.Greeted("a:1", 0) }, 2},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			table := NewTable(peerNamed(2, "a"), []string{"seed:1"}, 2)
+			s.prepare(table)
+			qt.Assert(t, table.Expected(0), qt.HasLen, s.count)
+		})
+	}
+}
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -56,7 +56,7 @@
 		view.Up = append(view.Up, ownership.Host{Address: p.Address, Zone: p.Domain, Leaving: p.Leaving, Weight: p.Weight, Heard: n.claims.Heard(p.Address)})
 		known[p.Address] = true
 	}
-	for _, address := range n.members.Wanted(n.Clock.Now()) {
+	for _, address := range n.members.Expected(n.Clock.Now()) {
 		known[address] = true
 	}
 	view.Known = len(known)
@@ -165,7 +165,7 @@
 // Greeted implements peer.Handler.
 func (n *Node) Greeted(from *peerpb.Hello) {
 	n.mu.Lock()
-	n.members.Told([]string{from.Address}, n.Clock.Now())
+	n.members.Greeted(from.Address, n.Clock.Now())
 	n.mu.Unlock()
 	n.refreshLinks()
 }
