--- /dev/null
+++ b/pkg/cell/holds.go
@@ -0,0 +1,205 @@
+package cell
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/job"
+)
+
+// Pauses between the looks at a silent executor. The first look follows at
+// once: a single hold may have gone unanswered.
+const (
+	firstSilentPause   = 100 * time.Millisecond
+	longestSilentPause = 800 * time.Millisecond
+	maxDoublings       = 3
+)
+
+// silentPause returns how long to wait after so many holds in a row that
+// weren't carried out.
+func silentPause(missed int) time.Duration {
+	if missed <= 1 {
+		return 0
+	}
+	doublings := min(missed-2, maxDoublings)
+	return min(firstSilentPause<<doublings, longestSilentPause)
+}
+
+// hold issues the next hold of an executor, if it needs one.
+func (c *Cell) hold(e *executor, now time.Duration) {
+	if e.holding || e.gone || now < e.retryAt {
+		return
+	}
+	if e.adopted && len(e.runs) == 0 && !e.silent {
+		return
+	}
+	if !e.adopted && !e.listed {
+		return
+	}
+	command := Command{Kind: Hold, Executor: e.info, Token: c.token, LastSeen: e.listedTo}
+	// A takeover looks before it renews: what runs may be nobody's.
+	// A silent executor may take the order in much later, when its runs count
+	// as ended; so its leases aren't renewed before it has answered.
+	if e.adopted && !e.silent && e.clock.known {
+		command.Deadline = e.clock.at(now) + c.params.Lease
+		e.granted = max(e.granted, command.Deadline)
+	}
+	if e.adopted && !e.silent {
+		command.Wait = c.holdWait(e, now)
+	}
+	e.holding = true
+	c.commands = append(c.commands, command)
+}
+
+// HoldAnswered takes the answer to a hold that was sent at sentAt.
+func (c *Cell) HoldAnswered(id string, answer HoldAnswer, sentAt, now time.Duration) {
+	e := c.executors[id]
+	if e == nil || c.fenced {
+		return
+	}
+	e.holding = false
+	c.heard(e, answer.Clock, now)
+	if c.takeVerdict(e, answer.Verdict, now) {
+		return
+	}
+	if answer.Verdict != Accepted {
+		c.missedHold(e, answer.Verdict, now)
+		e.missed++
+		e.retryAt = now + silentPause(e.missed)
+		c.advance(now)
+		return
+	}
+	e.missed = 0
+	c.trust(e)
+	if e.silent {
+		e.silent = false
+		c.dirty = true
+		c.note(Notice{Event: "executor_answers", Executor: e.info.ID})
+	}
+	c.takeEnds(e, answer.Ended, now)
+	c.takeRunning(e, answer, sentAt, now)
+	if !e.adopted {
+		e.adopted = true
+		e.adoptedAt = now
+		c.dirty = true
+		c.note(Notice{Event: "executor_adopted", Executor: e.info.ID, Detail: strconv.Itoa(len(answer.Running))})
+	}
+	c.advance(now)
+}
+
+// missedHold takes a hold that wasn't carried out, as far as is known.
+func (c *Cell) missedHold(e *executor, verdict Verdict, now time.Duration) {
+	if verdict == Unanswered || verdict == Unreached {
+		c.lossyTill = now + lossyTime
+		c.silence(e, now)
+	}
+}
+
+// takeEnds takes the ends that are new.
+func (c *Cell) takeEnds(e *executor, ended []EndedTask, now time.Duration) {
+	for _, end := range ended {
+		if end.Number <= e.listedTo {
+			continue
+		}
+		e.listedTo = end.Number
+		r := e.runs[end.Task]
+		if r == nil || r.number != end.Run {
+			if end.Kind == EndDone && !e.adopted {
+				c.adoptDone(end.Task)
+			}
+			continue
+		}
+		c.takeEnd(e, r, end.Kind, now)
+	}
+}
+
+// takeEnd takes the end of a run of ours.
+func (c *Cell) takeEnd(e *executor, r *run, kind EndKind, now time.Duration) {
+	w := r.work
+	c.note(Notice{Event: "task_ended", Executor: e.info.ID, Job: r.jobID(), Task: r.name, Detail: kind.String(), Age: now - r.orderAt})
+	t := c.drop(r)
+	switch kind {
+	case EndDone:
+		c.judgeTime(e, r, now)
+		if t != nil {
+			t.done = true
+			c.finishIfDone(w)
+		}
+	case EndFailed:
+		c.taskFailed(e, r, w, t, now)
+	}
+}
+
+func (c *Cell) taskFailed(e *executor, r *run, w *work, t *task, now time.Duration) {
+	c.blame(e, "task_failed", r.name, now)
+	if t == nil {
+		return
+	}
+	t.failures++
+	t.failedOn = append(t.failedOn, e.info.ID)
+	if len(t.failedOn) > 1 {
+		c.exonerate(t)
+	}
+	if t.failures >= max(1, w.job.MaxAttempts) {
+		c.finish(w, job.Outcome{Kind: job.Failed, Reason: "task_failed", Started: true})
+	}
+}
+
+// takeRunning compares what the executor runs with what it should run.
+func (c *Cell) takeRunning(e *executor, answer HoldAnswer, sentAt, now time.Duration) {
+	listed := map[string]RunningTask{}
+	for _, entry := range answer.Running {
+		listed[entry.Task] = entry
+		if e.runs[entry.Task] == nil {
+			c.adoptRun(e, entry, now)
+		}
+	}
+	for _, r := range e.sortedRuns() {
+		entry, present := listed[r.name]
+		if present && entry.Run == r.number {
+			c.stillRunning(e, r, entry, now)
+			continue
+		}
+		if c.surelyAbsent(e, r, sentAt, answer.Clock) {
+			c.note(Notice{Event: "run_absent", Executor: e.info.ID, Job: r.jobID(), Task: r.name, Age: now - sentAt})
+			c.drop(r)
+		}
+	}
+}
+
+// surelyAbsent reports whether a run that a hold didn't list can't run any
+// more: it had started before the hold was sent, or its start has expired.
+func (c *Cell) surelyAbsent(e *executor, r *run, sentAt, clock time.Duration) bool {
+	if r.state == starting || r.stopDue {
+		return false
+	}
+	if r.state == running && r.seenAt < sentAt {
+		return true
+	}
+	return clock > r.deadline
+}
+
+// stillRunning takes the progress of a run.
+func (c *Cell) stillRunning(e *executor, r *run, entry RunningTask, now time.Duration) {
+	if r.state == starting || r.state == unknown {
+		r.state = running
+		r.seenAt = now
+	}
+	r.percent = entry.Percent
+	c.repeatStop(r)
+	if r.state != running || r.work == nil || r.orderAt == 0 {
+		return
+	}
+	c.judgeProgress(e, r, now)
+}
+
+func (e *executor) sortedRuns() []*run {
+	runs := make([]*run, 0, len(e.runs))
+	for _, r := range e.runs {
+		runs = append(runs, r)
+	}
+	slices.SortFunc(runs, func(a, b *run) int { return strings.Compare(a.name, b.name) })
+	return runs
+}
--- /dev/null
+++ b/pkg/node/claims.go
@@ -0,0 +1,142 @@
+package node
+
+import (
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/ownership"
+)
+
+// claimCells claims the cells that this node should own now.
+func (n *Node) claimCells(now time.Duration) {
+	listing := n.executors.Load()
+	if listing == nil {
+		return
+	}
+	n.noticeOwnerless(listing)
+	names := n.cellsToClaim(listing, now)
+	n.foreign.keepOnly(names)
+	for _, name := range names {
+		zone := ownership.ZoneOf(name)
+		if zone == n.settings.Zone || n.mayClaimForeign(zone, now) {
+			n.claim(name, now)
+		}
+	}
+	n.yieldCells(listing)
+}
+
+// cellsToClaim returns the cells that this node should claim by what it sees.
+func (n *Node) cellsToClaim(listing *listing, now time.Duration) []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	view := n.ownershipView()
+	var names []string
+	for name := range listing.cells {
+		if n.owners[name] == nil && n.claims.ShouldClaim(name, ownership.ZoneOf(name), view, now) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// claim becomes the owner of a cell. A former owner that is still there gives
+// its jobs back once the executors have been fenced.
+func (n *Node) claim(cellName string, now time.Duration) {
+	n.mu.Lock()
+	if n.owners[cellName] != nil {
+		n.mu.Unlock()
+		return // claimed by another goroutine a moment ago
+	}
+	former, hasFormer := n.claims.Owner(cellName)
+	token := n.claims.NextToken(time.Now(), uint32(n.inc[0])<<16|uint32(n.inc[1])<<8|uint32(n.inc[2]))
+	o := newOwner(n, cellName, token, now)
+	if hasFormer {
+		o.former = former.Owner
+	}
+	n.owners[cellName] = o
+	n.mu.Unlock()
+	n.metrics.OwnershipChanged("claimed")
+	n.Log.Info("cell_claimed", "cell", cellName, "token", token, "former", o.former)
+	o.setExecutors(n.executors.Load())
+	select {
+	case n.claimed <- struct{}{}:
+	default:
+	}
+	n.publishClaims()
+}
+
+// yieldCells gives up cells of other zones once those zones have nodes again,
+// and cells that no longer exist once their work is done.
+func (n *Node) yieldCells(listing *listing) {
+	for _, o := range n.allOwners() {
+		zone := ownership.ZoneOf(o.cell)
+		_, exists := listing.cells[o.cell]
+		switch {
+		case zone != n.settings.Zone && n.zoneHasNodes(zone):
+			n.release(o, "zone_is_back")
+		case !exists && !o.busy():
+			n.release(o, "cell_is_gone")
+		}
+	}
+}
+
+func (n *Node) zoneHasNodes(zone string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, host := range n.ownershipView().Up {
+		if host.Zone == zone && !host.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// release ends the ownership of a cell and hands its jobs back.
+func (n *Node) release(o *owner, reason string) {
+	n.mu.Lock()
+	if n.owners[o.cell] == o {
+		delete(n.owners, o.cell)
+	}
+	n.claims.SetClaims(n.settings.PeerAddress, nil)
+	n.mu.Unlock()
+	n.metrics.OwnershipChanged(reason)
+	n.Log.Info("cell_released", "cell", o.cell, "token", o.token, "reason", reason)
+	n.publishClaims()
+	o.release(reason)
+}
+
+// publishClaims tells peers what this node owns, at once.
+func (n *Node) publishClaims() {
+	claims := n.ownClaims()
+	n.mu.Lock()
+	n.claims.SetClaims(n.settings.PeerAddress, claims)
+	n.mu.Unlock()
+	n.tellNews()
+}
+
+// tellNews wakes what waits for owners, here and at the peers.
+func (n *Node) tellNews() {
+	n.heartbeats.outdate()
+	n.changed.signal()
+	n.links.Nudge()
+}
+
+// refreshOwnClaims notes how busy the own cells are, and tells peers at once
+// when one of them has become able to serve.
+func (n *Node) refreshOwnClaims() {
+	claims := n.ownClaims()
+	n.mu.Lock()
+	changed := n.claims.SetClaims(n.settings.PeerAddress, claims)
+	n.mu.Unlock()
+	if changed {
+		n.tellNews()
+	}
+}
+
+func (n *Node) ownClaims() []ownership.Claim {
+	now := n.Clock.Now()
+	var claims []ownership.Claim
+	for _, o := range n.allOwners() {
+		claims = append(claims, ownership.Claim{Cell: o.cell, Token: o.token, Owner: n.settings.PeerAddress, Load: o.load(now)})
+	}
+	return claims
+}
--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -47,59 +47,6 @@
 	}
 }
 
-// Submit implements Service.
-func (n *Node) Submit(ctx context.Context, j *job.Job) job.Outcome {
-	return n.front.submit(ctx, j)
-}
-
-// Waiting implements Service.
-func (n *Node) Waiting(route string) int {
-	count := n.ownWaiting()[route]
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, counts := range n.peerCounts {
-		count += counts[route]
-	}
-	return count
-}
-
-// ownWaiting counts, by route, the jobs in this node's cells of which no task
-// has started.
-func (n *Node) ownWaiting() map[string]int {
-	counts := map[string]int{}
-	for _, o := range n.allOwners() {
-		o.mu.Lock()
-		for route, count := range o.state.Waiting() {
-			counts[route] += count
-		}
-		o.mu.Unlock()
-	}
-	return counts
-}
-
-// State implements Service.
-func (n *Node) State(id string) (started, known bool) {
-	n.front.mu.Lock()
-	defer n.front.mu.Unlock()
-	open := n.front.open[id]
-	if open == nil {
-		return false, false
-	}
-	return open.started, true
-}
-
-// Cancel implements Service.
-func (n *Node) Cancel(id string) bool {
-	n.front.mu.Lock()
-	open := n.front.open[id]
-	n.front.mu.Unlock()
-	if open == nil {
-		return false
-	}
-	open.cancel(errCancelled)
-	return true
-}
-
 // Why a front no longer waits for a job.
 var (
 	errCancelled = errors.New("caller_cancelled")
--- /dev/null
+++ b/pkg/node/params.go
@@ -0,0 +1,26 @@
+package node
+
+import (
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/cell"
+)
+
+// Shares of the time after which callers send a job again. By then no run of
+// the first submission may be alive, whoever has died.
+const (
+	leaseShare   = 0.77 // for the leases of a lost owner
+	takeoverTime = 200 * time.Millisecond
+)
+
+// cellParams returns the times of leases. They keep, whatever the settings:
+// lease < resubmission, and
+// suspicion + takeover + grace of orphans + stop < resubmission.
+func (n *Node) cellParams() cell.Params {
+	resubmit := n.settings.ResubmitAfter
+	hold := min(n.settings.LongestHold, time.Duration(leaseShare*float64(resubmit)))
+	params := cell.DefaultParams(hold, n.settings.StopTime)
+	grace := resubmit - n.settings.SuspectAfter - takeoverTime - n.settings.StopTime
+	params.OrphanGrace = max(0, min(params.OrphanGrace, grace))
+	return params
+}
--- /dev/null
+++ b/pkg/node/service.go
@@ -0,0 +1,92 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/job"
+)
+
+// Configuration implements Service.
+func (n *Node) Configuration() *catalog.Configuration {
+	if current := n.configuration.Load(); current != nil {
+		return current.parsed
+	}
+	return nil
+}
+
+// Now implements Service.
+func (n *Node) Now() time.Duration { return n.Clock.Now() }
+
+// Leaving implements Service.
+func (n *Node) Leaving() bool { return n.leaving.Load() }
+
+// Ready implements Service: a node gets callers while it has a configuration
+// and sees an owner that can run something.
+func (n *Node) Ready() bool {
+	if n.leaving.Load() || n.Configuration() == nil {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, claim := range n.claims.Owned() {
+		if claim.Load.Ready {
+			return true
+		}
+	}
+	return false
+}
+
+// Submit implements Service.
+func (n *Node) Submit(ctx context.Context, j *job.Job) job.Outcome {
+	return n.front.submit(ctx, j)
+}
+
+// Waiting implements Service.
+func (n *Node) Waiting(route string) int {
+	count := n.ownWaiting()[route]
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, counts := range n.peerCounts {
+		count += counts[route]
+	}
+	return count
+}
+
+// ownWaiting counts, by route, the jobs in this node's cells of which no task
+// has started.
+func (n *Node) ownWaiting() map[string]int {
+	counts := map[string]int{}
+	for _, o := range n.allOwners() {
+		o.mu.Lock()
+		for route, count := range o.state.Waiting() {
+			counts[route] += count
+		}
+		o.mu.Unlock()
+	}
+	return counts
+}
+
+// State implements Service.
+func (n *Node) State(id string) (started, known bool) {
+	n.front.mu.Lock()
+	defer n.front.mu.Unlock()
+	open := n.front.open[id]
+	if open == nil {
+		return false, false
+	}
+	return open.started, true
+}
+
+// Cancel implements Service.
+func (n *Node) Cancel(id string) bool {
+	n.front.mu.Lock()
+	open := n.front.open[id]
+	n.front.mu.Unlock()
+	if open == nil {
+		return false
+	}
+	open.cancel(errCancelled)
+	return true
+}
