Nodes follow few owners of other zones, tell owners on change, and read long lists less often

Every node kept links to the owners of all 24 cells, each heartbeat named all of them, and every owner read the whole list twice a second. Change: a node follows all cells of its own zone and two of each other, by rendezvous hashing; heartbeats tell the owners for 2 s after a change and every 16th time; lists of more than 350 executors are read less often, down to every 1.25 s by owners.

--- a/pkg/node/claims.go
+++ b/pkg/node/claims.go
@@ -115,7 +115,7 @@
 
 // tellNews wakes what waits for owners, here and at the peers.
 func (n *Node) tellNews() {
-	n.heartbeats.outdate()
+	n.heartbeats.tellOwners(n.Clock.Now())
 	n.changed.signal()
 	n.links.Nudge()
 }
--- a/pkg/node/heartbeat.go
+++ b/pkg/node/heartbeat.go
@@ -14,6 +14,10 @@
 	// gossipEvery is how many heartbeats are made between those that tell the
 	// addresses of the zone's nodes.
 	gossipEvery = 256
+	// ownersEvery is how many are made between those that tell all owners, and
+	// ownersTime how long each does so after the owners have changed.
+	ownersEvery = 16
+	ownersTime  = 2 * time.Second
 )
 
 // heartbeats keeps the newest heartbeat for a moment.
@@ -22,6 +26,16 @@
 	newest *peerpb.Heartbeat // nil when a new one has to be made
 	madeAt time.Duration
 	made   uint64
+
+	ownersTill time.Duration // each heartbeat tells all owners
+}
+
+// tellOwners has the heartbeats of the next while tell all owners.
+func (h *heartbeats) tellOwners(now time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ownersTill = now + ownersTime
+	h.newest = nil
 }
 
 // outdate has the next heartbeat made anew.
@@ -39,13 +53,13 @@
 	now := n.Clock.Now()
 	if h.newest == nil || now >= h.madeAt+heartbeatLife {
 		h.made++
-		h.newest = n.makeHeartbeat(h.made%gossipEvery == 1)
+		h.newest = n.makeHeartbeat(h.made%gossipEvery == 1, now < h.ownersTill || h.made%ownersEvery == 1)
 		h.madeAt = now
 	}
 	return h.newest
 }
 
-func (n *Node) makeHeartbeat(gossip bool) *peerpb.Heartbeat {
+func (n *Node) makeHeartbeat(gossip, owners bool) *peerpb.Heartbeat {
 	beat := &peerpb.Heartbeat{Leaving: n.leaving.Load()}
 	if current := n.configuration.Load(); current != nil {
 		beat.Version = current.snapshot.Revision
@@ -61,8 +75,10 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, claim := range n.claims.Owned() {
-		beat.Owners = append(beat.Owners, claim.Owner)
+	if owners {
+		for _, claim := range n.claims.Owned() {
+			beat.Owners = append(beat.Owners, &peerpb.CellOwner{Cell: claim.Cell, Owner: claim.Owner})
+		}
 	}
 	if gossip {
 		for _, p := range n.members.View(n.inc).Domain() {
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -147,12 +147,13 @@
 	}
 	changed := n.claims.SetClaims(address, fromCellLoads(beat.Cells))
 	n.peerCounts[address] = fromRouteCounts(beat.RouteCounts)
-	newAddress := n.members.Told(without(beat.Owners, n.settings.PeerAddress), n.Clock.Now())
+	newAddress := n.members.Told(n.ownersToFollow(beat.Owners), n.Clock.Now())
 	if p.Domain == n.settings.Zone {
 		newAddress = n.members.Told(beat.Addresses, n.Clock.Now()) || newAddress
 	}
 	n.mu.Unlock()
 	if changed {
+		n.heartbeats.tellOwners(n.Clock.Now())
 		n.changed.signal()
 		n.links.NudgeOne(address) // links to owners beat faster
 	}
@@ -162,6 +163,22 @@
 	n.compareNews(address, beat)
 }
 
+// ownersToFollow returns the addresses of owners that a peer told of and that
+// this node keeps links to.
+func (n *Node) ownersToFollow(told []*peerpb.CellOwner) []string {
+	listing := n.executors.Load()
+	if listing == nil {
+		return nil
+	}
+	var addresses []string
+	for _, o := range told {
+		if listing.followed[o.Cell] && o.Owner != n.settings.PeerAddress {
+			addresses = append(addresses, o.Owner)
+		}
+	}
+	return addresses
+}
+
 // Greeted implements peer.Handler.
 func (n *Node) Greeted(from *peerpb.Hello) {
 	n.mu.Lock()
--- a/pkg/node/news.go
+++ b/pkg/node/news.go
@@ -19,8 +19,10 @@
 // Paces of reading the store, which all nodes share.
 const (
 	storeTimeout      = time.Second
-	executorsInterval = 500 * time.Millisecond // of owners
+	executorsInterval = 500 * time.Millisecond // of owners, for a list of up to pacedFrom
 	othersInterval    = 5 * time.Second        // of the other nodes
+	pacedFrom         = 350                    // executors
+	longestPace       = 2.5                    // times these intervals, for longer lists
 	firstStoreBackoff = 100 * time.Millisecond
 	lastStoreBackoff  = 1500 * time.Millisecond
 	peerFetchTimeout  = time.Second
@@ -170,10 +172,7 @@
 	backoff := firstStoreBackoff
 	failing := false
 	for ctx.Err() == nil {
-		wait := othersInterval
-		if len(n.allOwners()) > 0 {
-			wait = executorsInterval
-		}
+		wait := readInterval(len(n.allOwners()) > 0, n.executors.Load())
 		if err := n.readExecutors(ctx); err != nil {
 			n.metrics.StoreFailed("executors")
 			n.storeFails.Store(true)
@@ -192,6 +191,21 @@
 	}
 }
 
+// readInterval returns the pause between readings. Longer lists are read less
+// often, as all owners read all of them; an executor that leaves is still known
+// as such within two seconds.
+func readInterval(owner bool, newest *listing) time.Duration {
+	interval := othersInterval
+	if owner {
+		interval = executorsInterval
+	}
+	if newest == nil {
+		return interval
+	}
+	pace := float64(newest.size) / pacedFrom
+	return time.Duration(min(max(pace, 1), longestPace) * float64(interval))
+}
+
 // sleepUnlessClaimed waits for d, or until this node has claimed a cell, whose
 // executors it wants to know anew.
 func (n *Node) sleepUnlessClaimed(ctx context.Context, d time.Duration) {
@@ -228,6 +242,7 @@
 		return
 	}
 	next := newListing(snapshot, askedAt, parsed)
+	next.follow(n.settings.Name, n.settings.Zone)
 	if !n.executors.CompareAndSwap(current, next) {
 		return
 	}
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -6,7 +6,9 @@
 package ownership
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -182,6 +184,30 @@
 	return true
 }
 
+// FollowedCells picks the cells whose owners a host keeps links to: all of its
+// own zone, and perZone of each other, spread over the hosts by rendezvous
+// hashing. Links to all owners would grow with the square of the hosts.
+func FollowedCells(cells []string, self, zone string, perZone int) map[string]bool {
+	followed := map[string]bool{}
+	others := map[string][]string{}
+	for _, cell := range cells {
+		if cellZone := ZoneOf(cell); cellZone != zone {
+			others[cellZone] = append(others[cellZone], cell)
+			continue
+		}
+		followed[cell] = true
+	}
+	for _, candidates := range others {
+		slices.SortFunc(candidates, func(a, b string) int {
+			return cmp.Compare(member.Score(self, b), member.Score(self, a))
+		})
+		for _, cell := range candidates[:min(perZone, len(candidates))] {
+			followed[cell] = true
+		}
+	}
+	return followed
+}
+
 // Owned returns the standing claims, one for each cell, sorted by cell.
 func (t *Table) Owned() []Claim {
 	var claims []Claim
--- a/pkg/ownership/ownership_test.go
+++ b/pkg/ownership/ownership_test.go
@@ -126,3 +126,33 @@
 	}
 	qt.Assert(t, owned < cells/20, qt.IsTrue, qt.Commentf("%d of %d", owned, cells))
 }
+
+func TestFollowedCells(t *testing.T) {
+	var cells []string
+	for _, zone := range []string{"near", "far", "further"} {
+		for i := range 8 {
+			cells = append(cells, CellOf(zone, string(rune('a'+i)), 1<<10))
+		}
+	}
+	type scenario struct {
+		testName string
+		cells    []string
+		want     int
+	}
+	scenarios := []scenario{
+		{testName: "one cell a zone: all", cells: []string{"near", "far", "further"}, want: 3},
+		{testName: "many: all of the own zone, a few of each other", cells: cells, want: 8 + 2*2},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			followed := FollowedCells(s.cells, "host", "near", 2)
+			c.Assert(followed, qt.HasLen, s.want)
+			for _, cell := range s.cells {
+				if ZoneOf(cell) == "near" {
+					c.Assert(followed[cell], qt.IsTrue)
+				}
+			}
+		})
+	}
+}
