Cells are claimed once most hosts have told; a starting node keeps jobs for its own zone

Change: a claim needs most hosts' word 0.4 s after the start; jobs wait for owners of their own zone up to 1.2 s after it.

--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -16,6 +16,12 @@
 	// noOwnerWait is how long a job of which nothing has run waits for an
 	// owner before it is refused.
 	noOwnerWait = 1500 * time.Millisecond
+	// startPatience is how long after its start a node keeps jobs for owners of
+	// its own zone: the first owners of all would else get every zone's jobs.
+	startPatience = 1200 * time.Millisecond
+	// ownerRecheck is how soon a job that waits looks for an owner again when
+	// nothing changes.
+	ownerRecheck = 200 * time.Millisecond
 	// comeBack is the advice to callers that were refused.
 	comeBack = time.Second
 	// ownerPause keeps a front from asking one that gives jobs back at once.
@@ -222,7 +228,7 @@
 		if left <= 0 {
 			return ownership.Claim{}, false
 		}
-		timer := time.NewTimer(left)
+		timer := time.NewTimer(min(left, ownerRecheck))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -243,6 +249,9 @@
 	if state.lostCell != "" && n.Clock.Now() < state.settleAt {
 		return n.claims.Owner(state.lostCell)
 	}
+	if n.ownerless && n.Clock.Now() < startPatience {
+		return ownership.Claim{}, false
+	}
 	return ownership.Choose(n.claims.Owned(), n.settings.Zone, j.Service, largestNeed(j))
 }
 
--- a/pkg/node/front_test.go
+++ b/pkg/node/front_test.go
@@ -4,7 +4,9 @@
 	"testing"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/ownership"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -57,3 +59,31 @@
 		})
 	}
 }
+
+// After a restart of everything the first owners of all would else get every
+// zone's jobs, and refuse most of them.
+func TestAStartingNodeKeepsJobsForItsOwnZone(t *testing.T) {
+	type scenario struct {
+		testName  string
+		age       time.Duration
+		ownerless bool
+		want      bool // the job goes to the other zone
+	}
+	scenarios := []scenario{
+		{testName: "just started, no owner here yet", age: 500 * time.Millisecond, ownerless: true},
+		{testName: "just started, an owner here", age: 500 * time.Millisecond, want: true},
+		{testName: "no owner here for long", age: 2 * time.Second, ownerless: true, want: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			n := newTestNode(c, &fakeStore{})
+			n.Clock = &common.ManualClock{At: s.age}
+			n.ownerless = s.ownerless
+			load := ownership.Load{CapacityCPU: 1000, FreeCPU: 1000, Ready: true, Services: []string{"s"}}
+			n.claims.SetClaims("far:1", []ownership.Claim{{Cell: "far", Token: 1, Load: load}})
+			_, found := n.front.choose(&job.Job{Service: "s"}, &attempt{})
+			c.Assert(found, qt.Equals, s.want)
+		})
+	}
+}
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -62,6 +62,7 @@
 // Limits are the waits before claims.
 type Limits struct {
 	Start    time.Duration // after the start of the process, to hear of owners
+	Most     time.Duration // after the start, when most hosts have told, and all that are seen
 	Rows     time.Duration // after the start, until which the store's rows may lack hosts that start too
 	Isolated time.Duration // without an owner, for a host that sees under half of the others
 	Outside  time.Duration // without any host of the zone, for hosts of other zones
@@ -73,6 +74,7 @@
 func DefaultLimits() Limits {
 	return Limits{
 		Start:    700 * time.Millisecond,
+		Most:     400 * time.Millisecond,
 		Rows:     350 * time.Millisecond,
 		Isolated: 2 * time.Second,
 		Outside:  3 * time.Second,
@@ -249,9 +251,7 @@
 	if !inside && state.zoneEmpty == 0 {
 		state.zoneEmpty = now
 	}
-	heard := (view.Back || now >= t.started+t.limits.Rows) && allHeard(view)
-	tooEarly := now < t.started+t.limits.Start && !heard
-	if view.Self.Leaving || tooEarly || now < state.noClaim {
+	if view.Self.Leaving || t.tooEarly(view, now) || now < state.noClaim {
 		return false
 	}
 	isolated := 2*(len(view.Up)+1) < view.Known
@@ -261,6 +261,20 @@
 	return !isolated && now >= state.zoneEmpty+t.limits.Outside && first(cell, view.Self, view.Up)
 }
 
+// tooEarly reports whether this host may have started too short a time ago to
+// have heard of owners. Rows of hosts that are gone for good may stand yet, so
+// that not all can be heard.
+func (t *Table) tooEarly(view View, now time.Duration) bool {
+	age := now - t.started
+	switch {
+	case age >= t.limits.Start:
+		return false
+	case allHeard(view):
+		return !view.Back && age < t.limits.Rows
+	}
+	return age < t.limits.Most || !mostHeard(view)
+}
+
 // weakShare is the part of this host's processor time below which an owner of
 // the zone should give its cell to this host.
 const weakShare = 0.5
@@ -291,6 +305,17 @@
 	return view.Known > 1 && len(view.Up)+1 >= view.Known
 }
 
+// mostHeard reports whether more than half of the hosts that should be there
+// are seen, and all that are seen have told which cells they own.
+func mostHeard(view View) bool {
+	for _, host := range view.Up {
+		if !host.Heard {
+			return false
+		}
+	}
+	return 2*(len(view.Up)+1) > view.Known && len(view.Up) > 0
+}
+
 func hostsOf(view View, zone string) []Host {
 	var hosts []Host
 	for _, host := range view.Up {
