--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -89,6 +89,10 @@
 		return "it was refused at once: the work that ranks before it would take longer than its deadline"
 	case last.Reason == "deadline_too_short":
 		return "it was refused when it could no longer be done in time: it waited for room"
+	case last.Reason == "stopping" && last.Outcome == "refused":
+		return "its node was stopping and could not have done it in time; nothing of it ran"
+	case last.Reason == "stopping":
+		return "its node stopped while tasks ran: " + slowest(events)
 	case last.Reason == "no_owner":
 		return "no owner of executors was in sight of its front"
 	case last.Reason == "caller_left" && count(events, "job_handed_on") > 0:
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -32,6 +32,8 @@
 			`{"time":"2026-03-18T22:21:17Z","msg":"job_handed_on","job":"00112233445566ff","cell":"z","why":"lost","reason":"the link is down"}`,
 			`{"time":"2026-03-18T22:21:18Z","msg":"job_ended","job":"00112233445566ff","outcome":"expired","reason":"caller_left"}`,
 		}, want: "its caller left while it went from owner to owner: z (lost, the link is down)"},
+		{testName: "its node was stopping", lines: []string{`{"time":"2026-03-18T22:21:18Z","msg":"job_ended","job":"00112233445566ff","outcome":"refused","reason":"stopping"}`}, want: "its node was stopping and could not have done it in time; nothing of it ran"},
+		{testName: "its node stopped while it ran", lines: []string{started, `{"time":"2026-03-18T22:21:18Z","msg":"job_ended","job":"00112233445566ff","outcome":"expired","reason":"stopping"}`}, want: "its node stopped while tasks ran: 00112233445566ff.0.0.0 on i-1"},
 		{testName: "a task stood still", lines: []string{started, `{"time":"2026-03-18T22:21:18Z","msg":"job_ended","job":"00112233445566ff","outcome":"expired","reason":"caller_left"}`},
 			want: "its caller left while tasks ran: 00112233445566ff.0.0.0 on i-1"},
 		{testName: "other jobs and other text are passed over", lines: []string{
