--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -78,7 +78,7 @@
 	ID       string // of this life
 	Service  string
 	Address  string // IP:port
-	Zone     string
+	Domain   string
 	Draining bool
 	Remains  time.Duration // least time left during a drain; 0 when not told
 	Capacity job.Resources
--- a/pkg/node/claims.go
+++ b/pkg/node/claims.go
@@ -16,8 +16,8 @@
 	names := n.cellsToClaim(listing, now)
 	n.foreign.keepOnly(names)
 	for _, name := range names {
-		zone := ownership.ZoneOf(name)
-		if zone == n.settings.Zone || n.mayClaimForeign(zone, now) {
+		domain := ownership.DomainOf(name)
+		if domain == n.settings.Domain || n.mayClaimForeign(domain, now) {
 			n.claim(name, now)
 		}
 	}
@@ -31,7 +31,7 @@
 	view := n.ownershipView()
 	var names []string
 	for name := range listing.cells {
-		if n.owners[name] == nil && n.claims.ShouldClaim(name, ownership.ZoneOf(name), view, now) {
+		if n.owners[name] == nil && n.claims.ShouldClaim(name, ownership.DomainOf(name), view, now) {
 			names = append(names, name)
 		}
 	}
@@ -64,26 +64,26 @@
 	n.publishClaims()
 }
 
-// yieldCells gives up cells of other zones once those zones have nodes again,
+// yieldCells gives up cells of other domains once those domains have nodes again,
 // and cells that no longer exist once their work is done.
 func (n *Node) yieldCells(listing *listing) {
 	for _, o := range n.allOwners() {
-		zone := ownership.ZoneOf(o.cell)
+		domain := ownership.DomainOf(o.cell)
 		_, exists := listing.cells[o.cell]
 		switch {
-		case zone != n.settings.Zone && n.zoneHasNodes(zone):
-			n.release(o, "zone_is_back")
+		case domain != n.settings.Domain && n.domainHasNodes(domain):
+			n.release(o, "domain_is_back")
 		case !exists && !o.busy():
 			n.release(o, "cell_is_gone")
 		}
 	}
 }
 
-func (n *Node) zoneHasNodes(zone string) bool {
+func (n *Node) domainHasNodes(domain string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, host := range n.ownershipView().Up {
-		if host.Zone == zone && !host.Leaving {
+		if host.Domain == domain && !host.Leaving {
 			return true
 		}
 	}
--- a/pkg/node/foreign.go
+++ b/pkg/node/foreign.go
@@ -9,10 +9,10 @@
 	"github.com/foxcroft/foxcroft/pkg/ownership"
 )
 
-// A zone whose nodes are all out of sight may have lost them, or be cut off
-// and serve by itself. Only in the first case should a node of another zone
+// A domain whose nodes are all out of sight may have lost them, or be cut off
+// and serve by itself. Only in the first case should a node of another domain
 // claim its executors. So it first looks whether they can be reached, by a
-// hold without a token, which changes nothing; and as the links to the zone's
+// hold without a token, which changes nothing; and as the links to the domain's
 // nodes come back within moments of a cut's end, it then waits a while.
 const (
 	probeInterval  = 300 * time.Millisecond
@@ -21,41 +21,43 @@
 	reachableLimit = 2 * time.Second // of being reachable, before a claim
 )
 
-// foreignZones remembers since when the executors of other zones could be
+// foreignDomains remembers since when the executors of other domains could be
 // reached.
-type foreignZones struct {
-	mu    sync.Mutex
-	zones map[string]*foreignZone
+type foreignDomains struct {
+	mu      sync.Mutex
+	domains map[string]*foreignDomain
 }
 
-type foreignZone struct {
+type foreignDomain struct {
 	since    time.Duration // reachable; 0 while not
 	nextLook time.Duration
 }
 
-func newForeignZones() *foreignZones { return &foreignZones{zones: map[string]*foreignZone{}} }
+func newForeignDomains() *foreignDomains {
+	return &foreignDomains{domains: map[string]*foreignDomain{}}
+}
 
-// keepOnly ends the looks at all zones but those of the given cells, which
+// keepOnly ends the looks at all domains but those of the given cells, which
 // need an owner from elsewhere. A later look begins anew.
-func (f *foreignZones) keepOnly(cells []string) {
+func (f *foreignDomains) keepOnly(cells []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for zone := range f.zones {
-		needed := slices.ContainsFunc(cells, func(cell string) bool { return ownership.ZoneOf(cell) == zone })
+	for domain := range f.domains {
+		needed := slices.ContainsFunc(cells, func(cell string) bool { return ownership.DomainOf(cell) == domain })
 		if !needed {
-			delete(f.zones, zone)
+			delete(f.domains, domain)
 		}
 	}
 }
 
-// due reports whether a zone may be claimed, and whether a look is due.
-func (f *foreignZones) due(zone string, now time.Duration) (claim, look bool) {
+// due reports whether a domain may be claimed, and whether a look is due.
+func (f *foreignDomains) due(domain string, now time.Duration) (claim, look bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	state := f.zones[zone]
+	state := f.domains[domain]
 	if state == nil {
-		state = &foreignZone{}
-		f.zones[zone] = state
+		state = &foreignDomain{}
+		f.domains[domain] = state
 	}
 	claim = state.since > 0 && now >= state.since+reachableLimit
 	look = now >= state.nextLook
@@ -66,10 +68,10 @@
 }
 
 // looked takes the result of a look.
-func (f *foreignZones) looked(zone string, reached bool, now time.Duration) {
+func (f *foreignDomains) looked(domain string, reached bool, now time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	state := f.zones[zone]
+	state := f.domains[domain]
 	if state == nil {
 		return
 	}
@@ -80,28 +82,28 @@
 	}
 }
 
-// mayClaimForeign reports whether cells of a zone without nodes may be claimed by this
-// node of another zone, and looks at its executors now and then.
-func (n *Node) mayClaimForeign(zone string, now time.Duration) bool {
-	claim, look := n.foreign.due(zone, now)
+// mayClaimForeign reports whether cells of a domain without nodes may be claimed by this
+// node of another domain, and looks at its executors now and then.
+func (n *Node) mayClaimForeign(domain string, now time.Duration) bool {
+	claim, look := n.foreign.due(domain, now)
 	if look && !claim {
-		go n.lookAt(zone)
+		go n.lookAt(domain)
 	}
 	return claim
 }
 
-func (n *Node) lookAt(zone string) {
+func (n *Node) lookAt(domain string) {
 	listing := n.executors.Load()
 	if listing == nil {
 		return
 	}
 	reached := false
-	for i, executor := range listing.inZone(zone) {
+	for i, executor := range listing.inDomain(domain) {
 		if i == probedAtOnce || reached {
 			break
 		}
 		verdict := n.front.calls.executors.Hold(&executor, HoldOrder{}, probeTimeout).Verdict
 		reached = verdict != cell.Unanswered && verdict != cell.Unreached
 	}
-	n.foreign.looked(zone, reached, n.Clock.Now())
+	n.foreign.looked(domain, reached, n.Clock.Now())
 }
--- a/pkg/node/foreign_test.go
+++ b/pkg/node/foreign_test.go
@@ -7,11 +7,11 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// A zone that was cut off serves by itself. What was seen of it at a cut says
+// A domain that was cut off serves by itself. What was seen of it at a cut says
 // nothing at the next.
-func TestLooksAtAZoneBeginAnewAtTheNextCut(t *testing.T) {
+func TestLooksAtADomainBeginAnewAtTheNextCut(t *testing.T) {
 	c := qt.New(t)
-	f := newForeignZones()
+	f := newForeignDomains()
 	now := time.Minute
 	claim, look := f.due("far", now)
 	c.Assert(claim, qt.IsFalse)
@@ -21,7 +21,7 @@
 	claim, _ = f.due("far", now+reachableLimit)
 	c.Assert(claim, qt.IsTrue, qt.Commentf("reachable for long enough"))
 
-	f.keepOnly(nil) // the zone has an owner of its own again
+	f.keepOnly(nil) // the domain has an owner of its own again
 	claim, look = f.due("far", now+time.Minute)
 	c.Assert(claim, qt.IsFalse)
 	c.Assert(look, qt.IsTrue)
--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -17,7 +17,7 @@
 	// owner before it is refused.
 	noOwnerWait = 1500 * time.Millisecond
 	// startPatience is how long after its start a node keeps jobs for owners of
-	// its own zone: the first owners of all would else get every zone's jobs.
+	// its own domain: the first owners of all would else get every domain's jobs.
 	startPatience = 1200 * time.Millisecond
 	// ownerRecheck is how soon a job that waits looks for an owner again when
 	// nothing changes.
@@ -86,7 +86,7 @@
 }
 
 // tooLateFor reports whether this node stops before a job can be done. Callers
-// may come until the end, where too few other nodes of the zone are ready.
+// may come until the end, where too few other nodes of the domain are ready.
 func (f *front) tooLateFor(j *job.Job) bool {
 	stopsAt := time.Duration(f.stopsAt.Load())
 	return stopsAt > 0 && f.node.Clock.Now()+j.LongestChain() > stopsAt
@@ -252,7 +252,7 @@
 	if n.ownerless && n.Clock.Now() < startPatience {
 		return ownership.Claim{}, false
 	}
-	return ownership.Choose(n.claims.Owned(), n.settings.Zone, j.Service, largestNeed(j))
+	return ownership.Choose(n.claims.Owned(), n.settings.Domain, j.Service, largestNeed(j))
 }
 
 func largestNeed(j *job.Job) int64 {
--- a/pkg/node/front_test.go
+++ b/pkg/node/front_test.go
@@ -61,13 +61,13 @@
 }
 
 // After a restart of everything the first owners of all would else get every
-// zone's jobs, and refuse most of them.
-func TestAStartingNodeKeepsJobsForItsOwnZone(t *testing.T) {
+// domain's jobs, and refuse most of them.
+func TestAStartingNodeKeepsJobsForItsOwnDomain(t *testing.T) {
 	type scenario struct {
 		testName  string
 		age       time.Duration
 		ownerless bool
-		want      bool // the job goes to the other zone
+		want      bool // the job goes to the other domain
 	}
 	scenarios := []scenario{
 		{testName: "just started, no owner here yet", age: 500 * time.Millisecond, ownerless: true},
--- a/pkg/node/heartbeat.go
+++ b/pkg/node/heartbeat.go
@@ -12,7 +12,7 @@
 	// with many links would else count its queue anew for each of them.
 	heartbeatLife = 40 * time.Millisecond
 	// gossipEvery is how many heartbeats are made between those that tell the
-	// addresses of the zone's nodes.
+	// addresses of the domain's nodes.
 	gossipEvery = 256
 	// ownersEvery is how many are made between those that tell all owners, and
 	// ownersTime how long each does so after the owners have changed.
--- a/pkg/node/listing.go
+++ b/pkg/node/listing.go
@@ -17,48 +17,48 @@
 	followed map[string]bool // cells whose owners this node keeps links to
 }
 
-// followedPerZone is how many cells of each other zone a node may hand jobs to.
-const followedPerZone = 2
+// followedPerDomain is how many cells of each other domain a node may hand jobs to.
+const followedPerDomain = 2
 
 // follow chooses the cells whose owners a node keeps links to.
-func (l *listing) follow(self, zone string) {
+func (l *listing) follow(self, domain string) {
 	names := make([]string, 0, len(l.cells))
 	for name := range l.cells {
 		names = append(names, name)
 	}
-	l.followed = ownership.FollowedCells(names, self, zone, followedPerZone)
+	l.followed = ownership.FollowedCells(names, self, domain, followedPerDomain)
 }
 
 // newListing sorts a reading into cells.
 func newListing(snapshot Snapshot, askedAt time.Duration, executors *catalog.Executors) *listing {
 	sizes := map[string]int{}
 	for _, executor := range executors.ByID {
-		sizes[executor.Zone]++
+		sizes[executor.Domain]++
 	}
 	l := &listing{revision: snapshot.Revision, askedAt: askedAt, snapshot: snapshot, size: len(executors.ByID), cells: map[string][]catalog.Executor{}}
 	for _, executor := range executors.ByID {
-		name := ownership.CellOf(executor.Zone, executor.Address, ownership.CellCount(sizes[executor.Zone]))
+		name := ownership.CellOf(executor.Domain, executor.Address, ownership.CellCount(sizes[executor.Domain]))
 		l.cells[name] = append(l.cells[name], executor)
 	}
 	return l
 }
 
-// cellsOf returns the names of a zone's cells.
-func (l *listing) cellsOf(zone string) []string {
+// cellsOf returns the names of a domain's cells.
+func (l *listing) cellsOf(domain string) []string {
 	var names []string
 	for name := range l.cells {
-		if ownership.ZoneOf(name) == zone {
+		if ownership.DomainOf(name) == domain {
 			names = append(names, name)
 		}
 	}
 	return names
 }
 
-// inZone returns the executors of a zone.
-func (l *listing) inZone(zone string) []catalog.Executor {
+// inDomain returns the executors of a domain.
+func (l *listing) inDomain(domain string) []catalog.Executor {
 	var executors []catalog.Executor
 	for name, listed := range l.cells {
-		if ownership.ZoneOf(name) == zone {
+		if ownership.DomainOf(name) == domain {
 			executors = append(executors, listed...)
 		}
 	}
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -30,7 +30,7 @@
 	byName := map[string]Member{}
 	for _, row := range rows {
 		byName[row.Name] = row
-		listed = append(listed, member.Listed{Name: row.Name, Domain: row.Zone, Address: row.PeerAddress})
+		listed = append(listed, member.Listed{Name: row.Name, Domain: row.Domain, Address: row.PeerAddress})
 	}
 	n.mu.Lock()
 	n.rows = byName
@@ -50,10 +50,10 @@
 
 // ownershipView returns what this node sees of the others. n.mu is held.
 func (n *Node) ownershipView() ownership.View {
-	view := ownership.View{Self: ownership.Host{Address: n.settings.PeerAddress, Zone: n.settings.Zone, Leaving: n.leaving.Load(), Weight: n.settings.Weight}}
+	view := ownership.View{Self: ownership.Host{Address: n.settings.PeerAddress, Domain: n.settings.Domain, Leaving: n.leaving.Load(), Weight: n.settings.Weight}}
 	known := map[string]bool{n.settings.PeerAddress: true}
 	for _, p := range n.members.View(n.inc).Peers {
-		view.Up = append(view.Up, ownership.Host{Address: p.Address, Zone: p.Domain, Leaving: p.Leaving, Weight: p.Weight, Heard: n.claims.Heard(p.Address)})
+		view.Up = append(view.Up, ownership.Host{Address: p.Address, Domain: p.Domain, Leaving: p.Leaving, Weight: p.Weight, Heard: n.claims.Heard(p.Address)})
 		known[p.Address] = true
 	}
 	for _, address := range n.members.Expected(n.Clock.Now()) {
@@ -68,7 +68,7 @@
 func (n *Node) Hello() *peerpb.Hello {
 	return &peerpb.Hello{
 		Name:        n.settings.Name,
-		Domain:      n.settings.Zone,
+		Domain:      n.settings.Domain,
 		Address:     n.settings.PeerAddress,
 		Incarnation: n.inc[:],
 		Leaving:     n.leaving.Load(),
@@ -77,7 +77,7 @@
 }
 
 // quietSlowdown is how much more slowly links beat towards hosts that own no
-// cell, while all cells of the zone have owners: nothing waits for news of them.
+// cell, while all cells of the domain have owners: nothing waits for news of them.
 const quietSlowdown = 10
 
 // Slowdown implements peer.Pacer. Owners need not beat fast towards the fronts
@@ -91,10 +91,10 @@
 	return quietSlowdown
 }
 
-// noticeOwnerless has all links beat fast once a cell of this zone lacks an
+// noticeOwnerless has all links beat fast once a cell of this domain lacks an
 // owner, so that hosts that are gone too are soon known as such.
 func (n *Node) noticeOwnerless(listing *listing) {
-	cells := listing.cellsOf(n.settings.Zone)
+	cells := listing.cellsOf(n.settings.Domain)
 	n.mu.Lock()
 	ownerless := !n.claims.AllOwned(cells)
 	news := ownerless && !n.ownerless
@@ -148,7 +148,7 @@
 	changed := n.claims.SetClaims(address, fromCellLoads(beat.Cells))
 	n.peerCounts[address] = fromRouteCounts(beat.RouteCounts)
 	newAddress := n.members.Told(n.ownersToFollow(beat.Owners), n.Clock.Now())
-	if p.Domain == n.settings.Zone {
+	if p.Domain == n.settings.Domain {
 		newAddress = n.members.Told(beat.Addresses, n.Clock.Now()) || newAddress
 	}
 	n.mu.Unlock()
--- a/pkg/node/news.go
+++ b/pkg/node/news.go
@@ -148,7 +148,7 @@
 func (n *Node) announce(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	err := n.store.Announce(ctx, Member{Name: n.settings.Name, Zone: n.settings.Zone, PeerAddress: n.settings.PeerAddress})
+	err := n.store.Announce(ctx, Member{Name: n.settings.Name, Domain: n.settings.Domain, PeerAddress: n.settings.PeerAddress})
 	if err != nil {
 		n.Log.Warn("row_not_written", "error", err.Error())
 	}
@@ -242,7 +242,7 @@
 		return
 	}
 	next := newListing(snapshot, askedAt, parsed)
-	next.follow(n.settings.Name, n.settings.Zone)
+	next.follow(n.settings.Name, n.settings.Domain)
 	if !n.executors.CompareAndSwap(current, next) {
 		return
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -54,13 +54,13 @@
 	rows       map[string]Member        // the nodes' rows in the store, by name
 	rowsRead   bool                     // once
 	back       bool                     // the own row was there at the first reading
-	ownerless  bool                     // a cell of this zone lacks an owner
+	ownerless  bool                     // a cell of this domain lacks an owner
 	lastSeen   map[string]time.Duration // when a node of a row was last seen, by name
 	peerCounts map[string]map[string]int
 	owners     map[string]*owner
 
 	front   *front
-	foreign *foreignZones
+	foreign *foreignDomains
 
 	logDropped func() uint64 // nil when it isn't counted
 	servers    []*http.Server
@@ -87,21 +87,21 @@
 		peerCounts: map[string]map[string]int{},
 		owners:     map[string]*owner{},
 	}
-	self := member.Peer{Name: s.Name, Domain: s.Zone, Address: s.PeerAddress, Incarnation: inc}
-	n.members = member.NewTable(self, without(s.Seeds, s.PeerAddress), linksToOtherZones)
+	self := member.Peer{Name: s.Name, Domain: s.Domain, Address: s.PeerAddress, Incarnation: inc}
+	n.members = member.NewTable(self, without(s.Seeds, s.PeerAddress), linksToOtherDomains)
 	n.claims = ownership.NewTable(ownership.DefaultLimits(), c.Clock.Now())
 	link := settings.Link{Heartbeat: s.Heartbeat, SuspectAfter: s.SuspectAfter}
 	n.links = peer.NewSet(c, link, n, n.counters)
 	n.front = newFront(n)
-	n.foreign = newForeignZones()
+	n.foreign = newForeignDomains()
 	instruments, err := metrics.NewNode(n.gauges)
 	n.metrics = instruments
 	return n, err
 }
 
-// linksToOtherZones is the number of links that a node keeps to each other
-// zone, beside those to the owners of its cells.
-const linksToOtherZones = 3
+// linksToOtherDomains is the number of links that a node keeps to each other
+// domain, beside those to the owners of its cells.
+const linksToOtherDomains = 3
 
 // without returns the addresses but the own one.
 func without(addresses []string, own string) []string {
@@ -139,7 +139,7 @@
 	go n.runNews(ctx)
 	go n.runRows(ctx)
 	go n.runCells(ctx)
-	n.Log.Info("started", "incarnation", n.inc.String(), "zone", n.settings.Zone, "front", n.settings.FrontAddress, "peers", n.settings.PeerAddress)
+	n.Log.Info("started", "incarnation", n.inc.String(), "domain", n.settings.Domain, "front", n.settings.FrontAddress, "peers", n.settings.PeerAddress)
 	return nil
 }
 
--- a/pkg/node/pace_test.go
+++ b/pkg/node/pace_test.go
@@ -22,15 +22,15 @@
 		{testName: "towards an owner", peerOwns: true, want: 1},
 		{testName: "towards a host that owns nothing", want: quietSlowdown},
 		{testName: "from an owner to a front, which beats fast itself", ownClaims: true, want: quietSlowdown},
-		{testName: "a cell of the zone has no owner", ownerless: true, want: 1},
+		{testName: "a cell of the domain has no owner", ownerless: true, want: 1},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
 			c := qt.New(t)
 			n := newTestNode(c, &fakeStore{})
-			zone := n.settings.Zone
-			listed := newListing(Snapshot{Revision: 1}, 0, &catalog.Executors{ByID: map[string]catalog.Executor{"e": {ID: "e", Zone: zone}}})
-			claim := []ownership.Claim{{Cell: listed.cellsOf(zone)[0], Token: 1}}
+			domain := n.settings.Domain
+			listed := newListing(Snapshot{Revision: 1}, 0, &catalog.Executors{ByID: map[string]catalog.Executor{"e": {ID: "e", Domain: domain}}})
+			claim := []ownership.Claim{{Cell: listed.cellsOf(domain)[0], Token: 1}}
 			switch {
 			case s.ownClaims:
 				n.claims.SetClaims(n.settings.PeerAddress, claim)
--- a/pkg/node/ports.go
+++ b/pkg/node/ports.go
@@ -27,7 +27,7 @@
 // Member is a node's row in the store.
 type Member struct {
 	Name        string
-	Zone        string
+	Domain      string
 	PeerAddress string
 }
 
--- a/pkg/node/rows.go
+++ b/pkg/node/rows.go
@@ -15,7 +15,7 @@
 	rowLife      = 60 * time.Second // out of sight
 )
 
-// runRows removes the rows of nodes of this zone that have been out of sight
+// runRows removes the rows of nodes of this domain that have been out of sight
 // for long. Else those of replaced machines would add up.
 func (n *Node) runRows(ctx context.Context) {
 	for common.Sleep(ctx, common.Jitter(rowsInterval, common.Unit())) {
@@ -43,7 +43,7 @@
 		if up[row.PeerAddress] || !known {
 			n.lastSeen[name] = now
 		}
-		if row.Zone == n.settings.Zone && now > n.lastSeen[name]+rowLife {
+		if row.Domain == n.settings.Domain && now > n.lastSeen[name]+rowLife {
 			stale = append(stale, name)
 		}
 	}
--- a/pkg/node/rows_test.go
+++ b/pkg/node/rows_test.go
@@ -12,30 +12,30 @@
 func TestStaleRows(t *testing.T) {
 	type scenario struct {
 		testName string
-		zone     string // of the row
+		domain   string // of the row
 		up       bool
 		alone    bool // no other node is in sight
 		after    time.Duration
 		want     []string
 	}
 	scenarios := []scenario{
-		{testName: "in sight", zone: "z", up: true, after: time.Hour},
-		{testName: "out of sight for a while", zone: "z", after: rowLife},
-		{testName: "out of sight for long", zone: "z", after: rowLife + 1, want: []string{"gone"}},
-		{testName: "another zone's row is for its own nodes", zone: "y", after: time.Hour},
-		{testName: "an isolated node removes nothing", zone: "z", alone: true, after: time.Hour},
+		{testName: "in sight", domain: "z", up: true, after: time.Hour},
+		{testName: "out of sight for a while", domain: "z", after: rowLife},
+		{testName: "out of sight for long", domain: "z", after: rowLife + 1, want: []string{"gone"}},
+		{testName: "another domain's row is for its own nodes", domain: "y", after: time.Hour},
+		{testName: "an isolated node removes nothing", domain: "z", alone: true, after: time.Hour},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
 			c := qt.New(t)
 			n := newTestNode(c, &fakeStore{})
-			n.rows = map[string]Member{"gone": {Name: "gone", Zone: s.zone, PeerAddress: "127.0.0.9:1"}}
-			n.members.SetListed([]member.Listed{{Name: "gone", Domain: s.zone, Address: "127.0.0.9:1"}, {Name: "b", Domain: "z", Address: "127.0.0.2:1"}})
+			n.rows = map[string]Member{"gone": {Name: "gone", Domain: s.domain, PeerAddress: "127.0.0.9:1"}}
+			n.members.SetListed([]member.Listed{{Name: "gone", Domain: s.domain, Address: "127.0.0.9:1"}, {Name: "b", Domain: "z", Address: "127.0.0.2:1"}})
 			if !s.alone {
 				n.members.Up(member.Peer{Name: "b", Domain: "z", Address: "127.0.0.2:1", Incarnation: once.Incarnation{2}})
 			}
 			if s.up {
-				n.members.Up(member.Peer{Name: "gone", Domain: s.zone, Address: "127.0.0.9:1", Incarnation: once.Incarnation{3}})
+				n.members.Up(member.Peer{Name: "gone", Domain: s.domain, Address: "127.0.0.9:1", Incarnation: once.Incarnation{3}})
 			}
 			c.Assert(n.staleRows(time.Minute), qt.HasLen, 0, qt.Commentf("the time starts with the first look"))
 			c.Assert(n.staleRows(time.Minute+s.after), qt.DeepEquals, s.want)
--- a/pkg/ownership/cells.go
+++ b/pkg/ownership/cells.go
@@ -7,12 +7,12 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// cellSize is how many executors a cell holds before its zone has more cells.
+// cellSize is how many executors a cell holds before its domain has more cells.
 // The number of cells doubles from there, so that it changes rarely: a change
 // moves executors from owner to owner.
 const cellSize = 76
 
-// CellCount returns the number of cells of a zone with so many executors.
+// CellCount returns the number of cells of a domain with so many executors.
 func CellCount(executors int) int {
 	count := 1
 	for executors > count*cellSize {
@@ -21,18 +21,18 @@
 	return count
 }
 
-// CellOf returns the cell of an executor in a zone of so many cells. The
+// CellOf returns the cell of an executor in a domain of so many cells. The
 // address outlives the executor's restarts, its id doesn't.
-func CellOf(zone, address string, count int) string {
+func CellOf(domain, address string, count int) string {
 	if count == 1 {
-		return zone
+		return domain
 	}
 	index := xxhash.Sum64String(address) % uint64(count)
-	return zone + "/" + strconv.Itoa(count) + "." + strconv.FormatUint(index, 10)
+	return domain + "/" + strconv.Itoa(count) + "." + strconv.FormatUint(index, 10)
 }
 
-// ZoneOf returns the zone of a cell.
-func ZoneOf(cell string) string {
+// DomainOf returns the domain of a cell.
+func DomainOf(cell string) string {
 	if i := strings.LastIndexByte(cell, '/'); i >= 0 {
 		return cell[:i]
 	}
--- a/pkg/ownership/choose.go
+++ b/pkg/ownership/choose.go
@@ -4,14 +4,14 @@
 
 // Margins of sending a job to another cell than the caller's own.
 const (
-	hopCost    = 10 * time.Millisecond // of another zone
+	hopCost    = 10 * time.Millisecond // of another domain
 	staleShare = 0.5                   // of the own wait that must be gained
 )
 
-// Choose returns the claim to hand a job of a service to: one of the own zone
+// Choose returns the claim to hand a job of a service to: one of the own domain
 // unless another cell would start it much sooner; of equals the one with the
 // most room.
-func Choose(claims []Claim, ownZone, service string, needsCPU int64) (Claim, bool) {
+func Choose(claims []Claim, ownDomain, service string, needsCPU int64) (Claim, bool) {
 	var best Claim
 	var bestWait time.Duration
 	found := false
@@ -20,7 +20,7 @@
 			continue
 		}
 		wait := expectedWait(claim.Load, needsCPU)
-		if ZoneOf(claim.Cell) != ownZone {
+		if DomainOf(claim.Cell) != ownDomain {
 			wait = hopCost + time.Duration(float64(wait)/staleShare)
 		}
 		better := wait < bestWait || (wait == bestWait && claim.Load.FreeCPU > best.Load.FreeCPU)
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -45,7 +45,7 @@
 // Host is what the decision needs to know of a host.
 type Host struct {
 	Address string
-	Zone    string
+	Domain  string
 	Leaving bool
 	Weight  int  // thousandths of a core that it may use; 0 when not told
 	Heard   bool // it has told which cells it owns
@@ -65,7 +65,7 @@
 	Most     time.Duration // after the start, when most hosts have told, and all that are seen
 	Rows     time.Duration // after the start, until which the store's rows may lack hosts that start too
 	Isolated time.Duration // without an owner, for a host that sees under half of the others
-	Outside  time.Duration // without any host of the zone, for hosts of other zones
+	Outside  time.Duration // without any host of the domain, for hosts of other domains
 	Fenced   time.Duration // after a higher token from a host that isn't seen
 	Retry    time.Duration // after one that none of the hosts can have made now: all are seen, and none claims the cell
 }
@@ -95,10 +95,10 @@
 }
 
 type cellState struct {
-	ownerless time.Duration // since when no owner has been seen; 0 while there is one
-	zoneEmpty time.Duration // since when no host of the zone has been seen
-	noClaim   time.Duration // no claim before
-	fenced    int           // times in a row that we were fenced before a claim held
+	ownerless   time.Duration // since when no owner has been seen; 0 while there is one
+	domainEmpty time.Duration // since when no host of the domain has been seen
+	noClaim     time.Duration // no claim before
+	fenced      int           // times in a row that we were fenced before a claim held
 }
 
 // NewTable makes a table for a process that started at now.
@@ -187,14 +187,14 @@
 }
 
 // FollowedCells picks the cells whose owners a host keeps links to: all of its
-// own zone, and perZone of each other, spread over the hosts by rendezvous
+// own domain, and perDomain of each other, spread over the hosts by rendezvous
 // hashing. Links to all owners would grow with the square of the hosts.
-func FollowedCells(cells []string, self, zone string, perZone int) map[string]bool {
+func FollowedCells(cells []string, self, domain string, perDomain int) map[string]bool {
 	followed := map[string]bool{}
 	others := map[string][]string{}
 	for _, cell := range cells {
-		if cellZone := ZoneOf(cell); cellZone != zone {
-			others[cellZone] = append(others[cellZone], cell)
+		if cellDomain := DomainOf(cell); cellDomain != domain {
+			others[cellDomain] = append(others[cellDomain], cell)
 			continue
 		}
 		followed[cell] = true
@@ -203,7 +203,7 @@
 		slices.SortFunc(candidates, func(a, b string) int {
 			return cmp.Compare(member.Score(self, b), member.Score(self, a))
 		})
-		for _, cell := range candidates[:min(perZone, len(candidates))] {
+		for _, cell := range candidates[:min(perDomain, len(candidates))] {
 			followed[cell] = true
 		}
 	}
@@ -231,34 +231,34 @@
 	return state
 }
 
-// ShouldClaim reports whether this host should claim a cell of a zone now.
-func (t *Table) ShouldClaim(cell, zone string, view View, now time.Duration) bool {
+// ShouldClaim reports whether this host should claim a cell of a domain now.
+func (t *Table) ShouldClaim(cell, domain string, view View, now time.Duration) bool {
 	state := t.state(cell)
-	zoneHosts := hostsOf(view, zone)
-	inside := view.Self.Zone == zone
+	domainHosts := hostsOf(view, domain)
+	inside := view.Self.Domain == domain
 	owner, owned := t.Owner(cell)
-	if owned && !t.yields(owner, cell, zone, view, inside) {
+	if owned && !t.yields(owner, cell, domain, view, inside) {
 		state.ownerless = 0
 		return false
 	}
 	if state.ownerless == 0 {
 		state.ownerless = now
 	}
-	if len(zoneHosts) > 0 && !inside {
-		state.zoneEmpty = 0
+	if len(domainHosts) > 0 && !inside {
+		state.domainEmpty = 0
 		return false
 	}
-	if !inside && state.zoneEmpty == 0 {
-		state.zoneEmpty = now
+	if !inside && state.domainEmpty == 0 {
+		state.domainEmpty = now
 	}
 	if view.Self.Leaving || t.tooEarly(view, now) || now < state.noClaim {
 		return false
 	}
 	isolated := 2*(len(view.Up)+1) < view.Known
 	if inside {
-		return first(cell, view.Self, zoneHosts) && (!isolated || now >= state.ownerless+t.limits.Isolated)
+		return first(cell, view.Self, domainHosts) && (!isolated || now >= state.ownerless+t.limits.Isolated)
 	}
-	return !isolated && now >= state.zoneEmpty+t.limits.Outside && first(cell, view.Self, view.Up)
+	return !isolated && now >= state.domainEmpty+t.limits.Outside && first(cell, view.Self, view.Up)
 }
 
 // tooEarly reports whether this host may have started too short a time ago to
@@ -276,19 +276,19 @@
 }
 
 // weakShare is the part of this host's processor time below which an owner of
-// the zone should give its cell to this host.
+// the domain should give its cell to this host.
 const weakShare = 0.5
 
 // yields reports whether the owner of a cell should be replaced: it leaves, or
-// it is of another zone, or far weaker, while this host is of the cell's own.
-func (t *Table) yields(owner Claim, cell, zone string, view View, inside bool) bool {
+// it is of another domain, or far weaker, while this host is of the cell's own.
+func (t *Table) yields(owner Claim, cell, domain string, view View, inside bool) bool {
 	if owner.Owner == view.Self.Address {
 		return false
 	}
 	for _, host := range view.Up {
 		if host.Address == owner.Owner {
-			weak := float64(host.Weight) < weakShare*float64(view.Self.Weight) && first(cell, view.Self, hostsOf(view, zone))
-			return host.Leaving || (inside && (host.Zone != zone || weak))
+			weak := float64(host.Weight) < weakShare*float64(view.Self.Weight) && first(cell, view.Self, hostsOf(view, domain))
+			return host.Leaving || (inside && (host.Domain != domain || weak))
 		}
 	}
 	return true // not seen any more
@@ -316,10 +316,10 @@
 	return 2*(len(view.Up)+1) > view.Known && len(view.Up) > 0
 }
 
-func hostsOf(view View, zone string) []Host {
+func hostsOf(view View, domain string) []Host {
 	var hosts []Host
 	for _, host := range view.Up {
-		if host.Zone == zone && !host.Leaving {
+		if host.Domain == domain && !host.Leaving {
 			hosts = append(hosts, host)
 		}
 	}
--- a/pkg/ownership/ownership_test.go
+++ b/pkg/ownership/ownership_test.go
@@ -8,20 +8,20 @@
 )
 
 const (
-	zone  = "here"
-	later = time.Minute
+	domain = "here"
+	later  = time.Minute
 )
 
-func host(address, zone string) Host {
-	return Host{Address: address, Zone: zone, Weight: 400, Heard: true}
+func host(address, domain string) Host {
+	return Host{Address: address, Domain: domain, Weight: 400, Heard: true}
 }
 
-func claimOf(owner string, token int64) []Claim { return []Claim{{Cell: zone, Token: token}} }
+func claimOf(owner string, token int64) []Claim { return []Claim{{Cell: domain, Token: token}} }
 
 func TestShouldClaim(t *testing.T) {
-	leaving := host("b", zone)
+	leaving := host("b", domain)
 	leaving.Leaving = true
-	weak, slightlyWeak := host("b", zone), host("b", zone)
+	weak, slightlyWeak := host("b", domain), host("b", domain)
 	weak.Weight, slightlyWeak.Weight = 10, 300
 	type scenario struct {
 		testName string
@@ -32,27 +32,27 @@
 		want     bool
 	}
 	scenarios := []scenario{
-		{testName: "alone and no owner", view: View{Self: host("a", zone), Known: 1}, now: later, want: true},
-		{testName: "too early to have heard of owners", view: View{Self: host("a", zone), Known: 1}, now: 100 * time.Millisecond},
-		{testName: "early, but all have told", view: View{Self: host("a", zone), Up: []Host{host("b", "there")}, Known: 2}, now: 400 * time.Millisecond, want: true},
-		{testName: "all of the rows have told, but rows may be missing yet", view: View{Self: host("a", zone), Up: []Host{host("b", "there")}, Known: 2}, now: 300 * time.Millisecond},
-		{testName: "early, but back: the rows are those of all", view: View{Self: host("a", zone), Up: []Host{host("b", "there")}, Known: 2, Back: true}, now: 100 * time.Millisecond, want: true},
-		{testName: "most have told, a row is of a host that is gone", view: View{Self: host("a", zone), Up: []Host{host("b", "there")}, Known: 3, Back: true}, now: 400 * time.Millisecond, want: true},
-		{testName: "most have told, but it is too early for the last", view: View{Self: host("a", zone), Up: []Host{host("b", "there")}, Known: 3, Back: true}, now: 300 * time.Millisecond},
-		{testName: "only half have told", view: View{Self: host("a", zone), Up: []Host{host("b", "there")}, Known: 4, Back: true}, now: 600 * time.Millisecond},
-		{testName: "the owner is far weaker", view: View{Self: host("a", zone), Up: []Host{weak}, Known: 2}, claims: map[string]int64{"b": 5}, now: later, want: true},
-		{testName: "the owner is a little weaker", view: View{Self: host("a", zone), Up: []Host{slightlyWeak}, Known: 2}, claims: map[string]int64{"b": 5}, now: later},
-		{testName: "another owns it", view: View{Self: host("a", zone), Up: []Host{host("b", zone)}, Known: 2}, claims: map[string]int64{"b": 5}, now: later},
-		{testName: "the owner isn't seen any more", view: View{Self: host("a", zone), Known: 2}, claims: map[string]int64{"b": 5}, now: later, want: true},
-		{testName: "the owner leaves", view: View{Self: host("a", zone), Up: []Host{leaving}, Known: 2}, claims: map[string]int64{"b": 5}, now: later, want: true},
-		{testName: "the owner is of another zone", view: View{Self: host("a", zone), Up: []Host{host("b", "there")}, Known: 2}, claims: map[string]int64{"b": 5}, now: later, want: true},
+		{testName: "alone and no owner", view: View{Self: host("a", domain), Known: 1}, now: later, want: true},
+		{testName: "too early to have heard of owners", view: View{Self: host("a", domain), Known: 1}, now: 100 * time.Millisecond},
+		{testName: "early, but all have told", view: View{Self: host("a", domain), Up: []Host{host("b", "there")}, Known: 2}, now: 400 * time.Millisecond, want: true},
+		{testName: "all of the rows have told, but rows may be missing yet", view: View{Self: host("a", domain), Up: []Host{host("b", "there")}, Known: 2}, now: 300 * time.Millisecond},
+		{testName: "early, but back: the rows are those of all", view: View{Self: host("a", domain), Up: []Host{host("b", "there")}, Known: 2, Back: true}, now: 100 * time.Millisecond, want: true},
+		{testName: "most have told, a row is of a host that is gone", view: View{Self: host("a", domain), Up: []Host{host("b", "there")}, Known: 3, Back: true}, now: 400 * time.Millisecond, want: true},
+		{testName: "most have told, but it is too early for the last", view: View{Self: host("a", domain), Up: []Host{host("b", "there")}, Known: 3, Back: true}, now: 300 * time.Millisecond},
+		{testName: "only half have told", view: View{Self: host("a", domain), Up: []Host{host("b", "there")}, Known: 4, Back: true}, now: 600 * time.Millisecond},
+		{testName: "the owner is far weaker", view: View{Self: host("a", domain), Up: []Host{weak}, Known: 2}, claims: map[string]int64{"b": 5}, now: later, want: true},
+		{testName: "the owner is a little weaker", view: View{Self: host("a", domain), Up: []Host{slightlyWeak}, Known: 2}, claims: map[string]int64{"b": 5}, now: later},
+		{testName: "another owns it", view: View{Self: host("a", domain), Up: []Host{host("b", domain)}, Known: 2}, claims: map[string]int64{"b": 5}, now: later},
+		{testName: "the owner isn't seen any more", view: View{Self: host("a", domain), Known: 2}, claims: map[string]int64{"b": 5}, now: later, want: true},
+		{testName: "the owner leaves", view: View{Self: host("a", domain), Up: []Host{leaving}, Known: 2}, claims: map[string]int64{"b": 5}, now: later, want: true},
+		{testName: "the owner is of another domain", view: View{Self: host("a", domain), Up: []Host{host("b", "there")}, Known: 2}, claims: map[string]int64{"b": 5}, now: later, want: true},
 		{testName: "leaving itself", view: View{Self: leaving, Known: 1}, now: later},
-		{testName: "isolated: waits", view: View{Self: host("a", zone), Known: 5}, now: later},
-		{testName: "isolated for long", view: View{Self: host("a", zone), Known: 5}, looked: later, now: later + 3*time.Second, want: true},
-		{testName: "the zone has hosts of its own", view: View{Self: host("a", "there"), Up: []Host{host("b", zone)}, Known: 2}, looked: later, now: later + 10*time.Second},
-		{testName: "the zone is empty, but not for long", view: View{Self: host("a", "there"), Known: 1}, looked: later, now: later + time.Second},
-		{testName: "the zone is empty for long", view: View{Self: host("a", "there"), Known: 1}, looked: later, now: later + 4*time.Second, want: true},
-		{testName: "the zone is out of sight of an isolated host", view: View{Self: host("a", "there"), Known: 5}, looked: later, now: later + 10*time.Second},
+		{testName: "isolated: waits", view: View{Self: host("a", domain), Known: 5}, now: later},
+		{testName: "isolated for long", view: View{Self: host("a", domain), Known: 5}, looked: later, now: later + 3*time.Second, want: true},
+		{testName: "the domain has hosts of its own", view: View{Self: host("a", "there"), Up: []Host{host("b", domain)}, Known: 2}, looked: later, now: later + 10*time.Second},
+		{testName: "the domain is empty, but not for long", view: View{Self: host("a", "there"), Known: 1}, looked: later, now: later + time.Second},
+		{testName: "the domain is empty for long", view: View{Self: host("a", "there"), Known: 1}, looked: later, now: later + 4*time.Second, want: true},
+		{testName: "the domain is out of sight of an isolated host", view: View{Self: host("a", "there"), Known: 5}, looked: later, now: later + 10*time.Second},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
@@ -61,19 +61,19 @@
 				table.SetClaims(owner, claimOf(owner, token))
 			}
 			if s.looked > 0 {
-				table.ShouldClaim(zone, zone, s.view, s.looked)
+				table.ShouldClaim(domain, domain, s.view, s.looked)
 			}
-			qt.Assert(t, table.ShouldClaim(zone, zone, s.view, s.now), qt.Equals, s.want)
+			qt.Assert(t, table.ShouldClaim(domain, domain, s.view, s.now), qt.Equals, s.want)
 		})
 	}
 }
 
-func TestOnlyOneHostOfAZoneClaims(t *testing.T) {
-	hosts := []Host{host("a", zone), host("b", zone), host("c", zone)}
+func TestOnlyOneHostOfADomainClaims(t *testing.T) {
+	hosts := []Host{host("a", domain), host("b", domain), host("c", domain)}
 	claims := 0
 	for i, self := range hosts {
 		others := append(append([]Host{}, hosts[:i]...), hosts[i+1:]...)
-		if NewTable(DefaultLimits(), 0).ShouldClaim(zone, zone, View{Self: self, Up: others, Known: 3}, later) {
+		if NewTable(DefaultLimits(), 0).ShouldClaim(domain, domain, View{Self: self, Up: others, Known: 3}, later) {
 			claims++
 		}
 	}
@@ -91,12 +91,12 @@
 	}
 	scenarios := []scenario{
 		{testName: "no claim"},
-		{testName: "the own zone while it has room", claims: []Claim{{Cell: "here", Load: load(0, 500)}, {Cell: "there", Load: load(0, 1000)}}, want: "here"},
-		{testName: "another zone when the own queue is long", claims: []Claim{{Cell: "here", Load: load(200_000, 0)}, {Cell: "there", Load: load(0, 1000)}}, want: "there"},
-		{testName: "the own zone when both queues are long", claims: []Claim{{Cell: "here", Load: load(200_000, 0)}, {Cell: "there", Load: load(150_000, 0)}}, want: "here"},
-		{testName: "another zone when the own has no owner that is ready", claims: []Claim{{Cell: "here", Load: Load{Services: []string{"s"}}}, {Cell: "there", Load: load(0, 1000)}}, want: "there"},
+		{testName: "the own domain while it has room", claims: []Claim{{Cell: "here", Load: load(0, 500)}, {Cell: "there", Load: load(0, 1000)}}, want: "here"},
+		{testName: "another domain when the own queue is long", claims: []Claim{{Cell: "here", Load: load(200_000, 0)}, {Cell: "there", Load: load(0, 1000)}}, want: "there"},
+		{testName: "the own domain when both queues are long", claims: []Claim{{Cell: "here", Load: load(200_000, 0)}, {Cell: "there", Load: load(150_000, 0)}}, want: "here"},
+		{testName: "another domain when the own has no owner that is ready", claims: []Claim{{Cell: "here", Load: Load{Services: []string{"s"}}}, {Cell: "there", Load: load(0, 1000)}}, want: "there"},
 		{testName: "only a cell that serves it", claims: []Claim{{Cell: "here", Load: Load{Ready: true, Services: []string{"other"}}}}},
-		{testName: "the roomier of two cells of the own zone", claims: []Claim{{Cell: "here/2.0", Load: load(0, 300)}, {Cell: "here/2.1", Load: load(0, 500)}}, want: "here/2.1"},
+		{testName: "the roomier of two cells of the own domain", claims: []Claim{{Cell: "here/2.0", Load: load(0, 300)}, {Cell: "here/2.1", Load: load(0, 500)}}, want: "here/2.1"},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
@@ -113,17 +113,17 @@
 		c.Assert(CellCount(s.executors), qt.Equals, s.want, qt.Commentf("%d executors", s.executors))
 	}
 	c.Assert(CellOf("z", "10.0.0.1:1", 1), qt.Equals, "z")
-	c.Assert(ZoneOf(CellOf("z", "10.0.0.1:1", 4)), qt.Equals, "z")
+	c.Assert(DomainOf(CellOf("z", "10.0.0.1:1", 4)), qt.Equals, "z")
 	c.Assert(CellOf("z", "10.0.0.1:1", 4), qt.Equals, CellOf("z", "10.0.0.1:1", 4))
 }
 
 func TestAHostWithLittleProcessorTimeRarelyOwns(t *testing.T) {
-	small, large := host("small", zone), host("large", zone)
+	small, large := host("small", domain), host("large", domain)
 	small.Weight, large.Weight = 192, 800
 	owned := 0
 	const cells = 1000
 	for i := range cells {
-		if first(CellOf(zone, string(rune(i)), 1<<20), small, []Host{large}) {
+		if first(CellOf(domain, string(rune(i)), 1<<20), small, []Host{large}) {
 			owned++
 		}
 	}
@@ -132,9 +132,9 @@
 
 func TestFollowedCells(t *testing.T) {
 	var cells []string
-	for _, zone := range []string{"near", "far", "further"} {
+	for _, domain := range []string{"near", "far", "further"} {
 		for i := range 8 {
-			cells = append(cells, CellOf(zone, string(rune('a'+i)), 1<<10))
+			cells = append(cells, CellOf(domain, string(rune('a'+i)), 1<<10))
 		}
 	}
 	type scenario struct {
@@ -143,8 +143,8 @@
 		want     int
 	}
 	scenarios := []scenario{
-		{testName: "one cell a zone: all", cells: []string{"near", "far", "further"}, want: 3},
-		{testName: "many: all of the own zone, a few of each other", cells: cells, want: 8 + 2*2},
+		{testName: "one cell a domain: all", cells: []string{"near", "far", "further"}, want: 3},
+		{testName: "many: all of the own domain, a few of each other", cells: cells, want: 8 + 2*2},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
@@ -152,7 +152,7 @@
 			followed := FollowedCells(s.cells, "host", "near", 2)
 			c.Assert(followed, qt.HasLen, s.want)
 			for _, cell := range s.cells {
-				if ZoneOf(cell) == "near" {
+				if DomainOf(cell) == "near" {
 					c.Assert(followed[cell], qt.IsTrue)
 				}
 			}
--- a/pkg/ownership/tokens_test.go
+++ b/pkg/ownership/tokens_test.go
@@ -12,17 +12,17 @@
 func TestAFencedHostWaitsLongerEachTime(t *testing.T) {
 	c := qt.New(t)
 	table := NewTable(DefaultLimits(), 0)
-	view := View{Self: host("a", zone), Known: 1}
+	view := View{Self: host("a", domain), Known: 1}
 	now := later
 	for _, wait := range []time.Duration{2 * time.Second, 4 * time.Second, 6 * time.Second} {
-		table.Fenced(zone, view, now)
-		c.Assert(table.ShouldClaim(zone, zone, view, now+wait-time.Millisecond), qt.IsFalse)
-		c.Assert(table.ShouldClaim(zone, zone, view, now+wait), qt.IsTrue)
+		table.Fenced(domain, view, now)
+		c.Assert(table.ShouldClaim(domain, domain, view, now+wait-time.Millisecond), qt.IsFalse)
+		c.Assert(table.ShouldClaim(domain, domain, view, now+wait), qt.IsTrue)
 		now += wait
 	}
-	table.Settled(zone)
-	table.Fenced(zone, view, now)
-	c.Assert(table.ShouldClaim(zone, zone, view, now+2*time.Second), qt.IsTrue, qt.Commentf("a claim that held ends the run"))
+	table.Settled(domain)
+	table.Fenced(domain, view, now)
+	c.Assert(table.ShouldClaim(domain, domain, view, now+2*time.Second), qt.IsTrue, qt.Commentf("a claim that held ends the run"))
 }
 
 func TestTokens(t *testing.T) {
@@ -45,13 +45,13 @@
 func TestTokensDoNotRunAheadOfTheClock(t *testing.T) {
 	c := qt.New(t)
 	table := NewTable(DefaultLimits(), 0)
-	view := View{Self: host("a", zone), Known: 1}
+	view := View{Self: host("a", domain), Known: 1}
 	now, day := later, noon
 	var last int64
 	for range 20 {
 		last = table.NextToken(day, 1)
-		table.Fenced(zone, view, now)
-		wait := table.state(zone).noClaim - now
+		table.Fenced(domain, view, now)
+		wait := table.state(domain).noClaim - now
 		now, day = now+wait, day.Add(wait)
 	}
 	last = max(last, table.NextToken(day, 1))
@@ -66,13 +66,13 @@
 	c := qt.New(t)
 	dead := NewTable(DefaultLimits(), 0).NextToken(noon.Add(3*time.Second), 7)
 	table := NewTable(DefaultLimits(), 0)
-	other := host("b", zone)
+	other := host("b", domain)
 	other.Heard = true
-	view := View{Self: host("a", zone), Up: []Host{other}, Known: 2}
+	view := View{Self: host("a", domain), Up: []Host{other}, Known: 2}
 	now, day := later, noon
 	for table.NextToken(day, 1) < dead {
-		table.Fenced(zone, view, now)
-		wait := table.state(zone).noClaim - now
+		table.Fenced(domain, view, now)
+		wait := table.state(domain).noClaim - now
 		now, day = now+wait, day.Add(wait)
 	}
 	c.Assert(now-later < 500*time.Millisecond, qt.IsTrue, qt.Commentf("took %s", now-later))
@@ -81,10 +81,10 @@
 func TestAHostThatIsFencedByAnOwnerInSightWaits(t *testing.T) {
 	c := qt.New(t)
 	table := NewTable(DefaultLimits(), 0)
-	other := host("b", zone)
+	other := host("b", domain)
 	other.Heard = true
-	view := View{Self: host("a", zone), Up: []Host{other}, Known: 2}
+	view := View{Self: host("a", domain), Up: []Host{other}, Known: 2}
 	table.SetClaims("b", claimOf("b", 5))
-	table.Fenced(zone, view, later)
-	c.Assert(table.state(zone).noClaim, qt.Equals, later+DefaultLimits().Fenced)
+	table.Fenced(domain, view, later)
+	c.Assert(table.state(domain).noClaim, qt.Equals, later+DefaultLimits().Fenced)
 }
--- a/pkg/settings/node.go
+++ b/pkg/settings/node.go
@@ -13,7 +13,7 @@
 // Node is the settings of a host that dispatches leased tasks.
 type Node struct {
 	Name           string   // unique, kept over restarts
-	Zone           string   // failure domain
+	Domain         string   // failure domain
 	Adapter        string   // plug-in that speaks with callers, executors and the store
 	FrontAddress   string   // for callers
 	ReadyAddress   string   // for the balancer's readiness check
@@ -67,7 +67,7 @@
 	peerAddress := listen.Address("peers", "")
 	return &Node{
 		Name:           node.Required("name", "give the host a unique name"),
-		Zone:           node.Required("zone", "name the failure domain of the host"),
+		Domain:         node.Required("domain", "name the failure domain of the host"),
 		Adapter:        node.Required("adapter", "name the plug-in that speaks with the platform"),
 		FrontAddress:   listen.Address("front", ""),
 		ReadyAddress:   listen.Address("ready", ""),
--- a/pkg/settings/node_test.go
+++ b/pkg/settings/node_test.go
@@ -11,7 +11,7 @@
 
 const goodNode = `[node]
 name = a
-zone = z
+domain = z
 adapter = users-platform
 [listen]
 front = 127.0.0.1:1
@@ -46,7 +46,7 @@
 		{testName: "no name", from: "name = a\n", want: "lacks the key name"},
 		{testName: "no address", from: "front = 127.0.0.1:1\n", want: "lacks the key front"},
 		{testName: "a host name for an address", from: "127.0.0.1:4", to: "store:4", want: "is not an IP address with a port"},
-		{testName: "unknown key", from: "zone = z\n", to: "zone = z\nzoom = 1\n", want: "key zoom is not known"},
+		{testName: "unknown key", from: "domain = z\n", to: "domain = z\nzoom = 1\n", want: "key zoom is not known"},
 		{testName: "unknown section", from: "[limits]", to: "[limit]", want: "section [limit] is not known"},
 		{testName: "a duration without a unit", from: "[limits]", to: "[lease]\nlongest_hold = 5\n[limits]", want: "is not a duration"},
 		{testName: "no processor time", from: "cpu_share = 0.4", to: "cpu_share = 0", want: "is not a number from"},
