A list of executors is whole only once the store has been readable for 3 s

After a cut the list read by a new owner lacked executors whose entries had lapsed, so a job that was given back started a second time. Ruled out: leases, fences, lost orders. Change: lists count as whole when the store has been readable for 3 s; vanished executors are kept for 3 s; the quick claims are left to hosts that had a row before their start, after fences only in the first 5 s.

--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -77,7 +77,7 @@
 	if f.tooLateFor(j) {
 		outcome = job.Outcome{Kind: job.Refused, Reason: errStopping.Error(), RetryAfter: comeBack}
 	} else {
-		outcome = f.hold(ctx, j)
+		outcome = f.keepOpen(ctx, j)
 	}
 	f.node.metrics.JobEnded(j.Route, outcome.Kind.String(), f.node.Clock.Now()-j.Received)
 	f.node.Log.Info("job_ended", "job", j.ID, "route", j.Route, "outcome", outcome.Kind.String(), "reason", outcome.Reason,
@@ -92,8 +92,8 @@
 	return stopsAt > 0 && f.node.Clock.Now()+j.LongestChain() > stopsAt
 }
 
-// hold keeps a job open and follows it from owner to owner until it has ended.
-func (f *front) hold(ctx context.Context, j *job.Job) job.Outcome {
+// keepOpen keeps a job open and follows it from owner to owner until it has ended.
+func (f *front) keepOpen(ctx context.Context, j *job.Job) job.Outcome {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	f.mu.Lock()
--- a/pkg/node/listing.go
+++ b/pkg/node/listing.go
@@ -11,6 +11,7 @@
 type listing struct {
 	revision uint64
 	askedAt  time.Duration // the store was asked for it
+	steady   bool          // readings had gone well for so long that no entry can be missing by a lapse
 	snapshot Snapshot
 	size     int // executors
 	cells    map[string][]catalog.Executor
@@ -43,6 +44,12 @@
 	return l
 }
 
+// completeFor reports whether the list names all executors that a former owner
+// of a cell, claimed at claimedAt, can have given work to.
+func (l *listing) completeFor(claimedAt time.Duration) bool {
+	return l.steady && l.askedAt >= claimedAt
+}
+
 // cellsOf returns the names of a domain's cells.
 func (l *listing) cellsOf(domain string) []string {
 	var names []string
--- a/pkg/node/news.go
+++ b/pkg/node/news.go
@@ -29,6 +29,10 @@
 	unknownAge        = -1 // of a reading that a peer passed on
 )
 
+// lapseTime is how long after the store can be reached again entries of living
+// executors may be missing.
+const lapseTime = 3 * time.Second
+
 // inForce is a configuration in force.
 type inForce struct {
 	snapshot Snapshot
@@ -176,6 +180,7 @@
 		if err := n.readExecutors(ctx); err != nil {
 			n.metrics.StoreFailed("executors")
 			n.storeFails.Store(true)
+			n.readingSince.Store(0)
 			failing = true
 			wait = backoff
 			backoff = min(2*backoff, lastStoreBackoff)
@@ -226,12 +231,17 @@
 	if err != nil {
 		return err
 	}
+	if n.readingSince.Load() == 0 {
+		n.readingSince.Store(int64(askedAt))
+	}
 	n.offerExecutors(snapshot, "store", askedAt)
 	return nil
 }
 
 // offerExecutors takes a reading of the executors if it is newer.
 func (n *Node) offerExecutors(snapshot Snapshot, from string, askedAt time.Duration) {
+	n.listing.Lock()
+	defer n.listing.Unlock()
 	current := n.executors.Load()
 	if current != nil && current.revision >= snapshot.Revision {
 		return
@@ -241,11 +251,11 @@
 		n.Log.Error("executors_unreadable", "from", from, "error", err.Error())
 		return
 	}
-	next := newListing(snapshot, askedAt, parsed)
+	next := newListing(snapshot, askedAt, n.history.Join(parsed, n.Clock.Now()))
 	next.follow(n.settings.Name, n.settings.Domain)
-	if !n.executors.CompareAndSwap(current, next) {
-		return
-	}
+	since := time.Duration(n.readingSince.Load())
+	next.steady = since > 0 && askedAt >= since+lapseTime
+	n.executors.Store(next)
 	for _, o := range n.allOwners() {
 		o.setExecutors(next)
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/catalog"
 	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/member"
 	"github.com/foxcroft/foxcroft/pkg/metrics"
@@ -38,7 +39,10 @@
 	peers    *peer.Server
 
 	leaving       atomic.Bool
-	storeFails    atomic.Bool // the last reading of the executors failed
+	storeFails    atomic.Bool  // the last reading of the executors failed
+	readingSince  atomic.Int64 // since when the executors can be read, as a time of the clock; 0 while they can't
+	listing       sync.Mutex   // held while a reading of the executors is taken in
+	history       *catalog.History
 	configuration atomic.Pointer[inForce]
 	executors     atomic.Pointer[listing]
 	changed       *broadcast    // membership or claims have changed
@@ -81,6 +85,7 @@
 		regained:   newBroadcast(),
 		claimed:    make(chan struct{}, 1),
 		arrivals:   newArrivals(),
+		history:    catalog.NewHistory(lapseTime),
 		fetches:    newFetches(),
 		rows:       map[string]Member{},
 		lastSeen:   map[string]time.Duration{},
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -254,7 +254,7 @@
 	}
 	listed := listing.cells[o.cell]
 	o.do(func(state *cell.Cell, now time.Duration) {
-		if listing.askedAt >= o.claimedAt {
+		if listing.completeFor(o.claimedAt) {
 			state.Complete()
 		}
 		state.SetExecutors(listed, now)
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -272,7 +272,7 @@
 	case allHeard(view):
 		return !view.Back && age < t.limits.Rows
 	}
-	return age < t.limits.Most || !mostHeard(view)
+	return !view.Back || age < t.limits.Most || !mostHeard(view)
 }
 
 // weakShare is the part of this host's processor time below which an owner of
--- a/pkg/ownership/ownership_test.go
+++ b/pkg/ownership/ownership_test.go
@@ -39,6 +39,7 @@
 		{testName: "early, but back: the rows are those of all", view: View{Self: host("a", domain), Up: []Host{host("b", "there")}, Known: 2, Back: true}, now: 100 * time.Millisecond, want: true},
 		{testName: "most have told, a row is of a host that is gone", view: View{Self: host("a", domain), Up: []Host{host("b", "there")}, Known: 3, Back: true}, now: 400 * time.Millisecond, want: true},
 		{testName: "most have told, but it is too early for the last", view: View{Self: host("a", domain), Up: []Host{host("b", "there")}, Known: 3, Back: true}, now: 300 * time.Millisecond},
+		{testName: "most have told, but it has no row of before: they may be only its seeds", view: View{Self: host("a", domain), Up: []Host{host("b", "there")}, Known: 3}, now: 500 * time.Millisecond},
 		{testName: "only half have told", view: View{Self: host("a", domain), Up: []Host{host("b", "there")}, Known: 4, Back: true}, now: 600 * time.Millisecond},
 		{testName: "the owner is far weaker", view: View{Self: host("a", domain), Up: []Host{weak}, Known: 2}, claims: map[string]int64{"b": 5}, now: later, want: true},
 		{testName: "the owner is a little weaker", view: View{Self: host("a", domain), Up: []Host{slightlyWeak}, Known: 2}, claims: map[string]int64{"b": 5}, now: later},
--- a/pkg/ownership/tokens.go
+++ b/pkg/ownership/tokens.go
@@ -19,6 +19,11 @@
 // fence, when no living host can have caused it.
 const quickRetries = 8
 
+// restartTime is how long after its own start a host takes a fence for the work
+// of one that has died with it. Later it may be one that has just started and
+// isn't known yet.
+const restartTime = 5 * time.Second
+
 // longestFencedRun bounds the waits after fences in a row.
 const longestFencedRun = 4
 
@@ -44,7 +49,8 @@
 	state := t.state(cell)
 	state.fenced++
 	t.highest += 1 << (ownBits + min(state.fenced, longestJump))
-	if state.fenced <= quickRetries && t.madeByNobody(cell, view) {
+	restarted := view.Back && now < t.started+restartTime
+	if restarted && state.fenced <= quickRetries && t.madeByNobody(cell, view) {
 		state.noClaim = now + t.limits.Retry
 		return
 	}
