A link towards a front that goes down leaves its jobs

Cause, found by reading: an owner dropped the jobs of a front when its own link towards that front went down, though they came by the front's link, which may be up (connections reset singly). The front waited for an answer until its caller left. Change: jobs go with the link that they came by, or when that falls silent. Test: TestALinkTowardsAFrontThatGoesDownLeavesItsJobs fails without the change.

--- a/pkg/node/arrivals_test.go
+++ b/pkg/node/arrivals_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/foxcroft/foxcroft/pkg/catalog"
 	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/peerpb"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -71,3 +72,18 @@
 		})
 	}
 }
+
+// The link towards a front may be reset while the front's own is up. The front
+// would wait for an answer to its job until its caller leaves.
+func TestALinkTowardsAFrontThatGoesDownLeavesItsJobs(t *testing.T) {
+	c := qt.New(t)
+	n := newTestNode(c, &fakeStore{})
+	n.executors.Store(newListing(Snapshot{Revision: 1}, 0, &catalog.Executors{}))
+	n.claim("z", n.Clock.Now())
+	j := &job.Job{ID: "00112233445566ff", Steps: []job.Step{{Count: 1}}, Deadline: n.Clock.Now() + time.Minute}
+	n.owner("z").submit(j, 1, nil, 0, waiter{front: "front", reply: func(job.Outcome) {}})
+	n.LinkDown("front")
+	c.Assert(n.owner("z").fronts(), qt.DeepEquals, []string{"front"})
+	n.Left(&peerpb.Hello{Address: "front"})
+	c.Assert(n.owner("z").fronts(), qt.HasLen, 0)
+}
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -115,16 +115,14 @@
 	n.changed.signal()
 }
 
-// LinkDown implements peer.Observer.
+// LinkDown implements peer.Observer. The peer's jobs came by the link that it
+// opened itself, and stay while that one is up.
 func (n *Node) LinkDown(address string) {
 	n.mu.Lock()
 	n.members.Down(address)
 	n.claims.Drop(address)
 	delete(n.peerCounts, address)
 	n.mu.Unlock()
-	for _, o := range n.allOwners() {
-		o.frontGone(address, reasonFrontGone)
-	}
 	n.changed.signal()
 	go n.claimCells(n.Clock.Now())
 }
