--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -1,8 +1,9 @@
 // Package ownership decides which host owns a cell of executors. It does no
 // I/O, writes nothing to a store and holds no vote: a host claims a cell by
 // fencing its executors with a token above all that it has seen, and the
-// executors refuse the former owner from then on. So a wrong judgement here
-// costs time and nothing else; the rules below keep such judgements few.
+// executors refuse the former owner from then on. A wrong judgement here costs
+// time; pkg/cell keeps it from running a task twice. The rules below keep such
+// judgements few.
 package ownership
 
 import (
