--- a/pkg/cell/lost_order_test.go
+++ b/pkg/cell/lost_order_test.go
@@ -64,6 +64,7 @@
 	second := d.of(Start)[0]
 	d.now += 100 * ms
 	d.startAnswer(second, Unanswered)
+	c.Assert(d.cell.executors[executorID(0)].silent, qt.IsFalse, qt.Commentf("leases of a silent executor would not be renewed"))
 	d.submit(shortJob("c", d.now), 1)
 	c.Assert(d.of(Start), qt.HasLen, 0, qt.Commentf("nothing more before the executor has answered something"))
 	// It answers the hold that was waiting: a's end, and b's run.
