--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -4,6 +4,7 @@
 package catalog
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -88,12 +89,7 @@
 
 // HasLabel reports whether the executor carries a label.
 func (e *Executor) HasLabel(label string) bool {
-	for _, own := range e.Labels {
-		if own == label {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(e.Labels, label)
 }
 
 // Executors is one reading of the executors that there are.
--- a/pkg/cell/holds.go
+++ b/pkg/cell/holds.go
@@ -13,8 +13,8 @@
 // once: a single hold may have gone unanswered.
 const (
 	firstSilentPause   = 100 * time.Millisecond
-	longestSilentPause = 800 * time.Millisecond
 	maxDoublings       = 3
+	longestSilentPause = firstSilentPause << maxDoublings
 )
 
 // silentPause returns how long to wait after so many holds in a row that
@@ -23,8 +23,7 @@
 	if missed <= 1 {
 		return 0
 	}
-	doublings := min(missed-2, maxDoublings)
-	return min(firstSilentPause<<doublings, longestSilentPause)
+	return firstSilentPause << min(missed-2, maxDoublings)
 }
 
 // hold issues the next hold of an executor, if it needs one.
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -35,12 +35,7 @@
 
 // Serves reports whether the cell has usable executors of a service.
 func (l Load) Serves(service string) bool {
-	for _, name := range l.Services {
-		if name == service {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(l.Services, service)
 }
 
 // Host is what the decision needs to know of a host.
@@ -298,23 +293,18 @@
 // allHeard reports whether every host that should be there has told which
 // cells it owns.
 func allHeard(view View) bool {
-	for _, host := range view.Up {
-		if !host.Heard {
-			return false
-		}
-	}
-	return view.Known > 1 && len(view.Up)+1 >= view.Known
+	return seenHeard(view) && view.Known > 1 && len(view.Up)+1 >= view.Known
 }
 
 // mostHeard reports whether more than half of the hosts that should be there
 // are seen, and all that are seen have told which cells they own.
 func mostHeard(view View) bool {
-	for _, host := range view.Up {
-		if !host.Heard {
-			return false
-		}
-	}
-	return 2*(len(view.Up)+1) > view.Known && len(view.Up) > 0
+	return seenHeard(view) && len(view.Up) > 0 && 2*(len(view.Up)+1) > view.Known
+}
+
+// seenHeard reports whether all hosts that are seen have told their cells.
+func seenHeard(view View) bool {
+	return !slices.ContainsFunc(view.Up, func(host Host) bool { return !host.Heard })
 }
 
 func hostsOf(view View, domain string) []Host {
