Jobs are ranked by priority and by worth a unit of work; orders are plug-ins

Hypothesis: the order ignored the configuration's priority, and ranked a small job of a large kind behind a large one of a small kind. Within a tier, urgent routes now come first; within a priority, the least work left as a share of the route's usual work, over the job's value (0.3 + 0.7 x size/usual, 4 at most). The usual work is learnt as jobs come (a mean over the last hundred). Orders are plug-ins that register themselves (pkg/cell/order.go): value, priority, least-work, slack, arrival; [policy] order names one, and an unknown name is refused with those there are.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -26,7 +26,7 @@
 	if !c.complete {
 		return false
 	}
-	for _, e := range c.order {
+	for _, e := range c.sorted {
 		if !e.adopted && !e.gone {
 			return false
 		}
@@ -110,7 +110,7 @@
 				t.done, w.started = true, true
 				delete(c.done, name)
 			}
-			for _, e := range c.order {
+			for _, e := range c.sorted {
 				if r := e.runs[name]; r != nil && r.work == nil {
 					c.claimRun(w, t, r)
 				}
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -17,7 +17,7 @@
 	"github.com/foxcroft/foxcroft/pkg/ownership"
 )
 
-// Params are the times that leases and holds follow.
+// Params are the times that leases and holds follow, and the policies.
 type Params struct {
 	Lease       time.Duration // how far ahead a hold sets the end of all leases
 	StartLease  time.Duration // how far ahead a start sets it at most
@@ -25,10 +25,12 @@
 	LongestHold time.Duration // the longest lease that any owner can have given
 	OrphanGrace time.Duration // how long runs of no known job are kept after a takeover
 	StopTime    time.Duration // what a stop may take at an executor
+	Order       func() Order  // makes the order of jobs
 }
 
 // DefaultParams returns the times for a longest hold. The lease ends well
-// within it, and a hold returns well before a lease ends.
+// within it, and a hold returns well before a lease ends. The policies are the
+// default ones.
 func DefaultParams(longestHold, stopTime time.Duration) Params {
 	return Params{
 		Lease:       longestHold * 8 / 10,
@@ -37,6 +39,7 @@
 		LongestHold: longestHold,
 		OrphanGrace: longestHold * 4 / 10,
 		StopTime:    stopTime,
+		Order:       newValueOrder,
 	}
 }
 
@@ -87,9 +90,10 @@
 	token      int64
 	claimedAt  time.Duration
 	executors  map[string]*executor // by id
-	order      []*executor          // sorted by id
-	works      map[string]*work     // by job id
-	done       map[string]bool      // tasks listed as done that no job has claimed yet
+	sorted     []*executor          // by id
+	order      Order
+	works      map[string]*work // by job id
+	done       map[string]bool  // tasks listed as done that no job has claimed yet
 	commands   []Command
 	finished   []Finished
 	notices    []Notice
@@ -109,6 +113,7 @@
 		token:     token,
 		claimedAt: now,
 		executors: map[string]*executor{},
+		order:     params.Order(),
 		works:     map[string]*work{},
 		done:      map[string]bool{},
 	}
@@ -149,8 +154,8 @@
 	if e == nil {
 		e = newExecutor(info)
 		c.executors[info.ID] = e
-		c.order = append(c.order, e)
-		sort.Slice(c.order, func(i, j int) bool { return c.order[i].info.ID < c.order[j].info.ID })
+		c.sorted = append(c.sorted, e)
+		sort.Slice(c.sorted, func(i, j int) bool { return c.sorted[i].info.ID < c.sorted[j].info.ID })
 	}
 	if info.Draining && !e.info.Draining {
 		c.note(Notice{Event: "executor_draining", Executor: info.ID})
@@ -170,6 +175,7 @@
 		known.epoch = max(known.epoch, epoch)
 		return false
 	}
+	c.order.Observe(j)
 	w := newWork(j, epoch, settleAt)
 	if unseen := c.unseenUntil(now); epoch > 1 && unseen > settleAt {
 		w.settleAt, w.unseen = unseen, settleAt == 0
@@ -234,7 +240,7 @@
 	if len(c.works) > 0 {
 		return true
 	}
-	for _, e := range c.order {
+	for _, e := range c.sorted {
 		if len(e.runs) > 0 || !e.adopted {
 			return true
 		}
@@ -247,20 +253,20 @@
 	if c.fenced {
 		return
 	}
-	for _, e := range c.order {
+	for _, e := range c.sorted {
 		c.expireLeases(e, now)
 		c.stopOrphans(e, now)
 	}
 	c.forgetExecutors(now)
 	c.place(now)
-	for _, e := range c.order {
+	for _, e := range c.sorted {
 		c.hold(e, now)
 	}
 }
 
 func (c *Cell) forgetExecutors(now time.Duration) {
-	kept := c.order[:0]
-	for _, e := range c.order {
+	kept := c.sorted[:0]
+	for _, e := range c.sorted {
 		unused := !e.listed && len(e.runs) == 0 && !e.holding
 		if unused && (e.adopted || e.gone || now > c.claimedAt+c.params.LongestHold) {
 			delete(c.executors, e.info.ID)
@@ -268,7 +274,7 @@
 		}
 		kept = append(kept, e)
 	}
-	c.order = kept
+	c.sorted = kept
 }
 
 func (c *Cell) note(n Notice) { c.notices = append(c.notices, n) }
@@ -286,7 +292,7 @@
 func (c *Cell) Load(now time.Duration) ownership.Load {
 	var load ownership.Load
 	services := map[string]bool{}
-	for _, e := range c.order {
+	for _, e := range c.sorted {
 		if !e.usable(now) {
 			continue
 		}
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -195,7 +195,7 @@
 // candidates returns the executors that have room for something.
 func (c *Cell) candidates(now time.Duration) []*executor {
 	var candidates []*executor
-	for _, e := range c.order {
+	for _, e := range c.sorted {
 		if e.usable(now) && now >= e.fullTill && e.free().CPU > 0 {
 			candidates = append(candidates, e)
 		}
--- a/pkg/cell/health.go
+++ b/pkg/cell/health.go
@@ -69,12 +69,12 @@
 func (c *Cell) blame(e *executor, why, task string, now time.Duration) {
 	e.health.failures++
 	out := 0
-	for _, other := range c.order {
+	for _, other := range c.sorted {
 		if !other.health.allows(now) {
 			out++
 		}
 	}
-	if ejectedShare*(out+1) > len(c.order) {
+	if ejectedShare*(out+1) > len(c.sorted) {
 		return
 	}
 	if e.health.allows(now) {
--- /dev/null
+++ b/pkg/cell/order.go
@@ -0,0 +1,160 @@
+package cell
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/kernel"
+)
+
+// Standing is what an order may know of a job that has tasks to start.
+type Standing struct {
+	Job      *job.Job
+	Tier     int           // 0: it can make its objective; 1: it can be late; 2: worth little
+	WorkLeft int64         // estimate of the tasks to start, in thousandths of a core x milliseconds
+	Slack    time.Duration // until it has to start to make its objective; negative when it can't
+}
+
+// Rank places a job among others: the lower comes first, by Class and then by
+// Cost.
+type Rank struct {
+	Class int
+	Cost  float64
+}
+
+func (r Rank) compare(o Rank) int {
+	return cmp.Or(cmp.Compare(r.Class, o.Class), cmp.Compare(r.Cost, o.Cost))
+}
+
+// Order decides whose tasks start first. Orders register themselves in Orders
+// and are named by the setting order of [policy]. A cell has an Order of its
+// own, so that it may learn; calls come one at a time.
+type Order interface {
+	// Observe takes a job that has come.
+	Observe(j *job.Job)
+	// Rank places a job.
+	Rank(s Standing) Rank
+}
+
+// Orders are the orders that there are. A plug-in makes an order for one cell.
+var Orders = kernel.NewRegistry[func() Order]("order")
+
+func init() {
+	Orders.Register("arrival", func() Order { return plainOrder(byArrival) })
+	Orders.Register("slack", func() Order { return plainOrder(bySlack) })
+	Orders.Register("least-work", func() Order { return plainOrder(byLeastWork) })
+	Orders.Register("priority", func() Order { return plainOrder(byPriority) })
+	Orders.Register("value", newValueOrder)
+}
+
+// plainOrder is an order that learns nothing.
+type plainOrder func(s Standing) Rank
+
+// Observe implements Order.
+func (o plainOrder) Observe(*job.Job) {}
+
+// Rank implements Order.
+func (o plainOrder) Rank(s Standing) Rank { return o(s) }
+
+// byArrival is first come, first served.
+func byArrival(s Standing) Rank {
+	return Rank{Cost: float64(s.Job.Received)}
+}
+
+// bySlack starts first what has to start first, among jobs that can be as good.
+func bySlack(s Standing) Rank {
+	return Rank{Class: s.Tier, Cost: float64(s.Slack)}
+}
+
+// byLeastWork starts small jobs first, among jobs that can be as good.
+func byLeastWork(s Standing) Rank {
+	return Rank{Class: s.Tier, Cost: float64(s.WorkLeft)}
+}
+
+// byPriority is byLeastWork within the priorities of the configuration.
+func byPriority(s Standing) Rank {
+	return Rank{Class: classOf(s), Cost: float64(s.WorkLeft)}
+}
+
+// classOf ranks tiers first and priorities within them: an urgent job that is
+// too late for its objective doesn't hold up others that can make theirs.
+func classOf(s Standing) int {
+	return s.Tier<<priorityBits + min(max(s.Job.Priority, 0), 1<<priorityBits-1)
+}
+
+// priorityBits bound the priorities that are told apart.
+const priorityBits = 16
+
+// A job's value to its caller grows with its work, less than in proportion: the
+// users' accounting of a job's worth, in shares of the route's mean.
+const (
+	valueOfAny  = 0.3 // of a job without work
+	valueOfWork = 0.7 // of a mean job's work
+	mostValue   = 4.0
+)
+
+// valueOrder starts first, within a priority, the jobs that are worth the most
+// for the work that is left of them, both measured against the usual job of the
+// same route.
+type valueOrder struct {
+	usual map[string]*runningMean // work of a job, by route
+}
+
+func newValueOrder() Order {
+	return &valueOrder{usual: map[string]*runningMean{}}
+}
+
+// mostRoutes bounds the means that are kept. Routes come and go with the
+// configuration; beyond it the means are learnt anew.
+const mostRoutes = 1024
+
+// Observe implements Order.
+func (o *valueOrder) Observe(j *job.Job) {
+	mean := o.usual[j.Route]
+	if mean == nil {
+		if len(o.usual) >= mostRoutes {
+			clear(o.usual)
+		}
+		mean = &runningMean{}
+		o.usual[j.Route] = mean
+	}
+	mean.add(float64(totalWork(j)))
+}
+
+// Rank implements Order.
+func (o *valueOrder) Rank(s Standing) Rank {
+	total := float64(max(totalWork(s.Job), 1))
+	usual := total
+	if mean := o.usual[s.Job.Route]; mean != nil {
+		usual = max(mean.value, 1)
+	}
+	value := min(valueOfAny+valueOfWork*total/usual, mostValue)
+	return Rank{Class: classOf(s), Cost: float64(s.WorkLeft) / usual / value}
+}
+
+// totalWork returns the estimated work of a whole job, in thousandths of a core
+// x milliseconds.
+func totalWork(j *job.Job) int64 {
+	var total int64
+	for _, step := range j.Steps {
+		total += int64(step.Count) * step.Needs.CPU * estimateOf(step).Milliseconds()
+	}
+	return total
+}
+
+// runningMean is the mean of the last values, more or less.
+type runningMean struct {
+	count int
+	value float64
+}
+
+// meanOver is the number of values that a runningMean looks back over: the
+// jobs of a route differ by a factor of four, so that a hundred of them tell the
+// mean to some percent.
+const meanOver = 100
+
+func (m *runningMean) add(value float64) {
+	m.count = min(m.count+1, meanOver)
+	m.value += (value - m.value) / float64(m.count)
+}
--- a/pkg/cell/work.go
+++ b/pkg/cell/work.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -135,8 +134,12 @@
 
 // estimate returns the expected time of a task of a step.
 func (w *work) estimate(step int) time.Duration {
-	if estimate := w.job.Steps[step].Estimate; estimate > 0 {
-		return estimate
+	return estimateOf(w.job.Steps[step])
+}
+
+func estimateOf(step job.Step) time.Duration {
+	if step.Estimate > 0 {
+		return step.Estimate
 	}
 	return unknownEstimate
 }
@@ -170,50 +173,6 @@
 	return longest
 }
 
-// rank orders jobs: the lower comes first.
-type rank struct {
-	tier int   // 0: can make its objective; 1: can be late; 2: worth little
-	work int64 // left to start
-}
-
-func (w *work) rank(now time.Duration) rank {
-	ends := now + w.leastTime()
-	objective := w.job.Objective - w.job.Received
-	tier := 2
-	switch {
-	case ends <= w.job.Objective:
-		tier = 0
-	case ends <= w.job.Received+lateFactor*objective:
-		tier = 1
-	}
-	return rank{tier: tier, work: w.waitingWork()}
-}
-
-// ranked returns the jobs that have tasks to start, in order.
-func (c *Cell) ranked(now time.Duration) []*work {
-	type entry struct {
-		work *work
-		rank rank
-	}
-	entries := make([]entry, 0, len(c.works))
-	for _, w := range c.works {
-		if w.settleAt > now && !(w.unseen && c.allAdopted()) {
-			continue
-		}
-		if r := w.rank(now); r.work > 0 {
-			entries = append(entries, entry{work: w, rank: r})
-		}
-	}
-	slices.SortFunc(entries, func(a, b entry) int {
-		return cmp.Or(cmp.Compare(a.rank.tier, b.rank.tier), cmp.Compare(a.rank.work, b.rank.work), strings.Compare(a.work.job.ID, b.work.job.ID))
-	})
-	works := make([]*work, len(entries))
-	for i, e := range entries {
-		works[i] = e.work
-	}
-	return works
-}
-
 // finishIfDone ends a job whose tasks are all done.
 func (c *Cell) finishIfDone(w *work) {
 	if w.allDone() {
@@ -250,7 +209,7 @@
 // the work that comes before them, can't be done by their deadlines.
 func (c *Cell) refuseHopeless(now time.Duration) {
 	var capacity, running int64
-	for _, e := range c.order {
+	for _, e := range c.sorted {
 		if e.usable(now) {
 			capacity += e.info.Capacity.CPU
 			running += e.used.CPU
--- a/pkg/cli/node.go
+++ b/pkg/cli/node.go
@@ -51,6 +51,9 @@
 	if err != nil {
 		return fail(err)
 	}
+	if err := node.CheckPolicies(s); err != nil {
+		return fail(err)
+	}
 	if c.check {
 		fmt.Println("the settings are good")
 		return subcommands.ExitSuccess
--- a/pkg/node/news_test.go
+++ b/pkg/node/news_test.go
@@ -67,7 +67,7 @@
 }
 
 func newTestNode(c *qt.C, store *fakeStore) *Node {
-	s := &settings.Node{Name: "a", Domain: "z", PeerAddress: "127.0.0.1:1", Heartbeat: time.Second, SuspectAfter: time.Second}
+	s := &settings.Node{Name: "a", Domain: "z", PeerAddress: "127.0.0.1:1", Heartbeat: time.Second, SuspectAfter: time.Second, Order: settings.DefaultOrder}
 	n, err := NewNode(common.NewTestCommon(), s, once.Incarnation{1}, &fakeAdapter{store: store})
 	c.Assert(err, qt.IsNil)
 	return n
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/cell"
 	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/member"
 	"github.com/foxcroft/foxcroft/pkg/metrics"
@@ -35,6 +36,7 @@
 	store    Store
 	counters *peer.Counters
 	metrics  *metrics.Node
+	order    func() cell.Order // of jobs in a cell
 	links    *peer.Set
 	peers    *peer.Server
 
@@ -73,10 +75,15 @@
 
 // NewNode makes a node. Start runs it.
 func NewNode(c *common.Common, s *settings.Node, inc once.Incarnation, adapter Adapter) (*Node, error) {
+	order, err := cell.Orders.Get(s.Order)
+	if err != nil {
+		return nil, err
+	}
 	c = c.With("node", s.Name)
 	n := &Node{
 		Common:     c,
 		settings:   s,
+		order:      order,
 		inc:        inc,
 		adapter:    adapter,
 		store:      adapter.Store(),
--- a/pkg/node/params.go
+++ b/pkg/node/params.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/cell"
+	"github.com/foxcroft/foxcroft/pkg/settings"
 )
 
 // Shares of the time after which callers send a job again. By then no run of
@@ -13,7 +14,7 @@
 	takeoverTime = 200 * time.Millisecond
 )
 
-// cellParams returns the times of leases. They keep, whatever the settings:
+// cellParams returns the times of leases and the policies. The times keep, whatever the settings:
 // lease < resubmission, and
 // suspicion + takeover + grace of orphans + stop < resubmission.
 func (n *Node) cellParams() cell.Params {
@@ -22,5 +23,12 @@
 	params := cell.DefaultParams(hold, n.settings.StopTime)
 	grace := resubmit - n.settings.SuspectAfter - takeoverTime - n.settings.StopTime
 	params.OrphanGrace = max(0, min(params.OrphanGrace, grace))
+	params.Order = n.order
 	return params
 }
+
+// CheckPolicies reports a policy of the settings that there is no plug-in for.
+func CheckPolicies(s *settings.Node) error {
+	_, err := cell.Orders.Get(s.Order)
+	return err
+}
--- a/pkg/node/params_test.go
+++ b/pkg/node/params_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/settings"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -33,3 +34,10 @@
 		})
 	}
 }
+
+func TestAnUnknownPolicyIsRefusedWithTheNamesThereAre(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(CheckPolicies(&settings.Node{Order: settings.DefaultOrder}), qt.IsNil)
+	err := CheckPolicies(&settings.Node{Order: "alphabetical"})
+	c.Assert(err, qt.ErrorMatches, `(?s).*alphabetical.*least-work.*`)
+}
--- a/pkg/settings/node.go
+++ b/pkg/settings/node.go
@@ -29,10 +29,14 @@
 	SuspectAfter   time.Duration // silence after which a peer is suspected
 	Grace          time.Duration // of a planned stop
 	MemoryMB       int
-	Weight         int // thousandths of a core that the host may use
+	Weight         int    // thousandths of a core that the host may use
+	Order          string // plug-in that ranks the jobs of a cell
 	LogLevel       string
 }
 
+// DefaultOrder is the order of jobs that measured best, docs/design/policy.md.
+const DefaultOrder = "value"
+
 // thousandth turns cores into thousandths of a core.
 const thousandth = 1000
 
@@ -51,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	file.Known("node", "listen", "peers", "store", "lease", "stop", "limits", "log")
+	file.Known("node", "listen", "peers", "store", "lease", "stop", "limits", "policy", "log")
 	node := parseNode(file)
 	if err := file.Err(); err != nil {
 		return nil, err
@@ -84,6 +88,7 @@
 		Grace:          file.Only("stop").Duration("grace", 6*time.Second, 0, time.Hour),
 		MemoryMB:       file.Only("limits").Int("memory_mb", 256, 32, 1<<20),
 		Weight:         int(thousandth * file.Only("limits").Float("cpu_share", 1, 0.001, 1024)),
+		Order:          file.Only("policy").String("order", DefaultOrder),
 		LogLevel:       file.Only("log").OneOf("level", "info", "debug", "info", "warn", "error"),
 	}
 }
