--- a/pkg/cell/order.go
+++ b/pkg/cell/order.go
@@ -119,12 +119,12 @@
 		mean = &runningMean{}
 		o.usual[j.Route] = mean
 	}
-	mean.add(float64(totalWork(j)))
+	mean.add(float64(j.Work()))
 }
 
 // Rank implements Order.
 func (o *valueOrder) Rank(s Standing) Rank {
-	total := float64(max(totalWork(s.Job), 1))
+	total := float64(max(s.Job.Work(), 1))
 	usual := total
 	if mean := o.usual[s.Job.Route]; mean != nil {
 		usual = max(mean.value, 1)
@@ -133,16 +133,6 @@
 	return Rank{Class: classOf(s), Cost: float64(s.WorkLeft) / usual / value}
 }
 
-// totalWork returns the estimated work of a whole job, in thousandths of a core
-// x milliseconds.
-func totalWork(j *job.Job) int64 {
-	var total int64
-	for _, step := range j.Steps {
-		total += int64(step.Count) * step.Needs.CPU * estimateOf(step).Milliseconds()
-	}
-	return total
-}
-
 // runningMean is the mean of the last values, more or less.
 type runningMean struct {
 	count int
--- a/pkg/cell/work.go
+++ b/pkg/cell/work.go
@@ -8,9 +8,6 @@
 	"github.com/foxcroft/foxcroft/pkg/job"
 )
 
-// unknownEstimate stands for the time of a task whose caller gave no guess.
-const unknownEstimate = 200 * time.Millisecond
-
 // lateFactor is how many times the objective an answer may take and still be
 // worth something.
 const lateFactor = 3
@@ -133,23 +130,14 @@
 }
 
 // estimate returns the expected time of a task of a step.
-func (w *work) estimate(step int) time.Duration {
-	return estimateOf(w.job.Steps[step])
-}
-
-func estimateOf(step job.Step) time.Duration {
-	if step.Estimate > 0 {
-		return step.Estimate
-	}
-	return unknownEstimate
-}
+func (w *work) estimate(step int) time.Duration { return w.job.Steps[step].TaskTime() }
 
 // waitingWork returns the estimated work that hasn't started, in thousandths
 // of a core x milliseconds.
 func (w *work) waitingWork() int64 {
 	var total int64
 	for step, tasks := range w.steps {
-		each := w.job.Steps[step].Needs.CPU * w.estimate(step).Milliseconds()
+		each := w.job.Steps[step].TaskWork()
 		for _, t := range tasks {
 			if !t.done && t.current == nil {
 				total += each
--- a/pkg/cli/explain.go
+++ b/pkg/cli/explain.go
@@ -27,17 +27,13 @@
 	if f.NArg() == 0 {
 		return misuse("explain needs the id of a request")
 	}
-	id, names := f.Arg(0), f.Args()[1:]
+	id := f.Arg(0)
 	var events []explain.Event
-	var err error
-	if len(names) == 0 {
-		events, err = explain.Read(nil, os.Stdin, id)
-	}
-	for _, name := range names {
-		if err == nil {
-			events, err = readLog(events, name, id)
-		}
-	}
+	err := eachLog(f.Args()[1:], func(log io.Reader) error {
+		var err error
+		events, err = explain.Read(events, log, id)
+		return err
+	})
 	if err != nil {
 		return fail(err)
 	}
@@ -46,12 +42,3 @@
 	}
 	return subcommands.ExitSuccess
 }
-
-func readLog(events []explain.Event, name, id string) ([]explain.Event, error) {
-	file, err := os.Open(name)
-	if err != nil {
-		return nil, err
-	}
-	defer file.Close()
-	return explain.Read(events, io.Reader(file), id)
-}
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -3,60 +3,25 @@
 package explain
 
 import (
-	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"sort"
 	"strings"
-	"time"
 
-	"github.com/pkg/errors"
+	"github.com/foxcroft/foxcroft/pkg/joblog"
 )
 
 // Event is a log line that concerns the request.
-type Event struct {
-	Time     time.Time `json:"time"`
-	Message  string    `json:"msg"`
-	Node     string    `json:"node"`
-	Job      string    `json:"job"`
-	Task     string    `json:"task"`
-	Executor string    `json:"executor"`
-	Cell     string    `json:"cell"`
-	Owner    string    `json:"owner"`
-	Verdict  string    `json:"verdict"`
-	Outcome  string    `json:"outcome"`
-	Reason   string    `json:"reason"`
-	Why      string    `json:"why"`
-	Detail   string    `json:"detail"`
-	AgeMS    int64     `json:"age_ms"`
-	TookMS   int64     `json:"took_ms"`
-	Started  bool      `json:"started"`
-}
-
-// maxLineBytes bounds a line of a log.
-const maxLineBytes = 1 << 20
+type Event = joblog.Event
 
-// Read appends the events of a job in a log. Text before a line's JSON, such
-// as a collector's prefix, is passed over, and so are lines without JSON.
+// Read appends the events of a job in a log.
 func Read(events []Event, log io.Reader, id string) ([]Event, error) {
-	scanner := bufio.NewScanner(log)
-	scanner.Buffer(nil, maxLineBytes)
-	for scanner.Scan() {
-		line := scanner.Text()
-		start := strings.IndexByte(line, '{')
-		if start < 0 || !strings.Contains(line, id) {
-			continue
-		}
-		var event Event
-		if json.Unmarshal([]byte(line[start:]), &event) != nil {
-			continue
-		}
-		if event.Job == id || strings.HasPrefix(event.Task, id+".") {
+	err := joblog.Read(log, id, func(event Event) {
+		if event.JobID() == id {
 			events = append(events, event)
 		}
-	}
-	return events, errors.Wrap(scanner.Err(), "read the log")
+	})
+	return events, err
 }
 
 // Story is what became of a request.
@@ -166,7 +131,7 @@
 // Write prints a story.
 func (s Story) Write(w io.Writer) error {
 	for _, event := range s.Events {
-		if _, err := fmt.Fprintln(w, event.line()); err != nil {
+		if _, err := fmt.Fprintln(w, line(event)); err != nil {
 			return err
 		}
 	}
@@ -174,8 +139,8 @@
 	return err
 }
 
-// line is an event as a person reads it.
-func (e Event) line() string {
+// line returns an event as a person reads it.
+func line(e Event) string {
 	parts := []string{e.Time.Format("15:04:05.000"), e.Node, e.Message}
 	fields := []struct{ name, value string }{
 		{"task", e.Task}, {"executor", e.Executor}, {"cell", e.Cell}, {"owner", e.Owner}, {"verdict", e.Verdict},
--- a/pkg/job/job.go
+++ b/pkg/job/job.go
@@ -63,6 +63,31 @@
 	return count
 }
 
+// UnknownEstimate stands for the time of a task whose caller gave no guess.
+const UnknownEstimate = 200 * time.Millisecond
+
+// TaskTime returns the expected time of a task of the step.
+func (s *Step) TaskTime() time.Duration {
+	if s.Estimate > 0 {
+		return s.Estimate
+	}
+	return UnknownEstimate
+}
+
+// TaskWork returns the expected work of a task of the step, in thousandths of a
+// core x milliseconds.
+func (s *Step) TaskWork() int64 { return s.Needs.CPU * s.TaskTime().Milliseconds() }
+
+// Work returns the expected work of the job, in thousandths of a core x
+// milliseconds.
+func (j *Job) Work() int64 {
+	var total int64
+	for i := range j.Steps {
+		total += int64(j.Steps[i].Count) * j.Steps[i].TaskWork()
+	}
+	return total
+}
+
 // TaskKey names a task within its job.
 type TaskKey struct {
 	Step  int
--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -81,7 +81,8 @@
 	}
 	f.node.metrics.JobEnded(j.Route, outcome.Kind.String(), f.node.Clock.Now()-j.Received)
 	f.node.Log.Info("job_ended", "job", j.ID, "route", j.Route, "outcome", outcome.Kind.String(), "reason", outcome.Reason,
-		"started", outcome.Started, "took_ms", (f.node.Clock.Now() - j.Received).Milliseconds())
+		"started", outcome.Started, "took_ms", (f.node.Clock.Now() - j.Received).Milliseconds(),
+		"objective_ms", (j.Objective - j.Received).Milliseconds(), "estimate_ms", j.LongestChain().Milliseconds(), "work", j.Work(), "tasks", j.TaskCount())
 	return outcome
 }
 
