A cell learns how long tasks take from those that have ended

Cause: callers' estimates are rough. Tiers, slack, work left, leases and the search for slow runs all went by the estimate. A line through the logarithms of estimates and times, by route, gives the expected time now; a job's objective is worked out from it at the owner (the job carries stretch and target in place of an objective).

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -92,6 +92,7 @@
 	executors  map[string]*executor // by id
 	sorted     []*executor          // by id
 	order      Order
+	times      *taskTimes
 	works      map[string]*work // by job id
 	done       map[string]bool  // tasks listed as done that no job has claimed yet
 	commands   []Command
@@ -114,6 +115,7 @@
 		claimedAt: now,
 		executors: map[string]*executor{},
 		order:     params.Order(),
+		times:     newTaskTimes(),
 		works:     map[string]*work{},
 		done:      map[string]bool{},
 	}
@@ -176,7 +178,7 @@
 		return false
 	}
 	c.order.Observe(j)
-	w := newWork(j, epoch, settleAt)
+	w := newWork(j, epoch, settleAt, c.times)
 	if unseen := c.unseenUntil(now); epoch > 1 && unseen > settleAt {
 		w.settleAt, w.unseen = unseen, settleAt == 0
 	}
--- a/pkg/cell/cell_test.go
+++ b/pkg/cell/cell_test.go
@@ -53,7 +53,7 @@
 	return &job.Job{
 		ID: id, Route: "route", Service: "service", MaxAttempts: 2, Spec: "spec",
 		Steps:    []job.Step{{Count: tasks, Needs: job.Resources{CPU: 6800, MemoryMB: 10}, Estimate: 200 * ms}},
-		Received: now, Deadline: now + 3*time.Second, Objective: now + 400*ms,
+		Received: now, Deadline: now + 3*time.Second, Stretch: 1, Target: 200 * ms,
 	}
 }
 
--- a/pkg/cell/policies_test.go
+++ b/pkg/cell/policies_test.go
@@ -30,7 +30,7 @@
 		second   *job.Job
 	}
 	late := func(j *job.Job) *job.Job {
-		j.Objective = j.Received + ms
+		j.Stretch, j.Target = 0, ms
 		return j
 	}
 	scenarios := []scenario{
@@ -52,7 +52,7 @@
 			c.Assert(err, qt.IsNil)
 			order := makeOrder()
 			usualJobs(order, "r", "s")
-			standing := func(j *job.Job) Standing { return newWork(j, 1, 0).standing(0) }
+			standing := func(j *job.Job) Standing { return newWork(j, 1, 0, newTaskTimes()).standing(0) }
 			c.Assert(order.Rank(standing(s.first)).compare(order.Rank(standing(s.second))) < 0, qt.IsTrue)
 		})
 	}
@@ -63,7 +63,9 @@
 func TestValueOrderLearnsTheUsualJobOfARoute(t *testing.T) {
 	c := qt.New(t)
 	order := newValueOrder()
-	cost := func() float64 { return order.Rank(newWork(rankedJob("a", "r", 0, 4, 0), 1, 0).standing(0)).Cost }
+	cost := func() float64 {
+		return order.Rank(newWork(rankedJob("a", "r", 0, 4, 0), 1, 0, newTaskTimes()).standing(0)).Cost
+	}
 	order.Observe(rankedJob("s", "r", 0, 1, 0))
 	amongSmall := cost()
 	for range 10 * meanOver {
--- a/pkg/cell/progress.go
+++ b/pkg/cell/progress.go
@@ -12,6 +12,7 @@
 	}
 	took := now - r.orderAt
 	e.health.measure(took, r.estimate)
+	c.learnTime(e, r, took)
 	if isSlow(took, r.estimate) {
 		c.blame(e, "slow", r.name, now)
 		return
@@ -19,6 +20,15 @@
 	e.health.succeeded()
 }
 
+// learnTime takes the time of a run for the times to expect. Those of executors
+// that are suspected tell of the executor.
+func (c *Cell) learnTime(e *executor, r *run, took time.Duration) {
+	if r.work != nil && !e.health.onTrial() {
+		step := &r.work.job.Steps[r.task.key.Step]
+		c.times.observe(r.work.job.Route, step.TaskTime(), took)
+	}
+}
+
 // isSlow reports whether a time is far above its estimate. The estimates of
 // short tasks say little.
 func isSlow(took, estimate time.Duration) bool {
--- a/pkg/cell/queue.go
+++ b/pkg/cell/queue.go
@@ -17,15 +17,15 @@
 // standing returns what orders may know of a job.
 func (w *work) standing(now time.Duration) Standing {
 	ends := now + w.leastTime()
-	objective := w.job.Objective - w.job.Received
+	objective := w.job.Objective(w.chain)
 	tier := tierLittle
 	switch {
-	case ends <= w.job.Objective:
+	case ends <= w.job.Received+objective:
 		tier = tierGood
 	case ends <= w.job.Received+lateFactor*objective:
 		tier = tierLate
 	}
-	return Standing{Job: w.job, Tier: tier, WorkLeft: w.waitingWork(), Slack: w.job.Objective - ends}
+	return Standing{Job: w.job, Tier: tier, WorkLeft: w.waitingWork(), Slack: w.job.Received + objective - ends}
 }
 
 // ranked returns the jobs that have tasks to start, in order.
--- a/pkg/cell/work.go
+++ b/pkg/cell/work.go
@@ -30,11 +30,13 @@
 	settleAt time.Duration // no start before
 	unseen   bool          // settleAt stands only for executors that haven't answered this owner
 	steps    [][]*task
-	leastCPU int64 // that a task of it asks for
-	started  bool  // a task may have started, here or at a former owner
+	times    []time.Duration // expected of a task, by step
+	chain    time.Duration   // expected of the job with room for everything
+	leastCPU int64           // that a task of it asks for
+	started  bool            // a task may have started, here or at a former owner
 }
 
-func newWork(j *job.Job, epoch int, settleAt time.Duration) *work {
+func newWork(j *job.Job, epoch int, settleAt time.Duration, times *taskTimes) *work {
 	w := &work{job: j, epoch: epoch, settleAt: settleAt, started: epoch > 1}
 	for stepIndex, step := range j.Steps {
 		if stepIndex == 0 || step.Needs.CPU < w.leastCPU {
@@ -45,7 +47,9 @@
 			tasks[i] = &task{key: job.TaskKey{Step: stepIndex, Index: i}}
 		}
 		w.steps = append(w.steps, tasks)
+		w.times = append(w.times, times.expect(j.Route, step.TaskTime()))
 	}
+	w.chain = j.LongestChainOf(w.estimate)
 	return w
 }
 
@@ -130,14 +134,14 @@
 }
 
 // estimate returns the expected time of a task of a step.
-func (w *work) estimate(step int) time.Duration { return w.job.Steps[step].TaskTime() }
+func (w *work) estimate(step int) time.Duration { return w.times[step] }
 
 // waitingWork returns the estimated work that hasn't started, in thousandths
 // of a core x milliseconds.
 func (w *work) waitingWork() int64 {
 	var total int64
 	for step, tasks := range w.steps {
-		each := w.job.Steps[step].TaskWork()
+		each := w.job.Steps[step].Needs.CPU * w.estimate(step).Milliseconds()
 		for _, t := range tasks {
 			if !t.done && t.current == nil {
 				total += each
@@ -170,6 +174,7 @@
 
 // finish ends a job and reports it.
 func (c *Cell) finish(w *work, outcome job.Outcome) {
+	outcome.Chain = w.chain
 	c.finished = append(c.finished, Finished{ID: w.job.ID, Outcome: outcome})
 	if outcome.Kind == job.Moved {
 		delete(c.works, w.job.ID)
--- a/pkg/job/job.go
+++ b/pkg/job/job.go
@@ -51,7 +51,8 @@
 	Steps       []Step
 	Received    time.Duration // on the clock of the process that holds this value
 	Deadline    time.Duration // the caller waits no longer
-	Objective   time.Duration // answers up to then are good ones
+	Stretch     float64       // of the longest chain of work, in the time for a good answer
+	Target      time.Duration // added to that time
 }
 
 // TaskCount returns the number of tasks over all steps.
@@ -136,24 +137,31 @@
 	Kind       Kind
 	Reason     string // for logs
 	RetryAfter time.Duration
-	Started    bool // a task of it may have started
+	Started    bool          // a task of it may have started
+	Chain      time.Duration // the longest chain of work as the owner expected it; 0 when not told
 	Progress   []Progress
 }
 
-// ObjectiveTime returns the time within which an answer is a good one: stretch
-// times the longest chain of estimated work, and target more.
-func (j *Job) ObjectiveTime(stretch float64, target time.Duration) time.Duration {
-	return time.Duration(stretch*float64(j.LongestChain())) + target
+// Objective returns the time from its receipt within which an answer is a good
+// one, for a longest chain of work.
+func (j *Job) Objective(chain time.Duration) time.Duration {
+	return time.Duration(j.Stretch*float64(chain)) + j.Target
 }
 
-// LongestChain returns the estimated time of the job with room for everything.
+// LongestChain returns the time that the job takes with room for everything,
+// by the caller's estimates.
 func (j *Job) LongestChain() time.Duration {
+	return j.LongestChainOf(func(step int) time.Duration { return j.Steps[step].Estimate })
+}
+
+// LongestChainOf is LongestChain with other times of the steps' tasks.
+func (j *Job) LongestChainOf(taskTime func(step int) time.Duration) time.Duration {
 	chains := make([]time.Duration, len(j.Steps))
 	var longest time.Duration
 	for i, step := range j.Steps {
-		chains[i] = step.Estimate
+		chains[i] = taskTime(i)
 		for _, earlier := range step.After {
-			chains[i] = max(chains[i], chains[earlier]+step.Estimate)
+			chains[i] = max(chains[i], chains[earlier]+taskTime(i))
 		}
 		longest = max(longest, chains[i])
 	}
--- a/pkg/node/convert.go
+++ b/pkg/node/convert.go
@@ -18,7 +18,8 @@
 		Priority:    uint32(j.Priority),
 		MaxAttempts: uint32(j.MaxAttempts),
 		TimeLeftUs:  (j.Deadline - now).Microseconds(),
-		ObjectiveUs: (j.Objective - j.Received).Microseconds(),
+		Stretch:     j.Stretch,
+		TargetUs:    j.Target.Microseconds(),
 		AgeUs:       (now - j.Received).Microseconds(),
 		Spec:        j.Spec,
 		Epoch:       uint32(epoch),
@@ -60,7 +61,8 @@
 		Spec:        m.Spec,
 		Received:    received,
 		Deadline:    now + microseconds(m.TimeLeftUs),
-		Objective:   received + microseconds(m.ObjectiveUs),
+		Stretch:     m.Stretch,
+		Target:      microseconds(m.TargetUs),
 	}
 	for _, step := range m.Steps {
 		j.Steps = append(j.Steps, fromStep(step))
@@ -110,6 +112,7 @@
 		RetryAfterUs: outcome.RetryAfter.Microseconds(),
 		Started:      outcome.Started,
 		Progress:     toProgress(outcome.Progress),
+		ChainUs:      outcome.Chain.Microseconds(),
 	}}}
 }
 
@@ -120,6 +123,7 @@
 		RetryAfter: microseconds(m.RetryAfterUs),
 		Started:    m.Started,
 		Progress:   fromProgress(m.Progress),
+		Chain:      microseconds(m.ChainUs),
 	}
 }
 
--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -79,10 +79,14 @@
 	} else {
 		outcome = f.keepOpen(ctx, j)
 	}
+	chain := outcome.Chain
+	if chain == 0 {
+		chain = j.LongestChain()
+	}
 	f.node.metrics.JobEnded(j.Route, outcome.Kind.String(), f.node.Clock.Now()-j.Received)
 	f.node.Log.Info("job_ended", "job", j.ID, "route", j.Route, "outcome", outcome.Kind.String(), "reason", outcome.Reason,
 		"started", outcome.Started, "took_ms", (f.node.Clock.Now() - j.Received).Milliseconds(),
-		"objective_ms", (j.Objective - j.Received).Milliseconds(), "estimate_ms", j.LongestChain().Milliseconds(), "work", j.Work(), "tasks", j.TaskCount())
+		"objective_ms", j.Objective(chain).Milliseconds(), "estimate_ms", chain.Milliseconds(), "work", j.Work(), "tasks", j.TaskCount())
 	return outcome
 }
 
