A job whose answer would come too late to be worth anything is refused at once

An answer beyond three times the objective is worth nothing to the caller, who could have tried elsewhere all the while. The refusal now goes by that time, when it comes before the deadline; nothing of such a job has started. The test fails on the code before.

--- a/pkg/cell/order_test.go
+++ b/pkg/cell/order_test.go
@@ -59,3 +59,24 @@
 	d.tick(placePause)
 	c.Assert(d.of(Start), qt.HasLen, 1)
 }
+
+// The caller waits for a minute, but an answer is worth something for 1.2 s only.
+func TestAJobWhoseAnswerWouldBeWorthNothingIsRefusedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	d := adopted(c, 1)
+	d.fill(c)
+	for _, id := range []string{"b", "c", "d"} {
+		j := testJob(id, 2, d.now)
+		j.Deadline = d.now + time.Minute
+		d.submit(j, 1)
+	}
+	last := testJob("last", 8, d.now)
+	last.Deadline = d.now + time.Minute
+	d.submit(last, 1)
+	d.tick(ms)
+	c.Assert(d.finished, qt.HasLen, 0, qt.Commentf("it can be done in time yet"))
+	d.tick(600 * ms)
+	c.Assert(d.finished["last"].Kind, qt.Equals, job.Refused)
+	c.Assert(d.finished["last"].Started, qt.IsFalse)
+	c.Assert(d.finished["last"].RetryAfter > 0, qt.IsTrue)
+}
--- a/pkg/cell/queue.go
+++ b/pkg/cell/queue.go
@@ -22,7 +22,7 @@
 	switch {
 	case ends <= w.job.Received+objective:
 		tier = tierGood
-	case ends <= w.job.Received+lateFactor*objective:
+	case ends <= w.usefulUntil():
 		tier = tierLate
 	}
 	return Standing{Job: w.job, Tier: tier, WorkLeft: w.waitingWork(), Slack: w.job.Received + objective - ends}
--- a/pkg/cell/work.go
+++ b/pkg/cell/work.go
@@ -198,8 +198,14 @@
 	c.dirty = true
 }
 
-// refuseHopeless refuses the jobs of which nothing has started and which, with
-// the work that comes before them, can't be done by their deadlines.
+// usefulUntil returns until when an answer is worth something to the caller.
+func (w *work) usefulUntil() time.Duration {
+	return min(w.job.Deadline, w.job.Received+lateFactor*w.job.Objective(w.chain))
+}
+
+// refuseHopeless refuses the jobs of which nothing has started and whose
+// answers, with the work that comes before them, would come too late to be worth
+// anything. Their callers can try elsewhere sooner.
 func (c *Cell) refuseHopeless(now time.Duration) {
 	var capacity, running int64
 	for _, e := range c.sorted {
@@ -215,7 +221,7 @@
 	for _, w := range c.ranked(now) {
 		wait := time.Duration(float64(ahead)/float64(capacity)) * time.Millisecond
 		ahead += w.waitingWork()
-		if !w.started && now+wait+w.leastTime() > w.job.Deadline {
+		if !w.started && now+wait+w.leastTime() > w.usefulUntil() {
 			c.finish(w, job.Outcome{Kind: job.Refused, Reason: "overloaded", RetryAfter: wait})
 		}
 	}
