Two failed tasks in a row eject an executor; three rules of no worth go

One failed task ejects none now, two in a row do; on trial each does. The test of ejections fails on the code before.

--- a/pkg/cell/cell_test.go
+++ b/pkg/cell/cell_test.go
@@ -175,3 +175,42 @@
 	d.holdAnswer(1, HoldAnswer{Clock: time.Minute}, d.now)
 	c.Assert(d.of(Start), qt.HasLen, 1)
 }
+
+// A task that fails may be at fault itself; two in a row tell of the executor.
+func TestWhenFailedTasksEjectTheirExecutor(t *testing.T) {
+	type scenario struct {
+		testName string
+		ends     []EndKind
+		ejected  bool
+	}
+	scenarios := []scenario{
+		{testName: "one failure", ends: []EndKind{EndFailed}},
+		{testName: "failures with a success between", ends: []EndKind{EndFailed, EndDone, EndFailed}},
+		{testName: "two in a row", ends: []EndKind{EndFailed, EndFailed}, ejected: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			d := adopted(c, 4)
+			e := d.cell.executors[executorID(0)]
+			for i, kind := range s.ends {
+				w := newWork(testJob(fmt.Sprintf("job%d", i), 1, d.now), 1, 0, newTaskTimes())
+				r := &run{executor: e, name: w.job.TaskName(job.TaskKey{}), number: 1, work: w, task: w.steps[0][0], orderAt: d.now, estimate: 200 * ms}
+				e.add(r)
+				d.now += 200 * ms
+				d.cell.takeEnd(e, r, kind, d.now)
+			}
+			c.Assert(e.health.onTrial(), qt.Equals, s.ejected)
+		})
+	}
+}
+
+func TestAFailureOnTrialEjectsAgain(t *testing.T) {
+	c := qt.New(t)
+	d := adopted(c, 4)
+	e := d.cell.executors[executorID(0)]
+	e.health.eject(d.now)
+	first := e.health.until
+	d.cell.blame(e, blameFailed, "task", first)
+	c.Assert(e.health.until > first, qt.IsTrue)
+}
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -213,7 +213,7 @@
 		if !c.suits(e, w, t, step) {
 			continue
 		}
-		cost := placementCost(e, step, w.estimate(t.key.Step))
+		cost := placementCost(e, step)
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
@@ -251,27 +251,18 @@
 }
 
 const (
-	farCost      = 4.0 // for running far from the data
-	paceWeight   = 0.5 // of an executor's speed, for long tasks
-	longTask     = 400 * time.Millisecond
-	coresInCost  = 1000.0
-	suspectsCost = 8.0
+	farCost     = 4.0 // for running far from the data
+	coresInCost = 1000.0
 )
 
-// placementCost is lower for a better fit: little room left over, near the
-// data, and fast for a long task.
-func placementCost(e *executor, step *job.Step, estimate time.Duration) float64 {
+// placementCost is lower for a better fit: little room left over, and near the
+// data.
+func placementCost(e *executor, step *job.Step) float64 {
 	left := e.free().Sub(step.Needs)
 	cost := float64(left.CPU) / coresInCost
 	if step.Affinity != "" && !e.info.HasLabel(step.Affinity) {
 		cost += farCost
 	}
-	if e.health.failures > 0 {
-		cost += suspectsCost
-	}
-	if estimate >= longTask {
-		cost += paceWeight * float64(e.info.Capacity.CPU) / coresInCost * e.health.pace
-	}
 	return cost
 }
 
--- a/pkg/cell/health.go
+++ b/pkg/cell/health.go
@@ -6,20 +6,22 @@
 const (
 	firstEjection   = 300 * time.Millisecond
 	longestEjection = 3 * time.Second
+	failuresToEject = 2 // failed tasks in a row: a single one may be the task's own fault
 	trialsToClear   = 2
-	paceWeightNew   = 0.1 // of a new time in the pace
 	slowRatio       = 5.0 // of a time to its estimate that counts as slow
 	ejectedShare    = 3   // one executor in so many may be out at once
 	slowestJudged   = 30 * time.Millisecond
 )
 
+// blameFailed is the reason of an ejection for failed tasks.
+const blameFailed = "task_failed"
+
 // health is what an executor's results tell of it.
 type health struct {
 	failures int           // in a row, or on trial
 	pause    time.Duration // of the last ejection; 0 when in good standing
 	until    time.Duration // no work until then
 	passed   int           // trials passed in a row
-	pace     float64       // time a task takes as a share of its estimate; 0 before the first
 }
 
 // allows reports whether the executor may get work now.
@@ -55,19 +57,13 @@
 	}
 }
 
-// measure takes the time of a task that ended well.
-func (h *health) measure(took, estimate time.Duration) {
-	ratio := float64(took) / float64(max(estimate, time.Millisecond))
-	if h.pace == 0 {
-		h.pace = 1
-	}
-	h.pace += paceWeightNew * (ratio - h.pace)
-}
-
 // blame ejects an executor for a failed, stalled or slow task, unless so many
 // are out already that the cause must lie elsewhere.
 func (c *Cell) blame(e *executor, why, task string, now time.Duration) {
 	e.health.failures++
+	if why == blameFailed && !e.health.onTrial() && e.health.failures < failuresToEject {
+		return
+	}
 	out := 0
 	for _, other := range c.sorted {
 		if !other.health.allows(now) {
@@ -82,13 +78,3 @@
 	}
 	e.health.eject(now)
 }
-
-// exonerate restores the executors on which a task failed that fails
-// everywhere: the fault is the task's.
-func (c *Cell) exonerate(t *task) {
-	for _, id := range t.failedOn {
-		if e := c.executors[id]; e != nil {
-			e.health.clear()
-		}
-	}
-}
--- a/pkg/cell/holds.go
+++ b/pkg/cell/holds.go
@@ -132,15 +132,12 @@
 }
 
 func (c *Cell) taskFailed(e *executor, r *run, w *work, t *task, now time.Duration) {
-	c.blame(e, "task_failed", r.name, now)
+	c.blame(e, blameFailed, r.name, now)
 	if t == nil {
 		return
 	}
 	t.failures++
 	t.failedOn = append(t.failedOn, e.info.ID)
-	if len(t.failedOn) > 1 {
-		c.exonerate(t)
-	}
 	if t.failures >= max(1, w.job.MaxAttempts) {
 		c.finish(w, job.Outcome{Kind: job.Failed, Reason: "task_failed", Started: true})
 	}
--- a/pkg/cell/progress.go
+++ b/pkg/cell/progress.go
@@ -11,7 +11,6 @@
 		return
 	}
 	took := now - r.orderAt
-	e.health.measure(took, r.estimate)
 	c.learnTime(e, r, took)
 	if isSlow(took, r.estimate) {
 		c.blame(e, "slow", r.name, now)
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -36,6 +36,10 @@
 		{testName: "its node stopped while it ran", lines: []string{started, `{"time":"2026-03-18T22:21:18Z","msg":"job_ended","job":"00112233445566ff","outcome":"expired","reason":"stopping"}`}, want: "its node stopped while tasks ran: 00112233445566ff.0.0.0 on i-1"},
 		{testName: "a task stood still", lines: []string{started, `{"time":"2026-03-18T22:21:18Z","msg":"job_ended","job":"00112233445566ff","outcome":"expired","reason":"caller_left"}`},
 			want: "its caller left while tasks ran: 00112233445566ff.0.0.0 on i-1"},
+		{testName: "the lines of its parts are its own", lines: []string{
+			`{"time":"2026-03-18T22:21:17Z","msg":"job_handed_on","job":"00112233445566ff/0-2","cell":"z","why":"lost","reason":"the link is down"}`,
+			`{"time":"2026-03-18T22:21:18Z","msg":"job_ended","job":"00112233445566ff","outcome":"expired","reason":"caller_left"}`,
+		}, want: "its caller left while it went from owner to owner: z (lost, the link is down)"},
 		{testName: "other jobs and other text are passed over", lines: []string{
 			"12.5 node-1 " + started, "no JSON 00112233445566ff", `{"msg":"job_ended","job":"ffffffffffffffff","reason":"00112233445566ff"}`,
 		}, want: "its front never answered: look for the front's last line, it was killed or cut off"},
--- a/pkg/node/parts.go
+++ b/pkg/node/parts.go
@@ -49,6 +49,7 @@
 	for i, partJob := range j.Split(counts) {
 		parts[i] = &part{job: partJob, cell: shares[i].Cell}
 	}
+	f.node.Log.Info("job_split", "job", j.ID, "tasks", j.TaskCount(), "shares", shares)
 	whole := f.followAll(ctx, cancel, parts, 1)
 	refused := refusedOf(parts)
 	if len(refused) == 0 || len(refused) == len(parts) || !whole.Started || ctx.Err() != nil {
