A part that takes over a started one isn't refused as not run

Found reading the change: newer parts took over what runs of older ones, but not that something of the job may have run already. The test fails without it.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -152,6 +152,7 @@
 			continue
 		}
 		w.apply(old.progress())
+		w.started = w.started || old.started
 		for _, tasks := range old.steps {
 			for _, t := range tasks {
 				if r := t.current; r != nil {
--- a/pkg/cell/parts_test.go
+++ b/pkg/cell/parts_test.go
@@ -91,3 +91,15 @@
 		c.Assert(w.job.ID == fresh[0].ID || w.job.ID == fresh[1].ID, qt.IsTrue)
 	}
 }
+
+func TestAPartThatTakesOverAStartedOneIsNotRefused(t *testing.T) {
+	c := qt.New(t)
+	d := adopted(c, 1)
+	d.fill(c)
+	j := testJob("a", 4, d.now)
+	d.submit(j.Split([]int{3, 1})[0], 2)
+	fresh := j.Split([]int{2, 2})[0]
+	d.submit(fresh, 1)
+	d.tick(j.Deadline - d.now + ms)
+	c.Assert(d.finished[fresh.ID].Kind, qt.Equals, job.Expired)
+}
--- a/pkg/cell/work.go
+++ b/pkg/cell/work.go
@@ -184,6 +184,7 @@
 	c.remove(w, outcome.Kind.String())
 }
 
+// forget takes a job off the lists of those that are here.
 func (c *Cell) forget(w *work) {
 	delete(c.works, w.job.ID)
 	whole := w.job.WholeID()
--- a/pkg/node/params.go
+++ b/pkg/node/params.go
@@ -14,8 +14,8 @@
 	takeoverTime = 200 * time.Millisecond
 )
 
-// cellParams returns the times of leases and the policies. The times keep, whatever the settings:
-// lease < resubmission, and
+// cellParams returns the times of leases and the policies. Whatever the settings,
+// the times keep: lease < resubmission, and
 // suspicion + takeover + grace of orphans + stop < resubmission.
 func (n *Node) cellParams() cell.Params {
 	resubmit := n.settings.ResubmitAfter
