--- a/pkg/cell/order.go
+++ b/pkg/cell/order.go
@@ -11,7 +11,7 @@
 // Standing is what an order may know of a job that has tasks to start.
 type Standing struct {
 	Job      *job.Job
-	Tier     int           // 0: it can make its objective; 1: it can be late; 2: worth little
+	Tier     int           // how good its answer can still be; the lower the better
 	WorkLeft int64         // estimate of the tasks to start, in thousandths of a core x milliseconds
 	Slack    time.Duration // until it has to start to make its objective; negative when it can't
 }
--- a/pkg/cell/work.go
+++ b/pkg/cell/work.go
@@ -8,10 +8,6 @@
 	"github.com/foxcroft/foxcroft/pkg/job"
 )
 
-// lateFactor is how many times the objective an answer may take and still be
-// worth something.
-const lateFactor = 3
-
 // task is one task of a job.
 type task struct {
 	key      job.TaskKey
@@ -213,7 +209,7 @@
 
 // usefulUntil returns until when an answer is worth something to the caller.
 func (w *work) usefulUntil() time.Duration {
-	return min(w.job.Deadline, w.job.Received+lateFactor*w.job.Objective(w.chain))
+	return min(w.job.Deadline, w.job.Received+job.LateFactor*w.job.Objective(w.chain))
 }
 
 // refuseHopeless refuses the jobs of which nothing has started and whose
--- a/pkg/job/job.go
+++ b/pkg/job/job.go
@@ -114,6 +114,10 @@
 	return count
 }
 
+// LateFactor is how many times its objective an answer may take and still be
+// worth something, by the users' accounting.
+const LateFactor = 3
+
 // UnknownEstimate stands for the time of a task whose caller gave no guess.
 const UnknownEstimate = 200 * time.Millisecond
 
--- a/pkg/losses/losses.go
+++ b/pkg/losses/losses.go
@@ -7,6 +7,7 @@
 	"sort"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/joblog"
 )
 
@@ -29,10 +30,6 @@
 
 var causes = []Cause{FrontLost, Refused, OwnerChanged, RunFailed, TargetSilent, TargetSlow, WaitedForRoom, RanLong, NoOwner}
 
-// lateFactor is how many times the objective an answer may take and still be
-// worth something.
-const lateFactor = 3
-
 // slowFactor is how many times its estimate a run takes that counts as slow.
 const slowFactor = 2
 
@@ -138,7 +135,7 @@
 	switch {
 	case j.end.TookMS <= j.end.ObjectiveMS:
 		return met
-	case j.end.TookMS <= lateFactor*j.end.ObjectiveMS:
+	case j.end.TookMS <= job.LateFactor*j.end.ObjectiveMS:
 		return late
 	}
 	return little
--- a/pkg/losses/table.go
+++ b/pkg/losses/table.go
@@ -71,6 +71,7 @@
 	return out.Flush()
 }
 
+// writeTable writes into the buffer of a tabwriter, whose Flush tells of errors.
 func writeTable(w io.Writer, title string, rows []*row) {
 	fmt.Fprintf(w, "%s\tjobs\tmet\tlate\tlittle\tunserved\t", title)
 	for _, cause := range causes {
