One piece each: what is learnt by route, detaching runs, the check of policies

Reading the whole change again: the order and the times of tasks each kept a bounded map by route of their own (byRoute now); remove and supersede took a job's runs from it by the same loops (detachRuns); a condition on parts was always true beside the others; policies were looked up twice at a start, which NewNode does anyway. No change of behaviour, tests keep their assertions.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -153,13 +153,8 @@
 		}
 		w.apply(old.progress())
 		w.started = w.started || old.started
-		for _, tasks := range old.steps {
-			for _, t := range tasks {
-				if r := t.current; r != nil {
-					r.work, r.task, t.current = nil, nil, nil
-					r.executor.mayOrphan = true
-				}
-			}
+		for _, r := range old.detachRuns() {
+			r.executor.mayOrphan = true
 		}
 		c.finish(old, job.Outcome{Kind: job.Expired, Reason: "superseded", Started: true})
 	}
--- a/pkg/cell/order.go
+++ b/pkg/cell/order.go
@@ -98,28 +98,16 @@
 // for the work that is left of them, both measured against the usual job of the
 // same route.
 type valueOrder struct {
-	usual map[string]*runningMean // work of a job, by route
+	usual byRoute[runningMean] // work of a job, by route
 }
 
 func newValueOrder() Order {
-	return &valueOrder{usual: map[string]*runningMean{}}
+	return &valueOrder{usual: byRoute[runningMean]{}}
 }
 
-// mostRoutes bounds the means that are kept. Routes come and go with the
-// configuration; beyond it the means are learnt anew.
-const mostRoutes = 1024
-
 // Observe implements Order.
 func (o *valueOrder) Observe(j *job.Job) {
-	mean := o.usual[j.Route]
-	if mean == nil {
-		if len(o.usual) >= mostRoutes {
-			clear(o.usual)
-		}
-		mean = &runningMean{}
-		o.usual[j.Route] = mean
-	}
-	mean.add(float64(j.Work()))
+	o.usual.of(j.Route).add(float64(j.Work()))
 }
 
 // Rank implements Order.
--- a/pkg/cell/policies_test.go
+++ b/pkg/cell/policies_test.go
@@ -76,7 +76,7 @@
 
 func TestValueOrderForgetsRoutesBeyondItsBound(t *testing.T) {
 	c := qt.New(t)
-	order := &valueOrder{usual: map[string]*runningMean{}}
+	order := &valueOrder{usual: byRoute[runningMean]{}}
 	for i := range 3 * mostRoutes {
 		order.Observe(rankedJob("a", "route"+time.Duration(i).String(), 0, 1, 0))
 	}
--- a/pkg/cell/times.go
+++ b/pkg/cell/times.go
@@ -19,22 +19,14 @@
 
 // taskTimes learns how long tasks take. It isn't safe for concurrent use.
 type taskTimes struct {
-	routes map[string]*timeLine
+	routes byRoute[timeLine]
 }
 
-func newTaskTimes() *taskTimes { return &taskTimes{routes: map[string]*timeLine{}} }
+func newTaskTimes() *taskTimes { return &taskTimes{routes: byRoute[timeLine]{}} }
 
 // observe takes the time of a task that ended well.
 func (t *taskTimes) observe(route string, estimate, took time.Duration) {
-	line := t.routes[route]
-	if line == nil {
-		if len(t.routes) >= mostRoutes {
-			clear(t.routes)
-		}
-		line = &timeLine{}
-		t.routes[route] = line
-	}
-	line.add(logTime(estimate), logTime(took))
+	t.routes.of(route).add(logTime(estimate), logTime(took))
 }
 
 // expect returns how long a task should take.
--- a/pkg/cell/work.go
+++ b/pkg/cell/work.go
@@ -195,16 +195,24 @@
 // remove forgets a job and stops what may run of it.
 func (c *Cell) remove(w *work, reason string) {
 	c.forget(w)
+	for _, r := range w.detachRuns() {
+		c.stopRun(r, reason)
+	}
+	c.dirty = true
+}
+
+// detachRuns takes the runs of a job from it and returns them.
+func (w *work) detachRuns() []*run {
+	var runs []*run
 	for _, tasks := range w.steps {
 		for _, t := range tasks {
-			if t.current != nil {
-				r := t.current
+			if r := t.current; r != nil {
 				r.work, r.task, t.current = nil, nil, nil
-				c.stopRun(r, reason)
+				runs = append(runs, r)
 			}
 		}
 	}
-	c.dirty = true
+	return runs
 }
 
 // usefulUntil returns until when an answer is worth something to the caller.
--- a/pkg/cli/node.go
+++ b/pkg/cli/node.go
@@ -51,10 +51,10 @@
 	if err != nil {
 		return fail(err)
 	}
-	if err := node.CheckPolicies(s); err != nil {
-		return fail(err)
-	}
 	if c.check {
+		if err := node.CheckPolicies(s); err != nil {
+			return fail(err)
+		}
 		fmt.Println("the settings are good")
 		return subcommands.ExitSuccess
 	}
--- a/pkg/node/parts.go
+++ b/pkg/node/parts.go
@@ -52,7 +52,7 @@
 	f.node.Log.Info("job_split", "job", j.ID, "tasks", j.TaskCount(), "shares", shares)
 	whole := f.followAll(ctx, cancel, parts, 1)
 	refused := refusedOf(parts)
-	if len(refused) == 0 || len(refused) == len(parts) || !whole.Started || ctx.Err() != nil {
+	if len(refused) == 0 || len(refused) == len(parts) || ctx.Err() != nil {
 		return whole
 	}
 	f.node.Log.Info("parts_handed_in_again", "job", j.ID, "parts", len(refused), "reason", refused[0].outcome.Reason)
