--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -319,11 +319,12 @@
 	return load
 }
 
-// Waiting counts, by route, the jobs of which no task has started.
+// Waiting counts, by route, the jobs of which no task has started. Of the parts
+// of a job the first one counts.
 func (c *Cell) Waiting() map[string]int {
 	counts := map[string]int{}
 	for _, w := range c.works {
-		if !w.started {
+		if !w.started && w.job.Part.First == 0 {
 			counts[w.job.Route]++
 		}
 	}
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -110,7 +110,7 @@
 			replies = append(replies, func() { w.reply(f.Outcome) })
 		}
 		delete(o.waiters, f.ID)
-		if f.Outcome.Kind != job.Moved {
+		if f.Outcome.Kind != job.Moved && f.Outcome.Kind != job.Refused { // these may come again
 			o.ended[f.ID] = ended{outcome: f.Outcome, at: now}
 		}
 	}
--- /dev/null
+++ b/pkg/node/owner_test.go
@@ -0,0 +1,31 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/job"
+	qt "github.com/frankban/quicktest"
+)
+
+// A refused caller is told when to come back, and a part that was refused is
+// handed in again: both get a new judgement, not the old answer.
+func TestARefusedJobMayComeAgain(t *testing.T) {
+	c := qt.New(t)
+	n := newTestNode(c, &fakeStore{})
+	o := newOwner(n, "cell", 1, n.Clock.Now())
+	var outcomes []job.Outcome
+	w := waiter{front: "front:1", reply: func(outcome job.Outcome) { outcomes = append(outcomes, outcome) }}
+	submit := func(timeLeft time.Duration) {
+		now := n.Clock.Now()
+		j := &job.Job{ID: "a", Service: "s", Steps: []job.Step{{Count: 1, Estimate: time.Second}}, Received: now, Deadline: now + timeLeft}
+		o.submit(j, 1, nil, 0, w)
+		o.tick()
+	}
+	submit(500 * time.Millisecond)
+	c.Assert(outcomes, qt.HasLen, 1)
+	c.Assert(outcomes[0].Kind, qt.Equals, job.Refused)
+	submit(time.Minute)
+	c.Assert(outcomes, qt.HasLen, 1, qt.Commentf("it waits for room"))
+	c.Assert(o.state.Busy(), qt.IsTrue)
+}
--- a/pkg/node/parts.go
+++ b/pkg/node/parts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 
 	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/ownership"
@@ -29,9 +28,6 @@
 	return ownership.Split(claims, chosen, j.Service, step.Count, step.Needs.CPU)
 }
 
-// errPartEnded ends the other parts of a job once one has failed or expired.
-var errPartEnded = errors.New("other_part_ended")
-
 // part is one part of a job, the cell that it goes to, and how it has ended.
 type part struct {
 	job     *job.Job
@@ -43,8 +39,8 @@
 // some are refused and others have run, those are handed in again as started
 // ones, which owners don't refuse.
 func (f *front) followParts(ctx context.Context, j *job.Job, shares []ownership.Share) job.Outcome {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	counts := make([]int, len(shares))
 	for i, share := range shares {
 		counts[i] = share.Tasks
@@ -75,7 +71,7 @@
 
 // followAll follows parts until all have ended, and tells how they have ended
 // together. One that fails or expires ends the others.
-func (f *front) followAll(ctx context.Context, cancel context.CancelCauseFunc, parts []*part, epoch int) job.Outcome {
+func (f *front) followAll(ctx context.Context, cancel context.CancelFunc, parts []*part, epoch int) job.Outcome {
 	ended := make(chan *part, len(parts))
 	for _, p := range parts {
 		go func() {
@@ -86,7 +82,7 @@
 	whole := (<-ended).outcome
 	for range len(parts) - 1 {
 		if whole.Kind != job.Completed && whole.Kind != job.Refused {
-			cancel(errPartEnded)
+			cancel()
 		}
 		whole = joinOutcomes(whole, (<-ended).outcome)
 	}
--- a/scripts/compare.sh
+++ b/scripts/compare.sh
@@ -11,7 +11,8 @@
 #   DAYS="a b"  the days to play (default: those with trouble)
 #   JOBS=4      plays at a time
 #   WHY=text    for the journal
-#   OUT=dir     keeps the reports there, as VERSION/DAY.SEED.json
+#   OUT=dir     keeps the reports there, as old/DAY.SEED.json and new/DAY.SEED.json;
+#               what is there already is not played again
 set -eu -o pipefail
 cd "$(dirname "$0")/.."
 bench=${FLEETBENCH:?name the users bench in FLEETBENCH}
@@ -38,6 +39,7 @@
 checkout "$new" "$work/new.clone"
 
 play() { # play VERSION DAY SEED
+  [ -s "$work/$1/$2.$3.json" ] && return
   cd "$work/$1.clone"
   "$bench" run "$site" "$2" --seed "$3" --report "$work/$1/$2.$3.json" \
     --why "compare ${WHY:-$old with $new}: $1" >"$work/$1/$2.$3.txt" 2>&1 ||
