Domains that operators have closed to new work get none

Cause: nothing read op/evacuate; owners of an emptied domain went on starting tasks.

Change: closures are followed with the configuration, from the same table, and passed on in heartbeats with the position of the store's history, the newest wins. A closed cell starts nothing, lets runs end and hands jobs back; fronts choose among the cells of open domains; when all are closed jobs are refused at once with a time to come back.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -26,7 +26,10 @@
 	OrphanGrace time.Duration // how long runs of no known job are kept after a takeover
 	StopTime    time.Duration // what a stop may take at an executor
 	LinkRate    float64       // bytes a second that the host's link carries; 0 when not known
-	Order       func() Order  // makes the order of jobs
+	// ClosingGrace is how long jobs that have started may start tasks after the cell
+	// was closed to new work.
+	ClosingGrace time.Duration
+	Order        func() Order // makes the order of jobs
 }
 
 // DefaultParams returns the times for a longest hold. The lease ends well
@@ -104,6 +107,8 @@
 	fenced     bool
 	complete   bool          // the executors listed are all that the former owner can have known
 	pausedTill time.Duration // no starts before
+	closed     bool          // operators want no new work here
+	closedAt   time.Duration // since when, or since when not
 	lossyTill  time.Duration // calls have gone unanswered a moment before
 	placedAt   time.Duration // the last time that the queue was gone through
 	dirty      bool          // room or work has changed since the last placement
@@ -269,6 +274,7 @@
 		c.stopOrphans(e, now)
 	}
 	c.forgetExecutors(now)
+	c.handBack(now)
 	c.place(now)
 	for _, e := range c.sorted {
 		c.hold(e, now)
@@ -302,6 +308,9 @@
 // Load returns how busy the cell is.
 func (c *Cell) Load(now time.Duration) ownership.Load {
 	var load ownership.Load
+	if c.closed {
+		return load
+	}
 	services := map[string]bool{}
 	for _, e := range c.sorted {
 		if !e.usable(now) {
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -137,6 +137,9 @@
 		return
 	}
 	for _, w := range c.ranked(now) {
+		if !c.mayStart(w, now) {
+			continue
+		}
 		c.placeWork(candidates, w, now)
 		if mostRoom(candidates) < least || c.pacer.full() {
 			return
--- a/pkg/node/claims.go
+++ b/pkg/node/claims.go
@@ -67,6 +67,7 @@
 	n.mu.Unlock()
 	n.metrics.OwnershipChanged("claimed")
 	n.Log.Info("cell_claimed", "cell", cellName, "token", token, "former", o.former)
+	o.followClosures()
 	o.setExecutors(n.executors.Load())
 	select {
 	case n.claimed <- struct{}{}:
--- /dev/null
+++ b/pkg/node/closures.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"slices"
+
+	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/errkind"
+	"github.com/foxcroft/foxcroft/pkg/ownership"
+)
+
+// Operators may close a failure domain to new work. All nodes have to know soon:
+// those that follow the store learn of it there, and heartbeats tell the others.
+
+// changeClosures takes changes that the store tells. An error of kind NotFound
+// says that changes before them are missing here.
+func (n *Node) changeClosures(changes catalog.ClosureChanges) error {
+	for {
+		current := n.closures.Load()
+		next, ok := current.With(changes)
+		if !ok {
+			return errkind.New(errkind.NotFound, "read the table again", "changes before position %d are missing", changes.Since)
+		}
+		if !next.Newer(current) {
+			return nil
+		}
+		if n.closures.CompareAndSwap(current, next) {
+			n.closuresChanged(current, next, "store")
+			return nil
+		}
+	}
+}
+
+// offerClosures takes the closures that a peer knows if they are newer.
+func (n *Node) offerClosures(next *catalog.Closures, from string) {
+	for {
+		current := n.closures.Load()
+		if !next.Newer(current) {
+			return
+		}
+		if n.closures.CompareAndSwap(current, next) {
+			n.closuresChanged(current, next, from)
+			return
+		}
+	}
+}
+
+// closuresChanged has cells and peers act on new closures.
+func (n *Node) closuresChanged(before, after *catalog.Closures, from string) {
+	if after.SameDomains(before) {
+		return
+	}
+	n.Log.Info("domains_closed", "domains", after.Domains, "position", after.Position, "from", from)
+	for _, o := range n.allOwners() {
+		o.followClosures()
+	}
+	n.refreshOwnClaims()
+	n.tellNews()
+}
+
+// closed reports whether the domain of a claim takes no new work.
+func (n *Node) closed(claim ownership.Claim) bool {
+	return n.closures.Load().Closed(ownership.DomainOf(claim.Cell))
+}
+
+// openClaims returns the standing claims on cells that take new work. n.mu is
+// held.
+func (n *Node) openClaims() []ownership.Claim {
+	return slices.DeleteFunc(n.claims.Owned(), n.closed)
+}
+
+// allClosed reports whether no domain with executors takes new work.
+func (n *Node) allClosed() bool {
+	listing, closures := n.executors.Load(), n.closures.Load()
+	if listing == nil || len(listing.sizes) == 0 {
+		return false
+	}
+	for domain := range listing.sizes {
+		if !closures.Closed(domain) {
+			return false
+		}
+	}
+	return true
+}
--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/cell"
 	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/ownership"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
@@ -147,6 +148,10 @@
 	}
 	a.progress = outcome.Progress
 	a.started = a.started || outcome.Started
+	if outcome.Reason == cell.ReasonClosed {
+		a.lostCell = "" // nothing of it runs there
+		return
+	}
 	if outcome.Started {
 		a.lostCell, a.settleAt = cellName, settleAt
 	}
@@ -185,7 +190,7 @@
 			outcome.Started = outcome.Started || state.started
 			return outcome
 		}
-		if outcome.Reason == reasonNotOwner {
+		if outcome.Reason == reasonNotOwner || untouched(outcome) {
 			continue
 		}
 		state.epoch++
@@ -194,6 +199,12 @@
 	}
 }
 
+// untouched reports whether a closed cell has given a job back of which nothing
+// has run, so that the next owner may still refuse it.
+func untouched(outcome job.Outcome) bool {
+	return outcome.Reason == cell.ReasonClosed && !outcome.Started
+}
+
 // markDispatched notes that a job is with an owner, who may start it any time.
 func (f *front) markDispatched(id string) {
 	f.mu.Lock()
@@ -238,7 +249,7 @@
 			return claim, true
 		}
 		left := limit - f.node.Clock.Now()
-		if left <= 0 {
+		if left <= 0 || f.node.allClosed() {
 			return ownership.Claim{}, false
 		}
 		timer := time.NewTimer(min(left, ownerRecheck))
@@ -264,14 +275,14 @@
 	}
 	if wanted := state.wanted; wanted != "" {
 		state.wanted = ""
-		if claim, ok := n.claims.Owner(wanted); ok {
+		if claim, ok := n.claims.Owner(wanted); ok && !n.closed(claim) {
 			return claim, true
 		}
 	}
 	if n.ownerless && n.Clock.Now() < startPatience {
 		return ownership.Claim{}, false
 	}
-	return ownership.Choose(n.claims.Owned(), n.settings.Domain, j.Service, largestNeed(j))
+	return ownership.Choose(n.openClaims(), n.settings.Domain, j.Service, largestNeed(j))
 }
 
 func largestNeed(j *job.Job) int64 {
--- a/pkg/node/front_test.go
+++ b/pkg/node/front_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/cell"
 	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/ownership"
@@ -38,6 +39,14 @@
 			wantCell:     "before",
 			wantProgress: progress,
 		},
+		{
+			testName: "given back by a closed cell: nothing of it runs there",
+			take: func(a *attempt) {
+				a.moved("cell", job.Outcome{Reason: cell.ReasonClosed, Started: true, Progress: progress}, settle)
+			},
+			wantStarted:  true,
+			wantProgress: progress,
+		},
 		{
 			testName:    "lost with its owner: it may run there, and what was known is old",
 			take:        func(a *attempt) { a.lost("cell", settle) },
--- a/pkg/node/heartbeat.go
+++ b/pkg/node/heartbeat.go
@@ -81,13 +81,16 @@
 // makeHeartbeat makes a heartbeat, with all addresses and all owners if asked to.
 // The lock of the heartbeats is held.
 func (n *Node) makeHeartbeat(gossip, owners bool, now time.Duration) *peerpb.Heartbeat {
-	beat := &peerpb.Heartbeat{Leaving: n.leaving.Load(), StoreFails: n.storeFails.Load() || n.configurationFails.Load()}
+	beat := &peerpb.Heartbeat{Leaving: n.leaving.Load(), StoreFails: n.storeFails.Load() || n.operatorFails.Load()}
 	if current := n.configuration.Load(); current != nil {
 		beat.Version = current.snapshot.Revision
 	}
 	if listing := n.executors.Load(); listing != nil {
 		beat.ExecutorsRevision = listing.revision
 	}
+	if closures := n.closures.Load(); closures != nil {
+		beat.ClosuresPosition, beat.ClosedDomains = closures.Position, closures.Domains
+	}
 	for _, claim := range n.ownClaims() {
 		beat.Cells = append(beat.Cells, toCellLoad(claim))
 	}
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/catalog"
 	"github.com/foxcroft/foxcroft/pkg/errkind"
 	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/member"
@@ -209,6 +210,9 @@
 	if newAddress {
 		n.refreshLinks()
 	}
+	if beat.ClosuresPosition > 0 {
+		n.offerClosures(&catalog.Closures{Position: beat.ClosuresPosition, Domains: beat.ClosedDomains}, address)
+	}
 	n.compareNews(address, beat)
 }
 
--- a/pkg/node/news.go
+++ b/pkg/node/news.go
@@ -39,34 +39,43 @@
 
 // runNews reads the store until ctx ends.
 func (n *Node) runNews(ctx context.Context) {
-	go n.followConfiguration(ctx)
+	go n.followOperator(ctx)
 	go n.followMembers(ctx)
 	n.pollExecutors(ctx)
 }
 
-func (n *Node) followConfiguration(ctx context.Context) {
+func (n *Node) followOperator(ctx context.Context) {
 	n.follow(ctx, followed{
-		name: "configuration", read: n.readConfiguration, await: n.awaitConfiguration,
-		passedOn: n.configurationIsPassedOn, known: n.configurationPosition, fails: &n.configurationFails,
+		name: "operator", read: n.readOperator, await: n.awaitOperator,
+		passedOn: n.configurationIsPassedOn, known: n.operatorPosition, fails: &n.operatorFails,
 	})
 }
 
-func (n *Node) readConfiguration(ctx context.Context) (uint64, error) {
-	snapshot, err := n.store.Configuration(ctx)
+func (n *Node) readOperator(ctx context.Context) (uint64, error) {
+	changes, err := n.store.Operator(ctx)
 	if err != nil {
 		return 0, err
 	}
-	n.offerConfiguration(snapshot, "store")
-	return snapshot.Revision, nil
+	return changes.Position, n.takeOperator(changes, 0)
 }
 
-func (n *Node) awaitConfiguration(ctx context.Context, after uint64) (uint64, error) {
-	snapshot, err := n.store.AwaitConfiguration(ctx, after)
+func (n *Node) awaitOperator(ctx context.Context, after uint64) (uint64, error) {
+	changes, err := n.store.AwaitOperator(ctx, after)
 	if err != nil {
 		return 0, err
 	}
-	n.offerConfiguration(snapshot, "store")
-	return snapshot.Revision, nil
+	return changes.Position, n.takeOperator(changes, after)
+}
+
+// takeOperator takes what operators have changed since a position in the store's
+// history, or all that stands there for position 0.
+func (n *Node) takeOperator(changes OperatorChanges, since uint64) error {
+	closures := catalog.ClosureChanges{Since: since, Position: changes.Position, Closed: changes.Closed, Opened: changes.Opened}
+	if err := n.changeClosures(closures); err != nil {
+		return err
+	}
+	n.offerConfiguration(Snapshot{Revision: changes.Position, Body: changes.Body}, "store")
+	return nil
 }
 
 // thinLink is the rate below which a large configuration, of some 350 kB, takes
@@ -85,13 +94,15 @@
 	return rate > 0 && rate < thinLink
 }
 
-// configurationPosition returns the position in the store's history of the
-// configuration in force.
-func (n *Node) configurationPosition() uint64 {
-	if current := n.configuration.Load(); current != nil {
-		return current.position
+// operatorPosition returns the position in the store's history up to which this
+// node knows both the configuration and the closed domains, which peers pass on
+// separately; 0 before it knows either.
+func (n *Node) operatorPosition() uint64 {
+	configuration, closures := n.configuration.Load(), n.closures.Load()
+	if configuration == nil || closures == nil {
+		return 0
 	}
-	return 0
+	return min(configuration.position, closures.Position)
 }
 
 // offerConfiguration takes a configuration into force if it is newer.
--- a/pkg/node/news_test.go
+++ b/pkg/node/news_test.go
@@ -25,28 +25,28 @@
 	floor   atomic.Uint64 // history before it is gone
 }
 
-func (f *fakeStore) Configuration(context.Context) (Snapshot, error) {
+func (f *fakeStore) Operator(context.Context) (OperatorChanges, error) {
 	if f.silent.Load() {
-		return Snapshot{}, errors.New("silent")
+		return OperatorChanges{}, errors.New("silent")
 	}
 	version := f.version.Load()
-	return Snapshot{Revision: version, Body: []byte{byte(version)}}, nil
+	return OperatorChanges{Position: version, Body: []byte{byte(version)}}, nil
 }
 
-func (f *fakeStore) AwaitConfiguration(ctx context.Context, after uint64) (Snapshot, error) {
+func (f *fakeStore) AwaitOperator(ctx context.Context, after uint64) (OperatorChanges, error) {
 	for {
 		if f.silent.Load() {
 			<-ctx.Done() // swallowed for good
-			return Snapshot{}, ctx.Err()
+			return OperatorChanges{}, ctx.Err()
 		}
 		if after < f.floor.Load() {
-			return Snapshot{}, errkind.New(errkind.NotFound, "read it anew", "the history is gone")
+			return OperatorChanges{}, errkind.New(errkind.NotFound, "read it anew", "the history is gone")
 		}
 		if version := f.version.Load(); version != after {
-			return Snapshot{Revision: version, Body: []byte{byte(version)}}, nil
+			return OperatorChanges{Position: version, Body: []byte{byte(version)}}, nil
 		}
 		if !common.Sleep(ctx, time.Millisecond) {
-			return Snapshot{}, ctx.Err()
+			return OperatorChanges{}, ctx.Err()
 		}
 	}
 }
@@ -117,7 +117,7 @@
 	n := newTestNode(c, store)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go n.follow(ctx, followed{name: "configuration", read: n.readConfiguration, await: n.awaitConfiguration})
+	go n.follow(ctx, followed{name: "configuration", read: n.readOperator, await: n.awaitOperator})
 	go n.pollExecutors(ctx)
 	eventually(c, func() bool { return versionOf(n) == 1 })
 
@@ -145,7 +145,7 @@
 	n := newTestNode(c, store)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go n.followConfiguration(ctx)
+	go n.followOperator(ctx)
 	eventually(c, func() bool { return versionOf(n) == 1 })
 	store.floor.Store(2)
 	store.version.Store(2)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -42,23 +42,24 @@
 	links    *peer.Set
 	peers    *peer.Server
 
-	leaving            atomic.Bool
-	storeFails         atomic.Bool  // the last reading of the executors failed
-	configurationFails atomic.Bool  // the last look at the configuration failed
-	readingSince       atomic.Int64 // since when the executors can be read, as a time of the clock; 0 while they can't
-	listing            sync.Mutex   // guards roster, history and toldAt, held while a reading of the executors is taken in
-	roster             *catalog.Roster
-	toldAt             time.Duration // when the nodes of the domain were last told of it
-	history            *catalog.History
-	configuration      atomic.Pointer[inForce]
-	executors          atomic.Pointer[listing]
-	passedAt           atomic.Int64  // when a peer that reads the list was last heard of, as a time of the clock
-	changed            *broadcast    // membership or claims have changed
-	regained           *broadcast    // the store answers again
-	claimed            chan struct{} // asks for a new reading of the executors
-	heartbeats         heartbeats
-	arrivals           *arrivals
-	fetches            *fetches
+	leaving       atomic.Bool
+	storeFails    atomic.Bool  // the last reading of the executors failed
+	operatorFails atomic.Bool  // the last look at what operators have changed failed
+	readingSince  atomic.Int64 // since when the executors can be read, as a time of the clock; 0 while they can't
+	listing       sync.Mutex   // guards roster, history and toldAt, held while a reading of the executors is taken in
+	roster        *catalog.Roster
+	toldAt        time.Duration // when the nodes of the domain were last told of it
+	history       *catalog.History
+	configuration atomic.Pointer[inForce]
+	closures      atomic.Pointer[catalog.Closures]
+	executors     atomic.Pointer[listing]
+	passedAt      atomic.Int64  // when a peer that reads the list was last heard of, as a time of the clock
+	changed       *broadcast    // membership or claims have changed
+	regained      *broadcast    // the store answers again
+	claimed       chan struct{} // asks for a new reading of the executors
+	heartbeats    heartbeats
+	arrivals      *arrivals
+	fetches       *fetches
 
 	mu         sync.Mutex // guards what follows
 	members    *member.Table
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -261,6 +261,14 @@
 	})
 }
 
+// followClosures has the cell start nothing while its domain is closed.
+func (o *owner) followClosures() {
+	domain := ownership.DomainOf(o.cell)
+	o.do(func(state *cell.Cell, now time.Duration) {
+		state.SetClosed(o.node.closures.Load().Closed(domain), now)
+	})
+}
+
 // busy reports whether the cell has work or runs.
 func (o *owner) busy() bool {
 	o.mu.Lock()
--- a/pkg/node/parts.go
+++ b/pkg/node/parts.go
@@ -20,7 +20,7 @@
 	n := f.node
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	claims := n.claims.Owned()
+	claims := n.openClaims()
 	chosen, ok := ownership.Choose(claims, n.settings.Domain, j.Service, step.Needs.CPU)
 	if !ok {
 		return nil
--- a/pkg/node/passing_test.go
+++ b/pkg/node/passing_test.go
@@ -106,22 +106,22 @@
 
 func TestANodeThatCanNotReadTheStoreSaysSo(t *testing.T) {
 	type scenario struct {
-		testName           string
-		executorsFail      bool
-		configurationFails bool
-		want               bool
+		testName      string
+		executorsFail bool
+		operatorFails bool
+		want          bool
 	}
 	scenarios := []scenario{
 		{testName: "both can be read"},
 		{testName: "the executors can't", executorsFail: true, want: true},
-		{testName: "the configuration can't", configurationFails: true, want: true},
+		{testName: "the configuration can't", operatorFails: true, want: true},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
 			c := qt.New(t)
 			n := newTestNode(c, &fakeStore{})
 			n.storeFails.Store(s.executorsFail)
-			n.configurationFails.Store(s.configurationFails)
+			n.operatorFails.Store(s.operatorFails)
 			c.Assert(n.Heartbeat().StoreFails, qt.Equals, s.want)
 		})
 	}
--- a/pkg/node/ports.go
+++ b/pkg/node/ports.go
@@ -26,6 +26,15 @@
 	Body     []byte
 }
 
+// OperatorChanges is what operators have changed: the configuration, and the
+// domains that they have closed to new work or opened again.
+type OperatorChanges struct {
+	Position uint64   // of the store's history, to go on from
+	Body     []byte   // the newest configuration in the store's form; empty when it hasn't changed
+	Closed   []string // domains
+	Opened   []string // domains
+}
+
 // Member is a node's row in the store.
 type Member struct {
 	Name        string
@@ -45,14 +54,13 @@
 // Store is the platform's metadata store. A call that fails may have been
 // done. Implementations are safe for concurrent use.
 type Store interface {
-	// Configuration returns the newest configuration. Its revision is the
-	// position in the store's history.
-	Configuration(ctx context.Context) (Snapshot, error)
-	// AwaitConfiguration waits for a change after a position of the history
-	// and returns it with the next position, or that position alone when
-	// nothing has changed. The error is of kind errkind.NotFound when the
-	// history doesn't reach back so far.
-	AwaitConfiguration(ctx context.Context, after uint64) (Snapshot, error)
+	// Operator returns the newest configuration and all closed domains.
+	Operator(ctx context.Context) (OperatorChanges, error)
+	// AwaitOperator waits for a change after a position of the history and
+	// returns it with the next position, or that position alone when nothing
+	// has changed. The error is of kind errkind.NotFound when the history
+	// doesn't reach back so far.
+	AwaitOperator(ctx context.Context, after uint64) (OperatorChanges, error)
 	// Executors returns the executors that have published themselves.
 	Executors(ctx context.Context) (*catalog.Executors, error)
 	// ExecutorChanges returns at once what has changed in that list since a
@@ -63,7 +71,7 @@
 	Ping(ctx context.Context) error
 	// Members returns all of the nodes' rows.
 	Members(ctx context.Context) (MemberChanges, error)
-	// AwaitMembers is AwaitConfiguration for the nodes' rows.
+	// AwaitMembers is AwaitOperator for the nodes' rows.
 	AwaitMembers(ctx context.Context, after uint64) (MemberChanges, error)
 	// Announce writes this node's row.
 	Announce(ctx context.Context, member Member) error
