Hosts that know nobody find each other

Its settings named no seeds: the platform tells them only to a role that serves control. Ruled out: that the seeds were away; there were none.

--- a/pkg/entry/members.go
+++ b/pkg/entry/members.go
@@ -112,7 +112,7 @@
 
 // LinkDown implements peer.Observer.
 func (m *members) LinkDown(address string) {
-	m.update(func(t *member.Table) { t.Down(address) })
+	m.update(func(t *member.Table) { t.Down(address, m.Clock.Now()) })
 }
 
 // Heartbeat implements peer.Observer.
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -16,6 +16,14 @@
 // unless it is told again or a link to it is up.
 const gossipLife = 30 * time.Second
 
+// A host that has stopped as planned may start again, and may then know nobody:
+// its row is gone, and it may not reach the platform. So some hosts of its domain
+// keep dialling it for a while.
+const (
+	leftLife     = 30 * time.Second
+	leftDiallers = 4 // of a domain, for each host that has left
+)
+
 // Listed is a host in the platform's list, which may be old or wrong.
 type Listed struct {
 	Name    string
@@ -46,10 +54,10 @@
 	listed    map[string]Listed        // by address
 	gossip    map[string]time.Duration // by address: when last told
 	up        map[string]Peer          // by address: links that are up
-	left      map[string]bool          // by address: hosts that have stopped as planned
+	left      map[string]time.Duration // by address: when hosts have stopped as planned
 }
 
-// NewTable makes a table. seeds are addresses in the host's own domain;
+// NewTable makes a table. seeds are addresses to dial before others are known;
 // perDomain is the number of links to keep to each other domain.
 func NewTable(self Peer, seeds []string, perDomain int) *Table {
 	return &Table{
@@ -59,10 +67,14 @@
 		listed:    map[string]Listed{},
 		gossip:    map[string]time.Duration{},
 		up:        map[string]Peer{},
-		left:      map[string]bool{},
+		left:      map[string]time.Duration{},
 	}
 }
 
+// ForgetSeeds ends the links to seeds that nothing else tells of. All hosts have
+// the same few seeds, so that these would hold links to all.
+func (t *Table) ForgetSeeds() { t.seeds = nil }
+
 // SetListed takes a new reading of the platform's list.
 func (t *Table) SetListed(hosts []Listed) {
 	t.listed = make(map[string]Listed, len(hosts))
@@ -82,7 +94,7 @@
 func (t *Table) Told(addresses []string, now time.Duration) bool {
 	news := false
 	for _, address := range addresses {
-		if t.left[address] {
+		if t.hasLeft(address) {
 			continue
 		}
 		_, known := t.gossip[address]
@@ -114,14 +126,19 @@
 
 // Down takes the news that a link went down. A peer that was leaving is gone,
 // and not one that is out of sight.
-func (t *Table) Down(address string) {
+func (t *Table) Down(address string, now time.Duration) {
 	if t.up[address].Leaving {
-		t.left[address] = true
+		t.left[address] = now
 		delete(t.gossip, address)
 	}
 	delete(t.up, address)
 }
 
+func (t *Table) hasLeft(address string) bool {
+	_, left := t.left[address]
+	return left
+}
+
 // Expected returns the addresses of the hosts that should be there, as far as
 // links to them are wanted. Seeds count only while no list has been read: they
 // may name hosts that are gone for good.
@@ -131,8 +148,8 @@
 		_, listed := t.listed[address]
 		_, told := t.gossip[address]
 		_, isUp := t.up[address]
-		seed := len(t.listed) == 0 && !t.left[address]
-		if seed || told || isUp || (listed && !t.left[address]) {
+		seed := len(t.listed) == 0 && !t.hasLeft(address)
+		if seed || told || isUp || (listed && !t.hasLeft(address)) {
 			expected = append(expected, address)
 		}
 	}
@@ -140,7 +157,7 @@
 }
 
 // Wanted returns the sorted addresses to keep links to: every host of the own
-// domain, and a few of each other domain.
+// domain, and a few of each other domain, and hosts that may come back.
 func (t *Table) Wanted(now time.Duration) []string {
 	wanted := map[string]bool{}
 	for _, seed := range t.seeds {
@@ -154,6 +171,11 @@
 		}
 		delete(t.gossip, address)
 	}
+	for address, at := range t.left {
+		if now-at <= leftLife && t.dials(address) {
+			wanted[address] = true
+		}
+	}
 	others := map[string][]string{}
 	for address, host := range t.listed {
 		if host.Domain == t.self.Domain {
@@ -171,6 +193,19 @@
 	return sortedKeys(wanted)
 }
 
+// dials reports whether this host is among those of its domain that dial one
+// that has left.
+func (t *Table) dials(address string) bool {
+	own := Score(address, t.self.Address)
+	before := 0
+	for _, peer := range t.up {
+		if peer.Domain == t.self.Domain && Score(address, peer.Address) > own {
+			before++
+		}
+	}
+	return before < leftDiallers
+}
+
 // nearest picks the links to another domain by rendezvous hashing, so that
 // the hosts of a domain spread over those of the other.
 func (t *Table) nearest(addresses []string) []string {
--- a/pkg/member/member_test.go
+++ b/pkg/member/member_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -63,7 +64,7 @@
 	}{
 		{"alone", func(*Table) {}, 1, false, true},
 		{"with two peers", func(t *Table) { t.Up(peerNamed(1, "a")); t.Up(peerNamed(3, "a")) }, 3, true, false},
-		{"a peer is gone", func(t *Table) { t.Up(peerNamed(1, "a")); t.Down("a:1") }, 1, false, true},
+		{"a peer is gone", func(t *Table) { t.Up(peerNamed(1, "a")); t.Down("a:1", 0) }, 1, false, true},
 		{"a peer is leaving", func(t *Table) { p := peerNamed(1, "a"); p.Leaving = true; t.Up(p) }, 1, false, true},
 		{"another domain's hosts", func(t *Table) { t.Up(peerNamed(1, "b")) }, 1, false, true},
 		{"itself is leaving", func(t *Table) { t.Up(peerNamed(1, "a")); t.SetLeaving() }, 1, true, false},
@@ -87,7 +88,7 @@
 	table := NewTable(peerNamed(1, "a"), nil, 2)
 	old := peerNamed(2, "a")
 	table.Up(old)
-	table.Down(old.Address)
+	table.Down(old.Address, 0)
 	table.Refresh(old)
 	qt.Assert(t, table.View(once.Incarnation{}).Peers, qt.HasLen, 0)
 	replaced := old
@@ -112,7 +113,7 @@
 	qt.Assert(t, table.View(first).Backup, qt.Equals, first)
 	backup, ok := table.View(first).ByIncarnation(first)
 	qt.Assert(t, ok, qt.IsTrue)
-	table.Down(backup.Address)
+	table.Down(backup.Address, 0)
 	next := table.View(first).Backup
 	qt.Assert(t, next, qt.Not(qt.Equals), first)
 	qt.Assert(t, next.IsZero(), qt.IsFalse)
@@ -129,10 +130,15 @@
 	}{
 		{"a seed, before there is a list", func(*Table) {}, 1},
 		{"a seed that isn't listed", stay, 2},
-		{"one out of sight", func(t *Table) { stay(t); t.Up(peerNamed(1, "a")); t.Down("a:1") }, 2},
-		{"one that has left, and is listed yet", func(t *Table) { stay(t); t.Up(leaving); t.Down("a:1") }, 1},
-		{"one that has left, as a peer doesn't know", func(t *Table) { t.SetListed(listed("a", 1)); t.Up(leaving); t.Down("a:1"); t.Told([]string{"a:1"}, 0) }, 0},
-		{"one that has left and is back", func(t *Table) { stay(t); t.Up(leaving); t.Down("a:1"); t.Greeted("a:1", 0) }, 2},
+		{"one out of sight", func(t *Table) { stay(t); t.Up(peerNamed(1, "a")); t.Down("a:1", 0) }, 2},
+		{"one that has left, and is listed yet", func(t *Table) { stay(t); t.Up(leaving); t.Down("a:1", 0) }, 1},
+		{"one that has left, as a peer doesn't know", func(t *Table) {
+			t.SetListed(listed("a", 1))
+			t.Up(leaving)
+			t.Down("a:1", 0)
+			t.Told([]string{"a:1"}, 0)
+		}, 0},
+		{"one that has left and is back", func(t *Table) { stay(t); t.Up(leaving); t.Down("a:1", 0); t.Greeted("a:1", 0) }, 2},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
@@ -142,3 +148,40 @@
 		})
 	}
 }
+
+// TestHostsThatLeftAreDialled: one that starts again may know nobody, so a few
+// of its domain look for it for a while; it doesn't count as missing.
+func TestHostsThatLeftAreDialled(t *testing.T) {
+	const hosts = 12
+	dialling := func(domain string, now time.Duration) int {
+		count := 0
+		for self := 2; self <= hosts; self++ {
+			table := NewTable(peerNamed(self, domain), nil, 2)
+			for other := 1; other <= hosts; other++ {
+				if other != self {
+					table.Up(peerNamed(other, "a"))
+				}
+			}
+			gone := peerNamed(1, "a")
+			gone.Leaving = true
+			table.Up(gone)
+			table.Down(gone.Address, 0)
+			for _, address := range table.Wanted(now) {
+				if address == gone.Address {
+					count++
+				}
+			}
+			qt.Assert(t, slices.Contains(table.Expected(now), gone.Address), qt.IsFalse)
+		}
+		return count
+	}
+	qt.Assert(t, dialling("a", time.Second), qt.Equals, leftDiallers)
+	qt.Assert(t, dialling("a", leftLife+time.Second), qt.Equals, 0)
+}
+
+func TestSeedsAreForgottenOnceThereIsAList(t *testing.T) {
+	table := NewTable(peerNamed(1, "a"), []string{"seed:1"}, 2)
+	table.SetListed(listed("a", 3))
+	table.ForgetSeeds()
+	qt.Assert(t, table.Wanted(0), qt.DeepEquals, []string{"a:2", "a:3"})
+}
--- a/pkg/node/heartbeat.go
+++ b/pkg/node/heartbeat.go
@@ -6,6 +6,7 @@
 
 	"github.com/foxcroft/foxcroft/pkg/ownership"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
+	"google.golang.org/protobuf/proto"
 )
 
 const (
@@ -78,6 +79,24 @@
 	return h.newest
 }
 
+// heartbeatFor returns the heartbeat that answers one of a peer. A peer that
+// hasn't read the rows is told of the nodes of its domain that are seen here.
+func (n *Node) heartbeatFor(from *peerpb.Hello, beat *peerpb.Heartbeat) *peerpb.Heartbeat {
+	own := n.Heartbeat()
+	if !beat.Unlisted {
+		return own
+	}
+	answer := proto.Clone(own).(*peerpb.Heartbeat)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, p := range n.members.View(n.inc).Peers {
+		if p.Domain == from.Domain && p.Address != from.Address && !p.Leaving {
+			answer.Neighbours = append(answer.Neighbours, p.Address)
+		}
+	}
+	return answer
+}
+
 // makeHeartbeat makes a heartbeat, with all addresses and all owners if asked to.
 // The lock of the heartbeats is held.
 func (n *Node) makeHeartbeat(gossip, owners bool, now time.Duration) *peerpb.Heartbeat {
@@ -99,6 +118,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	beat.Unlisted = !n.rowsRead
 	beat.Owners = n.heartbeats.ownersToTell(n.claims.Owned(), owners, now)
 	if gossip {
 		for _, p := range n.members.View(n.inc).Domain() {
--- a/pkg/node/heartbeat_test.go
+++ b/pkg/node/heartbeat_test.go
@@ -4,7 +4,10 @@
 	"testing"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/member"
+	"github.com/foxcroft/foxcroft/pkg/once"
 	"github.com/foxcroft/foxcroft/pkg/ownership"
+	"github.com/foxcroft/foxcroft/pkg/peerpb"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -39,3 +42,24 @@
 		})
 	}
 }
+
+// A node that can't read the rows asks for its neighbours, and one that knows
+// them from the rows isn't told.
+func TestNeighboursAreToldToNodesWithoutRows(t *testing.T) {
+	c := qt.New(t)
+	n := newTestNode(c, &fakeStore{})
+	for i, domain := range []string{"y", "y", "z"} {
+		name := string(rune('b' + i))
+		n.members.Up(member.Peer{Name: name, Domain: domain, Address: name + ":1", Incarnation: once.Incarnation{byte(10 + i)}})
+	}
+	from := &peerpb.Hello{Domain: "y", Address: "b:1"}
+	c.Assert(n.heartbeatFor(from, &peerpb.Heartbeat{}).Neighbours, qt.HasLen, 0)
+	c.Assert(n.heartbeatFor(from, &peerpb.Heartbeat{Unlisted: true}).Neighbours, qt.DeepEquals, []string{"c:1"})
+	c.Assert(n.Heartbeat().Neighbours, qt.HasLen, 0, qt.Commentf("the shared heartbeat is left as it was"))
+	c.Assert(n.Heartbeat().Unlisted, qt.IsTrue)
+
+	n.heard("b:1", &peerpb.Heartbeat{Neighbours: []string{"d:1", n.settings.PeerAddress}})
+	c.Assert(n.members.Wanted(n.Clock.Now()), qt.Contains, "d:1")
+	n.setRows([]Member{n.ownRow()})
+	c.Assert(n.makeHeartbeat(false, false, 0).Unlisted, qt.IsFalse)
+}
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -43,6 +43,7 @@
 		n.back = announced && own.PeerAddress == n.settings.PeerAddress
 	}
 	n.members.SetListed(listed)
+	n.members.ForgetSeeds()
 	n.mu.Unlock()
 	n.resizeCells()
 	n.refreshLinks()
@@ -79,6 +80,7 @@
 	}
 	view.Known = len(known)
 	view.Back = n.back
+	view.Listed = n.rowsRead
 	return view
 }
 
@@ -169,7 +171,7 @@
 // opened itself, and stay while that one is up.
 func (n *Node) LinkDown(address string) {
 	n.mu.Lock()
-	n.members.Down(address)
+	n.members.Down(address, n.Clock.Now())
 	n.claims.Drop(address)
 	delete(n.peerCounts, address)
 	delete(n.storeless, address)
@@ -198,6 +200,7 @@
 	n.peerCounts[address] = fromRouteCounts(beat.RouteCounts)
 	n.storeless[address] = beat.StoreFails
 	newAddress := n.members.Told(n.ownersToFollow(beat.Owners), n.Clock.Now())
+	newAddress = n.members.Told(without(beat.Neighbours, n.settings.PeerAddress), n.Clock.Now()) || newAddress
 	if p.Domain == n.settings.Domain {
 		newAddress = n.members.Told(beat.Addresses, n.Clock.Now()) || newAddress
 	}
@@ -254,7 +257,7 @@
 	n.arrivals.note(from.Address, n.Clock.Now())
 	switch body := m.Body.(type) {
 	case *peerpb.Message_Heartbeat:
-		reply(&peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: n.Heartbeat()}}, 0)
+		reply(&peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: n.heartbeatFor(from, body.Heartbeat)}}, 0)
 		n.heard(from.Address, body.Heartbeat)
 	case *peerpb.Message_Dispatch:
 		n.onDispatch(from, body.Dispatch, reply)
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -53,6 +53,9 @@
 	Up    []Host // other hosts whose links are up
 	Known int    // hosts that should be there, this one included
 	Back  bool   // this host had a row before it started, so the others have theirs too
+	// Listed tells that this host has read the rows, so that it knows whom it
+	// should see.
+	Listed bool
 }
 
 // Limits are the waits before claims.
@@ -63,6 +66,7 @@
 	Isolated time.Duration // without an owner, for a host that sees under half of the others
 	Outside  time.Duration // without any host of the domain, for hosts of other domains
 	Fenced   time.Duration // after a higher token from a host that isn't seen
+	Alone    time.Duration // after the start, for a host that knows no other of its domain and can't tell whether there are any
 	Retry    time.Duration // after one that none of the hosts can have made now: all are seen, and none claims the cell
 }
 
@@ -75,6 +79,7 @@
 		Isolated: 2 * time.Second,
 		Outside:  3 * time.Second,
 		Fenced:   2 * time.Second,
+		Alone:    4 * time.Second,
 		Retry:    50 * time.Millisecond,
 	}
 }
@@ -274,13 +279,19 @@
 	age := now - t.started
 	switch {
 	case age >= t.limits.Start:
-		return false
+		return knowsNobody(view) && age < t.limits.Alone
 	case allHeard(view):
 		return !view.Back && age < t.limits.Rows
 	}
 	return !view.Back || age < t.limits.Most || !mostHeard(view)
 }
 
+// knowsNobody reports whether a host can't tell if its domain has other hosts: it
+// hasn't read the rows, and sees none.
+func knowsNobody(view View) bool {
+	return !view.Listed && len(hostsOf(view, view.Self.Domain)) == 0
+}
+
 // weakShare is the part of this host's processor time for a cell at or below
 // which an owner of the domain should give its cell to this host.
 const weakShare = 0.5
--- a/pkg/ownership/ownership_test.go
+++ b/pkg/ownership/ownership_test.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -277,3 +278,39 @@
 		})
 	}
 }
+
+// A host that starts while the store doesn't answer, and whose seeds are away,
+// would take the cells of owners in good health.
+func TestAHostThatKnowsNobodyWaits(t *testing.T) {
+	self, near, far := host("a", domain), host("b", domain), host("c", "there")
+	type scenario struct {
+		testName string
+		view     View
+		now      time.Duration
+		want     bool
+	}
+	scenarios := []scenario{
+		{testName: "it sees nobody", view: View{Self: self, Known: 1}, now: time.Second},
+		{testName: "it sees another domain's host", view: View{Self: self, Up: []Host{far}, Known: 2}, now: time.Second},
+		{testName: "for long", view: View{Self: self, Known: 1}, now: 5 * time.Second, want: true},
+		{testName: "it sees a host of its domain", view: View{Self: self, Up: []Host{near}, Known: 2}, now: time.Second, want: true},
+		{testName: "the rows name nobody else", view: View{Self: self, Known: 1, Listed: true}, now: time.Second, want: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			// The name of the cell ranks this host before its neighbour.
+			cell := cellOf(self, near)
+			qt.Assert(t, NewTable(DefaultLimits(), 0).ShouldClaim(cell, domain, s.view, s.now), qt.Equals, s.want)
+		})
+	}
+}
+
+// cellOf returns a cell for which a host ranks before another.
+func cellOf(first, second Host) string {
+	for i := 0; ; i++ {
+		cell := CellOf(domain, strconv.Itoa(i), 64)
+		if NewTable(DefaultLimits(), 0).first(cell, first, []Host{second}) {
+			return cell
+		}
+	}
+}
