A link outlives its connection

Cause: the silence of one connection was taken for its host's death: cells were claimed from healthy owners, and answers that were ready waited behind it.

Ways: calls repeated by the link itself were built and dropped before a run: an owner that has given a job up can't be told from one that never had it, so that "not run" could be said of a job that ran. Kept: another connection is tried at 0.4 of the limit of silence, or at once when one has ended; the link stays up, its calls fail and fronts ask the same owner again. The receiving side gives a peer 200 ms to come back.

--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -237,6 +237,7 @@
 
 // Greeted implements peer.Handler.
 func (n *Node) Greeted(from *peerpb.Hello) {
+	n.arrivals.note(from.Address, n.Clock.Now())
 	n.mu.Lock()
 	n.members.Greeted(from.Address, n.Clock.Now())
 	n.mu.Unlock()
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -4,9 +4,9 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -48,24 +48,11 @@
 	observer Observer
 	counters *Counters
 	session  atomic.Pointer[session]
+	calls    atomic.Uint64 // numbers calls, over all sessions
 	nudge    chan struct{} // asks for a heartbeat at once
 	cancel   context.CancelFunc
 }
 
-// session is one connection's life.
-type session struct {
-	conn      net.Conn
-	mux       *yamux.Session
-	control   *pipe // short messages
-	jobs      *pipe // jobs, answers and configuration bodies
-	lastHeard atomic.Int64
-
-	mu      sync.Mutex
-	calls   map[uint64]chan *peerpb.Message
-	nextNum uint64
-	dead    bool
-}
-
 // NewLink makes a link and starts dialling.
 func NewLink(c *common.Common, address string, s settings.Link, observer Observer, counters *Counters) *Link {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -90,12 +77,11 @@
 	if s == nil {
 		return nil, l.down()
 	}
-	reply, call := s.register()
+	number := l.calls.Add(1)
+	reply := s.call(number, m, wait)
 	if reply == nil {
 		return nil, l.down()
 	}
-	m.Call = call
-	s.pipeFor(m).send(m, wait)
 	select {
 	case answer, ok := <-reply:
 		if !ok {
@@ -106,7 +92,7 @@
 		}
 		return answer, nil
 	case <-ctx.Done():
-		s.forget(call)
+		s.forget(number)
 		return nil, errkind.Wrap(ctx.Err(), errkind.PeerDown, "try again", "peer %s did not answer", l.address)
 	}
 }
@@ -128,7 +114,7 @@
 func (l *Link) run(ctx context.Context) {
 	backoff := firstBackoff
 	for ctx.Err() == nil {
-		s, hello, err := l.open()
+		s, err := l.open(min(dialTimeout, l.settings.SuspectAfter))
 		if err != nil {
 			l.Log.Debug("link_failed", "error", err.Error())
 			common.Sleep(ctx, common.Jitter(backoff, common.Unit()))
@@ -137,68 +123,108 @@
 		}
 		backoff = firstBackoff
 		l.session.Store(s)
-		l.observer.LinkUp(l.address, hello)
-		l.Log.Info("link_up", "name", hello.Name)
-		l.beat(ctx, s)
-		l.session.Store(nil)
-		s.close()
+		l.observer.LinkUp(l.address, s.peer)
+		l.Log.Info("link_up", "name", s.peer.Name)
+		l.keep(ctx, s)
 		l.observer.LinkDown(l.address)
-		l.Log.Info("link_down", "name", hello.Name)
+		l.Log.Info("link_down", "name", s.peer.Name)
+	}
+}
+
+// keep beats until the peer is lost. The loss of a connection is not the peer's:
+// while the same process answers on another one, the link stays up. Calls on the
+// former connection fail, and may be made again at once.
+func (l *Link) keep(ctx context.Context, s *session) {
+	for s != nil {
+		next := l.beat(ctx, s)
+		l.session.Store(next)
+		s.close()
+		if next != nil {
+			l.Log.Info("link_resumed", "name", next.peer.Name)
+		}
+		s = next
 	}
 }
 
-// open dials, opens both streams and exchanges hellos.
-func (l *Link) open() (*session, *peerpb.Hello, error) {
-	conn, err := net.DialTimeout("tcp", l.address, min(dialTimeout, l.settings.SuspectAfter))
+// open dials, opens both streams and exchanges hellos, each step within a time.
+func (l *Link) open(within time.Duration) (*session, error) {
+	conn, err := net.DialTimeout("tcp", l.address, within)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
-	s := &session{conn: conn, calls: map[uint64]chan *peerpb.Message{}}
+	s := newSession(conn)
 	mux, err := yamux.Client(&heardConn{Conn: l.counters.Wire.Conn(conn), clock: l.Clock, heard: &s.lastHeard}, muxConfig())
 	if err != nil {
 		_ = conn.Close()
-		return nil, nil, err
+		return nil, err
 	}
 	s.mux = mux
 	for _, stream := range []**pipe{&s.control, &s.jobs} {
 		opened, err := mux.Open()
 		if err != nil {
 			_ = mux.Close()
-			return nil, nil, err
+			return nil, err
 		}
 		*stream = newPipe(opened, l.counters)
 	}
 	for _, stream := range []*pipe{s.control, s.jobs} {
 		go func() {
 			_ = stream.readLoop(s.deliver)
-			s.close()
+			s.endStreams()
 		}()
 	}
-	hello, err := l.greet(s)
-	if err != nil {
+	if err := l.greet(s, within); err != nil {
 		s.close()
-		return nil, nil, err
+		return nil, err
 	}
-	return s, hello, nil
+	s.lastHeard.Store(int64(l.Clock.Now()))
+	return s, nil
 }
 
-func (l *Link) greet(s *session) (*peerpb.Hello, error) {
-	reply, call := s.register()
+func (l *Link) greet(s *session, within time.Duration) error {
+	hello := l.observer.Hello()
+	hello.Dialled = l.address
+	reply := s.call(l.calls.Add(1), &peerpb.Message{Body: &peerpb.Message_Hello{Hello: hello}}, 0)
 	if reply == nil {
-		return nil, l.down()
+		return l.down()
 	}
-	s.control.send(&peerpb.Message{Call: call, Body: &peerpb.Message_Hello{Hello: l.observer.Hello()}}, 0)
 	select {
 	case m, ok := <-reply:
 		if !ok || m.GetHello() == nil {
-			return nil, l.down()
+			return l.down()
 		}
-		return m.GetHello(), nil
-	case <-time.After(l.settings.SuspectAfter):
-		return nil, l.down()
+		s.peer = m.GetHello()
+		return nil
+	case <-time.After(within):
+		return l.down()
 	}
 }
 
+// Resuming a link on another connection.
+const (
+	// probeShare is the part of the limit of silence after which another
+	// connection is tried: more than one heartbeat has gone unanswered.
+	probeShare = 0.4
+	// resumeTimeout bounds each step of opening it. The server waits as long for
+	// a peer to come back before it counts it as gone.
+	resumeTimeout = 200 * time.Millisecond
+)
+
+// resume opens a connection in place of that of s, and returns nil when the peer
+// can't be reached or is another process by now.
+func (l *Link) resume(s *session) *session {
+	next, err := l.open(resumeTimeout)
+	if err != nil {
+		l.Log.Debug("link_not_resumed", "error", err.Error())
+		return nil
+	}
+	if !bytes.Equal(next.peer.Incarnation, s.peer.Incarnation) {
+		next.close()
+		return nil
+	}
+	return next
+}
+
 // Nudge sends a heartbeat at once, for news that should not wait.
 func (l *Link) Nudge() {
 	select {
@@ -207,38 +233,42 @@
 	}
 }
 
-// beat sends heartbeats until the session dies or its peer falls silent.
-func (l *Link) beat(ctx context.Context, s *session) {
+// beat sends heartbeats until the session dies or its peer falls silent. It
+// returns the session to go on with, or nil when the peer is lost.
+func (l *Link) beat(ctx context.Context, s *session) *session {
 	timer := time.NewTimer(l.settings.Heartbeat)
 	defer timer.Stop()
-	s.lastHeard.Store(int64(l.Clock.Now()))
-	lastTurn := l.Clock.Now()
-	lastLimit := l.settings.SuspectAfter
+	watch := &silenceWatch{link: l, lastTurn: l.Clock.Now(), lastLimit: l.settings.SuspectAfter}
 	l.Nudge()
 	for {
 		select {
 		case <-ctx.Done():
-			return
+			watch.abandon()
+			return nil
 		case <-s.mux.CloseChan():
-			return
+			if ctx.Err() != nil {
+				watch.abandon()
+				return nil
+			}
+			if watch.probe != nil {
+				return <-watch.probe
+			}
+			return l.resume(s)
+		case next := <-watch.probe:
+			watch.probe = nil
+			if next != nil {
+				return next
+			}
+			watch.probed = true
+			l.Nudge()
+			continue
 		case <-timer.C:
 		case <-l.nudge:
 		}
 		slowdown := l.slowdown()
-		// What was a good interval until now is no silence yet.
-		limit := max(slowdown*l.settings.SuspectAfter, lastLimit)
-		lastLimit = slowdown * l.settings.SuspectAfter
 		timer.Reset(slowdown * l.settings.Heartbeat)
-		// A silence is the peer's only while this process was awake itself.
-		if now := l.Clock.Now(); now-lastTurn > limit {
-			l.Log.Warn("paused", "gap", (now - lastTurn).String())
-			s.lastHeard.Store(int64(now))
-		}
-		lastTurn = l.Clock.Now()
-		silence := l.Clock.Now() - time.Duration(s.lastHeard.Load())
-		if silence > limit {
-			l.Log.Warn("peer_silent", "silence", silence.String())
-			return
+		if watch.lost(s, slowdown) {
+			return nil
 		}
 		go l.heartbeat(s)
 	}
@@ -263,82 +293,6 @@
 	l.observer.HeartbeatReply(l.address, reply.GetHeartbeat())
 }
 
-// heardConn notes when anything came from the peer. On a full link the reply to a
-// heartbeat waits behind jobs and their answers, which show that it lives too.
-type heardConn struct {
-	net.Conn
-	clock common.Clock
-	heard *atomic.Int64
-}
-
-// Read implements net.Conn.
-func (c *heardConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.heard.Store(int64(c.clock.Now()))
-	}
-	return n, err
-}
-
-func (s *session) register() (chan *peerpb.Message, uint64) {
-	reply := make(chan *peerpb.Message, 1)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.dead {
-		return nil, 0
-	}
-	s.nextNum++
-	s.calls[s.nextNum] = reply
-	return reply, s.nextNum
-}
-
-func (s *session) forget(call uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.calls, call)
-}
-
-// deliver hands a reply to the call it belongs to. A late, doubled or crossed
-// reply finds no call and is dropped.
-func (s *session) deliver(m *peerpb.Message) {
-	s.mu.Lock()
-	reply := s.calls[m.Call]
-	delete(s.calls, m.Call)
-	s.mu.Unlock()
-	if reply != nil && m.Reply {
-		reply <- m
-	}
-}
-
-func (s *session) close() {
-	// What is under way counts as lost here, so it mustn't arrive later: a
-	// reset drops it, an ordinary close would deliver it after a cut. The
-	// connection goes first: a session that is closed over an open one held up
-	// the whole process for 150 to 700 ms (docs/incidents/inc-acca.md).
-	if tcp, ok := s.conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = s.conn.Close()
-	_ = s.mux.Close()
-	s.control.close()
-	s.jobs.close()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.dead = true
-	for call, reply := range s.calls {
-		close(reply)
-		delete(s.calls, call)
-	}
-}
-
-func (s *session) pipeFor(m *peerpb.Message) *pipe {
-	switch m.Body.(type) {
-	case *peerpb.Message_Submit, *peerpb.Message_FetchConfig, *peerpb.Message_Dispatch, *peerpb.Message_FetchSnapshot:
-		return s.jobs
-	}
-	return s.control
-}
-
 func muxConfig() *yamux.Config {
 	config := yamux.DefaultConfig()
 	config.EnableKeepAlive = false // our heartbeats find silent peers sooner
--- a/pkg/peer/link_test.go
+++ b/pkg/peer/link_test.go
@@ -17,18 +17,23 @@
 
 // fakeHost observes links and serves records in ways that a test sets.
 type fakeHost struct {
-	up      atomic.Int64
-	handle  func(m *peerpb.Message, reply Reply)
-	greeted atomic.Int64
+	up  atomic.Int64
+	ups atomic.Int64 // times that a link came up
+	// incarnation is the first byte of what the host tells of itself.
+	incarnation atomic.Int64
+	handle      func(m *peerpb.Message, reply Reply)
+	greeted     atomic.Int64
 }
 
-func (f *fakeHost) LinkUp(string, *peerpb.Hello)             { f.up.Add(1) }
+func (f *fakeHost) LinkUp(string, *peerpb.Hello)             { f.up.Add(1); f.ups.Add(1) }
 func (f *fakeHost) LinkDown(string)                          { f.up.Add(-1) }
 func (f *fakeHost) HeartbeatReply(string, *peerpb.Heartbeat) {}
-func (f *fakeHost) Hello() *peerpb.Hello                     { return &peerpb.Hello{Name: "fake"} }
-func (f *fakeHost) Heartbeat() *peerpb.Heartbeat             { return &peerpb.Heartbeat{} }
-func (f *fakeHost) Greeted(*peerpb.Hello)                    { f.greeted.Add(1) }
-func (f *fakeHost) Left(*peerpb.Hello)                       {}
+func (f *fakeHost) Hello() *peerpb.Hello {
+	return &peerpb.Hello{Name: "fake", Incarnation: []byte{byte(f.incarnation.Load())}}
+}
+func (f *fakeHost) Heartbeat() *peerpb.Heartbeat { return &peerpb.Heartbeat{} }
+func (f *fakeHost) Greeted(*peerpb.Hello)        { f.greeted.Add(1) }
+func (f *fakeHost) Left(*peerpb.Hello)           {}
 func (f *fakeHost) Handle(_ *peerpb.Hello, m *peerpb.Message, reply Reply) {
 	if m.GetHeartbeat() != nil {
 		reply(&peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: &peerpb.Heartbeat{}}}, 0)
@@ -42,6 +47,7 @@
 	relay    *relayd.Relay
 	server   *Server
 	local    *fakeHost
+	remote   *fakeHost
 	counters *Counters
 }
 
@@ -53,7 +59,7 @@
 	relaySide, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	remote := &fakeHost{handle: handle}
-	r := &rig{local: &fakeHost{}, counters: &Counters{}, relay: relayd.NewRelay(serverSide.Addr().String(), 0)}
+	r := &rig{local: &fakeHost{}, remote: remote, counters: &Counters{}, relay: relayd.NewRelay(serverSide.Addr().String(), 0)}
 	r.server = NewServer(c, serverSide, remote, remote, &Counters{})
 	go r.server.Serve()
 	go r.relay.Serve(relaySide)
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -20,7 +20,8 @@
 	Handle(from *peerpb.Hello, m *peerpb.Message, reply Reply)
 	// Greeted is called when a peer opens a link.
 	Greeted(from *peerpb.Hello)
-	// Left is called when a link that a peer opened has ended.
+	// Left is called when a peer that had opened a link is gone: it has no
+	// connection for a while, or is another process by now.
 	Left(from *peerpb.Hello)
 }
 
@@ -32,13 +33,18 @@
 	observer Observer
 	counters *Counters
 
+	callers *callers
+
 	mu       sync.Mutex
 	sessions map[*yamux.Session]bool
 }
 
 // NewServer makes a server on a listener. Serve runs it.
 func NewServer(c *common.Common, listener net.Listener, handler Handler, observer Observer, counters *Counters) *Server {
-	return &Server{Common: c, listener: listener, handler: handler, observer: observer, counters: counters, sessions: map[*yamux.Session]bool{}}
+	return &Server{
+		Common: c, listener: listener, handler: handler, observer: observer, counters: counters,
+		callers: newCallers(handler.Left), sessions: map[*yamux.Session]bool{},
+	}
 }
 
 // Serve accepts links until Close.
@@ -84,7 +90,7 @@
 	served := &servedSession{server: s}
 	defer func() {
 		if from := served.end(); from != nil {
-			s.handler.Left(from)
+			s.callers.ended(from, served)
 		}
 	}()
 	for {
@@ -132,6 +138,7 @@
 	}
 	if hello := m.GetHello(); hello != nil {
 		s.setHello(hello)
+		s.server.callers.greeted(hello, s)
 		s.server.handler.Greeted(hello)
 		reply(&peerpb.Message{Body: &peerpb.Message_Hello{Hello: s.server.observer.Hello()}}, 0)
 		return
--- a/pkg/standin/relayd/relay.go
+++ b/pkg/standin/relayd/relay.go
@@ -27,6 +27,8 @@
 	cutTo   bool          // nothing passes towards the address
 	cutFrom bool          // nothing passes back
 	conns   map[net.Conn]bool
+	silent  int // connections accepted so far of which nothing passes any more
+	taken   int // connections accepted so far
 }
 
 // NewRelay makes a relay to an address.
@@ -45,6 +47,28 @@
 	r.cutTo, r.cutFrom = to, from
 }
 
+// Silence has all connections that are open now pass nothing any more, for good.
+// They stay open, and new ones work.
+func (r *Relay) Silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent = r.taken
+}
+
+// number returns the number of a new connection.
+func (r *Relay) number() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.taken++
+	return r.taken
+}
+
+func (r *Relay) isSilent(number int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return number <= r.silent
+}
+
 // SetDelay changes the delay.
 func (r *Relay) SetDelay(delay time.Duration) {
 	r.mu.Lock()
@@ -100,6 +124,7 @@
 }
 
 func (r *Relay) relay(from net.Conn) {
+	number := r.number()
 	r.track(from, true)
 	defer r.track(from, false)
 	defer from.Close()
@@ -112,7 +137,7 @@
 	defer to.Close()
 	done := make(chan struct{}, 2)
 	pass := func(dst, src net.Conn, towards bool) {
-		r.pass(dst, src, towards)
+		r.pass(dst, src, towards, number)
 		done <- struct{}{}
 	}
 	go pass(to, from, true)
@@ -125,7 +150,7 @@
 
 // pass copies one way. A reader of its own notices a reset during a cut, which
 // drops what is held back.
-func (r *Relay) pass(dst, src net.Conn, towards bool) {
+func (r *Relay) pass(dst, src net.Conn, towards bool, number int) {
 	pieces := make(chan []byte, heldPieces)
 	var wasReset atomic.Bool
 	go func() {
@@ -152,6 +177,9 @@
 		if wasReset.Load() {
 			break
 		}
+		if r.isSilent(number) {
+			continue
+		}
 		if _, err := dst.Write(piece); err != nil {
 			break
 		}
