Jobs wait for an owner no longer than is of use

Change: it is refused, with a time to come back, once an owner that came then could only answer too late, by the rule of cells (job.UsefulUntil); at once where the own domain is closed and no open one is in sight.

--- a/pkg/cell/queue.go
+++ b/pkg/cell/queue.go
@@ -22,7 +22,7 @@
 	switch {
 	case ends <= w.job.Received+objective:
 		tier = tierGood
-	case ends <= w.usefulUntil():
+	case ends <= w.job.UsefulUntil(w.chain):
 		tier = tierLate
 	}
 	return Standing{Job: w.job, Tier: tier, WorkLeft: w.waitingWork(), Slack: w.job.Received + objective - ends}
--- a/pkg/cell/work.go
+++ b/pkg/cell/work.go
@@ -218,11 +218,6 @@
 	return runs
 }
 
-// usefulUntil returns until when an answer is worth something to the caller.
-func (w *work) usefulUntil() time.Duration {
-	return min(w.job.Deadline, w.job.Received+job.LateFactor*w.job.Objective(w.chain))
-}
-
 // refuseHopeless refuses the jobs of which nothing has started and whose
 // answers, with the work that comes before them, would come too late to be worth
 // anything. Their callers can try elsewhere sooner.
@@ -243,7 +238,7 @@
 		wait = max(wait, c.pacer.timeOf(bytesAhead))
 		ahead += w.waitingWork()
 		bytesAhead += w.waitingBytes()
-		if !w.started && now+wait+w.leastTime() > w.usefulUntil() {
+		if !w.started && now+wait+w.leastTime() > w.job.UsefulUntil(w.chain) {
 			c.finish(w, job.Outcome{Kind: job.Refused, Reason: "overloaded", RetryAfter: wait})
 		}
 	}
--- a/pkg/job/job.go
+++ b/pkg/job/job.go
@@ -118,6 +118,12 @@
 // worth something, by the users' accounting.
 const LateFactor = 3
 
+// UsefulUntil returns until when an answer is worth something to the caller, for
+// a longest chain of work.
+func (j *Job) UsefulUntil(chain time.Duration) time.Duration {
+	return min(j.Deadline, j.Received+LateFactor*j.Objective(chain))
+}
+
 // UnknownEstimate stands for the time of a task whose caller gave no guess.
 const UnknownEstimate = 200 * time.Millisecond
 
--- a/pkg/node/closures.go
+++ b/pkg/node/closures.go
@@ -68,16 +68,15 @@
 	return slices.DeleteFunc(n.claims.Owned(), n.closed)
 }
 
-// allClosed reports whether no domain with executors takes new work.
-func (n *Node) allClosed() bool {
-	listing, closures := n.executors.Load(), n.closures.Load()
-	if listing == nil || len(listing.sizes) == 0 {
+// noneOpenInSight reports whether waiting for an owner is of no use: the own
+// domain is closed, and no owner of an open one is in sight. Owners that change
+// hands in other domains are back in sight, or seen as lost, before long; that a
+// domain is cut off lasts.
+func (n *Node) noneOpenInSight() bool {
+	if !n.closures.Load().Closed(n.settings.Domain) {
 		return false
 	}
-	for domain := range listing.sizes {
-		if !closures.Closed(domain) {
-			return false
-		}
-	}
-	return true
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.openClaims()) == 0
 }
--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -14,8 +14,7 @@
 )
 
 const (
-	// noOwnerWait is how long a job of which nothing has run waits for an
-	// owner before it is refused.
+	// noOwnerWait is how long a job waits for an owner at most.
 	noOwnerWait = 1500 * time.Millisecond
 	// startPatience is how long after its start a node keeps jobs for owners of
 	// its own domain: the first owners of all would else get every domain's jobs.
@@ -240,16 +239,27 @@
 	return job.Outcome{Kind: job.Refused, Reason: "no_owner", RetryAfter: comeBack}
 }
 
+// patience returns until when a job waits for an owner: no longer than an owner
+// that comes then could still have it answered in time to be worth something.
+func (f *front) patience(j *job.Job, state *attempt) time.Duration {
+	limit := min(j.Deadline, f.node.Clock.Now()+noOwnerWait)
+	if state.started {
+		return limit // an owner may find it done
+	}
+	chain := j.LongestChain()
+	return min(limit, j.UsefulUntil(chain)-chain)
+}
+
 // awaitOwner returns the owner to hand a job to, waiting for one if need be.
 func (f *front) awaitOwner(ctx context.Context, j *job.Job, state *attempt) (ownership.Claim, bool) {
-	limit := min(j.Deadline, f.node.Clock.Now()+noOwnerWait)
+	limit := f.patience(j, state)
 	for {
 		changed := f.node.changed.wait()
 		if claim, ok := f.choose(j, state); ok {
 			return claim, true
 		}
 		left := limit - f.node.Clock.Now()
-		if left <= 0 || f.node.allClosed() {
+		if left <= 0 || f.node.noneOpenInSight() {
 			return ownership.Claim{}, false
 		}
 		timer := time.NewTimer(min(left, ownerRecheck))
--- a/pkg/node/front_test.go
+++ b/pkg/node/front_test.go
@@ -96,3 +96,37 @@
 		})
 	}
 }
+
+// A job of which nothing has run isn't held for an owner that could only answer
+// it too late.
+func TestHowLongAJobWaitsForAnOwner(t *testing.T) {
+	const (
+		task    = 100 * time.Millisecond
+		target  = 50 * time.Millisecond
+		dead    = 10 * time.Second
+		useful  = job.LateFactor * (task + target)
+		latestA = useful - task
+	)
+	type scenario struct {
+		testName string
+		deadline time.Duration
+		target   time.Duration
+		state    attempt
+		want     time.Duration
+	}
+	scenarios := []scenario{
+		{testName: "until its answer would be worth nothing", deadline: dead, target: target, want: latestA},
+		{testName: "until its deadline can't be met", deadline: 200 * time.Millisecond, target: target, want: 100 * time.Millisecond},
+		{testName: "no longer than a takeover takes", deadline: dead, target: dead, want: noOwnerWait},
+		{testName: "started: its deadline counts", deadline: time.Second, target: target, state: attempt{started: true}, want: time.Second},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			n := newTestNode(c, &fakeStore{})
+			n.Clock = &common.ManualClock{}
+			j := &job.Job{Deadline: s.deadline, Stretch: 1, Target: s.target, Steps: []job.Step{{Count: 1, Estimate: task}}}
+			c.Assert(n.front.patience(j, &s.state), qt.Equals, s.want)
+		})
+	}
+}
--- a/pkg/node/ports.go
+++ b/pkg/node/ports.go
@@ -123,10 +123,9 @@
 	State(id string) (started, known bool)
 	// Cancel withdraws a job that this node holds open for a caller.
 	Cancel(id string) bool
-	// Ready reports whether this node should get new connections.
+	// Ready reports whether this node should get new connections; one that stops
+	// shouldn't.
 	Ready() bool
-	// Leaving reports whether a planned stop has begun.
-	Leaving() bool
 	// Now returns the time that jobs are measured by.
 	Now() time.Duration
 }
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -19,9 +19,6 @@
 // Now implements Service.
 func (n *Node) Now() time.Duration { return n.Clock.Now() }
 
-// Leaving implements Service.
-func (n *Node) Leaving() bool { return n.leaving.Load() }
-
 // Ready implements Service: a node gets callers while it has a configuration
 // and sees an owner that can run something.
 func (n *Node) Ready() bool {
@@ -30,7 +27,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, claim := range n.claims.Owned() {
+	for _, claim := range n.openClaims() {
 		if claim.Load.Ready {
 			return true
 		}
