Hubs of large domains

Change: in domains of more than 32 hosts all hold links to the 20 strongest, and to four others; only these own cells and read the list; others wait for their first list for 1.2 s and fetch changes that a heartbeat of the reader shows. Standing claims are worked out once for all questions. Small domains stay as they were.

--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -5,6 +5,7 @@
 package member
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -30,6 +31,7 @@
 	Domain  string
 	Address string // for peers, IP:port
 	Leaving bool
+	Weight  int // thousandths of a core that the host may use; 0 when not told
 }
 
 // Peer is what is known of another entry host.
@@ -55,6 +57,9 @@
 	gossip    map[string]time.Duration // by address: when last told
 	up        map[string]Peer          // by address: links that are up
 	left      map[string]time.Duration // by address: when hosts have stopped as planned
+	missing   map[string]time.Duration // by address: since when hubs have been out of sight
+	domains   map[string]domainHosts   // the listed hosts of each domain
+	far       []string                 // hosts of other domains to hold links to
 }
 
 // NewTable makes a table. seeds are addresses to dial before others are known;
@@ -68,6 +73,7 @@
 		gossip:    map[string]time.Duration{},
 		up:        map[string]Peer{},
 		left:      map[string]time.Duration{},
+		missing:   map[string]time.Duration{},
 	}
 }
 
@@ -81,15 +87,40 @@
 	for _, host := range hosts {
 		t.listed[host.Address] = host
 	}
+	t.rankDomains()
+	t.far = t.chooseFar()
 }
 
-// Greeted takes the news that a host has opened a link to this one.
-func (t *Table) Greeted(address string, now time.Duration) {
+// Greeted takes the news that a host has opened a link to this one, and reports
+// whether that changes which links are wanted. Listed hosts of a large domain get
+// no link back.
+func (t *Table) Greeted(address string, now time.Duration) bool {
+	left := t.hasLeft(address)
 	delete(t.left, address)
+	if _, listed := t.listed[address]; listed && t.IsLarge() {
+		return left
+	}
+	_, known := t.gossip[address]
 	t.gossip[address] = now
+	return left || !known
+}
+
+// ToldOfDomain is Told for all hosts of the own domain that a peer sees. In a
+// large domain the list says which of those that it names a link is wanted to.
+func (t *Table) ToldOfDomain(addresses []string, now time.Duration) bool {
+	if !t.IsLarge() {
+		return t.Told(addresses, now)
+	}
+	var unlisted []string
+	for _, address := range addresses {
+		if _, listed := t.listed[address]; !listed {
+			unlisted = append(unlisted, address)
+		}
+	}
+	return t.Told(unlisted, now)
 }
 
-// Told takes addresses of the own domain that a peer told of, and reports
+// Told takes addresses of hosts to hold links to that a peer told of, and reports
 // whether one of them is new. A peer may not know yet that a host has left.
 func (t *Table) Told(addresses []string, now time.Duration) bool {
 	news := false
@@ -107,6 +138,7 @@
 // Up takes the news that a link is up, or that its peer told something new.
 func (t *Table) Up(peer Peer) {
 	delete(t.left, peer.Address)
+	delete(t.missing, peer.Address)
 	t.up[peer.Address] = peer
 }
 
@@ -156,8 +188,9 @@
 	return expected
 }
 
-// Wanted returns the sorted addresses to keep links to: every host of the own
-// domain, and a few of each other domain, and hosts that may come back.
+// Wanted returns the sorted addresses to keep links to: the hosts of the own
+// domain, of a large one only some, a few of each other domain, and hosts that may
+// come back.
 func (t *Table) Wanted(now time.Duration) []string {
 	wanted := map[string]bool{}
 	for _, seed := range t.seeds {
@@ -176,18 +209,8 @@
 			wanted[address] = true
 		}
 	}
-	others := map[string][]string{}
-	for address, host := range t.listed {
-		if host.Domain == t.self.Domain {
-			wanted[address] = true
-			continue
-		}
-		others[host.Domain] = append(others[host.Domain], address)
-	}
-	for _, addresses := range others {
-		for _, address := range t.nearest(addresses) {
-			wanted[address] = true
-		}
+	for _, address := range slices.Concat(t.wantedNear(now), t.far) {
+		wanted[address] = true
 	}
 	delete(wanted, t.self.Address)
 	return sortedKeys(wanted)
@@ -206,6 +229,22 @@
 	return before < leftDiallers
 }
 
+// chooseFar picks the hosts of the other domains to hold links to.
+func (t *Table) chooseFar() []string {
+	var far []string
+	for domain, hosts := range t.domains {
+		if domain == t.self.Domain {
+			continue
+		}
+		addresses := make([]string, 0, len(hosts))
+		for _, host := range hosts {
+			addresses = append(addresses, host.Address)
+		}
+		far = append(far, t.nearest(addresses)...)
+	}
+	return far
+}
+
 // nearest picks the links to another domain by rendezvous hashing, so that
 // the hosts of a domain spread over those of the other.
 func (t *Table) nearest(addresses []string) []string {
--- a/pkg/node/executors.go
+++ b/pkg/node/executors.go
@@ -21,6 +21,8 @@
 	// passedLife is how long a node without word of its reader waits before it
 	// reads by itself.
 	passedLife = 2500 * time.Millisecond
+	// firstListPause is how often a node looks whether it has a first list.
+	firstListPause = 50 * time.Millisecond
 	// wholeInterval is the least time between two readings of the whole list. A
 	// list of a hundred takes a link of 2 Mbit/s for a sixth of a second.
 	wholeInterval = 2 * time.Second
@@ -86,6 +88,7 @@
 
 // listDuty is what a node does next to follow the list.
 type listDuty struct {
+	idle   bool // nothing
 	read   bool // the list or its changes; else the node only looks whether the store can be read
 	urgent bool // an owner waits for it
 	pause  time.Duration
@@ -95,6 +98,8 @@
 func (n *Node) listDuty() listDuty {
 	owners := n.allOwners()
 	switch {
+	case n.awaitsFirstList():
+		return listDuty{idle: true, pause: firstListPause}
 	case n.ownersWait(owners):
 		return listDuty{read: true, urgent: true, pause: urgentInterval}
 	case n.readsForDomain():
@@ -143,6 +148,9 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	askedAt := n.Clock.Now()
+	if duty.idle {
+		return nil
+	}
 	if duty.read {
 		return n.readExecutors(ctx, askedAt, duty.urgent)
 	}
--- a/pkg/node/heartbeat.go
+++ b/pkg/node/heartbeat.go
@@ -116,6 +116,7 @@
 	for route, count := range n.ownWaiting() {
 		beat.RouteCounts = append(beat.RouteCounts, &peerpb.RouteCount{Route: route, Waiting: uint32(count)})
 	}
+	beat.ReadsList = n.readsNow()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	beat.Unlisted = !n.rowsRead
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -33,7 +33,7 @@
 	byName := map[string]Member{}
 	for _, row := range rows {
 		byName[row.Name] = row
-		listed = append(listed, member.Listed{Name: row.Name, Domain: row.Domain, Address: row.PeerAddress})
+		listed = append(listed, member.Listed{Name: row.Name, Domain: row.Domain, Address: row.PeerAddress, Weight: row.Capacity.CPU})
 	}
 	n.mu.Lock()
 	n.rows = byName
@@ -71,11 +71,15 @@
 func (n *Node) ownershipView() ownership.View {
 	view := ownership.View{Self: ownership.Host{Address: n.settings.PeerAddress, Domain: n.settings.Domain, Leaving: n.leaving.Load(), Weight: n.settings.Weight}}
 	known := map[string]bool{n.settings.PeerAddress: true}
+	now := n.Clock.Now()
+	view.Self.Weight = n.weightOf(view.Self, now)
 	for _, p := range n.members.View(n.inc).Peers {
-		view.Up = append(view.Up, ownership.Host{Address: p.Address, Domain: p.Domain, Leaving: p.Leaving, Weight: p.Weight, Heard: n.claims.Heard(p.Address)})
+		host := ownership.Host{Address: p.Address, Domain: p.Domain, Leaving: p.Leaving, Weight: p.Weight, Heard: n.claims.Heard(p.Address)}
+		host.Weight = n.weightOf(host, now)
+		view.Up = append(view.Up, host)
 		known[p.Address] = true
 	}
-	for _, address := range n.members.Expected(n.Clock.Now()) {
+	for _, address := range n.members.Expected(now) {
 		known[address] = true
 	}
 	view.Known = len(known)
@@ -84,6 +88,18 @@
 	return view
 }
 
+// sideWeight is the weight of hosts of large domains that don't hold links to all
+// that may own cells: they come after those.
+const sideWeight = 1
+
+// weightOf returns the weight with which a host may own cells. n.mu is held.
+func (n *Node) weightOf(host ownership.Host, now time.Duration) int {
+	if n.members.IsHub(host.Address, host.Domain, now) {
+		return host.Weight
+	}
+	return sideWeight
+}
+
 // Hello implements peer.Observer.
 func (n *Node) Hello() *peerpb.Hello {
 	return &peerpb.Hello{
@@ -202,7 +218,10 @@
 	newAddress := n.members.Told(n.ownersToFollow(beat.Owners), n.Clock.Now())
 	newAddress = n.members.Told(without(beat.Neighbours, n.settings.PeerAddress), n.Clock.Now()) || newAddress
 	if p.Domain == n.settings.Domain {
-		newAddress = n.members.Told(beat.Addresses, n.Clock.Now()) || newAddress
+		newAddress = n.members.ToldOfDomain(beat.Addresses, n.Clock.Now()) || newAddress
+	}
+	if beat.ReadsList && p.Domain == n.settings.Domain {
+		n.passedAt.Store(int64(n.Clock.Now()))
 	}
 	n.mu.Unlock()
 	if changed {
@@ -239,9 +258,11 @@
 func (n *Node) Greeted(from *peerpb.Hello) {
 	n.arrivals.note(from.Address, n.Clock.Now())
 	n.mu.Lock()
-	n.members.Greeted(from.Address, n.Clock.Now())
+	news := n.members.Greeted(from.Address, n.Clock.Now())
 	n.mu.Unlock()
-	n.refreshLinks()
+	if news {
+		n.refreshLinks()
+	}
 }
 
 // Left implements peer.Handler: the jobs that came by the link are the
--- a/pkg/node/news.go
+++ b/pkg/node/news.go
@@ -41,6 +41,7 @@
 func (n *Node) runNews(ctx context.Context) {
 	go n.followOperator(ctx)
 	go n.followMembers(ctx)
+	n.awaitRows(ctx)
 	n.pollExecutors(ctx)
 }
 
@@ -144,6 +145,30 @@
 	n.follow(ctx, followed{name: "members", read: n.readMembers, await: n.awaitMembers, pause: membersPause})
 }
 
+// rowsPatience is how long after its start a node waits for the rows before it
+// reads the list of executors: they tell whether it should.
+const rowsPatience = 200 * time.Millisecond
+
+// awaitRows waits for the first reading of the rows.
+func (n *Node) awaitRows(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, rowsPatience)
+	defer cancel()
+	for {
+		changed := n.changed.wait()
+		n.mu.Lock()
+		read := n.rowsRead
+		n.mu.Unlock()
+		if read {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
 // announce writes this node's row and reports whether that went well.
 func (n *Node) announce(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/pkg/node/passing.go
+++ b/pkg/node/passing.go
@@ -15,9 +15,13 @@
 func (n *Node) readsForDomain() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	now := n.Clock.Now()
+	if !n.members.IsHub(n.settings.PeerAddress, n.settings.Domain, now) {
+		return false
+	}
 	own := n.readerRank(n.settings.Name, n.settings.PeerAddress)
 	for _, peer := range n.members.View(n.inc).Domain() {
-		if n.storeless[peer.Address] {
+		if n.storeless[peer.Address] || !n.members.IsHub(peer.Address, peer.Domain, now) {
 			continue
 		}
 		if n.readerRank(peer.Name, peer.Address).before(own) {
@@ -67,6 +71,9 @@
 	if !changed && now < n.toldAt+confirmInterval {
 		return
 	}
+	if n.inLargeDomain() && !n.readsForDomain() {
+		return // the others fetch what is news by the reader's heartbeats
+	}
 	n.toldAt = now
 	if since == 0 {
 		since = n.roster.Revision() // a first reading is no news to others
@@ -79,6 +86,48 @@
 	}
 }
 
+// firstListPatience is how long after its start a node of a large domain waits
+// for the list from those that read it first: it is long there, and all nodes
+// may have started at once.
+const firstListPatience = 1200 * time.Millisecond
+
+// firstReaders is how many nodes of a large domain read the list at once when
+// they start.
+const firstReaders = 2
+
+// awaitsFirstList reports whether this node should wait for its first list.
+func (n *Node) awaitsFirstList() bool {
+	if n.executors.Load() != nil || n.Clock.Now() > firstListPatience {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.members.IsLarge() {
+		return false
+	}
+	own := n.readerRank(n.settings.Name, n.settings.PeerAddress)
+	before := 0
+	for _, row := range n.rows {
+		if row.Domain == n.settings.Domain && n.readerRank(row.Name, row.PeerAddress).before(own) {
+			before++
+		}
+	}
+	return before >= firstReaders
+}
+
+func (n *Node) inLargeDomain() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.members.IsLarge()
+}
+
+// readsNow reports whether this node reads the list for its domain and has done
+// so a moment ago.
+func (n *Node) readsNow() bool {
+	current := n.executors.Load()
+	return current != nil && n.Clock.Now() < current.askedAt+confirmInterval && n.readsForDomain()
+}
+
 // domainPeers returns the addresses of the other nodes of the domain in sight.
 func (n *Node) domainPeers() []string {
 	n.mu.Lock()
--- a/pkg/node/passing_test.go
+++ b/pkg/node/passing_test.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/member"
 	"github.com/foxcroft/foxcroft/pkg/once"
 	"github.com/foxcroft/foxcroft/pkg/ownership"
@@ -126,3 +128,72 @@
 		})
 	}
 }
+
+// largeDomain makes a node whose domain has so many hosts that not all hold links
+// to each other, each with a fatter link than the one before; its own is named.
+func largeDomain(c *qt.C, own int) *Node {
+	const hosts = 40
+	n := newTestNode(c, &fakeStore{})
+	var rows []Member
+	for i := range hosts {
+		row := Member{Name: strconv.Itoa(i), Domain: "z", PeerAddress: strconv.Itoa(i) + ":1", Capacity: ownership.Capacity{CPU: 100 + i, LinkMbps: float64(10 + i)}}
+		if i == own {
+			row.Name, row.PeerAddress = n.settings.Name, n.settings.PeerAddress
+		}
+		rows = append(rows, row)
+	}
+	n.setRows(rows)
+	return n
+}
+
+// All nodes may have started at once, and the list of a large domain is long.
+func TestWhoReadsTheFirstListOfALargeDomain(t *testing.T) {
+	type scenario struct {
+		testName string
+		own      int
+		age      time.Duration
+		known    bool
+		waits    bool
+	}
+	scenarios := []scenario{
+		{testName: "the first in rank", own: 39},
+		{testName: "the second", own: 38},
+		{testName: "the third", own: 37, waits: true},
+		{testName: "one that waits for long", own: 3, age: firstListPatience + time.Millisecond},
+		{testName: "one that has a list", own: 3, known: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			n := largeDomain(c, s.own)
+			n.Clock = &common.ManualClock{At: s.age}
+			if s.known {
+				n.executors.Store(newListing(0, &catalog.Executors{}, nil, nil))
+			}
+			c.Assert(n.awaitsFirstList(), qt.Equals, s.waits)
+			c.Assert(n.listDuty().idle, qt.Equals, s.waits)
+		})
+	}
+}
+
+// A node that isn't a hub neither reads for its domain nor comes before a hub as
+// an owner.
+func TestNodesThatAreNoHubs(t *testing.T) {
+	c := qt.New(t)
+	hub, other := largeDomain(c, 39), largeDomain(c, 0)
+	c.Assert(hub.readsForDomain(), qt.IsTrue)
+	c.Assert(other.readsForDomain(), qt.IsFalse)
+	other.settings.Weight = 800
+	c.Assert(other.ownershipView().Self.Weight, qt.Equals, sideWeight)
+}
+
+// The reader's heartbeats confirm the list to nodes that it doesn't pass it on to.
+func TestTheReadersHeartbeatConfirmsTheList(t *testing.T) {
+	c := qt.New(t)
+	n := nodeBeside(c, "z", 25, 200)
+	n.Clock = &common.ManualClock{At: time.Minute}
+	n.heard(otherAddress, &peerpb.Heartbeat{})
+	c.Assert(n.readerLost(), qt.IsTrue)
+	n.heard(otherAddress, &peerpb.Heartbeat{ReadsList: true})
+	c.Assert(n.readerLost(), qt.IsFalse)
+}
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -87,12 +87,13 @@
 // Table holds the claims that a host knows of. It isn't safe for concurrent
 // use.
 type Table struct {
-	limits  Limits
-	started time.Duration
-	claims  map[string]map[string]Claim // by cell and owner's address
-	heard   map[string]bool             // by host's address
-	highest int64                       // token seen anywhere
-	cells   map[string]*cellState
+	limits   Limits
+	started  time.Duration
+	claims   map[string]map[string]Claim // by cell and owner's address
+	heard    map[string]bool             // by host's address
+	highest  int64                       // token seen anywhere
+	standing *standing                   // worked out from claims; nil when these have changed
+	cells    map[string]*cellState
 }
 
 type cellState struct {
@@ -116,6 +117,7 @@
 	changed := t.differs(owner, claims)
 	t.Drop(owner)
 	t.heard[owner] = true
+	t.standing = nil
 	for _, claim := range claims {
 		claim.Owner = owner
 		if t.claims[claim.Cell] == nil {
@@ -150,6 +152,7 @@
 // Drop forgets the claims of a host that isn't seen any more.
 func (t *Table) Drop(owner string) {
 	delete(t.heard, owner)
+	t.standing = nil
 	for _, byOwner := range t.claims {
 		delete(byOwner, owner)
 	}
@@ -157,14 +160,8 @@
 
 // Owner returns the claim with the highest token on a cell.
 func (t *Table) Owner(cell string) (Claim, bool) {
-	var best Claim
-	found := false
-	for _, claim := range t.claims[cell] {
-		if !found || claim.Token > best.Token {
-			best, found = claim, true
-		}
-	}
-	return best, found
+	claim, owned := t.standingClaims().owners[cell]
+	return claim, owned
 }
 
 // Owns reports whether a host claims any cell.
@@ -362,14 +359,9 @@
 
 // ownedBeside returns how many other cells a host owns beside one.
 func (t *Table) ownedBeside(cell, owner string) int {
-	count := 0
-	for claimed := range t.claims {
-		if claimed == cell {
-			continue
-		}
-		if standing, ok := t.Owner(claimed); ok && standing.Owner == owner {
-			count++
-		}
+	count := t.standingClaims().counts[owner]
+	if claim, owned := t.Owner(cell); owned && claim.Owner == owner {
+		count--
 	}
 	return count
 }
--- a/scripts/kinds.sh
+++ b/scripts/kinds.sh
@@ -70,7 +70,10 @@
   list "kind = \"poison\", share = 0.1, for_s = 4.0, class = \"$CLASS\"" -
   list 'kind = "clock_step", share = 0.4, x = 3000.0, for_s = 4.0' - back ahead
   list 'kind = "hup", share = 0.5, gap_s = 2.0' -
-  list 'kind = "reset_conns", share = 0.4, x = 0.6' -
+  list 'kind = "reset_conns", share = 0.4, x = 0.6' - silent
+  list 'kind = "evacuate", for_s = 5.0' - warm
+  list 'kind = "bridge_cut", for_s = 5.0' -
+  list 'kind = "one_way", for_s = 5.0' all 'all in'
   list 'kind = "lossy", x = 0.05, for_s = 5.0' -
   list 'kind = "srv_flap", share = 0.15, gap_s = 1.3, for_s = 6.0' -
   list 'kind = "srv_lying_health", share = 0.15, for_s = 6.0' bad errors reset
@@ -84,7 +87,7 @@
   local name=$1 seed=$2 fault planned plan='' faults='' at=$FIRST_STRIKE report
   shift 2
   for fault in "$@"; do
-    planned='kind = "(scale_out|scale_in|release|roll_term|add_nodes|config_change|config_storm|big_config|hup)"'
+    planned='kind = "(scale_out|scale_in|release|roll_term|add_nodes|config_change|config_storm|big_config|hup|evacuate)"'
     local entries="  { at = $at.0, $fault },"$'\n'"  { at = $((at + SECOND_STRIKE - FIRST_STRIKE)).5, $fault },"$'\n'
     if [[ $fault =~ $planned ]]; then plan+=$entries; else faults+=$entries; fi
     at=$((at + 2))
