Less memory and fewer looks a host

Profile at 300 hosts (perf on the hosts): readsForDomain in each heartbeat 10%, SetClaims for hosts without claims 7%; owners of cells held 250 to 290 MB, heaps of three times what lives.

Change: the reader is worked out every 100 ms; claims of hosts that have none and had none are passed over; heaps double before they are collected and aim at 0.3 of the limit; buffers of links halved.

--- a/pkg/cli/node.go
+++ b/pkg/cli/node.go
@@ -20,8 +20,10 @@
 // when the command line doesn't.
 const settingsVariable = "FOXCROFT_NODE_FILE"
 
-// heapShare is the part of a node's memory limit that the collector aims at.
-const heapShare = 0.6
+// heapShare is the part of a node's memory limit that the collector aims at. Of
+// 300 hosts those that own cells took half of theirs with twice this share
+// (docs/CAPACITY.md).
+const heapShare = 0.3
 
 type nodeCommand struct {
 	settings string
@@ -79,8 +81,8 @@
 	return subcommands.ExitSuccess
 }
 
-// gcPercent lets the small heap of a node grow before it is collected.
-const gcPercent = 200
+// gcPercent lets the heap of a node double before it is collected.
+const gcPercent = 100
 
 // awaitStop waits for SIGTERM or SIGINT and calls reload at each SIGHUP.
 func awaitStop(reload func()) {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -43,6 +43,7 @@
 	peers    *peer.Server
 
 	leaving       atomic.Bool
+	readsList     atomic.Bool  // this node should read the executors for its domain, as of the last look
 	storeFails    atomic.Bool  // the last reading of the executors failed
 	operatorFails atomic.Bool  // the last look at what operators have changed failed
 	readingSince  atomic.Int64 // since when the executors can be read, as a time of the clock; 0 while they can't
@@ -220,6 +221,7 @@
 			n.claimCells(now)
 			n.refreshOwnClaims()
 			n.noticeCrowd()
+			n.readsList.Store(n.readsForDomain())
 			n.dropSilentFronts(now)
 			nextClaim = now + claimInterval
 		}
--- a/pkg/node/passing.go
+++ b/pkg/node/passing.go
@@ -125,7 +125,7 @@
 // so a moment ago.
 func (n *Node) readsNow() bool {
 	current := n.executors.Load()
-	return current != nil && n.Clock.Now() < current.askedAt+confirmInterval && n.readsForDomain()
+	return current != nil && n.Clock.Now() < current.askedAt+confirmInterval && n.readsList.Load()
 }
 
 // domainPeers returns the addresses of the other nodes of the domain in sight.
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -114,10 +114,13 @@
 // SetClaims takes all claims of a host, and reports whether it claims other
 // cells than before or has become able or unable to serve one.
 func (t *Table) SetClaims(owner string, claims []Claim) bool {
+	t.heard[owner] = true
+	if len(claims) == 0 && !t.Owns(owner) {
+		return false // as of most hosts, with each heartbeat
+	}
 	changed := t.differs(owner, claims)
 	t.Drop(owner)
 	t.heard[owner] = true
-	t.standing = nil
 	for _, claim := range claims {
 		claim.Owner = owner
 		if t.claims[claim.Cell] == nil {
--- a/pkg/peer/pipe.go
+++ b/pkg/peer/pipe.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	bufferBytes   = 8 << 10
+	bufferBytes   = 4 << 10 // each way of a stream; a host at full size has hundreds
 	maxFrameBytes = 256 << 20
 )
 
