--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -41,12 +41,11 @@
 	Address     string
 	Incarnation once.Incarnation
 	Leaving     bool
-	Version     uint64        // of the configuration in force there
-	Waiting     int           // tasks waiting for a slot there
-	Free        int           // idle slots there
-	Weight      int           // thousandths of a core that the host may use; 0 when not told
-	Started     time.Duration // when its process started, by this host's clock
-	Usable      int           // slots that it may fill at once; 1 before it has told
+	Version     uint64 // of the configuration in force there
+	Waiting     int    // tasks waiting for a slot there
+	Free        int    // idle slots there
+	Weight      int    // thousandths of a core that the host may use; 0 when not told
+	Usable      int    // slots that it may fill at once; 1 before it has told
 }
 
 // Table is a host's view of the others. It is not safe for concurrent use.
@@ -149,12 +148,6 @@
 	return peer, up
 }
 
-// ListedAt returns the listed host at an address.
-func (t *Table) ListedAt(address string) (Listed, bool) {
-	host, listed := t.listed[address]
-	return host, listed
-}
-
 // Refresh takes what a peer told, unless its link has gone down or leads to
 // another incarnation by now.
 func (t *Table) Refresh(peer Peer) {
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -80,9 +80,6 @@
 		known[p.Address] = true
 	}
 	for _, address := range n.members.Expected(now) {
-		if !known[address] {
-			view.Missing = append(view.Missing, n.missingHost(address))
-		}
 		known[address] = true
 	}
 	view.Known = len(known)
@@ -91,31 +88,6 @@
 	return view
 }
 
-// missingHost returns what the rows tell of a host that isn't seen. n.mu is held.
-func (n *Node) missingHost(address string) ownership.Host {
-	listed, _ := n.members.ListedAt(address)
-	return ownership.Host{Address: address, Domain: listed.Domain, Weight: listed.Weight}
-}
-
-// youngTime is how long after their starts hosts count as young: none of them has
-// jobs of before then.
-const youngTime = 1500 * time.Millisecond
-
-// allYoung reports whether all hosts have just started: the runs that their
-// executors still have are of callers that were cut off. n.mu is held.
-func (n *Node) allYoung(now time.Duration) bool {
-	view := n.ownershipView()
-	if now > youngTime || 2*(len(view.Up)+1) <= view.Known {
-		return false
-	}
-	for _, p := range n.members.View(n.inc).Peers {
-		if now > p.Started+youngTime {
-			return false
-		}
-	}
-	return true
-}
-
 // sideWeight is the weight of hosts of large domains that don't hold links to all
 // that may own cells: they come after those.
 const sideWeight = 1
@@ -137,7 +109,6 @@
 		Incarnation: n.inc[:],
 		Leaving:     n.leaving.Load(),
 		Weight:      uint32(n.settings.Weight),
-		UptimeMs:    n.Clock.Now().Milliseconds(),
 	}
 }
 
@@ -205,7 +176,6 @@
 // LinkUp implements peer.Observer.
 func (n *Node) LinkUp(address string, hello *peerpb.Hello) {
 	p := member.Peer{Name: hello.Name, Domain: hello.Domain, Address: address, Leaving: hello.Leaving, Weight: int(hello.Weight)}
-	p.Started = n.Clock.Now() - time.Duration(hello.UptimeMs)*time.Millisecond
 	copy(p.Incarnation[:], hello.Incarnation)
 	n.mu.Lock()
 	n.members.Up(p)
--- a/pkg/node/params.go
+++ b/pkg/node/params.go
@@ -12,23 +12,17 @@
 const (
 	leaseShare   = 0.77 // for the leases of a lost owner
 	takeoverTime = 200 * time.Millisecond
-	// restartGrace is how long runs of no known job are kept when all hosts have
-	// just started: long enough for a job that changes owners then.
-	restartGrace = 100 * time.Millisecond
 )
 
 // cellParams returns the times of leases and the policies. Whatever the settings,
 // the times keep: lease < resubmission, and
-// suspicion + takeover + grace of orphans + stop < resubmission. n.mu is held.
+// suspicion + takeover + grace of orphans + stop < resubmission.
 func (n *Node) cellParams() cell.Params {
 	resubmit := n.settings.ResubmitAfter
 	hold := min(n.settings.LongestHold, time.Duration(leaseShare*float64(resubmit)))
 	params := cell.DefaultParams(hold, n.settings.StopTime)
 	grace := resubmit - n.settings.SuspectAfter - takeoverTime - n.settings.StopTime
 	params.OrphanGrace = max(0, min(params.OrphanGrace, grace))
-	if n.allYoung(n.Clock.Now()) {
-		params.OrphanGrace = min(params.OrphanGrace, restartGrace)
-	}
 	params.Order = n.order
 	params.LinkRate = n.settings.LinkRate()
 	return params
--- a/pkg/node/params_test.go
+++ b/pkg/node/params_test.go
@@ -4,8 +4,6 @@
 	"testing"
 	"time"
 
-	"github.com/foxcroft/foxcroft/pkg/common"
-	"github.com/foxcroft/foxcroft/pkg/peerpb"
 	"github.com/foxcroft/foxcroft/pkg/settings"
 	qt "github.com/frankban/quicktest"
 )
@@ -43,34 +41,3 @@
 	err := CheckPolicies(&settings.Node{Order: "alphabetical"})
 	c.Assert(err, qt.ErrorMatches, `(?s).*alphabetical.*least-work.*`)
 }
-
-// When all hosts have just started, what their executors run is of callers that
-// were cut off, and takes the room of new jobs.
-func TestRunsOfNobodyAfterARestartOfEverything(t *testing.T) {
-	type scenario struct {
-		testName string
-		age      time.Duration // of this process
-		peerAge  time.Duration
-		missing  int // hosts that aren't seen
-		short    bool
-	}
-	scenarios := []scenario{
-		{testName: "all have just started", age: time.Second, peerAge: time.Second, short: true},
-		{testName: "this host alone", age: time.Second, peerAge: time.Minute},
-		{testName: "the other alone", age: time.Minute, peerAge: time.Second},
-		{testName: "others may live out of sight", age: time.Second, peerAge: time.Second, missing: 3},
-	}
-	for _, s := range scenarios {
-		t.Run(s.testName, func(t *testing.T) {
-			c := qt.New(t)
-			n := newTestNode(c, &fakeStore{})
-			n.settings.ResubmitAfter, n.settings.LongestHold, n.settings.SuspectAfter = 1300*time.Millisecond, time.Second, 600*time.Millisecond
-			n.Clock = &common.ManualClock{At: s.age}
-			n.LinkUp("b:1", &peerpb.Hello{Name: "b", Domain: "z", Address: "b:1", Incarnation: []byte{2}, UptimeMs: s.peerAge.Milliseconds()})
-			for i := range s.missing {
-				n.members.Told([]string{string(rune('c'+i)) + ":1"}, s.age)
-			}
-			c.Assert(n.cellParams().OrphanGrace == restartGrace, qt.Equals, s.short)
-		})
-	}
-}
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -52,9 +52,7 @@
 	Self  Host
 	Up    []Host // other hosts whose links are up
 	Known int    // hosts that should be there, this one included
-	// Missing are the hosts that should be there and aren't seen.
-	Missing []Host
-	Back    bool // this host had a row before it started, so the others have theirs too
+	Back  bool   // this host had a row before it started, so the others have theirs too
 	// Listed tells that this host has read the rows, so that it knows whom it
 	// should see.
 	Listed bool
@@ -282,7 +280,7 @@
 	switch {
 	case age >= t.limits.Start:
 		return knowsNobody(view) && age < t.limits.Alone
-	case allHeard(view), view.Back && rivalsHeard(view):
+	case allHeard(view):
 		return !view.Back && age < t.limits.Rows
 	}
 	return !view.Back || age < t.limits.Most || !mostHeard(view)
@@ -321,17 +319,6 @@
 	return true // not seen any more
 }
 
-// rivalsHeard reports whether every host has told which cells it owns that may
-// own one of this host's domain for good: an owner that is far weaker gives its
-// cell to this host anyway.
-func rivalsHeard(view View) bool {
-	rival := func(host Host) bool {
-		strong := host.Weight == 0 || float64(host.Weight) > weakShare*float64(view.Self.Weight)
-		return host.Domain == view.Self.Domain && strong && !host.Heard
-	}
-	return view.Listed && !slices.ContainsFunc(view.Missing, rival) && !slices.ContainsFunc(view.Up, rival)
-}
-
 // allHeard reports whether every host that should be there has told which
 // cells it owns.
 func allHeard(view View) bool {
--- a/pkg/ownership/ownership_test.go
+++ b/pkg/ownership/ownership_test.go
@@ -314,33 +314,3 @@
 		}
 	}
 }
-
-// After a restart of everything a host need not wait for those that would give
-// their cells to it anyway.
-func TestAStrongHostWaitsOnlyForItsRivals(t *testing.T) {
-	strong := func(address string) Host { return Host{Address: address, Domain: domain, Weight: 800, Heard: true} }
-	weak := func(address string) Host { return Host{Address: address, Domain: domain, Weight: 192} }
-	silent := strong("b")
-	silent.Heard = false
-	type scenario struct {
-		testName string
-		view     View
-		want     bool
-	}
-	scenarios := []scenario{
-		{testName: "weak ones are missing", view: View{Self: strong("a"), Up: []Host{weak("c")}, Missing: []Host{weak("d")}, Known: 3, Listed: true, Back: true}, want: true},
-		{testName: "a strong one is missing", view: View{Self: strong("a"), Up: []Host{weak("c")}, Missing: []Host{silent}, Known: 3, Listed: true, Back: true}},
-		{testName: "a strong one hasn't told its cells", view: View{Self: strong("a"), Up: []Host{silent}, Known: 2, Listed: true, Back: true}},
-		{testName: "one of which no weight is known is missing", view: View{Self: strong("a"), Up: []Host{weak("c")}, Missing: []Host{{Address: "b", Domain: domain}}, Known: 3, Listed: true, Back: true}},
-		{testName: "a strong one of another domain is missing", view: View{Self: strong("a"), Up: []Host{weak("c")}, Missing: []Host{host("b", "there")}, Known: 3, Listed: true, Back: true}, want: true},
-		{testName: "most are out of sight", view: View{Self: strong("a"), Missing: []Host{weak("c"), weak("d")}, Known: 3, Listed: true, Back: true}},
-		{testName: "its row is new: others may have none yet", view: View{Self: strong("a"), Up: []Host{weak("c")}, Missing: []Host{weak("d")}, Known: 3, Listed: true}},
-		{testName: "a weak host waits for its like", view: View{Self: weak("a"), Up: []Host{weak("c")}, Missing: []Host{weak("d")}, Known: 3, Listed: true, Back: true}},
-	}
-	for _, s := range scenarios {
-		t.Run(s.testName, func(t *testing.T) {
-			cell := cellOf(s.view.Self, Host{Address: "c", Domain: domain, Weight: s.view.Self.Weight})
-			qt.Assert(t, NewTable(DefaultLimits(), 0).ShouldClaim(cell, domain, s.view, 100*time.Millisecond), qt.Equals, s.want)
-		})
-	}
-}
