A node that becomes the reader of its domain reads at once

Change: a node that should read from now on does so at once; heartbeats confirm the list in large domains only. A test fails without it.

--- a/pkg/node/claims.go
+++ b/pkg/node/claims.go
@@ -69,10 +69,7 @@
 	n.Log.Info("cell_claimed", "cell", cellName, "token", token, "former", o.former)
 	o.followClosures()
 	o.setExecutors(n.executors.Load())
-	select {
-	case n.claimed <- struct{}{}:
-	default:
-	}
+	n.askForList()
 	n.publishClaims()
 }
 
--- a/pkg/node/executors.go
+++ b/pkg/node/executors.go
@@ -74,8 +74,16 @@
 	}
 }
 
-// sleepUnlessClaimed waits for d, or until this node has claimed a cell, whose
-// executors it wants to know anew.
+// askForList has the list of executors read without a pause.
+func (n *Node) askForList() {
+	select {
+	case n.claimed <- struct{}{}:
+	default: // it is asked for already
+	}
+}
+
+// sleepUnlessClaimed waits for d, or until the list is asked for: by a cell that
+// was claimed, or as this node is to read it for its domain from now on.
 func (n *Node) sleepUnlessClaimed(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -221,7 +221,7 @@
 			n.claimCells(now)
 			n.refreshOwnClaims()
 			n.noticeCrowd()
-			n.readsList.Store(n.readsForDomain())
+			n.noticeReader()
 			n.dropSilentFronts(now)
 			nextClaim = now + claimInterval
 		}
--- a/pkg/node/passing.go
+++ b/pkg/node/passing.go
@@ -121,11 +121,25 @@
 	return n.members.IsLarge()
 }
 
-// readsNow reports whether this node reads the list for its domain and has done
-// so a moment ago.
+// noticeReader notes whether this node should read the list for its domain. One
+// that should from now on does so at once: the node before it may be gone, or has
+// stopped as this one comes first.
+func (n *Node) noticeReader() {
+	reads := n.readsForDomain()
+	if before := n.readsList.Swap(reads); reads && !before {
+		n.askForList()
+	}
+}
+
+// readFresh is how old a reading may be for its reader's word to confirm the list
+// to others: a little more than readerInterval.
+const readFresh = 700 * time.Millisecond
+
+// readsNow reports whether this node reads the list for its domain, a large one,
+// and has done so a moment ago. In a small one passOn confirms the list to all.
 func (n *Node) readsNow() bool {
 	current := n.executors.Load()
-	return current != nil && n.Clock.Now() < current.askedAt+confirmInterval && n.readsList.Load()
+	return current != nil && n.Clock.Now() < current.askedAt+readFresh && n.readsList.Load() && n.inLargeDomain()
 }
 
 // domainPeers returns the addresses of the other nodes of the domain in sight.
--- a/pkg/node/passing_test.go
+++ b/pkg/node/passing_test.go
@@ -197,3 +197,26 @@
 	n.heard(otherAddress, &peerpb.Heartbeat{ReadsList: true})
 	c.Assert(n.readerLost(), qt.IsFalse)
 }
+
+// A node that comes first as the reader reads at once: the one before it has
+// stopped, and this one may have just looked whether it should, before it knew
+// the rows.
+func TestANodeThatBecomesTheReaderReadsAtOnce(t *testing.T) {
+	c := qt.New(t)
+	n := nodeBeside(c, "z", 25, 200)
+	asked := func() bool {
+		select {
+		case <-n.claimed:
+			return true
+		default:
+			return false
+		}
+	}
+	n.noticeReader()
+	c.Assert(asked(), qt.IsFalse, qt.Commentf("the other one reads"))
+	n.LinkDown(otherAddress)
+	n.noticeReader()
+	c.Assert(asked(), qt.IsTrue)
+	n.noticeReader()
+	c.Assert(asked(), qt.IsFalse, qt.Commentf("it has read by now"))
+}
