Closed domains in refusals, explain and metrics

A refusal in a closed domain that sees no open one says so, foxcroft explain names it, and a gauge counts the closed domains that a node knows of.

--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -60,6 +60,8 @@
 		return "its node stopped while tasks ran: " + slowest(events)
 	case last.Reason == "no_owner":
 		return "no owner of executors was in sight of its front"
+	case last.Reason == "domain_closed":
+		return "operators have closed the domain of its front, and no owner of an open one was in sight"
 	case last.Reason == "caller_left" && count(events, "job_handed_on") > 0:
 		return "its caller left while it went from owner to owner: " + handOns(events)
 	case last.Reason == "caller_left" && count(events, "task_started") == 0:
--- a/pkg/metrics/node.go
+++ b/pkg/metrics/node.go
@@ -24,6 +24,7 @@
 	Peers          int64 // links that are up
 	Version        int64 // of the configuration in force
 	ExecutorsAgeMS int64 // since the newest reading of the executors was asked for
+	ClosedDomains  int64 // that operators have closed to new work, as far as this node knows
 	LogDropped     int64 // lines
 }
 
@@ -111,6 +112,7 @@
 		{"foxcroft_node_peers_up", func(g NodeGauges) int64 { return g.Peers }},
 		{"foxcroft_node_config_version", func(g NodeGauges) int64 { return g.Version }},
 		{"foxcroft_node_executors_age_ms", func(g NodeGauges) int64 { return g.ExecutorsAgeMS }},
+		{"foxcroft_node_closed_domains", func(g NodeGauges) int64 { return g.ClosedDomains }},
 		{"foxcroft_node_log_lines_dropped", func(g NodeGauges) int64 { return g.LogDropped }},
 	})
 }
--- a/pkg/node/closures_test.go
+++ b/pkg/node/closures_test.go
@@ -81,6 +81,7 @@
 	j := &job.Job{ID: "a", Service: "s", Steps: []job.Step{{Count: 1}}, Received: now, Deadline: now + time.Hour}
 	outcome := n.front.submit(context.Background(), j)
 	c.Assert(outcome.Kind, qt.Equals, job.Refused)
+	c.Assert(outcome.Reason, qt.Equals, reasonDomainClosed)
 	c.Assert(outcome.RetryAfter > 0, qt.IsTrue)
 	c.Assert(n.Clock.Now()-now < noOwnerWait, qt.IsTrue)
 }
--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -163,8 +163,12 @@
 	a.lostCell, a.settleAt = cellName, settleAt
 }
 
-// reasonNotOwner marks a job that was given back untouched.
-const reasonNotOwner = "not_owner"
+// Reasons that fronts and owners give.
+const (
+	reasonNotOwner     = "not_owner"     // a job was given back untouched
+	reasonNoOwner      = "no_owner"      // no owner was in sight in time
+	reasonDomainClosed = "domain_closed" // the own domain is closed, and no owner of an open one is in sight
+)
 
 // follow hands a job to owners until it has ended, beginning with state.
 func (f *front) follow(ctx context.Context, j *job.Job, state attempt) job.Outcome {
@@ -233,10 +237,14 @@
 	if ctx.Err() != nil {
 		return abandoned(ctx, state.started)
 	}
+	reason := reasonNoOwner
+	if f.node.noneOpenInSight() {
+		reason = reasonDomainClosed
+	}
 	if state.started {
-		return job.Outcome{Kind: job.Expired, Reason: "no_owner", Started: true}
+		return job.Outcome{Kind: job.Expired, Reason: reason, Started: true}
 	}
-	return job.Outcome{Kind: job.Refused, Reason: "no_owner", RetryAfter: comeBack}
+	return job.Outcome{Kind: job.Refused, Reason: reason, RetryAfter: comeBack}
 }
 
 // patience returns until when a job waits for an owner: no longer than an owner
--- a/pkg/node/gauges.go
+++ b/pkg/node/gauges.go
@@ -18,6 +18,9 @@
 	if n.executors.Load() != nil {
 		g.ExecutorsAgeMS = (now - n.listConfirmedAt()).Milliseconds()
 	}
+	if closures := n.closures.Load(); closures != nil {
+		g.ClosedDomains = int64(len(closures.Domains))
+	}
 	if n.logDropped != nil {
 		g.LogDropped = int64(n.logDropped())
 	}
