Hosts that are no hubs beat slowly towards owners

Cause: at 300 hosts each host beat every 150 ms towards the 16 owners of its domain. Only hubs may own their cells next, and jobs that are with an owner need it.

--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -372,7 +372,7 @@
 	f.dispatched[address]++
 	first := f.dispatched[address] == 1
 	f.mu.Unlock()
-	if first && !f.node.ownsHere(address) {
+	if first && !f.node.beatsFast(address) {
 		f.node.links.NudgeOne(address) // it beats fast from now on, before the owner takes us for silent
 	}
 	return func() {
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -116,8 +116,9 @@
 // cell, while all cells of the domain have owners: nothing waits for news of them.
 const quietSlowdown = 10
 
-// farSlowdown is the same towards owners of other domains that have no job of
-// this host, while its own domain has room: only their loads are wanted then.
+// farSlowdown is the same towards owners that have no job of this host, and whose
+// cells it wouldn't claim: those of other domains, while its own has room, and in a
+// large domain all, for a host that isn't a hub. Only their loads are wanted then.
 const farSlowdown = 4
 
 // Slowdown implements peer.Pacer. Owners need not beat fast towards the fronts
@@ -127,8 +128,13 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	switch {
-	case n.ownerless && n.neighbour(address), dispatched, n.claims.OwnsIn(address, n.settings.Domain):
+	case n.ownerless && n.neighbour(address), dispatched:
 		return 1
+	case n.claims.OwnsIn(address, n.settings.Domain):
+		if n.isHub.Load() {
+			return 1
+		}
+		return farSlowdown
 	case !n.claims.Owns(address):
 		return quietSlowdown
 	case n.crowded && !n.onThinLink():
@@ -144,11 +150,12 @@
 	return !up || peer.Domain == n.settings.Domain
 }
 
-// ownsHere reports whether another node owns a cell of this node's domain.
-func (n *Node) ownsHere(address string) bool {
+// beatsFast reports whether the link to another node beats fast without a job
+// there: as its cells of this domain may be this node's next.
+func (n *Node) beatsFast(address string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.claims.OwnsIn(address, n.settings.Domain)
+	return n.isHub.Load() && n.claims.OwnsIn(address, n.settings.Domain)
 }
 
 // noticeCrowd notes whether jobs may have to go to other domains, whose owners
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -25,7 +25,10 @@
 const (
 	tickInterval  = 25 * time.Millisecond  // of the cells that are owned
 	claimInterval = 100 * time.Millisecond // of looking for cells without an owner
-	linksInterval = time.Second            // of looking for addresses that peers no longer tell of
+	// sideInterval is the same for a node of a large domain that is no hub and owns
+	// nothing: it claims cells only when the hubs don't.
+	sideInterval  = 400 * time.Millisecond
+	linksInterval = time.Second // of looking for addresses that peers no longer tell of
 )
 
 // Node is one host.
@@ -44,6 +47,7 @@
 
 	leaving       atomic.Bool
 	readsList     atomic.Bool  // this node should read the executors for its domain, as of the last look
+	isHub         atomic.Bool  // this node may own cells of its domain, as of the last look
 	storeFails    atomic.Bool  // the last reading of the executors failed
 	operatorFails atomic.Bool  // the last look at what operators have changed failed
 	readingSince  atomic.Int64 // since when the executors can be read, as a time of the clock; 0 while they can't
@@ -114,6 +118,7 @@
 	}
 	self := member.Peer{Name: s.Name, Domain: s.Domain, Address: s.PeerAddress, Incarnation: inc}
 	n.members = member.NewTable(self, without(s.Seeds, s.PeerAddress), linksToOtherDomains)
+	n.isHub.Store(true) // until the rows tell otherwise
 	n.claims = ownership.NewTable(ownership.DefaultLimits(), c.Clock.Now())
 	link := settings.Link{Heartbeat: s.Heartbeat, SuspectAfter: s.SuspectAfter}
 	n.links = peer.NewSet(c, link, n, n.counters)
@@ -221,9 +226,10 @@
 			n.claimCells(now)
 			n.refreshOwnClaims()
 			n.noticeCrowd()
+			n.noticeHub()
 			n.noticeReader()
 			n.dropSilentFronts(now)
-			nextClaim = now + claimInterval
+			nextClaim = now + n.claimPause()
 		}
 		if now := n.Clock.Now(); now >= nextLinks {
 			n.refreshLinks()
@@ -235,6 +241,15 @@
 	}
 }
 
+// claimPause returns how long to wait before the next look for cells without an
+// owner. The end of a link to an owner is looked at without delay.
+func (n *Node) claimPause() time.Duration {
+	if n.isHub.Load() || len(n.allOwners()) > 0 {
+		return claimInterval
+	}
+	return sideInterval
+}
+
 func (n *Node) tickOwners() bool {
 	busy := false
 	for _, o := range n.allOwners() {
--- a/pkg/node/passing.go
+++ b/pkg/node/passing.go
@@ -121,6 +121,13 @@
 	return n.members.IsLarge()
 }
 
+// noticeHub notes whether this node is a hub of its domain.
+func (n *Node) noticeHub() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.isHub.Store(n.members.IsHub(n.settings.PeerAddress, n.settings.Domain, n.Clock.Now()))
+}
+
 // noticeReader notes whether this node should read the list for its domain. One
 // that should from now on does so at once: the node before it may be gone, or has
 // stopped as this one comes first.
--- a/pkg/node/passing_test.go
+++ b/pkg/node/passing_test.go
@@ -220,3 +220,32 @@
 	n.noticeReader()
 	c.Assert(asked(), qt.IsFalse, qt.Commentf("it has read by now"))
 }
+
+// Nodes that won't claim an owner's cells need not know of its end at once, unless
+// they have jobs there.
+func TestHowFastALinkToAnOwnerBeats(t *testing.T) {
+	type scenario struct {
+		testName string
+		own      int // rank of the node, the highest first
+		job      bool
+		want     int
+	}
+	scenarios := []scenario{
+		{testName: "a hub", own: 39, want: 1},
+		{testName: "no hub", own: 0, want: farSlowdown},
+		{testName: "no hub, with a job there", own: 0, job: true, want: 1},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			n := largeDomain(c, s.own)
+			const owner = "38:1"
+			n.claims.SetClaims(owner, []ownership.Claim{{Cell: "z", Token: 1, Load: ownership.Load{Ready: true, CapacityCPU: 1, FreeCPU: 1}}})
+			n.noticeHub()
+			if s.job {
+				defer n.front.noteDispatch(owner)()
+			}
+			c.Assert(n.Slowdown(owner), qt.Equals, s.want)
+		})
+	}
+}
