--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -208,35 +208,16 @@
 
 // heard takes what a peer's heartbeat tells.
 func (n *Node) heard(address string, beat *peerpb.Heartbeat) {
-	n.mu.Lock()
-	p, up := n.members.UpAt(address)
+	news, up := n.noteBeat(address, beat)
 	if !up {
-		// Claims of a peer that can't be called are of no use.
-		n.mu.Unlock()
-		return
-	}
-	if p.Leaving != beat.Leaving {
-		p.Leaving = beat.Leaving
-		n.members.Refresh(p)
+		return // claims of a peer that can't be called are of no use
 	}
-	changed := n.claims.SetClaims(address, fromCellLoads(beat.Cells))
-	n.peerCounts[address] = fromRouteCounts(beat.RouteCounts)
-	n.storeless[address] = beat.StoreFails
-	newAddress := n.members.Told(n.ownersToFollow(beat.Owners), n.Clock.Now())
-	newAddress = n.members.Told(without(beat.Neighbours, n.settings.PeerAddress), n.Clock.Now()) || newAddress
-	if p.Domain == n.settings.Domain {
-		newAddress = n.members.ToldOfDomain(beat.Addresses, n.Clock.Now()) || newAddress
-	}
-	if beat.ReadsList && p.Domain == n.settings.Domain {
-		n.passedAt.Store(int64(n.Clock.Now()))
-	}
-	n.mu.Unlock()
-	if changed {
+	if news.claims {
 		n.heartbeats.outdate()
 		n.changed.signal()
 		n.links.NudgeOne(address) // links to owners beat faster
 	}
-	if newAddress {
+	if news.addresses {
 		n.refreshLinks()
 	}
 	if beat.ClosuresPosition > 0 {
@@ -245,6 +226,42 @@
 	n.compareNews(address, beat)
 }
 
+// beatNews is what a heartbeat has changed here.
+type beatNews struct {
+	claims    bool // the peer's
+	addresses bool // of hosts to hold links to
+}
+
+// noteBeat notes what a heartbeat tells of its peer and of others, and reports
+// whether the link to the peer is up.
+func (n *Node) noteBeat(address string, beat *peerpb.Heartbeat) (news beatNews, up bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p, up := n.members.UpAt(address)
+	if !up {
+		return beatNews{}, false
+	}
+	if p.Leaving != beat.Leaving {
+		p.Leaving = beat.Leaving
+		n.members.Refresh(p)
+	}
+	news.claims = n.claims.SetClaims(address, fromCellLoads(beat.Cells))
+	n.peerCounts[address] = fromRouteCounts(beat.RouteCounts)
+	n.storeless[address] = beat.StoreFails
+	now := n.Clock.Now()
+	newOwner := n.members.Told(n.ownersToFollow(beat.Owners), now)
+	newNeighbour := n.members.Told(without(beat.Neighbours, n.settings.PeerAddress), now)
+	news.addresses = newOwner || newNeighbour
+	if p.Domain != n.settings.Domain {
+		return news, true
+	}
+	news.addresses = n.members.ToldOfDomain(beat.Addresses, now) || news.addresses
+	if beat.ReadsList {
+		n.passedAt.Store(int64(now))
+	}
+	return news, true
+}
+
 // ownersToFollow returns the addresses of owners that a peer told of and that
 // this node keeps links to.
 func (n *Node) ownersToFollow(told []*peerpb.CellOwner) []string {
