--- a/pkg/node/executors.go
+++ b/pkg/node/executors.go
@@ -105,12 +105,14 @@
 // listDuty decides what to do next.
 func (n *Node) listDuty() listDuty {
 	owners := n.allOwners()
+	reads := n.readsForDomain()
+	n.readsList.Store(reads)
 	switch {
 	case n.awaitsFirstList():
 		return listDuty{idle: true, pause: firstListPause}
 	case n.ownersWait(owners):
 		return listDuty{read: true, urgent: true, pause: urgentInterval}
-	case n.readsForDomain():
+	case reads:
 		return listDuty{read: true, pause: readerInterval}
 	case n.executors.Load() == nil || n.readerLost():
 		return listDuty{read: true, pause: ownersInterval}
--- a/pkg/node/passing.go
+++ b/pkg/node/passing.go
@@ -52,8 +52,12 @@
 
 // readerRank returns the rank of a node of the domain. n.mu is held.
 func (n *Node) readerRank(name, address string) readerRank {
+	linkMbps := n.rows[name].Capacity.LinkMbps
+	if address == n.settings.PeerAddress {
+		linkMbps = n.settings.LinkMbps // its row may not be there yet
+	}
 	return readerRank{
-		linkMbps: n.rows[name].Capacity.LinkMbps,
+		linkMbps: linkMbps,
 		owns:     n.claims.Owns(address),
 		score:    member.Score(n.settings.Domain, address),
 	}
@@ -129,8 +133,8 @@
 }
 
 // noticeReader notes whether this node should read the list for its domain. One
-// that should from now on does so at once: the node before it may be gone, or has
-// stopped as this one comes first.
+// that should, and didn't at the last look or when it last decided what to do, does
+// so at once: the node before it may be gone, or has stopped as this one comes first.
 func (n *Node) noticeReader() {
 	reads := n.readsForDomain()
 	if before := n.readsList.Swap(reads); reads && !before {
--- a/pkg/node/passing_test.go
+++ b/pkg/node/passing_test.go
@@ -19,6 +19,7 @@
 // nodeBeside makes a node that sees another one of a domain.
 func nodeBeside(c *qt.C, domain string, ownMbps, otherMbps float64) *Node {
 	n := newTestNode(c, &fakeStore{})
+	n.settings.LinkMbps = ownMbps
 	n.rows = map[string]Member{
 		"a": {Name: "a", Domain: "z", PeerAddress: n.settings.PeerAddress, Capacity: ownership.Capacity{LinkMbps: ownMbps}},
 		"b": {Name: "b", Domain: domain, PeerAddress: otherAddress, Capacity: ownership.Capacity{LinkMbps: otherMbps}},
@@ -35,6 +36,7 @@
 		otherMbps float64
 		ownsCell  bool // this node does
 		storeless bool // the other can't read the store
+		rowless   bool // this node's row isn't there
 		want      bool
 	}
 	scenarios := []scenario{
@@ -42,6 +44,7 @@
 		{testName: "the thinner link", domain: "z", ownMbps: 25, otherMbps: 200},
 		{testName: "of equals one that owns nothing", domain: "z", ownMbps: 25, otherMbps: 25, ownsCell: true},
 		{testName: "the other can't read the store", domain: "z", ownMbps: 25, otherMbps: 200, storeless: true, want: true},
+		{testName: "the own row isn't there yet", domain: "z", ownMbps: 200, otherMbps: 25, rowless: true, want: true},
 		{testName: "the other is of another domain", domain: "y", ownMbps: 25, otherMbps: 200, want: true},
 	}
 	for _, s := range scenarios {
@@ -52,6 +55,9 @@
 				n.claims.SetClaims(n.settings.PeerAddress, []ownership.Claim{{Cell: "z", Token: 1}})
 			}
 			n.storeless[otherAddress] = s.storeless
+			if s.rowless {
+				delete(n.rows, "a")
+			}
 			c.Assert(n.readsForDomain(), qt.Equals, s.want)
 		})
 	}
@@ -139,6 +145,7 @@
 		row := Member{Name: strconv.Itoa(i), Domain: "z", PeerAddress: strconv.Itoa(i) + ":1", Capacity: ownership.Capacity{CPU: 100 + i, LinkMbps: float64(10 + i)}}
 		if i == own {
 			row.Name, row.PeerAddress = n.settings.Name, n.settings.PeerAddress
+			n.settings.LinkMbps = row.Capacity.LinkMbps
 		}
 		rows = append(rows, row)
 	}
@@ -219,6 +226,13 @@
 	c.Assert(asked(), qt.IsTrue)
 	n.noticeReader()
 	c.Assert(asked(), qt.IsFalse, qt.Commentf("it has read by now"))
+
+	n.LinkUp(otherAddress, &peerpb.Hello{Name: "b", Domain: "z", Address: otherAddress, Incarnation: []byte{2}})
+	n.executors.Store(newListing(n.Clock.Now(), &catalog.Executors{}, nil, nil))
+	c.Assert(n.listDuty().read, qt.IsFalse)
+	n.LinkDown(otherAddress)
+	n.noticeReader()
+	c.Assert(asked(), qt.IsTrue, qt.Commentf("it was no reader only when it decided what to do"))
 }
 
 // Nodes that won't claim an owner's cells need not know of its end at once, unless
