--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -26,10 +26,7 @@
 	OrphanGrace time.Duration // how long runs of no known job are kept after a takeover
 	StopTime    time.Duration // what a stop may take at an executor
 	LinkRate    float64       // bytes a second that the host's link carries; 0 when not known
-	// ClosingGrace is how long jobs that have started may start tasks after the cell
-	// was closed to new work.
-	ClosingGrace time.Duration
-	Order        func() Order // makes the order of jobs
+	Order       func() Order  // makes the order of jobs
 }
 
 // DefaultParams returns the times for a longest hold. The lease ends well
@@ -108,7 +105,6 @@
 	complete   bool          // the executors listed are all that the former owner can have known
 	pausedTill time.Duration // no starts before
 	closed     bool          // operators want no new work here
-	closedAt   time.Duration // since when, or since when not
 	lossyTill  time.Duration // calls have gone unanswered a moment before
 	placedAt   time.Duration // the last time that the queue was gone through
 	dirty      bool          // room or work has changed since the last placement
--- a/pkg/cell/closed.go
+++ b/pkg/cell/closed.go
@@ -17,17 +17,11 @@
 	if c.closed == closed {
 		return
 	}
-	c.closed, c.closedAt = closed, now
+	c.closed = closed
 	c.dirty = true
 	c.advance(now)
 }
 
-// mayStart reports whether tasks of a job may start here. Jobs that had started
-// when the cell was closed may go on for a while, where that is allowed.
-func (c *Cell) mayStart(w *work, now time.Duration) bool {
-	return !c.closed || w.started && now < c.closedAt+c.params.ClosingGrace
-}
-
 // handBack gives the jobs back that a closed cell can't go on with.
 func (c *Cell) handBack(now time.Duration) {
 	if !c.closed {
@@ -35,7 +29,7 @@
 	}
 	for _, w := range c.sortedWorks() {
 		// Before settleAt runs may go on that this owner hasn't seen.
-		if c.mayStart(w, now) || w.hasRuns() || now < w.settleAt {
+		if w.hasRuns() || now < w.settleAt {
 			continue
 		}
 		c.finish(w, job.Outcome{Kind: job.Moved, Reason: ReasonClosed, Started: w.started, Progress: w.progress()})
--- a/pkg/cell/closed_test.go
+++ b/pkg/cell/closed_test.go
@@ -87,22 +87,6 @@
 	c.Assert(d.finished["a"].Kind, qt.Equals, job.Completed)
 }
 
-func TestJobsThatHaveStartedMayGoOnForAGrace(t *testing.T) {
-	c := qt.New(t)
-	d := adopted(c, 1)
-	d.cell.params.ClosingGrace = time.Second
-	d.submit(testJob("a", 3, d.now), 1)
-	starts := d.of(Start)
-	for _, start := range starts {
-		d.startAnswer(start, Accepted)
-	}
-	d.setClosed(true)
-	d.end(1, starts[0], starts[1])
-	c.Assert(d.of(Start), qt.HasLen, 1)
-	d.submit(testJob("new", 1, d.now), 1)
-	c.Assert(d.finished["new"].Reason, qt.Equals, ReasonClosed)
-}
-
 // A job of a lost owner whose runs may go on unseen isn't handed to another cell
 // while they may.
 func TestAClosedCellKeepsJobsWhoseRunsMayGoOnUnseen(t *testing.T) {
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -126,7 +126,7 @@
 	if !c.dirty {
 		return
 	}
-	if now < c.pausedTill || c.placedLately(now) || c.pacer.full() {
+	if c.closed || now < c.pausedTill || c.placedLately(now) || c.pacer.full() {
 		return
 	}
 	c.dirty = false
@@ -137,9 +137,6 @@
 		return
 	}
 	for _, w := range c.ranked(now) {
-		if !c.mayStart(w, now) {
-			continue
-		}
 		c.placeWork(candidates, w, now)
 		if mostRoom(candidates) < least || c.pacer.full() {
 			return
