Changes of executors are read until there are no more

Ruled out: no reader (one read each half second), lost word of it (revisions were told and fetched).

Change: the adapter tells when an answer is full, and the reader goes on at once. What came before the last answer counts as of no later time than before.

--- a/pkg/catalog/executors.go
+++ b/pkg/catalog/executors.go
@@ -13,6 +13,7 @@
 	Revision uint64     // of the store up to which this tells all changes
 	Listed   []Executor // new or changed
 	Gone     []string   // ids of those that are no longer listed
+	More     bool       // the store has more changes to tell, from Revision on
 }
 
 // Empty reports whether nothing has changed.
--- a/pkg/node/executors.go
+++ b/pkg/node/executors.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/catalog"
 	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/errkind"
 	"github.com/foxcroft/foxcroft/pkg/traffic"
@@ -194,7 +195,7 @@
 	if whole || n.positionIsOld(askedAt) {
 		return n.readAllExecutors(ctx, askedAt, urgent)
 	}
-	changes, err := n.store.ExecutorChanges(ctx, position)
+	err := n.readChanges(ctx, askedAt, position)
 	if errkind.Of(err) == errkind.NotFound {
 		n.Log.Info("executors_history_gone", "since", position)
 		n.listing.Lock()
@@ -202,13 +203,36 @@
 		n.listing.Unlock()
 		return n.readAllExecutors(ctx, askedAt, urgent)
 	}
-	if err != nil {
-		return err
+	return err
+}
+
+// readChanges asks for what has changed until the store has no more to tell: of
+// thousands of executors more changes than an answer holds within readerInterval.
+func (n *Node) readChanges(ctx context.Context, askedAt time.Duration, position uint64) error {
+	for {
+		changes, err := n.store.ExecutorChanges(ctx, position)
+		if err != nil {
+			return err
+		}
+		if !changes.More {
+			n.takeReading(askedAt, func() (accepted, news bool) {
+				return true, n.roster.TakeChanges(changes)
+			})
+			return nil
+		}
+		n.takePart(changes)
+		position = changes.Revision
 	}
-	n.takeReading(askedAt, func() (accepted, news bool) {
-		return true, n.roster.TakeChanges(changes)
-	})
-	return nil
+}
+
+// takePart takes changes that don't tell the state as of now yet.
+func (n *Node) takePart(changes *catalog.ExecutorChanges) {
+	n.listing.Lock()
+	defer n.listing.Unlock()
+	before := n.roster.Revision()
+	news := n.roster.TakeChanges(changes)
+	n.publish(news, n.executors.Load().askedAt)
+	n.passOn(before)
 }
 
 // takeReading takes an answer of the store into the roster, acts on it and
--- a/pkg/node/news_test.go
+++ b/pkg/node/news_test.go
@@ -22,7 +22,8 @@
 	Store
 	version atomic.Uint64
 	silent  atomic.Bool
-	floor   atomic.Uint64 // history before it is gone
+	floor   atomic.Uint64              // history before it is gone
+	answers []*catalog.ExecutorChanges // on changes of executors, used up one by one; then nothing has changed
 }
 
 func (f *fakeStore) Operator(context.Context) (OperatorChanges, error) {
@@ -55,7 +56,7 @@
 	if f.silent.Load() {
 		return nil, errors.New("silent")
 	}
-	return &catalog.Executors{Revision: f.version.Load()}, nil
+	return &catalog.Executors{Revision: f.version.Load(), ByID: map[string]catalog.Executor{}}, nil
 }
 
 func (f *fakeStore) Ping(context.Context) error {
@@ -69,6 +70,11 @@
 	if f.silent.Load() {
 		return nil, errors.New("silent")
 	}
+	if len(f.answers) > 0 {
+		answer := f.answers[0]
+		f.answers = f.answers[1:]
+		return answer, nil
+	}
 	return &catalog.ExecutorChanges{Revision: f.version.Load()}, nil
 }
 
--- a/pkg/node/passing_test.go
+++ b/pkg/node/passing_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"strconv"
 	"testing"
 	"time"
@@ -263,3 +264,25 @@
 		})
 	}
 }
+
+// Thousands of executors write more changes than an answer of the store holds, so
+// that a reader that took one answer at a time fell behind for good.
+func TestChangesAreReadUntilThereAreNoMore(t *testing.T) {
+	c := qt.New(t)
+	store := &fakeStore{}
+	n := newTestNode(c, store)
+	c.Assert(n.readAllExecutors(context.Background(), time.Second, false), qt.IsNil)
+	listed := func(id string) []catalog.Executor { return []catalog.Executor{{ID: id}} }
+	store.answers = []*catalog.ExecutorChanges{
+		{Revision: 1, Listed: listed("a"), More: true},
+		{Revision: 2, Listed: listed("b"), More: true},
+		{Revision: 3, Listed: listed("c")},
+	}
+	c.Assert(n.readExecutors(context.Background(), 2*time.Second, false), qt.IsNil)
+	c.Assert(n.executors.Load().inDomain(""), qt.HasLen, 3)
+	c.Assert(n.executors.Load().askedAt, qt.Equals, 2*time.Second)
+
+	n.takePart(&catalog.ExecutorChanges{Revision: 4, Listed: listed("d"), More: true})
+	c.Assert(n.executors.Load().inDomain(""), qt.HasLen, 4)
+	c.Assert(n.executors.Load().askedAt, qt.Equals, 2*time.Second, qt.Commentf("a part tells of no later time"))
+}
