A link that comes up anew isn't the one before

Where only an owner's answers are cut off the next hello of the front still came through, and the owner took it for one that had come back.

Change: hellos carry the number of the link, which rises whenever the front counts what was under way as lost; the owner then counts the front as gone at once. A session that a peer only tries, and never uses, takes nothing from the one before.

--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -284,7 +284,6 @@
 
 // Greeted implements peer.Handler.
 func (n *Node) Greeted(from *peerpb.Hello) {
-	n.arrivals.note(from.Address, n.Clock.Now())
 	n.mu.Lock()
 	news := n.members.Greeted(from.Address, n.Clock.Now())
 	n.mu.Unlock()
--- a/pkg/peer/callers.go
+++ b/pkg/peer/callers.go
@@ -38,31 +38,50 @@
 	return callerKey{from: hello.Address, dialled: hello.Dialled}
 }
 
-// greeted takes the hello on a new session. The session before it handles nothing
-// any more: its peer sends what matters again. A process that took the place of
-// another one is told of as such first.
-func (c *callers) greeted(hello *peerpb.Hello, session *servedSession) {
-	before := c.replace(hello, session)
-	if before == nil {
+// isSameLink reports whether a hello is of the same process, and of a link that it
+// hasn't counted as down since.
+func isSameLink(a, b *peerpb.Hello) bool {
+	return bytes.Equal(a.Incarnation, b.Incarnation) && a.Link == b.Link
+}
+
+// greeted takes the hello on a new session. A process that took the place of
+// another one, or a peer that has given up what it had under way here, is told of
+// as one that has left first.
+func (c *callers) greeted(hello *peerpb.Hello) {
+	c.mu.Lock()
+	before := c.current[keyOf(hello)]
+	if before == nil || isSameLink(before.hello, hello) {
+		c.mu.Unlock()
 		return
 	}
+	c.forget(before)
+	c.mu.Unlock()
 	before.session.end()
-	if !bytes.Equal(before.hello.Incarnation, hello.Incarnation) {
-		c.left(before.hello)
+	c.left(before.hello)
+}
+
+// forget takes a caller off the list. c.mu is held.
+func (c *callers) forget(gone *caller) {
+	delete(c.current, keyOf(gone.hello))
+	if gone.leaves != nil {
+		gone.leaves.Stop()
 	}
 }
 
-// replace makes a session the current one of its link and returns the caller
-// before it, or nil.
-func (c *callers) replace(hello *peerpb.Hello, session *servedSession) *caller {
+// used takes that a peer uses a new session. From the one before it nothing is
+// handled any more: the peer sends what matters again. A session that the peer
+// only tried, and gave up before it had an answer, changes nothing.
+func (c *callers) used(hello *peerpb.Hello, session *servedSession) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	before := c.current[keyOf(hello)]
+	if before != nil {
+		c.forget(before)
+	}
 	c.current[keyOf(hello)] = &caller{hello: hello, session: session}
-	if before != nil && before.leaves != nil {
-		before.leaves.Stop()
+	c.mu.Unlock()
+	if before != nil {
+		before.session.over.Store(true)
 	}
-	return before
 }
 
 // ended takes the end of a session. Its peer has a while to open another one.
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -49,6 +49,7 @@
 	counters *Counters
 	session  atomic.Pointer[session]
 	calls    atomic.Uint64 // numbers calls, over all sessions
+	number   atomic.Uint64 // rises each time that the link comes up anew
 	nudge    chan struct{} // asks for a heartbeat at once
 	cancel   context.CancelFunc
 }
@@ -113,6 +114,7 @@
 
 func (l *Link) run(ctx context.Context) {
 	backoff := firstBackoff
+	l.number.Add(1)
 	for ctx.Err() == nil {
 		s, err := l.open(min(dialTimeout, l.settings.SuspectAfter))
 		if err != nil {
@@ -126,6 +128,7 @@
 		l.observer.LinkUp(l.address, s.peer)
 		l.Log.Info("link_up", "name", s.peer.Name)
 		l.keep(ctx, s)
+		l.number.Add(1)
 		l.observer.LinkDown(l.address)
 		l.Log.Info("link_down", "name", s.peer.Name)
 	}
@@ -183,7 +186,7 @@
 
 func (l *Link) greet(s *session, within time.Duration) error {
 	hello := l.observer.Hello()
-	hello.Dialled = l.address
+	hello.Dialled, hello.Link = l.address, l.number.Load()
 	reply := s.call(l.calls.Add(1), &peerpb.Message{Body: &peerpb.Message_Hello{Hello: hello}}, 0)
 	if reply == nil {
 		return l.down()
--- a/pkg/peer/resume_test.go
+++ b/pkg/peer/resume_test.go
@@ -74,8 +74,16 @@
 	return append([]byte{}, d.left...)
 }
 
-func helloOf(incarnation byte) *peerpb.Hello {
-	return &peerpb.Hello{Address: "front:1", Dialled: "owner:1", Incarnation: []byte{incarnation}}
+func helloOf(incarnation byte, link uint64) *peerpb.Hello {
+	return &peerpb.Hello{Address: "front:1", Dialled: "owner:1", Incarnation: []byte{incarnation}, Link: link}
+}
+
+// join opens a session and uses it.
+func join(c *callers, hello *peerpb.Hello) *servedSession {
+	s := &servedSession{}
+	c.greeted(hello)
+	c.used(hello, s)
+	return s
 }
 
 func TestWhenACallerHasLeft(t *testing.T) {
@@ -85,27 +93,29 @@
 		want     []byte
 	}{
 		{"it lost its connection and doesn't come back", func(c *callers) {
-			s := &servedSession{}
-			c.greeted(helloOf(1), s)
-			c.ended(helloOf(1), s)
+			c.ended(helloOf(1, 1), join(c, helloOf(1, 1)))
 		}, []byte{1}},
 		{"it comes back", func(c *callers) {
-			s := &servedSession{}
-			c.greeted(helloOf(1), s)
-			c.ended(helloOf(1), s)
-			c.greeted(helloOf(1), &servedSession{})
+			c.ended(helloOf(1, 1), join(c, helloOf(1, 1)))
+			join(c, helloOf(1, 1))
 		}, []byte{}},
 		{"it came back before its connection was known to be lost", func(c *callers) {
-			s := &servedSession{}
-			c.greeted(helloOf(1), s)
-			c.greeted(helloOf(1), &servedSession{})
-			c.ended(helloOf(1), s)
+			s := join(c, helloOf(1, 1))
+			join(c, helloOf(1, 1))
+			c.ended(helloOf(1, 1), s)
 		}, []byte{}},
+		{"it tries to come back, and has no answer", func(c *callers) {
+			c.ended(helloOf(1, 1), join(c, helloOf(1, 1)))
+			c.greeted(helloOf(1, 1))
+			c.ended(helloOf(1, 1), &servedSession{})
+		}, []byte{1}},
+		{"it has counted the link as down: what it had under way is lost", func(c *callers) {
+			join(c, helloOf(1, 1))
+			c.greeted(helloOf(1, 2))
+		}, []byte{1}},
 		{"another process took its place", func(c *callers) {
-			s := &servedSession{}
-			c.greeted(helloOf(1), s)
-			c.ended(helloOf(1), s)
-			c.greeted(helloOf(2), &servedSession{})
+			c.ended(helloOf(1, 1), join(c, helloOf(1, 1)))
+			join(c, helloOf(2, 1))
 		}, []byte{1}},
 	}
 	for _, s := range scenarios {
@@ -121,11 +131,30 @@
 	}
 }
 
-// Nothing is handled from a session once its peer has opened another one.
-func TestAnEarlierSessionIsOver(t *testing.T) {
+// Nothing is handled from a session once its peer uses another one; one that the
+// peer only tries takes nothing from it.
+func TestWhenAnEarlierSessionIsOver(t *testing.T) {
 	c := newCallers(func(*peerpb.Hello) {})
-	s := &servedSession{}
-	c.greeted(helloOf(1), s)
-	c.greeted(helloOf(1), &servedSession{})
-	qt.Assert(t, s.ended, qt.IsTrue)
+	first := join(c, helloOf(1, 1))
+	c.greeted(helloOf(1, 1))
+	qt.Assert(t, first.over.Load(), qt.IsFalse)
+	c.used(helloOf(1, 1), &servedSession{})
+	qt.Assert(t, first.over.Load(), qt.IsTrue)
+}
+
+// A front that has given an owner up hands its jobs to another one. Where only the
+// answers of the owner are cut off, its next hello still comes through: the owner
+// has to count it as gone then, not as back.
+func TestALinkThatIsUpAnewHasAnotherNumber(t *testing.T) {
+	r := newRig(t, func(_ *peerpb.Message, reply Reply) { reply(acknowledge(7), 0) })
+	before := r.link.number.Load()
+	r.relay.Reset()
+	r.eventually(t, func() bool {
+		_, err := r.link.Call(context.Background(), record("x"), 0)
+		return err == nil
+	})
+	qt.Assert(t, r.link.number.Load(), qt.Equals, before, qt.Commentf("it is resumed"))
+	r.relay.SetCutWays(false, true)
+	r.eventually(t, func() bool { return r.local.up.Load() == 0 })
+	qt.Assert(t, r.link.number.Load() > before, qt.IsTrue)
 }
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/common"
@@ -115,6 +116,8 @@
 	// handling is held while a message is handled, so that none is handled
 	// after the handler was told that the peer has left.
 	handling sync.RWMutex
+	used     atomic.Bool // a message other than the hello has come
+	over     atomic.Bool // the peer uses a newer session
 }
 
 // end marks the session as ended and returns its hello, or nil.
@@ -128,7 +131,7 @@
 func (s *servedSession) handle(p *pipe, m *peerpb.Message) {
 	s.handling.RLock()
 	defer s.handling.RUnlock()
-	if s.ended {
+	if s.ended || s.over.Load() {
 		return // the peer takes what it sent for lost
 	}
 	reply := func(answer *peerpb.Message, wait time.Duration) {
@@ -138,7 +141,7 @@
 	}
 	if hello := m.GetHello(); hello != nil {
 		s.setHello(hello)
-		s.server.callers.greeted(hello, s)
+		s.server.callers.greeted(hello)
 		s.server.handler.Greeted(hello)
 		reply(&peerpb.Message{Body: &peerpb.Message_Hello{Hello: s.server.observer.Hello()}}, 0)
 		return
@@ -148,6 +151,9 @@
 		reply(FailureMessage(errkind.New(errkind.BadRequest, "send a hello first", "the link has no hello")), 0)
 		return
 	}
+	if !s.used.Swap(true) {
+		s.server.callers.used(from, s)
+	}
 	s.server.handler.Handle(from, m, reply)
 }
 
