--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -8,11 +8,9 @@
 	"slices"
 	"time"
 
-	"github.com/foxcroft/foxcroft/pkg/catalog"
 	"github.com/foxcroft/foxcroft/pkg/errkind"
 	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/member"
-	"github.com/foxcroft/foxcroft/pkg/ownership"
 	"github.com/foxcroft/foxcroft/pkg/peer"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
 )
@@ -67,39 +65,6 @@
 	return slices.Collect(maps.Values(rows))
 }
 
-// ownershipView returns what this node sees of the others. n.mu is held.
-func (n *Node) ownershipView() ownership.View {
-	view := ownership.View{Self: ownership.Host{Address: n.settings.PeerAddress, Domain: n.settings.Domain, Leaving: n.leaving.Load(), Weight: n.settings.Weight}}
-	known := map[string]bool{n.settings.PeerAddress: true}
-	now := n.Clock.Now()
-	view.Self.Weight = n.weightOf(view.Self, now)
-	for _, p := range n.members.View(n.inc).Peers {
-		host := ownership.Host{Address: p.Address, Domain: p.Domain, Leaving: p.Leaving, Weight: p.Weight, Heard: n.claims.Heard(p.Address)}
-		host.Weight = n.weightOf(host, now)
-		view.Up = append(view.Up, host)
-		known[p.Address] = true
-	}
-	for _, address := range n.members.Expected(now) {
-		known[address] = true
-	}
-	view.Known = len(known)
-	view.Back = n.back
-	view.Listed = n.rowsRead
-	return view
-}
-
-// sideWeight is the weight of hosts of large domains that don't hold links to all
-// that may own cells: they come after those.
-const sideWeight = 1
-
-// weightOf returns the weight with which a host may own cells. n.mu is held.
-func (n *Node) weightOf(host ownership.Host, now time.Duration) int {
-	if n.members.IsHub(host.Address, host.Domain, now) {
-		return host.Weight
-	}
-	return sideWeight
-}
-
 // Hello implements peer.Observer.
 func (n *Node) Hello() *peerpb.Hello {
 	return &peerpb.Hello{
@@ -112,74 +77,6 @@
 	}
 }
 
-// quietSlowdown is how much more slowly links beat towards hosts that own no
-// cell, while all cells of the domain have owners: nothing waits for news of them.
-const quietSlowdown = 10
-
-// farSlowdown is the same towards owners that have no job of this host, and whose
-// cells it wouldn't claim: those of other domains, while its own has room, and in a
-// large domain all, for a host that isn't a hub. Only their loads are wanted then.
-const farSlowdown = 4
-
-// Slowdown implements peer.Pacer. Owners need not beat fast towards the fronts
-// whose jobs they have: they watch the fronts' own heartbeats.
-func (n *Node) Slowdown(address string) int {
-	dispatched := n.front.dispatchedTo(address)
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	switch {
-	case n.ownerless && n.neighbour(address), dispatched:
-		return 1
-	case n.claims.OwnsIn(address, n.settings.Domain):
-		if n.isHub.Load() {
-			return 1
-		}
-		return farSlowdown
-	case !n.claims.Owns(address):
-		return quietSlowdown
-	case n.crowded && !n.onThinLink():
-		return 1
-	}
-	return farSlowdown
-}
-
-// neighbour reports whether a node is of the own domain, or may be: its link has
-// never been up. n.mu is held.
-func (n *Node) neighbour(address string) bool {
-	peer, up := n.members.UpAt(address)
-	return !up || peer.Domain == n.settings.Domain
-}
-
-// beatsFast reports whether the link to another node beats fast without a job
-// there: as its cells of this domain may be this node's next.
-func (n *Node) beatsFast(address string) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.isHub.Load() && n.claims.OwnsIn(address, n.settings.Domain)
-}
-
-// noticeCrowd notes whether jobs may have to go to other domains, whose owners
-// then beat fast so that their loads are fresh.
-func (n *Node) noticeCrowd() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.crowded = ownership.Crowded(n.claims.Owned(), n.settings.Domain)
-}
-
-// noticeOwnerless has all links beat fast once a cell of this domain lacks an
-// owner, so that hosts that are gone too are soon known as such.
-func (n *Node) noticeOwnerless(listing *listing) {
-	cells := listing.cellsOf(n.settings.Domain)
-	n.mu.Lock()
-	ownerless := !n.claims.AllOwned(cells)
-	news := ownerless && !n.ownerless
-	n.ownerless = ownerless
-	n.mu.Unlock()
-	if news {
-		n.links.Nudge()
-	}
-}
-
 // LinkUp implements peer.Observer.
 func (n *Node) LinkUp(address string, hello *peerpb.Hello) {
 	p := member.Peer{Name: hello.Name, Domain: hello.Domain, Address: address, Leaving: hello.Leaving, Weight: int(hello.Weight)}
@@ -207,81 +104,6 @@
 	}
 }
 
-// HeartbeatReply implements peer.Observer.
-func (n *Node) HeartbeatReply(address string, beat *peerpb.Heartbeat) { n.heard(address, beat) }
-
-// heard takes what a peer's heartbeat tells.
-func (n *Node) heard(address string, beat *peerpb.Heartbeat) {
-	news, up := n.noteBeat(address, beat)
-	if !up {
-		return // claims of a peer that can't be called are of no use
-	}
-	if news.claims {
-		n.heartbeats.outdate()
-		n.changed.signal()
-		n.links.NudgeOne(address) // links to owners beat faster
-	}
-	if news.addresses {
-		n.refreshLinks()
-	}
-	if beat.ClosuresPosition > 0 {
-		n.offerClosures(&catalog.Closures{Position: beat.ClosuresPosition, Domains: beat.ClosedDomains}, address)
-	}
-	n.compareNews(address, beat)
-}
-
-// beatNews is what a heartbeat has changed here.
-type beatNews struct {
-	claims    bool // the peer's
-	addresses bool // of hosts to hold links to
-}
-
-// noteBeat notes what a heartbeat tells of its peer and of others, and reports
-// whether the link to the peer is up.
-func (n *Node) noteBeat(address string, beat *peerpb.Heartbeat) (news beatNews, up bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	p, up := n.members.UpAt(address)
-	if !up {
-		return beatNews{}, false
-	}
-	if p.Leaving != beat.Leaving {
-		p.Leaving = beat.Leaving
-		n.members.Refresh(p)
-	}
-	news.claims = n.claims.SetClaims(address, fromCellLoads(beat.Cells))
-	n.peerCounts[address] = fromRouteCounts(beat.RouteCounts)
-	n.storeless[address] = beat.StoreFails
-	now := n.Clock.Now()
-	newOwner := n.members.Told(n.ownersToFollow(beat.Owners), now)
-	newNeighbour := n.members.Told(without(beat.Neighbours, n.settings.PeerAddress), now)
-	news.addresses = newOwner || newNeighbour
-	if p.Domain != n.settings.Domain {
-		return news, true
-	}
-	news.addresses = n.members.ToldOfDomain(beat.Addresses, now) || news.addresses
-	if beat.ReadsList {
-		n.passedAt.Store(int64(now))
-	}
-	return news, true
-}
-
-// ownersToFollow returns the addresses of owners that a peer told of and that
-// this node keeps links to.
-func (n *Node) ownersToFollow(told []*peerpb.CellOwner) []string {
-	listing := n.executors.Load()
-	if listing == nil {
-		return nil
-	}
-	var addresses []string
-	for _, o := range told {
-		if listing.followed[o.Cell] && o.Owner != n.settings.PeerAddress {
-			addresses = append(addresses, o.Owner)
-		}
-	}
-	return addresses
-}
-
 // Greeted implements peer.Handler.
 func (n *Node) Greeted(from *peerpb.Hello) {
 	n.mu.Lock()
