--- a/pkg/member/hubs.go
+++ b/pkg/member/hubs.go
@@ -108,7 +108,8 @@
 // other.
 func (t *Table) IsLarge() bool { return t.domains[t.self.Domain].large() }
 
-// wantedNear returns the hosts of the own domain to hold links to.
+// wantedNear returns the hosts of the own domain to hold links to. From the first
+// time on that it names a hub, that one counts as missing unless its link is up.
 func (t *Table) wantedNear(now time.Duration) []string {
 	own := t.domains[t.self.Domain]
 	if !own.large() {
