--- a/pkg/catalog/closures.go
+++ b/pkg/catalog/closures.go
@@ -73,11 +73,11 @@
 	for _, domain := range changes.Closed {
 		domains[domain] = true
 	}
-	return NewClosures(changes.Position, domains), true
+	return newClosures(changes.Position, domains), true
 }
 
-// NewClosures makes the closures of a set of domains.
-func NewClosures(position uint64, domains map[string]bool) *Closures {
+// newClosures makes the closures of a set of domains.
+func newClosures(position uint64, domains map[string]bool) *Closures {
 	closures := &Closures{Position: position}
 	for domain := range domains {
 		closures.Domains = append(closures.Domains, domain)
--- a/pkg/member/hubs.go
+++ b/pkg/member/hubs.go
@@ -89,21 +89,38 @@
 	return hubs, missing
 }
 
+// HubTest tells hubs from other hosts as of one moment.
+type HubTest struct {
+	table *Table
+	own   []string // the hubs of the own domain
+}
+
+// HubTest works the hubs out for several questions. The table must not change
+// between them.
+func (t *Table) HubTest(now time.Duration) HubTest {
+	own, _ := t.hubs(now)
+	return HubTest{table: t, own: own}
+}
+
 // IsHub reports whether a host may own cells and read the store for its domain,
 // as all hosts of small domains may, and those that aren't listed yet.
-func (t *Table) IsHub(address, domain string, now time.Duration) bool {
-	hosts := t.domains[domain]
-	if _, listed := t.listed[address]; !hosts.large() || !listed {
+func (h HubTest) IsHub(address, domain string) bool {
+	hosts := h.table.domains[domain]
+	if _, listed := h.table.listed[address]; !hosts.large() || !listed {
 		return true
 	}
-	if domain == t.self.Domain {
-		hubs, _ := t.hubs(now)
-		return slices.Contains(hubs, address)
+	if domain == h.table.self.Domain {
+		return slices.Contains(h.own, address)
 	}
 	first := hosts[:hubCount]
 	return slices.ContainsFunc(first, func(host Listed) bool { return host.Address == address })
 }
 
+// IsHub is HubTest for a single question.
+func (t *Table) IsHub(address, domain string, now time.Duration) bool {
+	return t.HubTest(now).IsHub(address, domain)
+}
+
 // IsLarge reports whether the own domain has hosts that hold no links to each
 // other.
 func (t *Table) IsLarge() bool { return t.domains[t.self.Domain].large() }
--- a/pkg/node/beats.go
+++ b/pkg/node/beats.go
@@ -22,8 +22,9 @@
 	if news.addresses {
 		n.refreshLinks()
 	}
-	if beat.ClosuresPosition > 0 {
-		n.offerClosures(&catalog.Closures{Position: beat.ClosuresPosition, Domains: beat.ClosedDomains}, address)
+	closures := catalog.ClosureChanges{Position: beat.ClosuresPosition, Closed: beat.ClosedDomains}
+	if err := n.changeClosures(closures, address); err != nil {
+		n.Log.Error("closures_not_taken", "from", address, "error", err.Error())
 	}
 	n.compareNews(address, beat)
 }
--- a/pkg/node/closures.go
+++ b/pkg/node/closures.go
@@ -11,9 +11,10 @@
 // Operators may close a failure domain to new work. All nodes have to know soon:
 // those that follow the store learn of it there, and heartbeats tell the others.
 
-// changeClosures takes changes that the store tells. An error of kind NotFound
-// says that changes before them are missing here.
-func (n *Node) changeClosures(changes catalog.ClosureChanges) error {
+// changeClosures takes changes that the store or a peer tells, if they are newer. An
+// error of kind NotFound says that changes before them are missing here, which can't
+// be where all closures are told.
+func (n *Node) changeClosures(changes catalog.ClosureChanges, from string) error {
 	for {
 		current := n.closures.Load()
 		next, ok := current.With(changes)
@@ -23,23 +24,9 @@
 		if !next.Newer(current) {
 			return nil
 		}
-		if n.closures.CompareAndSwap(current, next) {
-			n.closuresChanged(current, next, "store")
-			return nil
-		}
-	}
-}
-
-// offerClosures takes the closures that a peer knows if they are newer.
-func (n *Node) offerClosures(next *catalog.Closures, from string) {
-	for {
-		current := n.closures.Load()
-		if !next.Newer(current) {
-			return
-		}
 		if n.closures.CompareAndSwap(current, next) {
 			n.closuresChanged(current, next, from)
-			return
+			return nil
 		}
 	}
 }
--- a/pkg/node/closures_test.go
+++ b/pkg/node/closures_test.go
@@ -23,7 +23,7 @@
 	n.claims.SetClaims("here:1", []ownership.Claim{{Cell: "z", Token: 1, Load: load}})
 	n.claims.SetClaims("far:1", []ownership.Claim{{Cell: "y", Token: 1, Load: load}})
 	n.executors.Store(newListing(0, &catalog.Executors{}, map[string]int{"y": 1, "z": 1}, nil))
-	c.Assert(n.changeClosures(catalog.ClosureChanges{Position: 1, Closed: closed}), qt.IsNil)
+	c.Assert(n.changeClosures(catalog.ClosureChanges{Position: 1, Closed: closed}, "store"), qt.IsNil)
 	return n
 }
 
@@ -101,9 +101,9 @@
 	c.Assert(n.Heartbeat().ClosedDomains, qt.DeepEquals, []string{"z"}, qt.Commentf("it is passed on"))
 	tell(4)
 	c.Assert(closed("z"), qt.IsTrue, qt.Commentf("older news"))
-	c.Assert(n.changeClosures(catalog.ClosureChanges{Since: 3, Position: 6, Opened: []string{"z"}}), qt.IsNil)
+	c.Assert(n.changeClosures(catalog.ClosureChanges{Since: 3, Position: 6, Opened: []string{"z"}}, "store"), qt.IsNil)
 	c.Assert(closed("z"), qt.IsFalse, qt.Commentf("the store tells that it is open again"))
-	err := n.changeClosures(catalog.ClosureChanges{Since: 7, Position: 8})
+	err := n.changeClosures(catalog.ClosureChanges{Since: 7, Position: 8}, "store")
 	c.Assert(errkind.Of(err), qt.Equals, errkind.NotFound, qt.Commentf("changes are missing"))
 }
 
@@ -120,7 +120,7 @@
 		return kind
 	}
 	c.Assert(outcome("a"), qt.Equals, job.Kind(0), qt.Commentf("it waits"))
-	c.Assert(n.changeClosures(catalog.ClosureChanges{Position: 1, Closed: []string{"z"}}), qt.IsNil)
+	c.Assert(n.changeClosures(catalog.ClosureChanges{Position: 1, Closed: []string{"z"}}, "store"), qt.IsNil)
 	c.Assert(outcome("b"), qt.Equals, job.Moved)
 
 	n.release(n.owner("z"), "test")
@@ -152,7 +152,7 @@
 				n.offerConfiguration(Snapshot{Revision: s.configuration, Body: []byte{1}}, "peer")
 			}
 			if s.closures > 0 {
-				n.offerClosures(&catalog.Closures{Position: s.closures}, "peer")
+				c.Assert(n.changeClosures(catalog.ClosureChanges{Position: s.closures}, "peer"), qt.IsNil)
 			}
 			c.Assert(n.operatorPosition(), qt.Equals, s.want)
 		})
--- a/pkg/node/executors.go
+++ b/pkg/node/executors.go
@@ -229,10 +229,9 @@
 func (n *Node) takePart(changes *catalog.ExecutorChanges) {
 	n.listing.Lock()
 	defer n.listing.Unlock()
-	before := n.roster.Revision()
-	news := n.roster.TakeChanges(changes)
-	n.publish(news, n.executors.Load().askedAt)
-	n.passOn(before)
+	n.takeAsOf(n.executors.Load().askedAt, func() (accepted, news bool) {
+		return true, n.roster.TakeChanges(changes)
+	})
 }
 
 // takeReading takes an answer of the store into the roster, acts on it and
@@ -241,6 +240,12 @@
 	n.noteReading(askedAt)
 	n.listing.Lock()
 	defer n.listing.Unlock()
+	n.takeAsOf(askedAt, take)
+}
+
+// takeAsOf takes an answer of the store that tells the state as of the time at
+// which it was asked. n.listing is held.
+func (n *Node) takeAsOf(askedAt time.Duration, take func() (accepted, news bool)) {
 	before := n.roster.Revision()
 	accepted, news := take()
 	if !accepted {
--- a/pkg/node/news.go
+++ b/pkg/node/news.go
@@ -72,7 +72,7 @@
 // history, or all that stands there for position 0.
 func (n *Node) takeOperator(changes OperatorChanges, since uint64) error {
 	closures := catalog.ClosureChanges{Since: since, Position: changes.Position, Closed: changes.Closed, Opened: changes.Opened}
-	if err := n.changeClosures(closures); err != nil {
+	if err := n.changeClosures(closures, "store"); err != nil {
 		return err
 	}
 	n.offerConfiguration(Snapshot{Revision: changes.Position, Body: changes.Body}, "store")
--- a/pkg/node/passing.go
+++ b/pkg/node/passing.go
@@ -15,13 +15,13 @@
 func (n *Node) readsForDomain() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := n.Clock.Now()
-	if !n.members.IsHub(n.settings.PeerAddress, n.settings.Domain, now) {
+	hubs := n.members.HubTest(n.Clock.Now())
+	if !hubs.IsHub(n.settings.PeerAddress, n.settings.Domain) {
 		return false
 	}
 	own := n.readerRank(n.settings.Name, n.settings.PeerAddress)
 	for _, peer := range n.members.View(n.inc).Domain() {
-		if n.storeless[peer.Address] || !n.members.IsHub(peer.Address, peer.Domain, now) {
+		if n.storeless[peer.Address] || !hubs.IsHub(peer.Address, peer.Domain) {
 			continue
 		}
 		if n.readerRank(peer.Name, peer.Address).before(own) {
--- a/pkg/node/view.go
+++ b/pkg/node/view.go
@@ -1,8 +1,7 @@
 package node
 
 import (
-	"time"
-
+	"github.com/foxcroft/foxcroft/pkg/member"
 	"github.com/foxcroft/foxcroft/pkg/ownership"
 )
 
@@ -11,10 +10,11 @@
 	view := ownership.View{Self: ownership.Host{Address: n.settings.PeerAddress, Domain: n.settings.Domain, Leaving: n.leaving.Load(), Weight: n.settings.Weight}}
 	known := map[string]bool{n.settings.PeerAddress: true}
 	now := n.Clock.Now()
-	view.Self.Weight = n.weightOf(view.Self, now)
+	hubs := n.members.HubTest(now)
+	view.Self.Weight = weightOf(view.Self, hubs)
 	for _, p := range n.members.View(n.inc).Peers {
 		host := ownership.Host{Address: p.Address, Domain: p.Domain, Leaving: p.Leaving, Weight: p.Weight, Heard: n.claims.Heard(p.Address)}
-		host.Weight = n.weightOf(host, now)
+		host.Weight = weightOf(host, hubs)
 		view.Up = append(view.Up, host)
 		known[p.Address] = true
 	}
@@ -31,9 +31,9 @@
 // that may own cells: they come after those.
 const sideWeight = 1
 
-// weightOf returns the weight with which a host may own cells. n.mu is held.
-func (n *Node) weightOf(host ownership.Host, now time.Duration) int {
-	if n.members.IsHub(host.Address, host.Domain, now) {
+// weightOf returns the weight with which a host may own cells.
+func weightOf(host ownership.Host, hubs member.HubTest) int {
+	if hubs.IsHub(host.Address, host.Domain) {
 		return host.Weight
 	}
 	return sideWeight
--- a/pkg/peer/callers.go
+++ b/pkg/peer/callers.go
@@ -100,7 +100,7 @@
 	c.mu.Lock()
 	isCurrent := c.current[keyOf(hello)] == gone
 	if isCurrent {
-		delete(c.current, keyOf(hello))
+		c.forget(gone)
 	}
 	c.mu.Unlock()
 	if isCurrent {
