Logs: which runs a job takes over, which are stopped, how long a front was silent

Sight for the incident of tasks that run twice: the hypotheses (takeovers in a row, an owner that notices late, a withdrawal that is lost or overtaken) leave different lines now. Ruled out: nothing yet. No change of behaviour; tests of cell, node, explain, losses ran.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -81,7 +81,7 @@
 		c.claimRun(w, t, r)
 	}
 	if r.work == nil {
-		c.note(Notice{Event: "orphan_found", Executor: e.info.ID, Task: entry.Task})
+		c.note(Notice{Event: "orphan_found", Executor: e.info.ID, Task: entry.Task, Detail: strconv.FormatInt(entry.Run, 10)})
 	}
 }
 
@@ -98,6 +98,7 @@
 	t.current = r
 	t.lastRun = max(t.lastRun, r.number)
 	w.started = true
+	c.note(Notice{Event: "run_adopted", Executor: r.executor.info.ID, Job: w.job.ID, Task: r.name, Detail: strconv.FormatInt(r.number, 10)})
 }
 
 // adoptDone remembers a task that ended well under a former owner.
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -305,6 +305,7 @@
 	}
 	r.stopDue = r.state == starting
 	r.state = stopping
+	c.note(Notice{Event: "run_stopped", Executor: r.executor.info.ID, Task: r.name, Detail: reason})
 	if !r.stopDue {
 		c.orderStop(r, reason)
 	}
--- a/pkg/node/arrivals.go
+++ b/pkg/node/arrivals.go
@@ -45,6 +45,16 @@
 	a.lastLook = now
 }
 
+// silence returns for how long a peer has been silent, or 0 when it isn't known.
+func (a *arrivals) silence(address string, now time.Duration) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if at, known := a.at[address]; known {
+		return now - at
+	}
+	return 0
+}
+
 // silent reports whether a peer has been silent for longer than limit. One
 // whose link has ended counts as gone, not as silent.
 func (a *arrivals) silent(address string, limit, now time.Duration) bool {
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -141,8 +141,11 @@
 func (o *owner) withdraw(id, front, reason string) {
 	taken, last := o.takeWaiters(id, front)
 	if len(taken) == 0 {
+		o.node.Log.Info("job_not_withdrawn", "job", id, "cell", o.cell, "reason", reason, "front", front)
 		return
 	}
+	o.node.Log.Info("job_withdrawn", "job", id, "cell", o.cell, "reason", reason, "front", front, "last_of_it", last,
+		"silent_ms", o.node.arrivals.silence(front, o.node.Clock.Now()).Milliseconds())
 	var progress []job.Progress
 	if last {
 		o.do(func(state *cell.Cell, now time.Duration) {
@@ -211,7 +214,6 @@
 	}
 	o.mu.Unlock()
 	for _, id := range ids {
-		o.node.Log.Info("job_withdrawn", "job", id, "cell", o.cell, "reason", reason, "front", front)
 		o.withdraw(id, front, reason)
 	}
 }
