--- /dev/null
+++ b/pkg/cell/explore_executor_test.go
@@ -0,0 +1,121 @@
+package cell
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// modelRun is a run on a model executor.
+type modelRun struct {
+	number int64
+	ends   time.Duration // on our clock
+	kind   EndKind
+}
+
+// modelExecutor follows the users' protocol for leases.
+type modelExecutor struct {
+	id       string
+	rate     float64 // of its clock to ours
+	fence    int64
+	deadline time.Duration
+	runs     map[string]modelRun
+	highest  map[string]int64
+	ended    []EndedTask
+	next     int64
+	cut      bool
+}
+
+func newModelExecutor(i int, rate float64) *modelExecutor {
+	return &modelExecutor{id: executorID(i), rate: rate, runs: map[string]modelRun{}, highest: map[string]int64{}}
+}
+
+func (e *modelExecutor) clock(now time.Duration) time.Duration {
+	return time.Hour + time.Duration(float64(now)*e.rate)
+}
+
+func (e *modelExecutor) finish(task string, kind EndKind) {
+	run := e.runs[task]
+	delete(e.runs, task)
+	e.highest[task] = max(e.highest[task], run.number)
+	e.next++
+	e.ended = append(e.ended, EndedTask{Number: e.next, Task: task, Run: run.number, Kind: kind})
+}
+
+// pass ends what is over by now.
+func (e *modelExecutor) pass(now time.Duration) {
+	lapsed := e.clock(now) >= e.deadline
+	var over []string
+	for task, run := range e.runs {
+		if lapsed || now >= run.ends {
+			over = append(over, task)
+		}
+	}
+	slices.Sort(over)
+	for _, task := range over {
+		kind := e.runs[task].kind
+		if lapsed {
+			kind = EndLapsed
+		}
+		e.finish(task, kind)
+	}
+}
+
+func (e *modelExecutor) extend(deadline, now time.Duration) {
+	e.deadline = max(e.deadline, min(deadline, e.clock(now)+time.Second))
+}
+
+// obey carries an order out and returns its verdict. A run that it starts goes
+// on for as long as lasts says, and ends so.
+func (e *modelExecutor) obey(command Command, lasts func() (time.Duration, EndKind), now time.Duration) Verdict {
+	e.pass(now)
+	if command.Token < e.fence {
+		return Fenced
+	}
+	e.fence = command.Token
+	switch command.Kind {
+	case Hold:
+		e.extend(command.Deadline, now)
+	case Stop:
+		if run, ok := e.runs[command.Task]; ok && run.number == command.Run {
+			e.finish(command.Task, EndStopped)
+		} else {
+			e.highest[command.Task] = max(e.highest[command.Task], command.Run)
+		}
+	case Start:
+		return e.begin(command, lasts, now)
+	}
+	return Accepted
+}
+
+func (e *modelExecutor) begin(command Command, lasts func() (time.Duration, EndKind), now time.Duration) Verdict {
+	if command.Deadline <= e.clock(now) {
+		return Late
+	}
+	e.extend(command.Deadline, now)
+	if run, ok := e.runs[command.Task]; ok && run.number == command.Run {
+		return Accepted
+	}
+	if _, ok := e.runs[command.Task]; ok || command.Run <= e.highest[command.Task] {
+		return Outdated
+	}
+	length, kind := lasts()
+	e.runs[command.Task] = modelRun{number: command.Run, ends: now + length, kind: kind}
+	return Accepted
+}
+
+// endsAfter returns the ends that a hold lists.
+func (e *modelExecutor) endsAfter(lastSeen int64) []EndedTask {
+	index, _ := slices.BinarySearchFunc(e.ended, lastSeen+1, func(end EndedTask, number int64) int { return cmp.Compare(end.Number, number) })
+	return e.ended[index:len(e.ended):len(e.ended)]
+}
+
+// running returns the runs that a hold lists.
+func (e *modelExecutor) running() []RunningTask {
+	var running []RunningTask
+	for _, task := range slices.Sorted(maps.Keys(e.runs)) {
+		running = append(running, RunningTask{Task: task, Run: e.runs[task].number, Percent: 50})
+	}
+	return running
+}
--- a/pkg/cell/explore_test.go
+++ b/pkg/cell/explore_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,72 +26,26 @@
 	callerResends = 1300 * ms
 )
 
-// modelRun is a run on a model executor.
-type modelRun struct {
-	number int64
-	ends   time.Duration // on our clock
-}
-
-// modelExecutor follows the users' protocol for leases.
-type modelExecutor struct {
-	id       string
-	rate     float64 // of its clock to ours
-	fence    int64
-	deadline time.Duration
-	runs     map[string]modelRun
-	highest  map[string]int64
-	ended    []EndedTask
-	next     int64
-	cut      bool
-}
-
-func (e *modelExecutor) clock(now time.Duration) time.Duration {
-	return time.Hour + time.Duration(float64(now)*e.rate)
-}
-
-func (e *modelExecutor) finish(task string, kind EndKind) {
-	run := e.runs[task]
-	delete(e.runs, task)
-	e.highest[task] = max(e.highest[task], run.number)
-	e.next++
-	e.ended = append(e.ended, EndedTask{Number: e.next, Task: task, Run: run.number, Kind: kind})
-}
-
-func (e *modelExecutor) pass(now time.Duration) {
-	for task, run := range e.runs {
-		switch {
-		case e.clock(now) >= e.deadline:
-			e.finish(task, EndLapsed)
-		case now >= run.ends:
-			e.finish(task, EndDone)
-		}
-	}
-}
-
-func (e *modelExecutor) extend(deadline, now time.Duration) {
-	e.deadline = max(e.deadline, min(deadline, e.clock(now)+time.Second))
-}
-
 // world is one play of the explorer.
 type world struct {
-	random    *rand.Rand
-	now       time.Duration
-	executors []*modelExecutor
-	owners    []*modelOwner
-	later     []event
-	doubles   []string
-	ended     int
+	orders
+	owners []*modelOwner
+	ended  int
 }
 
-type event struct {
-	at time.Duration
-	do func()
+type modelOwner struct {
+	modelProcess
+	world *world
+	cell  *Cell
+	jobs  map[string]*modelJob
 }
 
-type modelOwner struct {
-	cell   *Cell
-	frozen time.Duration // stands still until then
-	jobs   map[string]*modelJob
+func (o *modelOwner) state() *Cell           { return o.cell }
+func (o *modelOwner) process() *modelProcess { return &o.modelProcess }
+
+func (o *modelOwner) handle(event func()) {
+	event()
+	o.world.drain(o)
 }
 
 // modelJob is a job as its front sees it.
@@ -101,22 +57,9 @@
 	frontless bool // its front is gone
 }
 
-func (w *world) after(d time.Duration, do func()) {
-	w.later = append(w.later, event{at: w.now + d, do: do})
-}
-
-func (w *world) executor(id string) *modelExecutor {
-	for _, e := range w.executors {
-		if e.id == id {
-			return e
-		}
-	}
-	return nil
-}
-
 // newOwner makes an owner with a token above the others'.
 func (w *world) newOwner() *modelOwner {
-	o := &modelOwner{cell: New(DefaultParams(time.Second, 50*ms), int64(len(w.owners)+1), w.now), jobs: map[string]*modelJob{}}
+	o := &modelOwner{world: w, cell: New(DefaultParams(time.Second, 50*ms), int64(len(w.owners)+1), w.now), jobs: map[string]*modelJob{}}
 	w.owners = append(w.owners, o)
 	var listed []catalog.Executor
 	for i := range w.executors {
@@ -171,124 +114,6 @@
 	w.drain(o)
 }
 
-// deliver hands an answer to an owner once it is awake.
-func (w *world) deliver(o *modelOwner, d time.Duration, answer func()) {
-	w.after(d, func() {
-		if w.now < o.frozen {
-			w.deliver(o, o.frozen-w.now, answer)
-			return
-		}
-		answer()
-		w.drain(o)
-	})
-}
-
-func (w *world) send(o *modelOwner, command Command) {
-	e := w.executor(command.Executor.ID)
-	travel := time.Duration(w.random.IntN(3)) * ms
-	fate := w.random.IntN(100)
-	if e.cut {
-		fate = 0
-	}
-	sentAt := w.now
-	unanswered := func() { w.answer(o, command, Unanswered, HoldAnswer{Verdict: Unanswered}, sentAt) }
-	switch {
-	case fate < 3: // lost
-		w.deliver(o, orderSilence, unanswered)
-	case fate < 6: // carried out seconds later
-		w.after(2*time.Second+time.Duration(w.random.IntN(8000))*ms, func() { w.carryOut(e, command) })
-		w.deliver(o, orderSilence, unanswered)
-	case fate < 9: // carried out, the answer is lost
-		w.after(travel, func() { w.carryOut(e, command) })
-		w.deliver(o, orderSilence, unanswered)
-	default:
-		w.after(travel, func() { w.serve(o, e, command, sentAt) })
-	}
-}
-
-// serve carries an order out and answers it; a hold waits for an end.
-func (w *world) serve(o *modelOwner, e *modelExecutor, command Command, sentAt time.Duration) {
-	verdict := w.carryOut(e, command)
-	answer := HoldAnswer{Verdict: verdict, Clock: e.clock(w.now)}
-	if command.Kind == Hold && verdict == Accepted {
-		w.reportHold(o, e, command, sentAt, w.now+command.Wait)
-		return
-	}
-	w.deliver(o, ms, func() { w.answer(o, command, verdict, answer, sentAt) })
-}
-
-func (w *world) reportHold(o *modelOwner, e *modelExecutor, command Command, sentAt, until time.Duration) {
-	e.pass(w.now)
-	var ended []EndedTask
-	for _, end := range e.ended {
-		if end.Number > command.LastSeen {
-			ended = append(ended, end)
-		}
-	}
-	if len(ended) == 0 && w.now < until {
-		w.after(exploreStep, func() { w.reportHold(o, e, command, sentAt, until) })
-		return
-	}
-	answer := HoldAnswer{Clock: e.clock(w.now), Ended: ended}
-	for task, run := range e.runs {
-		answer.Running = append(answer.Running, RunningTask{Task: task, Run: run.number, Percent: 50})
-	}
-	w.deliver(o, ms, func() { w.answer(o, command, Accepted, answer, sentAt) })
-}
-
-func (w *world) answer(o *modelOwner, command Command, verdict Verdict, hold HoldAnswer, sentAt time.Duration) {
-	switch command.Kind {
-	case Start:
-		o.cell.StartAnswered(command.Executor.ID, command.Task, command.Run, verdict, hold.Clock, w.now)
-	case Stop:
-		o.cell.StopAnswered(command.Executor.ID, command.Task, command.Run, verdict, hold.Clock, w.now)
-	case Hold:
-		o.cell.HoldAnswered(command.Executor.ID, hold, sentAt, w.now)
-	}
-}
-
-func (w *world) carryOut(e *modelExecutor, command Command) Verdict {
-	e.pass(w.now)
-	if command.Token < e.fence {
-		return Fenced
-	}
-	e.fence = command.Token
-	switch command.Kind {
-	case Hold:
-		e.extend(command.Deadline, w.now)
-	case Stop:
-		if run, ok := e.runs[command.Task]; ok && run.number == command.Run {
-			e.finish(command.Task, EndStopped)
-		} else {
-			e.highest[command.Task] = max(e.highest[command.Task], command.Run)
-		}
-	case Start:
-		return w.begin(e, command)
-	}
-	return Accepted
-}
-
-func (w *world) begin(e *modelExecutor, command Command) Verdict {
-	if command.Deadline <= e.clock(w.now) {
-		return Late
-	}
-	e.extend(command.Deadline, w.now)
-	if run, ok := e.runs[command.Task]; ok && run.number == command.Run {
-		return Accepted
-	}
-	if _, ok := e.runs[command.Task]; ok || command.Run <= e.highest[command.Task] {
-		return Outdated
-	}
-	for _, other := range w.executors {
-		other.pass(w.now)
-		if _, ok := other.runs[command.Task]; ok {
-			w.doubles = append(w.doubles, fmt.Sprintf("%s: %s and %s at %s", command.Task, other.id, e.id, w.now))
-		}
-	}
-	e.runs[command.Task] = modelRun{number: command.Run, ends: w.now + time.Duration(30+w.random.IntN(400))*ms}
-	return Accepted
-}
-
 // trouble brings a fault now and then.
 func (w *world) trouble() {
 	current := w.owners[len(w.owners)-1]
@@ -317,15 +142,15 @@
 		return // it woke in time
 	}
 	w.newOwner()
-	for _, m := range o.jobs {
-		if m.owner == o {
+	for _, id := range slices.Sorted(maps.Keys(o.jobs)) {
+		if m := o.jobs[id]; m.owner == o {
 			w.handOn(m, nil)
 		}
 	}
 	w.after(o.frozen-w.now, func() {
 		o.cell.Pause(w.now + 300*ms)
 		w.after(50*ms, func() {
-			for id := range o.jobs {
+			for _, id := range slices.Sorted(maps.Keys(o.jobs)) {
 				o.cell.Withdraw(id, "front gone", w.now)
 			}
 			w.drain(o)
@@ -378,9 +203,11 @@
 
 // explore plays one seed and returns the double runs and the jobs that ended.
 func explore(seed uint64) ([]string, int) {
-	w := &world{random: rand.New(rand.NewPCG(seed, 1))}
+	w := &world{}
+	w.random = rand.New(rand.NewPCG(seed, 1))
+	w.lasts = func(string) (time.Duration, EndKind) { return time.Duration(30+w.random.IntN(400)) * ms, EndDone }
 	for i := range 4 {
-		w.executors = append(w.executors, &modelExecutor{id: executorID(i), rate: 1 - 0.02*w.random.Float64(), runs: map[string]modelRun{}, highest: map[string]int64{}})
+		w.executors = append(w.executors, newModelExecutor(i, 1-0.02*w.random.Float64()))
 	}
 	w.newOwner()
 	jobs := 0
@@ -392,25 +219,17 @@
 		}
 		w.trouble()
 		w.fire()
-		for _, o := range w.owners {
-			if w.now >= o.frozen {
-				o.cell.Tick(w.now)
-				w.drain(o)
-			}
-		}
+		w.tick()
 	}
 	return w.doubles, w.ended
 }
 
-// fire does what is due.
-func (w *world) fire() {
-	due := w.later
-	w.later = nil
-	for _, e := range due {
-		if e.at <= w.now {
-			e.do()
-		} else {
-			w.later = append(w.later, e)
+// tick lets time pass at the owners that are awake.
+func (w *world) tick() {
+	for _, o := range w.owners {
+		if w.now >= o.frozen && !o.dead {
+			o.cell.Tick(w.now)
+			w.drain(o)
 		}
 	}
 }
