Searches, sorted keys and lists by commas as the library has them

Behaviour stays. Three loops did what slices.Contains does, three what slices.Sorted(maps.Keys(...)) does, one what maps.Clone does. The words of a flag and of a key, parted by commas, were taken apart by two copies of one loop: inifile.SplitList is the one now. 79 lines less, 40 more.

--- a/pkg/cli/apply.go
+++ b/pkg/cli/apply.go
@@ -13,6 +13,7 @@
 	"github.com/foxcroft/foxcroft/pkg/config"
 	"github.com/foxcroft/foxcroft/pkg/confstore"
 	"github.com/foxcroft/foxcroft/pkg/errkind"
+	"github.com/foxcroft/foxcroft/pkg/inifile"
 	"github.com/foxcroft/foxcroft/pkg/platform"
 	"github.com/google/subcommands"
 )
@@ -126,7 +127,7 @@
 }
 
 func (c *applyCommand) waitInForce(ctx context.Context, version uint64) (inForce, hosts int) {
-	entries := splitList(c.entries)
+	entries := inifile.SplitList(c.entries)
 	deadline := time.Now().Add(c.wait)
 	for {
 		inForce = 0
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"strings"
 	"syscall"
 
 	"github.com/google/subcommands"
@@ -64,13 +63,3 @@
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	<-signals
 }
-
-func splitList(text string) []string {
-	var words []string
-	for _, word := range strings.Split(text, ",") {
-		if word = strings.TrimSpace(word); word != "" {
-			words = append(words, word)
-		}
-	}
-	return words
-}
--- a/pkg/cli/load.go
+++ b/pkg/cli/load.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/inifile"
 	"github.com/foxcroft/foxcroft/pkg/load"
 	"github.com/google/subcommands"
 )
@@ -63,7 +64,7 @@
 	if c.duration > 0 {
 		scenario.Duration = c.duration
 	}
-	options := load.Options{Entries: splitList(c.entries), Controls: splitList(c.controls), Direct: c.direct, Attempt: c.attempt, Policy: c.policy}
+	options := load.Options{Entries: inifile.SplitList(c.entries), Controls: inifile.SplitList(c.controls), Direct: c.direct, Attempt: c.attempt, Policy: c.policy}
 	if !c.quiet {
 		options.Progress = os.Stderr
 	}
--- a/pkg/cli/standin.go
+++ b/pkg/cli/standin.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/common"
+	"github.com/foxcroft/foxcroft/pkg/inifile"
 	"github.com/foxcroft/foxcroft/pkg/standin/platformd"
 	"github.com/foxcroft/foxcroft/pkg/standin/relayd"
 	"github.com/foxcroft/foxcroft/pkg/standin/targetd"
@@ -61,7 +62,7 @@
 func (c *standinCommand) runTargets() subcommands.ExitStatus {
 	ledger := targetd.NewLedger()
 	executors := map[string]*targetd.Executor{}
-	for _, address := range splitList(c.executors) {
+	for _, address := range inifile.SplitList(c.executors) {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			return fail(err)
@@ -75,7 +76,7 @@
 
 func (c *standinCommand) runRelays() subcommands.ExitStatus {
 	relays := map[string]*relayd.Relay{}
-	for _, pair := range splitList(c.relays) {
+	for _, pair := range inifile.SplitList(c.relays) {
 		address, to, found := strings.Cut(pair, "=")
 		if !found {
 			return misuse("relay %q needs the form listen=to", pair)
--- a/pkg/cli/status.go
+++ b/pkg/cli/status.go
@@ -13,6 +13,7 @@
 
 	"github.com/foxcroft/foxcroft/pkg/confstore"
 	"github.com/foxcroft/foxcroft/pkg/errkind"
+	"github.com/foxcroft/foxcroft/pkg/inifile"
 	"github.com/foxcroft/foxcroft/pkg/jobapi"
 	"github.com/foxcroft/foxcroft/pkg/platform"
 	"github.com/google/subcommands"
@@ -72,7 +73,7 @@
 
 func (c *statusCommand) collect(ctx context.Context) (*statusResult, error) {
 	result := &statusResult{}
-	for _, address := range splitList(c.entries) {
+	for _, address := range inifile.SplitList(c.entries) {
 		status, err := fetchStatus(ctx, address)
 		if err != nil {
 			result.Unreachable = append(result.Unreachable, address)
--- a/pkg/cli/submit.go
+++ b/pkg/cli/submit.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/client"
+	"github.com/foxcroft/foxcroft/pkg/inifile"
 	"github.com/foxcroft/foxcroft/pkg/jobapi"
 	"github.com/foxcroft/foxcroft/pkg/standin/targetd"
 	"github.com/google/subcommands"
@@ -61,7 +62,7 @@
 	if err != nil {
 		return misuse("%v", err)
 	}
-	result, err := client.New(client.Options{Entries: splitList(c.entries)}).Submit(ctx, client.Job{
+	result, err := client.New(client.Options{Entries: inifile.SplitList(c.entries)}).Submit(ctx, client.Job{
 		Service: c.service, Team: c.team, Class: c.class, Deadline: c.deadline, Tasks: tasks,
 	})
 	if err != nil {
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -3,7 +3,10 @@
 // the rules by which work flows to pools.
 package config
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Weigh says what a service gives up first under its policy.
 type Weigh string
@@ -108,15 +111,7 @@
 
 // Allows reports whether the team may use a service.
 func (t *Team) Allows(service string) bool {
-	if len(t.Services) == 0 {
-		return true
-	}
-	for _, name := range t.Services {
-		if name == service {
-			return true
-		}
-	}
-	return false
+	return len(t.Services) == 0 || slices.Contains(t.Services, service)
 }
 
 // ExecutorsIn returns the pool's executors in a failure domain.
--- a/pkg/config/difference.go
+++ b/pkg/config/difference.go
@@ -1,6 +1,9 @@
 package config
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 // Difference returns the lines that differ between two documents: those gone
 // with "- " and those added with "+ ", each with its section.
@@ -8,12 +11,12 @@
 	old, updated := sectionLines(before), sectionLines(after)
 	var lines []string
 	for _, line := range old {
-		if !hasLine(updated, line) {
+		if !slices.Contains(updated, line) {
 			lines = append(lines, "- "+line)
 		}
 	}
 	for _, line := range updated {
-		if !hasLine(old, line) {
+		if !slices.Contains(old, line) {
 			lines = append(lines, "+ "+line)
 		}
 	}
@@ -37,12 +40,3 @@
 	}
 	return lines
 }
-
-func hasLine(lines []string, wanted string) bool {
-	for _, line := range lines {
-		if line == wanted {
-			return true
-		}
-	}
-	return false
-}
--- a/pkg/entry/host.go
+++ b/pkg/entry/host.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -181,10 +182,7 @@
 }
 
 func (h *Host) withNewPools(doc *config.Document) map[string]*dispatcher {
-	pools := map[string]*dispatcher{}
-	for name, d := range *h.pools.Load() {
-		pools[name] = d
-	}
+	pools := maps.Clone(*h.pools.Load())
 	for name := range doc.Pools {
 		if pools[name] == nil && policyService(doc, name) != nil {
 			pools[name] = newDispatcher(h.Common, h.settings.Name, name, h.settings.RetryRatio, h.targets, h.metrics, h.finish, h.sendLending)
--- a/pkg/inifile/inifile.go
+++ b/pkg/inifile/inifile.go
@@ -5,7 +5,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -86,7 +88,7 @@
 // Known reports sections whose first word is not among names.
 func (f *File) Known(names ...string) {
 	for _, s := range f.sections {
-		if !contains(names, s.Name) {
+		if !slices.Contains(names, s.Name) {
 			f.add(f.lines[s.raw.Name()], "section [%s] is not known; use one of %s", s.raw.Name(), strings.Join(names, ", "))
 		}
 	}
@@ -155,7 +157,7 @@
 // OneOf returns a key's text, which must be one of choices.
 func (s *Section) OneOf(key, fallback string, choices ...string) string {
 	text := s.String(key, fallback)
-	if !contains(choices, text) {
+	if !slices.Contains(choices, text) {
 		s.Problem(key, "%s = %q is not a choice; use one of %s", key, text, strings.Join(choices, ", "))
 	}
 	return text
@@ -226,9 +228,12 @@
 }
 
 // List returns the words of a key, parted by commas.
-func (s *Section) List(key string) []string {
+func (s *Section) List(key string) []string { return SplitList(s.String(key, "")) }
+
+// SplitList returns the words of a text, parted by commas.
+func SplitList(text string) []string {
 	var words []string
-	for _, word := range strings.Split(s.String(key, ""), ",") {
+	for _, word := range strings.Split(text, ",") {
 		if word = strings.TrimSpace(word); word != "" {
 			words = append(words, word)
 		}
@@ -241,11 +246,7 @@
 		if s.used[key] {
 			continue
 		}
-		known := make([]string, 0, len(s.used))
-		for name := range s.used {
-			known = append(known, name)
-		}
-		sort.Strings(known)
+		known := slices.Sorted(maps.Keys(s.used))
 		s.Problem(key, "key %s is not known in [%s]; use one of %s", key, s.raw.Name(), strings.Join(known, ", "))
 	}
 }
@@ -305,12 +306,3 @@
 	}
 	return section + "\n" + key
 }
-
-func contains(list []string, word string) bool {
-	for _, item := range list {
-		if item == word {
-			return true
-		}
-	}
-	return false
-}
--- a/pkg/kernel/kernel.go
+++ b/pkg/kernel/kernel.go
@@ -4,7 +4,8 @@
 package kernel
 
 import (
-	"sort"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 
@@ -54,10 +55,5 @@
 }
 
 func (r *Registry[T]) names() []string {
-	names := make([]string, 0, len(r.plugins))
-	for name := range r.plugins {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
+	return slices.Sorted(maps.Keys(r.plugins))
 }
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -5,6 +5,7 @@
 package member
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -213,7 +214,7 @@
 		wanted[address] = true
 	}
 	delete(wanted, t.self.Address)
-	return sortedKeys(wanted)
+	return slices.Sorted(maps.Keys(wanted))
 }
 
 // dials reports whether this host is among those of its domain that dial one
@@ -276,7 +277,7 @@
 func (t *Table) View(backup once.Incarnation) *View {
 	v := &View{Self: t.self, IsReader: true}
 	seen := map[once.Incarnation]bool{t.self.Incarnation: true}
-	for _, address := range sortedKeys(t.up) {
+	for _, address := range slices.Sorted(maps.Keys(t.up)) {
 		peer := t.up[address]
 		if seen[peer.Incarnation] {
 			continue // two addresses lead to it
@@ -358,12 +359,3 @@
 
 // SetLeaving marks this host as leaving.
 func (t *Table) SetLeaving() { t.self.Leaving = true }
-
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for key := range m {
-		keys = append(keys, key)
-	}
-	sort.Strings(keys)
-	return keys
-}
