One way each to answer for an id: to callers, to other hosts

Behaviour stays. Reading an id, refusing a faulty one and saying that no answer came stood in two handlers of the front, in the cancellations and in the submissions of other hosts. handleID is the front's one way now, replyForID the other hosts', and both say the same of an answer that did not come.

--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -32,6 +32,9 @@
 // deadline, which this host need not know.
 const longestDeadline = 4 * time.Minute
 
+// serveFunc answers for an id. It returns nil when no answer came.
+type serveFunc func(ctx context.Context, id once.ID) *once.Answer
+
 // resolve serves a submission with an id: here, at its primary, or by asking
 // its backup. r is nil when only the answer is wanted.
 func (h *Host) resolve(ctx context.Context, id once.ID, r *request, hops uint32) *once.Answer {
@@ -182,6 +185,14 @@
 	return once.NewAnswer(once.Unknown, err)
 }
 
+// orUnreachable turns the lack of an answer, nil, into one that says so.
+func orUnreachable(answer *once.Answer) *once.Answer {
+	if answer == nil {
+		return unreachable("no answer came within the deadline")
+	}
+	return answer
+}
+
 // cancelAt passes a cancellation on to the job's primary.
 func (h *Host) cancelAt(ctx context.Context, id once.ID) *once.Answer {
 	if id.Home.Primary == h.inc {
--- a/pkg/entry/front.go
+++ b/pkg/entry/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	stdlog "log"
@@ -24,8 +25,8 @@
 func (h *Host) newFront() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+jobapi.PathJobs, h.handleSubmit)
-	mux.HandleFunc("GET "+jobapi.PathJobs+"/{id}", h.handleFetch)
-	mux.HandleFunc("DELETE "+jobapi.PathJobs+"/{id}", h.handleCancel)
+	mux.HandleFunc("GET "+jobapi.PathJobs+"/{id}", h.handleID(h.fetch))
+	mux.HandleFunc("DELETE "+jobapi.PathJobs+"/{id}", h.handleID(h.cancelAt))
 	mux.HandleFunc("GET "+jobapi.PathHome, h.handleHome)
 	mux.HandleFunc("GET "+jobapi.PathStatus, h.handleStatus)
 	mux.HandleFunc("GET "+jobapi.PathHealth, h.handleHealth)
@@ -112,23 +113,20 @@
 	return nil
 }
 
-func (h *Host) handleFetch(w http.ResponseWriter, r *http.Request) {
-	id, err := once.ParseID(r.PathValue("id"))
-	if err != nil {
-		h.writeAnswer(w, r.PathValue("id"), outcomeOfError(err))
-		return
+// handleID makes a handler that answers for the id in a path.
+func (h *Host) handleID(serve serveFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		id, err := once.ParseID(r.PathValue("id"))
+		if err != nil {
+			h.writeAnswer(w, r.PathValue("id"), outcomeOfError(err))
+			return
+		}
+		h.writeAnswer(w, id.String(), serve(r.Context(), id))
 	}
-	h.writeAnswer(w, id.String(), h.resolve(r.Context(), id, nil, 0))
 }
 
-func (h *Host) handleCancel(w http.ResponseWriter, r *http.Request) {
-	id, err := once.ParseID(r.PathValue("id"))
-	if err != nil {
-		h.writeAnswer(w, r.PathValue("id"), outcomeOfError(err))
-		return
-	}
-	h.writeAnswer(w, id.String(), h.cancelAt(r.Context(), id))
-}
+// fetch returns the answer of a job, which it waits for.
+func (h *Host) fetch(ctx context.Context, id once.ID) *once.Answer { return h.resolve(ctx, id, nil, 0) }
 
 func (h *Host) handleHome(w http.ResponseWriter, _ *http.Request) {
 	home, err := h.home()
@@ -162,9 +160,7 @@
 // writeAnswer sends an answer with a home for the next submissions. A nil
 // answer means that the caller went away or its wait ran out.
 func (h *Host) writeAnswer(w http.ResponseWriter, id string, answer *once.Answer) {
-	if answer == nil {
-		answer = unreachable("no answer came within the deadline")
-	}
+	answer = orUnreachable(answer)
 	reply := jobapi.NewAnswer(id, answer)
 	if home, err := h.home(); err == nil {
 		reply.Home = home.String()
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -66,40 +66,30 @@
 
 func (h *Host) onSubmit(m *peerpb.Submit, reply peer.Reply) {
 	r := fromJob(m.Job, m.Digest, h.Clock.Now())
-	reply(answerMessage(h.serveForwarded(m.Id, r, m.Hops, h.resolve)), 0)
+	replyForID(m.Id, reply, func(ctx context.Context, id once.ID) *once.Answer {
+		return h.resolve(ctx, id, r, m.Hops)
+	})
 }
 
 func (h *Host) onAsk(m *peerpb.Ask, reply peer.Reply) {
 	r := fromJob(m.Job, m.Digest, h.Clock.Now())
-	reply(answerMessage(h.serveForwarded(m.Id, r, m.Hops, h.answerAsBackup)), 0)
+	replyForID(m.Id, reply, func(ctx context.Context, id once.ID) *once.Answer {
+		return h.answerAsBackup(ctx, id, r, m.Hops)
+	})
 }
 
-type resolver func(ctx context.Context, id once.ID, r *request, hops uint32) *once.Answer
-
-// serveForwarded serves a submission that another host passed on.
-func (h *Host) serveForwarded(idText string, r *request, hops uint32, resolve resolver) *once.Answer {
-	id, err := once.ParseID(idText)
-	if err != nil {
-		return outcomeOfError(err)
-	}
-	answer := resolve(context.Background(), id, r, hops)
-	if answer == nil {
-		return unreachable("no answer came within the deadline")
-	}
-	return answer
+func (h *Host) onCancel(m *peerpb.Cancel, reply peer.Reply) {
+	replyForID(m.Id, reply, func(_ context.Context, id once.ID) *once.Answer { return h.cancel(id) })
 }
 
-func (h *Host) onCancel(m *peerpb.Cancel, reply peer.Reply) {
-	id, err := once.ParseID(m.Id)
+// replyForID replies to another host with what serve answers for an id.
+func replyForID(idText string, reply peer.Reply, serve serveFunc) {
+	id, err := once.ParseID(idText)
 	if err != nil {
 		reply(answerMessage(outcomeOfError(err)), 0)
 		return
 	}
-	answer := h.cancel(id)
-	if answer == nil {
-		answer = unreachable("no answer came within the deadline")
-	}
-	reply(answerMessage(answer), 0)
+	reply(answerMessage(orUnreachable(serve(context.Background(), id))), 0)
 }
 
 func (h *Host) onFetchConfig(reply peer.Reply) {
