The entry host's pools, rules, lending, ids and backup in files of their own

Moved only: the lines of the files, sorted, are the same but for package clauses and imports. dispatcher.go had 320 lines on three concerns: attempts, what a configuration means for a pool (rules.go now), and lending (lending.go, with the host's side of it out of peers.go and host.go). submit.go had 299 on three: following a job, minting ids (ids.go), and what the backup is told (backup.go). The pools out of host.go stand beside pools_test.go in pools.go.

--- a/pkg/entry/dispatcher.go
+++ b/pkg/entry/dispatcher.go
@@ -4,11 +4,8 @@
 	"sync"
 	"time"
 
-	"github.com/foxcroft/foxcroft/pkg/admit"
 	"github.com/foxcroft/foxcroft/pkg/common"
-	"github.com/foxcroft/foxcroft/pkg/config"
 	"github.com/foxcroft/foxcroft/pkg/errkind"
-	"github.com/foxcroft/foxcroft/pkg/member"
 	"github.com/foxcroft/foxcroft/pkg/metrics"
 	"github.com/foxcroft/foxcroft/pkg/once"
 	"github.com/foxcroft/foxcroft/pkg/retry"
@@ -21,9 +18,6 @@
 // finishFunc takes the answer of a job that a dispatcher has ended.
 type finishFunc func(j *job, answer *once.Answer)
 
-// lendingSender sends a message of lending and reports whether the link was up.
-type lendingSender func(pool string, message route.Message, wait time.Duration) bool
-
 // dispatcher carries out what the scheduler of one pool decides: it does the
 // attempts and sends the messages of lending. Nothing blocks while mu is held.
 type dispatcher struct {
@@ -61,67 +55,6 @@
 	return d
 }
 
-// configure takes a configuration and the hosts there are. service is the one
-// whose policy rules the pool.
-func (d *dispatcher) configure(doc *config.Document, service *config.Service, view *member.View) error {
-	policy, err := route.Policies.Get(service.Routing)
-	if err != nil {
-		return err
-	}
-	order, err := admit.Orderings.Get(service.Order)
-	if err != nil {
-		return err
-	}
-	hosts := max(1, len(view.Owners()))
-	rules := schedule.Rules{
-		Policy:      policy,
-		Order:       order,
-		BorrowAfter: service.BorrowAfter,
-		Shares:      func(team string) admit.Share { return shareOf(doc.Teams[team], hosts) },
-	}
-	d.update(func() {
-		d.batch = service.BatchWindow
-		d.scheduler.Configure(rules, targetsOf(doc.Pools[d.pool], view), view.Owners(), lendersOf(view))
-	})
-	return nil
-}
-
-// shareOf returns a team's share at one of a domain's hosts, each of which
-// applies an equal part of the quota, rounded up.
-func shareOf(team *config.Team, hosts int) admit.Share {
-	if team == nil {
-		return admit.Share{Weight: 1} // taken out of the configuration while it had jobs
-	}
-	return admit.Share{Weight: team.Weight, Quota: (team.QuotaSlots + hosts - 1) / hosts}
-}
-
-func targetsOf(pool *config.Pool, view *member.View) []route.Target {
-	var targets []route.Target
-	for _, executor := range pool.ExecutorsIn(view.Self.Domain) {
-		targets = append(targets, route.Target{Address: executor.Address, Slots: pool.Slots})
-	}
-	return targets
-}
-
-func lendersOf(view *member.View) []route.Lender {
-	var lenders []route.Lender
-	for _, peer := range view.Peers {
-		lenders = append(lenders, route.Lender{
-			Host:    peer.Name,
-			Near:    peer.Domain == view.Self.Domain,
-			Leaving: peer.Leaving,
-
-			PeerLoad: loadOf(peer),
-		})
-	}
-	return lenders
-}
-
-// loadOf returns what a peer last told of its slots and tasks.
-func loadOf(peer member.Peer) route.PeerLoad {
-	return route.PeerLoad{Idle: peer.Free, Usable: peer.Usable, Waiting: peer.Waiting}
-}
-
 // update changes the scheduler's state and carries out what follows.
 func (d *dispatcher) update(change func()) {
 	d.mu.Lock()
@@ -283,36 +216,6 @@
 	})
 }
 
-// onBorrow takes a peer's wish for slots. place is that of its first job, from now.
-func (d *dispatcher) onBorrow(host string, want int, place time.Duration) {
-	d.update(func() {
-		d.scheduler.Lending().OnBorrow(route.Wish{Host: host, Want: want, Place: d.Clock.Now() + place})
-	})
-}
-
-// onLend takes slots that a peer lent; they go back at once when no task
-// waits any more.
-func (d *dispatcher) onLend(host string, grants []route.Grant) {
-	d.update(func() { d.scheduler.Lending().OnLend(host, grants) })
-}
-
-// onReturn takes slots back from a peer.
-func (d *dispatcher) onReturn(host string, grants []route.Grant) {
-	d.update(func() { d.scheduler.Lending().OnReturn(host, grants) })
-}
-
-// onGone drops all dealings with a host that is gone or began anew.
-func (d *dispatcher) onGone(host string) {
-	d.update(func() { d.scheduler.Lending().Forget(host) })
-}
-
-// onLoad takes a peer's word on its slots and tasks.
-func (d *dispatcher) onLoad(host string, load route.PeerLoad) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.scheduler.Lending().SetLoad(host, load)
-}
-
 func (d *dispatcher) load() schedule.Load {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/pkg/entry/host.go
+++ b/pkg/entry/host.go
@@ -6,22 +6,18 @@
 
 import (
 	"context"
-	"maps"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 
 	"github.com/foxcroft/foxcroft/pkg/common"
-	"github.com/foxcroft/foxcroft/pkg/config"
 	"github.com/foxcroft/foxcroft/pkg/confstore"
 	"github.com/foxcroft/foxcroft/pkg/member"
 	"github.com/foxcroft/foxcroft/pkg/metrics"
 	"github.com/foxcroft/foxcroft/pkg/once"
 	"github.com/foxcroft/foxcroft/pkg/peer"
 	"github.com/foxcroft/foxcroft/pkg/platform"
-	"github.com/foxcroft/foxcroft/pkg/route"
-	"github.com/foxcroft/foxcroft/pkg/schedule"
 	"github.com/foxcroft/foxcroft/pkg/settings"
 	"github.com/foxcroft/foxcroft/pkg/target"
 	"github.com/pkg/errors"
@@ -154,97 +150,6 @@
 	return nil
 }
 
-// reconfigure has the dispatchers take the configuration and the membership
-// as they are now, and makes dispatchers for new pools.
-func (h *Host) reconfigure() {
-	h.poolsMu.Lock()
-	defer h.poolsMu.Unlock()
-	current := h.conf.get()
-	if current == nil {
-		return
-	}
-	pools := h.withNewPools(current.doc)
-	view := h.members.view()
-	for name, d := range pools {
-		service := policyService(current.doc, name)
-		if service == nil {
-			continue // out of the configuration; its jobs run out
-		}
-		if err := d.configure(current.doc, service, view); err != nil {
-			h.Log.Error("pool_not_configured", "pool", name, "error", err.Error())
-			if h.dispatcher(name) == nil {
-				delete(pools, name)
-			}
-		}
-	}
-	// Others see a pool only once it is configured.
-	h.pools.Store(&pools)
-}
-
-func (h *Host) withNewPools(doc *config.Document) map[string]*dispatcher {
-	pools := maps.Clone(*h.pools.Load())
-	for name := range doc.Pools {
-		if pools[name] == nil && policyService(doc, name) != nil {
-			pools[name] = newDispatcher(h.Common, h.settings.Name, name, h.settings.RetryRatio, h.targets, h.metrics, h.finish, h.sendLending)
-		}
-	}
-	return pools
-}
-
-// policyService returns the service whose policy rules a pool: the first by
-// name of those whose work can go there.
-func policyService(doc *config.Document, pool string) *config.Service {
-	var first *config.Service
-	consider := func(service *config.Service) {
-		if service != nil && (first == nil || service.Name < first.Name) {
-			first = service
-		}
-	}
-	for _, service := range doc.Services {
-		if service.Pool == pool {
-			consider(service)
-		}
-	}
-	for _, rule := range doc.Rules {
-		if rule.Pool != pool {
-			continue
-		}
-		for _, service := range doc.Services {
-			if rule.Service == "" || rule.Service == service.Name {
-				consider(service)
-			}
-		}
-	}
-	return first
-}
-
-func (h *Host) dispatcher(pool string) *dispatcher { return (*h.pools.Load())[pool] }
-
-func (h *Host) eachDispatcher(do func(*dispatcher)) {
-	for _, d := range *h.pools.Load() {
-		do(d)
-	}
-}
-
-// onLoad takes a peer's word on its slots and tasks.
-func (h *Host) onLoad(host string, load route.PeerLoad) {
-	h.eachDispatcher(func(d *dispatcher) { d.onLoad(host, load) })
-}
-
-// totals returns the load over all pools.
-func (h *Host) totals() schedule.Load {
-	var total schedule.Load
-	h.eachDispatcher(func(d *dispatcher) {
-		load := d.load()
-		total.Waiting += load.Waiting
-		total.Busy += load.Busy
-		total.Free += load.Free
-		total.Usable += load.Usable
-		total.Suspects = append(total.Suspects, load.Suspects...)
-	})
-	return total
-}
-
 func (h *Host) gauges() metrics.Gauges {
 	load := h.totals()
 	return metrics.Gauges{
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/errkind"
 	"github.com/foxcroft/foxcroft/pkg/member"
 	"github.com/foxcroft/foxcroft/pkg/once"
 	"github.com/foxcroft/foxcroft/pkg/peer"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
-	"github.com/foxcroft/foxcroft/pkg/route"
 )
 
 // Handle implements peer.Handler. What is quick is done in place, so that
@@ -121,25 +119,3 @@
 		h.Log.Error("config_refused", "version", m.GetVersion(), "error", err.Error())
 	}
 }
-
-func (h *Host) onLending(from *peerpb.Hello, m *peerpb.Message) {
-	switch body := m.Body.(type) {
-	case *peerpb.Message_Borrow:
-		if d := h.dispatcher(body.Borrow.Pool); d != nil {
-			d.onBorrow(from.Name, int(body.Borrow.Want), time.Duration(body.Borrow.PlaceUs)*time.Microsecond)
-		}
-	case *peerpb.Message_Lend:
-		if d := h.dispatcher(body.Lend.Pool); d != nil {
-			d.onLend(from.Name, toGrants(body.Lend.Slots))
-		}
-	case *peerpb.Message_Return:
-		if d := h.dispatcher(body.Return.Pool); d != nil {
-			d.onReturn(from.Name, toGrants(body.Return.Slots))
-		}
-	}
-}
-
-// sendLending sends a message of lending and reports whether the link was up.
-func (h *Host) sendLending(pool string, message route.Message, wait time.Duration) bool {
-	return h.members.send(message.Host, lendingMessage(pool, message), wait)
-}
--- a/pkg/entry/submit.go
+++ b/pkg/entry/submit.go
@@ -2,18 +2,13 @@
 
 import (
 	"context"
-	"encoding/hex"
-	"io"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/config"
 	"github.com/foxcroft/foxcroft/pkg/errkind"
 	"github.com/foxcroft/foxcroft/pkg/once"
-	"github.com/foxcroft/foxcroft/pkg/peerpb"
 )
 
-const partBytes = 12 // of the parts that the host draws for callers without an id
-
 // check checks a request against the configuration in force.
 func (h *Host) check(r *request) (*spec, *errkind.Error) {
 	current := h.conf.get()
@@ -87,48 +82,6 @@
 	return once.NewAnswer(once.Refused, e)
 }
 
-// resolveID finds the id of a submission, minting one when it has none.
-func (h *Host) resolveID(ctx context.Context, text string, r *request) (once.ID, error) {
-	if once.HasHome(text) {
-		return once.ParseID(text)
-	}
-	fresh, err := h.newID()
-	if err != nil || text == "" {
-		return fresh, err
-	}
-	return h.keys.bind(ctx, r.labels, text, fresh)
-}
-
-// newID mints an id under this host's home.
-func (h *Host) newID() (once.ID, error) {
-	home, err := h.home()
-	if err != nil {
-		return once.ID{}, err
-	}
-	part := make([]byte, partBytes)
-	if _, err := io.ReadFull(h.Rand, part); err != nil {
-		return once.ID{}, errkind.Wrap(err, errkind.Internal, "report it", "no randomness")
-	}
-	return once.ID{Home: home, Part: hex.EncodeToString(part)}, nil
-}
-
-// home returns this host's current home.
-func (h *Host) home() (once.Home, error) {
-	if h.conf.get() == nil {
-		return once.Home{}, notReady()
-	}
-	if h.closing.Load() {
-		return once.Home{}, errkind.New(errkind.Leaving, "ask another entry host", "the host is leaving")
-	}
-	home, ok := h.memory.home(h.members.view().Backup, h.Clock.Now())
-	if !ok {
-		err := errkind.New(errkind.Overloaded, "come back later, or raise max_ids in [once]", "the host's memory of ids is full")
-		err.RetryAfter = time.Second
-		return once.Home{}, err
-	}
-	return home, nil
-}
-
 // submitHere serves a submission whose primary is this host. A request that
 // the configuration does not allow is refused for good: its id is closed.
 func (h *Host) submitHere(ctx context.Context, id once.ID, r *request) *once.Answer {
@@ -194,41 +147,10 @@
 	d.enqueue(j)
 }
 
-// recordAtBackup asks the backup to remember the id, and reports whether it
-// acknowledged.
-func (h *Host) recordAtBackup(j *job) bool {
-	backup, ok := h.members.view().ByIncarnation(j.id.Home.Backup)
-	if !ok {
-		return false
-	}
-	link := h.members.linkTo(backup)
-	if link == nil {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(j.ctx, h.settings.Link.RecordTimeout)
-	defer cancel()
-	reply, err := link.Call(ctx, &peerpb.Message{Body: &peerpb.Message_Record{Record: &peerpb.Record{
-		Home: toHome(j.id.Home), Part: j.id.Part, Digest: j.digest,
-	}}}, j.service.BatchWindow)
-	if err != nil {
-		h.Log.Warn("record_lost", "id", j.idText, "error", err.Error())
-		return false
-	}
-	ack := once.Ack(reply.GetRecordReply().GetAck())
-	if ack != once.Acked {
-		h.Log.Warn("record_refused", "id", j.idText, "ack", uint32(ack))
-	}
-	return ack == once.Acked
-}
-
 func deadlinePassed() *errkind.Error {
 	return errkind.New(errkind.DeadlinePassed, "allow a longer deadline, or submit when there is less load", "the deadline passed before the job was complete")
 }
 
-func recordRefused() *errkind.Error {
-	return errkind.New(errkind.HomeClosed, "submit again under the home that comes with this answer", "the backup did not record the id")
-}
-
 // finish keeps the answer of a job and lets its waiters have it.
 func (h *Host) finish(j *job, answer *once.Answer) {
 	if answer == nil {
@@ -253,31 +175,6 @@
 	return string(a.Kind)
 }
 
-// copyAnswer sends an answer to the backup if the service's policy says so.
-func (h *Host) copyAnswer(j *job) {
-	if !j.id.Home.HasBackup() || h.settings.SkipRecord || j.answer.Outcome == once.Refused {
-		return
-	}
-	switch j.service.CopyAnswers {
-	case config.CopyNone:
-		return
-	case config.CopySmall:
-		if j.answer.Bytes() > config.SmallAnswerBytes {
-			return
-		}
-	case config.CopyAll:
-	}
-	if backup, ok := h.members.view().ByIncarnation(j.id.Home.Backup); ok {
-		h.members.send(backup.Name, copyMessage(j.id, j.answer), j.service.BatchWindow)
-	}
-}
-
-func copyMessage(id once.ID, answer *once.Answer) *peerpb.Message {
-	return &peerpb.Message{Body: &peerpb.Message_Copy{Copy: &peerpb.Copy{
-		Home: toHome(id.Home), Part: id.Part, Answer: toAnswer(answer),
-	}}}
-}
-
 // cancel ends a job of this host as far as it has not started.
 func (h *Host) cancel(id once.ID) *once.Answer {
 	answer, j := h.memory.find(id)
