One meter for the instruments of entry hosts and nodes

Behaviour stays. New and NewNode each made a registry, an exporter and a meter, and each type served its registry: newServed does it now, in meter.go with the gauges and bounds that both use. The provider that Metrics kept was read nowhere. The package comment names nodes too.

--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -1,21 +1,16 @@
-// Package metrics holds the OpenTelemetry instruments of an entry host and
-// serves them in the Prometheus format. docs/METRICS.md lists them.
+// Package metrics holds the OpenTelemetry instruments of an entry host and of a
+// node, and serves them in the Prometheus format. docs/METRICS.md lists them.
 package metrics
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/peer"
 	"github.com/pkg/errors"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.opentelemetry.io/otel/attribute"
-	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
-	sdk "go.opentelemetry.io/otel/sdk/metric"
 )
 
 // otherClass stands for the classes beyond maxClasses, since callers choose
@@ -25,8 +20,6 @@
 	maxClasses = 64
 )
 
-var timeBuckets = []float64{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10, 30, 60}
-
 // Labels tell one kind of work from another.
 type Labels struct {
 	Service string
@@ -45,10 +38,9 @@
 	Suspects int64 // slow targets
 }
 
-// Metrics are the instruments of one process.
+// Metrics are the instruments of an entry host.
 type Metrics struct {
-	registry *prometheus.Registry
-	provider *sdk.MeterProvider
+	served
 	response metric.Float64Histogram
 	wait     metric.Float64Histogram
 	jobs     metric.Int64Counter
@@ -67,21 +59,18 @@
 // New makes the instruments. counters are those of the peer links, and gauges
 // is called at each scrape.
 func New(counters *peer.Counters, gauges func() Gauges) (*Metrics, error) {
-	registry := prometheus.NewRegistry()
-	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo())
+	served, err := newServed()
 	if err != nil {
-		return nil, errors.Wrap(err, "make the exporter")
+		return nil, err
 	}
-	provider := sdk.NewMeterProvider(sdk.WithReader(exporter))
-	m := &Metrics{registry: registry, provider: provider, classes: map[string]bool{}, sets: map[setKey]attribute.Set{}}
-	meter := provider.Meter("foxcroft")
-	if err := m.makeInstruments(meter); err != nil {
+	m := &Metrics{served: served, classes: map[string]bool{}, sets: map[setKey]attribute.Set{}}
+	if err := m.makeInstruments(served.meter); err != nil {
 		return nil, errors.Wrap(err, "make the instruments")
 	}
-	if err := observeGauges(meter, gauges); err != nil {
+	if err := observeGauges(served.meter, gauges); err != nil {
 		return nil, errors.Wrap(err, "make the gauges")
 	}
-	return m, errors.Wrap(observePeers(meter, counters), "make the peer counters")
+	return m, errors.Wrap(observePeers(served.meter, counters), "make the peer counters")
 }
 
 func (m *Metrics) makeInstruments(meter metric.Meter) error {
@@ -100,26 +89,6 @@
 	return err
 }
 
-// gaugeField is a gauge that is read from a snapshot.
-type gaugeField[T any] struct {
-	name string
-	read func(T) int64
-}
-
-// observeFields makes a gauge of each field of the snapshots that take gives.
-func observeFields[T any](meter metric.Meter, take func() T, fields []gaugeField[T]) error {
-	for _, field := range fields {
-		_, err := meter.Int64ObservableGauge(field.name, metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			o.Observe(field.read(take()))
-			return nil
-		}))
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 func observeGauges(meter metric.Meter, gauges func() Gauges) error {
 	return observeFields(meter, gauges, []gaugeField[Gauges]{
 		{"foxcroft_tasks_waiting", func(g Gauges) int64 { return g.Waiting }},
@@ -190,8 +159,3 @@
 		attribute.String("result", result),
 	)
 }
-
-// Handler serves the metrics.
-func (m *Metrics) Handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
-}
--- a/pkg/metrics/node.go
+++ b/pkg/metrics/node.go
@@ -2,17 +2,12 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/traffic"
 	"github.com/pkg/errors"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.opentelemetry.io/otel/attribute"
-	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
-	sdk "go.opentelemetry.io/otel/sdk/metric"
 )
 
 // NodeGauges are read when a node's metrics are scraped.
@@ -30,7 +25,7 @@
 
 // Node are the instruments of a node.
 type Node struct {
-	registry *prometheus.Registry
+	served
 	response metric.Float64Histogram
 	orders   metric.Int64Counter
 	claims   metric.Int64Counter
@@ -42,20 +37,18 @@
 // NewNode makes a node's instruments. gauges is called at each scrape, and bytes
 // are what the node's link has carried.
 func NewNode(gauges func() NodeGauges, bytes *traffic.Meter) (*Node, error) {
-	registry := prometheus.NewRegistry()
-	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo())
+	served, err := newServed()
 	if err != nil {
-		return nil, errors.Wrap(err, "make the exporter")
+		return nil, err
 	}
-	meter := sdk.NewMeterProvider(sdk.WithReader(exporter)).Meter("foxcroft")
-	n := &Node{registry: registry}
-	if err := n.makeInstruments(meter); err != nil {
+	n := &Node{served: served}
+	if err := n.makeInstruments(served.meter); err != nil {
 		return nil, errors.Wrap(err, "make the instruments")
 	}
-	if err := observeBytes(meter, bytes); err != nil {
+	if err := observeBytes(served.meter, bytes); err != nil {
 		return nil, errors.Wrap(err, "make the counters of bytes")
 	}
-	return n, errors.Wrap(observeNode(meter, gauges), "make the gauges")
+	return n, errors.Wrap(observeNode(served.meter, gauges), "make the gauges")
 }
 
 // observeBytes makes the counter of bytes by purpose and direction.
@@ -141,6 +134,3 @@
 func (n *Node) StoreFailed(news string) {
 	n.store.Add(context.Background(), 1, metric.WithAttributes(attribute.String("news", news)))
 }
-
-// Handler serves the metrics.
-func (n *Node) Handler() http.Handler { return promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}) }
--- a/pkg/metrics/node_test.go
+++ b/pkg/metrics/node_test.go
@@ -3,8 +3,6 @@
 import (
 	"io"
 	"net"
-	"net/http/httptest"
-	"strings"
 	"testing"
 	"time"
 
@@ -21,9 +19,7 @@
 	n.OwnershipChanged("claimed")
 	n.JobHandedOn("lost")
 	n.StoreFailed("executors")
-	recorder := httptest.NewRecorder()
-	n.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
-	for _, want := range []string{
+	assertServed(c, n.Handler(),
 		`foxcroft_node_job_seconds_count{outcome="completed",route="route"} 1`,
 		`foxcroft_node_orders_total{kind="start",verdict="accepted"} 1`,
 		`foxcroft_node_ownership_changes_total{reason="claimed"} 1`,
@@ -31,9 +27,7 @@
 		`foxcroft_node_store_failures_total{news="executors"} 1`,
 		`foxcroft_node_bytes_total{direction="out",purpose="store"} 5`,
 		"foxcroft_node_jobs_open 3", "foxcroft_node_config_version 7",
-	} {
-		c.Assert(strings.Contains(recorder.Body.String(), want), qt.IsTrue, qt.Commentf("%s in\n%s", want, recorder.Body))
-	}
+	)
 }
 
 // carried returns a meter of a link that has carried a text to the store.
