Scripts: one way each to a scratch folder, a platform and a load

Behaviour stays. A new folder with the trap that ends it stood in eight scripts, the start of the platform in three, the load command with its entries and controls in six, the short notice of a stop in six: cluster_scratch, start_platform, cluster_load and SHORT_NOTICE in cluster.sh are the one of each now.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -2,7 +2,9 @@
 # one stand-in platform, one process of stand-in targets and three entry hosts
 # a failure domain. Sourced by the other scripts.
 #
+#   cluster_scratch                   sets OUT to a new folder, until the script ends
 #   cluster_start andina|braendeovn   sets ENTRIES, ENTRY_PIDS, PLATFORM, CONTROLS
+#   cluster_load SCENARIO FLAG...     drives a scenario and prints its report
 #   cluster_stop                      ends what cluster_start started
 
 BIN=${BIN:-bin/foxcroft}
@@ -11,8 +13,14 @@
 DOMAINS_USED=${DOMAINS_USED:-3}
 TARGET_FLAGS=${TARGET_FLAGS:-}
 EXTRA_SETTINGS=${EXTRA_SETTINGS:-}
+SHORT_NOTICE=$'[stop]\nnotice = 100ms' # for EXTRA_SETTINGS: no balancer has to see a host leave
 PIDS=()
 
+cluster_scratch() { # OUT is a new folder; it and all that runs end with the script
+  OUT=$(mktemp -d)
+  trap 'cluster_stop; rm -rf "$OUT"' EXIT
+}
+
 cluster_names() {
   case $1 in
     andina) NET=1; DOMAINS=(bogota-norte medellin-sur cali-centro); SERVICE=formula-desk; TEAM=counters ;;
@@ -64,6 +72,11 @@
   return 1
 }
 
+start_platform() {
+  spawn platform "$BIN" standin -listen "$PLATFORM" platform
+  wait_for "http://$PLATFORM/v1/hosts"
+}
+
 start_entry() { # start_entry domain-index host-index
   local name="${DOMAINS[$(($1 - 1))]}-$2"
   entry_settings "$1" "$2" >"$OUT/$name.ini"
@@ -86,8 +99,7 @@
   mkdir -p "$OUT"
   ENTRIES="" CONTROLS="" ENTRY_PIDS=()
   local d h
-  spawn platform "$BIN" standin -listen "$PLATFORM" platform
-  wait_for "http://$PLATFORM/v1/hosts" || return
+  start_platform || return
   for ((d = 1; d <= DOMAINS_USED; d++)); do
     start_targets "$d"
     for ((h = 1; h <= HOSTS_PER_DOMAIN; h++)); do
@@ -121,10 +133,14 @@
   "$BIN" apply -platform "$PLATFORM" -base "${2:-0}" -wait 10s -entries "$ENTRIES" "$1"
 }
 
+cluster_load() { # cluster_load SCENARIO FLAG...: drives a scenario and prints its report as JSON
+  local scenario=$1; shift
+  "$BIN" load -quiet -json -entries "$ENTRIES" -controls "$CONTROLS" -scenario "scenarios/$scenario.ini" "$@"
+}
+
 cluster_up() { # cluster_up DEPLOYMENT: all hosts with its example in force, until the script ends
-  OUT=$(mktemp -d)
-  trap 'cluster_stop; rm -rf "$OUT"' EXIT
-  EXTRA_SETTINGS=$'[stop]\nnotice = 100ms'
+  cluster_scratch
+  EXTRA_SETTINGS=$SHORT_NOTICE
   cluster_start "$1"
   cluster_apply "examples/$1.ini" >&2
   cluster_wait_links
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -6,11 +6,10 @@
 cd "$(dirname "$0")/.."
 SECONDS_OF_LOAD=${1:-60}
 read -r -a FAULTS <<<"${2:-kill freeze cut pause stop}"
-OUT=$(mktemp -d)
 DOMAINS_USED=1
 . scripts/cluster.sh
+cluster_scratch
 EXTRA_SETTINGS=${EXTRA_SETTINGS:-}$'\n[stop]\nnotice = 200ms\n'
-trap 'cluster_stop; rm -rf "$OUT"' EXIT
 
 # Each host reaches each other host through a relay of its own.
 RELAY_CONTROL=127.1.200.1:7000
@@ -37,10 +36,8 @@
 }
 
 cluster_names andina
-mkdir -p "$OUT"
 CONTROLS="" ENTRIES="" HOST_PIDS=(0 0 0 0)
-spawn platform "$BIN" standin -listen "$PLATFORM" platform
-wait_for "http://$PLATFORM/v1/hosts"
+start_platform
 start_targets 1
 RELAYS=""
 for from in 1 2 3; do
@@ -56,8 +53,7 @@
 cluster_apply examples/faults.ini >&2
 cluster_wait_links
 
-"$BIN" load -quiet -json -entries "$ENTRIES" -controls "$CONTROLS" -scenario scenarios/faults.ini \
-  -duration "${SECONDS_OF_LOAD}s" -attempt 3s -policy faults >"$OUT/report.json" &
+cluster_load faults -duration "${SECONDS_OF_LOAD}s" -attempt 3s -policy faults >"$OUT/report.json" &
 LOAD=$!
 KILLS=0 FREEZES=0 CUTS=0 STOPS=0 STEP=0
 while kill -0 "$LOAD" 2>/dev/null; do
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -10,9 +10,8 @@
 DEPLOYMENTS=${4:-"andina braendeovn"}
 LOAD_FLAGS=${LOAD_FLAGS:-}
 . scripts/cluster.sh
-OUT=$(mktemp -d)
-EXTRA_SETTINGS=$'[stop]\nnotice = 100ms'
-trap 'cluster_stop; rm -rf "$OUT"' EXIT
+cluster_scratch
+EXTRA_SETTINGS=$SHORT_NOTICE
 for deployment in $DEPLOYMENTS; do
   cluster_start "$deployment"
   version=0
@@ -23,8 +22,7 @@
       version=$((version + 1))
       cluster_wait_links
       # shellcheck disable=SC2086
-      "$BIN" load -quiet -json -entries "$ENTRIES" -controls "$CONTROLS" -scenario "scenarios/$deployment.ini" \
-        -load "$load" -duration "${SECONDS_OF_LOAD}s" -policy "$policy" $LOAD_FLAGS | tr -d '\n' | sed 's/  */ /g'
+      cluster_load "$deployment" -load "$load" -duration "${SECONDS_OF_LOAD}s" -policy "$policy" $LOAD_FLAGS | tr -d '\n' | sed 's/  */ /g'
       echo
     done
   done
--- a/scripts/move.sh
+++ b/scripts/move.sh
@@ -5,10 +5,9 @@
 set -eu -o pipefail
 cd "$(dirname "$0")/.."
 SECONDS_OF_LOAD=${1:-40}
-OUT=$(mktemp -d)
 . scripts/cluster.sh
+cluster_scratch
 EXTRA_SETTINGS=$'[stop]\nnotice = 1s'
-trap 'cluster_stop; rm -rf "$OUT"' EXIT
 
 without() { # without DOMAIN...: the example document without their executors
   awk -v drop="$*" 'BEGIN { n = split(drop, d, " "); for (i = 1; i <= n; i++) gone["[executors formula " d[i] "]"] = 1 }
@@ -17,8 +16,7 @@
 
 cluster_names andina
 CONTROLS="" ENTRIES="" ENTRY_PIDS=()
-spawn platform "$BIN" standin -listen "$PLATFORM" platform
-wait_for "http://$PLATFORM/v1/hosts"
+start_platform
 start_targets 1
 start_targets 2
 OLD="" NEW="" OLD_PIDS=()
@@ -36,7 +34,7 @@
 cluster_apply "$OUT/old.ini" 0
 
 load() { # load NAME ENTRIES SECONDS
-  "$BIN" load -quiet -json -entries "$2" -controls "$CONTROLS" -scenario scenarios/move.ini -duration "$3s" -policy "$1" >"$OUT/$1.json"
+  ENTRIES=$2 cluster_load move -duration "$3s" -policy "$1" >"$OUT/$1.json"
 }
 report() { # report NAME
   grep -E '"(policy|jobs|complete|refused|may_have_run|double_starts|false_not_run|crossed_or_partial|response_p99_ms)":' "$OUT/$1.json" | tr -d '\n'
--- a/scripts/overload.sh
+++ b/scripts/overload.sh
@@ -8,7 +8,7 @@
 cluster_up andina
 for run in "0.9 overload" "1.2 overload" "2.0 overload" "0.6 burst" "0.7 overload"; do
   set -- "${1:-15}" $run
-  "$BIN" load -quiet -json -entries "$ENTRIES" -controls "$CONTROLS" -scenario "scenarios/$3.ini" -load "$2" -duration "$1s" -policy shares |
+  cluster_load "$3" -load "$2" -duration "$1s" -policy shares |
     grep -E '"(scenario|load|jobs|complete|refused|may_have_run|goodput|slowdown_p99|double_starts|false_not_run|resubmissions|overloaded|deadline_passed)":' | tr -d '\n' | sed 's/  */ /g'
   echo
 done
--- a/scripts/record-cost.sh
+++ b/scripts/record-cost.sh
@@ -7,16 +7,14 @@
 SECONDS_OF_LOAD=${1:-10}
 DOMAINS_USED=1
 . scripts/cluster.sh
-OUT=$(mktemp -d)
-trap 'cluster_stop; rm -rf "$OUT"' EXIT
+cluster_scratch
 for round in 1 2 3; do
   for skip in false true; do
-    EXTRA_SETTINGS=$'[stop]\nnotice = 100ms\n[once]\nunsafe_skip_record = '$skip
+    EXTRA_SETTINGS=$SHORT_NOTICE$'\n[once]\nunsafe_skip_record = '$skip
     cluster_start andina
     cluster_apply examples/faults.ini >&2
     cluster_wait_links
-    "$BIN" load -quiet -json -entries "$ENTRIES" -controls "$CONTROLS" -scenario scenarios/record-cost.ini \
-      -duration "${SECONDS_OF_LOAD}s" -policy "skip_record=$skip" |
+    cluster_load record-cost -duration "${SECONDS_OF_LOAD}s" -policy "skip_record=$skip" |
       grep -E '"(policy|jobs|response_p50_ms|response_p99_ms|record|copy|forward|job_against_ideal_p50)"' | tr -d '\n'
     echo
     cluster_stop
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -5,10 +5,9 @@
 set -eu -o pipefail
 cd "$(dirname "$0")/.."
 DEPLOYMENT=${1:-andina}
-OUT=$(mktemp -d)
-EXTRA_SETTINGS=$'[stop]\nnotice = 100ms'
 . scripts/cluster.sh
-trap 'cluster_stop; rm -rf "$OUT"' EXIT
+cluster_scratch
+EXTRA_SETTINGS=$SHORT_NOTICE
 cluster_start "$DEPLOYMENT"
 cluster_apply "examples/$DEPLOYMENT.ini"
 "$BIN" submit -entries "$ENTRIES" -service "$SERVICE" -team "$TEAM" -tasks 12 -ms 50
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -5,10 +5,9 @@
 set -eu -o pipefail
 cd "$(dirname "$0")/.."
 go test -run '^$' -bench 'BytesPerID|Parse|Shares|Acquire' -benchtime 200ms ./pkg/once ./pkg/config ./pkg/route | grep Benchmark
-OUT=$(mktemp -d)
 . scripts/cluster.sh
-EXTRA_SETTINGS=$'[stop]\nnotice = 100ms'
-trap 'cluster_stop; rm -rf "$OUT"' EXIT
+cluster_scratch
+EXTRA_SETTINGS=$SHORT_NOTICE
 field() { grep -o "\"$2\":[0-9.]*" <<<"$1" | head -1 | cut -d: -f2; } # json name
 for DOMAINS_USED in 1 2 3; do
   cluster_start andina
--- a/scripts/slow-target.sh
+++ b/scripts/slow-target.sh
@@ -10,7 +10,7 @@
 for slow in 1 10 1 10; do
   curl -sf -X POST "http://127.1.1.250:7000/control/faults" -d "{\"address\":\"127.1.1.1:7100\",\"slow\":$slow}"
   sleep 1
-  "$BIN" load -quiet -json -entries "$ENTRIES" -controls "$CONTROLS" -scenario scenarios/overload.ini -load 0.6 -duration "${SECONDS_OF_LOAD}s" -policy "slow=$slow" |
+  cluster_load overload -load 0.6 -duration "${SECONDS_OF_LOAD}s" -policy "slow=$slow" |
     grep -E '"(policy|jobs|complete|slowdown_p50|slowdown_p99|response_p99_ms)":' | head -6 | tr -d '\n' | sed 's/  */ /g'
   echo
 done
