An explorer of two domains whose callers send again, for each cause

The run that limits an executor's leases is now always the same one among equals, as the explorer's traces must be.

--- /dev/null
+++ b/pkg/cell/explore_again_test.go
@@ -0,0 +1,94 @@
+package cell
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// traceDouble plays a seed again and returns what concerns the job of which a
+// task was the first to run twice.
+func traceDouble(seed uint64, f faults) string {
+	w := newCluster(seed, f)
+	w.tracing = true
+	w.play()
+	if len(w.doubles) == 0 {
+		return fmt.Sprintf("seed %d: nothing ran twice", seed)
+	}
+	id, _, _ := strings.Cut(w.doubles[0], ".")
+	return fmt.Sprintf("seed %d, %s\n%s", seed, w.doubles[0], w.traceOf(id))
+}
+
+func TestExploredJobsSentAgainAreNeverDoubled(t *testing.T) {
+	const plays = 80
+	type scenario struct {
+		testName string
+		faults   faults
+	}
+	scenarios := []scenario{
+		{testName: "orders are lost", faults: faults{orders: true}},
+		{testName: "hosts die", faults: faults{deaths: true}},
+		{testName: "owners die one after the other", faults: faults{chains: true}},
+		{testName: "hosts stand still", faults: faults{stands: true}},
+		{testName: "hosts stand still and die", faults: faults{stands: true, deaths: true}},
+		{testName: "words to owners are lost and late", faults: faults{words: true}},
+		{testName: "everything", faults: faults{deaths: true, chains: true, stands: true, words: true, orders: true}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			var count clusterCount
+			var failed []uint64
+			for seed := range uint64(plays) {
+				w := newCluster(seed, s.faults)
+				w.play()
+				count.add(w.count)
+				if len(w.doubles) > 0 {
+					failed = append(failed, seed)
+				}
+			}
+			t.Logf("%+v", count)
+			if len(failed) > 0 {
+				t.Logf("%d of %d plays failed: seeds %d", len(failed), plays, failed)
+				t.Log(traceDouble(failed[0], s.faults))
+			}
+			c.Assert(failed, qt.HasLen, 0)
+			count.assertEnough(c, plays, s.faults)
+		})
+	}
+}
+
+func (c *clusterCount) add(o clusterCount) {
+	c.ended += o.ended
+	c.sentAgain += o.sentAgain
+	c.takeovers += o.takeovers
+	c.suspected += o.suspected
+}
+
+// assertEnough asserts that the plays had in them what they are made for.
+func (c *clusterCount) assertEnough(qc *qt.C, plays int, f faults) {
+	qc.Assert(c.ended > 20*plays, qt.IsTrue, qt.Commentf("%+v", c))
+	qc.Assert(c.sentAgain > 5*plays, qt.IsTrue, qt.Commentf("%+v", c))
+	qc.Assert(!f.chains || c.takeovers > 10*plays, qt.IsTrue, qt.Commentf("%+v", c))
+	qc.Assert(!f.chains && !f.stands || c.suspected > plays, qt.IsTrue, qt.Commentf("%+v", c))
+}
+
+func TestAPlayOfTheExplorerIsTheSameEachTime(t *testing.T) {
+	c := qt.New(t)
+	all := faults{deaths: true, chains: true, stands: true, words: true, orders: true}
+	for seed := range uint64(3) {
+		var traces [][]traceLine
+		for range 2 {
+			w := newCluster(seed, all)
+			w.tracing = true
+			w.play()
+			traces = append(traces, w.trace)
+		}
+		c.Assert(len(traces[1]), qt.Equals, len(traces[0]))
+		for i, line := range traces[0] {
+			c.Assert(traces[1][i], qt.Equals, line, qt.Commentf("line %d", i))
+		}
+	}
+}
--- a/pkg/cell/explore_orders_test.go
+++ b/pkg/cell/explore_orders_test.go
@@ -11,6 +11,7 @@
 	random *rand.Rand
 	now    time.Duration
 	later  []event
+	spare  []event // room for the next list
 }
 
 type event struct {
@@ -22,10 +23,18 @@
 	t.later = append(t.later, event{at: t.now + d, do: do})
 }
 
+// between returns a random time of whole milliseconds, most excluded.
+func (t *timeline) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(t.random.IntN(int((most-least)/ms)))*ms
+}
+
+// oneIn reports true once in so many times.
+func (t *timeline) oneIn(count int) bool { return t.random.IntN(count) == 0 }
+
 // fire does what is due.
 func (t *timeline) fire() {
 	due := t.later
-	t.later = nil
+	t.later = t.spare[:0]
 	for _, e := range due {
 		if e.at <= t.now {
 			e.do()
@@ -33,6 +42,8 @@
 			t.later = append(t.later, e)
 		}
 	}
+	clear(due)
+	t.spare = due
 }
 
 // modelProcess is one that may stand still or be gone.
--- /dev/null
+++ b/pkg/cell/explore_trouble_test.go
@@ -0,0 +1,100 @@
+package cell
+
+import "time"
+
+// faults are the kinds of trouble that a play has, beside callers whose
+// connections break and planned takeovers.
+type faults struct {
+	deaths bool // hosts die
+	chains bool // owners die one after the other
+	stands bool // hosts stand still, also again and again
+	words  bool // what fronts send to owners is held up, and withdrawals are lost
+	orders bool // orders to executors are lost, late or unanswered
+}
+
+// trouble brings a fault now and then.
+func (w *cluster) trouble() {
+	d := w.domains[w.random.IntN(len(w.domains))]
+	switch kind := w.random.IntN(700); {
+	case kind < 2 && w.faults.orders:
+		w.cutOff(w.executors[w.random.IntN(len(w.executors))])
+	case kind == 2:
+		w.takeOverAsPlanned(d)
+	case kind == 3 && w.faults.stands:
+		w.freeze(d.newest().host, w.between(0, 4*time.Second))
+	case kind > 3 && kind < 6 && w.faults.stands:
+		w.freezeAgain(w.anyHost(), 3+w.random.IntN(6))
+	case kind == 6 && w.faults.deaths:
+		w.die(w.anyHost(), w.oneIn(2))
+	case kind > 6 && kind < 9 && w.faults.chains:
+		d.dying = w.random.IntN(4)
+		w.die(d.newest().host, w.oneIn(2))
+	case kind == 9 && w.faults.chains:
+		w.dieInTurn(d)
+	case kind == 10 && w.faults.deaths && w.faults.stands:
+		w.dieUnnoticed(d)
+	}
+}
+
+// dieUnnoticed has an owner stand still again and again, while a front dies that
+// it has jobs of.
+func (w *cluster) dieUnnoticed(d *domain) {
+	o := d.newest()
+	w.freezeAgain(o.host, 3+w.random.IntN(6))
+	w.after(w.between(0, 400*ms), func() {
+		for _, waiting := range o.waiters {
+			if waiting.link != nil {
+				w.die(waiting.front, w.oneIn(2))
+				return
+			}
+		}
+	})
+}
+
+// cutOff has all orders to an executor go unanswered for a while.
+func (w *cluster) cutOff(e *modelExecutor) {
+	e.cut = true
+	w.after(w.between(0, 3*time.Second), func() { e.cut = false })
+}
+
+// takeOverAsPlanned has another host claim a cell, and tell the former owner.
+func (w *cluster) takeOverAsPlanned(d *domain) {
+	former := d.newest()
+	w.claim(d, former)
+	w.to(former.host, 20*ms, func() {
+		former.handle(func() { former.cell.Release("taken over") })
+	})
+}
+
+// freezeAgain has a host stand still, mostly for a short time, as often as told.
+func (w *cluster) freezeAgain(h *host, times int) {
+	if h == nil || h.dead || times == 0 {
+		return
+	}
+	d := w.between(20*ms, 640*ms)
+	if w.oneIn(5) {
+		d = w.between(600*ms, 1500*ms)
+	}
+	w.freeze(h, d)
+	w.after(d+w.between(2*ms, 120*ms), func() { w.freezeAgain(h, times-1) })
+}
+
+// endChained ends the host of an owner some time after its claim, as often as the
+// domain's trouble says.
+func (w *cluster) endChained(d *domain, o *owner) {
+	if d.dying == 0 {
+		return
+	}
+	d.dying--
+	w.after(w.between(100*ms, 900*ms), func() { w.die(o.host, w.oneIn(2)) })
+}
+
+func (w *cluster) dieInTurn(d *domain) {
+	var wait time.Duration
+	for _, h := range w.hosts {
+		if h.domain == d && !h.dead {
+			w.after(wait, func() { w.die(h, false) })
+			wait += w.between(350*ms, 520*ms)
+		}
+	}
+}
--- a/pkg/cell/joblease.go
+++ b/pkg/cell/joblease.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"cmp"
+	"strings"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/job"
@@ -51,13 +53,18 @@
 func (e *executor) limiting() *run {
 	var first *run
 	for _, r := range e.runs {
-		if first == nil || r.lastRenewal() < first.lastRenewal() {
+		if first == nil || r.endsBefore(first) {
 			first = r
 		}
 	}
 	return first
 }
 
+// endsBefore orders runs by the leases of their jobs, and those of one job by name.
+func (r *run) endsBefore(other *run) bool {
+	return cmp.Or(cmp.Compare(r.lastRenewal(), other.lastRenewal()), strings.Compare(r.name, other.name)) < 0
+}
+
 // limit returns a time on an executor's clock up to which its leases may be set at
 // most, and no further than wanted.
 func (c *Cell) limit(e *executor, wanted, now time.Duration) time.Duration {
