Clocks of idle executors are read before work goes there; leases count as limited by half

An executor whose clock was read 40 s ago may be 0.8 s behind what we take it for, so that no job's lease covered a start there: with leases of jobs, executors that had been idle for that long got no work again. Test: TestAnExecutorThatWasIdleForLongGetsWork failed first (no hold, no start). Half a lease is the limit now.

--- a/pkg/cell/answers.go
+++ b/pkg/cell/answers.go
@@ -133,9 +133,11 @@
 
 // heard takes the clock in an answer.
 func (c *Cell) heard(e *executor, clock, now time.Duration) {
-	if clock > 0 {
-		e.clock.observe(clock, now)
+	if clock == 0 {
+		return
 	}
+	c.dirty = c.dirty || c.wantsClock(e, now) // jobs have waited for it
+	e.clock.observe(clock, now)
 }
 
 // takeVerdict handles the verdicts that concern the executor or the ownership
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -60,7 +60,7 @@
 	holding   bool          // a hold is under way
 	retryAt   time.Duration // no hold before
 	fullTill  time.Duration // it has refused a start for want of room
-	limited   bool          // its leases aren't renewed in full, by those of the jobs
+	limited   bool          // its leases are far from renewed in full, by those of the jobs
 	missed    int           // holds in a row that weren't carried out
 	granted   time.Duration // the latest end of a lease that any order of ours gave, on its clock
 	listedTo  int64         // the newest end that was taken in
--- a/pkg/cell/holds.go
+++ b/pkg/cell/holds.go
@@ -31,7 +31,7 @@
 	if e.holding || e.gone || now < e.retryAt {
 		return
 	}
-	if e.adopted && len(e.runs) == 0 && !e.silent {
+	if e.adopted && len(e.runs) == 0 && !e.silent && !c.wantsClock(e, now) {
 		return
 	}
 	if !e.adopted && !e.listed {
@@ -41,11 +41,12 @@
 	// A takeover looks before it renews: what runs may be nobody's.
 	// A silent executor may take the order in much later, when its runs count
 	// as ended; so its leases aren't renewed before it has answered.
-	if e.adopted && !e.silent && e.clock.known {
+	renews := e.adopted && !e.silent && len(e.runs) > 0
+	if renews && e.clock.known {
 		command.Deadline = c.renewal(e, now)
 		e.granted = max(e.granted, command.Deadline)
 	}
-	if e.adopted && !e.silent {
+	if renews {
 		command.Wait = c.holdWait(e, now)
 	}
 	e.holding = true
@@ -55,10 +56,10 @@
 // renewal returns how far a hold sets the leases of an executor, on its clock; 0
 // when it renews nothing.
 func (c *Cell) renewal(e *executor, now time.Duration) time.Duration {
-	full := e.clock.at(now) + c.params.Lease
-	limit := c.limit(e, full, now)
+	wanted := e.clock.at(now) + c.params.Lease
+	limit := c.limit(e, wanted, now)
 	wasLimited := e.limited
-	e.limited = limit < full
+	e.limited = wanted-limit > c.params.Lease/2
 	if e.limited && !wasLimited {
 		r := e.limiting()
 		c.note(Notice{Event: "leases_limited", Executor: e.info.ID, Job: r.jobID(), Task: r.name, Age: now - r.lastRenewal()})
--- a/pkg/cell/joblease.go
+++ b/pkg/cell/joblease.go
@@ -89,6 +89,16 @@
 	return end >= max(e.granted, e.clock.at(now)+shortestLease)
 }
 
+// longestUnseen is how long an executor's clock goes unread while there is work:
+// what its drift may come to by then, 60 ms, is lost of each lease. Without a limit
+// an executor that was idle for 40 s would never get work again.
+const longestUnseen = 3 * time.Second
+
+// wantsClock reports whether an executor should be asked for its clock.
+func (c *Cell) wantsClock(e *executor, now time.Duration) bool {
+	return len(c.works) > 0 && e.listed && now > e.clock.seenAt+longestUnseen
+}
+
 // handBackUnrenewed gives back the jobs whose leases end soon, so that their runs are
 // stopped before those of other jobs end with them.
 func (c *Cell) handBackUnrenewed(now time.Duration) {
--- a/pkg/cell/joblease_test.go
+++ b/pkg/cell/joblease_test.go
@@ -102,6 +102,22 @@
 	}
 }
 
+// Of a clock that was read long ago little is known: it may be 2% slow.
+func TestAnExecutorThatWasIdleForLongGetsWork(t *testing.T) {
+	c := qt.New(t)
+	d := adopted(c, 1)
+	d.tick(time.Hour)
+	c.Assert(d.of(Hold), qt.HasLen, 0, qt.Commentf("there is no work"))
+	d.submit(testJob("a", 1, d.now), 1)
+	c.Assert(d.of(Start), qt.HasLen, 0)
+	holds := d.of(Hold)
+	c.Assert(holds, qt.HasLen, 1)
+	c.Assert(holds[0].Wait, qt.Equals, time.Duration(0))
+	d.now += 2 * ms
+	d.holdAnswer(0, HoldAnswer{Clock: time.Minute + d.now}, d.now)
+	c.Assert(d.of(Start), qt.HasLen, 1)
+}
+
 func TestAStartDoesNotProlongARunWhoseJobIsNotRenewed(t *testing.T) {
 	c := qt.New(t)
 	d := adopted(c, 1)
