Leases at executors of 0.7 of the longest hold

Hypothesis: with leases of jobs a start on a busy executor needs a renewal that is younger than the job's lease less that at the executor: 383 ms with 0.8 of the longest hold; fronts that beat slowly are older, and wait. Conclusion: kept for the room it gives to renewals; no gain in worth is claimed.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -30,12 +30,18 @@
 	Order       func() Order  // makes the order of jobs
 }
 
+// leaseTenths is how much of the longest hold a lease takes. A job whose last renewal
+// is older than its lease less that at an executor waits for the next one: 0.48 s with
+// 7 tenths, 0.38 s with 8, where fronts that beat slowly renew after up to 0.4 s. In
+// worth the two don't differ (+0.001 +- 0.002 on two deployments, 3 seeds).
+const leaseTenths = 7
+
 // DefaultParams returns the times for a longest hold and a lease of jobs. The
 // lease at executors ends well within both, and a hold returns well before a lease
 // ends. The policies are the default ones.
 func DefaultParams(longestHold, jobLease, stopTime time.Duration) Params {
 	return Params{
-		Lease:       longestHold * 8 / 10,
+		Lease:       longestHold * leaseTenths / 10,
 		StartLease:  longestHold / 2,
 		HoldWait:    longestHold / 4,
 		LongestHold: longestHold,
