--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -132,17 +132,17 @@
 	}
 }
 
-// neighbourGrace is how long runs of no known job are kept beside runs that are
+// sharedGrace is how long runs of no known job are kept beside runs that are
 // waited for, whose leases can't be renewed meanwhile: 200 ms are left of them at
 // least when the next owner claims 250 ms after the death of the last. Jobs come
 // within 42 ms of the adoption (52 runs of a day with kills).
-const neighbourGrace = 100 * time.Millisecond
+const sharedGrace = 100 * time.Millisecond
 
 // orphanGrace returns how long runs of no known job are kept at an executor.
 func (c *Cell) orphanGrace(e *executor) time.Duration {
 	for _, r := range e.runs {
 		if r.work != nil {
-			return min(neighbourGrace, c.params.OrphanGrace)
+			return min(sharedGrace, c.params.OrphanGrace)
 		}
 	}
 	return c.params.OrphanGrace
--- a/pkg/cell/joblease.go
+++ b/pkg/cell/joblease.go
@@ -14,7 +14,7 @@
 // the executors' own clocks have ended the runs of the first sending, however many
 // hosts have died, stood still or taken over meanwhile. A sum of time-outs held for one
 // takeover only: with a domain's hosts killed one after the other, tasks ran twice
-// in 11 of 12 runs of real processes.
+// in 6 of 12 runs of real processes.
 
 // ReasonNotRenewed marks a job that was handed back because its front had not
 // renewed it for too long.
@@ -118,7 +118,9 @@
 	}
 }
 
-// unrenewed returns the jobs whose leases end soon, sorted by id.
+// unrenewed returns the jobs whose leases end within half of one at an executor, sorted
+// by id: 0.85 s after the last renewal, where fronts that beat slowly renew after up to
+// 0.4 s, and in time for a stop to be ordered twice.
 func (c *Cell) unrenewed(now time.Duration) []*work {
 	patience := c.params.JobLease - c.params.Lease/2
 	var works []*work
