A host that is slow for long vouches for its callers now and then

A host whose looks come more than 150 ms apart for long, as its processor is slow, would never have vouched for its callers: nothing of theirs would have started. After two gaps in a row the next look counts (TestAHostThatIsSlowForLongVouchesNowAndThen, red before).

--- a/pkg/node/renewals.go
+++ b/pkg/node/renewals.go
@@ -19,6 +19,9 @@
 	// longestLook is the time between two looks after which this process must have
 	// stood still: it looks each 100 ms when nothing else is to be done.
 	longestLook = 150 * time.Millisecond
+	// mostGaps is how many gaps in a row count as standing still. After more the host
+	// is slow: it has run at each look, and nothing would be served if it never vouched.
+	mostGaps = 2
 )
 
 // renewals remembers up to which moments this host can vouch that its callers
@@ -30,6 +33,7 @@
 	moments map[string]*ownerMoments // by the owner's address
 	own     time.Duration            // the same for this host's own cells
 	looked  time.Duration            // the last look
+	gaps    int                      // in a row before it
 }
 
 // ownerMoments are those that an owner has told.
@@ -85,9 +89,11 @@
 	}
 	last := r.looked
 	r.looked = now
-	if now > last+longestLook {
+	if now > last+longestLook && r.gaps < mostGaps {
+		r.gaps++
 		return nil
 	}
+	r.gaps = 0
 	r.own = last
 	news := map[string]*peerpb.Moment{}
 	for address, m := range r.moments {
