--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -78,7 +78,7 @@
 	r := &run{executor: e, name: entry.Task, number: entry.Run, state: running, seenAt: now, percent: entry.Percent}
 	e.add(r)
 	if w, t := c.taskNamed(entry.Task); t != nil {
-		c.claimRun(w, t, r)
+		c.claimRun(w, t, r, now)
 	}
 	if r.work == nil {
 		c.note(Notice{Event: "orphan_found", Executor: e.info.ID, Task: entry.Task, Detail: strconv.FormatInt(entry.Run, 10)})
@@ -87,11 +87,14 @@
 
 // claimRun gives a run without a job to a task that waits. One that is being
 // stopped counts too: the task can't start again before its end.
-func (c *Cell) claimRun(w *work, t *task, r *run) {
+func (c *Cell) claimRun(w *work, t *task, r *run, now time.Duration) {
 	if t == nil || t.done || t.current != nil {
 		return
 	}
 	step := &w.job.Steps[t.key.Step]
+	if r.executor.sharedAt == 0 {
+		r.executor.sharedAt = now
+	}
 	r.executor.used = r.executor.used.Sub(r.needs).Add(step.Needs)
 	r.work, r.task, r.needs = w, t, step.Needs
 	r.estimate = w.estimate(t.key.Step)
@@ -109,13 +112,13 @@
 		return
 	}
 	if t.current == nil {
-		t.done = true
+		t.done, w.started = true, true
 		c.finishIfDone(w)
 	}
 }
 
 // adopt gives a job the runs and ends that a former owner left.
-func (c *Cell) adopt(w *work) {
+func (c *Cell) adopt(w *work, now time.Duration) {
 	for _, tasks := range w.steps {
 		for _, t := range tasks {
 			name := w.job.TaskName(t.key)
@@ -125,24 +128,28 @@
 			}
 			for _, e := range c.sorted {
 				if r := e.runs[name]; r != nil && r.work == nil {
-					c.claimRun(w, t, r)
+					c.claimRun(w, t, r, now)
 				}
 			}
 		}
 	}
 }
 
-// sharedGrace is how long runs of no known job are kept beside runs that are
-// waited for, whose leases can't be renewed meanwhile: 200 ms are left of them at
-// least when the next owner claims 250 ms after the death of the last. Jobs come
-// within 42 ms of the adoption (52 runs of a day with kills).
-const sharedGrace = 100 * time.Millisecond
+// Runs of no known job are kept for less time beside runs that are waited for, whose
+// leases can't be renewed meanwhile: 200 ms are left of them at least when the next
+// owner claims 250 ms after the death of the last. With 200 ms one of ten phases of
+// such a takeover costs them their runs, with 400 ms five. Jobs come within 42 ms of
+// the adoption (52 runs of a day with kills).
+const (
+	sharedGrace = 150 * time.Millisecond // from the adoption on
+	claimGrace  = 50 * time.Millisecond  // from the first claim on: other jobs come with it
+)
 
 // orphanGrace returns how long runs of no known job are kept at an executor.
 func (c *Cell) orphanGrace(e *executor) time.Duration {
 	for _, r := range e.runs {
 		if r.work != nil {
-			return min(sharedGrace, c.params.OrphanGrace)
+			return min(max(sharedGrace, e.sharedAt+claimGrace-e.adoptedAt), c.params.OrphanGrace)
 		}
 	}
 	return c.params.OrphanGrace
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -179,7 +179,8 @@
 	// A reading may be older than what the executor itself has told.
 	info.Draining = info.Draining || e.info.Draining
 	e.info = info
-	if info.Clock > 0 {
+	// That of a list is mostly older than what the executor itself has told.
+	if info.Clock > 0 && !(e.clock.known && info.Clock < e.clock.least(now)) {
 		e.clock.observe(info.Clock, now)
 	}
 }
@@ -213,7 +214,7 @@
 	c.supersede(w)
 	c.works[j.ID] = w
 	c.byWhole[j.WholeID()] = append(c.byWhole[j.WholeID()], w)
-	c.adopt(w)
+	c.adopt(w, now)
 	c.dirty = true
 	c.finishIfDone(w)
 	c.advance(now)
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -54,11 +54,13 @@
 	clock     remoteClock
 	adopted   bool // it has answered a hold with our token
 	adoptedAt time.Duration
+	sharedAt  time.Duration // a job has claimed a run here first, since the adoption
 	gone      bool          // this life of it is over
 	silent    bool          // its last hold got no answer
 	doubtful  bool          // a start got no answer, and nothing has come since
 	holding   bool          // a hold is under way
 	retryAt   time.Duration // no hold before
+	askedAt   time.Duration // the last hold for its clock alone
 	fullTill  time.Duration // it has refused a start for want of room
 	limited   bool          // its leases are far from renewed in full, by those of the jobs
 	missed    int           // holds in a row that weren't carried out
--- a/pkg/cell/holds.go
+++ b/pkg/cell/holds.go
@@ -48,6 +48,8 @@
 	}
 	if renews {
 		command.Wait = c.holdWait(e, now)
+	} else {
+		e.askedAt = now
 	}
 	e.holding = true
 	c.commands = append(c.commands, command)
--- a/pkg/cell/joblease.go
+++ b/pkg/cell/joblease.go
@@ -104,7 +104,7 @@
 
 // wantsClock reports whether an executor should be asked for its clock.
 func (c *Cell) wantsClock(e *executor, now time.Duration) bool {
-	return len(c.works) > 0 && e.listed && now > e.clock.seenAt+longestUnseen
+	return len(c.works) > 0 && e.usable(now) && now > max(e.clock.seenAt, e.askedAt)+longestUnseen
 }
 
 // handBackUnrenewed gives back the jobs whose leases end soon, so that their runs are
--- a/pkg/node/renewals.go
+++ b/pkg/node/renewals.go
@@ -22,6 +22,9 @@
 	// mostGaps is how many gaps in a row count as standing still. After more the host
 	// is slow: it has run at each look, and nothing would be served if it never vouched.
 	mostGaps = 2
+	// renewPause is the least time between two renewals to an owner, who goes through
+	// its jobs at each.
+	renewPause = 100 * time.Millisecond
 )
 
 // renewals remembers up to which moments this host can vouch that its callers
@@ -40,7 +43,9 @@
 type ownerMoments struct {
 	newest *peerpb.Moment // nil when none has come since the last look
 	aging  *peerpb.Moment // the newest one at the last look; nil when there was none
-	sure   *peerpb.Moment // nil as long as there is none
+	sure   *peerpb.Moment // the newest one that counts; nil as long as there is none
+	sentAt time.Duration  // the last renewal
+	unsent bool           // sure is newer than that
 }
 
 func newRenewals() *renewals { return &renewals{moments: map[string]*ownerMoments{}} }
@@ -52,7 +57,13 @@
 	if r.moments[address] == nil {
 		r.moments[address] = &ownerMoments{}
 	}
-	r.moments[address].newest = moment
+	m := r.moments[address]
+	for _, known := range []*peerpb.Moment{m.newest, m.aging, m.sure} {
+		if known != nil && bytes.Equal(known.Incarnation, moment.Incarnation) && known.AtUs >= moment.AtUs {
+			return // it has been overtaken
+		}
+	}
+	m.newest = moment
 }
 
 // forget takes that an owner is lost.
@@ -79,8 +90,9 @@
 	return r.own
 }
 
-// look ages the moments. It returns the new ones that this host vouches for now,
-// by the owner's address; nothing when the last look was a moment ago or too long ago.
+// look ages the moments: what is newest at one look is aging at the next and counts
+// from the one after. It returns those to renew with now, by the owner's address;
+// nothing when the last look was a moment ago or too long ago.
 func (r *renewals) look(now time.Duration) map[string]*peerpb.Moment {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -89,23 +101,39 @@
 	}
 	last := r.looked
 	r.looked = now
-	if now > last+longestLook && r.gaps < mostGaps {
-		r.gaps++
+	if r.stoodStill(now - last) {
 		return nil
 	}
-	r.gaps = 0
 	r.own = last
 	news := map[string]*peerpb.Moment{}
 	for address, m := range r.moments {
 		if m.aging != nil {
-			m.sure = m.aging
-			news[address] = m.sure
+			m.sure, m.unsent = m.aging, true
 		}
 		m.aging, m.newest = m.newest, nil
+		if m.unsent && now >= m.sentAt+renewPause {
+			m.sentAt, m.unsent = now, false
+			news[address] = m.sure
+		}
 	}
 	return news
 }
 
+// stoodStill takes the time since the last look, and reports whether this process
+// must have stood still meanwhile.
+func (r *renewals) stoodStill(gap time.Duration) bool {
+	switch {
+	case gap <= longestLook:
+		r.gaps = 0
+		return false
+	case gap > longestGap:
+		r.gaps = 1
+		return true
+	}
+	r.gaps++
+	return r.gaps <= mostGaps
+}
+
 // takeMoment takes the time of an owner that came with a reply.
 func (n *Node) takeMoment(address string, reply *peerpb.Message) {
 	if reply.Moment != nil {
--- a/pkg/node/renewals_test.go
+++ b/pkg/node/renewals_test.go
@@ -137,3 +137,36 @@
 	c.Assert(back, qt.HasLen, 1)
 	c.Assert(back["left"].Reason, qt.Equals, cell.ReasonNotRenewed)
 }
+
+// On a full link the reply to a heartbeat comes after the outcomes that were made after it.
+func TestAMomentThatWasOvertakenTakesNothingBack(t *testing.T) {
+	c := qt.New(t)
+	r := newRenewals()
+	now := time.Second
+	look := func() { now += renewInterval; r.look(now) }
+	r.look(now)
+	outcome, reply := &peerpb.Moment{AtUs: 900_000}, &peerpb.Moment{AtUs: 100_000}
+	r.told("owner", outcome)
+	r.told("owner", reply) // 0.8 s late
+	look()
+	look()
+	c.Assert(r.sure("owner"), qt.Equals, outcome)
+	r.told("owner", reply)
+	look()
+	look()
+	c.Assert(r.sure("owner"), qt.Equals, outcome)
+}
+
+// A host whose loop comes round every 160 ms runs; it stands still no more than one of 145 ms.
+func TestASlowHostVouchesForItsCallers(t *testing.T) {
+	c := qt.New(t)
+	r := newRenewals()
+	now := time.Second
+	for range 20 {
+		now += longestLook + 10*time.Millisecond
+		r.told("owner", &peerpb.Moment{AtUs: now.Microseconds()})
+		r.look(now)
+	}
+	c.Assert(r.sureHere() > now-850*time.Millisecond, qt.IsTrue, qt.Commentf("own cells: %s at %s", r.sureHere(), now))
+	c.Assert(r.sure("owner"), qt.IsNotNil)
+}
--- a/pkg/settings/node.go
+++ b/pkg/settings/node.go
@@ -74,15 +74,15 @@
 	return node, nil
 }
 
-// leaseBeats is how many heartbeats and stops the time of resubmission has to hold: a
-// job's lease is that time less two stops, and has to outlast the leases at
-// executors, of 0.54 of it, by two heartbeats.
-const leaseBeats = 5
+// leaseBeats is how many heartbeats a job's lease, the time of resubmission less two
+// stops, has to hold: a renewal is up to two of them old when it comes, and the next
+// one comes as much later.
+const leaseBeats = 4
 
 // checkLeases reports times with which the leases of jobs would end before their
 // fronts could renew them.
 func (n *Node) checkLeases() error {
-	if least := leaseBeats * (n.Heartbeat + n.StopTime); n.ResubmitAfter < least {
+	if least := 2*n.StopTime + leaseBeats*n.Heartbeat; n.ResubmitAfter < least {
 		return errkind.New(errkind.BadSettings, "raise resubmit_after in [lease], or lower heartbeat in [peers] or stop_time in [lease]",
 			"resubmit_after is %s, and has to be %s with this heartbeat and stop_time", n.ResubmitAfter, least)
 	}
