--- a/pkg/cell/clock.go
+++ b/pkg/cell/clock.go
@@ -45,3 +45,14 @@
 func (c *remoteClock) at(now time.Duration) time.Duration {
 	return c.shown + now - c.seenAt
 }
+
+// longestUnseen is how long an executor's clock goes unread while there is work:
+// what its drift may come to by then, 60 ms, is lost of each lease. Without a limit
+// an executor that was idle for 50 s would never get work again: 2% of that are 1 s,
+// as much as a job's lease reaches ahead of its last renewal but for a start's time.
+const longestUnseen = 3 * time.Second
+
+// wantsClock reports whether an executor should be asked for its clock.
+func (c *Cell) wantsClock(e *executor, now time.Duration) bool {
+	return len(c.works) > 0 && e.usable(now) && now > max(e.clock.seenAt, e.askedAt)+longestUnseen
+}
--- a/pkg/cell/joblease.go
+++ b/pkg/cell/joblease.go
@@ -15,6 +15,11 @@
 // hosts have died, stood still or taken over meanwhile. A sum of time-outs held for one
 // takeover only: with a domain's hosts killed one after the other, tasks ran twice
 // in 6 of 12 runs of real processes.
+//
+// From a job to its executors: leaseEnds is the end of a job's lease on our clock;
+// limit, on an executor's clock, the first such end among its runs; a hold renews up
+// to it (leaseDeadline in holds.go), a start needs some time before it (mayStart) and
+// that the own job's lease reaches as far as those given there already (covers).
 
 // ReasonNotRenewed marks a job that was handed back because its front had not
 // renewed it for too long.
@@ -97,16 +102,6 @@
 	return end >= max(e.granted, e.clock.at(now)+shortestLease)
 }
 
-// longestUnseen is how long an executor's clock goes unread while there is work:
-// what its drift may come to by then, 60 ms, is lost of each lease. Without a limit
-// an executor that was idle for 40 s would never get work again.
-const longestUnseen = 3 * time.Second
-
-// wantsClock reports whether an executor should be asked for its clock.
-func (c *Cell) wantsClock(e *executor, now time.Duration) bool {
-	return len(c.works) > 0 && e.usable(now) && now > max(e.clock.seenAt, e.askedAt)+longestUnseen
-}
-
 // handBackUnrenewed gives back the jobs whose leases end soon, so that their runs are
 // stopped before those of other jobs end with them.
 func (c *Cell) handBackUnrenewed(now time.Duration) {
--- /dev/null
+++ b/pkg/cell/placement.go
@@ -0,0 +1,155 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/job"
+)
+
+// place starts waiting tasks where there is room, in the order of the jobs.
+func (c *Cell) place(now time.Duration) {
+	if !c.dirty {
+		return
+	}
+	if c.closed || now < c.pausedTill || c.placedLately(now) || c.pacer.full() {
+		return
+	}
+	c.dirty = false
+	c.placedAt = now
+	candidates := c.candidates(now)
+	least, waiting := c.leastNeed()
+	if !waiting || mostRoom(candidates) < least {
+		return
+	}
+	for _, w := range c.ranked(now) {
+		c.placeWork(candidates, w, now)
+		if mostRoom(candidates) < least || c.pacer.full() {
+			return
+		}
+	}
+}
+
+// Ranking a long queue at every event would take all processor time just when
+// there is most to do. The next event or tick places what waits.
+const (
+	longQueue  = 64 // jobs
+	placePause = 3 * time.Millisecond
+)
+
+// placedLately reports whether a long queue was gone through a moment ago.
+func (c *Cell) placedLately(now time.Duration) bool {
+	return len(c.works) > longQueue && now < c.placedAt+placePause
+}
+
+// leastNeed returns the least processor room that a job here asks for, and
+// whether there is a job.
+func (c *Cell) leastNeed() (least int64, any bool) {
+	for _, w := range c.works {
+		if !any || w.leastCPU < least {
+			least, any = w.leastCPU, true
+		}
+	}
+	return least, any
+}
+
+// mostRoom returns the largest free processor room among executors, or -1.
+// Together with leastNeed it keeps a full cell from going through its queue.
+func mostRoom(executors []*executor) int64 {
+	most := int64(-1)
+	for _, e := range executors {
+		most = max(most, e.info.Capacity.CPU-e.used.CPU)
+	}
+	return most
+}
+
+// placeWork starts what fits of a job.
+func (c *Cell) placeWork(candidates []*executor, w *work, now time.Duration) {
+	fullStep := -1
+	for _, t := range w.waitingTasks() {
+		if t.key.Step == fullStep {
+			continue
+		}
+		if c.pacer.full() {
+			return
+		}
+		if e := c.choose(candidates, w, t, now); e != nil {
+			c.start(e, w, t, now)
+		} else if len(t.failedOn) == 0 {
+			fullStep = t.key.Step // its other tasks want the same
+		}
+	}
+}
+
+// candidates returns the executors that have room for something.
+func (c *Cell) candidates(now time.Duration) []*executor {
+	var candidates []*executor
+	for _, e := range c.sorted {
+		if e.usable(now) && now >= e.fullTill && e.free().CPU > 0 && c.mayStart(e, now) {
+			candidates = append(candidates, e)
+		}
+	}
+	return candidates
+}
+
+// choose returns the executor for a task: the one that it fills best, so that
+// no room is left that fits nothing.
+func (c *Cell) choose(candidates []*executor, w *work, t *task, now time.Duration) *executor {
+	step := &w.job.Steps[t.key.Step]
+	var best *executor
+	var bestCost float64
+	for _, e := range candidates {
+		if !c.suits(e, w, t, step) || !c.covers(w, e, now) {
+			continue
+		}
+		cost := placementCost(e, step)
+		if best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	return best
+}
+
+// suits reports whether a task may run on an executor.
+func (c *Cell) suits(e *executor, w *work, t *task, step *job.Step) bool {
+	if e.info.Service != w.job.Service || !e.free().Fits(step.Needs) {
+		return false
+	}
+	if e.health.onTrial() && (len(e.runs) > 0 || t.failures > 0) {
+		return false
+	}
+	if step.Constraint != "" && !e.info.HasLabel(step.Constraint) {
+		return false
+	}
+	for _, id := range t.failedOn {
+		if id == e.info.ID {
+			return false
+		}
+	}
+	return step.AntiAffinity == 0 || e.countStep(w, t.key.Step) < step.AntiAffinity
+}
+
+func (e *executor) countStep(w *work, step int) int {
+	count := 0
+	for _, r := range e.runs {
+		if r.work == w && r.task.key.Step == step {
+			count++
+		}
+	}
+	return count
+}
+
+const (
+	farCost     = 4.0 // for running far from the data
+	coresInCost = 1000.0
+)
+
+// placementCost is lower for a better fit: little room left over, and near the
+// data.
+func placementCost(e *executor, step *job.Step) float64 {
+	left := e.free().Sub(step.Needs)
+	cost := float64(left.CPU) / coresInCost
+	if step.Affinity != "" && !e.info.HasLabel(step.Affinity) {
+		cost += farCost
+	}
+	return cost
+}
--- /dev/null
+++ b/pkg/node/dispatch.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/cell"
+	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/ownership"
+	"github.com/foxcroft/foxcroft/pkg/peerpb"
+)
+
+// dispatch hands a job to an owner and waits for its end there.
+func (f *front) dispatch(ctx context.Context, j *job.Job, claim ownership.Claim, state *attempt) job.Outcome {
+	f.node.Log.Info("job_dispatched", "job", j.ID, "cell", claim.Cell, "owner", claim.Owner, "token", claim.Token, "epoch", state.epoch, "queued_work", claim.Load.QueuedWork)
+	settleAt := time.Duration(0)
+	if state.lostCell != "" && state.lostCell != claim.Cell {
+		settleAt = state.settleAt
+	}
+	if claim.Owner == f.node.settings.PeerAddress {
+		return f.dispatchHere(ctx, j, claim, state, settleAt)
+	}
+	return f.dispatchToPeer(ctx, j, claim, state, settleAt)
+}
+
+func (f *front) dispatchHere(ctx context.Context, j *job.Job, claim ownership.Claim, state *attempt, settleAt time.Duration) job.Outcome {
+	o := f.node.owner(claim.Cell)
+	if o == nil {
+		return job.Outcome{Kind: job.Moved, Reason: reasonNotOwner}
+	}
+	done := make(chan job.Outcome, 1)
+	self := f.node.settings.PeerAddress
+	handover := cell.Handover{Job: j, Epoch: state.epoch, Progress: state.progress, SettleAt: settleAt, RenewedAt: f.node.renewals.sureHere()}
+	o.submit(handover, waiter{front: self, reply: func(outcome job.Outcome) { done <- outcome }})
+	select {
+	case outcome := <-done:
+		return outcome
+	case <-ctx.Done():
+		o.withdraw(j.ID, self, "caller_left")
+		return abandoned(ctx, true)
+	}
+}
+
+func (f *front) dispatchToPeer(ctx context.Context, j *job.Job, claim ownership.Claim, state *attempt, settleAt time.Duration) job.Outcome {
+	link := f.node.links.Link(claim.Owner)
+	if link == nil || !link.Up() {
+		return job.Outcome{Kind: job.Moved, Reason: reasonNotOwner}
+	}
+	defer f.noteDispatch(claim.Owner)()
+	now := f.node.Clock.Now()
+	settle := max(0, settleAt-now)
+	m := toDispatch(j, claim.Cell, state.epoch, state.progress, settle, now)
+	m.Renewed = f.node.renewals.sure(claim.Owner)
+	answer, err := link.Call(ctx, &peerpb.Message{Body: &peerpb.Message_Dispatch{Dispatch: m}}, 0)
+	if ctx.Err() != nil {
+		link.Send(&peerpb.Message{Body: &peerpb.Message_Withdraw{Withdraw: &peerpb.Withdraw{Id: j.ID, Cell: claim.Cell, Epoch: uint32(state.epoch)}}}, 0)
+		return abandoned(ctx, true)
+	}
+	if err != nil {
+		return job.Outcome{Kind: job.Lost, Reason: err.Error()}
+	}
+	f.node.takeMoment(claim.Owner, answer)
+	outcome := answer.GetOutcome()
+	if outcome == nil {
+		return job.Outcome{Kind: job.Lost, Reason: "wrong_answer"}
+	}
+	return fromOutcome(outcome)
+}
+
+// noteDispatch notes that a job is with another node, until the function that it
+// returns is called.
+func (f *front) noteDispatch(address string) func() {
+	f.mu.Lock()
+	f.dispatched[address]++
+	first := f.dispatched[address] == 1
+	f.mu.Unlock()
+	if first && !f.node.beatsFast(address) {
+		f.node.links.NudgeOne(address) // it beats fast from now on, before the owner takes us for silent
+	}
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.dispatched[address]--
+		if f.dispatched[address] == 0 {
+			delete(f.dispatched, address)
+		}
+	}
+}
+
+// dispatchedTo reports whether a job is with another node.
+func (f *front) dispatchedTo(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.dispatched[address] > 0
+}
+
+// dispatches reports whether jobs are with other nodes.
+func (f *front) dispatches() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.dispatched) > 0
+}
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -320,3 +320,10 @@
 	o.node.Log.Info(notice.Event, "cell", o.cell, "executor", notice.Executor, "job", notice.Job, "task", notice.Task,
 		"detail", notice.Detail, "age_ms", notice.Age.Milliseconds())
 }
+
+// owner returns the owner of a cell, or nil when another node has it.
+func (n *Node) owner(cellName string) *owner {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.owners[cellName]
+}
