--- a/pkg/cell/answers.go
+++ b/pkg/cell/answers.go
@@ -136,7 +136,7 @@
 	if clock == 0 {
 		return
 	}
-	c.dirty = c.dirty || now > e.clock.seenAt+longestUnseen // jobs have waited for it
+	c.dirty = c.dirty || e.clock.isOld(now) // jobs have waited for it
 	e.clock.observe(clock, now)
 }
 
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -179,9 +179,8 @@
 	// A reading may be older than what the executor itself has told.
 	info.Draining = info.Draining || e.info.Draining
 	e.info = info
-	// That of a list is mostly older than what the executor itself has told.
-	if info.Clock > 0 && !(e.clock.known && info.Clock < e.clock.least(now)) {
-		e.clock.observe(info.Clock, now)
+	if info.Clock > 0 {
+		e.clock.hint(info.Clock, now)
 	}
 }
 
@@ -245,7 +244,7 @@
 func (c *Cell) Release(reason string) {
 	c.fenced = true
 	for _, w := range c.sortedWorks() {
-		c.finish(w, job.Outcome{Kind: job.Moved, Reason: reason, Started: w.started, Progress: w.progress()})
+		c.finish(w, w.givenBack(reason))
 	}
 	c.commands = nil
 }
--- a/pkg/cell/clock.go
+++ b/pkg/cell/clock.go
@@ -27,6 +27,14 @@
 	c.seenAt = now
 }
 
+// hint takes a time that may be older than what the executor itself has told: it
+// counts only when it is ahead of that.
+func (c *remoteClock) hint(shown, now time.Duration) {
+	if !c.known || shown >= c.least(now) {
+		c.observe(shown, now)
+	}
+}
+
 // least returns a time that the executor's clock has reached by now even if it
 // runs slow.
 func (c *remoteClock) least(now time.Duration) time.Duration {
@@ -52,7 +60,10 @@
 // as much as a job's lease reaches ahead of its last renewal but for a start's time.
 const longestUnseen = 3 * time.Second
 
+// isOld reports whether the clock was read too long ago for starts.
+func (c *remoteClock) isOld(now time.Duration) bool { return now > c.seenAt+longestUnseen }
+
 // wantsClock reports whether an executor should be asked for its clock.
 func (c *Cell) wantsClock(e *executor, now time.Duration) bool {
-	return len(c.works) > 0 && e.usable(now) && now > max(e.clock.seenAt, e.askedAt)+longestUnseen
+	return len(c.works) > 0 && e.usable(now) && e.clock.isOld(now) && now > e.askedAt+longestUnseen
 }
--- a/pkg/cell/closed.go
+++ b/pkg/cell/closed.go
@@ -1,10 +1,6 @@
 package cell
 
-import (
-	"time"
-
-	"github.com/foxcroft/foxcroft/pkg/job"
-)
+import "time"
 
 // ReasonClosed marks a job that was handed back because its cell takes no new
 // work. No run of it goes on, so that any other cell may have it at once.
@@ -32,7 +28,7 @@
 		if w.hasRuns() || now < w.settleAt {
 			continue
 		}
-		c.finish(w, job.Outcome{Kind: job.Moved, Reason: ReasonClosed, Started: w.started, Progress: w.progress()})
+		c.finish(w, w.givenBack(ReasonClosed))
 	}
 }
 
--- a/pkg/cell/closed_test.go
+++ b/pkg/cell/closed_test.go
@@ -78,10 +78,7 @@
 
 func TestAClosedCellEndsJobsThatAreDone(t *testing.T) {
 	c := qt.New(t)
-	d := adopted(c, 1)
-	d.submit(testJob("a", 1, d.now), 1)
-	start := d.of(Start)[0]
-	d.startAnswer(start, Accepted)
+	d, start := startedOn(c, 1)
 	d.setClosed(true)
 	d.end(1, start)
 	c.Assert(d.finished["a"].Kind, qt.Equals, job.Completed)
--- a/pkg/cell/joblease.go
+++ b/pkg/cell/joblease.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"strings"
 	"time"
-
-	"github.com/foxcroft/foxcroft/pkg/job"
 )
 
 // A job has a lease at its owner, which its front renews for as long as the caller
@@ -107,8 +105,7 @@
 func (c *Cell) handBackUnrenewed(now time.Duration) {
 	for _, w := range c.unrenewed(now) {
 		c.note(Notice{Event: "job_not_renewed", Job: w.job.ID, Age: now - w.renewedAt})
-		outcome := job.Outcome{Kind: job.Moved, Reason: ReasonNotRenewed, Started: w.started, Progress: w.progress()}
-		c.finish(w, outcome)
+		c.finish(w, w.givenBack(ReasonNotRenewed))
 		c.stopRuns(w, ReasonNotRenewed)
 	}
 }
--- a/pkg/cell/joblease_test.go
+++ b/pkg/cell/joblease_test.go
@@ -22,10 +22,7 @@
 
 func TestLeasesEndWithThatOfTheJob(t *testing.T) {
 	c := qt.New(t)
-	d := adopted(c, 1)
-	d.submit(testJob("a", 1, d.now), 1)
-	start := d.of(Start)[0]
-	d.startAnswer(start, Accepted)
+	d, start := startedOn(c, 1)
 	d.tick(100 * ms)
 	lastRenewal := d.now
 	d.silent = true
--- a/pkg/cell/lease_test.go
+++ b/pkg/cell/lease_test.go
@@ -8,10 +8,10 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// startedOn makes a driver with a task that runs on the first of two
+// startedOn makes a driver with a task that runs on the first of so many
 // executors, and returns its start.
-func startedOn(c *qt.C) (*driver, Command) {
-	d := adopted(c, 2)
+func startedOn(c *qt.C, executors int) (*driver, Command) {
+	d := adopted(c, executors)
 	d.submit(testJob("a", 1, d.now), 1)
 	start := d.of(Start)[0]
 	d.now += ms
@@ -26,7 +26,7 @@
 
 func TestLeasesOfASilentExecutorAreNotRenewed(t *testing.T) {
 	c := qt.New(t)
-	d, start := startedOn(c)
+	d, start := startedOn(c, 2)
 	d.of(Hold)
 	d.now += 400 * ms
 	d.holdUnanswered(start.Executor.ID)
@@ -47,7 +47,7 @@
 
 func TestALeaseIsOverOnlyByTheSlowestClock(t *testing.T) {
 	c := qt.New(t)
-	d, start := startedOn(c)
+	d, start := startedOn(c, 2)
 	hold := d.of(Hold)[0]
 	d.holdUnanswered(start.Executor.ID)
 	// The executor's clock showed a minute when ours stood at 1 ms, and the
@@ -76,7 +76,7 @@
 
 func TestAFencedOwnerGivesItsJobsBack(t *testing.T) {
 	c := qt.New(t)
-	d, start := startedOn(c)
+	d, start := startedOn(c, 2)
 	d.submit(testJob("b", 1, d.now), 1)
 	second := d.of(Start)[0]
 	d.startAnswer(second, Fenced)
--- a/pkg/cell/lost_order_test.go
+++ b/pkg/cell/lost_order_test.go
@@ -142,7 +142,7 @@
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
 			c := qt.New(t)
-			d, start := startedOn(c)
+			d, start := startedOn(c, 2)
 			d.cell.Withdraw("a", "front_gone", d.now)
 			d.take()
 			stop := d.of(Stop)[0]
--- a/pkg/cell/work.go
+++ b/pkg/cell/work.go
@@ -79,6 +79,11 @@
 	return progress
 }
 
+// givenBack returns the end here of a job that goes back to its front.
+func (w *work) givenBack(reason string) job.Outcome {
+	return job.Outcome{Kind: job.Moved, Reason: reason, Started: w.started, Progress: w.progress()}
+}
+
 func (w *work) task(key job.TaskKey) *task {
 	index := key.Index - w.job.Part.First
 	if key.Step < 0 || key.Step >= len(w.steps) || index < 0 || index >= len(w.steps[key.Step]) {
--- a/pkg/node/arrivals.go
+++ b/pkg/node/arrivals.go
@@ -58,10 +58,7 @@
 // silent reports whether a peer has been silent for longer than limit. One
 // whose link has ended counts as gone, not as silent.
 func (a *arrivals) silent(address string, limit, now time.Duration) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	at, known := a.at[address]
-	return known && now > at+limit
+	return a.silence(address, now) > limit
 }
 
 // dropSilentFronts takes back the jobs of fronts that have fallen silent, so that
--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/cell"
+	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/ownership"
 )
@@ -78,10 +79,10 @@
 		switch outcome.Kind {
 		case job.Moved:
 			state.moved(claim.Cell, outcome, f.node.Clock.Now()+f.node.settleTime())
-			f.pause(ctx)
+			common.Sleep(ctx, ownerPause)
 		case job.Lost:
 			state.lost(claim.Cell, f.node.Clock.Now()+f.node.settleTime())
-			f.pause(ctx)
+			common.Sleep(ctx, ownerPause)
 		default:
 			outcome.Started = outcome.Started || state.started
 			return outcome
@@ -114,15 +115,6 @@
 // lease has ended that the job had there, and executors that are late have ended them.
 func (n *Node) settleTime() time.Duration { return n.jobLease() + n.settings.StopTime }
 
-func (f *front) pause(ctx context.Context) {
-	timer := time.NewTimer(ownerPause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // giveUp ends a job for which no owner was found, or whose caller has left.
 func (f *front) giveUp(ctx context.Context, j *job.Job, state *attempt) job.Outcome {
 	if ctx.Err() != nil {
--- a/pkg/node/renewals.go
+++ b/pkg/node/renewals.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"maps"
 	"sync"
 	"time"
 
@@ -147,12 +146,12 @@
 	if news == nil {
 		return
 	}
+	here := n.renewals.sureHere()
 	for _, o := range n.allOwners() {
-		o.renew(nil, n.renewals.sureHere())
+		o.renew(nil, here)
 	}
-	maps.DeleteFunc(news, func(address string, _ *peerpb.Moment) bool { return !n.front.dispatchedTo(address) })
 	for address, moment := range news {
-		if link := n.links.Link(address); link != nil {
+		if link := n.links.Link(address); link != nil && n.front.dispatchedTo(address) {
 			link.Send(&peerpb.Message{Body: &peerpb.Message_Renew{Renew: &peerpb.Renew{AsOf: moment}}}, 0)
 		}
 	}
