Interfaces of kept jobs: answers, tables of the store, what a node is asked

Hypothesis: jobs without best_effort are refused today; they can be built beside the rest when the adapter's tables, the node's calls and the decisions agree on types first. Change: pkg/tables (rows, conditions, transactions), pkg/kept (answers and states), job.Job.Kept, Service.Keep, KeptState and CancelKept. All still refuse: behaviour is unchanged.

--- a/pkg/job/job.go
+++ b/pkg/job/job.go
@@ -55,6 +55,7 @@
 	Stretch     float64       // of the longest chain of work, in the time for a good answer
 	Target      time.Duration // added to that time
 	Part        Part          // set when the value is a part of a job
+	Kept        bool          // it runs to its end whether or not anybody waits, and has no deadline
 }
 
 // Part says which tasks of a job of one step belong to a part of it. The parts
--- a/pkg/node/ports.go
+++ b/pkg/node/ports.go
@@ -13,9 +13,11 @@
 	"github.com/foxcroft/foxcroft/pkg/catalog"
 	"github.com/foxcroft/foxcroft/pkg/cell"
 	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/kept"
 	"github.com/foxcroft/foxcroft/pkg/kernel"
 	"github.com/foxcroft/foxcroft/pkg/ownership"
 	"github.com/foxcroft/foxcroft/pkg/settings"
+	"github.com/foxcroft/foxcroft/pkg/tables"
 	"github.com/foxcroft/foxcroft/pkg/traffic"
 )
 
@@ -123,6 +125,12 @@
 	State(id string) (started, known bool)
 	// Cancel withdraws a job that this node holds open for a caller.
 	Cancel(id string) bool
+	// Keep accepts a job that is to be kept. It returns early when ctx ends.
+	Keep(ctx context.Context, j *job.Job) kept.Answer
+	// KeptState returns the state of a kept job.
+	KeptState(ctx context.Context, id string) kept.Answer
+	// CancelKept cancels a kept job for good.
+	CancelKept(ctx context.Context, id string) kept.Answer
 	// Ready reports whether this node should get new connections; one that stops
 	// shouldn't.
 	Ready() bool
@@ -133,6 +141,8 @@
 // Adapter translates between the product and one platform.
 type Adapter interface {
 	Store() Store
+	// Tables returns the store's tables for state of the product's own.
+	Tables() tables.Store
 	Executors() Executors
 	// DecodeConfiguration reads a configuration in the store's form.
 	DecodeConfiguration(snapshot Snapshot) (*catalog.Configuration, error)
