--- a/pkg/cli/node.go
+++ b/pkg/cli/node.go
@@ -46,6 +46,7 @@
 }
 
 func (c *nodeCommand) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	signals := catchSignals()
 	if c.settings == "" {
 		return misuse("node needs -settings FILE or %s", settingsVariable)
 	}
@@ -76,7 +77,7 @@
 	if err := host.Start(); err != nil {
 		return fail(err)
 	}
-	awaitStop(func() { host.Reload(c.settings) })
+	awaitStop(signals, func() { host.Reload(c.settings) })
 	host.Stop()
 	return subcommands.ExitSuccess
 }
@@ -84,10 +85,20 @@
 // gcPercent lets the heap of a node double before it is collected.
 const gcPercent = 100
 
-// awaitStop waits for SIGTERM or SIGINT and calls reload at each SIGHUP.
-func awaitStop(reload func()) {
-	signals := make(chan os.Signal, 1)
+// pendingSignals is how many signals wait while a node starts: a stop among them
+// must not be lost beside changes of the settings.
+const pendingSignals = 16
+
+// catchSignals has the signals wait that stop a node or tell it of new settings.
+// It comes first of all: one that arrives while the node starts would end it.
+func catchSignals() <-chan os.Signal {
+	signals := make(chan os.Signal, pendingSignals)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	return signals
+}
+
+// awaitStop waits for SIGTERM or SIGINT and calls reload at each SIGHUP.
+func awaitStop(signals <-chan os.Signal, reload func()) {
 	for received := range signals {
 		if received != syscall.SIGHUP {
 			return
