--- a/pkg/metrics/node.go
+++ b/pkg/metrics/node.go
@@ -32,6 +32,8 @@
 	handOns  metric.Int64Counter
 	store    metric.Int64Counter
 	rows     metric.Int64Counter
+	joins    metric.Int64Counter
+	told     metric.Int64Counter
 	labels   labelCache
 }
 
@@ -89,6 +91,8 @@
 		{&n.handOns, "foxcroft_node_jobs_handed_on", "Jobs handed to another owner, by reason."},
 		{&n.store, "foxcroft_node_store_failures", "Failed readings of the store, by news."},
 		{&n.rows, "foxcroft_node_rows_unreadable", "Rows that count as if they weren't there, by table and reason."},
+		{&n.joins, "foxcroft_node_jobs_joined", "Jobs sent again while an earlier sending looked open, by where that was."},
+		{&n.told, "foxcroft_node_open_jobs_told", "Open jobs told to other hosts, jobs times hosts."},
 	}
 	for _, counter := range counters {
 		if *counter.target, err = meter.Int64Counter(counter.name, metric.WithDescription(counter.description)); err != nil {
@@ -141,3 +145,11 @@
 func (n *Node) RowsUnreadable(table, reason string, rows int) {
 	n.rows.Add(context.Background(), int64(rows), n.labels.pair("table", table, "reason", reason))
 }
+
+// JobJoined counts a job that came again while an earlier sending looked open.
+func (n *Node) JobJoined(where string) {
+	n.joins.Add(context.Background(), 1, metric.WithAttributes(attribute.String("where", where)))
+}
+
+// OpenJobsTold counts open jobs that other hosts were told of.
+func (n *Node) OpenJobsTold(count int) { n.told.Add(context.Background(), int64(count)) }
