Executors of services that no configuration names are none of this system

The product knows services, so pkg/catalog decides: such an executor isn't called, is counted with the unreadable rows, and comes as soon as a configuration names its service. One that had work stays, withheld, until it goes, since runs may go on there.

--- a/pkg/catalog/services.go
+++ b/pkg/catalog/services.go
@@ -1,6 +1,10 @@
 package catalog
 
-import "maps"
+import (
+	"maps"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // services returns the names of the services that a configuration names.
 func (c *Configuration) services() map[string]bool {
@@ -28,21 +32,22 @@
 // that was called before is withheld, as its runs are to be held to their ends; the
 // others are no executors of this system, and are returned apart. A configuration that
 // names no service at all tells nothing of them.
-func (c *Configuration) Called(executors *Executors, before map[string]bool) (*Executors, []Unreadable) {
+func (c *Configuration) Called(executors *Executors, before func(*Executor) bool) (*Executors, []Unreadable) {
 	named := c.services()
 	if len(named) == 0 {
 		return executors, nil
 	}
-	called := &Executors{Revision: executors.Revision, ByID: make(map[string]Executor, len(executors.ByID))}
+	called := &Executors{Revision: executors.Revision, ByID: maps.Clone(executors.ByID)}
 	var others []Unreadable
 	for id, executor := range executors.ByID {
 		switch {
 		case named[executor.Service]:
-			called.ByID[id] = executor
-		case before[id]:
+			// It is called as it is.
+		case before(&executor):
 			called.ByID[id] = executor.Withheld()
 		default:
-			others = append(others, Unreadable{Key: id, Reason: UnknownService})
+			delete(called.ByID, id)
+			others = append(others, Unreadable{Key: id, Reason: UnknownService, Content: xxhash.Sum64String(executor.Service)})
 		}
 	}
 	return called, others
--- a/pkg/node/closures_test.go
+++ b/pkg/node/closures_test.go
@@ -37,6 +37,7 @@
 	}
 	scenarios := []scenario{
 		{testName: "none", want: "z"},
+		{testName: "one that doesn't exist", closed: []string{"nowhere"}, want: "z"},
 		{testName: "the own one", closed: []string{"z"}, want: "y"},
 		{testName: "another one", closed: []string{"y"}, want: "z"},
 		{testName: "a part goes elsewhere", closed: []string{"y"}, state: attempt{wanted: "y"}, want: "z"},
--- a/pkg/node/listing.go
+++ b/pkg/node/listing.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/catalog"
@@ -48,7 +49,7 @@
 		cells: map[string][]catalog.Executor{},
 	}
 	for _, executor := range executors.ByID {
-		name := ownership.CellOf(executor.Domain, executor.Address, max(counts[executor.Domain], 1))
+		name := l.cellOf(&executor)
 		l.cells[name] = append(l.cells[name], executor)
 	}
 	return l
@@ -67,15 +68,14 @@
 	return l.steady && l.askedAt >= claimedAt
 }
 
-// ids returns the ids of the executors.
-func (l *listing) ids() map[string]bool {
-	ids := map[string]bool{}
-	for _, executors := range l.cells {
-		for _, executor := range executors {
-			ids[executor.ID] = true
-		}
-	}
-	return ids
+// cellOf returns the name of the cell that an executor belongs to.
+func (l *listing) cellOf(executor *catalog.Executor) string {
+	return ownership.CellOf(executor.Domain, executor.Address, max(l.counts[executor.Domain], 1))
+}
+
+// lists reports whether an executor is listed.
+func (l *listing) lists(executor *catalog.Executor) bool {
+	return slices.ContainsFunc(l.cells[l.cellOf(executor)], func(e catalog.Executor) bool { return e.ID == executor.ID })
 }
 
 // cellsOf returns the names of a domain's cells.
--- a/pkg/node/news.go
+++ b/pkg/node/news.go
@@ -115,6 +115,7 @@
 	parsed, err := n.adapter.DecodeConfiguration(snapshot)
 	if err != nil {
 		n.Log.Error("configuration_unreadable", "from", from, "error", err.Error())
+		n.metrics.RowsUnreadable(tableOfOperator, string(catalog.NoDocument), 1)
 		return
 	}
 	position := snapshot.Revision
--- a/pkg/node/unreadable.go
+++ b/pkg/node/unreadable.go
@@ -35,15 +35,18 @@
 	if configuration == nil {
 		return listed
 	}
-	before := map[string]bool{}
-	if current := n.executors.Load(); current != nil && current.checked {
-		before = current.ids()
-	}
-	called, others := configuration.Called(listed, before)
+	called, others := configuration.Called(listed, n.wasCalled)
 	n.noteUnreadable(tableOfExecutors, others)
 	return called
 }
 
+// wasCalled reports whether an executor was called until now. One that was listed
+// before a configuration told of the services doesn't count.
+func (n *Node) wasCalled(executor *catalog.Executor) bool {
+	current := n.executors.Load()
+	return current != nil && current.checked && current.lists(executor)
+}
+
 // servicesChanged has the list of executors looked through anew.
 func (n *Node) servicesChanged() {
 	n.listing.Lock()
