--- a/pkg/cell/explore_again_test.go
+++ b/pkg/cell/explore_again_test.go
@@ -35,6 +35,8 @@
 		{testName: "hosts stand still and die", faults: faults{stands: true, deaths: true}},
 		{testName: "words to owners are lost and late", faults: faults{words: true}},
 		{testName: "everything", faults: faults{deaths: true, chains: true, stands: true, words: true, orders: true}},
+		{testName: "rows can't be read", faults: faults{rows: true}},
+		{testName: "rows can't be read, and everything else", faults: faults{deaths: true, chains: true, stands: true, words: true, orders: true, rows: true}},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
@@ -64,6 +66,7 @@
 	c.ended += o.ended
 	c.sentAgain += o.sentAgain
 	c.takeovers += o.takeovers
+	c.withheld += o.withheld
 	c.suspected += o.suspected
 }
 
@@ -72,6 +75,7 @@
 	qc.Assert(c.ended > 20*plays, qt.IsTrue, qt.Commentf("%+v", c))
 	qc.Assert(c.sentAgain > 5*plays, qt.IsTrue, qt.Commentf("%+v", c))
 	qc.Assert(!f.chains || c.takeovers > 10*plays, qt.IsTrue, qt.Commentf("%+v", c))
+	qc.Assert(!f.rows || c.withheld > 5*plays, qt.IsTrue, qt.Commentf("%+v", c))
 	qc.Assert(!f.chains && !f.stands || c.suspected > plays, qt.IsTrue, qt.Commentf("%+v", c))
 }
 
--- a/pkg/cell/explore_cluster_test.go
+++ b/pkg/cell/explore_cluster_test.go
@@ -41,6 +41,7 @@
 	ended     int // jobs that were completed
 	sentAgain int
 	takeovers int
+	withheld  int // rows that couldn't be read for a while
 	suspected int // jobs that an owner gave back as it heard nothing of their fronts
 }
 
--- a/pkg/cell/explore_executor_test.go
+++ b/pkg/cell/explore_executor_test.go
@@ -25,6 +25,7 @@
 	ended    []EndedTask
 	next     int64
 	cut      bool
+	hides    bool // its answers tell of no run
 }
 
 func newModelExecutor(i int, rate float64) *modelExecutor {
--- a/pkg/cell/explore_orders_test.go
+++ b/pkg/cell/explore_orders_test.go
@@ -138,6 +138,10 @@
 		return
 	}
 	answer := HoldAnswer{Clock: e.clock(w.now), Running: e.running(), Ended: ended}
+	if e.hides {
+		answer.Hidden = max(1, len(answer.Running))
+		answer.Running = nil
+	}
 	w.deliver(o, ms, func() { w.answer(o, command, Accepted, answer, sentAt) })
 }
 
--- a/pkg/cell/explore_trouble_test.go
+++ b/pkg/cell/explore_trouble_test.go
@@ -1,6 +1,11 @@
 package cell
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/catalog"
+)
 
 // faults are the kinds of trouble that a play has, beside callers whose
 // connections break and planned takeovers.
@@ -10,6 +15,7 @@
 	stands bool // hosts stand still, also again and again
 	words  bool // what fronts send to owners is held up, and withdrawals are lost
 	orders bool // orders to executors are lost, late or unanswered
+	rows   bool // rows and answers of executors can't be read for a while
 }
 
 // trouble brings a fault now and then.
@@ -33,9 +39,36 @@
 		w.dieInTurn(d)
 	case kind == 10 && w.faults.deaths && w.faults.stands:
 		w.dieUnnoticed(d)
+	case kind > 10 && kind < 14 && w.faults.rows:
+		w.withhold(d, w.random.IntN(len(d.listed)))
+	case kind > 13 && kind < 16 && w.faults.rows:
+		w.hideRuns(w.executors[w.random.IntN(len(w.executors))])
+	}
+}
+
+// withhold has the row of an executor be unreadable for a while.
+func (w *cluster) withhold(d *domain, index int) {
+	number := slices.IndexFunc(w.executors, func(e *modelExecutor) bool { return e.id == d.listed[index].ID })
+	w.count.withheld++
+	w.list(d, index, testExecutor(number).Withheld())
+	w.after(w.between(0, 2*time.Second), func() { w.list(d, index, testExecutor(number)) })
+}
+
+// list tells the owners of a cell how an executor is listed now.
+func (w *cluster) list(d *domain, index int, executor catalog.Executor) {
+	d.listed = slices.Clone(d.listed)
+	d.listed[index] = executor
+	for _, o := range d.owners {
+		w.deliver(o, w.between(0, 500*ms), func() { o.cell.SetExecutors(d.listed, w.now) })
 	}
 }
 
+// hideRuns has an executor's answers hold entries that can't be read for a while.
+func (w *cluster) hideRuns(e *modelExecutor) {
+	e.hides = true
+	w.after(w.between(0, 1500*ms), func() { e.hides = false })
+}
+
 // dieUnnoticed has an owner stand still again and again, while a front dies that
 // it has jobs of.
 func (w *cluster) dieUnnoticed(d *domain) {
