Hosts' rows of other writers are no change of the hosts' table

Each change of the table has cells sized and links chosen anew; rows that can't be read, and never could, don't any more. Unit tests of pkg/node pass.

--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/catalog"
 	"github.com/foxcroft/foxcroft/pkg/cell"
 	"github.com/foxcroft/foxcroft/pkg/errkind"
 	"github.com/foxcroft/foxcroft/pkg/job"
@@ -52,6 +53,20 @@
 	}
 }
 
+// concernsRows reports whether changes are about rows of ours. Other writers' rows, that
+// can't be read and never could, may come all the time.
+func (n *Node) concernsRows(changes MemberChanges) bool {
+	if len(changes.Listed)+len(changes.Gone) > 0 {
+		return true
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.ContainsFunc(changes.Unreadable, func(row catalog.Unreadable) bool {
+		_, known := n.rows[row.Key]
+		return known || row.Key == n.settings.Name // which is to be written anew
+	})
+}
+
 // rowsWith returns the rows that are known, after some changes.
 func (n *Node) rowsWith(changes MemberChanges) []Member {
 	n.mu.Lock()
--- a/pkg/node/news.go
+++ b/pkg/node/news.go
@@ -202,7 +202,7 @@
 		return 0, err
 	}
 	n.noteUnreadable(tableOfMembers, changes.Unreadable)
-	if len(changes.Listed)+len(changes.Gone)+len(changes.Unreadable) > 0 {
+	if n.concernsRows(changes) {
 		n.setRows(n.rowsWith(changes))
 	}
 	return changes.Position, nil
--- a/pkg/node/unreadable_test.go
+++ b/pkg/node/unreadable_test.go
@@ -137,3 +137,29 @@
 	c.Assert(n.readAllExecutors(context.Background(), time.Second, false), qt.IsNil)
 	c.Assert(capacities(n), qt.DeepEquals, map[string]int64{"a": 1000})
 }
+
+func TestWhichChangesOfRowsAreTakenIn(t *testing.T) {
+	type scenario struct {
+		testName string
+		changes  MemberChanges
+		want     bool
+	}
+	scenarios := []scenario{
+		{testName: "none"},
+		{testName: "a new row", changes: MemberChanges{Listed: []Member{{Name: "c"}}}, want: true},
+		{testName: "a row is gone", changes: MemberChanges{Gone: []string{"b"}}, want: true},
+		{testName: "a host's row can't be read any more", changes: MemberChanges{Unreadable: []catalog.Unreadable{{Key: "b"}}}, want: true},
+		{testName: "the own row, before it was read", changes: MemberChanges{Unreadable: []catalog.Unreadable{{Key: "a"}}}, want: true},
+		{testName: "another writer's row", changes: MemberChanges{Unreadable: []catalog.Unreadable{{Key: "odd"}}}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			n := nodeBeside(c, "z", 1, 1)
+			delete(n.rows, "a")
+			c.Assert(n.concernsRows(s.changes), qt.Equals, s.want)
+			_, listed := n.rows["b"]
+			c.Assert(listed, qt.IsTrue)
+		})
+	}
+}
