--- a/pkg/cell/explore_orders_test.go
+++ b/pkg/cell/explore_orders_test.go
@@ -189,6 +189,10 @@
 		return
 	}
 	answer := HoldAnswer{Clock: e.clock(w.now), Running: e.running(), Ended: ended}
+	if e.hides {
+		answer.Hidden = max(1, len(answer.Running))
+		answer.Running = nil
+	}
 	w.deliver(call.owner, back, func() { w.answer(call, Accepted, answer) })
 }
 
