--- a/pkg/openjobs/explore_test.go
+++ b/pkg/openjobs/explore_test.go
@@ -3,11 +3,17 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 )
 
-var plays = flag.Int("openjobs.plays", 400, "how many plays of the explorer")
+var (
+	plays     = flag.Int("openjobs.plays", 400, "how many plays of the explorer")
+	firstPlay = flag.Uint64("openjobs.first", 0, "seed of the first play")
+)
 
 // The explorer plays a job that its caller sends again and again to hosts that are cut
 // off from each other, die and come back, while many of the fronts don't hear that
@@ -15,7 +21,7 @@
 // alive. What isn't played are hosts that stand still, and cuts between single hosts of one domain.
 func TestExploredJobsRunOnce(t *testing.T) {
 	joined, gone, unheard := 0, 0, 0
-	for seed := range uint64(*plays) {
+	for seed := *firstPlay; seed < *firstPlay+uint64(*plays); seed++ {
 		w := newWorld(seed)
 		w.after(readyAfter, w.submit)
 		w.after(w.between(0, 2*time.Second), w.trouble)
@@ -129,9 +135,11 @@
 	if other.domain != h.domain {
 		return
 	}
-	for front, jobs := range h.table.ToPassOn(h.world.now) {
+	passed := h.table.ToPassOn(h.world.now)
+	byName := func(a, b Front) int { return strings.Compare(a.Address+a.Process, b.Address+b.Process) }
+	for _, front := range slices.SortedFunc(maps.Keys(passed), byName) { // the same in each play of a seed
 		if front.Address != other.address() {
-			h.sendNews(other.index, front, jobs, false)
+			h.sendNews(other.index, front, passed[front], false)
 		}
 	}
 }
@@ -221,8 +229,8 @@
 			h.ended = o.carry
 		}
 	}
-	for _, answer := range o.waiters {
-		answer(isDone)
+	for _, name := range slices.Sorted(maps.Keys(o.waiters)) {
+		o.waiters[name](isDone)
 	}
 }
 
