--- a/pkg/openjobs/explore_test.go
+++ b/pkg/openjobs/explore_test.go
@@ -194,6 +194,9 @@
 // have ended before.
 func (o *modelOpen) start() {
 	w := o.host.world
+	if o.carry != nil && o.carry.over == 0 {
+		return // it goes on already
+	}
 	c := w.carried(o)
 	o.carry = c
 	w.after(exploreWork, func() {
--- a/pkg/openjobs/openjobs_test.go
+++ b/pkg/openjobs/openjobs_test.go
@@ -353,3 +353,17 @@
 	c.Assert(at, qt.Equals, 2*time.Second)
 	c.Assert(mayStart, qt.IsFalse)
 }
+
+// A front that answers has the job open, whatever it told of when that would be over.
+func TestAFrontThatAnswersIsAskedAgain(t *testing.T) {
+	const now = 2 * time.Second
+	c := qt.New(t)
+	table := tableWith(time.Second + ms)
+	search := NewSearch("a", 0)
+	search.Heard(table, search.Round(table, now)[0], []Reply{{Verdict: Busy}}, seen, true, now)
+	c.Assert(search.Round(table, now+askAgain), qt.HasLen, 1)
+	c.Assert(search.Round(table, now+settle), qt.HasLen, 0)
+	table = tableWith(time.Second + ms)
+	c.Assert(search.Yields(table, front, "zone:1", false, now), qt.IsTrue)
+	c.Assert(search.Round(table, now+askAgain), qt.HasLen, 1, qt.Commentf("also one that was let go first"))
+}
--- a/pkg/openjobs/own.go
+++ b/pkg/openjobs/own.go
@@ -1,6 +1,7 @@
 package openjobs
 
 import (
+	"container/heap"
 	"slices"
 	"strings"
 	"time"
@@ -12,14 +13,40 @@
 	resubmitAfter time.Duration
 	settle        time.Duration // how long after its deadline runs of a job may go on
 	open          map[string]*ownJob
-	untold        int           // of them
+	untold        byReceipt
 	lastBatch     time.Duration // when the last one was told
 }
 
 type ownJob struct {
+	id       string
 	received time.Duration
 	deadline time.Duration
-	told     bool
+	isClosed bool
+	isTold   bool
+}
+
+// byReceipt is a heap of jobs, the oldest first: a look at thousands of young ones costs nothing.
+type byReceipt []*ownJob
+
+// Len implements heap.Interface.
+func (q byReceipt) Len() int { return len(q) }
+
+// Less implements heap.Interface.
+func (q byReceipt) Less(i, j int) bool { return q[i].received < q[j].received }
+
+// Swap implements heap.Interface.
+func (q byReceipt) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *byReceipt) Push(x any) { *q = append(*q, x.(*ownJob)) }
+
+// Pop implements heap.Interface.
+func (q *byReceipt) Pop() any {
+	last := len(*q) - 1
+	j := (*q)[last]
+	(*q)[last] = nil
+	*q = (*q)[:last]
+	return j
 }
 
 // NewOwn makes it for a time after which callers send again, and one that runs of
@@ -28,15 +55,16 @@
 	return &Own{resubmitAfter: resubmitAfter, settle: settle, open: map[string]*ownJob{}}
 }
 
-// Opened takes that this front has started to follow a job. One that ends before
+// Opened takes that this front holds a job open from now on. One that ends before
 // it could come again is never told.
 func (o *Own) Opened(id string, received, deadline time.Duration) {
 	if deadline <= received+o.resubmitAfter {
 		return
 	}
 	o.Closed(id)
-	o.open[id] = &ownJob{received: received, deadline: deadline}
-	o.untold++
+	j := &ownJob{id: id, received: received, deadline: deadline}
+	o.open[id] = j
+	heap.Push(&o.untold, j)
 }
 
 // Closed takes that a job has ended here, and reports whether it had been told.
@@ -45,26 +73,24 @@
 	if j == nil {
 		return false
 	}
+	j.isClosed = true
 	delete(o.open, id)
-	if !j.told {
-		o.untold--
-	}
-	return j.told
+	return j.isTold
 }
 
 // Batch returns the jobs to tell of now, sorted by id. It is empty when there is
 // no news, or when the last batch was a moment ago.
 func (o *Own) Batch(now time.Duration) []Told {
-	if o.untold == 0 || (o.lastBatch > 0 && now < o.lastBatch+tellPause) {
+	if o.lastBatch > 0 && now < o.lastBatch+tellPause {
 		return nil
 	}
 	age := TellAfter(o.resubmitAfter)
 	var batch []Told
-	for id, j := range o.open {
-		if !j.told && now >= j.received+age {
-			j.told = true
-			o.untold--
-			batch = append(batch, o.toldOf(id, j, now))
+	for len(o.untold) > 0 && now >= o.untold[0].received+age {
+		j := heap.Pop(&o.untold).(*ownJob)
+		if !j.isClosed {
+			j.isTold = true
+			batch = append(batch, o.toldOf(j, now))
 		}
 	}
 	if len(batch) > 0 {
@@ -76,16 +102,16 @@
 // All returns all that has been told, for a host that may not have heard it.
 func (o *Own) All(now time.Duration) []Told {
 	var all []Told
-	for id, j := range o.open {
-		if j.told {
-			all = append(all, o.toldOf(id, j, now))
+	for _, j := range o.open {
+		if j.isTold {
+			all = append(all, o.toldOf(j, now))
 		}
 	}
 	return sorted(all)
 }
 
-func (o *Own) toldOf(id string, j *ownJob, now time.Duration) Told {
-	return Told{ID: id, Left: max(0, j.deadline-now) + o.settle}
+func (o *Own) toldOf(j *ownJob, now time.Duration) Told {
+	return Told{ID: j.id, Left: max(0, j.deadline-now) + o.settle}
 }
 
 func sorted(told []Told) []Told {
--- a/pkg/openjobs/search.go
+++ b/pkg/openjobs/search.go
@@ -73,6 +73,9 @@
 // from it while it was well.
 func (s *Search) Heard(t *Table, e Entry, replies []Reply, sight Sight, isUp bool, now time.Duration) {
 	s.heard[e.Front] = true
+	if slices.ContainsFunc(replies, func(r Reply) bool { return r.Verdict == Busy }) {
+		t.prolong(e.ID, e.Front, now)
+	}
 	if known := t.entry(e.ID, e.Front); known != nil {
 		e.Until = known.Until // it may have told more while it was asked
 	}
@@ -131,12 +134,15 @@
 // ask it again before it starts the job. One that follows the job already always goes
 // first.
 func (s *Search) Yields(t *Table, asker Front, self string, follows bool, now time.Duration) bool {
-	isKnown := func(e Entry) bool {
+	isAsker := func(e Entry) bool {
 		return !e.closed && e.Front.Address == asker.Address && e.Front.Process == asker.Process
 	}
-	if !slices.ContainsFunc(t.Find(s.id, now), isKnown) || (asker.Address > self && !follows) {
+	known := t.Find(s.id, now)
+	at := slices.IndexFunc(known, isAsker)
+	if at < 0 || (asker.Address > self && !follows) {
 		return false
 	}
+	t.prolong(s.id, known[at].Front, now)
 	s.yielded[asker.Address] = true
 	return true
 }
--- a/pkg/openjobs/table.go
+++ b/pkg/openjobs/table.go
@@ -104,6 +104,14 @@
 	return found
 }
 
+// prolong keeps an entry for a while of a front that has shown that it lives and has the
+// job open: it may have come there once more since the front last told of it.
+func (t *Table) prolong(id string, front Front, now time.Duration) {
+	if e := t.entry(id, front); e != nil {
+		e.Until = max(e.Until, now+t.settle)
+	}
+}
+
 // Closed takes that a front doesn't hold a job open, and that no run of it can be alive
 // at a time.
 func (t *Table) Closed(id string, front Front, overAt, now time.Duration) {
--- a/pkg/standin/relayd/relay.go
+++ b/pkg/standin/relayd/relay.go
@@ -22,13 +22,14 @@
 type Relay struct {
 	to string
 
-	mu      sync.Mutex
-	delay   time.Duration // added to each piece of data, one way
-	cutTo   bool          // nothing passes towards the address
-	cutFrom bool          // nothing passes back
-	conns   map[net.Conn]bool
-	silent  int // connections accepted so far of which nothing passes any more
-	taken   int // connections accepted so far
+	mu       sync.Mutex
+	delay    time.Duration // added to each piece of data, one way
+	cutTo    bool          // nothing passes towards the address
+	cutFrom  bool          // nothing passes back
+	conns    map[net.Conn]bool
+	silent   int // connections accepted so far of which nothing passes any more
+	stranded int // those of which not even their end passes
+	taken    int // connections accepted so far
 }
 
 // NewRelay makes a relay to an address.
@@ -55,6 +56,20 @@
 	r.silent = r.taken
 }
 
+// Strand has all connections that are open now pass nothing any more, not even that
+// who opened them has closed them: the address hears nothing until it ends them itself.
+func (r *Relay) Strand() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent, r.stranded = r.taken, r.taken
+}
+
+func (r *Relay) isStranded(number int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return number <= r.stranded
+}
+
 // number returns the number of a new connection.
 func (r *Relay) number() int {
 	r.mu.Lock()
@@ -135,14 +150,16 @@
 	r.track(to, true)
 	defer r.track(to, false)
 	defer to.Close()
-	done := make(chan struct{}, 2)
+	done := make(chan bool, 2)
 	pass := func(dst, src net.Conn, towards bool) {
 		r.pass(dst, src, towards, number)
-		done <- struct{}{}
+		done <- towards
 	}
 	go pass(to, from, true)
 	go pass(from, to, false)
-	<-done
+	if towards := <-done; towards && r.isStranded(number) {
+		<-done
+	}
 }
 
 // heldPieces is how many pieces of data a way holds back during a cut.
@@ -187,7 +204,7 @@
 	for cut, _ := r.state(towards); cut && !wasReset.Load(); cut, _ = r.state(towards) {
 		time.Sleep(cutPoll)
 	}
-	if wasReset.Load() {
+	if wasReset.Load() && !(towards && r.isStranded(number)) {
 		resetConn(dst)
 	}
 	_ = src.Close()
