Documents of jobs that come again; the end of a job is known before it is off the list

Reading: between both a front that asked was told that nothing of the job is known, and started at once.

--- a/pkg/node/open.go
+++ b/pkg/node/open.go
@@ -91,13 +91,14 @@
 	}
 }
 
-// end tells all that wait how a job has ended.
+// end tells all that wait how a job has ended. What others were told of is answered for
+// before it is off the list: a front that asks in between would take it for unknown.
 func (f *front) end(open *openJob, outcome job.Outcome) {
 	open.outcome = outcome
+	f.node.openNews.closed(open, outcome, f.node.Clock.Now())
 	f.mu.Lock()
 	delete(f.open, open.job.ID)
 	f.mu.Unlock()
-	f.node.openNews.closed(open, outcome, f.node.Clock.Now())
 	close(open.done)
 	open.cancel(nil)
 }
