--- a/pkg/peer/ended_test.go
+++ b/pkg/peer/ended_test.go
@@ -63,6 +63,7 @@
 		{Body: &peerpb.Message_Dispatch{}},
 		{Body: &peerpb.Message_Withdraw{}},
 		{Body: &peerpb.Message_Renew{}},
+		{Body: &peerpb.Message_Join{}}, // one that leaves comes after it has joined
 	}
 	for _, m := range messages {
 		c.Assert(s.pipeFor(m), qt.Equals, s.jobs)
--- a/pkg/peer/link_test.go
+++ b/pkg/peer/link_test.go
@@ -19,6 +19,8 @@
 type fakeHost struct {
 	up  atomic.Int64
 	ups atomic.Int64 // times that a link came up
+	// resumed counts the links that went on by another connection.
+	resumed atomic.Int64
 	// incarnation is the first byte of what the host tells of itself.
 	incarnation atomic.Int64
 	handle      func(m *peerpb.Message, reply Reply)
@@ -27,6 +29,7 @@
 
 func (f *fakeHost) LinkUp(string, *peerpb.Hello)           { f.up.Add(1); f.ups.Add(1) }
 func (f *fakeHost) LinkDown(string)                        { f.up.Add(-1) }
+func (f *fakeHost) LinkResumed(string, *peerpb.Hello)      { f.resumed.Add(1) }
 func (f *fakeHost) HeartbeatReply(string, *peerpb.Message) {}
 func (f *fakeHost) Hello() *peerpb.Hello {
 	return &peerpb.Hello{Name: "fake", Incarnation: []byte{byte(f.incarnation.Load())}}
--- a/pkg/peer/resume_test.go
+++ b/pkg/peer/resume_test.go
@@ -45,6 +45,7 @@
 			_, err := r.link.Call(context.Background(), record("again"), 0)
 			qt.Assert(t, err, qt.IsNil)
 			qt.Assert(t, r.local.ups.Load(), qt.Equals, int64(1), qt.Commentf("the observer isn't told of the loss"))
+			r.eventually(t, func() bool { return r.local.resumed.Load() == 1 })
 		})
 	}
 }
