--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -12,8 +12,7 @@
 const (
 	// shortestRoundTrip is that on a link that takes no time. With one order in five lost
 	// for 5 s, and jobs of 60 ms, callers got 0.53 of the worth of a day with 80 ms, 0.61
-	// with 40, 0.64 with 25 and 0.65 with 15 and 10, whose second looks are more often for
-	// nothing.
+	// with 40, 0.64 with 25 and 0.65 with 15 and 10, no more than days differ by.
 	shortestRoundTrip = 25 * time.Millisecond
 	// burstBytes is what may be ahead of an order on the host's link: the starts
 	// that a cell has under way (cell.Params.LinkRate), and as much of the rest.
