Kept jobs at the owner of a cell: no lease, no deadline, ends kept by executors until they last

Hypothesis: a kept job can run beside best-effort ones in one order when three rules differ. It isn't bound by renewals while its owner runs without a gap (after a stand-still it is leased like any job until a keeper asks again), it has no deadline and isn't refused as hopeless, and executors don't forget the ends of its tasks before a keeper says that its own end lasts (Cell.Noted, owner.noted). A next owner then finds done and failed ends and run numbers at its first look; runs of kept jobs have numbers of their own (500 to 999 within an epoch) so that their ends are known before the jobs are. An owner that is not asked starts nothing of it after 2 s and drops it after 8 s; a job is given back (ReasonStranded, NothingRuns) when no usable executor of its service was there for 3 s. Ends that are kept back make holds answer at once, so these are asked every 25 ms, and at once when they are noted. The model executors now forget what was seen, as the protocol says, and list 500 ends at most.

Runs: go test of pkg/cell (96 s on the busy machine), pkg/node, pkg/job, pkg/integration: ok. Mutations on a scratch copy, each caught: last_seen not held back, ends not remembered, failures not inherited, no bound for jobs not here yet, steps out of order, deadline, hopeless, stranded with and without runs, pause after a stand-still. Left open: an owner that lives, is cut off from all keepers, and alone reaches an executor that the next owner of its cell doesn't reach may run a task for up to 8 s beside it.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -177,7 +177,7 @@
 		}
 		w.apply(old.progress())
 		w.started = w.started || old.started
-		for _, r := range old.detachRuns() {
+		for _, r := range old.detachRuns(c.lastRenewal(old)) {
 			r.executor.mayOrphan = true
 		}
 		c.finish(old, job.Outcome{Kind: job.Expired, Reason: "superseded", Started: true})
--- a/pkg/cell/adopted_leases_test.go
+++ b/pkg/cell/adopted_leases_test.go
@@ -21,7 +21,7 @@
 		shown := e.clock(now)
 		now += way
 		if command.Kind == Hold {
-			cell.HoldAnswered(e.id, HoldAnswer{Verdict: verdict, Clock: shown, Running: e.running(), Ended: e.endsAfter(command.LastSeen)}, now, now)
+			cell.HoldAnswered(e.id, HoldAnswer{Verdict: verdict, Clock: shown, Running: e.running(), Ended: e.ends()}, now, now)
 			return
 		}
 		cell.StartAnswered(e.id, command.Task, command.Run, verdict, shown, now)
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -103,9 +103,13 @@
 	order      Order
 	times      *taskTimes
 	pacer      *pacer
-	works      map[string]*work   // by job id
-	byWhole    map[string][]*work // by the id of the whole job, for parts
-	done       map[string]bool    // tasks listed as done that no job has claimed yet
+	works      map[string]*work         // by job id
+	byWhole    map[string][]*work       // by the id of the whole job, for parts
+	done       map[string]bool          // tasks listed as done that no job has claimed yet
+	former     map[string]formerTasks   // of kept jobs, by id: what executors list of tasks and may not forget
+	unnoted    map[string][]*unnoted    // of kept jobs, by id: the ends that executors may not forget
+	usableAt   map[string]time.Duration // by service: an executor of it could get work then
+	latest     time.Duration            // the newest time that an event came with
 	commands   []Command
 	finished   []Finished
 	notices    []Notice
@@ -132,6 +136,9 @@
 		works:     map[string]*work{},
 		byWhole:   map[string][]*work{},
 		done:      map[string]bool{},
+		former:    map[string]formerTasks{},
+		unnoted:   map[string][]*unnoted{},
+		usableAt:  map[string]time.Duration{},
 	}
 }
 
@@ -196,6 +203,7 @@
 // Submit takes a job. It reports false when the job is here already, which it
 // then joins.
 func (c *Cell) Submit(h Handover, now time.Duration) bool {
+	c.latest = now
 	j := h.Job
 	if known := c.works[j.ID]; known != nil {
 		known.epoch = max(known.epoch, h.Epoch)
@@ -215,6 +223,7 @@
 	c.byWhole[j.WholeID()] = append(c.byWhole[j.WholeID()], w)
 	c.adopt(w, now)
 	c.dirty = true
+	c.adoptKept(w)
 	c.finishIfDone(w)
 	c.advance(now)
 	return true
@@ -228,13 +237,16 @@
 	return nil
 }
 
-// Withdraw drops a job whose caller no longer waits and stops its runs.
+// Withdraw drops a job whose caller no longer waits, or that was cancelled, and stops
+// its runs.
 func (c *Cell) Withdraw(id string, reason string, now time.Duration) bool {
 	w := c.works[id]
 	if w == nil {
 		return false
 	}
+	c.latest = now
 	c.remove(w, reason)
+	c.letGoAll(id)
 	c.advance(now)
 	return true
 }
@@ -254,10 +266,13 @@
 	if c.fenced {
 		return
 	}
+	c.latest = now
 	c.dirty = true
 	c.expireWorks(now)
 	c.handBackUnrenewed(now)
 	c.refuseHopeless(now)
+	c.seeUsable(now)
+	c.handBackStranded(now)
 	c.advance(now)
 }
 
@@ -282,6 +297,7 @@
 
 // advance brings everything up to now.
 func (c *Cell) advance(now time.Duration) {
+	c.latest = now
 	if c.fenced {
 		return
 	}
@@ -302,6 +318,7 @@
 	for _, e := range c.sorted {
 		unused := !e.listed && len(e.runs) == 0 && !e.holding
 		if unused && (e.adopted || e.gone || now > c.claimedAt+c.params.LongestHold) {
+			c.letGoOf(e)
 			delete(c.executors, e.info.ID)
 			continue
 		}
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -66,6 +66,8 @@
 	missed    int           // holds in a row that weren't carried out
 	granted   time.Duration // the latest end of a lease that any order of ours gave, on its clock
 	listedTo  int64         // the newest end that was taken in
+	unnoted   []*unnoted    // ends that it may not forget yet, the oldest first
+	listTill  time.Duration // no hold before while there are such: it would answer at once
 	runs      map[string]*run
 	mayOrphan bool // some of the runs may be orphans; false only when none is
 	used      job.Resources
--- a/pkg/cell/explore_executor_test.go
+++ b/pkg/cell/explore_executor_test.go
@@ -22,9 +22,13 @@
 	deadline time.Duration
 	runs     map[string]modelRun
 	highest  map[string]int64
-	ended    []EndedTask
+	ended    []EndedTask // those that it hasn't forgotten
 	next     int64
 	cut      bool
+	lapses   int  // so often all leases have ended
+	lapsed   bool // and none was given since
+	onEnd    func(e *modelExecutor, end EndedTask)
+	onNoted  func(e *modelExecutor, end EndedTask) // an owner has seen it
 }
 
 func newModelExecutor(i int, rate float64) *modelExecutor {
@@ -40,12 +44,20 @@
 	delete(e.runs, task)
 	e.highest[task] = max(e.highest[task], run.number)
 	e.next++
-	e.ended = append(e.ended, EndedTask{Number: e.next, Task: task, Run: run.number, Kind: kind})
+	end := EndedTask{Number: e.next, Task: task, Run: run.number, Kind: kind}
+	e.ended = append(e.ended, end)
+	if e.onEnd != nil {
+		e.onEnd(e, end)
+	}
 }
 
 // pass ends what is over by now.
 func (e *modelExecutor) pass(now time.Duration) {
 	lapsed := e.clock(now) >= e.deadline
+	if lapsed && !e.lapsed {
+		e.lapses++
+	}
+	e.lapsed = lapsed
 	var over []string
 	for task, run := range e.runs {
 		if lapsed || now >= run.ends {
@@ -77,6 +89,7 @@
 	switch command.Kind {
 	case Hold:
 		e.extend(command.Deadline, now)
+		e.forget(command.LastSeen)
 	case Stop:
 		if run, ok := e.runs[command.Task]; ok && run.number == command.Run {
 			e.finish(command.Task, EndStopped)
@@ -105,10 +118,21 @@
 	return Accepted
 }
 
-// endsAfter returns the ends that a hold lists.
-func (e *modelExecutor) endsAfter(lastSeen int64) []EndedTask {
+// forget drops the ends that an owner has seen.
+func (e *modelExecutor) forget(lastSeen int64) {
 	index, _ := slices.BinarySearchFunc(e.ended, lastSeen+1, func(end EndedTask, number int64) int { return cmp.Compare(end.Number, number) })
-	return e.ended[index:len(e.ended):len(e.ended)]
+	if e.onNoted != nil {
+		for _, end := range e.ended[:index] {
+			e.onNoted(e, end)
+		}
+	}
+	e.ended = e.ended[index:len(e.ended):len(e.ended)]
+}
+
+// ends returns the ends that a hold lists: at most 500 at once.
+func (e *modelExecutor) ends() []EndedTask {
+	count := min(len(e.ended), 500)
+	return e.ended[:count:count]
 }
 
 // running returns the runs that a hold lists.
--- a/pkg/cell/explore_orders_test.go
+++ b/pkg/cell/explore_orders_test.go
@@ -132,7 +132,7 @@
 
 func (w *orders) reportHold(o orderer, e *modelExecutor, command Command, sentAt, until time.Duration) {
 	e.pass(w.now)
-	ended := e.endsAfter(command.LastSeen)
+	ended := e.ends()
 	if len(ended) == 0 && w.now < until {
 		w.after(exploreStep, func() { w.reportHold(o, e, command, sentAt, until) })
 		return
--- a/pkg/cell/holds.go
+++ b/pkg/cell/holds.go
@@ -28,7 +28,8 @@
 
 // hold issues the next hold of an executor, if it needs one.
 func (c *Cell) hold(e *executor, now time.Duration) {
-	if e.holding || e.gone || now < e.retryAt {
+	lastSeen := c.lastSeen(e, now)
+	if e.holding || e.gone || now < e.retryAt || len(e.unnoted) > 0 && now < e.listTill {
 		return
 	}
 	if e.adopted && len(e.runs) == 0 && !e.silent && !c.wantsClock(e, now) {
@@ -37,7 +38,7 @@
 	if !e.adopted && !e.listed {
 		return
 	}
-	command := Command{Kind: Hold, Executor: e.info, Token: c.token, LastSeen: e.listedTo}
+	command := Command{Kind: Hold, Executor: e.info, Token: c.token, LastSeen: lastSeen}
 	// A takeover looks before it renews: what runs may be nobody's.
 	// A silent executor may take the order in much later, when its runs count
 	// as ended; so its leases aren't renewed before it has answered.
@@ -63,8 +64,8 @@
 	wasLimited := e.limited
 	e.limited = wanted-limit > c.params.Lease/2
 	if e.limited && !wasLimited {
-		r := e.limiting()
-		c.note(Notice{Event: "leases_limited", Executor: e.info.ID, Job: r.jobID(), Task: r.name, Age: now - r.jobRenewedAt()})
+		r := c.limiting(e)
+		c.note(Notice{Event: "leases_limited", Executor: e.info.ID, Job: r.jobID(), Task: r.name, Age: now - c.jobRenewedAt(r)})
 	}
 	if limit <= e.clock.least(now) {
 		return 0
@@ -79,6 +80,7 @@
 		return
 	}
 	e.holding = false
+	c.latest = now
 	c.heard(e, answer.Clock, now)
 	if c.takeVerdict(e, answer.Verdict, now) {
 		return
@@ -97,6 +99,7 @@
 		c.dirty = true
 		c.note(Notice{Event: "executor_answers", Executor: e.info.ID})
 	}
+	e.listTill = now + unnotedPause
 	c.takeEnds(e, answer.Ended, now)
 	c.takeRunning(e, answer, sentAt, now)
 	if !e.adopted {
@@ -124,14 +127,18 @@
 			continue
 		}
 		e.listedTo = end.Number
+		c.holdBack(e, end, now)
 		r := e.runs[end.Task]
-		if r == nil || r.number != end.Run {
-			if end.Kind == EndDone && !e.adopted {
-				c.adoptDone(end.Task)
-			}
+		if r != nil && r.number == end.Run {
+			c.takeEnd(e, r, end.Kind, now)
 			continue
 		}
-		c.takeEnd(e, r, end.Kind, now)
+		switch {
+		case isKeptRun(end.Run):
+			c.adoptEnd(end)
+		case end.Kind == EndDone && !e.adopted:
+			c.adoptDone(end.Task)
+		}
 	}
 }
 
@@ -154,12 +161,13 @@
 
 func (c *Cell) taskFailed(e *executor, r *run, w *work, t *task, now time.Duration) {
 	c.blame(e, blameFailed, r.name, now)
-	if t == nil {
+	if t == nil || t.done {
 		return
 	}
 	t.failures++
+	t.inherited++
 	t.failedOn = append(t.failedOn, e.info.ID)
-	if t.failures >= max(1, w.job.MaxAttempts) {
+	if w.isSpent(t) {
 		c.finish(w, job.Outcome{Kind: job.Failed, Reason: "task_failed", Started: true})
 	}
 }
--- a/pkg/cell/joblease.go
+++ b/pkg/cell/joblease.go
@@ -50,21 +50,21 @@
 	return renewedAt + c.params.JobLease
 }
 
-// jobRenewedAt returns when the job of a run was renewed last; 0 when that isn't
-// known, as for a run that a former owner left and no job has claimed yet.
-func (r *run) jobRenewedAt() time.Duration {
+// jobRenewedAt returns the renewal that the lease of a run's job counts from; 0 when
+// that isn't known, as for a run that a former owner left and no job has claimed yet.
+func (c *Cell) jobRenewedAt(r *run) time.Duration {
 	if r.work != nil {
-		return r.work.renewedAt
+		return c.leasedFrom(r.work)
 	}
 	return r.renewedAt
 }
 
 // limiting returns the run at an executor whose job's lease ends first, or nil when
 // there is none.
-func (e *executor) limiting() *run {
+func (c *Cell) limiting(e *executor) *run {
 	var first *run
 	for _, r := range e.runs {
-		if first == nil || r.endsBefore(first) {
+		if first == nil || c.endsBefore(r, first) {
 			first = r
 		}
 	}
@@ -72,18 +72,18 @@
 }
 
 // endsBefore orders runs by the leases of their jobs, and those of one job by name.
-func (r *run) endsBefore(other *run) bool {
-	return cmp.Or(cmp.Compare(r.jobRenewedAt(), other.jobRenewedAt()), strings.Compare(r.name, other.name)) < 0
+func (c *Cell) endsBefore(r, other *run) bool {
+	return cmp.Or(cmp.Compare(c.jobRenewedAt(r), c.jobRenewedAt(other)), strings.Compare(r.name, other.name)) < 0
 }
 
 // limit returns a time on an executor's clock up to which its leases may be set at
 // most, and no further than wanted.
 func (c *Cell) limit(e *executor, wanted, now time.Duration) time.Duration {
-	r := e.limiting()
+	r := c.limiting(e)
 	if r == nil {
 		return wanted
 	}
-	return min(wanted, e.clock.notAfter(c.leaseEnds(r.jobRenewedAt()), now))
+	return min(wanted, e.clock.notAfter(c.leaseEnds(c.jobRenewedAt(r)), now))
 }
 
 // mayStart reports whether a start can set the leases of an executor far enough
@@ -96,7 +96,7 @@
 // covers reports whether a job's own lease covers those that the executor has
 // already, which would be the new run's too, and a start.
 func (c *Cell) covers(w *work, e *executor, now time.Duration) bool {
-	end := e.clock.notAfter(c.leaseEnds(w.renewedAt), now)
+	end := e.clock.notAfter(c.leaseEnds(c.leasedFrom(w)), now)
 	return end >= max(e.granted, e.clock.at(now)+shortestLease)
 }
 
@@ -112,12 +112,12 @@
 
 // unrenewed returns the jobs whose leases end within half of one at an executor, sorted
 // by id: 0.85 s after the last renewal, where fronts that beat slowly renew after up to
-// 0.4 s, and in time for a stop to be ordered twice.
+// 0.4 s, and in time for a stop to be ordered twice. Kept jobs that have no lease are
+// those that no keeper has asked for, for too long.
 func (c *Cell) unrenewed(now time.Duration) []*work {
-	patience := c.params.JobLease - c.params.Lease/2
 	var works []*work
 	for _, w := range c.works {
-		if now > max(w.renewedAt, w.submittedAt)+patience {
+		if now > max(w.renewedAt, w.submittedAt)+c.patience(w) {
 			works = append(works, w)
 		}
 	}
@@ -127,7 +127,7 @@
 
 // stopRuns stops what may run of a job that isn't here any more.
 func (c *Cell) stopRuns(w *work, reason string) {
-	for _, r := range w.detachRuns() {
+	for _, r := range w.detachRuns(c.lastRenewal(w)) {
 		c.stopRun(r, reason)
 	}
 	c.dirty = true
--- a/pkg/cell/queue.go
+++ b/pkg/cell/queue.go
@@ -36,7 +36,7 @@
 	}
 	entries := make([]entry, 0, len(c.works))
 	for _, w := range c.works {
-		if w.settleAt > now && !(w.unseen && c.allAdopted()) {
+		if w.settleAt > now && !(w.unseen && c.allAdopted()) || !c.mayStartFor(w, now) {
 			continue
 		}
 		if s := w.standing(now); s.WorkLeft > 0 {
--- a/pkg/cell/work.go
+++ b/pkg/cell/work.go
@@ -10,13 +10,14 @@
 
 // task is one task of a job.
 type task struct {
-	key      job.TaskKey
-	done     bool
-	failures int
-	lastRun  int64
-	current  *run // what may be running; nil when the task waits or is done
-	failedOn []string
-	rescues  int // runs stopped for being far behind
+	key       job.TaskKey
+	done      bool
+	failures  int
+	inherited int // so many of the failures are known to be among those that executors list, or a former owner told
+	lastRun   int64
+	current   *run // what may be running; nil when the task waits or is done
+	failedOn  []string
+	rescues   int // runs stopped for being far behind
 }
 
 // waits reports whether the task has neither ended nor been started.
@@ -60,7 +61,7 @@
 	for _, p := range progress {
 		if t := w.task(p.Key); t != nil {
 			t.done = t.done || p.Done
-			t.failures = max(t.failures, p.Failures)
+			t.inherit(p.Failures)
 			t.lastRun = max(t.lastRun, p.Run)
 		}
 	}
@@ -99,6 +100,9 @@
 // nextRun returns a run number above all that were used for the task.
 func (w *work) nextRun(t *task) int64 {
 	t.lastRun = max(t.lastRun, int64(w.epoch-1)*runsPerEpoch) + 1
+	if w.job.Kept {
+		t.lastRun = keptNumber(t.lastRun)
+	}
 	return t.lastRun
 }
 
@@ -184,6 +188,7 @@
 func (c *Cell) finish(w *work, outcome job.Outcome) {
 	outcome.Chain = w.chain
 	c.finished = append(c.finished, Finished{ID: w.job.ID, Outcome: outcome})
+	c.keepEnds(w, outcome.Kind)
 	if outcome.Kind == job.Moved {
 		c.forget(w)
 		return
@@ -209,14 +214,15 @@
 	c.stopRuns(w, reason)
 }
 
-// detachRuns takes the runs of a job from it and returns them.
-func (w *work) detachRuns() []*run {
+// detachRuns takes the runs of a job from it and returns them. From now on they are
+// leased as if the job had been renewed last at a time.
+func (w *work) detachRuns(renewedAt time.Duration) []*run {
 	var runs []*run
 	for _, tasks := range w.steps {
 		for _, t := range tasks {
 			if r := t.current; r != nil {
 				r.work, r.task, t.current = nil, nil, nil
-				r.renewedAt = w.renewedAt
+				r.renewedAt = renewedAt
 				runs = append(runs, r)
 			}
 		}
@@ -244,7 +250,7 @@
 		wait = max(wait, c.pacer.timeOf(bytesAhead))
 		ahead += w.waitingWork()
 		bytesAhead += w.waitingBytes()
-		if !w.started && now+wait+w.leastTime() > w.job.UsefulUntil(w.chain) {
+		if !w.started && !w.job.Kept && now+wait+w.leastTime() > w.job.UsefulUntil(w.chain) {
 			c.finish(w, job.Outcome{Kind: job.Refused, Reason: "overloaded", RetryAfter: wait})
 		}
 	}
@@ -266,6 +272,9 @@
 func (c *Cell) hopeless(now time.Duration) []*work {
 	var works []*work
 	for _, w := range c.works {
+		if w.job.Kept {
+			continue // it has none
+		}
 		if now > w.job.Deadline || (!w.started && now+w.leastTime() > w.job.Deadline) {
 			works = append(works, w)
 		}
--- a/pkg/job/job.go
+++ b/pkg/job/job.go
@@ -122,7 +122,11 @@
 // UsefulUntil returns until when an answer is worth something to the caller, for
 // a longest chain of work.
 func (j *Job) UsefulUntil(chain time.Duration) time.Duration {
-	return min(j.Deadline, j.Received+LateFactor*j.Objective(chain))
+	until := j.Received + LateFactor*j.Objective(chain)
+	if j.Kept {
+		return until
+	}
+	return min(j.Deadline, until)
 }
 
 // UnknownEstimate stands for the time of a task whose caller gave no guess.
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -33,10 +33,10 @@
 	reply      reply
 }
 
-// ended is the kept outcome of a job.
+// ended is the outcome of a job, remembered for a while.
 type ended struct {
 	outcome job.Outcome
-	at      time.Duration
+	until   time.Duration
 }
 
 // owner runs a cell: it feeds events into the decisions and carries out what
@@ -52,6 +52,7 @@
 	state   *cell.Cell
 	waiters map[string][]waiter // by job id
 	ended   map[string]ended
+	kept    keptHere
 	lastRun time.Duration
 	settled bool // the executors obey this owner alone
 	over    bool
@@ -66,6 +67,7 @@
 		state:     cell.New(n.cellParams(), token, now),
 		waiters:   map[string][]waiter{},
 		ended:     map[string]ended{},
+		kept:      newKeptHere(),
 		lastRun:   now,
 	}
 }
@@ -114,8 +116,9 @@
 		}
 		delete(o.waiters, f.ID)
 		if f.Outcome.Kind != job.Moved && f.Outcome.Kind != job.Refused { // these may come again
-			o.ended[f.ID] = ended{outcome: f.Outcome, at: now}
+			o.ended[f.ID] = ended{outcome: f.Outcome, until: now + o.kept.remembers(f.ID)}
 		}
+		o.kept.drop(f.ID)
 	}
 	return replies
 }
@@ -134,6 +137,14 @@
 		w.reply(known.outcome)
 		return
 	}
+	if o.kept.isCancelled(id, o.node.Clock.Now()) {
+		o.mu.Unlock()
+		w.reply(cancelledHere)
+		return
+	}
+	if handover.Job.Kept {
+		o.kept.add(id)
+	}
 	o.waiters[id] = append(o.waiters[id], w)
 	o.mu.Unlock()
 	o.do(func(state *cell.Cell, now time.Duration) {
@@ -161,7 +172,8 @@
 	return ids
 }
 
-// withdraw takes back the wish of a front. The job ends once nobody waits.
+// withdraw takes back the wish of a front. The job ends once nobody waits, unless it is
+// kept.
 func (o *owner) withdraw(id, front, reason string) {
 	taken, last := o.takeWaiters(id, front)
 	if len(taken) == 0 {
@@ -174,7 +186,9 @@
 	if last {
 		o.do(func(state *cell.Cell, now time.Duration) {
 			progress = state.Progress(id)
-			state.Withdraw(id, reason, now)
+			if !o.kept.here[id] {
+				state.Withdraw(id, reason, now)
+			}
 		})
 	}
 	if reason != reasonFrontSilent {
@@ -249,10 +263,11 @@
 		state.Tick(now)
 		busy = state.Busy()
 		for id, e := range o.ended {
-			if now > e.at+keepOutcomes {
+			if now > e.until {
 				delete(o.ended, id)
 			}
 		}
+		o.kept.expire(now)
 	})
 	o.noticeSettled()
 	return busy
