A kept task that has failed everywhere is tried again where it failed

Cause: a task isn't started again where it failed, nor after a failure on an executor on trial. Change: when no other executor that could run it is left, it may go anywhere again. Run: TestAKeptTaskIsTriedAgainWhereItFailed and all tests with Kept in pkg/cell: ok; it fails without the change on a scratch copy.

--- a/pkg/cell/kept.go
+++ b/pkg/cell/kept.go
@@ -99,6 +99,24 @@
 	return w.job.Kept && now >= since+strandedTime && now >= w.settleAt && !w.hasRuns()
 }
 
+// tryAnywhere lets a task of a kept job start again where it has failed, once it has
+// failed on all executors that could run it but those on trial: no deadline ends its
+// wait for another one.
+func (c *Cell) tryAnywhere(w *work, t *task) {
+	if !w.job.Kept {
+		return
+	}
+	constraint := w.job.Steps[t.key.Step].Constraint
+	for _, e := range c.sorted {
+		fits := e.info.Service == w.job.Service && (constraint == "" || e.info.HasLabel(constraint))
+		if fits && e.listed && !e.gone && !e.info.Draining && !e.health.onTrial() && !t.hasFailedOn(e) {
+			return
+		}
+	}
+	t.failedOn = nil
+	c.dirty = true
+}
+
 // keptRuns is where the numbers of the runs of kept jobs begin within an epoch. So an
 // owner knows the ends of kept tasks at its first look at an executor, before their
 // jobs are here. Other tasks would need as many runs at one owner to be taken for such.
--- a/pkg/cell/kept_test.go
+++ b/pkg/cell/kept_test.go
@@ -198,6 +198,45 @@
 	}
 }
 
+// A task that has failed on all executors but one on trial would wait for ever.
+func TestAKeptTaskIsTriedAgainWhereItFailed(t *testing.T) {
+	type scenario struct {
+		testName string
+		kept     bool
+		onTrial  bool // the second executor
+		starts   int
+	}
+	scenarios := []scenario{
+		{testName: "the other executor is on trial", kept: true, onTrial: true, starts: 1},
+		{testName: "the other executor is full", kept: true},
+		{testName: "a job that isn't kept", onTrial: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			d := adopted(c, 2)
+			d.tick(time.Second)
+			j := testJob("a", 1, d.now)
+			j.Kept, j.Deadline, j.MaxAttempts = s.kept, time.Hour, 5
+			start := startKept(c, d, j)
+			e, other := d.cell.executors[start.Executor.ID], d.cell.executors[executorID(1)]
+			if e == other {
+				other = d.cell.executors[executorID(0)]
+			}
+			if s.onTrial {
+				other.health.pause = firstEjection
+			} else {
+				other.used = other.info.Capacity
+			}
+			d.now += 100 * ms
+			d.cell.HoldAnswered(e.info.ID, HoldAnswer{Clock: time.Minute + d.now, Ended: []EndedTask{endOf(1, start, EndFailed)}}, d.now, d.now)
+			d.tick(50 * ms)
+			d.tick(50 * ms)
+			c.Assert(d.of(Start), qt.HasLen, s.starts)
+		})
+	}
+}
+
 func TestStepsOfAKeptJobRunInOrder(t *testing.T) {
 	c := qt.New(t)
 	d := adopted(c, 2)
--- a/pkg/cell/placement.go
+++ b/pkg/cell/placement.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/job"
@@ -76,6 +77,8 @@
 			c.start(e, w, t, now)
 		} else if len(t.failedOn) == 0 {
 			fullStep = t.key.Step // its other tasks want the same
+		} else {
+			c.tryAnywhere(w, t)
 		}
 	}
 }
@@ -120,14 +123,15 @@
 	if step.Constraint != "" && !e.info.HasLabel(step.Constraint) {
 		return false
 	}
-	for _, id := range t.failedOn {
-		if id == e.info.ID {
-			return false
-		}
+	if t.hasFailedOn(e) {
+		return false
 	}
 	return step.AntiAffinity == 0 || e.countStep(w, t.key.Step) < step.AntiAffinity
 }
 
+// hasFailedOn reports whether a run of the task has failed on an executor.
+func (t *task) hasFailedOn(e *executor) bool { return slices.Contains(t.failedOn, e.info.ID) }
+
 func (e *executor) countStep(w *work, step int) int {
 	count := 0
 	for _, r := range e.runs {
