--- /dev/null
+++ b/pkg/kept/effects.go
@@ -0,0 +1,57 @@
+package kept
+
+import "time"
+
+// CallAnswer answers a call that came with Accept or Cancel.
+type CallAnswer struct {
+	Call   uint64
+	Answer Answer
+	Cell   string // of a job that has been cancelled: whose owner has to know before the caller does
+}
+
+// Following is a job that is to be handed to the owner of its cell, and followed
+// until it has ended there. It replaces an earlier one for the same job.
+type Following struct {
+	Record Record
+	AsOf   time.Duration // when the row was known to be so; see FreshFor
+	// Epoch is the least with which the job may be handed over now; it rises with
+	// time, as Record.EpochAt tells, unless it is the first.
+	Epoch int
+}
+
+// Ending is a job whose end lasts. It is followed no more, and the owner of its cell
+// may forget it; one that was cancelled has to be stopped there.
+type Ending struct {
+	ID    string
+	Cell  string
+	State State
+}
+
+// Effects are what a keeper asks for.
+type Effects struct {
+	Answers  []CallAnswer
+	Follow   []Following
+	Ended    []Ending
+	LookAt   []string // ids whose rows are to be read, for Learn
+	Problems []Problem
+}
+
+// Problem is something that an operator should know of.
+type Problem struct {
+	Event string
+	ID    string
+	Error string
+}
+
+// FreshFor is how long a keeper may hand a job over after it knew the row to be so,
+// and the least time between the commit of an end and the word to the owner that it
+// lasts, with which executors forget the ends of the job's tasks. So an owner that gets
+// a job from a keeper with an old reading finds there that its tasks are done.
+const FreshFor = time.Second
+
+// endedJob is the remembered end of a job.
+type endedJob struct {
+	state State
+	cell  string
+	at    time.Duration
+}
