--- a/pkg/kept/effects.go
+++ b/pkg/kept/effects.go
@@ -46,7 +46,9 @@
 // FreshFor is how long a keeper may hand a job over after it knew the row to be so,
 // and the least time between the commit of an end and the word to the owner that it
 // lasts, with which executors forget the ends of the job's tasks. So an owner that gets
-// a job from a keeper with an old reading finds there that its tasks are done.
+// a job from a keeper with an old reading finds there that its tasks are done. A job
+// that was moved is handed to its new cell after this time, when nobody hands it to
+// the old one any more, and once the owner there has said that it doesn't run it.
 const FreshFor = time.Second
 
 // endedJob is the remembered end of a job.
--- a/pkg/kept/keeper.go
+++ b/pkg/kept/keeper.go
@@ -146,7 +146,8 @@
 	return true
 }
 
-// State returns the state of a job, or false when it isn't known here.
+// State returns the state of a job, or false when it isn't known here. Another keeper
+// may have ended one that is open here: where the store can be read, its row tells.
 func (k *Keeper) State(id string) (State, bool) {
 	if known, ok := k.ended[id]; ok {
 		return known.state, true
@@ -174,7 +175,7 @@
 	if e == nil || e.ending != 0 || !e.lasts() {
 		return
 	}
-	record.AcceptedAt = e.record.AcceptedAt
+	record.AcceptedAt, record.From = e.record.AcceptedAt, e.record.Cell
 	e.move = &record
 	k.enqueue(record.ID, e)
 }
@@ -270,13 +271,14 @@
 	})
 }
 
-// refuse forgets a job of which nothing can have been written.
+// refuse forgets a job of which this keeper can't have written anything. Whether
+// there is one to cancel is open: another keeper may have accepted it before.
 func (k *Keeper) refuse(id string, e *entry) {
 	for _, c := range e.accepts {
 		k.answer(c.number, refusal(ReasonStoreDown))
 	}
 	for _, c := range e.cancels {
-		k.answer(c.number, Answer{Verdict: Gone})
+		k.answer(c.number, Answer{Verdict: Unknown, Reason: ReasonStoreDown, RetryAfter: comeBack})
 	}
 	k.forget(id)
 }
--- a/pkg/kept/keeper_test.go
+++ b/pkg/kept/keeper_test.go
@@ -274,6 +274,7 @@
 	follow := b.keeper.Take().Follow
 	c.Assert(follow, qt.HasLen, 1)
 	c.Assert(follow[0].Record.Cell, qt.Equals, "y")
+	c.Assert(follow[0].Record.From, qt.Equals, "x")
 	c.Assert(follow[0].Epoch > 7, qt.IsTrue)
 }
 
--- a/pkg/kept/record.go
+++ b/pkg/kept/record.go
@@ -11,6 +11,7 @@
 type Record struct {
 	ID         string
 	Cell       string        // that runs it
+	From       string        // the cell that it was moved from; empty when it never was
 	AcceptedAt time.Duration // by the store's clock
 	Epoch      int           // the highest with which it may have been handed to an owner when the row was written
 	Job        []byte
