--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -6,6 +6,7 @@
 
 	"github.com/foxcroft/foxcroft/pkg/cell"
 	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/jobwire"
 	"github.com/foxcroft/foxcroft/pkg/ownership"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
 )
@@ -49,7 +50,7 @@
 	defer f.noteDispatch(claim.Owner)()
 	now := f.node.Clock.Now()
 	settle := max(0, settleAt-now)
-	m := toDispatch(j, claim.Cell, state.epoch, state.progress, settle, now)
+	m := jobwire.ToDispatch(j, claim.Cell, state.epoch, state.progress, settle, now)
 	m.Renewed = f.node.renewals.sure(claim.Owner)
 	answer, err := link.Call(ctx, &peerpb.Message{Body: &peerpb.Message_Dispatch{Dispatch: m}}, 0)
 	if ctx.Err() != nil {
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -11,6 +11,7 @@
 	"github.com/foxcroft/foxcroft/pkg/cell"
 	"github.com/foxcroft/foxcroft/pkg/errkind"
 	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/jobwire"
 	"github.com/foxcroft/foxcroft/pkg/member"
 	"github.com/foxcroft/foxcroft/pkg/peer"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
@@ -193,7 +194,7 @@
 		settleAt = now + microseconds(m.SettleUs)
 	}
 	handover := cell.Handover{
-		Job: fromDispatch(m, now), Epoch: int(m.Epoch), Progress: fromProgress(m.Progress),
+		Job: jobwire.FromDispatch(m, now), Epoch: int(m.Epoch), Progress: jobwire.FromProgress(m.Progress),
 		SettleAt: settleAt, RenewedAt: n.timeOf(m.Renewed),
 	}
 	o.submit(handover, waiter{
