--- /dev/null
+++ b/pkg/keeping/codec.go
@@ -0,0 +1,103 @@
+package keeping
+
+import (
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/errkind"
+	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/jobwire"
+	"github.com/foxcroft/foxcroft/pkg/kept"
+	"github.com/foxcroft/foxcroft/pkg/peerpb"
+	"google.golang.org/protobuf/proto"
+)
+
+// codec implements kept.Codec by protobuf messages.
+type codec struct{}
+
+// EncodeRecord implements kept.Codec.
+func (codec) EncodeRecord(record kept.Record) []byte {
+	row := &peerpb.KeptJob{
+		Job:        decodeJob(record.Job),
+		Cell:       record.Cell,
+		From:       record.From,
+		AcceptedUs: record.AcceptedAt.Microseconds(),
+		Epoch:      uint32(record.Epoch),
+	}
+	return encode(row)
+}
+
+// DecodeRecord implements kept.Codec.
+func (codec) DecodeRecord(id string, value []byte) (kept.Record, error) {
+	row := &peerpb.KeptJob{}
+	if err := proto.Unmarshal(value, row); err != nil {
+		return kept.Record{}, errkind.Wrap(err, errkind.BadRequest, "remove the row if another writer made it", "the row of job %s is none of ours", id)
+	}
+	if row.Job.GetId() != id || row.Cell == "" {
+		return kept.Record{}, errkind.New(errkind.BadRequest, "remove the row if another writer made it", "the row of job %s names another job or no cell", id)
+	}
+	return kept.Record{
+		ID:         id,
+		Cell:       row.Cell,
+		From:       row.From,
+		AcceptedAt: microseconds(row.AcceptedUs),
+		Epoch:      int(row.Epoch),
+		Job:        encode(row.Job),
+	}, nil
+}
+
+// EncodeEnd implements kept.Codec.
+func (codec) EncodeEnd(end kept.End) []byte {
+	return encode(&peerpb.KeptEnd{State: uint32(end.State), Cell: end.Cell, EndedUs: end.At.Microseconds()})
+}
+
+// DecodeEnd implements kept.Codec.
+func (codec) DecodeEnd(value []byte) (kept.End, error) {
+	row := &peerpb.KeptEnd{}
+	if err := proto.Unmarshal(value, row); err != nil {
+		return kept.End{}, errkind.Wrap(err, errkind.BadRequest, "remove the row if another writer made it", "the row of an ended job is none of ours")
+	}
+	end := kept.End{State: kept.State(row.State), Cell: row.Cell, At: microseconds(row.EndedUs)}
+	if !end.State.Ended() {
+		return end, errkind.New(errkind.BadRequest, "remove the row if another writer made it", "the row of an ended job tells no end")
+	}
+	return end, nil
+}
+
+func encode(m proto.Message) []byte {
+	data, err := proto.Marshal(m)
+	if err != nil {
+		panic(err) // only a text that isn't UTF-8 fails, and JSON has none
+	}
+	return data
+}
+
+// encodeJob returns a job, with what is known of its tasks, as its row holds it.
+func encodeJob(j *job.Job, progress []job.Progress) []byte {
+	m := jobwire.ToDispatch(j, "", 0, progress, 0, j.Received)
+	m.AgeUs, m.TimeLeftUs = 0, 0
+	return encode(m)
+}
+
+func decodeJob(data []byte) *peerpb.Dispatch {
+	m := &peerpb.Dispatch{}
+	if err := proto.Unmarshal(data, m); err != nil {
+		return &peerpb.Dispatch{} // it was encoded here
+	}
+	return m
+}
+
+// forEver stands for the deadline of a kept job, which has none.
+const forEver = 10 * 365 * 24 * time.Hour
+
+// jobOf returns the job of a record and what is known of its tasks, on the clock of
+// this process.
+func jobOf(record *kept.Record, age, now time.Duration) (*job.Job, []job.Progress) {
+	m := decodeJob(record.Job)
+	j := jobwire.FromDispatch(m, now)
+	j.Kept = true
+	j.Received = now - age
+	j.Deadline = now + forEver
+	return j, jobwire.FromProgress(m.Progress)
+}
+
+func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- /dev/null
+++ b/pkg/keeping/follow.go
@@ -0,0 +1,207 @@
+package keeping
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/cell"
+	"github.com/foxcroft/foxcroft/pkg/common"
+	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/kept"
+)
+
+const (
+	// ownerPause keeps a follower from asking one that gives jobs back at once.
+	ownerPause = 20 * time.Millisecond
+	// ownerRecheck is how soon a follower looks for an owner again when nothing changes.
+	ownerRecheck = 200 * time.Millisecond
+	// firstEpochTime is how long after the commit the first epoch may be used.
+	firstEpochTime = 50 * time.Millisecond
+)
+
+// follower follows a job from owner to owner of its cell.
+type follower struct {
+	partition *partition
+	record    kept.Record
+	job       *job.Job
+	progress  []job.Progress
+	epoch     int
+	asOf      time.Duration // when the row was known to be so
+	since     time.Duration
+	cleared   bool        // the cell that the job was moved from doesn't run it
+	handed    atomic.Bool // it is or has been with an owner
+	cancel    context.CancelFunc
+}
+
+// follow begins to follow a job, in place of an earlier follower. p.mu is held.
+func (p *partition) follow(f kept.Following, now time.Duration) {
+	if old := p.followers[f.Record.ID]; old != nil {
+		old.cancel()
+	}
+	ctx, cancel := context.WithCancel(p.service.ctx)
+	next := &follower{partition: p, record: f.Record, epoch: f.Epoch, asOf: f.AsOf, since: now, cancel: cancel}
+	next.job, next.progress = jobOf(&f.Record, p.keeper.Age(&f.Record, now), now)
+	p.followers[f.Record.ID] = next
+	p.service.Log.Info("kept_followed", "job", f.Record.ID, "part", p.part, "cell", f.Record.Cell, "epoch", f.Epoch, "from", f.Record.From)
+	go next.run(ctx)
+}
+
+// run hands the job to owners until it has ended or moves to another cell.
+func (f *follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !f.prepare(ctx) {
+			continue
+		}
+		f.raiseEpoch()
+		f.handed.Store(true)
+		outcome := f.service().host.Dispatch(ctx, f.job, f.record.Cell, f.epoch, f.progress)
+		if ctx.Err() != nil {
+			return
+		}
+		if f.take(ctx, outcome) {
+			return
+		}
+	}
+}
+
+func (f *follower) service() *Service { return f.partition.service }
+
+// prepare sees that the job may be handed over now: its row is known well enough, its
+// old cell doesn't run it, and its cell has an owner. It waits a while otherwise.
+func (f *follower) prepare(ctx context.Context) bool {
+	now := f.service().Clock.Now()
+	switch {
+	case f.record.From != "" && !f.cleared && now < f.since+kept.NotedAfter:
+		common.Sleep(ctx, f.since+kept.NotedAfter-now)
+		return false
+	case !f.service().host.HasOwner(f.record.Cell):
+		f.awaitChange(ctx)
+		return false
+	case now > f.asOf+kept.FreshFor:
+		f.refresh(ctx)
+		return false
+	case f.record.From != "" && !f.cleared:
+		f.clear(ctx)
+		return false
+	}
+	return true
+}
+
+// awaitChange waits until owners may have changed.
+func (f *follower) awaitChange(ctx context.Context) {
+	timer := time.NewTimer(ownerRecheck)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-f.service().host.Changed():
+	case <-timer.C:
+	}
+}
+
+// refresh reads the rows of the job. One that has ended is followed no more, one that
+// has moved is followed anew.
+func (f *follower) refresh(ctx context.Context) {
+	rows, err := f.service().readRows(ctx, f.record.ID)
+	if err != nil {
+		common.Sleep(ctx, ownerRecheck)
+		return
+	}
+	if rows.open == nil && rows.ended == nil {
+		f.service().Log.Error("kept_job_without_rows", "job", f.record.ID)
+		common.Sleep(ctx, ownerRecheck)
+		return
+	}
+	f.partition.learn(f.record.ID, rows)
+	f.asOf = rows.began
+}
+
+// clear makes sure that the cell that the job was moved from doesn't run it. If it
+// does, the job goes back there.
+func (f *follower) clear(ctx context.Context) {
+	told, cancel := context.WithTimeout(ctx, tellTime)
+	defer cancel()
+	runs, ok := f.service().host.Tell(told, Word{Cell: f.record.From, IDs: []string{f.record.ID}, Moved: true})
+	switch {
+	case !ok:
+		f.awaitChange(ctx)
+	case len(runs) > 0:
+		f.move(f.record.From, f.progress)
+		<-ctx.Done() // the follower of the row as it is then goes on
+	default:
+		f.cleared = true
+	}
+}
+
+// raiseEpoch chooses the epoch of the next handover.
+func (f *follower) raiseEpoch() {
+	now := f.service().Clock.Now()
+	if !f.handed.Load() && now < f.since+firstEpochTime {
+		return
+	}
+	f.partition.mu.Lock()
+	age := f.partition.keeper.Age(&f.record, now)
+	f.partition.mu.Unlock()
+	f.epoch = max(f.epoch+1, f.record.EpochAt(age))
+}
+
+// take takes how the job has ended at an owner, and reports whether this follower is done.
+func (f *follower) take(ctx context.Context, outcome job.Outcome) bool {
+	f.service().Log.Info("kept_came_back", "job", f.record.ID, "cell", f.record.Cell, "epoch", f.epoch, "outcome", outcome.Kind.String(), "reason", outcome.Reason)
+	switch outcome.Kind {
+	case job.Completed:
+		f.finish(kept.Completed)
+		return true
+	case job.Failed:
+		f.finish(kept.Failed)
+		return true
+	case job.Moved:
+		if len(outcome.Progress) > 0 {
+			f.progress = outcome.Progress
+		}
+		return f.givenBack(ctx, outcome)
+	default: // the owner is lost, or can't have it now
+		common.Sleep(ctx, ownerPause)
+	}
+	return false
+}
+
+// givenBack goes on with a job that an owner has given back.
+func (f *follower) givenBack(ctx context.Context, outcome job.Outcome) bool {
+	switch outcome.Reason {
+	case cell.ReasonClosed:
+		return f.moveOn(ctx)
+	case ReasonCancelled:
+		f.asOf = 0 // its row tells more
+	}
+	common.Sleep(ctx, ownerPause)
+	return false
+}
+
+// ReasonCancelled marks a job that an owner gave back because it was cancelled.
+const ReasonCancelled = "kept_cancelled"
+
+// moveOn gives the job to a cell that takes new work, if there is one.
+func (f *follower) moveOn(ctx context.Context) bool {
+	next, ok := f.service().host.ChooseCell(f.job)
+	if !ok || next == f.record.Cell {
+		common.Sleep(ctx, ownerRecheck)
+		return false
+	}
+	f.move(next, f.progress)
+	<-ctx.Done()
+	return true
+}
+
+// move has the row name another cell. The job is followed there once it does.
+func (f *follower) move(to string, progress []job.Progress) {
+	moved := f.record
+	moved.Cell, moved.Epoch = to, f.epoch
+	moved.Job = encodeJob(f.job, progress)
+	f.service().Log.Info("kept_moves", "job", f.record.ID, "cell", f.record.Cell, "to", to, "epoch", f.epoch)
+	f.partition.do(func(k *kept.Keeper, _ time.Duration) { k.Move(moved) })
+}
+
+func (f *follower) finish(state kept.State) {
+	f.partition.do(func(k *kept.Keeper, _ time.Duration) { k.Finish(f.record.ID, state) })
+}
--- /dev/null
+++ b/pkg/keeping/rows.go
@@ -0,0 +1,70 @@
+package keeping
+
+import (
+	"context"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/kept"
+	"github.com/foxcroft/foxcroft/pkg/tables"
+)
+
+// rowsOf are the rows of one job as they were read, the open one first: a job that
+// ends in between is found among the ended ones.
+type rowsOf struct {
+	open  *tables.Row // nil when absent
+	ended *tables.Row // likewise; not read while the job is open
+	began time.Duration
+}
+
+// readRows reads the rows of a job.
+func (s *Service) readRows(ctx context.Context, id string) (rowsOf, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	rows := rowsOf{began: s.Clock.Now()}
+	var err error
+	rows.open, err = s.readRow(ctx, kept.TableOpen, id)
+	if err != nil || rows.open != nil {
+		return rows, err
+	}
+	rows.ended, err = s.readRow(ctx, kept.TableEnded, id)
+	return rows, err
+}
+
+func (s *Service) readRow(ctx context.Context, table, id string) (*tables.Row, error) {
+	row, found, err := s.store.ReadRow(ctx, table, kept.PartOf(kept.PartitionOf(id)), id)
+	if err != nil || !found {
+		return nil, err
+	}
+	return &row, nil
+}
+
+// openRows are the open jobs of a partition.
+type openRows struct {
+	rows  []tables.Row
+	began time.Duration
+	now   time.Duration // the store's clock
+}
+
+// readOpen reads the open jobs of a part, page by page.
+func (s *Service) readOpen(ctx context.Context, part string) (openRows, error) {
+	all := openRows{began: s.Clock.Now()}
+	from := ""
+	for {
+		page, err := s.readPage(ctx, part, from)
+		if err != nil {
+			return all, err
+		}
+		all.rows = append(all.rows, page.Rows...)
+		all.now = page.Now
+		if !page.More || len(page.Rows) == 0 {
+			return all, nil
+		}
+		from = page.Rows[len(page.Rows)-1].Key + "\x00"
+	}
+}
+
+func (s *Service) readPage(ctx context.Context, part, from string) (tables.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	return s.store.Read(ctx, kept.TableOpen, part, from)
+}
--- /dev/null
+++ b/pkg/keeping/service.go
@@ -0,0 +1,327 @@
+// Package keeping carries out what pkg/kept decides: it writes the rows of kept jobs,
+// follows jobs from owner to owner, and answers for them. The node tells it who the
+// keepers are and takes its jobs to owners.
+package keeping
+
+import (
+	"context"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/common"
+	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/kept"
+	"github.com/foxcroft/foxcroft/pkg/tables"
+)
+
+// Intervals of the work of keepers.
+const (
+	tickInterval = 50 * time.Millisecond
+	// viewInterval is how often it is worked out which partitions this host keeps.
+	viewInterval = 200 * time.Millisecond
+	// secondReading and the pauses after it are when the rows of a partition are read
+	// again after its keepers may have changed: another host may have taken a job in
+	// meanwhile, and died. A last look comes every regularReading.
+	secondReading  = 700 * time.Millisecond
+	thirdReading   = 3 * time.Second
+	regularReading = 30 * time.Second
+	readingPause   = 400 * time.Millisecond // at least, between two readings
+	// callTime bounds calls to the store, which take 12 ms when it is calm.
+	callTime = 800 * time.Millisecond
+	// keepTime is how long a caller waits for its job to be kept at most.
+	keepTime = 1500 * time.Millisecond
+	// askTime bounds calls to the keeper: longer than it lets its own callers wait.
+	askTime = 1800 * time.Millisecond
+	// tellTime bounds the word to an owner that a job was cancelled, for which the
+	// caller waits.
+	tellTime = 400 * time.Millisecond
+	comeBack = time.Second
+)
+
+// Reasons of refusals and of answers that leave the fate of a job open.
+const (
+	ReasonNoOwner   = "no_owner"
+	ReasonNoAnswer  = "keeper_silent"
+	ReasonRowUnread = "rows_unread"
+)
+
+// Keeper is a host that keeps a partition.
+type Keeper struct {
+	Address string
+	Self    bool
+}
+
+// Word is what the owner of a cell is told of kept jobs there.
+type Word struct {
+	Cell      string
+	IDs       []string
+	Cancelled bool // they are to be stopped
+	Moved     bool // another cell is to run them
+}
+
+// Host is the node as keepers need it.
+type Host interface {
+	// Settled reports whether this host knows the others well enough to say who
+	// keeps what.
+	Settled() bool
+	// ViewVersion changes when hosts have come or gone.
+	ViewVersion() uint64
+	// KeeperOf returns the keeper of a partition as this host sees it.
+	KeeperOf(partition int) Keeper
+	// AskKeeper asks another host to keep a job; sent is false when nothing can have
+	// reached it.
+	AskKeeper(ctx context.Context, address, cell string, j *job.Job, hops int) (answer kept.Answer, sent bool)
+	// AskState asks another host for the state of a job, or to cancel it.
+	AskState(ctx context.Context, address, id string, cancel bool, hops int) (kept.Answer, bool)
+	// ChooseCell returns the cell that should run a job, or false when there is none.
+	ChooseCell(j *job.Job) (string, bool)
+	// HasOwner reports whether a cell has an owner in sight.
+	HasOwner(cell string) bool
+	// Changed returns a channel that is closed when owners may have changed.
+	Changed() <-chan struct{}
+	// Dispatch hands a job to the owner of its cell and waits for its end there.
+	Dispatch(ctx context.Context, j *job.Job, cell string, epoch int, progress []job.Progress) job.Outcome
+	// Tell tells the owner of a cell what stands in the rows of jobs. It returns the
+	// moved jobs that run there all the same, and false when the owner wasn't reached.
+	Tell(ctx context.Context, word Word) ([]string, bool)
+}
+
+// Meter takes the figures of what keepers do.
+type Meter interface {
+	// KeptWritten counts a transaction: how it ended, its changes, and its time.
+	KeptWritten(outcome string, changes int, took time.Duration)
+	// KeptAnswered counts an answer to a caller.
+	KeptAnswered(call, verdict string)
+}
+
+// Service keeps jobs at one host.
+type Service struct {
+	*common.Common
+	host       Host
+	store      tables.Store
+	meter      Meter
+	partitions []*partition
+	notes      *notes
+	ctx        context.Context
+	stop       context.CancelFunc
+}
+
+// NewService makes a service. Run lets it work.
+func NewService(c *common.Common, host Host, store tables.Store, meter Meter) *Service {
+	s := &Service{Common: c, host: host, store: store, meter: meter, notes: newNotes()}
+	s.ctx, s.stop = context.WithCancel(context.Background())
+	for i := range kept.Partitions {
+		s.partitions = append(s.partitions, newPartition(s, i))
+	}
+	return s
+}
+
+// Run looks after the partitions until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	defer s.stop()
+	nextView := time.Duration(0)
+	for common.Sleep(ctx, tickInterval) {
+		now := s.Clock.Now()
+		if now >= nextView && s.host.Settled() {
+			s.look(now)
+			nextView = now + viewInterval
+		}
+		for _, p := range s.partitions {
+			p.tick(now)
+		}
+		for _, word := range s.notes.take(now) {
+			go s.tellUntilHeard(word)
+		}
+	}
+}
+
+// look works out which partitions this host keeps.
+func (s *Service) look(now time.Duration) {
+	version := s.host.ViewVersion()
+	for _, p := range s.partitions {
+		p.setKeeper(s.host.KeeperOf(p.number).Self, version, now)
+	}
+}
+
+// partitionOf returns the partition of a job.
+func (s *Service) partitionOf(id string) *partition { return s.partitions[kept.PartitionOf(id)] }
+
+// Open returns the number of kept jobs that this host looks after.
+func (s *Service) Open() int {
+	open := 0
+	for _, p := range s.partitions {
+		open += p.open()
+	}
+	return open
+}
+
+// Waiting counts, by route, the jobs that are kept and with no owner yet.
+func (s *Service) Waiting() map[string]int {
+	counts := map[string]int{}
+	for _, p := range s.partitions {
+		p.countWaiting(counts)
+	}
+	return counts
+}
+
+// Keep has a job kept: by its keeper, or by this host when that one can't be asked
+// or can't write.
+func (s *Service) Keep(ctx context.Context, j *job.Job) kept.Answer {
+	cell, ok := s.host.ChooseCell(j)
+	if !ok {
+		return s.answered("keep", j.ID, kept.Answer{Verdict: kept.Refused, Reason: ReasonNoOwner, RetryAfter: comeBack})
+	}
+	return s.answered("keep", j.ID, s.keepAt(ctx, cell, j, 0))
+}
+
+// TakeKeep answers another host that asks to have a job kept.
+func (s *Service) TakeKeep(cell string, j *job.Job, hops int) kept.Answer {
+	ctx, cancel := context.WithTimeout(s.ctx, keepTime)
+	defer cancel()
+	return s.keepAt(ctx, cell, j, hops)
+}
+
+// mostHops is how often a call is passed on: a host that is asked by one that sees
+// other hosts may know the keeper better.
+const mostHops = 1
+
+func (s *Service) keepAt(ctx context.Context, cell string, j *job.Job, hops int) kept.Answer {
+	keeper := s.host.KeeperOf(kept.PartitionOf(j.ID))
+	if keeper.Self || hops > mostHops {
+		return s.keepHere(ctx, cell, j)
+	}
+	asked, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	answer, sent := s.host.AskKeeper(asked, keeper.Address, cell, j, hops+1)
+	if !sent || answer.Verdict == kept.Refused && hops == 0 {
+		return s.keepHere(ctx, cell, j)
+	}
+	return answer
+}
+
+// keepHere keeps a job as its keeper.
+func (s *Service) keepHere(ctx context.Context, cell string, j *job.Job) kept.Answer {
+	record := kept.Record{ID: j.ID, Cell: cell, Job: encodeJob(j, nil)}
+	answer, _ := s.partitionOf(j.ID).call(ctx, func(k *kept.Keeper, number uint64, until, now time.Duration) bool {
+		k.Accept(number, record, until, now)
+		return true
+	})
+	return answer.Answer
+}
+
+// State returns the state of a kept job.
+func (s *Service) State(ctx context.Context, id string) kept.Answer {
+	return s.answered("state", id, s.stateAt(ctx, id, 0))
+}
+
+// TakeState answers another host that asks for the state of a job, or cancels it.
+func (s *Service) TakeState(id string, cancelled bool, hops int) kept.Answer {
+	ctx, cancel := context.WithTimeout(s.ctx, keepTime)
+	defer cancel()
+	if cancelled {
+		return s.cancelAt(ctx, id, hops)
+	}
+	return s.stateAt(ctx, id, hops)
+}
+
+func (s *Service) stateAt(ctx context.Context, id string, hops int) kept.Answer {
+	if answer, ok := s.ask(ctx, id, false, hops); ok && answer.Verdict != kept.Unknown {
+		return answer
+	}
+	return s.stateHere(ctx, id)
+}
+
+// ask asks the keeper of a job's partition, if that is another host.
+func (s *Service) ask(ctx context.Context, id string, cancelled bool, hops int) (kept.Answer, bool) {
+	keeper := s.host.KeeperOf(kept.PartitionOf(id))
+	if keeper.Self || hops > mostHops {
+		return kept.Answer{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	return s.host.AskState(ctx, keeper.Address, id, cancelled, hops+1)
+}
+
+// stateHere tells the state of a job by what this host knows and by its rows, which
+// another keeper may have changed.
+func (s *Service) stateHere(ctx context.Context, id string) kept.Answer {
+	p := s.partitionOf(id)
+	state, known := p.state(id)
+	if state.Ended() {
+		return kept.Answer{Verdict: kept.Accepted, State: state}
+	}
+	rows, err := s.readRows(ctx, id)
+	switch {
+	case err != nil && known:
+		return kept.Answer{Verdict: kept.Accepted, State: state}
+	case err != nil:
+		return kept.Answer{Verdict: kept.Unknown, Reason: ReasonRowUnread, RetryAfter: comeBack}
+	case rows.ended != nil:
+		p.learn(id, rows)
+		return s.endOf(p, id, rows)
+	case rows.open != nil && known:
+		return kept.Answer{Verdict: kept.Accepted, State: state}
+	case rows.open != nil:
+		return kept.Answer{Verdict: kept.Accepted, State: kept.Queued}
+	}
+	return kept.Answer{Verdict: kept.Gone}
+}
+
+// endOf tells the state of a job by the row of its end.
+func (s *Service) endOf(p *partition, id string, rows rowsOf) kept.Answer {
+	if state, _ := p.state(id); state.Ended() {
+		return kept.Answer{Verdict: kept.Accepted, State: state}
+	}
+	end, err := codec{}.DecodeEnd(rows.ended.Value)
+	if err != nil {
+		return kept.Answer{Verdict: kept.Unknown, Reason: kept.ReasonUnread, RetryAfter: comeBack}
+	}
+	return kept.Answer{Verdict: kept.Accepted, State: end.State}
+}
+
+// Cancel cancels a kept job for good.
+func (s *Service) Cancel(ctx context.Context, id string) kept.Answer {
+	return s.answered("cancel", id, s.cancelAt(ctx, id, 0))
+}
+
+func (s *Service) cancelAt(ctx context.Context, id string, hops int) kept.Answer {
+	if answer, ok := s.ask(ctx, id, true, hops); ok && answer.Verdict != kept.Unknown {
+		return answer
+	}
+	return s.cancelHere(ctx, id)
+}
+
+// cancelHere cancels a job as its keeper, and answers once its owner knows, so that
+// a keeper that dies then leaves nothing running. Without an owner in sight there is
+// nobody to tell: owners start nothing that no keeper asks for.
+func (s *Service) cancelHere(ctx context.Context, id string) kept.Answer {
+	p := s.partitionOf(id)
+	cancelled := func(k *kept.Keeper, number uint64, until, now time.Duration) bool {
+		return k.Cancel(number, id, until, now)
+	}
+	answer, known := p.call(ctx, cancelled)
+	if !known {
+		rows, err := s.readRows(ctx, id)
+		if err != nil {
+			return kept.Answer{Verdict: kept.Unknown, Reason: ReasonRowUnread, RetryAfter: comeBack}
+		}
+		p.learn(id, rows)
+		if answer, known = p.call(ctx, cancelled); !known {
+			return kept.Answer{Verdict: kept.Gone}
+		}
+	}
+	if answer.Cell != "" {
+		told, cancel := context.WithTimeout(ctx, tellTime)
+		defer cancel()
+		s.host.Tell(told, Word{Cell: answer.Cell, IDs: []string{id}, Cancelled: true})
+	}
+	return answer.Answer
+}
+
+// answered logs and counts the answer to a caller.
+func (s *Service) answered(call, id string, answer kept.Answer) kept.Answer {
+	s.meter.KeptAnswered(call, answer.Verdict.String())
+	if call != "state" || answer.Verdict != kept.Accepted {
+		s.Log.Info("kept_answered", "job", id, "call", call, "verdict", answer.Verdict.String(), "state", answer.State.String(), "reason", answer.Reason)
+	}
+	return answer
+}
--- a/pkg/kept/answer.go
+++ b/pkg/kept/answer.go
@@ -16,6 +16,16 @@
 	Gone                        // there is no such job
 )
 
+var verdictNames = [...]string{"none", "accepted", "refused", "unknown", "gone"}
+
+// String returns the name of the verdict in logs and metrics.
+func (v Verdict) String() string {
+	if int(v) < len(verdictNames) {
+		return verdictNames[v]
+	}
+	return "none"
+}
+
 // State is how far a kept job is.
 type State uint8
 
--- a/pkg/kept/effects.go
+++ b/pkg/kept/effects.go
@@ -43,13 +43,18 @@
 	Error string
 }
 
-// FreshFor is how long a keeper may hand a job over after it knew the row to be so,
-// and the least time between the commit of an end and the word to the owner that it
-// lasts, with which executors forget the ends of the job's tasks. So an owner that gets
-// a job from a keeper with an old reading finds there that its tasks are done. A job
-// that was moved is handed to its new cell after this time, when nobody hands it to
+// FreshFor is how long a keeper may hand a job over after it knew the row to be so.
+// NotedAfter is the least time between the commit of an end and the word to the owner
+// that it lasts, with which executors forget the ends of the job's tasks: so an owner
+// that gets a job from a keeper with an old reading finds there that its tasks are done.
+// A job that was moved is handed to its new cell after as long, when nobody hands it to
 // the old one any more, and once the owner there has said that it doesn't run it.
-const FreshFor = time.Second
+// A reading takes some 15 ms; as long as ends are kept back, holds are answered at once,
+// so the times are short.
+const (
+	FreshFor   = 150 * time.Millisecond
+	NotedAfter = FreshFor + 50*time.Millisecond // the way of a handover
+)
 
 // endedJob is the remembered end of a job.
 type endedJob struct {
--- a/pkg/kept/explore_keeper_test.go
+++ b/pkg/kept/explore_keeper_test.go
@@ -146,10 +146,8 @@
 		w.after(w.between(1*ms, 10*ms), func() {
 			ended := w.store.row(TableEnded, id)
 			w.after(w.between(1*ms, 10*ms), func() {
-				k.handle(func() {
-					k.keeper.Learn(id, open, ended, began, w.now)
-					then(true)
-				})
+				k.handle(func() { k.keeper.Learn(id, open, ended, began, w.now) })
+				k.handle(func() { then(true) }) // what is known by now has been carried out
 			})
 		})
 	})
@@ -183,7 +181,7 @@
 		}
 		return
 	}
-	k.world.after(FreshFor, func() {
+	k.world.after(NotedAfter, func() {
 		if k.alive {
 			cell.note(e.ID)
 		}
@@ -261,7 +259,7 @@
 func (f *follower) clear() {
 	w := f.keeper.world
 	from := w.cells[f.record.From].owner
-	if w.now < f.since+FreshFor+100*ms || !from.alive {
+	if w.now < f.since+NotedAfter || !from.alive {
 		w.after(50*ms, f.hand)
 		return
 	}
--- a/pkg/kept/keeper.go
+++ b/pkg/kept/keeper.go
@@ -54,6 +54,7 @@
 	codec    Codec
 	entries  map[string]*entry
 	ended    map[string]endedJob
+	endedIDs []string      // of ended, the oldest first
 	queue    []string      // ids of entries with a change to write, the oldest first
 	underWay []change      // the group that is being written
 	sentAt   time.Duration // when the last group went out
@@ -248,11 +249,20 @@
 		e.accepts = k.expireCalls(e.accepts, now)
 		e.cancels = k.expireCalls(e.cancels, now)
 	}
-	for id, known := range k.ended {
-		if now > known.at+rememberEnded {
-			delete(k.ended, id)
+	k.forgetEnded(now)
+}
+
+// forgetEnded forgets ends that are old.
+func (k *Keeper) forgetEnded(now time.Duration) {
+	old := 0
+	for _, id := range k.endedIDs {
+		if now <= k.ended[id].at+rememberEnded {
+			break
 		}
+		delete(k.ended, id)
+		old++
 	}
+	k.endedIDs = slices.Delete(k.endedIDs, 0, old)
 }
 
 // isUnwritten reports whether nothing of a job can have been written, nor can be yet.
@@ -296,8 +306,12 @@
 // settleEnd takes that the end of a job lasts.
 func (k *Keeper) settleEnd(id string, state State, cell string, now time.Duration) {
 	e := k.entries[id]
-	known := endedJob{state: state, cell: cell, at: now}
-	k.ended[id] = known
+	known, again := k.ended[id]
+	if !again {
+		known = endedJob{state: state, cell: cell, at: now}
+		k.ended[id] = known
+		k.endedIDs = append(k.endedIDs, id)
+	}
 	if e == nil {
 		return
 	}
--- a/pkg/peer/counters.go
+++ b/pkg/peer/counters.go
@@ -61,7 +61,8 @@
 	case *peerpb.Message_Copy:
 		return ClassCopy
 	case *peerpb.Message_Submit, *peerpb.Message_Answer, *peerpb.Message_Cancel, *peerpb.Message_Ask,
-		*peerpb.Message_Dispatch, *peerpb.Message_Outcome, *peerpb.Message_Withdraw, *peerpb.Message_HandOver:
+		*peerpb.Message_Dispatch, *peerpb.Message_Outcome, *peerpb.Message_Withdraw, *peerpb.Message_HandOver,
+		*peerpb.Message_Keep, *peerpb.Message_KeptQuery, *peerpb.Message_KeptReply, *peerpb.Message_Noted:
 		return ClassForward
 	case *peerpb.Message_FetchSnapshot, *peerpb.Message_Snapshot, *peerpb.Message_FetchConfig:
 		return ClassNews
--- a/pkg/peer/session.go
+++ b/pkg/peer/session.go
@@ -104,7 +104,8 @@
 func (s *session) pipeFor(m *peerpb.Message) *pipe {
 	switch m.Body.(type) {
 	case *peerpb.Message_Submit, *peerpb.Message_FetchConfig, *peerpb.Message_FetchSnapshot,
-		*peerpb.Message_Dispatch, *peerpb.Message_Withdraw, *peerpb.Message_Renew: // these three stay in order
+		*peerpb.Message_Keep, *peerpb.Message_KeptQuery,
+		*peerpb.Message_Dispatch, *peerpb.Message_Withdraw, *peerpb.Message_Renew, *peerpb.Message_Noted: // these four stay in order
 		return s.jobs
 	}
 	return s.control
