Kept jobs wired into the node: keepers by rendezvous, messages, metrics, explain

A host works out the keeper of each partition from the hosts in sight, asks it to keep a job, or keeps it itself when that one can't be asked or can't write.

--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -41,44 +41,38 @@
 	if len(events) == 0 {
 		return "no line tells of it: it never reached a host whose logs are here, or its lines were dropped"
 	}
-	last, ended := lastEnd(events)
+	if count(events, "kept_answered") > 0 || count(events, "kept_followed") > 0 {
+		return keptCause(events)
+	}
+	end, ended := last(events, "job_ended")
 	if !ended {
 		return "its front never answered: look for the front's last line, it was killed or cut off"
 	}
 	switch {
-	case last.Outcome == "completed":
+	case end.Outcome == "completed":
 		return "it completed"
-	case last.Outcome == "failed":
+	case end.Outcome == "failed":
 		return "a task failed as often as it may: " + failures(events)
-	case last.Reason == "overloaded":
+	case end.Reason == "overloaded":
 		return "it was refused at once: the work that ranks before it would take longer than its deadline"
-	case last.Reason == "deadline_too_short":
+	case end.Reason == "deadline_too_short":
 		return "it was refused when it could no longer be done in time: it waited for room"
-	case last.Reason == "stopping" && last.Outcome == "refused":
+	case end.Reason == "stopping" && end.Outcome == "refused":
 		return "its node was stopping and could not have done it in time; nothing of it ran"
-	case last.Reason == "stopping":
+	case end.Reason == "stopping":
 		return "its node stopped while tasks ran: " + slowest(events)
-	case last.Reason == "no_owner":
+	case end.Reason == "no_owner":
 		return "no owner of executors was in sight of its front"
-	case last.Reason == "domain_closed":
+	case end.Reason == "domain_closed":
 		return "operators have closed the domain of its front, and no owner of an open one was in sight"
-	case last.Reason == "caller_left" && count(events, "job_handed_on") > 0:
+	case end.Reason == "caller_left" && count(events, "job_handed_on") > 0:
 		return "its caller left while it went from owner to owner: " + handOns(events)
-	case last.Reason == "caller_left" && count(events, "task_started") == 0:
+	case end.Reason == "caller_left" && count(events, "task_started") == 0:
 		return "its caller left before a task of it found room"
-	case last.Reason == "caller_left":
+	case end.Reason == "caller_left":
 		return "its caller left while tasks ran: " + slowest(events)
 	}
-	return last.Outcome + ": " + last.Reason
-}
-
-func lastEnd(events []Event) (Event, bool) {
-	for i := len(events) - 1; i >= 0; i-- {
-		if events[i].Message == "job_ended" {
-			return events[i], true
-		}
-	}
-	return Event{}, false
+	return end.Outcome + ": " + end.Reason
 }
 
 func count(events []Event, message string) int {
--- /dev/null
+++ b/pkg/keeping/fakes_test.go
@@ -0,0 +1,155 @@
+package keeping
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/common"
+	"github.com/foxcroft/foxcroft/pkg/errkind"
+	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/kept"
+	"github.com/foxcroft/foxcroft/pkg/tables"
+)
+
+// fakeStore keeps rows in memory.
+type fakeStore struct {
+	mu      sync.Mutex
+	rows    map[string]tables.Row
+	version uint64
+	fail    error // of every call; nil for none
+	lose    bool  // the next answer to a transaction, which is carried out
+}
+
+func newFakeStore() *fakeStore { return &fakeStore{rows: map[string]tables.Row{}} }
+
+func (s *fakeStore) setFail(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fail = err
+}
+
+func (s *fakeStore) Commit(_ context.Context, t tables.Transaction) (tables.Result, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fail != nil {
+		return tables.Result{}, s.fail
+	}
+	var current []tables.Row
+	holds := true
+	for _, c := range t.Expect {
+		row, present := s.rows[t.Part+c.Table+"/"+c.Key]
+		holds = holds && row.Version == c.Version
+		if present {
+			current = append(current, row)
+		}
+	}
+	if !holds {
+		return tables.Result{Conflicts: current}, errkind.New(errkind.Conflict, "read the rows", "a condition does not hold")
+	}
+	s.version++
+	for _, row := range t.Put {
+		row.Version = s.version
+		s.rows[t.Part+row.Table+"/"+row.Key] = row
+	}
+	for _, c := range t.Remove {
+		delete(s.rows, t.Part+c.Table+"/"+c.Key)
+	}
+	if s.lose {
+		s.lose = false
+		return tables.Result{}, errkind.New(errkind.PlatformMaybe, "try again", "no answer")
+	}
+	return tables.Result{Version: s.version, Now: time.Hour}, nil
+}
+
+func (s *fakeStore) Read(_ context.Context, table, part, from string) (tables.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	page := tables.Page{Now: time.Hour}
+	for name, row := range s.rows {
+		if strings.HasPrefix(name, part+table+"/") && row.Key >= from {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	slices.SortFunc(page.Rows, func(a, b tables.Row) int { return strings.Compare(a.Key, b.Key) })
+	if len(page.Rows) > 2 { // pages are small here
+		page.Rows, page.More = page.Rows[:2], true
+	}
+	return page, s.fail
+}
+
+func (s *fakeStore) ReadRow(_ context.Context, table, part, key string) (tables.Row, bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	row, found := s.rows[part+table+"/"+key]
+	return row, found, s.fail
+}
+
+// handover is a job that was handed to an owner, whose end the test chooses.
+type handover struct {
+	id    string
+	cell  string
+	epoch int
+	end   chan job.Outcome
+}
+
+// fakeHost is a node that keeps everything itself, unless told otherwise.
+type fakeHost struct {
+	keeper   Keeper
+	ask      func(id string) (kept.Answer, bool) // of the other keeper
+	handed   chan handover
+	words    chan Word
+	noOwner  bool
+	noCell   bool
+	stillRun []string // moved jobs that go on in their old cells
+}
+
+func newFakeHost() *fakeHost {
+	return &fakeHost{keeper: Keeper{Self: true}, handed: make(chan handover, 100), words: make(chan Word, 100)}
+}
+
+func (h *fakeHost) Settled() bool               { return true }
+func (h *fakeHost) ViewVersion() uint64         { return 1 }
+func (h *fakeHost) KeeperOf(int) Keeper         { return h.keeper }
+func (h *fakeHost) HasOwner(string) bool        { return !h.noOwner }
+func (h *fakeHost) Changed() <-chan struct{}    { return make(chan struct{}) }
+func (h *fakeHost) KeptAnswered(string, string) {}
+
+func (h *fakeHost) KeptWritten(string, int, time.Duration) {}
+
+func (h *fakeHost) ChooseCell(*job.Job) (string, bool) { return "x", !h.noCell }
+
+func (h *fakeHost) AskKeeper(_ context.Context, _, _ string, j *job.Job, _ int) (kept.Answer, bool) {
+	return h.ask(j.ID)
+}
+
+func (h *fakeHost) AskState(_ context.Context, _, id string, _ bool, _ int) (kept.Answer, bool) {
+	return h.ask(id)
+}
+
+func (h *fakeHost) Dispatch(ctx context.Context, j *job.Job, cell string, epoch int, _ []job.Progress) job.Outcome {
+	handed := handover{id: j.ID, cell: cell, epoch: epoch, end: make(chan job.Outcome, 1)}
+	h.handed <- handed
+	select {
+	case outcome := <-handed.end:
+		return outcome
+	case <-ctx.Done():
+		return job.Outcome{Kind: job.Expired}
+	}
+}
+
+func (h *fakeHost) Tell(_ context.Context, word Word) ([]string, bool) {
+	h.words <- word
+	return h.stillRun, !h.noOwner
+}
+
+// startService runs a service until the test ends.
+func startService(cleanup func(func()), host *fakeHost, store tables.Store) *Service {
+	s := NewService(common.NewTestCommon(), host, store, host)
+	ctx, cancel := context.WithCancel(context.Background())
+	go s.Run(ctx)
+	cleanup(cancel)
+	return s
+}
--- a/pkg/keeping/follow.go
+++ b/pkg/keeping/follow.go
@@ -113,6 +113,10 @@
 		return
 	}
 	f.partition.learn(f.record.ID, rows)
+	if !f.partition.isCurrent(f.record.ID, rows) {
+		common.Sleep(ctx, ownerPause) // a change of ours is under way, and will be refused
+		return
+	}
 	f.asOf = rows.began
 }
 
--- a/pkg/keeping/partition.go
+++ b/pkg/keeping/partition.go
@@ -229,6 +229,13 @@
 	p.do(func(k *kept.Keeper, now time.Duration) { k.Learn(id, rows.open, rows.ended, rows.began, now) })
 }
 
+// isCurrent reports whether what is known of an open job is what its row tells.
+func (p *partition) isCurrent(id string, rows rowsOf) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.keeper.IsCurrent(id, rows.open)
+}
+
 // state returns what this host knows of a job's state.
 func (p *partition) state(id string) (kept.State, bool) {
 	p.mu.Lock()
--- /dev/null
+++ b/pkg/keeping/service_test.go
@@ -0,0 +1,231 @@
+package keeping
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/cell"
+	"github.com/foxcroft/foxcroft/pkg/errkind"
+	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/kept"
+	qt "github.com/frankban/quicktest"
+)
+
+func testJob(id string) *job.Job {
+	return &job.Job{
+		ID: id, Route: "route", Service: "service", Kept: true, Stretch: 2, Spec: "text",
+		Steps: []job.Step{{Count: 2, Needs: job.Resources{CPU: 100}, Estimate: time.Second}},
+	}
+}
+
+// besides returns the id of another job of the same partition.
+func besides(id string) string {
+	for i := 0; ; i++ {
+		other := fmt.Sprintf("%s%d", id, i)
+		if kept.PartitionOf(other) == kept.PartitionOf(id) {
+			return other
+		}
+	}
+}
+
+// within returns the next value of a channel, which has to come soon.
+func within[T any](c *qt.C, ch <-chan T) T {
+	c.Helper()
+	select {
+	case value := <-ch:
+		return value
+	case <-time.After(5 * time.Second):
+		c.Fatal("nothing came in time")
+		panic("unreachable")
+	}
+}
+
+// eventually waits for a state.
+func eventually(c *qt.C, s *Service, id string, want kept.State) {
+	c.Helper()
+	var answer kept.Answer
+	for range 200 {
+		if answer = s.State(context.Background(), id); answer.State == want {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.Fatalf("job %s is %s, not %s", id, answer.State, want)
+}
+
+var accepted = kept.Answer{Verdict: kept.Accepted, State: kept.Queued}
+
+func TestAKeptJobFromItsAcceptanceToItsEnd(t *testing.T) {
+	c := qt.New(t)
+	host, store := newFakeHost(), newFakeStore()
+	s := startService(t.Cleanup, host, store)
+	c.Assert(s.Keep(context.Background(), testJob("a")), qt.Equals, accepted)
+	handed := within(c, host.handed)
+	c.Assert(handed.epoch, qt.Equals, 1)
+	eventually(c, s, "a", kept.Running)
+	c.Assert(s.Keep(context.Background(), testJob("a")).Verdict, qt.Equals, kept.Accepted, qt.Commentf("it remains one job"))
+	handed.end <- job.Outcome{Kind: job.Completed}
+	eventually(c, s, "a", kept.Completed)
+	word := within(c, host.words)
+	c.Assert(word, qt.DeepEquals, Word{Cell: "x", IDs: []string{"a"}})
+	c.Assert(s.Open(), qt.Equals, 0)
+	c.Assert(s.State(context.Background(), "b").Verdict, qt.Equals, kept.Gone)
+}
+
+func TestTheNextKeeperGoesOn(t *testing.T) {
+	c := qt.New(t)
+	host, store := newFakeHost(), newFakeStore()
+	first := startService(t.Cleanup, host, store)
+	for i := range 40 { // more than a page in each part
+		c.Assert(first.Keep(context.Background(), testJob(fmt.Sprintf("job%02d", i))), qt.Equals, accepted)
+		within(c, host.handed)
+	}
+	first.stop() // it dies
+	next := newFakeHost()
+	s := startService(t.Cleanup, next, store)
+	seen := map[string]bool{}
+	for range 40 {
+		handed := within(c, next.handed)
+		c.Assert(handed.epoch > 1, qt.IsTrue)
+		seen[handed.id] = true
+		handed.end <- job.Outcome{Kind: job.Completed}
+	}
+	c.Assert(seen, qt.HasLen, 40)
+	eventually(c, s, "job07", kept.Completed)
+}
+
+func TestKeepWithoutAStore(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		fail     error
+		lose     bool
+		noCell   bool
+		verdict  kept.Verdict
+	}{
+		{"nothing can be written", errkind.New(errkind.PlatformDown, "try again", "down"), false, false, kept.Refused},
+		{"no answer comes", errkind.New(errkind.PlatformMaybe, "try again", "silent"), false, false, kept.Unknown},
+		{"one answer is lost", nil, true, false, kept.Accepted},
+		{"no cell can run it", nil, false, true, kept.Refused},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			host, store := newFakeHost(), newFakeStore()
+			service := startService(t.Cleanup, host, store)
+			c.Assert(service.Keep(context.Background(), testJob(besides("a"))), qt.Equals, accepted)
+			within(c, host.handed)
+			store.setFail(s.fail)
+			store.mu.Lock()
+			store.lose = s.lose
+			store.mu.Unlock()
+			host.noCell = s.noCell
+			c.Assert(service.Keep(context.Background(), testJob("a")).Verdict, qt.Equals, s.verdict)
+		})
+	}
+}
+
+func TestACancelIsAnsweredOnceTheOwnerKnows(t *testing.T) {
+	c := qt.New(t)
+	host, store := newFakeHost(), newFakeStore()
+	s := startService(t.Cleanup, host, store)
+	s.Keep(context.Background(), testJob("a"))
+	within(c, host.handed)
+	c.Assert(s.Cancel(context.Background(), "a"), qt.Equals, kept.Answer{Verdict: kept.Accepted, State: kept.Cancelled})
+	c.Assert(len(host.words) > 0, qt.IsTrue)
+	c.Assert(within(c, host.words), qt.DeepEquals, Word{Cell: "x", IDs: []string{"a"}, Cancelled: true})
+	c.Assert(s.Cancel(context.Background(), "b").Verdict, qt.Equals, kept.Gone)
+
+	next := startService(t.Cleanup, newFakeHost(), store) // knows it by its row alone
+	c.Assert(next.Cancel(context.Background(), "a"), qt.Equals, kept.Answer{Verdict: kept.Accepted, State: kept.Cancelled})
+	c.Assert(next.State(context.Background(), "a").State, qt.Equals, kept.Cancelled)
+}
+
+func TestTheFrontKeepsAJobThatItsKeeperCannot(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		answer   kept.Answer
+		sent     bool
+		verdict  kept.Verdict
+		here     bool
+	}{
+		{"the keeper keeps it", accepted, true, kept.Accepted, false},
+		{"the keeper is out of sight", kept.Answer{}, false, kept.Accepted, true},
+		{"the keeper has no store", kept.Answer{Verdict: kept.Refused}, true, kept.Accepted, true},
+		{"the keeper doesn't answer: it may have kept it", kept.Answer{Verdict: kept.Unknown}, true, kept.Unknown, false},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			host, store := newFakeHost(), newFakeStore()
+			host.keeper = Keeper{Address: "10.0.0.1:1"}
+			host.ask = func(string) (kept.Answer, bool) { return s.answer, s.sent }
+			service := startService(t.Cleanup, host, store)
+			c.Assert(service.Keep(context.Background(), testJob("a")).Verdict, qt.Equals, s.verdict)
+			c.Assert(service.Open() > 0, qt.Equals, s.here)
+		})
+	}
+}
+
+func TestWhatBecomesOfAJobThatComesBack(t *testing.T) {
+	c := qt.New(t)
+	host, store := newFakeHost(), newFakeStore()
+	s := startService(t.Cleanup, host, store)
+	s.Keep(context.Background(), testJob("a"))
+	handed := within(c, host.handed)
+	handed.end <- job.Outcome{Kind: job.Lost}
+	again := within(c, host.handed)
+	c.Assert(again.cell, qt.Equals, "x")
+	c.Assert(again.epoch > handed.epoch, qt.IsTrue)
+	again.end <- job.Outcome{Kind: job.Moved, Reason: "fenced", Started: true, Progress: []job.Progress{{Done: true, Run: 7}}}
+	third := within(c, host.handed)
+	c.Assert(third.epoch > again.epoch, qt.IsTrue)
+	third.end <- job.Outcome{Kind: job.Failed}
+	eventually(c, s, "a", kept.Failed)
+}
+
+func TestAClosedCellGivesAKeptJobToAnotherOne(t *testing.T) {
+	c := qt.New(t)
+	host, store := newFakeHost(), newFakeStore()
+	s := startService(t.Cleanup, host, store)
+	p := s.partitionOf("a")
+	record := kept.Record{ID: "a", Cell: "closed", Job: encodeJob(testJob("a"), nil)}
+	_, known := p.call(context.Background(), func(k *kept.Keeper, number uint64, until, now time.Duration) bool {
+		k.Accept(number, record, until, now)
+		return true
+	})
+	c.Assert(known, qt.IsTrue)
+	handed := within(c, host.handed)
+	c.Assert(handed.cell, qt.Equals, "closed")
+	handed.end <- job.Outcome{Kind: job.Moved, Reason: cell.ReasonClosed, Progress: []job.Progress{{Done: true, Run: 3}}}
+	c.Assert(within(c, host.words), qt.DeepEquals, Word{Cell: "closed", IDs: []string{"a"}, Moved: true})
+	c.Assert(within(c, host.handed).cell, qt.Equals, "x")
+	row, _, err := store.ReadRow(context.Background(), kept.TableOpen, p.part, "a")
+	c.Assert(err, qt.IsNil)
+	moved, err := codec{}.DecodeRecord("a", row.Value)
+	c.Assert(err, qt.IsNil)
+	c.Assert(moved.From, qt.Equals, "closed")
+	_, progress := jobOf(&moved, 0, time.Second)
+	c.Assert(progress, qt.DeepEquals, []job.Progress{{Done: true, Run: 3}}, qt.Commentf("it lasts with the move"))
+}
+
+func TestRowsOfOtherWritersAreErrors(t *testing.T) {
+	c := qt.New(t)
+	record := kept.Record{ID: "a", Cell: "x", From: "y", AcceptedAt: time.Second, Epoch: 3, Job: encodeJob(testJob("a"), nil)}
+	value := codec{}.EncodeRecord(record)
+	read, err := codec{}.DecodeRecord("a", value)
+	c.Assert(err, qt.IsNil)
+	c.Assert(read, qt.DeepEquals, record)
+	for _, bad := range [][]byte{nil, []byte("?"), {0xff, 0x01}} {
+		_, err = codec{}.DecodeRecord("a", bad)
+		c.Assert(err, qt.Not(qt.IsNil))
+		_, err = codec{}.DecodeEnd(bad)
+		c.Assert(err, qt.Not(qt.IsNil))
+	}
+	_, err = codec{}.DecodeRecord("b", value)
+	c.Assert(err, qt.Not(qt.IsNil))
+	end, err := codec{}.DecodeEnd(codec{}.EncodeEnd(kept.End{State: kept.Cancelled, Cell: "x", At: time.Second}))
+	c.Assert(err, qt.IsNil)
+	c.Assert(end, qt.Equals, kept.End{State: kept.Cancelled, Cell: "x", At: time.Second})
+}
--- a/pkg/kept/explore_keeper_test.go
+++ b/pkg/kept/explore_keeper_test.go
@@ -42,7 +42,7 @@
 		k.ended(e)
 	}
 	for _, id := range effects.LookAt {
-		k.look(id, func(bool) {})
+		k.look(id, func(*tables.Row) {})
 	}
 	k.pump()
 }
@@ -133,13 +133,13 @@
 	})
 }
 
-// look reads the rows of one job, the open one first, and tells whether that went well.
-func (k *modelKeeper) look(id string, then func(found bool)) {
+// look reads the rows of one job, the open one first, which it hands on.
+func (k *modelKeeper) look(id string, then func(open *tables.Row)) {
 	w := k.world
 	began := w.now
 	w.after(w.between(2*ms, 15*ms), func() {
 		if w.now < w.down || w.faulty() && w.chance(0.1) {
-			w.after(200*ms, func() { k.handle(func() { then(false) }) })
+			w.after(200*ms, func() { k.look(id, then) })
 			return
 		}
 		open := w.store.row(TableOpen, id)
@@ -147,7 +147,7 @@
 			ended := w.store.row(TableEnded, id)
 			w.after(w.between(1*ms, 10*ms), func() {
 				k.handle(func() { k.keeper.Learn(id, open, ended, began, w.now) })
-				k.handle(func() { then(true) }) // what is known by now has been carried out
+				k.handle(func() { then(open) }) // what is known by now has been carried out
 			})
 		})
 	})
@@ -158,8 +158,8 @@
 	if k.keeper.Cancel(number, id, k.world.now+answerTime, k.world.now) {
 		return
 	}
-	k.look(id, func(read bool) {
-		if read && !k.keeper.Cancel(number, id, k.world.now+answerTime, k.world.now) {
+	k.look(id, func(*tables.Row) {
+		if !k.keeper.Cancel(number, id, k.world.now+answerTime, k.world.now) {
 			k.reply(CallAnswer{Call: number, Answer: Answer{Verdict: Gone}})
 		}
 	})
@@ -224,11 +224,11 @@
 	}
 	if w.now > f.asOf+FreshFor {
 		began := w.now
-		f.keeper.look(f.record.ID, func(read bool) {
-			if read {
+		f.keeper.look(f.record.ID, func(row *tables.Row) {
+			if f.keeper.keeper.IsCurrent(f.record.ID, row) {
 				f.asOf = began
 			}
-			f.hand()
+			w.after(10*ms, f.hand)
 		})
 		return
 	}
--- a/pkg/kept/keeper.go
+++ b/pkg/kept/keeper.go
@@ -209,6 +209,13 @@
 	}
 }
 
+// IsCurrent reports whether what is known of an open job is what its row tells. A
+// change that is under way hides what another keeper has written meanwhile.
+func (k *Keeper) IsCurrent(id string, row *tables.Row) bool {
+	e := k.entries[id]
+	return e != nil && row != nil && e.version == row.Version
+}
+
 // learnOpen takes the row of an open job. One that this keeper has under way is
 // newer than any reading.
 func (k *Keeper) learnOpen(row tables.Row, began, now time.Duration) {
--- a/pkg/metrics/node.go
+++ b/pkg/metrics/node.go
@@ -21,6 +21,7 @@
 	ExecutorsAgeMS int64 // since the newest reading of the executors was asked for
 	ClosedDomains  int64 // that operators have closed to new work, as far as this node knows
 	LogDropped     int64 // lines
+	KeptOpen       int64 // kept jobs that this node looks after
 }
 
 // Node are the instruments of a node.
@@ -32,6 +33,7 @@
 	handOns  metric.Int64Counter
 	store    metric.Int64Counter
 	labels   labelCache
+	kept     keptInstruments
 }
 
 // NewNode makes a node's instruments. gauges is called at each scrape, and bytes
@@ -45,6 +47,9 @@
 	if err := n.makeInstruments(served.meter); err != nil {
 		return nil, errors.Wrap(err, "make the instruments")
 	}
+	if err := n.kept.make(served.meter); err != nil {
+		return nil, errors.Wrap(err, "make the instruments of kept jobs")
+	}
 	if err := observeBytes(served.meter, bytes); err != nil {
 		return nil, errors.Wrap(err, "make the counters of bytes")
 	}
@@ -106,6 +111,7 @@
 		{"foxcroft_node_config_version", func(g NodeGauges) int64 { return g.Version }},
 		{"foxcroft_node_executors_age_ms", func(g NodeGauges) int64 { return g.ExecutorsAgeMS }},
 		{"foxcroft_node_closed_domains", func(g NodeGauges) int64 { return g.ClosedDomains }},
+		{"foxcroft_node_kept_open", func(g NodeGauges) int64 { return g.KeptOpen }},
 		{"foxcroft_node_log_lines_dropped", func(g NodeGauges) int64 { return g.LogDropped }},
 	})
 }
--- a/pkg/node/beats.go
+++ b/pkg/node/beats.go
@@ -50,6 +50,7 @@
 	if p.Leaving != beat.Leaving {
 		p.Leaving = beat.Leaving
 		n.members.Refresh(p)
+		n.viewVersion.Add(1)
 	}
 	news.claims = n.claims.SetClaims(address, fromCellLoads(beat.Cells))
 	n.peerCounts[address] = fromRouteCounts(beat.RouteCounts)
--- a/pkg/node/gauges.go
+++ b/pkg/node/gauges.go
@@ -5,7 +5,7 @@
 // gauges reads what a scrape of the metrics shows.
 func (n *Node) gauges() metrics.NodeGauges {
 	now := n.Clock.Now()
-	g := metrics.NodeGauges{OpenJobs: int64(n.openJobs())}
+	g := metrics.NodeGauges{OpenJobs: int64(n.openJobs()), KeptOpen: int64(n.keeping.Open())}
 	for _, o := range n.allOwners() {
 		load := o.load(now)
 		g.Cells++
--- /dev/null
+++ b/pkg/node/kept_host.go
@@ -0,0 +1,148 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/jobwire"
+	"github.com/foxcroft/foxcroft/pkg/keeping"
+	"github.com/foxcroft/foxcroft/pkg/kept"
+	"github.com/foxcroft/foxcroft/pkg/ownership"
+	"github.com/foxcroft/foxcroft/pkg/peerpb"
+)
+
+// keepersLife is how long it stays worked out who keeps which partition: weights of
+// hosts change without news.
+const keepersLife = time.Second
+
+// keptHost is the node as pkg/keeping needs it.
+type keptHost struct {
+	node *Node
+
+	mu      sync.Mutex
+	keepers []keeping.Keeper // by partition
+	version uint64           // of the view that they were worked out from
+	at      time.Duration
+}
+
+// Settled implements keeping.Host.
+func (h *keptHost) Settled() bool {
+	h.node.mu.Lock()
+	defer h.node.mu.Unlock()
+	return h.node.rowsRead && h.node.Clock.Now() >= startPatience
+}
+
+// ViewVersion implements keeping.Host.
+func (h *keptHost) ViewVersion() uint64 { return h.node.viewVersion.Load() }
+
+// KeeperOf implements keeping.Host.
+func (h *keptHost) KeeperOf(partition int) keeping.Keeper {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now, version := h.node.Clock.Now(), h.ViewVersion()
+	if h.keepers == nil || version != h.version || now > h.at+keepersLife {
+		h.keepers, h.version, h.at = h.node.chooseKeepers(), version, now
+	}
+	return h.keepers[partition]
+}
+
+// chooseKeepers works out the keepers of all partitions from the hosts in sight. A
+// host that sees none that stays is the keeper itself.
+func (n *Node) chooseKeepers() []keeping.Keeper {
+	n.mu.Lock()
+	view := n.ownershipView()
+	n.mu.Unlock()
+	hosts := append(view.Up, view.Self)
+	keepers := make([]keeping.Keeper, kept.Partitions)
+	for i := range keepers {
+		host, ok := ownership.Pick(kept.PartOf(i), hosts)
+		if !ok {
+			host = view.Self
+		}
+		keepers[i] = keeping.Keeper{Address: host.Address, Self: host.Address == n.settings.PeerAddress}
+	}
+	return keepers
+}
+
+// AskKeeper implements keeping.Host.
+func (h *keptHost) AskKeeper(ctx context.Context, address, cell string, j *job.Job, hops int) (kept.Answer, bool) {
+	now := h.node.Clock.Now()
+	m := &peerpb.Keep{Job: jobwire.ToDispatch(j, cell, 0, nil, 0, now), Hops: uint32(hops)}
+	return h.call(ctx, address, &peerpb.Message{Body: &peerpb.Message_Keep{Keep: m}})
+}
+
+// AskState implements keeping.Host.
+func (h *keptHost) AskState(ctx context.Context, address, id string, cancel bool, hops int) (kept.Answer, bool) {
+	m := &peerpb.KeptQuery{Id: id, Cancel: cancel, Hops: uint32(hops)}
+	return h.call(ctx, address, &peerpb.Message{Body: &peerpb.Message_KeptQuery{KeptQuery: m}})
+}
+
+// call makes a call of another keeper. It reports false when nothing was sent.
+func (h *keptHost) call(ctx context.Context, address string, m *peerpb.Message) (kept.Answer, bool) {
+	link := h.node.links.Link(address)
+	if link == nil || !link.Up() {
+		return kept.Answer{}, false
+	}
+	answer, err := link.Call(ctx, m, 0)
+	if err != nil || answer.GetKeptReply() == nil {
+		return kept.Answer{Verdict: kept.Unknown, Reason: keeping.ReasonNoAnswer, RetryAfter: comeBack}, true
+	}
+	return fromKeptReply(answer.GetKeptReply()), true
+}
+
+// ChooseCell implements keeping.Host.
+func (h *keptHost) ChooseCell(j *job.Job) (string, bool) {
+	claim, ok := h.node.front.choose(j, &attempt{})
+	return claim.Cell, ok
+}
+
+// HasOwner implements keeping.Host.
+func (h *keptHost) HasOwner(cell string) bool {
+	_, ok := h.ownerOf(cell)
+	return ok
+}
+
+func (h *keptHost) ownerOf(cell string) (ownership.Claim, bool) {
+	h.node.mu.Lock()
+	defer h.node.mu.Unlock()
+	return h.node.claims.Owner(cell)
+}
+
+// Changed implements keeping.Host.
+func (h *keptHost) Changed() <-chan struct{} { return h.node.changed.wait() }
+
+// Dispatch implements keeping.Host.
+func (h *keptHost) Dispatch(ctx context.Context, j *job.Job, cell string, epoch int, progress []job.Progress) job.Outcome {
+	claim, ok := h.ownerOf(cell)
+	if !ok {
+		return job.Outcome{Kind: job.Moved, Reason: reasonNotOwner}
+	}
+	return h.node.front.dispatch(ctx, j, claim, &attempt{epoch: epoch, progress: progress})
+}
+
+// Tell implements keeping.Host.
+func (h *keptHost) Tell(ctx context.Context, word keeping.Word) ([]string, bool) {
+	claim, ok := h.ownerOf(word.Cell)
+	if !ok {
+		return nil, false
+	}
+	m := &peerpb.Noted{Cell: word.Cell, Ids: word.IDs, Cancelled: word.Cancelled, Moved: word.Moved}
+	if claim.Owner == h.node.settings.PeerAddress {
+		o := h.node.owner(word.Cell)
+		if o == nil {
+			return nil, false
+		}
+		return o.told(m), true
+	}
+	link := h.node.links.Link(claim.Owner)
+	if link == nil || !link.Up() {
+		return nil, false
+	}
+	answer, err := link.Call(ctx, &peerpb.Message{Body: &peerpb.Message_Noted{Noted: m}}, 0)
+	if err != nil || answer.GetNoted() == nil {
+		return nil, false
+	}
+	return answer.GetNoted().Ids, true
+}
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -85,6 +85,7 @@
 	copy(p.Incarnation[:], hello.Incarnation)
 	n.mu.Lock()
 	n.members.Up(p)
+	n.viewVersion.Add(1)
 	n.mu.Unlock()
 	n.changed.signal()
 }
@@ -96,6 +97,7 @@
 	// In a large domain links to hosts that own nothing end all the time.
 	mayClaim := n.claims.Owns(address) || !n.members.IsLarge()
 	n.members.Down(address, n.Clock.Now())
+	n.viewVersion.Add(1)
 	n.renewals.forget(address)
 	n.claims.Drop(address)
 	delete(n.peerCounts, address)
@@ -142,6 +144,12 @@
 		}
 	case *peerpb.Message_Renew:
 		n.onRenew(from, body.Renew)
+	case *peerpb.Message_Keep:
+		n.onKeep(body.Keep, reply)
+	case *peerpb.Message_KeptQuery:
+		n.onKeptQuery(body.KeptQuery, reply)
+	case *peerpb.Message_Noted:
+		n.onNoted(body.Noted, reply)
 	case *peerpb.Message_HandOver:
 		n.onHandOver(body.HandOver)
 	case *peerpb.Message_Snapshot:
--- a/pkg/node/news_test.go
+++ b/pkg/node/news_test.go
@@ -11,6 +11,7 @@
 	"github.com/foxcroft/foxcroft/pkg/errkind"
 	"github.com/foxcroft/foxcroft/pkg/once"
 	"github.com/foxcroft/foxcroft/pkg/settings"
+	"github.com/foxcroft/foxcroft/pkg/tables"
 	"github.com/foxcroft/foxcroft/pkg/traffic"
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
@@ -85,6 +86,7 @@
 
 func (f *fakeAdapter) Store() Store         { return f.store }
 func (f *fakeAdapter) Executors() Executors { return nil }
+func (f *fakeAdapter) Tables() tables.Store { return nil }
 func (f *fakeAdapter) DecodeConfiguration(snapshot Snapshot) (*catalog.Configuration, error) {
 	return catalog.NewConfiguration(uint64(snapshot.Body[0]), nil, nil, catalog.Limits{}), nil
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -11,6 +11,7 @@
 	"github.com/foxcroft/foxcroft/pkg/catalog"
 	"github.com/foxcroft/foxcroft/pkg/cell"
 	"github.com/foxcroft/foxcroft/pkg/common"
+	"github.com/foxcroft/foxcroft/pkg/keeping"
 	"github.com/foxcroft/foxcroft/pkg/member"
 	"github.com/foxcroft/foxcroft/pkg/metrics"
 	"github.com/foxcroft/foxcroft/pkg/once"
@@ -62,6 +63,7 @@
 	changed       *broadcast    // membership or claims have changed
 	regained      *broadcast    // the store answers again
 	claimed       chan struct{} // asks for a new reading of the executors
+	viewVersion   atomic.Uint64 // rises when hosts have come, gone or begun to leave
 	heartbeats    heartbeats
 	arrivals      *arrivals
 	renewals      *renewals
@@ -80,8 +82,10 @@
 	storeless  map[string]bool // nodes that can't read the store, by address
 	owners     map[string]*owner
 
-	front   *front
-	foreign *foreignDomains
+	front      *front
+	keeping    *keeping.Service
+	servesKept bool
+	foreign    *foreignDomains
 
 	logDropped func() uint64 // nil when it isn't counted
 	servers    []*http.Server
@@ -127,8 +131,13 @@
 	n.front = newFront(n)
 	n.foreign = newForeignDomains()
 	instruments, err := metrics.NewNode(n.gauges, meter)
+	if err != nil {
+		return nil, err
+	}
 	n.metrics = instruments
-	return n, err
+	n.servesKept = servesKept
+	n.keeping = keeping.NewService(c, &keptHost{node: n}, adapter.Tables(), instruments)
+	return n, nil
 }
 
 // linksToOtherDomains is the number of links that a node keeps to each other
@@ -172,6 +181,9 @@
 	go n.runRows(ctx)
 	go n.runCells(ctx)
 	go n.runTraffic(ctx)
+	if n.servesKept {
+		go n.keeping.Run(ctx)
+	}
 	n.Log.Info("started", "incarnation", n.inc.String(), "domain", n.settings.Domain, "front", n.settings.FrontAddress, "peers", n.settings.PeerAddress)
 	return nil
 }
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -52,7 +52,7 @@
 }
 
 // ownWaiting counts, by route, the jobs in this node's cells of which no task
-// has started.
+// has started, and the kept ones that wait for an owner here.
 func (n *Node) ownWaiting() map[string]int {
 	counts := map[string]int{}
 	for _, o := range n.allOwners() {
@@ -62,6 +62,9 @@
 		}
 		o.mu.Unlock()
 	}
+	for route, count := range n.keeping.Waiting() {
+		counts[route] += count
+	}
 	return counts
 }
 
--- a/pkg/node/stop.go
+++ b/pkg/node/stop.go
@@ -26,6 +26,7 @@
 	limit := begin + time.Duration(stopShare*float64(n.settings.Grace))
 	n.front.stopsAt.Store(int64(jobsLimit))
 	n.leaving.Store(true)
+	n.viewVersion.Add(1)
 	n.heartbeats.outdate()
 	n.links.Nudge()
 	n.awaitDrained(min(begin+balancerDelay, jobsLimit), jobsLimit)
--- /dev/null
+++ b/pkg/ownership/pick.go
@@ -0,0 +1,19 @@
+package ownership
+
+// Pick returns the host that comes first for a key by rendezvous hashing, weighted
+// as for cells. It reports false when all leave.
+func Pick(key string, hosts []Host) (Host, bool) {
+	var best Host
+	bestScore := 0.0
+	found := false
+	for _, host := range hosts {
+		if host.Leaving {
+			continue
+		}
+		score := weightedScore(key, host, 0)
+		if !found || score > bestScore {
+			best, bestScore, found = host, score, true
+		}
+	}
+	return best, found
+}
