--- a/pkg/keeping/fakes_test.go
+++ b/pkg/keeping/fakes_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/common"
@@ -103,6 +104,7 @@
 	words    chan Word
 	noOwner  bool
 	noCell   bool
+	fewSeen  atomic.Bool
 	stillRun []string // moved jobs that go on in their old cells
 }
 
@@ -114,6 +116,8 @@
 func (h *fakeHost) ViewVersion() uint64         { return 1 }
 func (h *fakeHost) KeeperOf(int) Keeper         { return h.keeper }
 func (h *fakeHost) HasOwner(string) bool        { return !h.noOwner }
+func (h *fakeHost) SeesFew() bool               { return h.fewSeen.Load() }
+func (h *fakeHost) CellIsGone(string) bool      { return false }
 func (h *fakeHost) Changed() <-chan struct{}    { return make(chan struct{}) }
 func (h *fakeHost) KeptAnswered(string, string) {}
 
--- a/pkg/keeping/follow.go
+++ b/pkg/keeping/follow.go
@@ -32,6 +32,16 @@
 	cleared   bool        // the cell that the job was moved from doesn't run it
 	handed    atomic.Bool // it is or has been with an owner
 	cancel    context.CancelFunc
+	ownerless time.Duration // since when no owner of its cell has been in sight; 0 while there is one
+
+	handing atomic.Pointer[context.CancelFunc] // ends the handover under way
+}
+
+// interrupt ends the handover under way.
+func (f *follower) interrupt() {
+	if cancel := f.handing.Load(); cancel != nil {
+		(*cancel)()
+	}
 }
 
 // follow begins to follow a job, in place of an earlier follower. p.mu is held.
@@ -55,7 +65,7 @@
 		}
 		f.raiseEpoch()
 		f.handed.Store(true)
-		outcome := f.service().host.Dispatch(ctx, f.job, f.record.Cell, f.epoch, f.progress)
+		outcome := f.hand(ctx)
 		if ctx.Err() != nil {
 			return
 		}
@@ -65,6 +75,14 @@
 	}
 }
 
+// hand hands the job to the owner of its cell and waits for its end there.
+func (f *follower) hand(ctx context.Context) job.Outcome {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.handing.Store(&cancel)
+	return f.service().host.Dispatch(ctx, f.job, f.record.Cell, f.epoch, f.progress)
+}
+
 func (f *follower) service() *Service { return f.partition.service }
 
 // prepare sees that the job may be handed over now: its row is known well enough, its
@@ -75,19 +93,36 @@
 	case f.record.From != "" && !f.cleared && now < f.since+kept.NotedAfter:
 		common.Sleep(ctx, f.since+kept.NotedAfter-now)
 		return false
+	case f.service().reach.cutOff.Load():
+		common.Sleep(ctx, ownerRecheck)
+		return false
 	case !f.service().host.HasOwner(f.record.Cell):
-		f.awaitChange(ctx)
+		f.awaitOwner(ctx, now)
 		return false
 	case now > f.asOf+kept.FreshFor:
 		f.refresh(ctx)
 		return false
 	case f.record.From != "" && !f.cleared:
-		f.clear(ctx)
+		f.clear(ctx, now)
 		return false
 	}
+	f.ownerless = 0
 	return true
 }
 
+// awaitOwner waits for an owner of the job's cell. A cell that is gone gets none, so
+// another one has to run the job in the end.
+func (f *follower) awaitOwner(ctx context.Context, now time.Duration) {
+	if f.ownerless == 0 {
+		f.ownerless = now
+	}
+	if now > f.ownerless+cellGoneTime && f.service().host.CellIsGone(f.record.Cell) {
+		f.moveOn(ctx)
+		return
+	}
+	f.awaitChange(ctx)
+}
+
 // awaitChange waits until owners may have changed.
 func (f *follower) awaitChange(ctx context.Context) {
 	timer := time.NewTimer(ownerRecheck)
@@ -122,11 +157,13 @@
 
 // clear makes sure that the cell that the job was moved from doesn't run it. If it
 // does, the job goes back there.
-func (f *follower) clear(ctx context.Context) {
+func (f *follower) clear(ctx context.Context, now time.Duration) {
 	told, cancel := context.WithTimeout(ctx, tellTime)
 	defer cancel()
 	runs, ok := f.service().host.Tell(told, Word{Cell: f.record.From, IDs: []string{f.record.ID}, Moved: true})
 	switch {
+	case !ok && now > f.since+cellGoneTime && f.service().host.CellIsGone(f.record.From):
+		f.cleared = true // nothing is left of it
 	case !ok:
 		f.awaitChange(ctx)
 	case len(runs) > 0:
--- a/pkg/keeping/service.go
+++ b/pkg/keeping/service.go
@@ -76,6 +76,11 @@
 	ChooseCell(j *job.Job) (string, bool)
 	// HasOwner reports whether a cell has an owner in sight.
 	HasOwner(cell string) bool
+	// SeesFew reports whether this host sees under half of the hosts that should be there.
+	SeesFew() bool
+	// CellIsGone reports whether the store lists no executor of a cell any more, by a
+	// host that can read it and sees more than half of the others.
+	CellIsGone(cell string) bool
 	// Changed returns a channel that is closed when owners may have changed.
 	Changed() <-chan struct{}
 	// Dispatch hands a job to the owner of its cell and waits for its end there.
@@ -101,6 +106,7 @@
 	meter      Meter
 	partitions []*partition
 	notes      *notes
+	reach      reach
 	ctx        context.Context
 	stop       context.CancelFunc
 }
@@ -118,6 +124,7 @@
 // Run looks after the partitions until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	defer s.stop()
+	go s.runReach(ctx)
 	nextView := time.Duration(0)
 	for common.Sleep(ctx, tickInterval) {
 		now := s.Clock.Now()
--- a/pkg/keeping/service_test.go
+++ b/pkg/keeping/service_test.go
@@ -210,6 +210,23 @@
 	c.Assert(progress, qt.DeepEquals, []job.Progress{{Done: true, Run: 3}}, qt.Commentf("it lasts with the move"))
 }
 
+func TestACutOffKeeperAsksForNothing(t *testing.T) {
+	c := qt.New(t)
+	host, store := newFakeHost(), newFakeStore()
+	s := startService(t.Cleanup, host, store)
+	s.Keep(context.Background(), testJob("a"))
+	within(c, host.handed)
+	host.fewSeen.Store(true)
+	s.probe(context.Background())
+	c.Assert(s.reach.silent(s.Clock.Now()), qt.IsFalse, qt.Commentf("the store answers"))
+	c.Assert(s.reach.silent(s.Clock.Now()+cutOffTime+time.Second), qt.IsTrue)
+	s.setCutOff(true)
+	time.Sleep(3 * ownerRecheck)
+	c.Assert(host.handed, qt.HasLen, 0)
+	s.setCutOff(false)
+	c.Assert(within(c, host.handed).epoch > 1, qt.IsTrue)
+}
+
 func TestRowsOfOtherWritersAreErrors(t *testing.T) {
 	c := qt.New(t)
 	record := kept.Record{ID: "a", Cell: "x", From: "y", AcceptedAt: time.Second, Epoch: 3, Job: encodeJob(testJob("a"), nil)}
--- a/pkg/node/kept_host.go
+++ b/pkg/node/kept_host.go
@@ -110,6 +110,29 @@
 	return h.node.claims.Owner(cell)
 }
 
+// SeesFew implements keeping.Host.
+func (h *keptHost) SeesFew() bool {
+	h.node.mu.Lock()
+	defer h.node.mu.Unlock()
+	view := h.node.ownershipView()
+	return 2*(len(view.Up)+1) < view.Known
+}
+
+// CellIsGone implements keeping.Host.
+func (h *keptHost) CellIsGone(cell string) bool {
+	listing := h.node.executors.Load()
+	if listing == nil || h.node.storeFails.Load() {
+		return false
+	}
+	if _, listed := listing.cells[cell]; listed {
+		return false
+	}
+	h.node.mu.Lock()
+	defer h.node.mu.Unlock()
+	view := h.node.ownershipView()
+	return 2*(len(view.Up)+1) > view.Known
+}
+
 // Changed implements keeping.Host.
 func (h *keptHost) Changed() <-chan struct{} { return h.node.changed.wait() }
 
