--- a/pkg/keeping/codec.go
+++ b/pkg/keeping/codec.go
@@ -17,7 +17,7 @@
 // EncodeRecord implements kept.Codec.
 func (codec) EncodeRecord(record kept.Record) []byte {
 	row := &peerpb.KeptJob{
-		Job:        decodeJob(record.Job),
+		Job:        record.Job,
 		Cell:       record.Cell,
 		From:       record.From,
 		AcceptedUs: record.AcceptedAt.Microseconds(),
@@ -32,8 +32,9 @@
 	if err := proto.Unmarshal(value, row); err != nil {
 		return kept.Record{}, errkind.Wrap(err, errkind.BadRequest, "remove the row if another writer made it", "the row of job %s is none of ours", id)
 	}
-	if row.Job.GetId() != id || row.Cell == "" {
-		return kept.Record{}, errkind.New(errkind.BadRequest, "remove the row if another writer made it", "the row of job %s names another job or no cell", id)
+	m := &peerpb.Dispatch{}
+	if err := proto.Unmarshal(row.Job, m); err != nil || m.Id != id || row.Cell == "" {
+		return kept.Record{}, errkind.New(errkind.BadRequest, "remove the row if another writer made it", "the row of job %s holds another job or names no cell", id)
 	}
 	return kept.Record{
 		ID:         id,
@@ -41,7 +42,7 @@
 		From:       row.From,
 		AcceptedAt: microseconds(row.AcceptedUs),
 		Epoch:      int(row.Epoch),
-		Job:        encode(row.Job),
+		Job:        row.Job,
 	}, nil
 }
 
@@ -78,21 +79,16 @@
 	return encode(m)
 }
 
-func decodeJob(data []byte) *peerpb.Dispatch {
-	m := &peerpb.Dispatch{}
-	if err := proto.Unmarshal(data, m); err != nil {
-		return &peerpb.Dispatch{} // it was encoded here
-	}
-	return m
-}
-
 // forEver stands for the deadline of a kept job, which has none.
 const forEver = 10 * 365 * 24 * time.Hour
 
 // jobOf returns the job of a record and what is known of its tasks, on the clock of
-// this process.
+// this process. The record was encoded here, or its job was read once.
 func jobOf(record *kept.Record, age, now time.Duration) (*job.Job, []job.Progress) {
-	m := decodeJob(record.Job)
+	m := &peerpb.Dispatch{}
+	if err := proto.Unmarshal(record.Job, m); err != nil {
+		panic(err)
+	}
 	j := jobwire.FromDispatch(m, now)
 	j.Kept = true
 	j.Received = now - age
--- a/pkg/keeping/follow.go
+++ b/pkg/keeping/follow.go
@@ -209,10 +209,10 @@
 
 // givenBack goes on with a job that an owner has given back.
 func (f *follower) givenBack(ctx context.Context, outcome job.Outcome) bool {
-	switch outcome.Reason {
-	case cell.ReasonClosed:
+	switch {
+	case cell.NothingRuns(outcome.Reason):
 		return f.moveOn(ctx)
-	case ReasonCancelled:
+	case outcome.Reason == ReasonCancelled:
 		f.asOf = 0 // its row tells more
 	}
 	common.Sleep(ctx, ownerPause)
--- a/pkg/node/kept_owner.go
+++ b/pkg/node/kept_owner.go
@@ -1,9 +1,48 @@
 package node
 
-import "github.com/foxcroft/foxcroft/pkg/peerpb"
+import (
+	"time"
 
-// told takes what stands in the rows of kept jobs, and returns the moved ones that run
-// here all the same.
+	"github.com/foxcroft/foxcroft/pkg/cell"
+	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/peerpb"
+)
+
+// told takes what stands in the rows of kept jobs, and returns the moved ones that go
+// on here all the same.
 func (o *owner) told(m *peerpb.Noted) []string {
+	if m.Moved {
+		return o.forsake(m.Ids)
+	}
+	o.noted(m.Ids, m.Cancelled)
 	return nil
 }
+
+// reasonMoved marks a kept job that another cell is to run.
+const reasonMoved = "kept_moved"
+
+// forsake drops kept jobs that another cell is to run, and returns those of which
+// something has run or ended here.
+func (o *owner) forsake(ids []string) []string {
+	var goOn []string
+	var replies []reply
+	o.do(func(state *cell.Cell, now time.Duration) {
+		for _, id := range ids {
+			if _, ended := o.ended[id]; ended || len(state.Progress(id)) > 0 {
+				goOn = append(goOn, id)
+				continue
+			}
+			for _, w := range o.waiters[id] {
+				replies = append(replies, w.reply)
+			}
+			delete(o.waiters, id)
+			o.kept.drop(id)
+			state.Withdraw(id, reasonMoved, now)
+			state.Noted([]string{id}, now) // the row tells what has ended here
+		}
+	})
+	for _, reply := range replies {
+		reply(job.Outcome{Kind: job.Moved, Reason: reasonMoved})
+	}
+	return goOn
+}
--- a/pkg/node/owner_kept.go
+++ b/pkg/node/owner_kept.go
@@ -5,6 +5,7 @@
 
 	"github.com/foxcroft/foxcroft/pkg/cell"
 	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/keeping"
 )
 
 const (
@@ -19,7 +20,7 @@
 
 // reasonKeptCancelled marks a kept job that was cancelled, for a keeper that doesn't
 // know it yet.
-const reasonKeptCancelled = "kept_cancelled"
+const reasonKeptCancelled = keeping.ReasonCancelled
 
 // cancelledHere is what waiters are told for a kept job that was cancelled.
 var cancelledHere = job.Outcome{Kind: job.Moved, Reason: reasonKeptCancelled}
