--- a/pkg/kept/group.go
+++ b/pkg/kept/group.go
@@ -133,7 +133,9 @@
 		epoch = e.record.EpochAt(k.Age(&e.record, now))
 	}
 	e.unsure = false
-	k.follow(e, epoch, k.sentAt)
+	if e.ending == 0 { // else it was cancelled before it began
+		k.follow(e, epoch, k.sentAt)
+	}
 	k.again(id, e)
 }
 
--- a/pkg/kept/keeper.go
+++ b/pkg/kept/keeper.go
@@ -347,9 +347,6 @@
 }
 
 func (k *Keeper) follow(e *entry, epoch int, asOf time.Duration) {
-	if e.ending != 0 {
-		return
-	}
 	k.effects.Follow = append(k.effects.Follow, Following{Record: e.record, Epoch: epoch, AsOf: asOf})
 }
 
