Kept jobs: keepers that can reach the store; a front turns to the store itself after 0.6 s

Losses: behind a cut callers waited for a keeper longer than their 1.5 s, hosts that the store turned away were keepers, and jobs that came when owners changed were refused at once. Change: hosts that tell that the store is out don't keep partitions; the keepers of a host share what they know of the store; calls of the store and of keepers are bounded so that a second way fits into a caller's time; a job waits up to 1 s for a cell.

--- a/pkg/keeping/partition.go
+++ b/pkg/keeping/partition.go
@@ -35,7 +35,7 @@
 func newPartition(s *Service, number int) *partition {
 	p := &partition{
 		service: s, number: number, part: kept.PartOf(number),
-		keeper:    kept.NewKeeper(kept.PartOf(number), codec{}),
+		keeper:    kept.NewKeeper(kept.PartOf(number), codec{}, &s.health),
 		calls:     map[uint64]chan kept.CallAnswer{},
 		followers: map[string]*follower{},
 	}
--- a/pkg/keeping/service.go
+++ b/pkg/keeping/service.go
@@ -25,12 +25,16 @@
 	thirdReading   = 3 * time.Second
 	regularReading = 30 * time.Second
 	readingPause   = 400 * time.Millisecond // at least, between two readings
-	// callTime bounds calls to the store, which take 12 ms when it is calm.
-	callTime = 800 * time.Millisecond
+	// callTime bounds calls to the store, which take 15 ms when it is calm: a second
+	// try fits into a caller's time.
+	callTime = 400 * time.Millisecond
 	// keepTime is how long a caller waits for its job to be kept at most.
 	keepTime = 1500 * time.Millisecond
-	// askTime bounds calls to the keeper: longer than it lets its own callers wait.
-	askTime = 1800 * time.Millisecond
+	// askTime bounds calls to the keeper, which take 20 ms, and stateWait more for a
+	// state: the front then turns to the store itself.
+	askTime = 600 * time.Millisecond
+	// ownerWait is how long a job waits for a cell that can run it.
+	ownerWait = time.Second
 	// tellTime bounds the word to an owner that a job was cancelled, for which the
 	// caller waits.
 	tellTime = 400 * time.Millisecond
@@ -111,6 +115,7 @@
 	partitions []*partition
 	notes      *notes
 	reach      reach
+	health     kept.Health
 	ctx        context.Context
 	stop       context.CancelFunc
 }
@@ -177,7 +182,7 @@
 // Keep has a job kept: by its keeper, or by this host when that one can't be asked
 // or can't write.
 func (s *Service) Keep(ctx context.Context, j *job.Job) kept.Answer {
-	cell, ok := s.host.ChooseCell(j)
+	cell, ok := s.chooseCell(ctx, j)
 	if !ok {
 		return s.answered("keep", j.ID, kept.Answer{Verdict: kept.Refused, Reason: ReasonNoOwner, RetryAfter: comeBack})
 	}
@@ -203,12 +208,37 @@
 	asked, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
 	answer, sent := s.host.AskKeeper(asked, keeper.Address, cell, j, hops+1)
-	if !sent || answer.Verdict == kept.Refused && hops == 0 {
-		return s.keepHere(ctx, cell, j)
+	if sent && (answer.Verdict == kept.Accepted || hops > 0) {
+		return answer
 	}
-	return answer
+	here := s.keepHere(ctx, cell, j)
+	if here.Verdict == kept.Refused && sent && answer.Verdict != kept.Refused {
+		return answer // the keeper may have kept it
+	}
+	return here
 }
 
+// chooseCell returns the cell that should run a job, waiting a while for one.
+func (s *Service) chooseCell(ctx context.Context, j *job.Job) (string, bool) {
+	ctx, cancel := context.WithTimeout(ctx, min(ownerWait, timeFor(ctx)/2))
+	defer cancel()
+	for {
+		changed := s.host.Changed()
+		if cell, ok := s.host.ChooseCell(j); ok {
+			return cell, true
+		}
+		select {
+		case <-changed:
+		case <-time.After(ownerRecheck):
+		case <-ctx.Done():
+			return "", false
+		}
+	}
+}
+
+// StoreIsDown reports whether the store has failed for a while, as seen from this host.
+func (s *Service) StoreIsDown() bool { return s.health.IsDown() }
+
 // keepHere keeps a job as its keeper.
 func (s *Service) keepHere(ctx context.Context, cell string, j *job.Job) kept.Answer {
 	record := kept.Record{ID: j.ID, Cell: cell, Job: encodeJob(j, nil)}
--- a/pkg/kept/group.go
+++ b/pkg/kept/group.go
@@ -223,7 +223,7 @@
 			continue
 		}
 		e.tries++
-		if c.kind == accept && !e.unsure && e.tries >= downAfter {
+		if c.kind == accept && !e.unsure && e.tries >= mostTries {
 			k.refuse(c.id, e)
 			continue
 		}
--- a/pkg/kept/keeper.go
+++ b/pkg/kept/keeper.go
@@ -63,9 +63,10 @@
 	effects  Effects
 }
 
-// NewKeeper makes the keeper of a part that knows of no jobs yet.
-func NewKeeper(part string, codec Codec) *Keeper {
-	return &Keeper{part: part, codec: codec, entries: map[string]*entry{}, ended: map[string]endedJob{}, pace: newPace()}
+// NewKeeper makes the keeper of a part that knows of no jobs yet. The keepers of a host
+// share what they know of the store.
+func NewKeeper(part string, codec Codec, health *Health) *Keeper {
+	return &Keeper{part: part, codec: codec, entries: map[string]*entry{}, ended: map[string]endedJob{}, pace: newPace(health)}
 }
 
 // storeClock tells the store's clock from the last of its answers.
@@ -107,7 +108,7 @@
 	}
 	e := k.entries[id]
 	if e == nil {
-		if k.pace.isDown() && !k.probes(now) {
+		if k.pace.health.IsDown() && !k.probes(now) {
 			k.answer(number, refusal(ReasonStoreDown))
 			return
 		}
--- a/pkg/node/heartbeat.go
+++ b/pkg/node/heartbeat.go
@@ -100,7 +100,7 @@
 // makeHeartbeat makes a heartbeat, with all addresses and all owners if asked to.
 // The lock of the heartbeats is held.
 func (n *Node) makeHeartbeat(gossip, owners bool, now time.Duration) *peerpb.Heartbeat {
-	beat := &peerpb.Heartbeat{Leaving: n.leaving.Load(), StoreFails: n.storeFails.Load() || n.operatorFails.Load()}
+	beat := &peerpb.Heartbeat{Leaving: n.leaving.Load(), StoreFails: n.storeIsOut()}
 	if current := n.configuration.Load(); current != nil {
 		beat.Version = current.snapshot.Revision
 	}
--- a/pkg/node/kept_host.go
+++ b/pkg/node/kept_host.go
@@ -53,8 +53,8 @@
 func (n *Node) chooseKeepers() []keeping.Keeper {
 	n.mu.Lock()
 	view := n.ownershipView()
+	hosts := n.withStore(append(view.Up, view.Self))
 	n.mu.Unlock()
-	hosts := append(view.Up, view.Self)
 	keepers := make([]keeping.Keeper, kept.Partitions)
 	for i := range keepers {
 		host, ok := ownership.Pick(kept.PartOf(i), hosts)
@@ -66,6 +66,30 @@
 	return keepers
 }
 
+// withStore returns the hosts that can reach the store as far as they have told, or all
+// when none can. n.mu is held.
+func (n *Node) withStore(hosts []ownership.Host) []ownership.Host {
+	var able []ownership.Host
+	for _, host := range hosts {
+		fails := n.storeless[host.Address]
+		if host.Address == n.settings.PeerAddress {
+			fails = n.storeIsOut()
+		}
+		if !fails {
+			able = append(able, host)
+		}
+	}
+	if len(able) == 0 {
+		return hosts
+	}
+	return able
+}
+
+// storeIsOut reports whether this host can't reach the store.
+func (n *Node) storeIsOut() bool {
+	return n.storeFails.Load() || n.operatorFails.Load() || n.keeping.StoreIsDown()
+}
+
 // AskKeeper implements keeping.Host.
 func (h *keptHost) AskKeeper(ctx context.Context, address, cell string, j *job.Job, hops int) (kept.Answer, bool) {
 	now := h.node.Clock.Now()
