--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -12,6 +12,7 @@
 	"github.com/foxcroft/foxcroft/pkg/cell"
 	"github.com/foxcroft/foxcroft/pkg/errkind"
 	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/jobwire"
 	"github.com/foxcroft/foxcroft/pkg/member"
 	"github.com/foxcroft/foxcroft/pkg/peer"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
@@ -103,6 +104,7 @@
 	n.mu.Lock()
 	isBack := p.Domain == n.settings.Domain && !n.seesMate(address)
 	n.members.Up(p)
+	n.viewVersion.Add(1)
 	n.mu.Unlock()
 	n.changed.signal()
 	if isBack {
@@ -118,6 +120,7 @@
 	// In a large domain links to hosts that own nothing end all the time.
 	mayClaim := n.claims.Owns(address) || !n.members.IsLarge()
 	n.members.Down(address, n.Clock.Now())
+	n.viewVersion.Add(1)
 	n.renewals.forget(address)
 	n.claims.Drop(address)
 	delete(n.peerCounts, address)
@@ -170,6 +173,12 @@
 		n.onOpenJobs(from, body.OpenJobs)
 	case *peerpb.Message_Join:
 		n.onJoin(from, body.Join, reply)
+	case *peerpb.Message_Keep:
+		n.onKeep(body.Keep, reply)
+	case *peerpb.Message_KeptQuery:
+		n.onKeptQuery(body.KeptQuery, reply)
+	case *peerpb.Message_Noted:
+		n.onNoted(body.Noted, reply)
 	case *peerpb.Message_HandOver:
 		n.onHandOver(body.HandOver)
 	case *peerpb.Message_Snapshot:
@@ -222,7 +231,7 @@
 		settleAt = now + microseconds(m.SettleUs)
 	}
 	handover := cell.Handover{
-		Job: fromDispatch(m, now), Epoch: int(m.Epoch), Progress: fromProgress(m.Progress),
+		Job: jobwire.FromDispatch(m, now), Epoch: int(m.Epoch), Progress: jobwire.FromProgress(m.Progress),
 		SettleAt: settleAt, RenewedAt: n.timeOf(m.Renewed),
 	}
 	o.submit(handover, waiter{
--- a/pkg/node/openjobs.go
+++ b/pkg/node/openjobs.go
@@ -27,17 +27,23 @@
 	mu     sync.Mutex
 	own    *openjobs.Own
 	others *openjobs.Table
-	ended  map[string]ended // own jobs that others were told of, by id
+	ended  map[string]endedHere // own jobs that others were told of, by id
 
 	searches map[string]*openjobs.Search // for jobs that have come again here, by id
 	backAt   time.Duration               // when this host was last back, after it had been cut off from its domain or stood still
 }
 
+// endedHere is how a job ended at this front, and when.
+type endedHere struct {
+	outcome job.Outcome
+	at      time.Duration
+}
+
 func newOpenNews(resubmitAfter, settle time.Duration) *openNews {
 	return &openNews{
 		own:    openjobs.NewOwn(resubmitAfter, settle),
 		others: openjobs.NewTable(settle),
-		ended:  map[string]ended{},
+		ended:  map[string]endedHere{},
 
 		searches: map[string]*openjobs.Search{},
 	}
@@ -57,7 +63,7 @@
 	defer o.mu.Unlock()
 	delete(o.searches, open.job.ID)
 	if o.own.Closed(open.job.ID) && open.isCarried {
-		o.ended[open.job.ID] = ended{outcome: outcome, at: now}
+		o.ended[open.job.ID] = endedHere{outcome: outcome, at: now}
 	}
 }
 
@@ -81,7 +87,7 @@
 }
 
 // endedAt returns how a job has ended here, and when, if others were told of it.
-func (o *openNews) endedAt(id string) (ended, bool) {
+func (o *openNews) endedAt(id string) (endedHere, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	e, known := o.ended[id]
