A task that is long by itself doesn't eject its target

Cause: a run that took over five times its expected time ejected its target, and was stopped and run again.

Change: a run that moves on isn't its target's fault when another one has ended there within twice its expected time since it began, or when it was as slow at another target. It then goes on, and task_long is logged once. One that stands still is judged as before.

--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -37,6 +37,8 @@
 	seenAt    time.Duration // on our clock: its start was answered, or a hold listed it first
 	renewedAt time.Duration // of a run that nobody waits for any more: the last renewal of its job; 0 when not known
 	percent   int
+	movedAt   time.Duration // on our clock: it was seen to have made progress
+	long      bool          // it was found to take long by itself
 	estimate  time.Duration
 }
 
--- a/pkg/cell/health.go
+++ b/pkg/cell/health.go
@@ -22,6 +22,7 @@
 	pause    time.Duration // of the last ejection; 0 when in good standing
 	until    time.Duration // no work until then
 	passed   int           // trials passed in a row
+	inTimeAt time.Duration // when a run last ended well in time
 }
 
 // allows reports whether the executor may get work now.
@@ -42,7 +43,7 @@
 
 // clear restores good standing.
 func (h *health) clear() {
-	h.failures, h.pause, h.until, h.passed = 0, 0, 0, 0
+	*h = health{inTimeAt: h.inTimeAt}
 }
 
 // succeeded takes a task that ended well in time.
--- a/pkg/cell/holds.go
+++ b/pkg/cell/holds.go
@@ -217,7 +217,10 @@
 		r.state = running
 		r.seenAt = now
 	}
-	r.percent = entry.Percent
+	if entry.Percent != r.percent {
+		r.percent = entry.Percent
+		r.movedAt = now
+	}
 	c.repeatStop(r)
 	if r.state != running || r.work == nil || r.orderAt == 0 {
 		return
--- a/pkg/cell/progress.go
+++ b/pkg/cell/progress.go
@@ -13,13 +13,36 @@
 	if r.copies.sent == 1 && e.blindFrom == 0 {
 		c.learnTime(e, r, now-r.orderAt)
 	}
-	if isSlow(e.leastTime(r, now), r.estimate) {
-		c.blame(e, "slow", r.name, now)
+	took := e.leastTime(r, now)
+	if isSlow(took, r.estimate) {
+		if !c.isLong(e, r) {
+			c.blame(e, "slow", r.name, now)
+		}
 		return
 	}
+	if took <= time.Duration(inTimeRatio*float64(r.estimate)) {
+		e.health.inTimeAt = now
+	}
 	e.health.succeeded()
 }
 
+// inTimeRatio is the time of a run to its estimate up to which the run shows that its
+// executor is sound. Estimates are off by a factor of 1.7, and slow executors by 5.
+const inTimeRatio = 2.0
+
+// isLong reports whether a run that takes far more than its estimate does so by itself:
+// another one has ended in time at its executor since it began, or it took as long at
+// another executor before. Else each of the long tasks among short estimates would eject
+// an executor after the other, and start anew as often.
+func (c *Cell) isLong(e *executor, r *run) bool {
+	long := e.health.inTimeAt > r.copies.sentAt || r.task != nil && r.task.rescues > 0
+	if long && !r.long {
+		r.long = true
+		c.note(Notice{Event: "task_long", Executor: e.info.ID, Job: r.jobID(), Task: r.name, Detail: strconv.Itoa(r.percent) + "%", Age: r.estimate})
+	}
+	return long
+}
+
 // leastTime returns how long a run that has ended took at least: from the newest copy
 // of its start to the moment from which on its end may have been missed. What an owner
 // learns late would else count as the time of healthy executors.
@@ -52,6 +75,12 @@
 	rescueFactor = 2 // of the estimate that has to be left
 )
 
+// standsStill reports whether a run makes no progress, as a long task would: one that
+// takes fifty times its estimate moves on by a percent in half of that.
+func (r *run) standsStill(now time.Duration) bool {
+	return r.percent == 0 || now > r.movedAt+r.estimate/2
+}
+
 // judgeProgress finds runs that stand still or crawl. Their executor gets no
 // new work; the run itself is stopped when a new one would end far sooner.
 func (c *Cell) judgeProgress(e *executor, r *run, now time.Duration) {
@@ -63,6 +92,9 @@
 	if !isSlow(projected, r.estimate) || (r.percent == 0 && elapsed < 3*r.estimate/4) {
 		return
 	}
+	if !r.standsStill(now) && c.isLong(e, r) {
+		return
+	}
 	c.blame(e, "behind", r.name, now)
 	left := projected - elapsed
 	if r.task.rescues >= maxRescues || left < rescueFactor*r.estimate+2*c.params.StopTime {
