The pace of each target is learnt, and fast ones come first

Cause: nothing knew that targets differ for good (skala: 0.6, 1.0 and 1.6 times the speed), so that short jobs waited for a slow one among their tasks.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -97,7 +97,7 @@
 	}
 	r.executor.used = r.executor.used.Sub(r.needs).Add(step.Needs)
 	r.work, r.task, r.needs = w, t, step.Needs
-	r.estimate = w.estimate(t.key.Step)
+	r.estimate = r.executor.pace.of(w.estimate(t.key.Step))
 	t.current = r
 	t.lastRun = max(t.lastRun, r.number)
 	w.started = true
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -75,6 +75,7 @@
 	mayOrphan bool // some of the runs may be orphans; false only when none is
 	used      job.Resources
 	health    health
+	pace      pace
 }
 
 func newExecutor(info catalog.Executor) *executor {
@@ -133,7 +134,8 @@
 // start orders a run.
 func (c *Cell) start(e *executor, w *work, t *task, now time.Duration) {
 	step := &w.job.Steps[t.key.Step]
-	lease := c.startLease(w.estimate(t.key.Step))
+	estimate := e.pace.of(w.estimate(t.key.Step))
+	lease := c.startLease(estimate)
 	r := &run{
 		executor: e,
 		name:     w.job.TaskName(t.key),
@@ -145,7 +147,7 @@
 		deadline: e.clock.at(now) + lease,
 		orderAt:  now,
 		copies:   startCopies{sent: 1, open: 1, sentAt: now},
-		estimate: w.estimate(t.key.Step),
+		estimate: estimate,
 	}
 	t.current = r
 	w.started = true
--- a/pkg/cell/placement.go
+++ b/pkg/cell/placement.go
@@ -143,11 +143,11 @@
 	coresInCost = 1000.0
 )
 
-// placementCost is lower for a better fit: little room left over, and near the
-// data.
+// placementCost is lower for a better fit: little room left over, a fast executor, and
+// near the data.
 func placementCost(e *executor, step *job.Step) float64 {
 	left := e.free().Sub(step.Needs)
-	cost := float64(left.CPU) / coresInCost
+	cost := float64(left.CPU)/coresInCost + paceCost*e.pace.log()
 	if step.Affinity != "" && !e.info.HasLabel(step.Affinity) {
 		cost += farCost
 	}
--- a/pkg/cell/progress.go
+++ b/pkg/cell/progress.go
@@ -59,6 +59,7 @@
 	if r.work != nil && !e.health.onTrial() {
 		step := &r.work.job.Steps[r.task.key.Step]
 		c.times.observe(r.work.job.Route, step.TaskTime(), took)
+		e.pace.observe(r.work.estimate(r.task.key.Step), took)
 	}
 }
 
