--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -37,6 +37,8 @@
 	seenAt    time.Duration // on our clock: its start was answered, or a hold listed it first
 	renewedAt time.Duration // of a run that nobody waits for any more: the last renewal of its job; 0 when not known
 	percent   int
+	movedAt   time.Duration // on our clock: it was seen to have made progress
+	long      bool          // it was found to take long by itself
 	estimate  time.Duration
 }
 
@@ -76,6 +78,7 @@
 	mayOrphan bool // some of the runs may be orphans; false only when none is
 	used      job.Resources
 	health    health
+	pace      pace
 }
 
 func newExecutor(info catalog.Executor) *executor {
@@ -137,7 +140,8 @@
 // start orders a run.
 func (c *Cell) start(e *executor, w *work, t *task, now time.Duration) {
 	step := &w.job.Steps[t.key.Step]
-	lease := c.startLease(w.estimate(t.key.Step))
+	estimate := e.pace.of(w.estimate(t.key.Step))
+	lease := c.startLease(estimate)
 	r := &run{
 		executor: e,
 		name:     w.job.TaskName(t.key),
@@ -149,7 +153,7 @@
 		deadline: e.clock.at(now) + lease,
 		orderAt:  now,
 		copies:   startCopies{sent: 1, open: 1, sentAt: now},
-		estimate: w.estimate(t.key.Step),
+		estimate: estimate,
 	}
 	t.current = r
 	w.started = true
