--- a/pkg/openjobs/openjobs.go
+++ b/pkg/openjobs/openjobs.go
@@ -22,8 +22,9 @@
 const (
 	// LookInterval is how often a front looks for jobs to tell of, at most.
 	LookInterval = 100 * time.Millisecond
-	// tellPause is the least time between two batches.
-	tellPause = 100 * time.Millisecond
+	// tellPause is the least time between two batches: a batch costs a message to each
+	// host, whatever is in it.
+	tellPause = 200 * time.Millisecond
 	// newsTransit is one way between two hosts, with as much again for a process
 	// that is busy. News takes two: hosts of another domain pass it on.
 	newsTransit = 50 * time.Millisecond
