Kept jobs that are done in part come first in the end; which kept jobs wait

Change: such a job comes before all others 3 s after its first end; an executor with 300 ends to list gets no tasks of kept jobs that have no ends yet; the bound counts what is listed, and holds are the rarer the more that is. Runs: go test ./pkg/cell: ok.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -100,7 +100,7 @@
 	r.estimate = w.estimate(t.key.Step)
 	t.current = r
 	t.lastRun = max(t.lastRun, r.number)
-	w.started = true
+	w.started, w.begun = true, true
 	c.note(Notice{Event: "run_adopted", Executor: r.executor.info.ID, Job: w.job.ID, Task: r.name, Detail: strconv.FormatInt(r.number, 10)})
 }
 
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -144,7 +144,7 @@
 		estimate: w.estimate(t.key.Step),
 	}
 	t.current = r
-	w.started = true
+	w.started, w.begun = true, true
 	e.add(r)
 	r.deadline = c.limit(e, r.deadline, now)
 	e.granted = max(e.granted, r.deadline)
--- a/pkg/cell/holds.go
+++ b/pkg/cell/holds.go
@@ -99,8 +99,8 @@
 		c.dirty = true
 		c.note(Notice{Event: "executor_answers", Executor: e.info.ID})
 	}
-	e.listTill = now + unnotedPause
 	c.takeEnds(e, answer.Ended, now)
+	e.listTill = now + unnotedPause + time.Duration(e.listedEnds())*listPause
 	c.takeRunning(e, answer, sentAt, now)
 	if !e.adopted {
 		e.adopted = true
--- a/pkg/cell/kept.go
+++ b/pkg/cell/kept.go
@@ -117,6 +117,15 @@
 	c.dirty = true
 }
 
+// waits reports whether nothing of the job has started. Of a kept one that a former
+// owner had, only what is known counts: it may have waited there all the while.
+func (w *work) waits() bool {
+	if w.job.Kept {
+		return !w.begun
+	}
+	return !w.started
+}
+
 // keptRuns is where the numbers of the runs of kept jobs begin within an epoch. So an
 // owner knows the ends of kept tasks at its first look at an executor, before their
 // jobs are here. Other tasks would need as many runs at one owner to be taken for such.
@@ -192,7 +201,7 @@
 
 // applyFormer takes what earlier runs of a task came to.
 func (c *Cell) applyFormer(w *work, t *task, former formerTask) {
-	w.started = true
+	w.started, w.begun = true, true
 	t.lastRun = max(t.lastRun, former.lastRun)
 	t.inherit(former.failures)
 	if !former.done || t.done {
--- a/pkg/cell/placement.go
+++ b/pkg/cell/placement.go
@@ -101,7 +101,7 @@
 	var best *executor
 	var bestCost float64
 	for _, e := range candidates {
-		if !c.suits(e, w, t, step) || !c.covers(w, e, now) {
+		if !c.suits(e, w, t, step) || !c.covers(w, e, now) || !c.takesEndsOf(e, w) {
 			continue
 		}
 		cost := placementCost(e, step)
--- a/pkg/cell/queue.go
+++ b/pkg/cell/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -28,6 +29,15 @@
 	return Standing{Job: w.job, Tier: tier, WorkLeft: w.waitingWork(), Slack: w.job.Received + objective - ends}
 }
 
+// rank places a job among the others. Kept ones of which a part has been done for some
+// time come first, whatever the order says.
+func (c *Cell) rank(w *work, s Standing, now time.Duration) Rank {
+	if since, first := c.partDoneSince(w, now); first {
+		return Rank{Class: math.MinInt, Cost: float64(since)}
+	}
+	return c.order.Rank(s)
+}
+
 // ranked returns the jobs that have tasks to start, in order.
 func (c *Cell) ranked(now time.Duration) []*work {
 	type entry struct {
@@ -40,7 +50,7 @@
 			continue
 		}
 		if s := w.standing(now); s.WorkLeft > 0 {
-			entries = append(entries, entry{work: w, rank: c.order.Rank(s)})
+			entries = append(entries, entry{work: w, rank: c.rank(w, s, now)})
 		}
 	}
 	slices.SortFunc(entries, func(a, b entry) int {
--- a/pkg/cell/unnoted.go
+++ b/pkg/cell/unnoted.go
@@ -25,18 +25,28 @@
 	// unnotedGivenBack bounds it for jobs that were given back and may go on elsewhere.
 	// Executors without runs for as long as a lease have no word to keep any more.
 	unnotedGivenBack = time.Minute
-	// mostUnnoted is how many such ends an executor keeps at most: it lists 500 at
-	// once, the newest last.
-	mostUnnoted = 400
+	// mostListed is how many ends an executor is left to list at most, from the oldest
+	// that it has to keep on: it lists 500 at once, the newest last.
+	mostListed = 450
+	// manyListed is how many keep an executor from getting tasks of further kept jobs:
+	// those that have ends there already need room for what is left of them.
+	manyListed = 300
+	// finishAfter is how long after the first such end a job waits at most for its turn
+	// among others: one that waits for long with a part of it done has its executors
+	// list all ends since. An executor ends some 10 tasks a second.
+	finishAfter = 3 * time.Second
 	// unnotedPause is the time between the answer to a hold and the next one while an
-	// executor keeps ends: it answers at once then, as there are ends to list.
+	// executor keeps ends: it answers at once then, as there are ends to list, and
+	// listPause is added for each of these.
 	unnotedPause = 25 * time.Millisecond
+	listPause    = 250 * time.Microsecond
 )
 
 // unnoted is an end of a kept job's task that an executor may not forget yet.
 type unnoted struct {
 	number int64
 	job    string
+	at     time.Duration // it was listed first
 	noted  bool          // the end of its job lasts
 	until  time.Duration // it may be forgotten then; 0 as long as its job is here
 }
@@ -48,7 +58,7 @@
 		return
 	}
 	c.remember(id, key, end)
-	u := &unnoted{number: end.Number, job: id}
+	u := &unnoted{number: end.Number, job: id, at: now}
 	if c.works[id] == nil {
 		u.until = now + unnotedUnclaimed
 	}
@@ -79,6 +89,10 @@
 	for _, id := range ids {
 		c.letGoAll(id)
 	}
+	for _, e := range c.sorted {
+		c.lastSeen(e, now)
+	}
+	c.dirty = true // executors may take further kept jobs
 	c.advance(now)
 }
 
@@ -93,7 +107,7 @@
 
 // lastSeen returns up to which end an executor may forget.
 func (c *Cell) lastSeen(e *executor, now time.Duration) int64 {
-	for len(e.unnoted) > 0 && (e.unnoted[0].isOver(now) || len(e.unnoted) > mostUnnoted) {
+	for len(e.unnoted) > 0 && (e.unnoted[0].isOver(now) || e.listedEnds() > mostListed) {
 		c.letGo(e.unnoted[0])
 		e.unnoted = e.unnoted[1:]
 	}
@@ -103,6 +117,30 @@
 	return e.listedTo
 }
 
+// listedEnds returns how many ends an executor is left to list.
+func (e *executor) listedEnds() int64 {
+	if len(e.unnoted) == 0 {
+		return 0
+	}
+	return e.listedTo - e.unnoted[0].number + 1
+}
+
+// takesEndsOf reports whether an executor may get tasks of a job: one that has many ends
+// to list gets none of further kept ones.
+func (c *Cell) takesEndsOf(e *executor, w *work) bool {
+	return !w.job.Kept || len(c.unnoted[w.job.ID]) > 0 || e.listedEnds() < manyListed
+}
+
+// partDoneSince returns when the first end of a kept job's task was listed that an
+// executor has to keep, and whether the job's turn has come by that.
+func (c *Cell) partDoneSince(w *work, now time.Duration) (time.Duration, bool) {
+	ends := c.unnoted[w.job.ID]
+	if !w.job.Kept || len(ends) == 0 {
+		return 0, false
+	}
+	return ends[0].at, now >= ends[0].at+finishAfter
+}
+
 func (u *unnoted) isOver(now time.Duration) bool {
 	return u.noted || u.until > 0 && now >= u.until
 }
--- a/pkg/cell/unnoted_test.go
+++ b/pkg/cell/unnoted_test.go
@@ -13,7 +13,7 @@
 func (d *driver) nextHold() Command {
 	d.of(Hold)
 	d.cell.executors[executorID(0)].holding = false
-	d.tick(unnotedPause)
+	d.tick(unnotedPause + 2*mostListed*listPause)
 	holds := d.of(Hold)
 	d.c.Assert(holds, qt.HasLen, 1)
 	return holds[0]
@@ -109,14 +109,131 @@
 	d.tick(time.Second)
 	busy := keepBusy(d)
 	d.submit(keptJob("a", 1, d.now), 1)
-	const many = mostUnnoted + 10
+	const many = mostListed + 10
 	answer := HoldAnswer{Clock: time.Minute + d.now, Running: []RunningTask{listed(busy)}}
 	for i := range many {
 		end := EndedTask{Number: int64(i + 1), Task: fmt.Sprintf("a.0.0.%d", i+1), Run: keptRuns + 1, Kind: EndDone}
 		answer.Ended = append(answer.Ended, end)
 	}
 	d.holdAnswer(0, answer, d.now)
-	c.Assert(d.nextHold().LastSeen, qt.Equals, int64(many-mostUnnoted))
+	c.Assert(d.nextHold().LastSeen, qt.Equals, int64(many-mostListed))
+}
+
+// An executor that has many ends to list gets no more kept jobs, until it has fewer.
+func TestAnExecutorWithManyEndsGetsNoFurtherKeptJobs(t *testing.T) {
+	type scenario struct {
+		testName string
+		ends     int
+		kept     bool
+		known    bool // ends of the job are among them
+		starts   int
+	}
+	scenarios := []scenario{
+		{testName: "few ends", ends: manyListed - 1, kept: true, starts: 1},
+		{testName: "many ends", ends: manyListed, kept: true},
+		{testName: "a job that has ends there", ends: manyListed, kept: true, known: true, starts: 1},
+		{testName: "a job that isn't kept", ends: manyListed, starts: 1},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			d := adopted(c, 1)
+			d.tick(time.Second)
+			busy := keepBusy(d)
+			answer := HoldAnswer{Clock: time.Minute + d.now, Running: []RunningTask{listed(busy)}}
+			for i := range s.ends {
+				id := "other"
+				if s.known {
+					id = "a"
+				}
+				answer.Ended = append(answer.Ended, EndedTask{Number: int64(i + 1), Task: fmt.Sprintf("%s.0.0.%d", id, i+1), Run: keptRuns + 1, Kind: EndDone})
+			}
+			d.holdAnswer(0, answer, d.now)
+			j := testJob("a", 1, d.now)
+			j.Kept = s.kept
+			d.submit(j, 1)
+			c.Assert(d.of(Start), qt.HasLen, s.starts)
+			d.cell.Noted([]string{"other", "a"}, d.now)
+			d.take()
+			c.Assert(d.of(Start), qt.HasLen, 1-s.starts)
+		})
+	}
+}
+
+// A kept job that waits with a part of it done comes before all others in the end.
+func TestAKeptJobThatIsDoneInPartComesFirst(t *testing.T) {
+	type scenario struct {
+		testName string
+		waits    time.Duration
+		first    string
+	}
+	scenarios := []scenario{
+		{testName: "its turn by the order", waits: finishAfter - 100*ms, first: "urgent"},
+		{testName: "done in part for long", waits: finishAfter, first: "part"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			d := adopted(c, 1)
+			d.tick(time.Second)
+			busy := keepBusy(d)
+			j := keptJob("part", 2, d.now)
+			j.Priority = 5
+			d.submit(j, 1)
+			start := d.of(Start)[0]
+			d.startAnswer(start, Accepted)
+			filler := keptJob("filler", 1, d.now)
+			d.submit(filler, 1)
+			d.now += ms
+			d.holdAnswer(0, HoldAnswer{Clock: time.Minute + d.now, Running: []RunningTask{listed(busy)}, Ended: []EndedTask{endOf(1, start, EndDone)}}, d.now)
+			second := d.of(Start)[0]
+			c.Assert(second.Job, qt.Equals, "filler")
+			d.startAnswer(second, Accepted)
+			d.goOn(s.waits, listed(busy), listed(second))
+			d.submit(keptJob("urgent", 1, d.now), 1)
+			c.Assert(d.of(Start), qt.HasLen, 0)
+			d.now += ms
+			d.holdAnswer(0, HoldAnswer{Clock: time.Minute + d.now, Running: []RunningTask{listed(busy)}, Ended: []EndedTask{endOf(2, second, EndDone)}}, d.now)
+			next := d.of(Start)
+			c.Assert(next, qt.HasLen, 1)
+			c.Assert(next[0].Job, qt.Equals, s.first)
+		})
+	}
+}
+
+func TestWhichJobsWait(t *testing.T) {
+	type scenario struct {
+		testName string
+		kept     bool
+		epoch    int
+		progress []job.Progress
+		ended    bool // an executor lists an end of it
+		want     int
+	}
+	told := []job.Progress{{Run: keptRuns}}
+	scenarios := []scenario{
+		{testName: "a new one", kept: true, epoch: 1, want: 1},
+		{testName: "a new one that isn't kept", epoch: 1, want: 1},
+		{testName: "handed on, of which nothing is known", kept: true, epoch: 7, want: 1},
+		{testName: "handed on, not kept", epoch: 7},
+		{testName: "handed on with what was run", kept: true, epoch: 7, progress: told},
+		{testName: "handed on, with an end at an executor", kept: true, epoch: 7, ended: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			d := newDriver(c, testExecutor(0))
+			d.cell.SetClosed(false, d.now)
+			if s.ended {
+				end := EndedTask{Number: 1, Task: "a.0.0.0", Run: keptRuns, Kind: EndFailed}
+				d.holdAnswer(0, HoldAnswer{Clock: time.Minute, Ended: []EndedTask{end}}, d.now)
+			}
+			j := testJob("a", 1, d.now)
+			j.Kept, j.Steps[0].Needs.CPU = s.kept, 1_000_000 // there is no room for it
+			d.cell.Submit(Handover{Job: j, Epoch: s.epoch, Progress: s.progress, RenewedAt: d.renewal()}, d.now)
+			c.Assert(d.cell.Waiting()["route"], qt.Equals, s.want)
+		})
+	}
 }
 
 // The ends that a new owner finds at its first look at an executor.
--- a/pkg/cell/work.go
+++ b/pkg/cell/work.go
@@ -36,6 +36,7 @@
 	chain       time.Duration   // expected of the job with room for everything
 	leastCPU    int64           // that a task of it asks for
 	started     bool            // a task may have started, here or at a former owner
+	begun       bool            // a task is known to have started
 }
 
 func newWork(h Handover, times *taskTimes, now time.Duration) *work {
@@ -63,6 +64,7 @@
 			t.done = t.done || p.Done
 			t.inherit(p.Failures)
 			t.lastRun = max(t.lastRun, p.Run)
+			w.begun = true
 		}
 	}
 }
