--- a/pkg/cell/holds.go
+++ b/pkg/cell/holds.go
@@ -116,8 +116,8 @@
 	if newest || answer.Hidden > 0 {
 		c.noteHidden(e, answer, now)
 	}
-	e.listTill = now + unnotedPause
 	c.takeEnds(e, answer.Ended, now)
+	e.listTill = now + unnotedPause + time.Duration(e.listedEnds())*listPause
 	if newest {
 		e.listedAt = answer.Clock
 		c.takeRunning(e, answer, sentAt, now)
