Kept jobs: what is known of a job that stays open for long is written into its row

Cause: executors forget ends in their order and list 500. Change: an owner tells the keeper the progress of a job whose ends are 2 s old; it is written into the row, then the ends may be forgotten.

--- /dev/null
+++ b/pkg/cell/checkpoint_test.go
@@ -0,0 +1,46 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/job"
+	qt "github.com/frankban/quicktest"
+)
+
+func TestProgressIsToldBeforeItsEndsMayBeForgotten(t *testing.T) {
+	c := qt.New(t)
+	now := time.Second
+	state := New(DefaultParams(time.Second, testJobLease, 50*ms), 1, now)
+	j := &job.Job{ID: "a", Service: "s", Kept: true, MaxAttempts: 3, Received: now, Deadline: now + time.Hour,
+		Steps: []job.Step{{Count: 3, Needs: job.Resources{CPU: 10}}}}
+	state.Submit(Handover{Job: j, Epoch: 1, RenewedAt: now}, now)
+	e := newExecutor(testExecutor(0))
+	end := func(number int64, index int, kind EndKind) {
+		ended := EndedTask{Number: number, Task: j.TaskName(job.TaskKey{Index: index}), Run: keptRuns, Kind: kind}
+		e.listedTo = number
+		state.holdBack(e, ended, now)
+		state.adoptEnd(ended)
+	}
+	end(1, 0, EndDone)
+	c.Assert(state.Checkpoints(now), qt.HasLen, 0, qt.Commentf("the job may end before long"))
+	c.Assert(state.lastSeen(e, now), qt.Equals, int64(0))
+
+	now += checkpointAfter
+	due := state.Checkpoints(now)
+	c.Assert(due, qt.HasLen, 1)
+	c.Assert(EndsOf(due[0].Progress), qt.Equals, 1)
+	end(2, 1, EndDone)
+	c.Assert(state.Checkpoints(now+ms), qt.HasLen, 0, qt.Commentf("it was told a moment ago"))
+	c.Assert(state.lastSeen(e, now), qt.Equals, int64(0), qt.Commentf("it doesn't last yet"))
+
+	state.CheckpointNoted("a", 1, now)
+	c.Assert(state.lastSeen(e, now), qt.Equals, int64(1), qt.Commentf("the end that came later isn't in the row"))
+	now += checkpointAfter
+	due = state.Checkpoints(now)
+	c.Assert(due, qt.HasLen, 1)
+	c.Assert(EndsOf(due[0].Progress), qt.Equals, 2)
+	c.Assert(state.Checkpoints(now+checkpointAgain), qt.HasLen, 1, qt.Commentf("the word may have been lost"))
+	state.CheckpointNoted("a", 2, now)
+	c.Assert(state.lastSeen(e, now), qt.Equals, int64(2))
+}
--- a/pkg/cell/unnoted.go
+++ b/pkg/cell/unnoted.go
@@ -37,7 +37,10 @@
 type unnoted struct {
 	number int64
 	job    string
-	noted  bool          // the end of its job lasts
+	noted  bool          // the end of its job lasts, or this one stands in the job's row
+	at     time.Duration // it was listed first
+	told   int           // ends of the job that its keeper has been told of, this one among them; 0 for none
+	toldAt time.Duration
 	until  time.Duration // it may be forgotten then; 0 as long as its job is here
 }
 
@@ -48,7 +51,7 @@
 		return
 	}
 	c.remember(id, key, end)
-	u := &unnoted{number: end.Number, job: id}
+	u := &unnoted{number: end.Number, job: id, at: now}
 	if c.works[id] == nil {
 		u.until = now + unnotedUnclaimed
 	}
--- a/pkg/keeping/follow.go
+++ b/pkg/keeping/follow.go
@@ -1,6 +1,7 @@
 package keeping
 
 import (
+	"bytes"
 	"context"
 	"sync/atomic"
 	"time"
@@ -35,7 +36,11 @@
 	over      chan struct{} // closed when the end of the job lasts
 	ownerless time.Duration // since when no owner of its cell has been in sight; 0 while there is one
 
+	stopped atomic.Bool // it waits to be replaced
+	goesOn  bool        // the owner has it, and is only asked again
+
 	handing atomic.Pointer[context.CancelFunc] // ends the handover under way
+	written atomic.Pointer[[]byte]             // the job with the progress that was given to be written last
 }
 
 // interrupt ends the handover under way.
@@ -48,6 +53,10 @@
 // follow begins to follow a job, in place of an earlier follower. p.mu is held.
 func (p *partition) follow(f kept.Following, now time.Duration) {
 	old := p.followers[f.Record.ID]
+	if old != nil && old.follows(&f.Record) {
+		p.service.tellWritten(old, &f.Record)
+		return
+	}
 	if old != nil {
 		old.cancel()
 	}
@@ -62,13 +71,22 @@
 	go next.run(ctx)
 }
 
+// follows reports whether a follower can go on by a new row of its job. One that asks
+// the owner that the row names isn't replaced: that owner might take the withdrawal
+// of the old one for the new one's.
+func (f *follower) follows(record *kept.Record) bool {
+	return !f.stopped.Load() && f.record.Cell == record.Cell && (record.From == "" || record.From == f.record.From)
+}
+
 // run hands the job to owners until it has ended or moves to another cell.
 func (f *follower) run(ctx context.Context) {
+	defer f.stopped.Store(true)
 	for ctx.Err() == nil {
-		if !f.prepare(ctx) {
+		if !f.goesOn && !f.prepare(ctx) {
 			continue
 		}
 		f.raiseEpoch()
+		f.goesOn = false
 		f.handed.Store(true)
 		outcome := f.hand(ctx)
 		if ctx.Err() != nil {
@@ -173,7 +191,7 @@
 		f.awaitChange(ctx)
 	case len(runs) > 0:
 		f.move(f.record.From, f.progress)
-		<-ctx.Done() // the follower of the row as it is then goes on
+		f.awaitReplacement(ctx)
 	default:
 		f.cleared = true
 	}
@@ -217,6 +235,10 @@
 	switch {
 	case cell.NothingRuns(outcome.Reason):
 		return f.moveOn(ctx)
+	case outcome.Reason == ReasonProgress:
+		f.checkpoint(outcome.Progress)
+		f.goesOn = true
+		return false
 	case outcome.Reason == ReasonCancelled:
 		f.asOf = 0 // its row tells more
 	}
@@ -224,6 +246,29 @@
 	return false
 }
 
+// ReasonProgress marks a job that goes on at its owner, who wants the progress written.
+const ReasonProgress = "kept_progress"
+
+// checkpoint has the row hold what is known of the job's tasks.
+func (f *follower) checkpoint(progress []job.Progress) {
+	written := f.record
+	written.Epoch = f.epoch
+	written.Job = encodeJob(f.job, progress)
+	f.written.Store(&written.Job)
+	f.partition.do(func(k *kept.Keeper, _ time.Duration) { k.Move(written) })
+}
+
+// tellWritten tells the owner of a job that the progress that it wanted written lasts.
+func (s *Service) tellWritten(f *follower, record *kept.Record) {
+	written := f.written.Load()
+	if written == nil || !bytes.Equal(*written, record.Job) {
+		return
+	}
+	_, progress := jobOf(record, 0, 0)
+	word := Word{Cell: record.Cell, IDs: []string{record.ID}, Progress: cell.EndsOf(progress)}
+	go s.tell(word) // lost, the owner asks again
+}
+
 // ReasonCancelled marks a job that an owner gave back because it was cancelled.
 const ReasonCancelled = "kept_cancelled"
 
@@ -235,10 +280,16 @@
 		return false
 	}
 	f.move(next, f.progress)
-	<-ctx.Done()
+	f.awaitReplacement(ctx)
 	return true
 }
 
+// awaitReplacement waits for the follower of the row as it is to be.
+func (f *follower) awaitReplacement(ctx context.Context) {
+	f.stopped.Store(true)
+	<-ctx.Done()
+}
+
 // move has the row name another cell. The job is followed there once it does.
 func (f *follower) move(to string, progress []job.Progress) {
 	moved := f.record
--- a/pkg/keeping/service.go
+++ b/pkg/keeping/service.go
@@ -64,6 +64,7 @@
 	IDs       []string
 	Cancelled bool // they are to be stopped
 	Moved     bool // another cell is to run them
+	Progress  int  // so many ends of the job's tasks stand in its row; 0 when this isn't about them
 }
 
 // Host is the node as keepers need it.
--- a/pkg/keeping/service_test.go
+++ b/pkg/keeping/service_test.go
@@ -220,6 +220,27 @@
 	c.Assert(progress, qt.DeepEquals, []job.Progress{{Done: true, Run: 3}}, qt.Commentf("it lasts with the move"))
 }
 
+func TestProgressIsWrittenBeforeTheOwnerHearsSo(t *testing.T) {
+	c := qt.New(t)
+	host, store := newFakeHost(), newFakeStore()
+	s := startService(t.Cleanup, host, store)
+	s.Keep(context.Background(), testJob("a"))
+	handed := within(c, host.handed)
+	handed.end <- job.Outcome{Kind: job.Moved, Reason: ReasonProgress, Started: true, Progress: []job.Progress{{Done: true, Run: 501}}}
+	again := within(c, host.handed)
+	c.Assert(again.cell, qt.Equals, "x", qt.Commentf("the owner has it, and is asked again"))
+	c.Assert(within(c, host.words), qt.DeepEquals, Word{Cell: "x", IDs: []string{"a"}, Progress: 1})
+	c.Assert(host.handed, qt.HasLen, 0, qt.Commentf("its follower wasn't replaced"))
+	row, _, err := store.ReadRow(context.Background(), kept.TableOpen, s.partitionOf("a").part, "a")
+	c.Assert(err, qt.IsNil)
+	record, err := codec{}.DecodeRecord("a", row.Value)
+	c.Assert(err, qt.IsNil)
+	_, progress := jobOf(&record, 0, 0)
+	c.Assert(progress, qt.DeepEquals, []job.Progress{{Done: true, Run: 501}})
+	again.end <- job.Outcome{Kind: job.Completed}
+	eventually(c, s, "a", kept.Completed)
+}
+
 func TestACutOffKeeperAsksForNothing(t *testing.T) {
 	c := qt.New(t)
 	host, store := newFakeHost(), newFakeStore()
--- a/pkg/kept/keeper.go
+++ b/pkg/kept/keeper.go
@@ -171,13 +171,17 @@
 	k.enqueue(id, e)
 }
 
-// Move gives a job to another cell. It is followed there once its row tells so.
+// Move gives a job to another cell, or writes what is known of it at the cell that it
+// has. It is followed there once its row tells so.
 func (k *Keeper) Move(record Record) {
 	e := k.entries[record.ID]
 	if e == nil || e.ending != 0 || !e.lasts() {
 		return
 	}
 	record.AcceptedAt, record.From = e.record.AcceptedAt, e.record.Cell
+	if record.Cell == e.record.Cell {
+		record.From = "" // it has been handed over there
+	}
 	e.move = &record
 	k.enqueue(record.ID, e)
 }
--- a/pkg/node/kept_host.go
+++ b/pkg/node/kept_host.go
@@ -175,7 +175,7 @@
 	if !ok {
 		return nil, false
 	}
-	m := &peerpb.Noted{Cell: word.Cell, Ids: word.IDs, Cancelled: word.Cancelled, Moved: word.Moved}
+	m := &peerpb.Noted{Cell: word.Cell, Ids: word.IDs, Cancelled: word.Cancelled, Moved: word.Moved, Progress: uint32(word.Progress)}
 	if claim.Owner == h.node.settings.PeerAddress {
 		o := h.node.owner(word.Cell)
 		if o == nil {
--- a/pkg/node/kept_owner.go
+++ b/pkg/node/kept_owner.go
@@ -5,14 +5,23 @@
 
 	"github.com/foxcroft/foxcroft/pkg/cell"
 	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/keeping"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
 )
 
 // told takes what stands in the rows of kept jobs, and returns the moved ones that go
 // on here all the same.
 func (o *owner) told(m *peerpb.Noted) []string {
-	if m.Moved {
+	switch {
+	case m.Moved:
 		return o.forsake(m.Ids)
+	case m.Progress > 0:
+		o.do(func(state *cell.Cell, now time.Duration) {
+			for _, id := range m.Ids {
+				state.CheckpointNoted(id, int(m.Progress), now)
+			}
+		})
+		return nil
 	}
 	o.noted(m.Ids, m.Cancelled)
 	return nil
@@ -46,3 +55,29 @@
 	}
 	return goOn
 }
+
+// checkpointInterval is how often an owner looks for progress of kept jobs that is to
+// be written.
+const checkpointInterval = 250 * time.Millisecond
+
+// tellCheckpoints tells keepers what should stand in the rows of their jobs. The jobs go
+// on; their keepers ask for them again at once.
+func (o *owner) tellCheckpoints() {
+	var tell []func()
+	o.do(func(state *cell.Cell, now time.Duration) {
+		if now < o.kept.nextCheckpoint {
+			return
+		}
+		o.kept.nextCheckpoint = now + checkpointInterval
+		for _, checkpoint := range state.Checkpoints(now) {
+			outcome := job.Outcome{Kind: job.Moved, Reason: keeping.ReasonProgress, Started: true, Progress: checkpoint.Progress}
+			for _, w := range o.waiters[checkpoint.ID] {
+				tell = append(tell, func() { w.reply(outcome) })
+			}
+			delete(o.waiters, checkpoint.ID)
+		}
+	})
+	for _, f := range tell {
+		f()
+	}
+}
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -269,6 +269,7 @@
 		}
 		o.kept.expire(now)
 	})
+	o.tellCheckpoints()
 	o.noticeSettled()
 	return busy
 }
--- a/pkg/node/owner_kept.go
+++ b/pkg/node/owner_kept.go
@@ -30,6 +30,8 @@
 type keptHere struct {
 	here      map[string]bool          // jobs in the cell; they go on though nobody waits
 	cancelled map[string]time.Duration // by id: until when that is remembered
+
+	nextCheckpoint time.Duration // when progress is looked for next
 }
 
 func newKeptHere() keptHere {
