--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -374,7 +374,7 @@
 func (c *Cell) Waiting() map[string]int {
 	counts := map[string]int{}
 	for _, w := range c.works {
-		if !w.started && w.job.Part.First == 0 {
+		if !w.hasBegun() && w.job.Part.First == 0 {
 			counts[w.job.Route]++
 		}
 	}
--- a/pkg/cell/kept.go
+++ b/pkg/cell/kept.go
@@ -228,3 +228,20 @@
 		}
 	}
 }
+
+// hasBegun reports whether a task of a job has started. A kept job that comes from
+// another owner counts as begun only when a task of it is known to have: its callers
+// are told how many wait.
+func (w *work) hasBegun() bool {
+	if !w.job.Kept {
+		return w.started
+	}
+	for _, tasks := range w.steps {
+		for _, t := range tasks {
+			if t.current != nil || t.lastRun > 0 || t.done {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/pkg/cell/kept_test.go
+++ b/pkg/cell/kept_test.go
@@ -329,3 +329,25 @@
 	c.Assert(outcome.Reason, qt.Equals, ReasonStranded)
 	c.Assert(outcome.Progress, qt.HasLen, 2, qt.Commentf("the next cell runs the third task"))
 }
+
+func TestAKeptJobThatComesFromAnotherOwnerWaitsUntilATaskHasRun(t *testing.T) {
+	c := qt.New(t)
+	scenarios := []struct {
+		testName string
+		kept     bool
+		epoch    int
+		progress []job.Progress
+		waits    bool
+	}{
+		{"kept, new", true, 1, nil, true},
+		{"kept, from another owner", true, 20, nil, true},
+		{"kept, a task has run there", true, 20, []job.Progress{{Run: 1501}}, false},
+		{"not kept, from another owner", false, 2, nil, false},
+	}
+	for _, s := range scenarios {
+		state := New(DefaultParams(time.Second, testJobLease, 50*ms), 1, time.Second)
+		j := &job.Job{ID: "a", Route: "r", Service: "s", Kept: s.kept, MaxAttempts: 3, Received: time.Second, Deadline: time.Hour, Steps: []job.Step{{Count: 2}}}
+		state.Submit(Handover{Job: j, Epoch: s.epoch, RenewedAt: time.Second, Progress: s.progress}, time.Second)
+		c.Assert(state.Waiting()["r"] == 1, qt.Equals, s.waits, qt.Commentf(s.testName))
+	}
+}
