--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -156,7 +156,7 @@
 		estimate: estimate,
 	}
 	t.current = r
-	w.started, w.begun = true, true
+	w.started = true
 	e.add(r)
 	r.deadline = c.limit(e, r.deadline, now)
 	e.granted = max(e.granted, r.deadline)
--- a/pkg/cell/unnoted.go
+++ b/pkg/cell/unnoted.go
@@ -46,8 +46,10 @@
 type unnoted struct {
 	number int64
 	job    string
+	noted  bool          // the end of its job lasts, or this one stands in the job's row
 	at     time.Duration // it was listed first
-	noted  bool          // the end of its job lasts
+	told   int           // ends of the job that its keeper has been told of, this one among them; 0 for none
+	toldAt time.Duration
 	until  time.Duration // it may be forgotten then; 0 as long as its job is here
 }
 
