--- a/pkg/cell/unnoted.go
+++ b/pkg/cell/unnoted.go
@@ -31,10 +31,6 @@
 	// manyListed is how many keep an executor from getting tasks of further kept jobs:
 	// those that have ends there already need room for what is left of them.
 	manyListed = 300
-	// finishAfter is how long after the first such end a job waits at most for its turn
-	// among others: one that waits for long with a part of it done has its executors
-	// list all ends since. An executor ends some 10 tasks a second.
-	finishAfter = 3 * time.Second
 	// unnotedPause is the time between the answer to a hold and the next one while an
 	// executor keeps ends: it answers at once then, as there are ends to list, and
 	// listPause is added for each of these.
@@ -133,16 +129,6 @@
 	return !w.job.Kept || len(c.unnoted[w.job.ID]) > 0 || e.listedEnds() < manyListed
 }
 
-// partDoneSince returns when the first end of a kept job's task was listed that an
-// executor has to keep, and whether the job's turn has come by that.
-func (c *Cell) partDoneSince(w *work, now time.Duration) (time.Duration, bool) {
-	ends := c.unnoted[w.job.ID]
-	if !w.job.Kept || len(ends) == 0 {
-		return 0, false
-	}
-	return ends[0].at, now >= ends[0].at+finishAfter
-}
-
 func (u *unnoted) isOver(now time.Duration) bool {
 	return u.noted || u.until > 0 && now >= u.until
 }
