--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -23,6 +23,7 @@
 	Timeout     time.Duration
 	Stretch     float64       // of a job's longest chain of work, in its objective
 	Target      time.Duration // added to the objective
+	Advised     bool          // its tasks run only where a service of the platform advises
 }
 
 // Service is a pool of executors.
