--- a/pkg/cell/checkpoint.go
+++ b/pkg/cell/checkpoint.go
@@ -76,5 +76,9 @@
 	} else {
 		c.unnoted[id] = left
 	}
+	for _, e := range c.sorted {
+		c.lastSeen(e, now)
+	}
+	c.dirty = true // executors may take further kept jobs
 	c.advance(now)
 }
--- a/pkg/keeping/service.go
+++ b/pkg/keeping/service.go
@@ -47,9 +47,10 @@
 
 // Reasons of refusals and of answers that leave the fate of a job open.
 const (
-	ReasonNoOwner   = "no_owner"
-	ReasonNoAnswer  = "keeper_silent"
-	ReasonRowUnread = "rows_unread"
+	ReasonNoOwner    = "no_owner"
+	ReasonOverloaded = "overloaded"
+	ReasonNoAnswer   = "keeper_silent"
+	ReasonRowUnread  = "rows_unread"
 )
 
 // Keeper is a host that keeps a partition.
@@ -83,6 +84,9 @@
 	AskState(ctx context.Context, address, id string, cancel bool, hops int) (kept.Answer, bool)
 	// ChooseCell returns the cell that should run a job, or false when there is none.
 	ChooseCell(j *job.Job) (string, bool)
+	// WaitAt returns how long a job handed to a cell now waits for room, as its owner
+	// has told how much waits there.
+	WaitAt(cell string) time.Duration
 	// HasOwner reports whether a cell has an owner in sight.
 	HasOwner(cell string) bool
 	// SeesFew reports whether this host sees under half of the hosts that should be there.
@@ -187,9 +191,28 @@
 	if !ok {
 		return s.answered("keep", j.ID, kept.Answer{Verdict: kept.Refused, Reason: ReasonNoOwner, RetryAfter: comeBack})
 	}
+	if wait := s.host.WaitAt(cell); s.comesTooLate(j, wait) {
+		return s.answered("keep", j.ID, s.turnAway(ctx, j.ID, wait))
+	}
 	return s.answered("keep", j.ID, s.keepAt(ctx, cell, j, 0))
 }
 
+// comesTooLate reports whether a job would be done too late to be worth anything. Its
+// caller can try elsewhere sooner; kept, it would only be carried along.
+func (s *Service) comesTooLate(j *job.Job, wait time.Duration) bool {
+	chain := j.LongestChain()
+	return s.Clock.Now()+wait+chain > j.UsefulUntil(chain)
+}
+
+// turnAway refuses a job that comes too late, unless it was accepted before.
+func (s *Service) turnAway(ctx context.Context, id string, wait time.Duration) kept.Answer {
+	known := s.stateAt(ctx, id, 0)
+	if known.Verdict != kept.Gone {
+		return known
+	}
+	return kept.Answer{Verdict: kept.Refused, Reason: ReasonOverloaded, RetryAfter: max(wait, comeBack)}
+}
+
 // TakeKeep answers another host that asks to have a job kept.
 func (s *Service) TakeKeep(cell string, j *job.Job, hops int) kept.Answer {
 	ctx, cancel := context.WithTimeout(s.ctx, keepTime)
--- a/pkg/node/kept_host.go
+++ b/pkg/node/kept_host.go
@@ -122,6 +122,15 @@
 	return claim.Cell, ok
 }
 
+// WaitAt implements keeping.Host.
+func (h *keptHost) WaitAt(cell string) time.Duration {
+	claim, ok := h.ownerOf(cell)
+	if !ok || claim.Load.CapacityCPU == 0 {
+		return 0
+	}
+	return time.Duration(claim.Load.QueuedWork/claim.Load.CapacityCPU) * time.Millisecond
+}
+
 // HasOwner implements keeping.Host.
 func (h *keptHost) HasOwner(cell string) bool {
 	_, ok := h.ownerOf(cell)
