--- a/pkg/keeping/service.go
+++ b/pkg/keeping/service.go
@@ -38,6 +38,9 @@
 	// tellTime bounds the word to an owner that a job was cancelled, for which the
 	// caller waits.
 	tellTime = 400 * time.Millisecond
+	// shortQueue is the work that may wait in a cell without a look at what it is worth:
+	// a host carries so many jobs well.
+	shortQueue = 5 * time.Second
 	// stateWait is how long the answer to a question for the state of an open job waits
 	// for its end, at most: callers often ask just when the last task ends, and then
 	// again a quarter of a second later.
@@ -198,8 +201,12 @@
 }
 
 // comesTooLate reports whether a job would be done too late to be worth anything. Its
-// caller can try elsewhere sooner; kept, it would only be carried along.
+// caller can try elsewhere sooner; kept, it would only be carried along. Before a job of
+// much value not all comes that waits.
 func (s *Service) comesTooLate(j *job.Job, wait time.Duration) bool {
+	if wait <= shortQueue {
+		return false
+	}
 	chain := j.LongestChain()
 	return s.Clock.Now()+wait+chain > j.UsefulUntil(chain)
 }
