--- a/pkg/keeping/fakes_test.go
+++ b/pkg/keeping/fakes_test.go
@@ -104,6 +104,7 @@
 	words    chan Word
 	noOwner  bool
 	noCell   bool
+	wait     time.Duration // at the cell
 	fewSeen  atomic.Bool
 	stillRun []string // moved jobs that go on in their old cells
 }
@@ -115,6 +116,7 @@
 func (h *fakeHost) Settled() bool               { return true }
 func (h *fakeHost) ViewVersion() uint64         { return 1 }
 func (h *fakeHost) KeeperOf(int) Keeper         { return h.keeper }
+func (h *fakeHost) WaitAt(string) time.Duration { return h.wait }
 func (h *fakeHost) HasOwner(string) bool        { return !h.noOwner }
 func (h *fakeHost) SeesFew() bool               { return h.fewSeen.Load() }
 func (h *fakeHost) CellIsGone(string) bool      { return false }
--- a/pkg/keeping/service_test.go
+++ b/pkg/keeping/service_test.go
@@ -178,6 +178,24 @@
 	c.Assert(s.Keep(context.Background(), testJob("a")).Verdict, qt.Equals, kept.Unknown)
 }
 
+func TestAJobThatComesTooLateIsRefusedUnlessItWasAccepted(t *testing.T) {
+	c := qt.New(t)
+	host, store := newFakeHost(), newFakeStore()
+	s := startService(t.Cleanup, host, store)
+	before := testJob("a")
+	before.Received = s.Clock.Now()
+	c.Assert(s.Keep(context.Background(), before), qt.Equals, accepted)
+	within(c, host.handed)
+	host.wait = time.Minute
+	c.Assert(s.Keep(context.Background(), before).Verdict, qt.Equals, kept.Accepted)
+	late := testJob("b")
+	late.Received = s.Clock.Now()
+	answer := s.Keep(context.Background(), late)
+	c.Assert(answer, qt.Equals, kept.Answer{Verdict: kept.Refused, Reason: ReasonOverloaded, RetryAfter: time.Minute})
+	store.setFail(errkind.New(errkind.PlatformDown, "try again", "down"))
+	c.Assert(s.Keep(context.Background(), late).Verdict, qt.Equals, kept.Unknown, qt.Commentf("it may have been accepted before"))
+}
+
 func TestWhatBecomesOfAJobThatComesBack(t *testing.T) {
 	c := qt.New(t)
 	host, store := newFakeHost(), newFakeStore()
