--- a/pkg/kept/explore_test.go
+++ b/pkg/kept/explore_test.go
@@ -214,6 +214,18 @@
 	t.Logf("%d plays, %d jobs accepted, %d ended", *exploreRuns, accepted, ended)
 }
 
+// TestPlaysThatShowedFaults plays those again in which a hole was found.
+func TestPlaysThatShowedFaults(t *testing.T) {
+	seeds := []uint64{8, 229, 272, 1766, 1013293, 1016018, 1049567, 1050576, 1056606, 1058618, 1064150}
+	for _, seed := range seeds {
+		w := newWorld(seed)
+		w.play()
+		if broken := w.check(); len(broken) > 0 {
+			t.Errorf("seed %d: %q", seed, broken)
+		}
+	}
+}
+
 func TestTheExplorerSeesFaults(t *testing.T) {
 	seen := map[Verdict]int{}
 	for seed := range uint64(60) {
