An adopted run of a kept job that stands still is stopped

Cause: runs that a former owner ordered aren't judged by their progress, as it isn't known when they began. Change: such a run of a kept job counts from its adoption. Others are as they were.

Left: a run of a kept job that stands still after two rescues.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -100,6 +100,9 @@
 	r.estimate = w.estimate(t.key.Step)
 	t.current = r
 	t.lastRun = max(t.lastRun, r.number)
+	if w.job.Kept {
+		r.claimedAt = now // no deadline ends one that stands still
+	}
 	w.started, w.begun = true, true
 	c.note(Notice{Event: "run_adopted", Executor: r.executor.info.ID, Job: w.job.ID, Task: r.name, Detail: strconv.FormatInt(r.number, 10)})
 }
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -35,6 +35,7 @@
 	orderAt   time.Duration // on our clock
 	seenAt    time.Duration // on our clock: its start was answered, or a hold listed it first
 	renewedAt time.Duration // of a run that nobody waits for any more: the last renewal of its job; 0 when not known
+	claimedAt time.Duration // on our clock, of a run that a former owner ordered for a kept job
 	percent   int
 	estimate  time.Duration
 }
--- a/pkg/cell/holds.go
+++ b/pkg/cell/holds.go
@@ -214,7 +214,7 @@
 	}
 	r.percent = entry.Percent
 	c.repeatStop(r)
-	if r.state != running || r.work == nil || r.orderAt == 0 {
+	if r.state != running || r.work == nil || r.orderAt == 0 && r.claimedAt == 0 {
 		return
 	}
 	c.judgeProgress(e, r, now)
--- a/pkg/cell/kept_test.go
+++ b/pkg/cell/kept_test.go
@@ -237,6 +237,26 @@
 	}
 }
 
+// A run that stands still is found after a takeover, too.
+func TestAnAdoptedKeptRunThatStandsStillIsStopped(t *testing.T) {
+	for kept, want := range map[bool]int{true: 1, false: 0} {
+		c := qt.New(t)
+		d := newDriver(c, testExecutor(0), testExecutor(1))
+		d.now = time.Second
+		run := RunningTask{Task: "a.0.0.0", Run: keptRuns}
+		d.holdAnswer(0, HoldAnswer{Clock: time.Minute, Running: []RunningTask{run}}, d.now)
+		d.holdAnswer(1, HoldAnswer{Clock: time.Minute}, d.now)
+		j := testJob("a", 1, d.now)
+		j.Kept, j.Deadline = kept, time.Hour
+		d.submit(j, 2)
+		for range 80 {
+			d.tick(50 * ms)
+			d.holdAnswer(0, HoldAnswer{Clock: time.Minute + d.now, Running: []RunningTask{run}}, d.now)
+		}
+		c.Assert(d.of(Stop), qt.HasLen, want)
+	}
+}
+
 func TestStepsOfAKeptJobRunInOrder(t *testing.T) {
 	c := qt.New(t)
 	d := adopted(c, 2)
--- a/pkg/cell/progress.go
+++ b/pkg/cell/progress.go
@@ -44,7 +44,7 @@
 // judgeProgress finds runs that stand still or crawl. Their executor gets no
 // new work; the run itself is stopped when a new one would end far sooner.
 func (c *Cell) judgeProgress(e *executor, r *run, now time.Duration) {
-	elapsed := now - r.orderAt
+	elapsed := now - max(r.orderAt, r.claimedAt)
 	if elapsed < behindFloor {
 		return
 	}
