--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -36,6 +36,7 @@
 	copies    startCopies   // of its start
 	seenAt    time.Duration // on our clock: its start was answered, or a hold listed it first
 	renewedAt time.Duration // of a run that nobody waits for any more: the last renewal of its job; 0 when not known
+	claimedAt time.Duration // on our clock, of a run that a former owner ordered for a kept job
 	percent   int
 	movedAt   time.Duration // on our clock: it was seen to have made progress
 	long      bool          // it was found to take long by itself
--- a/pkg/cell/progress.go
+++ b/pkg/cell/progress.go
@@ -85,7 +85,7 @@
 // judgeProgress finds runs that stand still or crawl. Their executor gets no
 // new work; the run itself is stopped when a new one would end far sooner.
 func (c *Cell) judgeProgress(e *executor, r *run, now time.Duration) {
-	elapsed := now - r.copies.sentAt
+	elapsed := now - max(r.copies.sentAt, r.claimedAt)
 	if elapsed < behindFloor {
 		return
 	}
