Hosts without kept jobs look after them rarely

Cause: each host looked after its partitions each 50 ms, also without any kept job. Test: TestAHostWithoutKeptJobsLooksAfterThemRarely. Run: go test -count=3 ./pkg/keeping: ok.

--- a/pkg/keeping/notes.go
+++ b/pkg/keeping/notes.go
@@ -55,3 +55,10 @@
 	}
 	return words
 }
+
+// waiting reports whether there are ends that owners are to be told of.
+func (n *notes) waiting() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.open) > 0
+}
--- a/pkg/keeping/service.go
+++ b/pkg/keeping/service.go
@@ -143,7 +143,7 @@
 	defer s.stop()
 	go s.runReach(ctx)
 	nextView := time.Duration(0)
-	for common.Sleep(ctx, tickInterval) {
+	for common.Sleep(ctx, s.pause()) {
 		now := s.Clock.Now()
 		if now >= nextView && s.host.Settled() {
 			s.look(now)
@@ -158,6 +158,16 @@
 	}
 }
 
+// pause returns how long to wait before the partitions are looked after again. Hosts
+// without kept jobs only have to know whose keepers they are: looks each 50 ms took 6% of
+// all processor time of 40 hosts on a quiet day (36.2 and 34.0 s in 28 s, one play each).
+func (s *Service) pause() time.Duration {
+	if s.Open() > 0 || s.notes.waiting() {
+		return tickInterval
+	}
+	return viewInterval
+}
+
 // look works out which partitions this host keeps.
 func (s *Service) look(now time.Duration) {
 	version := s.host.ViewVersion()
--- a/pkg/keeping/service_test.go
+++ b/pkg/keeping/service_test.go
@@ -295,3 +295,15 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(end, qt.Equals, kept.End{State: kept.Cancelled, Cell: "x", At: time.Second})
 }
+
+func TestAHostWithoutKeptJobsLooksAfterThemRarely(t *testing.T) {
+	c := qt.New(t)
+	host, store := newFakeHost(), newFakeStore()
+	s := startService(t.Cleanup, host, store)
+	c.Assert(s.pause(), qt.Equals, viewInterval)
+	c.Assert(s.Keep(context.Background(), testJob("a")), qt.Equals, accepted)
+	c.Assert(s.pause(), qt.Equals, tickInterval)
+	within(c, host.handed).end <- job.Outcome{Kind: job.Completed}
+	within(c, host.words) // its owner has been told
+	c.Assert(s.pause(), qt.Equals, viewInterval)
+}
