Stranded jobs are found before they are sorted

Each tick sorted all jobs of a cell to look for stranded kept ones, also without any kept job. Now only those that are found are sorted, by id as before: no change of behaviour. Run: go test ./pkg/cell ./pkg/node: ok; vet, staticcheck clean.

--- a/pkg/cell/kept.go
+++ b/pkg/cell/kept.go
@@ -85,12 +85,23 @@
 // handBackStranded gives back the kept jobs that no executor here could run for some
 // time and of which nothing runs.
 func (c *Cell) handBackStranded(now time.Duration) {
-	for _, w := range c.sortedWorks() {
+	for _, w := range c.stranded(now) {
+		c.note(Notice{Event: "job_stranded", Job: w.job.ID, Age: now - c.usableAt[w.job.Service]})
+		c.finish(w, w.givenBack(ReasonStranded))
+	}
+}
+
+// stranded returns those jobs, sorted by id. Mostly there is none, so that nothing is
+// sorted at an owner without kept jobs.
+func (c *Cell) stranded(now time.Duration) []*work {
+	var works []*work
+	for _, w := range c.works {
 		if c.isStranded(w, now) {
-			c.note(Notice{Event: "job_stranded", Job: w.job.ID, Age: now - c.usableAt[w.job.Service]})
-			c.finish(w, w.givenBack(ReasonStranded))
+			works = append(works, w)
 		}
 	}
+	sortByID(works)
+	return works
 }
 
 func (c *Cell) isStranded(w *work, now time.Duration) bool {
