Refused orders say in the log what was answered

Sight for the incident: whether a run counts as never begun is decided by the status and the reason of an answer, and neither was logged; stops and holds that weren't accepted weren't logged at all. No change of logic.

--- a/pkg/cell/verdicts.go
+++ b/pkg/cell/verdicts.go
@@ -60,6 +60,7 @@
 type HoldAnswer struct {
 	Verdict Verdict
 	Clock   time.Duration // 0 when not told
+	Told    string        // what an answer other than Accepted said, for logs
 	Running []RunningTask
 	Ended   []EndedTask
 	Hidden  int // entries that can't be read and may each hide a run
--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -74,19 +74,17 @@
 			state.StartOverdue(command.Executor.ID, command.Task, command.Run, now)
 		})
 	})
-	verdict, clock := c.executors.Start(&command.Executor, order, listening.within)
+	answer := c.executors.Start(&command.Executor, order, listening.within)
 	late := listening.ended()
-	c.observe(verdict, c.clock()-sentAt)
-	o.node.metrics.OrderAnswered("start", verdict.String())
-	if verdict != cell.Accepted {
-		o.node.Log.Info("start_refused", "cell", o.cell, "executor", command.Executor.ID, "task", command.Task, "run", command.Run, "verdict", verdict.String())
-	}
+	c.observe(answer.Verdict, c.clock()-sentAt)
+	o.node.metrics.OrderAnswered("start", answer.Verdict.String())
+	c.logRefused("start_refused", o, command, answer, sentAt)
 	o.do(func(state *cell.Cell, now time.Duration) {
 		if late {
-			state.LateStartAnswered(command.Executor.ID, command.Task, command.Run, verdict, clock, now)
+			state.LateStartAnswered(command.Executor.ID, command.Task, command.Run, answer.Verdict, answer.Clock, now)
 			return
 		}
-		state.StartAnswered(command.Executor.ID, command.Task, command.Run, verdict, clock, now)
+		state.StartAnswered(command.Executor.ID, command.Task, command.Run, answer.Verdict, answer.Clock, now)
 	})
 }
 
@@ -99,15 +97,26 @@
 		})
 	}
 	listening := c.listeners.listen(c.trips.Timeout(), func() { answered(cell.Unanswered, 0) })
-	verdict, clock := c.executors.Stop(&command.Executor, order, listening.within)
+	answer := c.executors.Stop(&command.Executor, order, listening.within)
 	late := listening.ended()
-	c.observe(verdict, c.clock()-sentAt)
-	o.node.metrics.OrderAnswered("stop", verdict.String())
+	c.observe(answer.Verdict, c.clock()-sentAt)
+	o.node.metrics.OrderAnswered("stop", answer.Verdict.String())
+	c.logRefused("stop_refused", o, command, answer, sentAt)
 	if !late {
-		answered(verdict, clock)
+		answered(answer.Verdict, answer.Clock)
 	}
 }
 
+// logRefused logs an order that wasn't accepted, with what its answer said: whether the
+// run may go on is decided by that.
+func (c *calls) logRefused(event string, o *owner, command *cell.Command, answer OrderAnswer, sentAt time.Duration) {
+	if answer.Verdict == cell.Accepted {
+		return
+	}
+	o.node.Log.Info(event, "cell", o.cell, "executor", command.Executor.ID, "task", command.Task, "run", command.Run,
+		"verdict", answer.Verdict.String(), "told", answer.Told, "age_ms", (c.clock() - sentAt).Milliseconds())
+}
+
 func (c *calls) hold(o *owner, command *cell.Command) {
 	order := HoldOrder{Deadline: command.Deadline, Token: command.Token, LastSeen: command.LastSeen, Wait: command.Wait}
 	sentAt := c.clock()
@@ -119,6 +128,9 @@
 	answer := c.executors.Hold(&command.Executor, order, listening.within)
 	late := listening.ended()
 	o.node.metrics.OrderAnswered("hold", answer.Verdict.String())
+	if answer.Told != "" { // silence is told by the cell, once
+		c.logRefused("hold_refused", o, command, OrderAnswer{Verdict: answer.Verdict, Told: answer.Told}, sentAt)
+	}
 	o.node.noteAnswer(answer)
 	o.do(func(state *cell.Cell, now time.Duration) {
 		if late {
--- a/pkg/node/ports.go
+++ b/pkg/node/ports.go
@@ -107,11 +107,18 @@
 	Token int64
 }
 
+// OrderAnswer is how an order to start or to stop a run went.
+type OrderAnswer struct {
+	Verdict cell.Verdict
+	Clock   time.Duration // the executor's; 0 when not told
+	Told    string        // what an answer other than Accepted said, for logs
+}
+
 // Executors carries orders to executors. The calls return within a time and
 // never fail: a call without an answer is a verdict too.
 type Executors interface {
-	Start(executor *catalog.Executor, order StartOrder, within time.Duration) (cell.Verdict, time.Duration)
-	Stop(executor *catalog.Executor, order StopOrder, within time.Duration) (cell.Verdict, time.Duration)
+	Start(executor *catalog.Executor, order StartOrder, within time.Duration) OrderAnswer
+	Stop(executor *catalog.Executor, order StopOrder, within time.Duration) OrderAnswer
 	Hold(executor *catalog.Executor, order HoldOrder, within time.Duration) cell.HoldAnswer
 }
 
