--- a/pkg/cell/verdicts.go
+++ b/pkg/cell/verdicts.go
@@ -17,9 +17,15 @@
 	Unanswered         // it may have been done, or may be done yet
 	Rejected           // refused for another reason, and nothing was done
 	Unreached          // no connection could be made, so nothing was done
+	Unclear            // answered, but by nothing that says whether it was done
 )
 
-var verdictNames = [...]string{"accepted", "fenced", "outdated", "late", "no_room", "unhealthy", "wrong_life", "unanswered", "rejected", "unreached"}
+var verdictNames = [...]string{"accepted", "fenced", "outdated", "late", "no_room", "unhealthy", "wrong_life", "unanswered", "rejected", "unreached", "unclear"}
+
+// MayBeDone reports whether an order may have been carried out, or may be yet, for all
+// that its verdict tells. A run that was ordered counts as alive then: only an answer of
+// which the protocol says that nothing was done lets its task start elsewhere at once.
+func (v Verdict) MayBeDone() bool { return v == Unanswered || v == Unclear }
 
 // String returns the name of the verdict in logs and metrics.
 func (v Verdict) String() string { return verdictNames[v] }
