Tests of owners whose orders get unclear answers or refusals, red

Hypothesis: an owner takes an answer that doesn't say whether an order was carried out for "nothing was done", and never repeats a stop that was refused; runs whose holds are refused are never over.

The explorer gets answers that are Unclear (one order in eight, or all of an executor for 0.3 to 3 s; three in four of them were carried out, one in eight is later) and executors that refuse all orders for 0.3 to 3 s.

Ruled out: refusals by themselves bring no double, as leases end with those of jobs.

--- a/pkg/cell/explore_again_test.go
+++ b/pkg/cell/explore_again_test.go
@@ -43,6 +43,9 @@
 		{testName: "everything", faults: faults{deaths: true, chains: true, stands: true, words: true, orders: true}},
 		{testName: "rows can't be read", faults: faults{rows: true}},
 		{testName: "rows can't be read, and everything else", faults: faults{deaths: true, chains: true, stands: true, words: true, orders: true, rows: true}},
+		{testName: "answers don't say whether orders were carried out", faults: faults{orders: true, unclear: true, fates: unclearOrders}},
+		{testName: "executors refuse everything for a while", faults: faults{orders: true, refusals: true}},
+		{testName: "unclear answers, refusals, and everything else", faults: faults{deaths: true, chains: true, stands: true, words: true, orders: true, rows: true, refusals: true, unclear: true, fates: unclearOrders}},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
@@ -74,6 +77,8 @@
 	c.takeovers += o.takeovers
 	c.withheld += o.withheld
 	c.suspected += o.suspected
+	c.refusals += o.refusals
+	c.misanswered += o.misanswered
 }
 
 // assertEnough asserts that the plays had in them what they are made for.
@@ -82,6 +87,8 @@
 	qc.Assert(c.sentAgain > 5*plays, qt.IsTrue, qt.Commentf("%+v", c))
 	qc.Assert(!f.chains || c.takeovers > 10*plays, qt.IsTrue, qt.Commentf("%+v", c))
 	qc.Assert(!f.rows || c.withheld > 5*plays, qt.IsTrue, qt.Commentf("%+v", c))
+	qc.Assert(!f.refusals || c.refusals > 5*plays, qt.IsTrue, qt.Commentf("%+v", c))
+	qc.Assert(!f.unclear || c.misanswered > 2*plays, qt.IsTrue, qt.Commentf("%+v", c))
 	qc.Assert(!f.chains && !f.stands || c.suspected > plays, qt.IsTrue, qt.Commentf("%+v", c))
 }
 
--- a/pkg/cell/explore_cluster_test.go
+++ b/pkg/cell/explore_cluster_test.go
@@ -43,6 +43,9 @@
 	takeovers int
 	withheld  int // rows that couldn't be read for a while
 	suspected int // jobs that an owner gave back as it heard nothing of their fronts
+
+	refusals    int // times that an executor refused everything for a while
+	misanswered int // times that an executor misanswered everything for a while
 }
 
 // domain is a cell, and the hosts that may own it.
--- a/pkg/cell/explore_executor_test.go
+++ b/pkg/cell/explore_executor_test.go
@@ -30,6 +30,9 @@
 	lapsed   bool // and none was given since
 	onEnd    func(e *modelExecutor, end EndedTask)
 	onNoted  func(e *modelExecutor, end EndedTask) // an owner has seen it
+
+	refuses    bool // it carries nothing out, and says so
+	misanswers bool // its answers don't say whether it has carried anything out
 }
 
 func newModelExecutor(i int, rate float64) *modelExecutor {
--- a/pkg/cell/explore_orders_test.go
+++ b/pkg/cell/explore_orders_test.go
@@ -100,6 +100,7 @@
 	delayed    int // carried out seconds later, and not answered
 	answerLost int
 	slow       int // carried out or answered late
+	unclear    int // answered at once by nothing that says whether they were carried out
 }
 
 // usualFates are those of a play without a word on them.
@@ -113,6 +114,10 @@
 // deadline.
 var slowOrders = fates{lost: 3, slow: 50}
 
+// unclearOrders are those of executors that answer one order in eight by an error that the
+// protocol doesn't name.
+var unclearOrders = fates{lost: 3, delayed: 3, slow: 6, unclear: 12}
+
 // modelCall is an order on its way, as pkg/node follows it: it is called overdue, and
 // listened to for some time more.
 type modelCall struct {
@@ -163,6 +168,14 @@
 		w.after(travel, func() { w.carryOut(e, call.command) })
 		return
 	}
+	if e.misanswers {
+		f.unclear = 100
+	}
+	fate -= f.unclear
+	if fate < 0 {
+		w.after(travel, func() { w.misanswer(e, call) })
+		return
+	}
 	back := ms
 	if fate < f.slow {
 		travel, back = w.between(0, 400*ms), w.between(ms, 200*ms)
@@ -170,9 +183,24 @@
 	w.after(travel, func() { w.serve(e, call, back) })
 }
 
+// misanswer answers an order at once by nothing that says whether it was carried out:
+// three in four were, and one in eight is later.
+func (w *orders) misanswer(e *modelExecutor, call *modelCall) {
+	switch lot := w.random.IntN(8); {
+	case lot < 6:
+		w.carryOut(e, call.command)
+	case lot == 6:
+		w.after(w.between(0, 2*time.Second), func() { w.carryOut(e, call.command) })
+	}
+	w.deliver(call.owner, ms, func() { w.answer(call, Unclear, HoldAnswer{Verdict: Unclear}) })
+}
+
 // serve carries an order out and answers it; a hold waits for an end.
 func (w *orders) serve(e *modelExecutor, call *modelCall, back time.Duration) {
-	verdict := w.carryOut(e, call.command)
+	verdict := Unhealthy
+	if !e.refuses {
+		verdict = w.carryOut(e, call.command)
+	}
 	answer := HoldAnswer{Verdict: verdict, Clock: e.clock(w.now)}
 	if call.command.Kind == Hold && verdict == Accepted {
 		w.reportHold(e, call, back, w.now+call.command.Wait)
--- a/pkg/cell/explore_trouble_test.go
+++ b/pkg/cell/explore_trouble_test.go
@@ -17,6 +17,9 @@
 	orders bool  // orders to executors are lost, late or unanswered
 	fates  fates // of each order in that trouble; the usual ones when there is no word on them
 	rows   bool  // rows and answers of executors can't be read for a while
+
+	refusals bool // executors refuse everything for a while
+	unclear  bool // executors answer nothing but errors that the protocol doesn't name, for a while
 }
 
 // trouble brings a fault now and then.
@@ -44,9 +47,29 @@
 		w.withhold(d, w.random.IntN(len(d.listed)))
 	case kind > 13 && kind < 16 && w.faults.rows:
 		w.hideRuns(w.executors[w.random.IntN(len(w.executors))])
+	case kind > 15 && kind < 20 && w.faults.refusals:
+		w.refuse(w.executors[w.random.IntN(len(w.executors))])
+	case kind > 19 && kind < 22 && w.faults.unclear:
+		w.misanswerAll(w.executors[w.random.IntN(len(w.executors))])
 	}
 }
 
+// refuse has an executor carry out no order for a while, and say so.
+func (w *cluster) refuse(e *modelExecutor) {
+	w.count.refusals++
+	w.note("", "%s refuses everything", e.id)
+	e.refuses = true
+	w.after(w.between(300*ms, 3*time.Second), func() { e.refuses = false })
+}
+
+// misanswerAll has an executor say of no order for a while whether it carried it out.
+func (w *cluster) misanswerAll(e *modelExecutor) {
+	w.count.misanswered++
+	w.note("", "%s misanswers everything", e.id)
+	e.misanswers = true
+	w.after(w.between(300*ms, 3*time.Second), func() { e.misanswers = false })
+}
+
 // withhold has the row of an executor be unreadable for a while.
 func (w *cluster) withhold(d *domain, index int) {
 	number := slices.IndexFunc(w.executors, func(e *modelExecutor) bool { return e.id == d.listed[index].ID })
--- a/pkg/cell/second_look_test.go
+++ b/pkg/cell/second_look_test.go
@@ -30,6 +30,9 @@
 		{testName: "one is lost and one refused: the first may come yet", sent: 2, verdicts: []Verdict{Unanswered, Late}, want: startDoubtful},
 		{testName: "a run that has ended since outdates the other copy", sent: 2, verdicts: []Verdict{Outdated}, want: startDone},
 		{testName: "one is carried out, and those that come later are refused", sent: 3, verdicts: []Verdict{Accepted, Late, Late}, want: startOpen},
+		{testName: "the only one is answered unclearly", sent: 1, verdicts: []Verdict{Unclear}, want: startDoubtful},
+		{testName: "one is unclear and one refused", sent: 2, verdicts: []Verdict{Unclear, Unhealthy}, want: startDoubtful},
+		{testName: "one is unclear and one carried out", sent: 2, verdicts: []Verdict{Unclear, Accepted}, want: startDone},
 		{testName: "one is carried out after others were refused", sent: 3, verdicts: []Verdict{Late, Late, Accepted}, want: startDone},
 	}
 	for _, s := range scenarios {
