A stop that was refused is ordered again

Cause: only stops without an answer were repeated. The run of one that was refused, or answered unclearly, went on to its end, and a task that was stopped for being behind waited for that.

Ruled out: repeating at once, as a lost one is; an executor that refuses at once would be flooded.

Change: any stop that wasn't accepted goes out again once a hold still lists its run, so at most every HoldWait; a lost one goes out at once, as before.

--- a/pkg/cell/answers.go
+++ b/pkg/cell/answers.go
@@ -105,23 +105,25 @@
 }
 
 // StopAnswered takes the answer to a stop. The end itself comes with a hold. A
-// stop that was lost is ordered again: the run's lease is renewed with those of
-// the others, and its job may run elsewhere by now.
+// stop that wasn't carried out, as far as is known, is ordered again: the run's lease is
+// renewed with those of the others, and its job may run elsewhere by now. One that was
+// lost has taken its time, and goes out again at once; one that was refused does when a
+// hold still lists the run, at most every HoldWait, or its executor would be flooded.
 func (c *Cell) StopAnswered(id, name string, number int64, verdict Verdict, clock, now time.Duration) {
 	e := c.orderAnswered(id, verdict, false, clock, now)
 	if e == nil {
 		return
 	}
 	if r := e.runs[name]; r != nil && r.number == number && r.state == stopping {
-		r.stopLost = verdict == Unanswered || verdict == Unreached
-		if !e.silent {
+		r.stopLost = verdict != Accepted
+		if verdict == Unanswered && !e.silent {
 			c.repeatStop(r)
 		}
 	}
 	c.advance(now)
 }
 
-// repeatStop orders a stop again that was lost.
+// repeatStop orders a stop again that wasn't carried out.
 func (c *Cell) repeatStop(r *run) {
 	if r.stopLost {
 		r.stopLost = false
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -29,7 +29,7 @@
 	needs     job.Resources
 	state     runState
 	stopDue   bool          // a stop waits for the answer to the start
-	stopLost  bool          // the stop got no answer
+	stopLost  bool          // the stop wasn't carried out, as far as is known
 	lease     time.Duration // of the start
 	deadline  time.Duration // its end, on the executor's clock
 	orderAt   time.Duration // on our clock
