What a former owner's leases cover counts from the first answer that hides runs

Cause: an executor whose answer hides runs isn't adopted, and the end of its leases wasn't known: when it fell silent, the runs that it had listed were free at once.

Change: from the first answer to an owner on, the former one is fenced there. What it has given lasts for the longest hold at most.

--- a/pkg/cell/holds.go
+++ b/pkg/cell/holds.go
@@ -122,6 +122,10 @@
 		e.listedAt = answer.Clock
 		c.takeRunning(e, answer, sentAt, now)
 	}
+	if !e.adopted && e.hides && e.granted == 0 {
+		// From now on the former owner is fenced there. What it has given lasts.
+		e.granted = e.clock.at(now) + c.params.LongestHold
+	}
 	if !e.adopted && !e.hides {
 		e.adopted = true
 		e.adoptedAt = now
