--- a/pkg/node/foreign.go
+++ b/pkg/node/foreign.go
@@ -103,7 +103,7 @@
 			break
 		}
 		verdict := n.front.calls.executors.Hold(&executor, HoldOrder{}, probeTimeout).Verdict
-		reached = verdict != cell.Unanswered && verdict != cell.Unreached
+		reached = !verdict.MayBeDone() && verdict != cell.Unreached
 	}
 	n.foreign.looked(domain, reached, n.Clock.Now())
 }
