Runs that may go on aren't taken for gone when lists differ or executors aren't listed

Change: when a list shows another run of a task than the owner's, that one is taken in with the same list. An executor that isn't listed any more, and hasn't told all that it runs, is forgotten once the former owner's leases are over by its first answer, and by the claim with an executor's clock as slow as it may be.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -21,6 +21,15 @@
 	return c.params.LongestHold + time.Duration(2*clockDrift*float64(c.params.LongestHold))
 }
 
+// formerLeasesOver reports whether the leases are over that a former owner can have given to
+// an executor that isn't adopted. When its answers hide runs, they count from the first one.
+func (c *Cell) formerLeasesOver(e *executor, now time.Duration) bool {
+	if e.granted > 0 && e.clock.least(now) <= e.granted+c.params.StopTime {
+		return false
+	}
+	return now > c.claimedAt+c.longestLease()
+}
+
 // allAdopted reports whether every executor that the former owner can have
 // known has answered this one.
 func (c *Cell) allAdopted() bool {
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -317,7 +317,7 @@
 	kept := c.sorted[:0]
 	for _, e := range c.sorted {
 		unused := !e.listed && len(e.runs) == 0 && !e.holding
-		if unused && (e.adopted || e.gone || now > c.claimedAt+c.params.LongestHold) {
+		if unused && (e.adopted || e.gone || c.formerLeasesOver(e, now)) {
 			c.letGoOf(e)
 			delete(c.executors, e.info.ID)
 			continue
--- a/pkg/cell/holds.go
+++ b/pkg/cell/holds.go
@@ -243,6 +243,9 @@
 		if !e.hides && c.surelyAbsent(e, r, sentAt, answer.Clock) {
 			c.note(Notice{Event: "run_absent", Executor: e.info.ID, Job: r.jobID(), Task: r.name, Age: now - sentAt})
 			c.drop(r)
+			if present {
+				c.adoptRun(e, entry, now) // another run of its task goes on
+			}
 		}
 	}
 }
