Test: a hold that is accepted without a clock tells nothing, red

Found while going through the readers of answers: an object without a clock and without lists, as what stands before an executor may answer with status 200, has the next owner adopt the executor as one that runs nothing. It starts tasks whose runs go on there.

--- a/pkg/cell/listed_otherwise_test.go
+++ b/pkg/cell/listed_otherwise_test.go
@@ -47,3 +47,17 @@
 	c.Assert(d.of(Start), qt.HasLen, 1)
 	c.Assert(d.cell.executors, qt.HasLen, 1)
 }
+
+// Each list of runs comes with the executor's clock. An answer without one tells of no run,
+// and not that there is none.
+func TestAnAcceptedHoldWithoutAClockTellsNothing(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver(c, testExecutor(0))
+	d.holdAnswer(0, HoldAnswer{}, d.now)
+	d.submit(testJob("a", 1, d.now), 1)
+	c.Assert(d.of(Start), qt.HasLen, 0, qt.Commentf("a former owner's run may go on"))
+	c.Assert(d.cell.Settled(d.now), qt.IsFalse)
+	d.holdAnswer(0, HoldAnswer{Clock: minuteOn(d), Running: []RunningTask{{Task: "a.0.0.0", Run: 1}}}, d.now)
+	c.Assert(d.of(Start), qt.HasLen, 0)
+	c.Assert(d.cell.Settled(d.now), qt.IsTrue)
+}
