A hold that is accepted and tells nothing at all is unclear

Cause: that an answer names no run counted as running none, whoever gave it. Each list of an executor comes with its clock.

--- a/pkg/cell/holds.go
+++ b/pkg/cell/holds.go
@@ -82,6 +82,7 @@
 	if e == nil || c.fenced {
 		return
 	}
+	answer = answer.checked()
 	e.holding = false
 	c.latest = now
 	c.heard(e, answer.Clock, now)
@@ -103,6 +104,17 @@
 	c.advance(now)
 }
 
+// checked returns an answer as unclear that was accepted and tells nothing at all: not even
+// the executor's clock, which comes with each list. It isn't the executor's list, so that
+// naming no run doesn't mean that none goes on.
+func (a HoldAnswer) checked() HoldAnswer {
+	tells := a.Clock > 0 || a.Hidden > 0 || len(a.Running) > 0 || len(a.Ended) > 0
+	if a.Verdict == Accepted && !tells {
+		a.Verdict = Unclear
+	}
+	return a
+}
+
 // takeList takes what an executor says that it runs, and what has ended there.
 func (c *Cell) takeList(e *executor, answer HoldAnswer, sentAt, now time.Duration) {
 	e.missed = 0
@@ -122,7 +134,7 @@
 		e.listedAt = answer.Clock
 		c.takeRunning(e, answer, sentAt, now)
 	}
-	if !e.adopted && e.hides && e.granted == 0 {
+	if !e.adopted && e.hides && e.granted == 0 && e.clock.known {
 		// From now on the former owner is fenced there. What it has given lasts.
 		e.granted = e.clock.at(now) + c.params.LongestHold
 	}
--- a/pkg/cell/second_look.go
+++ b/pkg/cell/second_look.go
@@ -126,6 +126,7 @@
 	if e == nil || c.fenced {
 		return
 	}
+	answer = answer.checked()
 	c.latest = now
 	if answer.Verdict == Unanswered {
 		c.lossyTill = now + lossyTime
