Tests, red: errors after a write's effect count as "no effect" at the own platform interface

The interface promises that PlatformDown had no effect; the HTTP client gave it for each status but 200, 404 and 409, also of writes that took effect.

--- a/pkg/confstore/confstore_test.go
+++ b/pkg/confstore/confstore_test.go
@@ -40,6 +40,8 @@
 		{"first version", 0, body, func(*Store) {}, platformd.Faults{}, "", 1},
 		{"answers lost, object and row", 0, body, func(*Store) {}, platformd.Faults{LoseAnswers: 2}, "", 1},
 		{"answers lost for long", 0, body, func(*Store) {}, platformd.Faults{LoseAnswers: 12}, "", 1},
+		{"errors after the effect, object and row", 0, body, func(*Store) {}, platformd.Faults{FailAnswers: 2}, "", 1},
+		{"errors after the effect for long", 0, body, func(*Store) {}, platformd.Faults{FailAnswers: 12}, "", 1},
 		{"slow and answers lost", 0, body, func(*Store) {}, platformd.Faults{LoseAnswers: 2, SlowMS: 2}, "", 1},
 		{"platform down", 0, body, func(*Store) {}, platformd.Faults{Down: true}, errkind.PlatformDown, 0},
 		{"faulty body", 0, "[service s]\n", func(*Store) {}, platformd.Faults{}, errkind.BadConfig, 0},
--- /dev/null
+++ b/pkg/entry/keys_test.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"context"
+	"testing"
+
+	"github.com/foxcroft/foxcroft/pkg/common"
+	"github.com/foxcroft/foxcroft/pkg/errkind"
+	"github.com/foxcroft/foxcroft/pkg/metrics"
+	"github.com/foxcroft/foxcroft/pkg/once"
+	"github.com/foxcroft/foxcroft/pkg/platform"
+	qt "github.com/frankban/quicktest"
+)
+
+// boundTable holds a key that was bound before, by a row that may be odd.
+type boundTable struct {
+	platform.Table
+	row platform.Row
+}
+
+func (b boundTable) Commit(context.Context, []platform.Write) error {
+	return errkind.New(errkind.Conflict, "read the row", "the row is there")
+}
+
+func (b boundTable) Get(context.Context, string) (platform.Row, error) { return b.row, nil }
+
+// A key whose row can't be read was bound before, so that its job may have run: its
+// submission isn't refused.
+func TestAKeyOfARowThatCannotBeReadIsNotRefused(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		value    string
+	}{
+		{"empty", ""},
+		{"not an id", "<html>"},
+		{"an id cut off", "v1~co"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			k := newKeys(common.NewTestCommon(), boundTable{row: platform.Row{Key: "key/s/t/k", Value: []byte(s.value), Version: 1}}, 0)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go k.run(ctx)
+			_, err := k.bind(ctx, metrics.Labels{Service: "s", Team: "t"}, "k", once.ID{})
+			qt.Assert(t, err, qt.IsNotNil)
+			qt.Assert(t, outcomeOfError(err).Outcome, qt.Equals, once.Unknown, qt.Commentf("%v", err))
+		})
+	}
+}
--- a/pkg/platform/contract_test.go
+++ b/pkg/platform/contract_test.go
@@ -57,6 +57,7 @@
 		{"an error without effect", platformd.Faults{FailCalls: 1}, failedWrite},
 		{"an answer lost after the effect", platformd.Faults{LoseAnswers: 1}, lostAnswer},
 		{"an answer lost while it is slow", platformd.Faults{LoseAnswers: 1, SlowMS: 5}, lostAnswer},
+		{"an error after the effect", platformd.Faults{FailAnswers: 1}, lostAnswer},
 		{"the list is down, the table is not", platformd.Faults{ListDown: true}, listDown},
 	}
 	for _, s := range scenarios {
--- a/pkg/standin/platformd/server.go
+++ b/pkg/standin/platformd/server.go
@@ -17,6 +17,7 @@
 	dropBefore         // no effect and no answer
 	failBefore         // no effect and an error
 	dropAnswer         // the effect without the answer
+	failAnswer         // the effect, and an error in place of the answer
 	maxBodySize = 64 << 20
 )
 
@@ -49,6 +50,9 @@
 		case dropAnswer:
 			next(discardWriter{header: http.Header{}}, r)
 			panic(http.ErrAbortHandler)
+		case failAnswer:
+			next(discardWriter{header: http.Header{}}, r)
+			http.Error(w, "fault", http.StatusInternalServerError)
 		default:
 			next(w, r)
 		}
@@ -71,6 +75,10 @@
 		s.faults.LoseAnswers--
 		return dropAnswer, slow
 	}
+	if write && s.faults.FailAnswers > 0 {
+		s.faults.FailAnswers--
+		return failAnswer, slow
+	}
 	return serve, slow
 }
 
--- a/pkg/standin/platformd/store.go
+++ b/pkg/standin/platformd/store.go
@@ -18,6 +18,7 @@
 	Down        bool `json:"down"`         // answer nothing
 	SlowMS      int  `json:"slow_ms"`      // wait so long before each call
 	LoseAnswers int  `json:"lose_answers"` // the next N writes take effect but their answers are lost
+	FailAnswers int  `json:"fail_answers"` // the next N writes take effect and are answered by an error that doesn't say so
 	FailCalls   int  `json:"fail_calls"`   // the next N calls fail without effect
 	StaleList   bool `json:"stale_list"`   // the host list stays as it is now
 	ListDown    bool `json:"list_down"`    // the host list is not to be had
