The own platform's client says "no effect" of a write only where the service does

A write's 503 is PlatformDown, its 409 a conflict, a connection that was never made PlatformDown as before; any other answer is PlatformMaybe, and applies read back then. Ruled out: 400, which the stand-in gives before any effect, but which what stands before a service gives too. Reads: a reply that isn't the row that was asked for is an error. A bound key whose row can't be read is unknown, not refused.

--- a/pkg/entry/keys.go
+++ b/pkg/entry/keys.go
@@ -163,12 +163,21 @@
 			left = append(left, b)
 			continue
 		}
-		id, err := once.ParseID(string(row.Value))
-		b.done <- bindResult{id: id, err: err}
+		b.done <- boundBy(row)
 	}
 	return left
 }
 
+// boundBy returns the id of a row that is there. One that can't be read was bound all
+// the same, and the job of its id may have run: its key isn't refused.
+func boundBy(row platform.Row) bindResult {
+	id, err := once.ParseID(string(row.Value))
+	if err != nil {
+		err = errkind.Wrap(err, errkind.Internal, "look at the row at the platform; its job may have run", "the id of row %s cannot be read", row.Key)
+	}
+	return bindResult{id: id, err: err}
+}
+
 func unbound(cause error) error {
 	if cause == nil {
 		cause = context.DeadlineExceeded
--- a/pkg/platform/http.go
+++ b/pkg/platform/http.go
@@ -17,6 +17,8 @@
 	callTimeout   = 2 * time.Second
 	maxReplyBytes = 64 << 20
 	remedyRetry   = "try again when the platform's service answers"
+
+	remedyReadBack = "read back whether the write took effect"
 )
 
 func init() {
@@ -31,14 +33,25 @@
 
 // NewHTTPClient makes a client of the service at an address (IP:port).
 func NewHTTPClient(address string) *HTTPClient {
-	return &HTTPClient{base: "http://" + address, http: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
+	return &HTTPClient{base: "http://" + address, http: &http.Client{
+		Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 4}, CheckRedirect: stayWithAnswer,
+	}}
 }
 
+// stayWithAnswer keeps the client from following redirects: the answer of another place
+// says nothing of what was done at this one.
+func stayWithAnswer(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Get implements Table.
 func (c *HTTPClient) Get(ctx context.Context, key string) (Row, error) {
 	var row Row
-	err := c.read(ctx, "/v1/table/row?key="+url.QueryEscape(key), &row)
-	return row, err
+	if err := c.read(ctx, "/v1/table/row?key="+url.QueryEscape(key), &row); err != nil {
+		return Row{}, err
+	}
+	if row.Key != key || row.Version == 0 {
+		return Row{}, errkind.New(errkind.PlatformDown, remedyRetry, "the platform's reply isn't row %q", key)
+	}
+	return row, nil
 }
 
 // Scan implements Table.
@@ -103,7 +116,10 @@
 	if err != nil {
 		return nil, lostKind(err, method, connected)
 	}
-	return reply, statusError(response.StatusCode, reply)
+	if method == http.MethodGet {
+		return reply, readError(response.StatusCode, reply)
+	}
+	return reply, writeError(response.StatusCode, reply)
 }
 
 // lostKind tells a call that had no effect from one that may have had one.
@@ -111,17 +127,31 @@
 	if method == http.MethodGet || !connected {
 		return errkind.Wrap(err, errkind.PlatformDown, remedyRetry, "the platform's service does not answer")
 	}
-	return errkind.Wrap(err, errkind.PlatformMaybe, "read back whether the write took effect", "the platform's answer was lost")
+	return errkind.Wrap(err, errkind.PlatformMaybe, remedyReadBack, "the platform's answer was lost")
 }
 
-func statusError(status int, reply []byte) error {
+// readError returns the error for the status of a read.
+func readError(status int, reply []byte) error {
 	switch status {
 	case http.StatusOK:
 		return nil
 	case http.StatusNotFound:
 		return errkind.New(errkind.NotFound, "check the name", "the platform has no such row or object")
+	}
+	return errkind.New(errkind.PlatformDown, remedyRetry, "the platform's service answers with status %d: %.200s", status, reply)
+}
+
+// writeError returns the error for the status of a write. Only the two that the service
+// has for it say that there was no effect. Any other may come after the effect: an
+// operator would be told that a version isn't in force which is.
+func writeError(status int, reply []byte) error {
+	switch status {
+	case http.StatusOK:
+		return nil
 	case http.StatusConflict:
 		return errkind.New(errkind.Conflict, "read the row again and decide anew", "a row has another version than expected")
+	case http.StatusServiceUnavailable:
+		return errkind.New(errkind.PlatformDown, remedyRetry, "the platform's service answers with status %d: %.200s", status, reply)
 	}
-	return errkind.New(errkind.PlatformDown, remedyRetry, "the platform's service answers with status %d: %.200s", status, reply)
+	return errkind.New(errkind.PlatformMaybe, remedyReadBack, "the platform's service answers a write with status %d, which doesn't say whether it took effect: %.200s", status, reply)
 }
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -35,8 +35,9 @@
 }
 
 // Table is the transactional table. Errors have these kinds: PlatformDown,
-// the call had no effect; PlatformMaybe, the answer was lost and a write may
-// have taken effect; Conflict, an expected version differs; NotFound.
+// the call had no effect, as the service said or as it was never reached;
+// PlatformMaybe, the answer was lost or doesn't say, and a write may have taken
+// effect; Conflict, an expected version differs; NotFound, of reads.
 type Table interface {
 	Get(ctx context.Context, key string) (Row, error)
 	Scan(ctx context.Context, prefix string) ([]Row, error)
