A front refuses a job only where the refusal is true of all sendings that it knows of

Cause: the last refusal was passed on as it was. Now a front adds what it knows of earlier sendings (the one at hand at former owners, one that ended here, one that is open elsewhere), and a refusal of a job that may have run becomes "may have run in part" (504). A stopping front lets a job join the one that is open here, and tells an end that it knows.

--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -55,8 +55,8 @@
 // submit answers for a job and tells its end.
 func (f *front) submit(ctx context.Context, j *job.Job) job.Outcome {
 	var outcome job.Outcome
-	if f.tooLateFor(j) {
-		outcome = job.Outcome{Kind: job.Refused, Reason: errStopping.Error(), RetryAfter: comeBack}
+	if f.tooLateFor(j) && !f.isOpen(j.ID) {
+		outcome = f.turnAway(j.ID)
 	} else {
 		outcome = f.keepOpen(ctx, j)
 	}
@@ -87,7 +87,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { f.leave(open) })
 	defer stop()
-	outcome := f.carry(open, former)
+	outcome := ofAllSendings(f.carry(open, former))
 	f.end(open, outcome)
 	return outcome
 }
--- a/pkg/node/open.go
+++ b/pkg/node/open.go
@@ -80,6 +80,13 @@
 	return open, open.isCarried
 }
 
+// isOpen reports whether a job is open here.
+func (f *front) isOpen(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.open[id] != nil
+}
+
 // leave takes that one of those that wait has left.
 func (f *front) leave(open *openJob) {
 	f.mu.Lock()
--- /dev/null
+++ b/pkg/node/refusals.go
@@ -0,0 +1,35 @@
+package node
+
+import "github.com/foxcroft/foxcroft/pkg/job"
+
+// A refusal says that nothing of a job has run and nothing will. It has to be true of all
+// sendings that this host knows of: whoever refuses the last of them, an owner or another
+// front, may not know of the others.
+
+// ofAllSendings returns the end of a job as its callers are told. One that was refused
+// though a task of it may have started has expired for them.
+func ofAllSendings(outcome job.Outcome) job.Outcome {
+	if outcome.Kind == job.Refused && outcome.Started {
+		outcome.Kind = job.Expired
+	}
+	return outcome
+}
+
+// mayHaveRun reports whether an earlier sending has ended at this front of which tasks may
+// have started.
+func (n *Node) mayHaveRun(id string) bool {
+	e, known := n.openNews.endedAt(id)
+	return known && (e.outcome.Started || e.outcome.Kind != job.Refused)
+}
+
+// turnAway answers for a job that comes while this host stops: by the end of an earlier
+// sending, if that is known, and else without a try.
+func (f *front) turnAway(id string) job.Outcome {
+	if end := f.node.endOf(id); end.Kind != job.Moved {
+		return end
+	}
+	openElsewhere := len(f.node.openNews.find(id, f.node.Clock.Now())) > 0
+	return ofAllSendings(job.Outcome{
+		Kind: job.Refused, Reason: errStopping.Error(), RetryAfter: comeBack, Started: openElsewhere || f.node.mayHaveRun(id),
+	})
+}
