--- a/pkg/node/kept_host.go
+++ b/pkg/node/kept_host.go
@@ -190,7 +190,7 @@
 		if o == nil {
 			return nil, false
 		}
-		return o.told(m), true
+		return o.told(m)
 	}
 	link := h.node.links.Link(claim.Owner)
 	if link == nil || !link.Up() {
--- a/pkg/node/kept_messages.go
+++ b/pkg/node/kept_messages.go
@@ -32,7 +32,12 @@
 		reply(peer.FailureMessage(errkind.New(errkind.NotFound, "tell its owner", "this host does not own cell %s", m.Cell)), 0)
 		return
 	}
-	reply(&peerpb.Message{Body: &peerpb.Message_Noted{Noted: &peerpb.Noted{Cell: m.Cell, Ids: o.told(m)}}}, 0)
+	goOn, known := o.told(m)
+	if !known {
+		reply(peer.FailureMessage(errkind.New(errkind.NotReady, "tell it again", "this host has owned cell %s for too short a time to say what runs there", m.Cell)), 0)
+		return
+	}
+	reply(&peerpb.Message{Body: &peerpb.Message_Noted{Noted: &peerpb.Noted{Cell: m.Cell, Ids: goOn}}}, 0)
 }
 
 func toKeptReply(answer kept.Answer) *peerpb.Message {
--- a/pkg/node/owner_told.go
+++ b/pkg/node/owner_told.go
@@ -10,21 +10,21 @@
 )
 
 // told takes what stands in the rows of kept jobs, and returns the moved ones that go
-// on here all the same.
-func (o *owner) told(m *peerpb.Noted) []string {
+// on here all the same. It reports false when that can't be said yet.
+func (o *owner) told(m *peerpb.Noted) ([]string, bool) {
 	switch {
 	case m.Moved:
-		return o.forsake(m.Ids)
+		return o.forsake(m.Ids), true
 	case m.Progress > 0:
 		o.do(func(state *cell.Cell, now time.Duration) {
 			for _, id := range m.Ids {
 				state.CheckpointNoted(id, int(m.Progress), now)
 			}
 		})
-		return nil
+		return nil, true
 	}
 	o.noted(m.Ids, m.Cancelled)
-	return nil
+	return nil, true
 }
 
 // reasonMoved marks a kept job that another cell is to run.
