An owner says that a moved job doesn't run in its cell only once it has seen all runs there

Cause: what this owner wasn't handed counted as not running. The keeper asks again, as it does for an owner that it can't reach. Ruled out: ends that executors list of a job that isn't here; a job that was handed back leaves such ends as well, and they stand in its row.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -15,6 +15,19 @@
 	return now > c.claimedAt+c.longestLease() || c.allAdopted()
 }
 
+// HasRunsOf reports whether executors run tasks of a job for all that they have told,
+// also of one that isn't here: a former owner may have ordered them.
+func (c *Cell) HasRunsOf(id string) bool {
+	for _, e := range c.sorted {
+		for name := range e.runs {
+			if whole, _, ok := parseTask(name); ok && whole == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // longestLease is how long, on our clock, a lease can go on that was given a
 // moment ago.
 func (c *Cell) longestLease() time.Duration {
--- a/pkg/keeping/service.go
+++ b/pkg/keeping/service.go
@@ -102,7 +102,8 @@
 	// Dispatch hands a job to the owner of its cell and waits for its end there.
 	Dispatch(ctx context.Context, j *job.Job, cell string, epoch int, progress []job.Progress) job.Outcome
 	// Tell tells the owner of a cell what stands in the rows of jobs. It returns the
-	// moved jobs that run there all the same, and false when the owner wasn't reached.
+	// moved jobs that run there all the same, and false when the owner wasn't reached or
+	// can't say yet.
 	Tell(ctx context.Context, word Word) ([]string, bool)
 }
 
--- a/pkg/node/owner_told.go
+++ b/pkg/node/owner_told.go
@@ -14,7 +14,7 @@
 func (o *owner) told(m *peerpb.Noted) ([]string, bool) {
 	switch {
 	case m.Moved:
-		return o.forsake(m.Ids), true
+		return o.forsake(m.Ids)
 	case m.Progress > 0:
 		o.do(func(state *cell.Cell, now time.Duration) {
 			for _, id := range m.Ids {
@@ -31,13 +31,19 @@
 const reasonMoved = "kept_moved"
 
 // forsake drops kept jobs that another cell is to run, and returns those of which
-// something has run or ended here.
-func (o *owner) forsake(ids []string) []string {
+// something has run or ended here. It reports false, and drops none, while runs of a
+// former owner may be alive that this one hasn't seen: the other cell would start their
+// tasks beside them. That takes as long as a lease.
+func (o *owner) forsake(ids []string) ([]string, bool) {
 	var goOn []string
 	var replies []reply
+	settled := false
 	o.do(func(state *cell.Cell, now time.Duration) {
+		if settled = !o.over && state.Settled(now); !settled {
+			return
+		}
 		for _, id := range ids {
-			if _, ended := o.ended[id]; ended || len(state.Progress(id)) > 0 {
+			if _, ended := o.ended[id]; ended || len(state.Progress(id)) > 0 || state.HasRunsOf(id) {
 				goOn = append(goOn, id)
 				continue
 			}
@@ -53,7 +59,7 @@
 	for _, reply := range replies {
 		reply(job.Outcome{Kind: job.Moved, Reason: reasonMoved})
 	}
-	return goOn
+	return goOn, settled
 }
 
 // checkpointInterval is how often an owner looks for progress of kept jobs that is to
