Tests, red: a host refuses a job of which it knows that it is kept, or may be

A refused job "is not kept and nothing of it will run". A host says so without a look at what became of earlier sendings: where no cell can run the job now, and where its keeper may have kept it and is out of sight or refuses when it comes again.

--- a/pkg/keeping/service_test.go
+++ b/pkg/keeping/service_test.go
@@ -196,6 +196,89 @@
 	c.Assert(s.Keep(context.Background(), late).Verdict, qt.Equals, kept.Unknown, qt.Commentf("it may have been accepted before"))
 }
 
+// A refusal says that the job isn't kept and never runs. It has to be true of all sendings
+// that the host knows of, and of an answer of another host that can't be read.
+func TestAJobThatMayBeKeptIsNotRefused(t *testing.T) {
+	type rig struct {
+		host  *fakeHost
+		store *fakeStore
+		s     *Service
+	}
+	keeperSays := func(r *rig, verdict kept.Verdict) {
+		r.host.ask = func(string) (kept.Answer, bool) { return kept.Answer{Verdict: verdict}, verdict != 0 }
+	}
+	const outOfSight, notKnown kept.Verdict = 0, 77
+	mayHaveKept := func(id string) func(r *rig) {
+		return func(r *rig) {
+			r.store.setFail(errkind.New(errkind.PlatformDown, "try again", "down"))
+			keeperSays(r, kept.Unknown)
+			r.s.Keep(context.Background(), testJob(id))
+		}
+	}
+	scenarios := []struct {
+		testName string
+		before   func(r *rig)
+		then     func(r *rig)
+		verdict  kept.Verdict
+	}{
+		{
+			testName: "it was accepted, and no cell can run it now",
+			before:   func(r *rig) { r.s.Keep(context.Background(), testJob("a")) },
+			then:     func(r *rig) { r.host.noCell = true },
+			verdict:  kept.Accepted,
+		},
+		{
+			testName: "nobody knows it, and no cell can run it",
+			before:   func(*rig) {},
+			then:     func(r *rig) { r.host.noCell = true },
+			verdict:  kept.Refused,
+		},
+		{
+			testName: "its keeper may have kept it, and is out of sight when it comes again",
+			before:   mayHaveKept("a"),
+			then:     func(r *rig) { keeperSays(r, outOfSight) },
+			verdict:  kept.Unknown,
+		},
+		{
+			testName: "its keeper may have kept it, and refuses it when it comes again",
+			before:   mayHaveKept("a"),
+			then:     func(r *rig) { keeperSays(r, kept.Refused) },
+			verdict:  kept.Unknown,
+		},
+		{
+			testName: "its keeper may have kept it, and keeps it when it comes again",
+			before:   mayHaveKept("a"),
+			then:     func(r *rig) { keeperSays(r, kept.Accepted) },
+			verdict:  kept.Accepted,
+		},
+		{
+			testName: "its keeper may have kept another job",
+			before:   mayHaveKept("b"),
+			then:     func(r *rig) { keeperSays(r, outOfSight) },
+			verdict:  kept.Refused,
+		},
+		{
+			testName: "its keeper answers by a verdict that isn't known",
+			before:   mayHaveKept("b"),
+			then:     func(r *rig) { keeperSays(r, notKnown) },
+			verdict:  kept.Unknown,
+		},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			r := &rig{host: newFakeHost(), store: newFakeStore()}
+			r.host.keeper = Keeper{Address: "10.0.0.1:1"}
+			keeperSays(r, outOfSight)
+			r.s = startService(t.Cleanup, r.host, r.store)
+			c.Assert(r.s.Keep(context.Background(), testJob(besides("a"))), qt.Equals, accepted)
+			s.before(r)
+			s.then(r)
+			c.Assert(r.s.Keep(context.Background(), testJob("a")).Verdict, qt.Equals, s.verdict)
+		})
+	}
+}
+
 func TestWhatBecomesOfAJobThatComesBack(t *testing.T) {
 	c := qt.New(t)
 	host, store := newFakeHost(), newFakeStore()
