A host refuses a kept job only where that is true of all sendings that it knows of

Cause: each sending was judged alone. A verdict that isn't known counts as "may be kept". The hosts' fake tables hold no row now, where they were nil: the refusal for want of an owner reads them.

--- a/pkg/keeping/service.go
+++ b/pkg/keeping/service.go
@@ -123,6 +123,7 @@
 	meter      Meter
 	partitions []*partition
 	notes      *notes
+	doubts     *doubts
 	reach      reach
 	health     kept.Health
 	ctx        context.Context
@@ -131,7 +132,7 @@
 
 // NewService makes a service. Run lets it work.
 func NewService(c *common.Common, host Host, store tables.Store, meter Meter) *Service {
-	s := &Service{Common: c, host: host, store: store, meter: meter, notes: newNotes()}
+	s := &Service{Common: c, host: host, store: store, meter: meter, notes: newNotes(), doubts: newDoubts()}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	for i := range kept.Partitions {
 		s.partitions = append(s.partitions, newPartition(s, i))
@@ -203,10 +204,10 @@
 func (s *Service) Keep(ctx context.Context, j *job.Job) kept.Answer {
 	cell, ok := s.chooseCell(ctx, j)
 	if !ok {
-		return s.answered("keep", j.ID, kept.Answer{Verdict: kept.Refused, Reason: ReasonNoOwner, RetryAfter: comeBack})
+		return s.answered("keep", j.ID, s.turnAway(ctx, j.ID, ReasonNoOwner, comeBack))
 	}
 	if wait := s.host.WaitAt(cell); s.comesTooLate(j, wait) {
-		return s.answered("keep", j.ID, s.turnAway(ctx, j.ID, wait))
+		return s.answered("keep", j.ID, s.turnAway(ctx, j.ID, ReasonOverloaded, max(wait, comeBack)))
 	}
 	return s.answered("keep", j.ID, s.keepAt(ctx, cell, j, 0))
 }
@@ -222,13 +223,15 @@
 	return s.Clock.Now()+wait+chain > j.UsefulUntil(chain)
 }
 
-// turnAway refuses a job that comes too late, unless it was accepted before.
-func (s *Service) turnAway(ctx context.Context, id string, wait time.Duration) kept.Answer {
+// turnAway refuses a job that comes too late or that no cell can run, unless it was
+// accepted before.
+func (s *Service) turnAway(ctx context.Context, id, reason string, retryAfter time.Duration) kept.Answer {
 	known := s.stateAt(ctx, id, 0)
 	if known.Verdict != kept.Gone {
 		return known
 	}
-	return kept.Answer{Verdict: kept.Refused, Reason: ReasonOverloaded, RetryAfter: max(wait, comeBack)}
+	refusal := kept.Answer{Verdict: kept.Refused, Reason: reason, RetryAfter: retryAfter}
+	return s.doubts.judge(id, refusal, s.Clock.Now())
 }
 
 // TakeKeep answers another host that asks to have a job kept.
@@ -242,7 +245,14 @@
 // other hosts may know the keeper better.
 const mostHops = 1
 
+// keepAt has a job kept, and answers for all its sendings that this host knows of.
 func (s *Service) keepAt(ctx context.Context, cell string, j *job.Job, hops int) kept.Answer {
+	answer := s.keepBy(ctx, cell, j, hops)
+	return s.doubts.judge(j.ID, answer, s.Clock.Now())
+}
+
+// keepBy has a job kept by its keeper, or by this host.
+func (s *Service) keepBy(ctx context.Context, cell string, j *job.Job, hops int) kept.Answer {
 	keeper := s.host.KeeperOf(kept.PartitionOf(j.ID))
 	if keeper.Self || hops > mostHops {
 		return s.keepHere(ctx, cell, j)
@@ -255,7 +265,7 @@
 	}
 	here := s.keepHere(ctx, cell, j)
 	if here.Verdict == kept.Refused && sent && answer.Verdict != kept.Refused {
-		return answer // the keeper may have kept it
+		return kept.Answer{Verdict: kept.Unknown, Reason: ReasonNoAnswer, RetryAfter: comeBack} // the keeper may have kept it
 	}
 	return here
 }
--- a/pkg/node/news_test.go
+++ b/pkg/node/news_test.go
@@ -79,6 +79,13 @@
 	return &catalog.ExecutorChanges{Revision: f.version.Load()}, nil
 }
 
+// emptyTables hold no row.
+type emptyTables struct{ tables.Store }
+
+func (emptyTables) ReadRow(context.Context, string, string, string) (tables.Row, bool, error) {
+	return tables.Row{}, false, nil
+}
+
 type fakeAdapter struct {
 	Adapter
 	store *fakeStore
@@ -86,7 +93,7 @@
 
 func (f *fakeAdapter) Store() Store         { return f.store }
 func (f *fakeAdapter) Executors() Executors { return nil }
-func (f *fakeAdapter) Tables() tables.Store { return nil }
+func (f *fakeAdapter) Tables() tables.Store { return emptyTables{} }
 func (f *fakeAdapter) DecodeConfiguration(snapshot Snapshot) (*catalog.Configuration, error) {
 	return catalog.NewConfiguration(uint64(snapshot.Body[0]), nil, nil, catalog.Limits{}), nil
 }
