--- a/pkg/keeping/service_test.go
+++ b/pkg/keeping/service_test.go
@@ -279,6 +279,39 @@
 	}
 }
 
+// A caller that cancels a job counts on it that nothing of it starts later. A keeper that
+// doesn't know the job can't say so for a host that has a write of it under way.
+func TestAJobThatMayBeKeptIsNotGoneForOneThatCancelsIt(t *testing.T) {
+	gone := kept.Answer{Verdict: kept.Gone}
+	scenarios := []struct {
+		testName string
+		fail     error // of the store while the job comes
+		keeper   kept.Answer
+		sent     bool
+		verdict  kept.Verdict
+	}{
+		{"its keeper may have kept it, and is out of sight", errkind.New(errkind.PlatformDown, "try again", "down"), kept.Answer{}, false, kept.Unknown},
+		{"its keeper may have kept it, and says that it is gone", errkind.New(errkind.PlatformDown, "try again", "down"), gone, true, kept.Unknown},
+		{"this host may have written it, and its keeper says that it is gone", errkind.New(errkind.PlatformMaybe, "try again", "silent"), gone, true, kept.Accepted},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			host, store := newFakeHost(), newFakeStore()
+			host.keeper = Keeper{Address: "10.0.0.1:1"}
+			host.ask = func(string) (kept.Answer, bool) { return kept.Answer{}, false }
+			service := startService(t.Cleanup, host, store)
+			c.Assert(service.Keep(context.Background(), testJob(besides("a"))), qt.Equals, accepted)
+			store.setFail(s.fail)
+			host.ask = func(string) (kept.Answer, bool) { return kept.Answer{Verdict: kept.Unknown}, true }
+			c.Assert(service.Keep(context.Background(), testJob("a")).Verdict, qt.Equals, kept.Unknown)
+			store.setFail(nil)
+			host.ask = func(string) (kept.Answer, bool) { return s.keeper, s.sent }
+			c.Assert(service.Cancel(context.Background(), "a").Verdict, qt.Equals, s.verdict)
+		})
+	}
+}
+
 func TestWhatBecomesOfAJobThatComesBack(t *testing.T) {
 	c := qt.New(t)
 	host, store := newFakeHost(), newFakeStore()
