--- a/pkg/keeping/doubts.go
+++ b/pkg/keeping/doubts.go
@@ -43,6 +43,15 @@
 	return answer
 }
 
+// has reports whether a job may be kept by an earlier sending.
+func (d *doubts) has(id string, now time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expire(now)
+	_, doubted := d.until[id]
+	return doubted
+}
+
 func (d *doubts) add(id string, now time.Duration) {
 	if _, doubted := d.until[id]; doubted {
 		return
--- a/pkg/keeping/service.go
+++ b/pkg/keeping/service.go
@@ -377,38 +377,60 @@
 	return s.answered("cancel", id, s.cancelAt(ctx, id, 0))
 }
 
+// cancelAt cancels a job. That there is none has to be true of a write that this host, or
+// a keeper that it asked, may have under way.
 func (s *Service) cancelAt(ctx context.Context, id string, hops int) kept.Answer {
-	if answer, ok := s.ask(ctx, id, true, hops); ok && answer.Verdict != kept.Unknown {
+	answer := s.cancelBy(ctx, id, hops)
+	if answer.Verdict == kept.Gone && s.doubts.has(id, s.Clock.Now()) {
+		return kept.Answer{Verdict: kept.Unknown, Reason: reasonSentBefore, RetryAfter: comeBack}
+	}
+	return answer
+}
+
+// cancelBy has a job cancelled by its keeper, or by this host.
+func (s *Service) cancelBy(ctx context.Context, id string, hops int) kept.Answer {
+	answer, ok := s.ask(ctx, id, true, hops)
+	if !ok || answer.Verdict == kept.Unknown {
+		return s.cancelHere(ctx, id)
+	}
+	if answer.Verdict != kept.Gone {
 		return answer
 	}
-	return s.cancelHere(ctx, id)
+	if here, known := s.cancelKnown(ctx, id); known {
+		return here
+	}
+	return answer
 }
 
-// cancelHere cancels a job as its keeper, and answers once its owner knows, so that
-// a keeper that dies then leaves nothing running. Without an owner in sight there is
-// nobody to tell: owners start nothing that no keeper asks for.
+// cancelHere cancels a job as its keeper.
 func (s *Service) cancelHere(ctx context.Context, id string) kept.Answer {
-	p := s.partitionOf(id)
-	cancelled := func(k *kept.Keeper, number uint64, until, now time.Duration) bool {
-		return k.Cancel(number, id, until, now)
+	if answer, known := s.cancelKnown(ctx, id); known {
+		return answer
 	}
-	answer, known := p.call(ctx, cancelled)
-	if !known {
-		rows, err := s.readRows(ctx, id)
-		if err != nil {
-			return kept.Answer{Verdict: kept.Unknown, Reason: ReasonRowUnread, RetryAfter: comeBack}
-		}
-		p.learn(id, rows)
-		if answer, known = p.call(ctx, cancelled); !known {
-			return kept.Answer{Verdict: kept.Gone}
-		}
+	rows, err := s.readRows(ctx, id)
+	if err != nil {
+		return kept.Answer{Verdict: kept.Unknown, Reason: ReasonRowUnread, RetryAfter: comeBack}
 	}
-	if answer.Cell != "" {
+	s.partitionOf(id).learn(id, rows)
+	if answer, known := s.cancelKnown(ctx, id); known {
+		return answer
+	}
+	return kept.Answer{Verdict: kept.Gone}
+}
+
+// cancelKnown cancels a job that this host knows, and answers once its owner knows it, so
+// that a keeper that dies then leaves nothing running. Without an owner in sight there is
+// nobody to tell: owners start nothing that no keeper asks for.
+func (s *Service) cancelKnown(ctx context.Context, id string) (kept.Answer, bool) {
+	answer, known := s.partitionOf(id).call(ctx, func(k *kept.Keeper, number uint64, until, now time.Duration) bool {
+		return k.Cancel(number, id, until, now)
+	})
+	if known && answer.Cell != "" {
 		told, cancel := context.WithTimeout(ctx, tellTime)
 		defer cancel()
 		s.host.Tell(told, Word{Cell: answer.Cell, IDs: []string{id}, Cancelled: true})
 	}
-	return answer.Answer
+	return answer.Answer, known
 }
 
 // answered logs and counts the answer to a caller.
