Tests, red: at the own interface, refusals that don't speak for the id count as "not run"

A host refuses a plain key for want of a home of its own, though the key may have been bound and its job run.

--- a/pkg/entry/keys_test.go
+++ b/pkg/entry/keys_test.go
@@ -47,3 +47,25 @@
 		})
 	}
 }
+
+// A key may have been bound before, by another host or by this one: that no id can be
+// minted for it now doesn't say that its job never ran.
+func TestAKeyIsNotRefusedForWantOfAnID(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		id       string
+		outcome  once.Outcome
+	}{
+		{"a plain key", "k", once.Unknown},
+		{"no id, so that nothing ran under it", "", once.Refused},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := common.NewTestCommon()
+			h := &Host{Common: c, conf: newConf(c, func(*inForce) {}), keys: newKeys(c, nil, 0)} // it has no configuration yet
+			_, answer := h.submit(context.Background(), s.id, &request{labels: metrics.Labels{Service: "s", Team: "t"}})
+			qt.Assert(t, answer.Outcome, qt.Equals, s.outcome)
+			qt.Assert(t, answer.RetryAfter > 0, qt.IsTrue)
+		})
+	}
+}
