At the own interface, a job counts as not run only by an answer that speaks for its id

The callers' library: a refusal without an id leaves it open where an earlier try under the id did, a reply without an outcome is none (the same id goes again), and one without a home is no home. A host that can't mint an id answers for a plain key as for one that can't be bound (unknown, platform_maybe): the key may have been bound before. Ruled out: refusals of an id by its primary or backup (they close it), attempts at targets (only Foxcroft-Not-Started with the attempt's own header counts).

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -107,7 +107,8 @@
 	address  string // of the home's primary, if callers may reach it
 	deadline time.Time
 	tries    int
-	ids      int // that the job had so far
+	ids      int  // that the job had so far
+	unclear  bool // a try under this id had no answer, or one that leaves open whether it ran
 }
 
 // Submit submits a job and waits for its answer. The error is a *JobError.
@@ -128,7 +129,7 @@
 	}
 	for {
 		s.tries++
-		reply, err := c.post(ctx, s)
+		reply, err := c.try(ctx, s)
 		if err == nil && reply.Outcome == once.Complete.String() {
 			return &Result{ID: s.id, Results: reply.Answer().Results, Tries: s.tries}, nil
 		}
@@ -180,6 +181,7 @@
 		}
 	}
 	s.ids++
+	s.unclear = false
 	s.id = home.Home + "~" + s.part
 	if s.ids > 1 {
 		// The home may be the same as before, and an id that was refused stays so.
@@ -198,7 +200,25 @@
 	if status != http.StatusOK {
 		return nil, errkind.New(errkind.NotReady, "wait until an entry host says ready", "no home is to be had: %.200s", body)
 	}
-	return &home, json.Unmarshal(body, &home)
+	if err := json.Unmarshal(body, &home); err != nil || home.Home == "" {
+		return nil, errkind.New(errkind.Internal, "check what answers at the entry address", "the reply is not a home: %.200s", body)
+	}
+	return &home, nil
+}
+
+// try sends a submission once. A refusal that names no id, as of a body that couldn't be
+// read, speaks for this try alone: an earlier one under the id may have run.
+func (c *Client) try(ctx context.Context, s *submission) (*jobapi.Answer, error) {
+	answer, err := c.post(ctx, s)
+	if err != nil {
+		s.unclear = true
+		return nil, err
+	}
+	if answer.ID == "" && s.unclear {
+		answer.Outcome = once.Unknown.String()
+	}
+	s.unclear = s.unclear || once.ParseOutcome(answer.Outcome) == once.Unknown
+	return answer, nil
 }
 
 // post sends a submission once. An error means that no answer came.
@@ -227,6 +247,9 @@
 	if err := json.Unmarshal(reply, &answer); err != nil {
 		return nil, errkind.Wrap(err, errkind.Internal, "check what answers at the entry address", "the reply is not an answer")
 	}
+	if once.ParseOutcome(answer.Outcome) == 0 {
+		return nil, errkind.New(errkind.Internal, "check what answers at the entry address", "the reply tells no outcome: %.200s", reply)
+	}
 	if answer.ID != s.id && answer.ID != "" {
 		return nil, errkind.New(errkind.Internal, "check the balancer", "the reply answers id %s", answer.ID)
 	}
--- a/pkg/entry/ids.go
+++ b/pkg/entry/ids.go
@@ -18,9 +18,12 @@
 		return once.ParseID(text)
 	}
 	fresh, err := h.newID()
-	if err != nil || text == "" {
+	if text == "" {
 		return fresh, err
 	}
+	if err != nil {
+		return once.ID{}, unbound(err) // it may have been bound before
+	}
 	return h.keys.bind(ctx, r.labels, text, fresh)
 }
 
