--- a/pkg/keeping/service.go
+++ b/pkg/keeping/service.go
@@ -102,7 +102,8 @@
 	// Dispatch hands a job to the owner of its cell and waits for its end there.
 	Dispatch(ctx context.Context, j *job.Job, cell string, epoch int, progress []job.Progress) job.Outcome
 	// Tell tells the owner of a cell what stands in the rows of jobs. It returns the
-	// moved jobs that run there all the same, and false when the owner wasn't reached.
+	// moved jobs that run there all the same, and false when the owner wasn't reached or
+	// can't say yet.
 	Tell(ctx context.Context, word Word) ([]string, bool)
 }
 
@@ -122,6 +123,7 @@
 	meter      Meter
 	partitions []*partition
 	notes      *notes
+	doubts     *doubts
 	reach      reach
 	health     kept.Health
 	ctx        context.Context
@@ -130,7 +132,7 @@
 
 // NewService makes a service. Run lets it work.
 func NewService(c *common.Common, host Host, store tables.Store, meter Meter) *Service {
-	s := &Service{Common: c, host: host, store: store, meter: meter, notes: newNotes()}
+	s := &Service{Common: c, host: host, store: store, meter: meter, notes: newNotes(), doubts: newDoubts()}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	for i := range kept.Partitions {
 		s.partitions = append(s.partitions, newPartition(s, i))
@@ -202,10 +204,10 @@
 func (s *Service) Keep(ctx context.Context, j *job.Job) kept.Answer {
 	cell, ok := s.chooseCell(ctx, j)
 	if !ok {
-		return s.answered("keep", j.ID, kept.Answer{Verdict: kept.Refused, Reason: ReasonNoOwner, RetryAfter: comeBack})
+		return s.answered("keep", j.ID, s.turnAway(ctx, j.ID, ReasonNoOwner, comeBack))
 	}
 	if wait := s.host.WaitAt(cell); s.comesTooLate(j, wait) {
-		return s.answered("keep", j.ID, s.turnAway(ctx, j.ID, wait))
+		return s.answered("keep", j.ID, s.turnAway(ctx, j.ID, ReasonOverloaded, max(wait, comeBack)))
 	}
 	return s.answered("keep", j.ID, s.keepAt(ctx, cell, j, 0))
 }
@@ -221,13 +223,15 @@
 	return s.Clock.Now()+wait+chain > j.UsefulUntil(chain)
 }
 
-// turnAway refuses a job that comes too late, unless it was accepted before.
-func (s *Service) turnAway(ctx context.Context, id string, wait time.Duration) kept.Answer {
+// turnAway refuses a job that comes too late or that no cell can run, unless it was
+// accepted before.
+func (s *Service) turnAway(ctx context.Context, id, reason string, retryAfter time.Duration) kept.Answer {
 	known := s.stateAt(ctx, id, 0)
 	if known.Verdict != kept.Gone {
 		return known
 	}
-	return kept.Answer{Verdict: kept.Refused, Reason: ReasonOverloaded, RetryAfter: max(wait, comeBack)}
+	refusal := kept.Answer{Verdict: kept.Refused, Reason: reason, RetryAfter: retryAfter}
+	return s.doubts.judge(id, refusal, s.Clock.Now())
 }
 
 // TakeKeep answers another host that asks to have a job kept.
@@ -241,7 +245,14 @@
 // other hosts may know the keeper better.
 const mostHops = 1
 
+// keepAt has a job kept, and answers for all its sendings that this host knows of.
 func (s *Service) keepAt(ctx context.Context, cell string, j *job.Job, hops int) kept.Answer {
+	answer := s.keepBy(ctx, cell, j, hops)
+	return s.doubts.judge(j.ID, answer, s.Clock.Now())
+}
+
+// keepBy has a job kept by its keeper, or by this host.
+func (s *Service) keepBy(ctx context.Context, cell string, j *job.Job, hops int) kept.Answer {
 	keeper := s.host.KeeperOf(kept.PartitionOf(j.ID))
 	if keeper.Self || hops > mostHops {
 		return s.keepHere(ctx, cell, j)
@@ -254,7 +265,7 @@
 	}
 	here := s.keepHere(ctx, cell, j)
 	if here.Verdict == kept.Refused && sent && answer.Verdict != kept.Refused {
-		return answer // the keeper may have kept it
+		return kept.Answer{Verdict: kept.Unknown, Reason: ReasonNoAnswer, RetryAfter: comeBack} // the keeper may have kept it
 	}
 	return here
 }
@@ -366,38 +377,60 @@
 	return s.answered("cancel", id, s.cancelAt(ctx, id, 0))
 }
 
+// cancelAt cancels a job. That there is none has to be true of a write that this host, or
+// a keeper that it asked, may have under way.
 func (s *Service) cancelAt(ctx context.Context, id string, hops int) kept.Answer {
-	if answer, ok := s.ask(ctx, id, true, hops); ok && answer.Verdict != kept.Unknown {
+	answer := s.cancelBy(ctx, id, hops)
+	if answer.Verdict == kept.Gone && s.doubts.has(id, s.Clock.Now()) {
+		return kept.Answer{Verdict: kept.Unknown, Reason: reasonSentBefore, RetryAfter: comeBack}
+	}
+	return answer
+}
+
+// cancelBy has a job cancelled by its keeper, or by this host.
+func (s *Service) cancelBy(ctx context.Context, id string, hops int) kept.Answer {
+	answer, ok := s.ask(ctx, id, true, hops)
+	if !ok || answer.Verdict == kept.Unknown {
+		return s.cancelHere(ctx, id)
+	}
+	if answer.Verdict != kept.Gone {
 		return answer
 	}
-	return s.cancelHere(ctx, id)
+	if here, known := s.cancelKnown(ctx, id); known {
+		return here
+	}
+	return answer
 }
 
-// cancelHere cancels a job as its keeper, and answers once its owner knows, so that
-// a keeper that dies then leaves nothing running. Without an owner in sight there is
-// nobody to tell: owners start nothing that no keeper asks for.
+// cancelHere cancels a job as its keeper.
 func (s *Service) cancelHere(ctx context.Context, id string) kept.Answer {
-	p := s.partitionOf(id)
-	cancelled := func(k *kept.Keeper, number uint64, until, now time.Duration) bool {
-		return k.Cancel(number, id, until, now)
+	if answer, known := s.cancelKnown(ctx, id); known {
+		return answer
 	}
-	answer, known := p.call(ctx, cancelled)
-	if !known {
-		rows, err := s.readRows(ctx, id)
-		if err != nil {
-			return kept.Answer{Verdict: kept.Unknown, Reason: ReasonRowUnread, RetryAfter: comeBack}
-		}
-		p.learn(id, rows)
-		if answer, known = p.call(ctx, cancelled); !known {
-			return kept.Answer{Verdict: kept.Gone}
-		}
+	rows, err := s.readRows(ctx, id)
+	if err != nil {
+		return kept.Answer{Verdict: kept.Unknown, Reason: ReasonRowUnread, RetryAfter: comeBack}
+	}
+	s.partitionOf(id).learn(id, rows)
+	if answer, known := s.cancelKnown(ctx, id); known {
+		return answer
 	}
-	if answer.Cell != "" {
+	return kept.Answer{Verdict: kept.Gone}
+}
+
+// cancelKnown cancels a job that this host knows, and answers once its owner knows it, so
+// that a keeper that dies then leaves nothing running. Without an owner in sight there is
+// nobody to tell: owners start nothing that no keeper asks for.
+func (s *Service) cancelKnown(ctx context.Context, id string) (kept.Answer, bool) {
+	answer, known := s.partitionOf(id).call(ctx, func(k *kept.Keeper, number uint64, until, now time.Duration) bool {
+		return k.Cancel(number, id, until, now)
+	})
+	if known && answer.Cell != "" {
 		told, cancel := context.WithTimeout(ctx, tellTime)
 		defer cancel()
 		s.host.Tell(told, Word{Cell: answer.Cell, IDs: []string{id}, Cancelled: true})
 	}
-	return answer.Answer
+	return answer.Answer, known
 }
 
 // answered logs and counts the answer to a caller.
--- a/pkg/keeping/service_test.go
+++ b/pkg/keeping/service_test.go
@@ -196,6 +196,122 @@
 	c.Assert(s.Keep(context.Background(), late).Verdict, qt.Equals, kept.Unknown, qt.Commentf("it may have been accepted before"))
 }
 
+// A refusal says that the job isn't kept and never runs. It has to be true of all sendings
+// that the host knows of, and of an answer of another host that can't be read.
+func TestAJobThatMayBeKeptIsNotRefused(t *testing.T) {
+	type rig struct {
+		host  *fakeHost
+		store *fakeStore
+		s     *Service
+	}
+	keeperSays := func(r *rig, verdict kept.Verdict) {
+		r.host.ask = func(string) (kept.Answer, bool) { return kept.Answer{Verdict: verdict}, verdict != 0 }
+	}
+	const outOfSight, notKnown kept.Verdict = 0, 77
+	mayHaveKept := func(id string) func(r *rig) {
+		return func(r *rig) {
+			r.store.setFail(errkind.New(errkind.PlatformDown, "try again", "down"))
+			keeperSays(r, kept.Unknown)
+			r.s.Keep(context.Background(), testJob(id))
+		}
+	}
+	scenarios := []struct {
+		testName string
+		before   func(r *rig)
+		then     func(r *rig)
+		verdict  kept.Verdict
+	}{
+		{
+			testName: "it was accepted, and no cell can run it now",
+			before:   func(r *rig) { r.s.Keep(context.Background(), testJob("a")) },
+			then:     func(r *rig) { r.host.noCell = true },
+			verdict:  kept.Accepted,
+		},
+		{
+			testName: "nobody knows it, and no cell can run it",
+			before:   func(*rig) {},
+			then:     func(r *rig) { r.host.noCell = true },
+			verdict:  kept.Refused,
+		},
+		{
+			testName: "its keeper may have kept it, and is out of sight when it comes again",
+			before:   mayHaveKept("a"),
+			then:     func(r *rig) { keeperSays(r, outOfSight) },
+			verdict:  kept.Unknown,
+		},
+		{
+			testName: "its keeper may have kept it, and refuses it when it comes again",
+			before:   mayHaveKept("a"),
+			then:     func(r *rig) { keeperSays(r, kept.Refused) },
+			verdict:  kept.Unknown,
+		},
+		{
+			testName: "its keeper may have kept it, and keeps it when it comes again",
+			before:   mayHaveKept("a"),
+			then:     func(r *rig) { keeperSays(r, kept.Accepted) },
+			verdict:  kept.Accepted,
+		},
+		{
+			testName: "its keeper may have kept another job",
+			before:   mayHaveKept("b"),
+			then:     func(r *rig) { keeperSays(r, outOfSight) },
+			verdict:  kept.Refused,
+		},
+		{
+			testName: "its keeper answers by a verdict that isn't known",
+			before:   mayHaveKept("b"),
+			then:     func(r *rig) { keeperSays(r, notKnown) },
+			verdict:  kept.Unknown,
+		},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			r := &rig{host: newFakeHost(), store: newFakeStore()}
+			r.host.keeper = Keeper{Address: "10.0.0.1:1"}
+			keeperSays(r, outOfSight)
+			r.s = startService(t.Cleanup, r.host, r.store)
+			c.Assert(r.s.Keep(context.Background(), testJob(besides("a"))), qt.Equals, accepted)
+			s.before(r)
+			s.then(r)
+			c.Assert(r.s.Keep(context.Background(), testJob("a")).Verdict, qt.Equals, s.verdict)
+		})
+	}
+}
+
+// A caller that cancels a job counts on it that nothing of it starts later. A keeper that
+// doesn't know the job can't say so for a host that has a write of it under way.
+func TestAJobThatMayBeKeptIsNotGoneForOneThatCancelsIt(t *testing.T) {
+	gone := kept.Answer{Verdict: kept.Gone}
+	scenarios := []struct {
+		testName string
+		fail     error // of the store while the job comes
+		keeper   kept.Answer
+		sent     bool
+		verdict  kept.Verdict
+	}{
+		{"its keeper may have kept it, and is out of sight", errkind.New(errkind.PlatformDown, "try again", "down"), kept.Answer{}, false, kept.Unknown},
+		{"its keeper may have kept it, and says that it is gone", errkind.New(errkind.PlatformDown, "try again", "down"), gone, true, kept.Unknown},
+		{"this host may have written it, and its keeper says that it is gone", errkind.New(errkind.PlatformMaybe, "try again", "silent"), gone, true, kept.Accepted},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			host, store := newFakeHost(), newFakeStore()
+			host.keeper = Keeper{Address: "10.0.0.1:1"}
+			host.ask = func(string) (kept.Answer, bool) { return kept.Answer{}, false }
+			service := startService(t.Cleanup, host, store)
+			c.Assert(service.Keep(context.Background(), testJob(besides("a"))), qt.Equals, accepted)
+			store.setFail(s.fail)
+			host.ask = func(string) (kept.Answer, bool) { return kept.Answer{Verdict: kept.Unknown}, true }
+			c.Assert(service.Keep(context.Background(), testJob("a")).Verdict, qt.Equals, kept.Unknown)
+			store.setFail(nil)
+			host.ask = func(string) (kept.Answer, bool) { return s.keeper, s.sent }
+			c.Assert(service.Cancel(context.Background(), "a").Verdict, qt.Equals, s.verdict)
+		})
+	}
+}
+
 func TestWhatBecomesOfAJobThatComesBack(t *testing.T) {
 	c := qt.New(t)
 	host, store := newFakeHost(), newFakeStore()
