A doubt about a kept job lasts from the last unclear answer on

Hypothesis: a host forgets a doubt by the time of its first unclear answer.

Change: doubts.add renews; the list that tells which are old holds each raising, and one that was renewed is skipped when its time comes. It also no longer waits behind a job that was accepted and doubted again.

--- a/pkg/keeping/doubts.go
+++ b/pkg/keeping/doubts.go
@@ -7,8 +7,8 @@
 	"github.com/foxcroft/foxcroft/pkg/kept"
 )
 
-// doubtLife is how long a host remembers that a job may be kept: longer than callers send
-// it again after such an answer.
+// doubtLife is how long a host remembers that a job may be kept, from the last unclear
+// answer on: longer than callers send it again after one.
 const doubtLife = 30 * time.Second
 
 // reasonSentBefore marks an answer about a job that may be kept by an earlier sending.
@@ -18,9 +18,15 @@
 // sending alone can't be kept, the job isn't refused: its caller would take it for one that
 // never runs, and an earlier sending may have its row written.
 type doubts struct {
-	mu    sync.Mutex
-	until map[string]time.Duration
-	ids   []string // of until, the oldest first
+	mu     sync.Mutex
+	until  map[string]time.Duration // by job id
+	raised []doubt                  // the oldest first; some were renewed or settled since
+}
+
+// doubt is a job that may be kept, and until when that is remembered.
+type doubt struct {
+	id    string
+	until time.Duration
 }
 
 func newDoubts() *doubts { return &doubts{until: map[string]time.Duration{}} }
@@ -52,22 +58,21 @@
 	return doubted
 }
 
+// add raises a doubt, or renews it: the row of the last sending may be written as late as
+// that of the first.
 func (d *doubts) add(id string, now time.Duration) {
-	if _, doubted := d.until[id]; doubted {
-		return
-	}
-	d.until[id] = now + doubtLife
-	d.ids = append(d.ids, id)
+	until := now + doubtLife
+	d.until[id] = until
+	d.raised = append(d.raised, doubt{id: id, until: until})
 }
 
-// expire forgets what is old. One that was kept meanwhile isn't there any more.
+// expire forgets doubts that are old, but for those that were renewed.
 func (d *doubts) expire(now time.Duration) {
-	for len(d.ids) > 0 {
-		until, doubted := d.until[d.ids[0]]
-		if doubted && now < until {
-			return
+	for len(d.raised) > 0 && now >= d.raised[0].until {
+		oldest := d.raised[0]
+		d.raised = d.raised[1:]
+		if d.until[oldest.id] == oldest.until {
+			delete(d.until, oldest.id)
 		}
-		delete(d.until, d.ids[0])
-		d.ids = d.ids[1:]
 	}
 }
