Test, red: a stopping host begins a job anew whose earlier sending it gives up

Cause: submit asks whether the job is open and then enters it. One that is open and given up can't be joined: enter waits for its end and opens the job anew, past the refusal for want of time and after the last giveUpOpen. The job goes to an owner, and the host is gone before it has ended: its caller sees a broken connection in place of an answer.

--- a/pkg/node/refusals_test.go
+++ b/pkg/node/refusals_test.go
@@ -140,6 +140,34 @@
 	}
 }
 
+// A stopping host gives its open jobs up. One that comes again just then ends as the earlier
+// sending does: begun anew, it would be with an owner when this host is gone.
+func TestAStoppingFrontBeginsNoJobAnew(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		started  bool // the earlier sending, which is being given up
+		want     job.Kind
+	}{
+		{"it waited", false, job.Refused},
+		{"it may have run", true, job.Expired},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			a, _ := pairOf(t)
+			o := owns(a, "z")
+			open := hold(a)
+			a.front.stopsAt.Store(int64(a.Clock.Now()))
+			a.front.giveUpOpen()
+			answer := submitLater(context.Background(), a)
+			eventually(c, func() bool { return waiters(a, open) == 2 })
+			a.front.end(open, abandoned(open.ctx, s.started))
+			c.Assert((<-answer).Kind, qt.Equals, s.want)
+			c.Assert(o.busy(), qt.IsFalse)
+		})
+	}
+}
+
 // owns has a node own a cell.
 func owns(n *Node, cellName string) *owner {
 	o := newOwner(n, cellName, 1, n.Clock.Now())
