A stopping host answers a job that comes again by the end of the open one, and begins none

Hypothesis: between the question whether a job is open and its entry lies the whole time in which a job that was given up comes to its end.

Change: one step, under the lock, joins the open job, given up or not; only one that isn't open is turned away. isOpen is gone.

Conclusion: while a host has no time for a job, none goes from it to an owner.

--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -55,8 +55,8 @@
 // submit answers for a job and tells its end.
 func (f *front) submit(ctx context.Context, j *job.Job) job.Outcome {
 	var outcome job.Outcome
-	if f.tooLateFor(j) && !f.isOpen(j.ID) {
-		outcome = f.turnAway(j.ID)
+	if f.tooLateFor(j) {
+		outcome = f.turnAway(ctx, j)
 	} else {
 		outcome = f.keepOpen(ctx, j)
 	}
--- a/pkg/node/open.go
+++ b/pkg/node/open.go
@@ -80,11 +80,16 @@
 	return open, open.isCarried
 }
 
-// isOpen reports whether a job is open here.
-func (f *front) isOpen(id string) bool {
+// join returns a job that is open here, or nil. Then one more waits for it, also when its
+// callers have given it up: it is about to end.
+func (f *front) join(id string) *openJob {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.open[id] != nil
+	open := f.open[id]
+	if open != nil {
+		open.waiters++
+	}
+	return open
 }
 
 // leave takes that one of those that wait has left.
--- a/pkg/node/refusals.go
+++ b/pkg/node/refusals.go
@@ -1,6 +1,10 @@
 package node
 
-import "github.com/foxcroft/foxcroft/pkg/job"
+import (
+	"context"
+
+	"github.com/foxcroft/foxcroft/pkg/job"
+)
 
 // A refusal says that nothing of a job has run and nothing will. It has to be true of all
 // sendings that this host knows of: whoever refuses the last of them, an owner or another
@@ -22,14 +26,17 @@
 	return known && (e.outcome.Started || e.outcome.Kind != job.Refused)
 }
 
-// turnAway answers for a job that comes while this host stops: by the end of an earlier
-// sending, if that is known, and else without a try.
-func (f *front) turnAway(id string) job.Outcome {
-	if end := f.node.endOf(id); end.Kind != job.Moved {
+// turnAway answers for a job that comes while this host stops, without a try: by the end
+// of an earlier sending if one is open here or its end is known, and else by a refusal.
+func (f *front) turnAway(ctx context.Context, j *job.Job) job.Outcome {
+	if open := f.join(j.ID); open != nil {
+		return f.awaitHere(ctx, open, j)
+	}
+	if end := f.node.endOf(j.ID); end.Kind != job.Moved {
 		return end
 	}
-	openElsewhere := len(f.node.openNews.find(id, f.node.Clock.Now())) > 0
+	openElsewhere := len(f.node.openNews.find(j.ID, f.node.Clock.Now())) > 0
 	return ofAllSendings(job.Outcome{
-		Kind: job.Refused, Reason: errStopping.Error(), RetryAfter: comeBack, Started: openElsewhere || f.node.mayHaveRun(id),
+		Kind: job.Refused, Reason: errStopping.Error(), RetryAfter: comeBack, Started: openElsewhere || f.node.mayHaveRun(j.ID),
 	})
 }
