Test, red: an operator is told that a version may be in force whose body never got there

Cause: putBody hands on the kind of the last answer to the object. Answers that don't say whether it was stored are many more since only a 503 says that it wasn't; but no head names the version before its body is there, so that it is surely not in force.

--- a/pkg/confstore/confstore_test.go
+++ b/pkg/confstore/confstore_test.go
@@ -43,6 +43,8 @@
 		{"errors after the effect, object and row", 0, body, func(*Store) {}, platformd.Faults{FailAnswers: 2}, "", 1},
 		{"errors after the effect for long", 0, body, func(*Store) {}, platformd.Faults{FailAnswers: 12}, "", 1},
 		{"slow and answers lost", 0, body, func(*Store) {}, platformd.Faults{LoseAnswers: 2, SlowMS: 2}, "", 1},
+		{"errors after the effect, the object never confirmed", 0, body, func(*Store) {}, platformd.Faults{FailAnswers: 1000}, errkind.PlatformDown, 0},
+		{"the object's answers lost, every time", 0, body, func(*Store) {}, platformd.Faults{LoseAnswers: 1000}, errkind.PlatformDown, 0},
 		{"platform down", 0, body, func(*Store) {}, platformd.Faults{Down: true}, errkind.PlatformDown, 0},
 		{"faulty body", 0, "[service s]\n", func(*Store) {}, platformd.Faults{}, errkind.BadConfig, 0},
 		{"stale base", 0, body, func(s *Store) { mustApply(s, 0, "other") }, platformd.Faults{}, errkind.Conflict, 1},
