An apply whose body wasn't confirmed by the object store is told as one without effect

Hypothesis and what was ruled out: the head is written after the body alone, and Apply returns where the body fails, so that nothing names the version.

Change: putBody ends by platform_down with the remedy to apply again, once its tries are over.

Conclusion: platform_maybe is left to the one write that brings a version into force.

--- a/pkg/confstore/confstore.go
+++ b/pkg/confstore/confstore.go
@@ -111,13 +111,17 @@
 }
 
 // putBody puts an object. Doing so twice does no harm, so a lost answer is
-// simply tried again.
+// simply tried again. Whether the object is there in the end doesn't matter to the
+// operator: without a head that names it, the version isn't in force.
 func (s *Store) putBody(ctx context.Context, digest string, body []byte) error {
 	err := s.platform.PutObject(ctx, digest, body)
 	for tries := 0; errkind.Of(err) == errkind.PlatformMaybe && tries < readBackTries; tries++ {
 		s.pause(readBackPause)
 		err = s.platform.PutObject(ctx, digest, body)
 	}
+	if errkind.Of(err) == errkind.PlatformMaybe {
+		return errkind.Wrap(err, errkind.PlatformDown, "apply it again when the platform answers", "the version isn't in force: it isn't known whether its body is stored")
+	}
 	return err
 }
 
