Tests, red: a front forgets earlier sendings that may have run if it hadn't told others of them

Cause: what a front knows of ended jobs is kept for other fronts that ask, so only of jobs that others were told of. Those are older than the time to send again less a margin; a caller that leaves sooner than that and comes back is told that nothing of its job has run, by the host that ran it.

--- a/pkg/node/refusals_test.go
+++ b/pkg/node/refusals_test.go
@@ -79,11 +79,13 @@
 func TestAJobThatStartsAnewIsNotRefusedAsUntouched(t *testing.T) {
 	scenarios := []struct {
 		testName string
+		hold     func(n *Node) *openJob
 		earlier  job.Outcome
 		want     job.Kind
 	}{
-		{"it was refused untouched", refusedUntouched, job.Refused},
-		{"it may have run", mayHaveRun, job.Expired},
+		{"it was refused untouched", hold, refusedUntouched, job.Refused},
+		{"it may have run", hold, mayHaveRun, job.Expired},
+		{"it may have run, and others weren't told", holdUntold, mayHaveRun, job.Expired},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
@@ -95,7 +97,7 @@
 					time.Sleep(10 * time.Millisecond)
 				}
 			}()
-			a.front.end(hold(a), s.earlier)
+			a.front.end(s.hold(a), s.earlier)
 			time.Sleep(a.settleTime())
 			again := sending(a)
 			again.Steps[0].Estimate = time.Second
@@ -114,6 +116,8 @@
 		{"it hasn't been here", func(*qt.C, *Node, *Node) {}, job.Refused},
 		{"it was refused untouched here", func(_ *qt.C, a, _ *Node) { a.front.end(hold(a), refusedUntouched) }, job.Refused},
 		{"it was given up here", func(_ *qt.C, a, _ *Node) { a.front.end(hold(a), mayHaveRun) }, job.Expired},
+		{"it was given up here before others were told", func(_ *qt.C, a, _ *Node) { a.front.end(holdUntold(a), mayHaveRun) }, job.Expired},
+		{"it was refused untouched here before others were told", func(_ *qt.C, a, _ *Node) { a.front.end(holdUntold(a), refusedUntouched) }, job.Refused},
 		{"it has ended here", func(_ *qt.C, a, _ *Node) { a.front.end(hold(a), completed) }, job.Completed},
 		{"it is open elsewhere", func(c *qt.C, a, b *Node) {
 			hold(b)
@@ -168,6 +172,14 @@
 	}
 }
 
+// holdUntold has a node hold a job open that is too young to tell others of it.
+func holdUntold(n *Node) *openJob {
+	open, _ := n.front.enter(sending(n))
+	n.openNews.opened(open.job)
+	n.front.markCarried(open)
+	return open
+}
+
 // owns has a node own a cell.
 func owns(n *Node, cellName string) *owner {
 	o := newOwner(n, cellName, 1, n.Clock.Now())
