A front remembers jobs that it gave up also where others weren't told of them

Hypothesis: what is kept for fronts that ask leaves out what the own refusals need.

Ruled out: remembering each end, 5 s of all jobs of a front. A job that completed and comes again starts anew, and is refused as one that hasn't run where an owner refuses it: the front doesn't know it any more. That is left.

Change: the table of ended jobs also holds those that had begun and were given up, marked as not told; fronts that ask, and the wait for runs that may be alive, see only the told ones, as before. One that was told of once stays so.

Conclusion: no refusal speaks against a sending that this front gave up in the last 5 s.

--- a/pkg/node/join.go
+++ b/pkg/node/join.go
@@ -30,14 +30,14 @@
 		return own, attempt{}, true
 	}
 	if own.RetryAfter == 0 && len(n.openNews.find(j.ID, n.Clock.Now())) == 0 {
-		return job.Outcome{}, attempt{epoch: 1, started: n.mayHaveRun(j.ID)}, false
+		return job.Outcome{}, attempt{epoch: 1, started: n.openNews.mayHaveRun(j.ID)}, false
 	}
 	f.markStarted(open)
 	ctx, cancel := f.untilDeadline(ctx, j)
 	defer cancel()
 	s := n.openNews.newSearch(open, n.Clock.Now()+own.RetryAfter)
 	if outcome, found := f.search(ctx, j.ID, s, false); found {
-		outcome.Started = outcome.Started || n.mayHaveRun(j.ID)
+		outcome.Started = outcome.Started || n.openNews.mayHaveRun(j.ID)
 		return outcome, attempt{}, true
 	}
 	return job.Outcome{}, attempt{epoch: 2, started: true}, false
--- a/pkg/node/openjobs.go
+++ b/pkg/node/openjobs.go
@@ -27,7 +27,7 @@
 	mu     sync.Mutex
 	own    *openjobs.Own
 	others *openjobs.Table
-	ended  map[string]endedHere // own jobs that others were told of, by id
+	ended  map[string]endedHere // own jobs that are answered for, by id
 
 	searches map[string]*openjobs.Search // for jobs that have come again here, by id
 	backAt   time.Duration               // when this host was last back, after it had been cut off from its domain or stood still
@@ -37,6 +37,15 @@
 type endedHere struct {
 	outcome job.Outcome
 	at      time.Duration
+	isTold  bool // others were told of it, so that they may ask
+}
+
+// mayHaveRun reports whether tasks of the job may have started.
+func (e *endedHere) mayHaveRun() bool { return e.outcome.Started || e.outcome.Kind != job.Refused }
+
+// isGivenUp reports whether the job had begun and was given up, or took too long.
+func (e *endedHere) isGivenUp() bool {
+	return e.outcome.Started && e.outcome.Kind != job.Completed && e.outcome.Kind != job.Failed
 }
 
 func newOpenNews(resubmitAfter, settle time.Duration) *openNews {
@@ -57,13 +66,17 @@
 }
 
 // closed takes that a job has ended at this front. It answers for a while for those
-// that others were told of. What it didn't follow itself has left no runs.
+// that others were told of, and remembers those that were given up: it would else say of
+// one that comes again that nothing of it has run. What it didn't follow itself has left
+// no runs.
 func (o *openNews) closed(open *openJob, outcome job.Outcome, now time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.searches, open.job.ID)
-	if o.own.Closed(open.job.ID) && open.isCarried {
-		o.ended[open.job.ID] = endedHere{outcome: outcome, at: now}
+	isTold := o.own.Closed(open.job.ID) || o.ended[open.job.ID].isTold // now, or of a former sending
+	e := endedHere{outcome: outcome, at: now, isTold: isTold}
+	if open.isCarried && (e.isTold || e.isGivenUp()) {
+		o.ended[open.job.ID] = e
 	}
 }
 
@@ -91,7 +104,16 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	e, known := o.ended[id]
-	return e, known
+	return e, known && e.isTold
+}
+
+// mayHaveRun reports whether an earlier sending of a job has ended here of which tasks may
+// have started.
+func (o *openNews) mayHaveRun(id string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	e, known := o.ended[id]
+	return known && e.mayHaveRun()
 }
 
 // newSearch begins the search for a job that has come again.
--- a/pkg/node/refusals.go
+++ b/pkg/node/refusals.go
@@ -19,13 +19,6 @@
 	return outcome
 }
 
-// mayHaveRun reports whether an earlier sending has ended at this front of which tasks may
-// have started.
-func (n *Node) mayHaveRun(id string) bool {
-	e, known := n.openNews.endedAt(id)
-	return known && (e.outcome.Started || e.outcome.Kind != job.Refused)
-}
-
 // turnAway answers for a job that comes while this host stops, without a try: by the end
 // of an earlier sending if one is open here or its end is known, and else by a refusal.
 func (f *front) turnAway(ctx context.Context, j *job.Job) job.Outcome {
@@ -35,8 +28,10 @@
 	if end := f.node.endOf(j.ID); end.Kind != job.Moved {
 		return end
 	}
-	openElsewhere := len(f.node.openNews.find(j.ID, f.node.Clock.Now())) > 0
+	news := f.node.openNews
+	isOpenElsewhere := len(news.find(j.ID, f.node.Clock.Now())) > 0
 	return ofAllSendings(job.Outcome{
-		Kind: job.Refused, Reason: errStopping.Error(), RetryAfter: comeBack, Started: openElsewhere || f.node.mayHaveRun(j.ID),
+		Kind: job.Refused, Reason: errStopping.Error(), RetryAfter: comeBack,
+		Started: isOpenElsewhere || news.mayHaveRun(j.ID),
 	})
 }
--- a/pkg/node/refusals_test.go
+++ b/pkg/node/refusals_test.go
@@ -16,6 +16,7 @@
 
 var (
 	refusedUntouched = job.Outcome{Kind: job.Refused, Reason: "overloaded", RetryAfter: comeBack}
+	leftUntouched    = job.Outcome{Kind: job.Expired, Reason: "caller_left"}
 	mayHaveRun       = job.Outcome{Kind: job.Expired, Reason: "caller_left", Started: true}
 )
 
@@ -117,6 +118,7 @@
 		{"it was refused untouched here", func(_ *qt.C, a, _ *Node) { a.front.end(hold(a), refusedUntouched) }, job.Refused},
 		{"it was given up here", func(_ *qt.C, a, _ *Node) { a.front.end(hold(a), mayHaveRun) }, job.Expired},
 		{"it was given up here before others were told", func(_ *qt.C, a, _ *Node) { a.front.end(holdUntold(a), mayHaveRun) }, job.Expired},
+		{"it was given up here before it began and others were told", func(_ *qt.C, a, _ *Node) { a.front.end(holdUntold(a), leftUntouched) }, job.Refused},
 		{"it was refused untouched here before others were told", func(_ *qt.C, a, _ *Node) { a.front.end(holdUntold(a), refusedUntouched) }, job.Refused},
 		{"it has ended here", func(_ *qt.C, a, _ *Node) { a.front.end(hold(a), completed) }, job.Completed},
 		{"it is open elsewhere", func(c *qt.C, a, b *Node) {
