--- a/pkg/standin/relayd/relay.go
+++ b/pkg/standin/relayd/relay.go
@@ -30,6 +30,36 @@
 	silent   int // connections accepted so far of which nothing passes any more
 	stranded int // those of which not even their end passes
 	taken    int // connections accepted so far
+	loss     Loss
+}
+
+// Loss is what lost packets do to some connections of a relay: one piece of data in
+// Pieces comes late, and what was sent after it on its connection waits behind it.
+type Loss struct {
+	Conns  int // one connection in so many is hit; 0: none
+	Pieces int // one piece in so many comes late, each way
+	Late   time.Duration
+}
+
+// lateBy returns how late a piece of a connection comes.
+func (l Loss) lateBy(number, piece int) time.Duration {
+	if l.Conns == 0 || number%l.Conns != 0 || piece%l.Pieces != 0 {
+		return 0
+	}
+	return l.Late
+}
+
+// SetLoss has the relay lose packets, or none by the empty Loss.
+func (r *Relay) SetLoss(loss Loss) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.loss = loss
+}
+
+func (r *Relay) lateBy(number, piece int) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.loss.lateBy(number, piece)
 }
 
 // NewRelay makes a relay to an address.
@@ -184,13 +214,15 @@
 			}
 		}
 	}()
+	passed := 0
 	for piece := range pieces {
+		passed++
 		cut, delay := r.state(towards)
 		for cut {
 			time.Sleep(cutPoll)
 			cut, delay = r.state(towards)
 		}
-		time.Sleep(delay)
+		time.Sleep(delay + r.lateBy(number, passed))
 		if wasReset.Load() {
 			break
 		}
