An owner is settled only once what an answer hid is over; a doubt lasts from the last answer

Cause: former leases at an executor whose answers hide runs count from its first answer where executors are forgotten, but Settled, by which a moved job is said not to run here, counted them from the claim. A doubt wasn't renewed by later answers that left the job open as well.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -12,7 +12,7 @@
 // Settled reports whether no run of a former owner can be alive that this one
 // doesn't know of: every executor has answered, or its leases are over.
 func (c *Cell) Settled(now time.Duration) bool {
-	return now > c.claimedAt+c.longestLease() || c.allAdopted()
+	return c.allAdopted() || c.allFormerLeasesOver(now)
 }
 
 // HasRunsOf reports whether executors run tasks of a job for all that they have told,
@@ -43,6 +43,19 @@
 	return now > c.claimedAt+c.longestLease()
 }
 
+// allFormerLeasesOver reports whether they are at all executors that aren't adopted.
+func (c *Cell) allFormerLeasesOver(now time.Duration) bool {
+	if now <= c.claimedAt+c.longestLease() {
+		return false
+	}
+	for _, e := range c.sorted {
+		if !e.adopted && !e.gone && !c.formerLeasesOver(e, now) {
+			return false
+		}
+	}
+	return true
+}
+
 // allAdopted reports whether every executor that the former owner can have
 // known has answered this one.
 func (c *Cell) allAdopted() bool {
--- a/pkg/keeping/doubts.go
+++ b/pkg/keeping/doubts.go
@@ -8,7 +8,7 @@
 )
 
 // doubtLife is how long a host remembers that a job may be kept: longer than callers send
-// it again after such an answer.
+// it again after the last such answer.
 const doubtLife = 30 * time.Second
 
 // reasonSentBefore marks an answer about a job that may be kept by an earlier sending.
@@ -20,7 +20,13 @@
 type doubts struct {
 	mu    sync.Mutex
 	until map[string]time.Duration
-	ids   []string // of until, the oldest first
+	ids   []doubt // one for each answer, the oldest first
+}
+
+// doubt is an answer that left open whether a job is kept.
+type doubt struct {
+	id    string
+	until time.Duration
 }
 
 func newDoubts() *doubts { return &doubts{until: map[string]time.Duration{}} }
@@ -53,21 +59,17 @@
 }
 
 func (d *doubts) add(id string, now time.Duration) {
-	if _, doubted := d.until[id]; doubted {
-		return
-	}
 	d.until[id] = now + doubtLife
-	d.ids = append(d.ids, id)
+	d.ids = append(d.ids, doubt{id: id, until: now + doubtLife})
 }
 
-// expire forgets what is old. One that was kept meanwhile isn't there any more.
+// expire forgets what is old. What has been doubted again since stays until that is old.
 func (d *doubts) expire(now time.Duration) {
-	for len(d.ids) > 0 {
-		until, doubted := d.until[d.ids[0]]
-		if doubted && now < until {
-			return
-		}
-		delete(d.until, d.ids[0])
+	for len(d.ids) > 0 && now >= d.ids[0].until {
+		oldest := d.ids[0]
 		d.ids = d.ids[1:]
+		if d.until[oldest.id] == oldest.until {
+			delete(d.until, oldest.id)
+		}
 	}
 }
