An executor that refuses starts gets none for a while, and tasks prefer others after unclear starts

Cause: so few executors may be out at once that, in a cell of two or where a third is out, one that misanswers isn't ejected. A refusal dropped the run and the task was placed again at once, mostly at the same executor; after unclear answers it was once the start's lease was over.

Ruled out: counting the task as failed there, as after Rejected: the only executor of a cell would get no more start of it after 4 ms of unclear answers.

One unclear answer to a start that nobody waits for ejects no executor. pkg/cell and pkg/node pass.

--- a/pkg/cell/answers.go
+++ b/pkg/cell/answers.go
@@ -5,7 +5,9 @@
 	"time"
 )
 
-// noRoomPause is how long an executor gets no start after it had no room.
+// noRoomPause is how long an executor gets no start after it had no room, or has refused
+// one so that the next may be refused as well. One that can't be ejected got 1,000 starts a
+// second of one task without it, at round trips of 1 ms, while another one had room.
 const noRoomPause = 20 * time.Millisecond
 
 // StartAnswered takes the answer to a start. clock is the executor's, or 0.
@@ -82,20 +84,26 @@
 
 // blameUnclear takes an executor out that has answered a start, and all that could be sent
 // again of it, by nothing that says whether it was carried out. Each task started there would
-// wait for the end of its start's lease, 100 to 500 ms, before it can start elsewhere.
+// wait for the end of its start's lease, 100 to 500 ms, before it can start elsewhere. Where
+// so many are out that this one can't be, the task prefers others: it had 20 runs there in
+// 2 s, one after the other, beside an executor with room. A start that nobody waits for isn't
+// sent again, so that its one answer says little.
 func (c *Cell) blameUnclear(e *executor, r *run, verdict Verdict, now time.Duration) {
-	if verdict == Unclear {
-		c.blame(e, "unclear", r.name, now)
+	if verdict != Unclear || r.state != starting || r.task == nil {
+		return
 	}
+	r.task.unclearOn = append(r.task.unclearOn, e.info.ID)
+	c.blame(e, "unclear", r.name, now)
 }
 
 // refusedStart takes a start that did nothing.
 func (c *Cell) refusedStart(e *executor, r *run, verdict Verdict, now time.Duration) {
 	t := c.drop(r)
 	switch verdict {
-	case NoRoom:
+	case NoRoom, Late:
 		e.fullTill = now + noRoomPause
 	case Unhealthy:
+		e.fullTill = now + noRoomPause
 		c.blame(e, "unhealthy", r.name, now)
 	case Rejected:
 		if t != nil {
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -68,7 +68,7 @@
 	listedAt  time.Duration // the newest list of what runs here that was taken in, on its clock
 	retryAt   time.Duration // no hold before
 	askedAt   time.Duration // the last hold for its clock alone
-	fullTill  time.Duration // it has refused a start for want of room
+	fullTill  time.Duration // it has refused a start, and would refuse the next
 	limited   bool          // its leases are far from renewed in full, by those of the jobs
 	missed    int           // holds in a row that weren't carried out, or not answered in time
 	granted   time.Duration // the latest end of a lease that any order of ours gave, on its clock
--- a/pkg/cell/placement.go
+++ b/pkg/cell/placement.go
@@ -105,6 +105,9 @@
 			continue
 		}
 		cost := placementCost(e, step)
+		if slices.Contains(t.unclearOn, e.info.ID) {
+			cost += unclearCost
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
@@ -145,6 +148,7 @@
 const (
 	farCost     = 4.0 // for running far from the data
 	coresInCost = 1000.0
+	unclearCost = 1e6 // more than any other, so that such an executor comes last
 )
 
 // placementCost is lower for a better fit: little room left over, a fast executor, and
--- a/pkg/cell/work.go
+++ b/pkg/cell/work.go
@@ -17,7 +17,8 @@
 	lastRun   int64
 	current   *run // what may be running; nil when the task waits or is done
 	failedOn  []string
-	rescues   int // runs stopped for being far behind
+	unclearOn []string // executors that have said of a start of it only what says nothing
+	rescues   int      // runs stopped for being far behind
 }
 
 // waits reports whether the task has neither ended nor been started.
