--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -78,7 +78,7 @@
 	late := listening.ended()
 	c.observe(answer.Verdict, c.clock()-sentAt)
 	o.node.metrics.OrderAnswered("start", answer.Verdict.String())
-	c.logRefused("start_refused", o, command, answer, sentAt)
+	c.logNotAccepted("start_not_accepted", o, command, answer, sentAt)
 	o.do(func(state *cell.Cell, now time.Duration) {
 		if late {
 			state.LateStartAnswered(command.Executor.ID, command.Task, command.Run, answer.Verdict, answer.Clock, now)
@@ -101,15 +101,15 @@
 	late := listening.ended()
 	c.observe(answer.Verdict, c.clock()-sentAt)
 	o.node.metrics.OrderAnswered("stop", answer.Verdict.String())
-	c.logRefused("stop_refused", o, command, answer, sentAt)
+	c.logNotAccepted("stop_not_accepted", o, command, answer, sentAt)
 	if !late {
 		answered(answer.Verdict, answer.Clock)
 	}
 }
 
-// logRefused logs an order that wasn't accepted, with what its answer said: whether the
+// logNotAccepted logs an order that was not accepted, with what its answer said: whether the
 // run may go on is decided by that.
-func (c *calls) logRefused(event string, o *owner, command *cell.Command, answer OrderAnswer, sentAt time.Duration) {
+func (c *calls) logNotAccepted(event string, o *owner, command *cell.Command, answer OrderAnswer, sentAt time.Duration) {
 	if answer.Verdict == cell.Accepted {
 		return
 	}
@@ -129,7 +129,7 @@
 	late := listening.ended()
 	o.node.metrics.OrderAnswered("hold", answer.Verdict.String())
 	if answer.Told != "" { // silence is told by the cell, once
-		c.logRefused("hold_refused", o, command, OrderAnswer{Verdict: answer.Verdict, Told: answer.Told}, sentAt)
+		c.logNotAccepted("hold_not_accepted", o, command, OrderAnswer{Verdict: answer.Verdict, Told: answer.Told}, sentAt)
 	}
 	o.node.noteAnswer(answer)
 	o.do(func(state *cell.Cell, now time.Duration) {
