One piece each where the change had written it twice

Read once more against what was there. How many executors a reading lacked is worked out, not counted beside. The pause after a refused start is named so.

--- a/pkg/catalog/history.go
+++ b/pkg/catalog/history.go
@@ -9,11 +9,11 @@
 // can't reach the store, and come back some time after they can; so one that
 // has vanished is kept for a while.
 type History struct {
-	keep    time.Duration
-	last    map[string]Executor // the executors of the last reading that aren't replaced, by id
-	lastAt  time.Duration
-	missing map[string]sighting // those of earlier readings, by id
-	kept    int                 // of the missing ones, so many stand in the last joined reading
+	keep     time.Duration
+	last     map[string]Executor // the executors of the last reading that aren't replaced, by id
+	lastAt   time.Duration
+	missing  map[string]sighting // those of earlier readings, by id
+	vanished int                 // of the last joined reading
 }
 
 // sighting is an executor as it was listed last.
@@ -41,11 +41,13 @@
 		h.forgetMissing(reading, current, now)
 	}
 	h.last, h.lastAt = current, now
-	h.kept = 0
+	h.vanished = 0
 	if len(current) == len(reading.ByID) && len(h.missing) == 0 {
 		return reading
 	}
-	return h.withMissing(reading, current)
+	joined := h.withMissing(reading, current)
+	h.vanished = len(joined.ByID) - len(current)
+	return joined
 }
 
 // noteMissing notes the executors of the last reading that aren't current any more.
@@ -78,7 +80,6 @@
 	for id, last := range h.missing {
 		if _, listed := reading.ByID[id]; !listed {
 			joined.ByID[id] = last.executor
-			h.kept++
 		}
 	}
 	return joined
@@ -115,4 +116,4 @@
 }
 
 // Vanished returns how many executors the last joined reading lacked.
-func (h *History) Vanished() int { return h.kept }
+func (h *History) Vanished() int { return h.vanished }
--- a/pkg/cell/answers.go
+++ b/pkg/cell/answers.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// noRoomPause is how long an executor gets no start after it had no room, or has refused
+// refusedPause is how long an executor gets no start after it had no room, or has refused
 // one so that the next may be refused as well. One that can't be ejected got 1,000 starts a
 // second of one task without it, at round trips of 1 ms, while another one had room.
-const noRoomPause = 20 * time.Millisecond
+const refusedPause = 20 * time.Millisecond
 
 // StartAnswered takes the answer to a start. clock is the executor's, or 0.
 func (c *Cell) StartAnswered(id, name string, number int64, verdict Verdict, clock, now time.Duration) {
@@ -101,9 +101,9 @@
 	t := c.drop(r)
 	switch verdict {
 	case NoRoom, Late:
-		e.fullTill = now + noRoomPause
+		e.fullTill = now + refusedPause
 	case Unhealthy:
-		e.fullTill = now + noRoomPause
+		e.fullTill = now + refusedPause
 		c.blame(e, "unhealthy", r.name, now)
 	case Rejected:
 		if t != nil {
--- a/pkg/cell/misanswering_test.go
+++ b/pkg/cell/misanswering_test.go
@@ -89,7 +89,7 @@
 			calls, _ := d.startsAtFirst(verdict, time.Second)
 			c.Logf("%d starts in a second", calls)
 			c.Assert(calls > 1, qt.IsTrue, qt.Commentf("it is tried again"))
-			c.Assert(calls <= int(time.Second/noRoomPause), qt.IsTrue, qt.Commentf("%d", calls))
+			c.Assert(calls <= int(time.Second/refusedPause), qt.IsTrue, qt.Commentf("%d", calls))
 		})
 	}
 }
--- a/pkg/node/parts.go
+++ b/pkg/node/parts.go
@@ -101,8 +101,5 @@
 	}
 	joined.Started = first.Started || second.Started
 	joined.Chain = max(first.Chain, second.Chain)
-	if joined.Kind == job.Refused && joined.Started {
-		joined.Kind = job.Expired
-	}
-	return joined
+	return ofAllSendings(joined)
 }
--- a/pkg/node/refusals.go
+++ b/pkg/node/refusals.go
@@ -10,8 +10,8 @@
 // sendings that this host knows of: whoever refuses the last of them, an owner or another
 // front, may not know of the others.
 
-// ofAllSendings returns the end of a job as its callers are told. One that was refused
-// though a task of it may have started has expired for them.
+// ofAllSendings returns the end of a job, of all its sendings and parts, as its callers are
+// told. One that was refused though a task of it may have started has expired for them.
 func ofAllSendings(outcome job.Outcome) job.Outcome {
 	if outcome.Kind == job.Refused && outcome.Started {
 		outcome.Kind = job.Expired
