Leases, ages and silences count the time for which a machine is suspended

Cause: a machine may be suspended for seconds, and the steady clock, on which all of them rested, stands still meanwhile: a host that wakes takes leases for running that are over, and vouches for callers that left. Change: common.Clock adds the time suspended (CLOCK_BOOTTIME less CLOCK_MONOTONIC), asked for only when the time of day has moved against the steady clock, so that a reading stays free of system calls. A suspension shows as a gap, which all owners, fronts and links look for already. Left: Go's own timers and contexts stand still while suspended and go off later; none starts or vouches for anything without asking the clock.

--- a/pkg/common/common.go
+++ b/pkg/common/common.go
@@ -12,8 +12,9 @@
 	"github.com/charmbracelet/log"
 )
 
-// Clock tells monotonic time as the duration since the process started. It
-// never goes backwards and is comparable only within one process.
+// Clock tells monotonic time as the duration since the process started. It counts the time
+// for which the machine is suspended, never goes backwards, and is comparable only within
+// one process.
 type Clock interface {
 	Now() time.Duration
 }
@@ -27,7 +28,11 @@
 
 // NewCommon makes a Common with the system's clock and randomness.
 func NewCommon(logger *log.Logger) *Common {
-	return &Common{Log: logger, Clock: NewSystemClock(), Rand: rand.Reader}
+	clock, err := newSystemClock(systemTime{start: time.Now()})
+	if err != nil {
+		logger.Warn("suspension_not_counted", "reason", err.Error())
+	}
+	return &Common{Log: logger, Clock: clock, Rand: rand.Reader}
 }
 
 // NewTestCommon makes a Common that logs nothing, for tests.
@@ -57,14 +62,6 @@
 	}), nil
 }
 
-type systemClock struct{ start time.Time }
-
-// NewSystemClock returns a clock that counts from now.
-func NewSystemClock() Clock { return systemClock{start: time.Now()} }
-
-// Now implements Clock.
-func (c systemClock) Now() time.Duration { return time.Since(c.start) }
-
 // ManualClock is a clock that tests move by hand.
 type ManualClock struct{ At time.Duration }
 
