A task under which two executors crashed is given up; its suspects run alone

Cause: nothing counted executors that are lost under a task. One that crashes each executor that starts it was started again and again, with all that ran beside it lost each time. Change (pkg/cell/crashes.go): tasks of a crashed executor run alone next where there is room, nothing is started beside them; a second crash under a task ends its job as failed. A task that two silent executors were lost under waits for word of them. Counts go with the progress that owners hand on. Planned ends don't count. Not built: a limit by route or team.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -323,7 +323,7 @@
 func (c *Cell) forgetExecutors(now time.Duration) {
 	kept := c.sorted[:0]
 	for _, e := range c.sorted {
-		unused := !e.listed && len(e.runs) == 0 && !e.holding
+		unused := !e.listed && len(e.runs) == 0 && !e.holding && !e.awaitsVerdict(now)
 		if unused && (e.adopted || e.gone || c.formerLeasesOver(e, now)) {
 			c.letGoOf(e)
 			delete(c.executors, e.life)
--- /dev/null
+++ b/pkg/cell/crashes.go
@@ -0,0 +1,136 @@
+package cell
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/job"
+)
+
+// A task may crash each executor that starts it, and all that runs beside it dies with the
+// executor. When an executor is lost, nothing tells which of its runs was to blame, or
+// whether any was. So all of their tasks are suspects: each runs alone next, where an
+// executor without runs can be had, and nothing is started beside it. An innocent one ends
+// well there. A task under which a second executor crashes is given up, and its job fails.
+//
+// An executor that has fallen silent may have crashed, or may be cut off; only its next
+// life, or its next answer, tells. A task under which two executors were lost that way waits
+// for the word, or it would take out one after the other until the first one is back.
+
+const (
+	// mostCrashes is under how many executors that crashed a task is given up. Its runs
+	// are known to have begun there.
+	mostCrashes = 2
+	// mostLikelyCrashes is the same where starts without an answer count too.
+	mostLikelyCrashes = 3
+	// heldBackFor is how long a task waits for word of executors that were lost under it,
+	// and doubles with each. Executors that crash are back, and listed, within some seconds.
+	heldBackFor = 3 * time.Second
+	// mostHeldDoublings bounds that to 48 s.
+	mostHeldDoublings = 4
+	// verdictLimit is how long an executor that isn't listed any more is asked whether
+	// another life has begun at its address.
+	verdictLimit = 5 * time.Second
+)
+
+// losses are the executors that were lost under a task.
+type losses struct {
+	crashes int           // those that have crashed under runs that had begun
+	likely  int           // those that have crashed while a start of it had no answer
+	open    int           // those of which it isn't known yet
+	lastAt  time.Duration // the newest one was lost, on our clock
+}
+
+// lostRun is a run that was given up because its executor fell silent.
+type lostRun struct {
+	work  *work
+	task  *task
+	begun bool // the run is known to have begun there
+	at    time.Duration
+}
+
+// isSuspect reports whether an executor was lost under the task.
+func (t *task) isSuspect() bool { return t.losses.total() > 0 }
+
+func (l *losses) total() int { return l.crashes + l.likely + l.open }
+
+// isHeldBack reports whether a task waits for word of the executors that were lost under it.
+func (t *task) isHeldBack(now time.Duration) bool {
+	if t.losses.open == 0 || t.losses.total() < mostCrashes {
+		return false
+	}
+	doublings := min(t.losses.total()-mostCrashes, mostHeldDoublings)
+	return now < t.losses.lastAt+heldBackFor<<doublings
+}
+
+// isGivenUp reports whether as many executors have crashed under the task as it may take.
+func (t *task) isGivenUp() bool {
+	return !t.done && (t.losses.crashes >= mostCrashes || t.losses.crashes+t.losses.likely >= mostLikelyCrashes)
+}
+
+// loseRun notes that a run is given up because its executor has fallen silent.
+func (c *Cell) loseRun(e *executor, r *run, now time.Duration) {
+	if r.task == nil || r.state == stopping {
+		return
+	}
+	e.lost = append(e.lost, lostRun{work: r.work, task: r.task, begun: r.seen || r.state == running, at: now})
+	r.task.losses.open++
+	r.task.losses.lastAt = now
+}
+
+// clearLost takes that a silent executor lives on: it didn't crash under what was given up.
+func (c *Cell) clearLost(e *executor) {
+	for _, lost := range e.lost {
+		lost.task.losses.open--
+	}
+	c.dirty = c.dirty || len(e.lost) > 0
+	e.lost = nil
+}
+
+// awaitsVerdict reports whether it isn't known yet if the executor has crashed under runs
+// that were given up a short time ago.
+func (e *executor) awaitsVerdict(now time.Duration) bool {
+	return len(e.lost) > 0 && !e.gone && now < e.lost[len(e.lost)-1].at+verdictLimit
+}
+
+// crashedUnder takes that an executor's life has ended, under what it ran and what was given
+// up since it fell silent. One that was to leave has ended as planned.
+func (c *Cell) crashedUnder(e *executor, now time.Duration) {
+	lost := e.lost
+	c.clearLost(e)
+	if e.info.Draining {
+		return
+	}
+	for _, r := range e.sortedRuns() {
+		if r.task != nil && r.state != stopping {
+			lost = append(lost, lostRun{work: r.work, task: r.task, begun: r.seen || r.state == running, at: now})
+		}
+	}
+	for _, l := range lost {
+		c.countCrash(e, l)
+	}
+}
+
+func (c *Cell) countCrash(e *executor, lost lostRun) {
+	t, w := lost.task, lost.work
+	if lost.begun {
+		t.losses.crashes++
+	} else {
+		t.losses.likely++
+	}
+	t.losses.lastAt = max(t.losses.lastAt, lost.at)
+	c.note(Notice{Event: "executor_crashed_under", Executor: string(e.life), Job: w.job.ID, Task: w.job.TaskName(t.key), Detail: strconv.Itoa(t.losses.crashes)})
+	if c.works[w.job.ID] == w && t.isGivenUp() {
+		c.finish(w, job.Outcome{Kind: job.Failed, Reason: ReasonCrashes, Started: true})
+	}
+}
+
+// ReasonCrashes marks a job that failed because executors have crashed under one of its
+// tasks.
+const ReasonCrashes = "executors_crashed_under_task"
+
+// withoutRuns returns the executors that run nothing.
+func withoutRuns(executors []*executor) []*executor {
+	return slices.DeleteFunc(slices.Clone(executors), func(e *executor) bool { return len(e.runs) > 0 })
+}
--- /dev/null
+++ b/pkg/cell/crashes_test.go
@@ -0,0 +1,188 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/job"
+	qt "github.com/frankban/quicktest"
+)
+
+// smallJob has tasks of which four fit on an executor.
+func smallJob(id string, tasks int, now time.Duration) *job.Job {
+	j := testJob(id, tasks, now)
+	j.Steps[0].Needs.CPU = 4000
+	return j
+}
+
+// crash ends the life of an executor, by the list, and returns the next one, which has
+// answered.
+func (d *driver) crash(infos []catalog.Executor, i int) {
+	infos[i] = nextLife(infos[i])
+	d.cell.SetExecutors(infos, d.now)
+	d.take()
+	d.answerHold(&infos[i], HoldAnswer{Clock: time.Second})
+}
+
+// acceptStarts has all starts accepted that have come up, and returns them.
+func (d *driver) acceptStarts() []Command {
+	starts := d.of(Start)
+	for _, start := range starts {
+		e := d.cell.executors[start.Executor.Life()]
+		d.cell.StartAnswered(e.life, start.Task, start.Run, Accepted, e.clock.at(d.now), d.now)
+	}
+	d.take()
+	return starts
+}
+
+// indexOf returns which of the executors a command is for.
+func indexOf(infos []catalog.Executor, command Command) int {
+	for i := range infos {
+		if infos[i].ID == command.Executor.ID {
+			return i
+		}
+	}
+	return -1
+}
+
+func TestATaskUnderWhichTwoExecutorsCrashedIsGivenUp(t *testing.T) {
+	c := qt.New(t)
+	d, infos := adoptedLives(c, 3)
+	d.submit(smallJob("crashes", 1, d.now), 1)
+	for range mostCrashes {
+		c.Assert(d.finished, qt.HasLen, 0)
+		starts := d.acceptStarts()
+		c.Assert(starts, qt.HasLen, 1)
+		d.crash(infos, indexOf(infos, starts[0]))
+	}
+	c.Assert(d.of(Start), qt.HasLen, 0)
+	c.Assert(d.finished["crashes"].Kind, qt.Equals, job.Failed)
+	c.Assert(d.finished["crashes"].Reason, qt.Equals, ReasonCrashes)
+}
+
+func TestATaskBesideWhichAnExecutorCrashedRunsAlone(t *testing.T) {
+	c := qt.New(t)
+	d, infos := adoptedLives(c, 3)
+	d.submit(smallJob("a", 2, d.now), 1)
+	first := d.acceptStarts()
+	c.Assert(first, qt.HasLen, 2)
+	c.Assert(first[0].Executor.ID, qt.Equals, first[1].Executor.ID) // they fit on one
+	d.crash(infos, indexOf(infos, first[0]))
+	alone := d.acceptStarts()
+	c.Assert(alone, qt.HasLen, 2)
+	c.Assert(alone[0].Executor.ID, qt.Not(qt.Equals), alone[1].Executor.ID)
+	d.submit(smallJob("b", 1, d.now), 1)
+	beside := d.acceptStarts()
+	c.Assert(beside, qt.HasLen, 1)
+	for _, start := range alone {
+		c.Assert(beside[0].Executor.ID, qt.Not(qt.Equals), start.Executor.ID)
+	}
+}
+
+// Where every executor is at work, it runs beside others, but not beside another suspect.
+func TestASuspectRunsBesideOthersWhereThereIsNoOtherRoom(t *testing.T) {
+	c := qt.New(t)
+	d, infos := adoptedLives(c, 2)
+	d.submit(smallJob("a", 1, d.now), 1)
+	first := d.acceptStarts()[0]
+	d.submit(smallJob("b", 4, d.now), 1)
+	d.acceptStarts()
+	crashed := indexOf(infos, first)
+	d.cell.SetExecutors([]catalog.Executor{infos[1-crashed]}, d.now)
+	d.answerHold(&infos[crashed], HoldAnswer{Verdict: OtherLife})
+	c.Assert(len(d.acceptStarts()) > 0, qt.IsTrue)
+}
+
+func TestATaskThatTwoSilentExecutorsWereLostUnderWaitsForWord(t *testing.T) {
+	type scenario struct {
+		testName string
+		word     func(d *driver, infos []catalog.Executor, lost int)
+		starts   int
+		failed   bool
+	}
+	scenarios := []scenario{
+		{testName: "there is none", word: func(*driver, []catalog.Executor, int) {}},
+		{testName: "there is none for long", word: func(d *driver, _ []catalog.Executor, _ int) {
+			d.tick(heldBackFor)
+		}, starts: 1},
+		{testName: "one of them lives on", word: func(d *driver, infos []catalog.Executor, lost int) {
+			d.answerHold(&infos[lost], HoldAnswer{Clock: time.Minute + d.now})
+		}, starts: 1},
+		{testName: "one of them has crashed", word: func(d *driver, infos []catalog.Executor, lost int) {
+			d.answerHold(&infos[lost], HoldAnswer{Verdict: OtherLife})
+		}},
+		{testName: "both have crashed", word: func(d *driver, infos []catalog.Executor, _ int) {
+			for i := range infos {
+				d.answerHold(&infos[i], HoldAnswer{Verdict: OtherLife})
+			}
+		}, failed: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			d, infos := adoptedLives(c, 3)
+			j := smallJob("a", 1, d.now)
+			j.Deadline = d.now + time.Hour
+			d.submit(j, 1)
+			lost := 0
+			for range mostCrashes {
+				starts := d.acceptStarts()
+				c.Assert(starts, qt.HasLen, 1)
+				lost = indexOf(infos, starts[0])
+				d.loseSilent(&infos[lost])
+			}
+			c.Assert(d.of(Start), qt.HasLen, 0)
+			s.word(d, infos, lost)
+			c.Assert(d.of(Start), qt.HasLen, s.starts)
+			_, failed := d.finished["a"]
+			c.Assert(failed, qt.Equals, s.failed)
+		})
+	}
+}
+
+// loseSilent has an executor fall silent until its leases are over.
+func (d *driver) loseSilent(info *catalog.Executor) {
+	for range missedIsSilent {
+		d.answerHold(info, HoldAnswer{Verdict: Unanswered})
+	}
+	e := d.cell.executors[info.Life()]
+	for _, r := range e.runs {
+		r.seen = true
+	}
+	e.granted = 0
+	d.cell.advance(d.now)
+	d.take()
+}
+
+func TestThePlannedEndOfAnExecutorIsNoCrash(t *testing.T) {
+	c := qt.New(t)
+	d, infos := adoptedLives(c, 2)
+	d.submit(smallJob("a", 1, d.now), 1)
+	start := d.acceptStarts()[0]
+	i := indexOf(infos, start)
+	infos[i].Draining = true
+	d.cell.SetExecutors(infos, d.now)
+	infos[i].Draining = false
+	d.crash(infos, i)
+	c.Assert(d.acceptStarts(), qt.HasLen, 1)
+	c.Assert(d.cell.taskOf(start.Task).isSuspect(), qt.IsFalse)
+}
+
+// Owners tell the next one of the executors that have crashed under a task.
+func TestTheNextOwnerKnowsOfCrashes(t *testing.T) {
+	c := qt.New(t)
+	d, infos := adoptedLives(c, 3)
+	j := smallJob("a", 1, d.now)
+	d.submit(j, 1)
+	d.crash(infos, indexOf(infos, d.acceptStarts()[0]))
+	progress := d.cell.Progress("a")
+	c.Assert(progress, qt.HasLen, 1)
+	c.Assert(progress[0].Crashes, qt.Equals, 1)
+
+	next, others := adoptedLives(c, 2)
+	next.cell.Submit(Handover{Job: j, Epoch: 2, Progress: progress, RenewedAt: next.renewal()}, next.now)
+	next.take()
+	next.crash(others, indexOf(others, next.acceptStarts()[0]))
+	c.Assert(next.finished["a"].Kind, qt.Equals, job.Failed)
+}
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -44,6 +44,7 @@
 	movedAt   time.Duration // on our clock: it was seen to have made progress
 	long      bool          // it was found to take long by itself
 	estimate  time.Duration
+	suspect   bool // an executor was lost under its task before
 }
 
 // jobID returns the id of the job that waits for the run, or nothing.
@@ -82,7 +83,9 @@
 	unnoted   []*unnoted    // ends that it may not forget yet, the oldest first
 	listTill  time.Duration // no hold before while there are such: it would answer at once
 	runs      map[string]*run
-	mayOrphan bool // some of the runs may be orphans; false only when none is
+	lost      []lostRun // that were given up since it fell silent: it may have crashed under them
+	suspects  int       // runs of tasks under which executors were lost
+	mayOrphan bool      // some of the runs may be orphans; false only when none is
 	used      job.Resources
 	health    health
 	pace      pace
@@ -106,6 +109,9 @@
 	e.runs[r.name] = r
 	e.mayOrphan = e.mayOrphan || r.work == nil
 	e.used = e.used.Add(r.needs)
+	if r.suspect {
+		e.suspects++
+	}
 }
 
 // hasOrphans reports whether runs of no known job go on here. What they take
@@ -136,6 +142,9 @@
 	}
 	delete(e.runs, r.name)
 	e.used = e.used.Sub(r.needs)
+	if r.suspect {
+		e.suspects--
+	}
 	c.dirty = true
 	t := r.task
 	if t != nil && t.current == r {
@@ -161,6 +170,7 @@
 		orderAt:  now,
 		copies:   startCopies{sent: 1, open: 1, sentAt: now},
 		estimate: estimate,
+		suspect:  t.isSuspect(),
 	}
 	t.current = r
 	w.started, w.begun = true, true
@@ -189,6 +199,9 @@
 	}
 	r.stopDue = r.state == starting
 	r.state = stopping
+	if r.executor.gone && r.seen {
+		return
+	}
 	c.note(Notice{Event: "run_stopped", Executor: r.executor.info.ID, Task: r.name, Detail: reason})
 	if !r.stopDue {
 		c.orderStop(r, reason)
@@ -217,6 +230,7 @@
 			continue
 		}
 		c.note(Notice{Event: "lease_over", Executor: e.info.ID, Job: r.jobID(), Task: r.name, Age: now - e.clock.seenAt})
+		c.loseRun(e, r, now)
 		c.drop(r)
 	}
 }
--- a/pkg/cell/holds.go
+++ b/pkg/cell/holds.go
@@ -125,6 +125,7 @@
 		e.silent = false
 		c.dirty = true
 		c.note(Notice{Event: "executor_answers", Executor: e.info.ID})
+		c.clearLost(e)
 	}
 	newest := answer.Clock >= e.listedAt // else another one has overtaken it
 	if newest || answer.Hidden > 0 {
--- a/pkg/cell/lives.go
+++ b/pkg/cell/lives.go
@@ -55,6 +55,7 @@
 	if e.info.Born == 0 {
 		e.listed = false
 	}
+	c.crashedUnder(e, now)
 }
 
 // confirmStart takes that a start was carried out. Answers to starts don't say by which life,
--- a/pkg/cell/placement.go
+++ b/pkg/cell/placement.go
@@ -73,9 +73,12 @@
 		if c.pacer.full() {
 			return
 		}
+		if t.isHeldBack(now) {
+			continue
+		}
 		if e := c.choose(candidates, w, t, now); e != nil {
 			c.start(e, w, t, now)
-		} else if len(t.failedOn) == 0 {
+		} else if len(t.failedOn) == 0 && !t.isSuspect() {
 			fullStep = t.key.Step // its other tasks want the same
 		} else {
 			c.tryAnywhere(w, t)
@@ -87,21 +90,32 @@
 func (c *Cell) candidates(now time.Duration) []*executor {
 	var candidates []*executor
 	for _, e := range c.sorted {
-		if e.usable(now) && now >= e.fullTill && e.free().CPU > 0 && c.mayStart(e, now) {
+		if e.usable(now) && now >= e.fullTill && e.free().CPU > 0 && e.suspects == 0 && c.mayStart(e, now) {
 			candidates = append(candidates, e)
 		}
 	}
 	return candidates
 }
 
-// choose returns the executor for a task: the one that it fills best, so that
-// no room is left that fits nothing.
+// choose returns the executor for a task. One under which executors were lost runs alone
+// where there is an executor without runs.
 func (c *Cell) choose(candidates []*executor, w *work, t *task, now time.Duration) *executor {
+	if t.isSuspect() {
+		if e := c.bestFit(withoutRuns(candidates), w, t, now); e != nil {
+			return e
+		}
+	}
+	return c.bestFit(candidates, w, t, now)
+}
+
+// bestFit returns the executor that a task fills best, so that no room is left that fits
+// nothing.
+func (c *Cell) bestFit(candidates []*executor, w *work, t *task, now time.Duration) *executor {
 	step := &w.job.Steps[t.key.Step]
 	var best *executor
 	var bestCost float64
 	for _, e := range candidates {
-		if !c.suits(e, w, t, step) || !c.covers(w, e, now) || !c.takesEndsOf(e, w) {
+		if e.suspects > 0 || !c.suits(e, w, t, step) || !c.covers(w, e, now) || !c.takesEndsOf(e, w) {
 			continue
 		}
 		cost := placementCost(e, step)
--- a/pkg/cell/work.go
+++ b/pkg/cell/work.go
@@ -20,6 +20,7 @@
 	failedOn  []catalog.Life
 	unclearOn []catalog.Life // executors that have said of a start of it only what says nothing
 	rescues   int            // runs stopped for being far behind
+	losses    losses
 }
 
 // waits reports whether the task has neither ended nor been started.
@@ -66,6 +67,7 @@
 			t.done = t.done || p.Done
 			t.inherit(p.Failures)
 			t.lastRun = max(t.lastRun, p.Run)
+			t.losses.crashes = max(t.losses.crashes, p.Crashes)
 			w.begun = true
 		}
 	}
@@ -77,7 +79,7 @@
 	for _, tasks := range w.steps {
 		for _, t := range tasks {
 			if t.done || t.failures > 0 || t.lastRun > 0 {
-				progress = append(progress, job.Progress{Key: t.key, Done: t.done, Failures: t.failures, Run: t.lastRun})
+				progress = append(progress, job.Progress{Key: t.key, Done: t.done, Failures: t.failures, Run: t.lastRun, Crashes: t.losses.crashes})
 			}
 		}
 	}
--- a/pkg/job/job.go
+++ b/pkg/job/job.go
@@ -175,6 +175,7 @@
 	Done     bool
 	Failures int
 	Run      int64 // highest run number used
+	Crashes  int   // executors that have crashed under it
 }
 
 // Kind says how a job ended at an owner.
