--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -29,6 +29,7 @@
 	commander.Register(&statusCommand{}, "operators")
 	commander.Register(&explainCommand{}, "operators")
 	commander.Register(&lossesCommand{}, "operators")
+	commander.Register(&spreadCommand{}, "operators")
 	commander.Register(&submitCommand{}, "callers")
 	commander.Register(&loadCommand{}, "measurements")
 	commander.Register(&overheadCommand{}, "measurements")
--- a/pkg/joblog/joblog.go
+++ b/pkg/joblog/joblog.go
@@ -55,7 +55,10 @@
 // Read calls visit with every line of a log that contains text and is JSON.
 // What comes before a line's JSON, such as a collector's prefix, is passed over,
 // and so are lines without JSON.
-func Read(log io.Reader, text string, visit func(Event)) error {
+func Read(log io.Reader, text string, visit func(Event)) error { return ReadAs(log, text, visit) }
+
+// ReadAs is Read with lines decoded as another type.
+func ReadAs[T any](log io.Reader, text string, visit func(T)) error {
 	scanner := bufio.NewScanner(log)
 	scanner.Buffer(nil, maxLineBytes)
 	for scanner.Scan() {
@@ -64,7 +67,7 @@
 		if start < 0 || !strings.Contains(line, text) {
 			continue
 		}
-		var event Event
+		var event T
 		if json.Unmarshal([]byte(line[start:]), &event) == nil {
 			visit(event)
 		}
