One domain follows the list of executors in the store for all

Cause: the store can't tell one domain's executors from the others', and each row changes with its executor's clock, so the reader of each domain got the clocks of the whole fleet: bytes of the store grew with domains times executors, and were the largest price after machines. Ruled out: reading less often (an executor that leaves has to be known within two seconds), or a part of the table (its keys tell nothing of domains). Messages tell the list's age. Test: TestOneDomainFollowsTheListForAll (1, 3, 9, 27 domains: one reads).

--- a/pkg/node/beats.go
+++ b/pkg/node/beats.go
@@ -59,6 +59,7 @@
 	newOwner := n.members.Told(n.ownersToFollow(beat.Owners), now)
 	newNeighbour := n.members.Told(without(beat.Neighbours, n.settings.PeerAddress), now)
 	news.addresses = newOwner || newNeighbour
+	n.readers[address] = beat.ReadsList
 	if p.Domain != n.settings.Domain {
 		return news, true
 	}
--- a/pkg/node/executors.go
+++ b/pkg/node/executors.go
@@ -53,7 +53,11 @@
 	for ctx.Err() == nil {
 		duty := n.listDuty()
 		wait := duty.pause
-		if err := n.doDuty(ctx, duty); err != nil {
+		asked, err := n.doDuty(ctx, duty)
+		switch {
+		case !asked:
+			// Nothing was learnt of the store.
+		case err != nil:
 			n.metrics.StoreFailed("executors")
 			n.storeFails.Store(true)
 			n.readingSince.Store(0)
@@ -63,7 +67,7 @@
 			failing = true
 			wait = backoff
 			backoff = min(2*backoff, lastStoreBackoff)
-		} else {
+		default:
 			n.storeFails.Store(false)
 			if failing && n.meter.Of(traffic.Store).In() < received+transferBytes {
 				n.regained.signal()
@@ -97,10 +101,11 @@
 
 // listDuty is what a node does next to follow the list.
 type listDuty struct {
-	idle   bool // nothing
-	read   bool // the list or its changes; else the node only looks whether the store can be read
-	urgent bool // an owner waits for it
-	pause  time.Duration
+	idle    bool // nothing
+	read    bool // the list or its changes; else the node only looks whether the store can be read
+	follows bool // by the reader of another domain, if that one can tell
+	urgent  bool // an owner waits for it
+	pause   time.Duration
 }
 
 // listDuty decides what to do next.
@@ -113,6 +118,8 @@
 		return listDuty{idle: true, pause: firstListPause}
 	case n.ownersWait(owners):
 		return listDuty{read: true, urgent: true, pause: urgentInterval}
+	case reads && n.followsLeading():
+		return listDuty{read: true, follows: true, pause: followInterval}
 	case reads:
 		return listDuty{read: true, pause: readerInterval}
 	case n.executors.Load() == nil || n.readerLost():
@@ -155,16 +162,26 @@
 	return confirmed
 }
 
-func (n *Node) doDuty(ctx context.Context, duty listDuty) error {
+// doDuty follows the list, and reports whether it asked the store for anything.
+func (n *Node) doDuty(ctx context.Context, duty listDuty) (asked bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	askedAt := n.Clock.Now()
 	if duty.idle {
-		return nil
+		return false, nil
+	}
+	followed := duty.follows && n.askLeading(ctx, askedAt)
+	if duty.read && !followed {
+		return true, n.readExecutors(ctx, askedAt, duty.urgent)
 	}
-	if duty.read {
-		return n.readExecutors(ctx, askedAt, duty.urgent)
+	if followed && !n.leading.lookIsDue(askedAt) {
+		return false, nil
 	}
+	return true, n.lookAtStore(ctx, askedAt)
+}
+
+// lookAtStore asks the store for nothing but an answer.
+func (n *Node) lookAtStore(ctx context.Context, askedAt time.Duration) error {
 	if err := n.store.Ping(ctx); err != nil {
 		return err
 	}
--- /dev/null
+++ b/pkg/node/leading_test.go
@@ -0,0 +1,107 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/peerpb"
+	qt "github.com/frankban/quicktest"
+)
+
+// rowsOf returns the rows of so many hosts in each of so many domains.
+func rowsOf(domains, hosts int) map[string]Member {
+	rows := map[string]Member{}
+	for d := range domains {
+		for h := range hosts {
+			name := fmt.Sprintf("host-%d-%d", d, h)
+			rows[name] = Member{Name: name, Domain: fmt.Sprintf("domain-%d", d), PeerAddress: fmt.Sprintf("10.%d.0.%d:1", d, h)}
+		}
+	}
+	return rows
+}
+
+// What the store tells of executors grows with their number alone: one domain follows them,
+// however many there are.
+func TestOneDomainFollowsTheListForAll(t *testing.T) {
+	for _, domains := range []int{1, 3, 9, 27} {
+		c := qt.New(t)
+		rows := rowsOf(domains, 5)
+		following := 0
+		for d := range domains {
+			n := newTestNode(c, &fakeStore{})
+			n.settings.Domain = fmt.Sprintf("domain-%d", d)
+			n.rows, n.leadingDomain = rows, leadingDomain(rows)
+			if !n.followsLeading() {
+				following++
+			}
+		}
+		c.Assert(following, qt.Equals, 1, qt.Commentf("%d domains", domains))
+	}
+}
+
+func TestTheLeadingDomainIsOneThatHasHosts(t *testing.T) {
+	c := qt.New(t)
+	rows := rowsOf(4, 3)
+	first := leadingDomain(rows)
+	c.Assert(leadingDomain(rows), qt.Equals, first)
+	for name, row := range rows {
+		if row.Domain == first {
+			delete(rows, name)
+		}
+	}
+	second := leadingDomain(rows)
+	c.Assert(second, qt.Not(qt.Equals), first)
+	c.Assert(second, qt.Not(qt.Equals), "")
+	c.Assert(leadingDomain(nil), qt.Equals, "")
+}
+
+func TestWhichListsOfTheLeadingDomainAreFresh(t *testing.T) {
+	type scenario struct {
+		testName string
+		answer   *peerpb.Snapshot
+		want     bool
+	}
+	scenarios := []scenario{
+		{testName: "read a moment ago", answer: &peerpb.Snapshot{Kind: newsExecutors, Revision: 5, AgeMs: 400}, want: true},
+		{testName: "read too long ago", answer: &peerpb.Snapshot{Kind: newsExecutors, Revision: 5, AgeMs: leadingFresh.Milliseconds() + 1}},
+		{testName: "none is known there", answer: &peerpb.Snapshot{Kind: newsExecutors}},
+		{testName: "other news", answer: &peerpb.Snapshot{Kind: newsConfiguration, Revision: 5}},
+		{testName: "no news", answer: nil},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			qt.Assert(t, isFreshList(s.answer), qt.Equals, s.want)
+		})
+	}
+}
+
+func executorOf(id, address string) catalog.Executor {
+	return catalog.Executor{ID: id, Service: "s", Domain: "z", Address: address, Capacity: job.Resources{CPU: 1}}
+}
+
+// A reader that follows another one knows the same list, as of the time at which that one
+// asked the store, and goes on from there by itself.
+func TestAListOfTheLeadingDomainCountsAsAReading(t *testing.T) {
+	c := qt.New(t)
+	leader := newTestNode(c, &fakeStore{})
+	leader.roster.TakeWhole(&catalog.Executors{Revision: 10, ByID: map[string]catalog.Executor{"e": executorOf("e", "10.0.0.1:1")}}, 0)
+	leader.publish(true, leader.Clock.Now())
+
+	n := newTestNode(c, &fakeStore{})
+	n.roster.TakeWhole(&catalog.Executors{Revision: 8, ByID: map[string]catalog.Executor{}}, 0)
+	readAt := n.Clock.Now() - 100*time.Millisecond
+	n.publish(true, readAt-time.Second)
+	leader.roster.TakeChanges(&catalog.ExecutorChanges{Revision: 20, Gone: []string{"e"}, Listed: []catalog.Executor{executorOf("f", "10.0.0.2:1")}})
+	leader.roster.TakeChanges(&catalog.ExecutorChanges{Revision: 33}) // clocks only
+	told := leader.executorsSince(n.executorsRevision())
+	c.Assert(isFreshList(told), qt.IsTrue)
+	c.Assert(n.takeList(fromPassed(told), readAt), qt.IsTrue)
+
+	c.Assert(n.roster.Executors().ByID, qt.HasLen, 1)
+	c.Assert(n.roster.Executors().ByID["f"].ID, qt.Equals, "f")
+	c.Assert(n.roster.Position(), qt.Equals, uint64(33))
+	c.Assert(n.executors.Load().askedAt, qt.Equals, readAt)
+}
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -38,6 +38,7 @@
 	}
 	n.mu.Lock()
 	n.rows = byName
+	n.leadingDomain = leadingDomain(byName)
 	own, announced := byName[n.settings.Name]
 	if !n.rowsRead {
 		n.rowsRead = true
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -69,21 +69,26 @@
 	arrivals      *arrivals
 	renewals      *renewals
 	fetches       *fetches
+	leading       leading
 	rowLog        *rowlog.Log
 	openNews      *openNews
 	joins         *joins
 
-	mu         sync.Mutex // guards what follows
-	members    *member.Table
-	claims     *ownership.Table
-	rows       map[string]Member        // the nodes' rows in the store, by name
-	rowsRead   bool                     // once
+	mu       sync.Mutex // guards what follows
+	members  *member.Table
+	claims   *ownership.Table
+	rows     map[string]Member // the nodes' rows in the store, by name
+	rowsRead bool              // once
+
+	leadingDomain string // whose reader follows the list of executors for the others, too; empty when not known
+
 	back       bool                     // the own row was there at the first reading
 	ownerless  bool                     // a cell of this domain lacks an owner
 	crowded    bool                     // this domain has little room left
 	lastSeen   map[string]time.Duration // when a node of a row was last seen, by name
 	peerCounts map[string]map[string]int
 	storeless  map[string]bool // nodes that can't read the store, by address
+	readers    map[string]bool // nodes that read the list for their domains, by address
 	owners     map[string]*owner
 
 	front      *front
@@ -125,6 +130,7 @@
 		lastSeen:   map[string]time.Duration{},
 		peerCounts: map[string]map[string]int{},
 		storeless:  map[string]bool{},
+		readers:    map[string]bool{},
 		owners:     map[string]*owner{},
 	}
 	self := member.Peer{Name: s.Name, Domain: s.Domain, Address: s.PeerAddress, Incarnation: inc}
--- a/pkg/node/passing.go
+++ b/pkg/node/passing.go
@@ -143,14 +143,14 @@
 }
 
 // readFresh is how old a reading may be for its reader's word to confirm the list
-// to others: a little more than readerInterval.
-const readFresh = 700 * time.Millisecond
+// to others: a little more than that of the leading domain's reader and followInterval.
+const readFresh = leadingFresh + 2*followInterval
 
-// readsNow reports whether this node reads the list for its domain, a large one,
-// and has done so a moment ago. In a small one passOn confirms the list to all.
+// readsNow reports whether this node reads the list for its domain, and has done so a
+// moment ago.
 func (n *Node) readsNow() bool {
 	current := n.executors.Load()
-	return current != nil && n.Clock.Now() < current.askedAt+readFresh && n.readsList.Load() && n.inLargeDomain()
+	return current != nil && n.Clock.Now() < current.askedAt+readFresh && n.readsList.Load()
 }
 
 // domainPeers returns the addresses of the other nodes of the domain in sight.
@@ -206,7 +206,9 @@
 	if passed == nil {
 		return &peerpb.Snapshot{Kind: newsExecutors}
 	}
-	return toPassed(passed)
+	m := toPassed(passed)
+	m.AgeMs = (n.Clock.Now() - n.listConfirmedAt()).Milliseconds()
+	return m
 }
 
 func (n *Node) executorsRevision() uint64 {
