--- a/pkg/joblog/joblog.go
+++ b/pkg/joblog/joblog.go
@@ -55,10 +55,17 @@
 // Read calls visit with every line of a log that contains text and is JSON.
 // What comes before a line's JSON, such as a collector's prefix, is passed over,
 // and so are lines without JSON.
-func Read(log io.Reader, text string, visit func(Event)) error { return ReadAs(log, text, visit) }
+func Read(log io.Reader, text string, visit func(Event)) error {
+	return Lines(log, text, func(line []byte) {
+		var event Event
+		if json.Unmarshal(line, &event) == nil {
+			visit(event)
+		}
+	})
+}
 
-// ReadAs is Read with lines decoded as another type.
-func ReadAs[T any](log io.Reader, text string, visit func(T)) error {
+// Lines is Read with the JSON of each line as it stands there.
+func Lines(log io.Reader, text string, visit func(line []byte)) error {
 	scanner := bufio.NewScanner(log)
 	scanner.Buffer(nil, maxLineBytes)
 	for scanner.Scan() {
@@ -67,10 +74,7 @@
 		if start < 0 || !strings.Contains(line, text) {
 			continue
 		}
-		var event T
-		if json.Unmarshal([]byte(line[start:]), &event) == nil {
-			visit(event)
-		}
+		visit([]byte(line[start:]))
 	}
 	return errors.Wrap(scanner.Err(), "read the log")
 }
--- a/pkg/spread/spread.go
+++ b/pkg/spread/spread.go
@@ -3,6 +3,7 @@
 package spread
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"slices"
@@ -100,14 +101,21 @@
 }
 
 // Read takes a log in.
-func (r *Report) Read(log io.Reader) error { return joblog.ReadAs(log, "", r.take) }
+func (r *Report) Read(log io.Reader) error {
+	return joblog.Lines(log, "", func(line []byte) {
+		e := &event{}
+		if json.Unmarshal(line, e) == nil {
+			r.take(e)
+		}
+	})
+}
 
-func (r *Report) take(e event) {
+func (r *Report) take(e *event) {
 	switch e.Message {
 	case "configuration_in_force":
-		note(r.configurations, e.Version, &e)
+		note(r.configurations, e.Version, e)
 	case "executors_passed_on":
-		note(r.lists, e.Revision, &e)
+		note(r.lists, e.Revision, e)
 	case "traffic":
 		r.carried[e.role()] = append(r.carried[e.role()], e.rates)
 	}
