Hosts ask for changes of rows no more often together where there are more of them

Cause: each change of a row had all hosts ask again within 300 ms: in a series of restarts the calls grew with the square of the hosts. Change: the pause between answers grows with the hosts beyond 40, so that all together make 133 calls a second at most. News of rows takes 1.8 s at 236 hosts, 7.5 s at 1,000; nothing that must be quick rests on it (links tell of hosts that come and go). Test: TestCallsForRowsDoNotGrowWithTheHosts.

--- a/pkg/node/follow.go
+++ b/pkg/node/follow.go
@@ -15,7 +15,7 @@
 	name     string
 	read     func(ctx context.Context) (position uint64, err error)               // takes the whole table in
 	await    func(ctx context.Context, after uint64) (position uint64, err error) // waits for changes and takes them in
-	pause    time.Duration                                                        // between waits
+	pause    func() time.Duration                                                 // between waits; nil for none
 	passedOn func() bool                                                          // the table need not be followed now: a peer passes it on; nil for never
 	known    func() uint64                                                        // the position of what a peer has passed on; nil for none
 	fails    *atomic.Bool                                                         // whether the last call failed; nil when nobody asks
@@ -115,8 +115,8 @@
 	}
 	f.setDown(false)
 	f.backoff = firstStoreBackoff
-	if next != f.position {
-		common.Sleep(ctx, f.table.pause)
+	if next != f.position && f.table.pause != nil {
+		common.Sleep(ctx, f.table.pause())
 	}
 	f.position = next
 }
--- a/pkg/node/news.go
+++ b/pkg/node/news.go
@@ -23,7 +23,11 @@
 	// wholeTimeout bounds the reading of a whole table. A configuration of 1,500
 	// routes takes a link of 2 Mbit/s for 1.5 s.
 	wholeTimeout      = 4 * time.Second
-	membersPause      = 300 * time.Millisecond // between answers on rows, so that a series of changes comes as one
+	// leastMembersPause is the time between answers on rows, so that a series of changes
+	// comes as one, and membersAtOnce the number of hosts up to which it is enough: each
+	// change has all of them ask again.
+	leastMembersPause = 300 * time.Millisecond
+	membersAtOnce     = 40
 	firstStoreBackoff = 100 * time.Millisecond
 	lastStoreBackoff  = 1500 * time.Millisecond
 	peerFetchTimeout  = time.Second
@@ -148,7 +152,7 @@
 	for ctx.Err() == nil && !n.announce(ctx) {
 		common.Sleep(ctx, common.Jitter(lastStoreBackoff, common.Unit()))
 	}
-	n.follow(ctx, followed{name: "members", read: n.readMembers, await: n.awaitMembers, pause: membersPause})
+	n.follow(ctx, followed{name: "members", read: n.readMembers, await: n.awaitMembers, pause: n.membersPause})
 }
 
 // rowsPatience is how long after its start a node waits for the rows before it
@@ -186,6 +190,18 @@
 	return err == nil
 }
 
+// membersPause returns how long to wait between answers on rows. It grows with the hosts, so
+// that all of them together ask no more often where there are more.
+func (n *Node) membersPause() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return membersPauseFor(len(n.rows))
+}
+
+func membersPauseFor(hosts int) time.Duration {
+	return leastMembersPause * time.Duration(max(hosts, membersAtOnce)) / membersAtOnce
+}
+
 func (n *Node) readMembers(ctx context.Context) (uint64, error) {
 	rows, err := n.store.Members(ctx)
 	if err != nil {
--- a/pkg/node/news_test.go
+++ b/pkg/node/news_test.go
@@ -169,3 +169,14 @@
 	store.version.Store(2)
 	eventually(c, func() bool { return versionOf(n) == 2 })
 }
+
+// While hosts come and go in a series, the calls of all hosts for their rows stay the same,
+// however many there are.
+func TestCallsForRowsDoNotGrowWithTheHosts(t *testing.T) {
+	most := float64(membersAtOnce) / leastMembersPause.Seconds()
+	for _, hosts := range []int{1, 40, 236, 1000, 3000} {
+		calls := float64(hosts) / membersPauseFor(hosts).Seconds()
+		qt.Assert(t, calls <= 1.001*most, qt.IsTrue, qt.Commentf("%d hosts: %.0f calls a second", hosts, calls))
+	}
+	qt.Assert(t, membersPauseFor(3), qt.Equals, leastMembersPause)
+}
