A row that doesn't tell when an executor's life began ends no life

Cause, found by reading: other writers' rows may lack fields. A row without the start of a life named another life than the one known, so that its runs, which went on, counted as gone and their tasks started again. Change: such a reading counts as the life that is known, and so does the first one that tells (asKnown).

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -166,6 +166,7 @@
 func (c *Cell) SetExecutors(listed []catalog.Executor, now time.Duration) {
 	seen := make(map[catalog.Life]bool, len(listed))
 	for _, info := range listed {
+		info = c.asKnown(info)
 		seen[info.Life()] = true
 		c.setExecutor(info, now)
 	}
--- a/pkg/cell/explore_trouble_test.go
+++ b/pkg/cell/explore_trouble_test.go
@@ -96,7 +96,11 @@
 func (w *cluster) withhold(d *domain, index int) {
 	number := w.numberOf(d, index)
 	w.count.withheld++
-	w.list(d, index, w.executors[number].info(number).Withheld())
+	withheld := w.executors[number].info(number).Withheld()
+	if w.faults.lives && w.oneIn(2) { // another writer's row, which lacks when the life began
+		withheld = testExecutor(number)
+	}
+	w.list(d, index, withheld)
 	w.after(w.between(0, 2*time.Second), func() { w.list(d, index, w.executors[number].info(number)) })
 }
 
--- a/pkg/cell/lives.go
+++ b/pkg/cell/lives.go
@@ -1,13 +1,16 @@
 package cell
 
-import "time"
+import (
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/catalog"
+)
 
 // An executor that crashes may start again under the id that it had. Nothing that it ran
 // before goes on, but orders for its former life may be carried out by the next one, as
 // they name the id alone: starts that were under way, or got no answer that says which life
-// has carried them out. Their deadlines are
-// of the former clock, far in the future of the next one, so that they end with the longest
-// lease that executors grant. A task whose start may have met this fate waits until the
+// has carried them out. Their deadlines are of the former clock, far in the future of the
+// next one, so that they end with the longest lease that executors grant. A task whose start may have met this fate waits until the
 // next life has taken a stop of the run: it doesn't start it any more then, and one that it
 // has started ends within the time of a stop.
 
@@ -34,6 +37,22 @@
 	return mayBeNext && now < r.copies.sentAt+c.params.LeaseCap+c.params.StopTime
 }
 
+// asKnown returns a listed executor as the life that is known here, where one of the two
+// doesn't tell when it began. Another writer's row may lack that: it is no word of a new life,
+// and what the known one runs goes on.
+func (c *Cell) asKnown(info catalog.Executor) catalog.Executor {
+	if c.executors[info.Life()] != nil {
+		return info
+	}
+	for _, e := range c.sorted {
+		isEitherUntold := e.info.Born == 0 || info.Born == 0
+		if e.info.ID == info.ID && !e.gone && isEitherUntold {
+			info.Born = e.info.Born
+		}
+	}
+	return info
+}
+
 // endFormerLives takes that another life of an executor is listed.
 func (c *Cell) endFormerLives(id string, now time.Duration) {
 	for _, e := range c.sorted {
--- a/pkg/cell/lives_test.go
+++ b/pkg/cell/lives_test.go
@@ -154,6 +154,38 @@
 	c.Assert(starts[0].Deadline < 2*time.Second, qt.IsTrue, qt.Commentf("%s", starts[0].Deadline))
 }
 
+// Another writer's row of an executor may lack when its life began.
+func TestARowThatDoesNotTellWhenALifeBeganEndsNone(t *testing.T) {
+	untold := bornExecutor(0)
+	untold.Born = 0
+	type scenario struct {
+		testName string
+		listed   []catalog.Executor // one after the other
+		lives    int
+	}
+	scenarios := []scenario{
+		{testName: "it is told no more", listed: []catalog.Executor{bornExecutor(0), untold}, lives: 1},
+		{testName: "it is told again", listed: []catalog.Executor{bornExecutor(0), untold, bornExecutor(0)}, lives: 1},
+		{testName: "it is told for the first time", listed: []catalog.Executor{untold, bornExecutor(0)}, lives: 1},
+		{testName: "another life is listed afterwards", listed: []catalog.Executor{bornExecutor(0), untold, nextLife(bornExecutor(0))}, lives: 2},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			d := newDriver(c, s.listed[0])
+			d.answerHold(&s.listed[0], HoldAnswer{Clock: time.Minute + d.now})
+			d.submit(testJob("job", 1, d.now), 1)
+			start := d.of(Start)[0] // keeps the former life in mind
+			for _, info := range s.listed[1:] {
+				d.cell.SetExecutors([]catalog.Executor{info}, d.now)
+				d.take()
+			}
+			c.Assert(d.cell.executors, qt.HasLen, s.lives)
+			c.Assert(d.cell.executors[start.Executor.Life()].gone, qt.Equals, s.lives > 1)
+		})
+	}
+}
+
 // An owner whose executors have another life that isn't listed yet doesn't know what that one
 // runs for the former owner.
 func TestATakeoverIsNotSettledBeforeTheNextLifeIsListed(t *testing.T) {
--- a/pkg/node/news.go
+++ b/pkg/node/news.go
@@ -22,7 +22,7 @@
 	storeTimeout = time.Second
 	// wholeTimeout bounds the reading of a whole table. A configuration of 1,500
 	// routes takes a link of 2 Mbit/s for 1.5 s.
-	wholeTimeout      = 4 * time.Second
+	wholeTimeout = 4 * time.Second
 	// leastMembersPause is the time between answers on rows, so that a series of changes
 	// comes as one, and membersAtOnce the number of hosts up to which it is enough: each
 	// change has all of them ask again.
