Starts that find their executor gone don't count as crashes under their tasks

Cause, found by reading: starts under way when a life ended counted as likely crashes, and so did those to executors that were gone before; a task that met three dead executors in a row could have been given up. Now only starts without an answer count, and five together with crashes under begun runs.

--- a/pkg/cell/crashes.go
+++ b/pkg/cell/crashes.go
@@ -22,8 +22,10 @@
 	// mostCrashes is under how many executors that crashed a task is given up. Its runs
 	// are known to have begun there.
 	mostCrashes = 2
-	// mostLikelyCrashes is the same where starts without an answer count too.
-	mostLikelyCrashes = 3
+	// mostLikelyCrashes is the same where starts without an answer count too: the executor
+	// may have been gone before them. The users allow a task that crashes its executors
+	// five starts.
+	mostLikelyCrashes = 5
 	// heldBackFor is how long a task waits for word of executors that were lost under it,
 	// and doubles with each. Executors that crash are back, and listed, within some seconds.
 	heldBackFor = 3 * time.Second
@@ -95,7 +97,8 @@
 }
 
 // crashedUnder takes that an executor's life has ended, under what it ran and what was given
-// up since it fell silent. One that was to leave has ended as planned.
+// up since it fell silent. Starts that are under way have found it gone, as their answers
+// will tell. One that was to leave has ended as planned.
 func (c *Cell) crashedUnder(e *executor, now time.Duration) {
 	lost := e.lost
 	c.clearLost(e)
@@ -103,7 +106,7 @@
 		return
 	}
 	for _, r := range e.sortedRuns() {
-		if r.task != nil && r.state != stopping {
+		if r.task != nil && r.state != stopping && r.state != starting {
 			lost = append(lost, lostRun{work: r.work, task: r.task, begun: r.seen || r.state == running, at: now})
 		}
 	}
--- a/pkg/cell/crashes_test.go
+++ b/pkg/cell/crashes_test.go
@@ -169,6 +169,18 @@
 	c.Assert(d.cell.taskOf(start.Task).isSuspect(), qt.IsFalse)
 }
 
+// Tasks whose starts find an executor gone have crashed nothing.
+func TestAStartThatFindsItsExecutorGoneIsNoCrash(t *testing.T) {
+	c := qt.New(t)
+	d, infos := adoptedLives(c, 2)
+	d.submit(smallJob("a", 1, d.now), 1)
+	start := d.of(Start)[0]
+	d.startAnswer(start, WrongLife)
+	c.Assert(d.cell.executors[infos[indexOf(infos, start)].Life()], qt.Satisfies, func(e *executor) bool { return e == nil || e.gone })
+	c.Assert(d.cell.taskOf(start.Task).isSuspect(), qt.IsFalse)
+	c.Assert(d.of(Start), qt.HasLen, 1)
+}
+
 // Owners tell the next one of the executors that have crashed under a task.
 func TestTheNextOwnerKnowsOfCrashes(t *testing.T) {
 	c := qt.New(t)
