--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -9,14 +9,10 @@
 package cell
 
 import (
-	"slices"
-	"sort"
-	"strings"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/catalog"
 	"github.com/foxcroft/foxcroft/pkg/job"
-	"github.com/foxcroft/foxcroft/pkg/ownership"
 )
 
 // Params are the times that leases and holds follow, and the policies.
@@ -161,43 +157,6 @@
 // after it, are newer than all that the former owner acted on.
 func (c *Cell) Complete() { c.complete = true }
 
-// SetExecutors takes a new reading of the cell's executors. One that is no
-// longer listed gets no new work, and is forgotten once its leases are over.
-func (c *Cell) SetExecutors(listed []catalog.Executor, now time.Duration) {
-	seen := make(map[catalog.Life]bool, len(listed))
-	for _, info := range listed {
-		info = c.asKnown(info)
-		seen[info.Life()] = true
-		c.setExecutor(info, now)
-	}
-	for life, e := range c.executors {
-		e.listed = seen[life]
-	}
-	c.dirty = true
-	c.advance(now)
-}
-
-func (c *Cell) setExecutor(info catalog.Executor, now time.Duration) {
-	life := info.Life()
-	e := c.executors[life]
-	if e == nil {
-		c.endFormerLives(info.ID, now)
-		e = newExecutor(info)
-		c.executors[life] = e
-		c.sorted = append(c.sorted, e)
-		slices.SortFunc(c.sorted, func(a, b *executor) int { return strings.Compare(string(a.life), string(b.life)) })
-	}
-	if info.Draining && !e.info.Draining {
-		c.note(Notice{Event: "executor_draining", Executor: info.ID})
-	}
-	// A reading may be older than what the executor itself has told.
-	info.Draining = info.Draining || e.info.Draining
-	e.info = info
-	if info.Clock > 0 {
-		e.clock.hint(info.Clock, now)
-	}
-}
-
 // Handover is a job that a front hands to the owner of a cell.
 type Handover struct {
 	Job       *job.Job
@@ -321,20 +280,6 @@
 	}
 }
 
-func (c *Cell) forgetExecutors(now time.Duration) {
-	kept := c.sorted[:0]
-	for _, e := range c.sorted {
-		unused := !e.listed && len(e.runs) == 0 && !e.holding && !e.awaitsVerdict(now)
-		if unused && (e.adopted || e.gone || c.formerLeasesOver(e, now)) {
-			c.letGoOf(e)
-			delete(c.executors, e.life)
-			continue
-		}
-		kept = append(kept, e)
-	}
-	c.sorted = kept
-}
-
 func (c *Cell) note(n Notice) { c.notices = append(c.notices, n) }
 
 func (c *Cell) sortedWorks() []*work {
@@ -345,46 +290,3 @@
 	sortByID(works)
 	return works
 }
-
-// Load returns how busy the cell is.
-func (c *Cell) Load(now time.Duration) ownership.Load {
-	var load ownership.Load
-	if c.closed {
-		return load
-	}
-	services := map[string]bool{}
-	for _, e := range c.sorted {
-		if !e.usable(now) {
-			continue
-		}
-		load.Ready = true
-		load.CapacityCPU += e.info.Capacity.CPU
-		load.FreeCPU += max(0, e.free().CPU)
-		if !services[e.info.Service] {
-			services[e.info.Service] = true
-			load.Services = append(load.Services, e.info.Service)
-		}
-	}
-	sort.Strings(load.Services)
-	var bytes int64
-	for _, w := range c.works {
-		load.QueuedWork += w.waitingWork()
-		bytes += w.waitingBytes()
-	}
-	// What waits for the link waits as if it were for room.
-	linkWork := c.pacer.timeOf(bytes).Milliseconds() * load.CapacityCPU
-	load.QueuedWork = max(load.QueuedWork, linkWork)
-	return load
-}
-
-// Waiting counts, by route, the jobs of which no task has started. Of the parts
-// of a job the first one counts.
-func (c *Cell) Waiting() map[string]int {
-	counts := map[string]int{}
-	for _, w := range c.works {
-		if w.waits() && w.job.Part.First == 0 {
-			counts[w.job.Route]++
-		}
-	}
-	return counts
-}
--- /dev/null
+++ b/pkg/cell/listed.go
@@ -0,0 +1,62 @@
+package cell
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/catalog"
+)
+
+// SetExecutors takes a new reading of the cell's executors. One that is no
+// longer listed gets no new work, and is forgotten once its leases are over.
+func (c *Cell) SetExecutors(listed []catalog.Executor, now time.Duration) {
+	seen := make(map[catalog.Life]bool, len(listed))
+	for _, info := range listed {
+		info = c.asKnown(info)
+		seen[info.Life()] = true
+		c.setExecutor(info, now)
+	}
+	for life, e := range c.executors {
+		e.listed = seen[life]
+	}
+	c.dirty = true
+	c.advance(now)
+}
+
+func (c *Cell) setExecutor(info catalog.Executor, now time.Duration) {
+	life := info.Life()
+	e := c.executors[life]
+	if e == nil {
+		c.endFormerLives(info.ID, now)
+		e = newExecutor(info)
+		c.executors[life] = e
+		c.sorted = append(c.sorted, e)
+		slices.SortFunc(c.sorted, func(a, b *executor) int { return strings.Compare(string(a.life), string(b.life)) })
+	}
+	if info.Draining && !e.info.Draining {
+		c.note(Notice{Event: "executor_draining", Executor: info.ID})
+	}
+	// A reading may be older than what the executor itself has told.
+	info.Draining = info.Draining || e.info.Draining
+	e.info = info
+	if info.Clock > 0 {
+		e.clock.hint(info.Clock, now)
+	}
+}
+
+// forgetExecutors drops the executors that are no longer listed, once nothing they ran can
+// go on.
+func (c *Cell) forgetExecutors(now time.Duration) {
+	kept := c.sorted[:0]
+	for _, e := range c.sorted {
+		unused := !e.listed && len(e.runs) == 0 && !e.holding && !e.awaitsVerdict(now)
+		if unused && (e.adopted || e.gone || c.formerLeasesOver(e, now)) {
+			c.letGoOf(e)
+			delete(c.executors, e.life)
+			continue
+		}
+		kept = append(kept, e)
+	}
+	c.sorted = kept
+}
--- /dev/null
+++ b/pkg/cell/load.go
@@ -0,0 +1,51 @@
+package cell
+
+import (
+	"sort"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/ownership"
+)
+
+// Load returns how busy the cell is.
+func (c *Cell) Load(now time.Duration) ownership.Load {
+	var load ownership.Load
+	if c.closed {
+		return load
+	}
+	services := map[string]bool{}
+	for _, e := range c.sorted {
+		if !e.usable(now) {
+			continue
+		}
+		load.Ready = true
+		load.CapacityCPU += e.info.Capacity.CPU
+		load.FreeCPU += max(0, e.free().CPU)
+		if !services[e.info.Service] {
+			services[e.info.Service] = true
+			load.Services = append(load.Services, e.info.Service)
+		}
+	}
+	sort.Strings(load.Services)
+	var bytes int64
+	for _, w := range c.works {
+		load.QueuedWork += w.waitingWork()
+		bytes += w.waitingBytes()
+	}
+	// What waits for the link waits as if it were for room.
+	linkWork := c.pacer.timeOf(bytes).Milliseconds() * load.CapacityCPU
+	load.QueuedWork = max(load.QueuedWork, linkWork)
+	return load
+}
+
+// Waiting counts, by route, the jobs of which no task has started. Of the parts
+// of a job the first one counts.
+func (c *Cell) Waiting() map[string]int {
+	counts := map[string]int{}
+	for _, w := range c.works {
+		if w.waits() && w.job.Part.First == 0 {
+			counts[w.job.Route]++
+		}
+	}
+	return counts
+}
