A list counts as fresh only as of when its teller, or whom that follows, asked the store

Cause, found by reading: a host that doesn't read told the age of its list by the last word of its reader, which may confirm a list of up to 1.3 s before; a follower could have acted on one of over 2 s, where executors that leave have to be known within two. Change: the age counts from the reading itself, so that only readers tell fresh lists; a follower that asks another host reads the store by itself, as before. Test: TestOnlyAReaderTellsAFreshList.

--- a/pkg/node/leading_test.go
+++ b/pkg/node/leading_test.go
@@ -78,6 +78,22 @@
 	}
 }
 
+// A host that doesn't read the list has it by the word of its reader, which may have asked
+// the store some time before.
+func TestOnlyAReaderTellsAFreshList(t *testing.T) {
+	c := qt.New(t)
+	reader := newTestNode(c, &fakeStore{})
+	reader.roster.TakeWhole(&catalog.Executors{Revision: 10, ByID: map[string]catalog.Executor{"e": executorOf("e", "10.0.0.1:1")}}, 0)
+	reader.publish(true, reader.Clock.Now())
+	other := newTestNode(c, &fakeStore{})
+	other.roster.TakeWhole(&catalog.Executors{Revision: 8, ByID: map[string]catalog.Executor{}}, 0)
+	other.publish(true, other.Clock.Now()-leadingFresh-time.Second)
+	other.takePassed(reader.executorsSince(8), otherAddress)
+	other.passedAt.Store(int64(other.Clock.Now()))
+	c.Assert(isFreshList(reader.executorsSince(8)), qt.IsTrue)
+	c.Assert(isFreshList(other.executorsSince(8)), qt.IsFalse)
+}
+
 func executorOf(id, address string) catalog.Executor {
 	return catalog.Executor{ID: id, Service: "s", Domain: "z", Address: address, Capacity: job.Resources{CPU: 1}}
 }
--- a/pkg/node/passing.go
+++ b/pkg/node/passing.go
@@ -207,7 +207,9 @@
 		return &peerpb.Snapshot{Kind: newsExecutors}
 	}
 	m := toPassed(passed)
-	m.AgeMs = (n.Clock.Now() - n.listConfirmedAt()).Milliseconds()
+	if current := n.executors.Load(); current != nil {
+		m.AgeMs = (n.Clock.Now() - current.askedAt).Milliseconds()
+	}
 	return m
 }
 
