One look-up of a run, one question for a peer's news; rows are compared without making names

Found on reading the whole change once more; behaviour stays as it was. - Two readings of an executor are compared by id and start, not by life names: a reader compares each row of the fleet at each reading, and made two texts for each. - The question that the readers of other domains ask was written a second time beside fetch: askForNews serves both. - A run was looked up by task and number in four places: executor.runOf. - Runs that were lost with their executor were described twice: newLostRun.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -97,6 +97,6 @@
 // sameButClock reports whether two readings of an executor differ in nothing but its
 // clock, which runs all the time.
 func (e *Executor) sameButClock(other Executor) bool {
-	return e.Life() == other.Life() && e.Service == other.Service && e.Address == other.Address && e.Domain == other.Domain &&
+	return e.ID == other.ID && e.Born == other.Born && e.Service == other.Service && e.Address == other.Address && e.Domain == other.Domain &&
 		e.Draining == other.Draining && e.Capacity == other.Capacity && slices.Equal(e.Labels, other.Labels)
 }
--- a/pkg/cell/answers.go
+++ b/pkg/cell/answers.go
@@ -26,7 +26,10 @@
 	// A full link has kept tasks waiting.
 	c.dirty = c.dirty || c.pacer.full()
 	c.pacer.answered(name, number)
-	r := c.runAt(life, name, number)
+	var r *run
+	if e := c.executors[life]; e != nil {
+		r = e.runOf(name, number)
+	}
 	if r != nil && verdict == Accepted {
 		r.confirmStart(clock, now)
 	}
@@ -40,18 +43,6 @@
 	c.advance(now)
 }
 
-// runAt returns a run at an executor, or nil.
-func (c *Cell) runAt(life catalog.Life, name string, number int64) *run {
-	e := c.executors[life]
-	if e == nil {
-		return nil
-	}
-	if r := e.runs[name]; r != nil && r.number == number {
-		return r
-	}
-	return nil
-}
-
 // takeStart takes what the answer to one copy of a start tells of its run.
 func (c *Cell) takeStart(e *executor, r *run, verdict Verdict, late bool, now time.Duration) {
 	if !late && verdict != Unanswered && r.copies.overtakes() {
@@ -140,7 +131,7 @@
 	if e == nil {
 		return
 	}
-	if r := e.runs[name]; r != nil && r.number == number && r.state == stopping {
+	if r := e.runOf(name, number); r != nil && r.state == stopping {
 		r.stopLost = !verdict.isAccepted()
 		c.takeStopOfNextLife(r, now)
 		if verdict == Unanswered && !e.silent {
--- a/pkg/cell/crashes.go
+++ b/pkg/cell/crashes.go
@@ -52,6 +52,10 @@
 	at    time.Duration
 }
 
+func newLostRun(r *run, now time.Duration) lostRun {
+	return lostRun{work: r.work, task: r.task, begun: r.seen || r.state == running, at: now}
+}
+
 // isSuspect reports whether an executor was lost under the task.
 func (t *task) isSuspect() bool { return t.losses.total() > 0 }
 
@@ -76,7 +80,7 @@
 	if r.task == nil || r.state == stopping {
 		return
 	}
-	e.lost = append(e.lost, lostRun{work: r.work, task: r.task, begun: r.seen || r.state == running, at: now})
+	e.lost = append(e.lost, newLostRun(r, now))
 	r.task.losses.open++
 	r.task.losses.lastAt = now
 }
@@ -107,7 +111,7 @@
 	}
 	for _, r := range e.sortedRuns() {
 		if r.task != nil && r.state != stopping && r.state != starting {
-			lost = append(lost, lostRun{work: r.work, task: r.task, begun: r.seen || r.state == running, at: now})
+			lost = append(lost, newLostRun(r, now))
 		}
 	}
 	for _, l := range lost {
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -191,6 +191,14 @@
 	})
 }
 
+// runOf returns the run of a task with a number, or nil.
+func (e *executor) runOf(name string, number int64) *run {
+	if r := e.runs[name]; r != nil && r.number == number {
+		return r
+	}
+	return nil
+}
+
 // stopRun orders the end of a run that nobody waits for any more. The run
 // takes room until its end is seen.
 func (c *Cell) stopRun(r *run, reason string) {
--- a/pkg/cell/holds.go
+++ b/pkg/cell/holds.go
@@ -196,8 +196,7 @@
 		}
 		e.listedTo = end.Number
 		c.holdBack(e, end, now)
-		r := e.runs[end.Task]
-		if r != nil && r.number == end.Run {
+		if r := e.runOf(end.Task, end.Run); r != nil {
 			c.takeEnd(e, r, end.Kind, now)
 			continue
 		}
--- a/pkg/cell/second_look.go
+++ b/pkg/cell/second_look.go
@@ -74,7 +74,7 @@
 		return
 	}
 	e.doubtful = true
-	if r := e.runs[name]; r != nil && r.number == number {
+	if r := e.runOf(name, number); r != nil {
 		c.startAgain(r, now)
 	}
 	c.advance(now)
--- a/pkg/node/leading.go
+++ b/pkg/node/leading.go
@@ -156,13 +156,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
-	fetch := &peerpb.FetchSnapshot{Kind: newsExecutors, Since: n.executorsRevision()}
-	answer, err := link.Call(ctx, &peerpb.Message{Body: &peerpb.Message_FetchSnapshot{FetchSnapshot: fetch}}, 0)
+	m, err := n.askForNews(ctx, link, newsExecutors)
 	if err != nil {
 		n.Log.Info("leading_reader_unanswered", "peer", address, "error", err.Error())
 		return false
 	}
-	m := answer.GetSnapshot()
 	if !isFreshList(m) {
 		n.Log.Info("leading_reader_not_fresh", "peer", address, "age_ms", m.GetAgeMs())
 		return false
--- a/pkg/node/news.go
+++ b/pkg/node/news.go
@@ -260,15 +260,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), peerFetchTimeout)
 	defer cancel()
-	fetch := &peerpb.FetchSnapshot{Kind: kind}
-	if kind == newsExecutors {
-		fetch.Since = n.executorsRevision()
-	}
-	answer, err := link.Call(ctx, &peerpb.Message{Body: &peerpb.Message_FetchSnapshot{FetchSnapshot: fetch}}, 0)
-	if err != nil || answer.GetSnapshot() == nil {
+	m, err := n.askForNews(ctx, link, kind)
+	if err != nil || m == nil {
 		return
 	}
-	m := answer.GetSnapshot()
 	if kind == newsConfiguration {
 		n.offerPacked(m, address)
 		return
@@ -276,6 +271,16 @@
 	n.takePassed(m, address)
 }
 
+// askForNews returns the news of a kind that a peer has; nil when it answers otherwise.
+func (n *Node) askForNews(ctx context.Context, link *peer.Link, kind uint32) (*peerpb.Snapshot, error) {
+	fetch := &peerpb.FetchSnapshot{Kind: kind}
+	if kind == newsExecutors {
+		fetch.Since = n.executorsRevision()
+	}
+	answer, err := link.Call(ctx, &peerpb.Message{Body: &peerpb.Message_FetchSnapshot{FetchSnapshot: fetch}}, 0)
+	return answer.GetSnapshot(), err
+}
+
 // offerPacked takes a configuration that a peer has passed on.
 func (n *Node) offerPacked(m *peerpb.Snapshot, from string) {
 	body, err := unpack(m.Body)
