cell, node: log the clocks of replaced executors and unaccepted answers

When tasks ran twice after executors had restarted under the same ids, the logs showed neither the clock in an answer nor the clock that the owner expected. They could not tell whether the owner had taken an answer of the next incarnation for one of the former.

start_not_accepted, stop_not_accepted and hold_not_accepted now include clock_ms, the executor's clock in the answer, or 0 if the answer has none. The detail of executor_replaced is the estimate of the former incarnation's clock in milliseconds, empty before the first reading. The verdict of an answer is handled before its clock is recorded, so that the estimate does not include the clock of an answer that reveals the replacement. No decision changes: the clock of an ended incarnation is not used.

pkg/cell, pkg/node and platform pass.

--- a/pkg/cell/answers.go
+++ b/pkg/cell/answers.go
@@ -69,10 +69,10 @@
 	if e == nil || c.fenced {
 		return nil
 	}
-	c.observeClock(e, clock, now)
 	if c.handleVerdict(e, verdict, now) {
 		return nil
 	}
+	c.observeClock(e, clock, now)
 	c.assessAnswer(e, verdict, late, now)
 	return e
 }
--- a/pkg/cell/clock.go
+++ b/pkg/cell/clock.go
@@ -1,6 +1,9 @@
 package cell
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // maxClockDrift is how much slower an executor's clock may run than ours, as a fraction.
 const maxClockDrift = 0.02
@@ -65,6 +68,14 @@
 	return c.reading + now - c.readAt
 }
 
+// formatEstimate formats the estimate in milliseconds, or returns "" before the first reading.
+func (c *remoteClock) formatEstimate(now time.Duration) string {
+	if !c.known {
+		return ""
+	}
+	return strconv.FormatInt(c.estimate(now).Milliseconds(), 10)
+}
+
 // maxClockAge is the age from which on a clock is read again. A job's lease is shortened by the
 // drift since the reading when it is converted to the executor's clock. After a long idle time
 // too little would be left of it for a start.
--- a/pkg/cell/holds.go
+++ b/pkg/cell/holds.go
@@ -83,10 +83,10 @@
 	response = response.validated()
 	e.holdInFlight = false
 	c.lastEventAt = now
-	c.observeClock(e, response.Clock, now)
 	if c.handleVerdict(e, response.Verdict, now) {
 		return
 	}
+	c.observeClock(e, response.Clock, now)
 	if response.Verdict != Accepted {
 		e.missedHolds++
 		c.handleMissedHold(e, response.Verdict, now)
--- a/pkg/cell/incarnations.go
+++ b/pkg/cell/incarnations.go
@@ -68,7 +68,7 @@
 	if e.ended {
 		return
 	}
-	c.addNotice(Notice{Event: "executor_replaced", Executor: string(e.incarnation), Age: now - e.clock.readAt})
+	c.addNotice(Notice{Event: "executor_replaced", Executor: string(e.incarnation), Detail: e.clock.formatEstimate(now), Age: now - e.clock.readAt})
 	e.ended = true
 	e.endedAt = now
 	c.dirty = true
--- a/pkg/cell/overdue.go
+++ b/pkg/cell/overdue.go
@@ -126,10 +126,10 @@
 	if response.Verdict == Unanswered {
 		c.lossyUntil = now + lossyPeriod
 	}
-	c.observeClock(e, response.Clock, now)
 	if c.handleVerdict(e, response.Verdict, now) {
 		return
 	}
+	c.observeClock(e, response.Clock, now)
 	if response.Verdict == Accepted {
 		c.applyList(e, response, sentAt, now)
 	}
--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -106,13 +106,13 @@
 	}
 }
 
-// logNotAccepted logs a command that was not accepted, with the executor's message.
+// logNotAccepted logs a command that was not accepted, with the executor's message and clock.
 func (c *calls) logNotAccepted(event string, o *owner, command *cell.Command, result CommandResult, sentAt time.Duration) {
 	if result.Verdict == cell.Accepted {
 		return
 	}
 	o.node.Log.Info(event, "cell", o.cell, "executor", command.Executor.ID, "task", command.Task, "run", command.Run,
-		"verdict", result.Verdict.String(), "told", result.Message, "age_ms", (c.clock() - sentAt).Milliseconds())
+		"verdict", result.Verdict.String(), "told", result.Message, "clock_ms", result.Clock.Milliseconds(), "age_ms", (c.clock() - sentAt).Milliseconds())
 }
 
 func (c *calls) hold(o *owner, command *cell.Command) {
@@ -127,7 +127,7 @@
 	late := pending.finish()
 	o.node.metrics.CommandAnswered("hold", response.Verdict.String())
 	if response.Message != "" { // the cell logs an unanswered request itself, once
-		c.logNotAccepted("hold_not_accepted", o, command, CommandResult{Verdict: response.Verdict, Message: response.Message}, sentAt)
+		c.logNotAccepted("hold_not_accepted", o, command, CommandResult{Verdict: response.Verdict, Clock: response.Clock, Message: response.Message}, sentAt)
 	}
 	o.node.countUnreadableEntries(response)
 	o.do(func(state *cell.Cell, now time.Duration) {
