cell: failing tests of starts that the next incarnation of an executor accepts

The simulated executors restarted at least 1 s after their end with a clock at zero while the former one was past an hour, so the owner could always tell the incarnations apart.

--- a/pkg/cell/explore_executor_test.go
+++ b/pkg/cell/explore_executor_test.go
@@ -35,6 +35,7 @@
 
 	startedAt   int64         // when its incarnation started, as it publishes it; 0 if it doesn't
 	restartedAt time.Duration // on the simulation's clock
+	firstClock  time.Duration // its clock when its incarnation started
 	restarts    int
 
 	refuses        bool // it carries out no command, and says so
@@ -42,21 +43,19 @@
 }
 
 func newModelExecutor(i int, rate float64) *modelExecutor {
-	return &modelExecutor{id: executorID(i), clockRate: rate, runs: map[string]modelRun{}, highest: map[string]int64{}}
+	return &modelExecutor{id: executorID(i), clockRate: rate, firstClock: time.Hour, runs: map[string]modelRun{}, highest: map[string]int64{}}
 }
 
 func (e *modelExecutor) clock(now time.Duration) time.Duration {
-	if e.restarts > 0 {
-		return time.Duration(float64(now-e.restartedAt) * e.clockRate)
-	}
-	return time.Hour + time.Duration(float64(now)*e.clockRate)
+	return e.firstClock + time.Duration(float64(now-e.restartedAt)*e.clockRate)
 }
 
 // restart ends all runs, drops all state and begins another incarnation under the same
-// id.
-func (e *modelExecutor) restart(now time.Duration) {
+// id, whose clock starts at firstClock.
+func (e *modelExecutor) restart(firstClock, now time.Duration) {
 	e.restarts++
 	e.startedAt, e.restartedAt = int64(e.restarts+1), now
+	e.firstClock = firstClock
 	e.fence, e.deadline, e.next = 0, 0, 0
 	e.runs, e.highest, e.ended = map[string]modelRun{}, map[string]int64{}, nil
 }
--- a/pkg/cell/explore_trouble_test.go
+++ b/pkg/cell/explore_trouble_test.go
@@ -57,6 +57,18 @@
 	}
 }
 
+// clockOfNextIncarnation draws where the clock of an executor's next incarnation starts: at
+// zero, near that of the former one, or far ahead of it.
+func (w *cluster) clockOfNextIncarnation(e *modelExecutor) time.Duration {
+	switch w.random.IntN(4) {
+	case 0:
+		return 0
+	case 1:
+		return e.clock(w.now) + time.Hour
+	}
+	return e.clock(w.now) + w.between(-time.Second, time.Second)
+}
+
 // crashExecutor ends the incarnation of an executor. The next one starts under the
 // same id after a while, and is listed some time later.
 func (w *cluster) crashExecutor(d *domain, index int) {
@@ -68,10 +80,11 @@
 	w.count.crashes++
 	w.record("", "%s crashes", e.id)
 	e.disconnected = true
-	e.restart(w.now)
-	w.after(w.between(shortestRestart, 3*time.Second), func() {
+	firstClock := w.clockOfNextIncarnation(e)
+	e.restart(firstClock, w.now)
+	w.after(w.between(0, 3*time.Second), func() {
 		e.disconnected = false
-		e.restart(w.now)
+		e.restart(firstClock, w.now)
 		w.after(w.between(0, 2*time.Second), func() { w.updateListing(d, index, e.info(number)) })
 	})
 }
--- a/pkg/cell/incarnations_test.go
+++ b/pkg/cell/incarnations_test.go
@@ -132,6 +132,51 @@
 	}
 }
 
+// Guards against a task that runs twice at once because its start was accepted by the next
+// incarnation of an executor, whose clock does not lie behind that of the former one.
+func TestAStartAcceptedByTheNextIncarnationIsStoppedThere(t *testing.T) {
+	type scenario struct {
+		testName string
+		ahead    time.Duration // of the next incarnation's clock
+	}
+	scenarios := []scenario{
+		{testName: "its clock is behind", ahead: -50 * time.Second},
+		{testName: "its clock agrees", ahead: 0},
+		{testName: "its clock is ahead by less than a lease", ahead: 50 * ms},
+		{testName: "its clock is far ahead, so that it first refuses the start", ahead: time.Hour},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			d, infos := newRestartableDriver(c, 1)
+			d.tick(ms)
+			d.submit(testJob("job", 1, d.now), 1)
+			start := d.takeCommands(Start)[0]
+			clock := time.Minute + d.now + s.ahead
+			if clock >= start.Deadline {
+				d.cell.StartAnswered(start.Executor.Incarnation(), start.Task, start.Run, Late, clock, d.now)
+				d.takeActions()
+				d.tick(refusedPause)
+				clock += refusedPause
+				start = d.takeCommands(Start)[0]
+			}
+			d.cell.StartAnswered(start.Executor.Incarnation(), start.Task, start.Run, Accepted, clock, d.now)
+			d.takeActions()
+			d.commands = nil
+
+			d.answerHold(&infos[0], HoldResponse{Verdict: AcceptedByOther, Clock: clock})
+			c.Assert(d.takeCommands(Stop), qt.HasLen, 1)
+			c.Assert(d.cell.taskOf(start.Task).current, qt.IsNotNil)
+			d.cell.StopAnswered(start.Executor.Incarnation(), start.Task, start.Run, Accepted, clock, d.now)
+			d.takeActions()
+			d.tick(d.cell.params.StopTime - ms)
+			c.Assert(d.cell.taskOf(start.Task).current, qt.IsNotNil)
+			d.tick(ms)
+			c.Assert(d.cell.taskOf(start.Task).current, qt.IsNil)
+		})
+	}
+}
+
 // taskOf returns the task that executors list under a name.
 func (c *Cell) taskOf(name string) *task {
 	_, t := c.findTask(name)
