cell: confirm runs only by lists of runs, not by answers to starts

Tasks of callers ran twice at once after executors had restarted under the same id. The answer to a start does not name the incarnation of the executor. The owner inferred it from the clock in the answer: a clock that continued the known one confirmed the run, and when the incarnation was found to have ended, its confirmed runs were removed at once. However, the clock of the next incarnation may start at any reading. If it started ahead of the former one, the answer of the next incarnation confirmed the run, and the task was started elsewhere while the next incarnation continued to run it.

A run is now confirmed only by a list of runs, which names its incarnation. A run that has not been listed when its executor restarts is first stopped at the next incarnation, as was already done for starts without an answer.

Tests that treated an accepted start as a confirmed one made the same assumption: TestRunsOfAnEndedIncarnationAreRemovedAtOnce, now TestListedRunsOfAnEndedIncarnationAreRemovedAtOnce, the crash tests, and TestAStartThatTheNextIncarnationMayHaveWaitsForItsStop. Their runs are now confirmed by a list, and their assertions are unchanged. Simulated clocks don't become negative.

The clocks of the stand-in's next incarnations are behind, equal to or ahead of the former ones.

--- a/pkg/cell/answers.go
+++ b/pkg/cell/answers.go
@@ -29,9 +29,6 @@
 	if e := c.executors[incarnation]; e != nil {
 		r = e.findRun(name, number)
 	}
-	if r != nil && verdict == Accepted {
-		r.confirmStart(clock, now)
-	}
 	e := c.handleAnswer(incarnation, verdict, late, clock, now)
 	if e == nil {
 		return
--- a/pkg/cell/clock.go
+++ b/pkg/cell/clock.go
@@ -8,9 +8,6 @@
 // maxClockDrift is how much slower an executor's clock may run than ours, as a fraction.
 const maxClockDrift = 0.02
 
-// clockResolution is the unit in which executors report their clocks.
-const clockResolution = time.Millisecond
-
 // remoteClock estimates an executor's clock from its answers. The estimate is never ahead of
 // the executor's clock, except by drift: the time in an answer has already passed when the
 // answer arrives.
@@ -46,16 +43,6 @@
 	return c.reading + elapsed - time.Duration(float64(elapsed)*maxClockDrift)
 }
 
-// lowerBoundPast returns a time that the executor's clock had reached at a moment of ours, which
-// may precede the last answer.
-func (c *remoteClock) lowerBoundPast(moment time.Duration) time.Duration {
-	if moment >= c.readAt {
-		return c.lowerBound(moment)
-	}
-	before := c.readAt - moment
-	return c.reading - before - time.Duration(float64(before)*maxClockDrift)
-}
-
 // lowerBoundFuture returns a time that the executor's clock will have reached at a later moment
 // of ours even if it runs slow.
 func (c *remoteClock) lowerBoundFuture(moment, now time.Duration) time.Duration {
@@ -68,7 +55,8 @@
 	return c.reading + now - c.readAt
 }
 
-// formatEstimate formats the estimate in milliseconds, or returns "" before the first reading.
+// formatEstimate returns the estimate at now in milliseconds as a string, or "" before the first
+// reading.
 func (c *remoteClock) formatEstimate(now time.Duration) string {
 	if !c.known {
 		return ""
--- a/pkg/cell/crashes_test.go
+++ b/pkg/cell/crashes_test.go
@@ -24,7 +24,8 @@
 	d.answerHold(&infos[i], HoldResponse{Clock: time.Second})
 }
 
-// acceptStarts accepts all pending starts and returns them.
+// acceptStarts accepts all pending starts, lists the runs of their executors, and returns the
+// starts.
 func (d *driver) acceptStarts() []Command {
 	starts := d.takeCommands(Start)
 	for _, start := range starts {
@@ -32,9 +33,22 @@
 		d.cell.StartAnswered(e.incarnation, start.Task, start.Run, Accepted, e.clock.estimate(d.now), d.now)
 	}
 	d.takeActions()
+	for _, start := range starts {
+		d.listRuns(&start.Executor)
+	}
 	return starts
 }
 
+// listRuns answers a hold of an executor with all its runs that the owner knows.
+func (d *driver) listRuns(info *catalog.Executor) {
+	e := d.cell.executors[info.Incarnation()]
+	response := HoldResponse{Clock: e.clock.estimate(d.now)}
+	for _, r := range e.sortedRuns() {
+		response.Running = append(response.Running, RunningTask{Task: r.name, Run: r.number})
+	}
+	d.answerHold(info, response)
+}
+
 // indexOf returns the index of the executor that a command is for.
 func indexOf(infos []catalog.Executor, command Command) int {
 	for i := range infos {
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -28,7 +28,7 @@
 	task            *task     // nil when job is nil
 	needs           job.Resources
 	state           runState
-	confirmed       bool          // this incarnation of the executor has shown that it has started the run
+	confirmed       bool          // this incarnation of the executor has listed the run
 	stopPending     bool          // a stop waits for the answer to the start
 	stopUnconfirmed bool          // the last stop may not have been carried out
 	stopSentAt      time.Duration // when the last stop was sent, on our clock
@@ -66,7 +66,7 @@
 	firstAttachAt    time.Duration // when a run here was first attached to a job; 0 before
 	ended            bool          // this incarnation is over
 	endedAt          time.Duration // when the end was found, on our clock
-	answeredAt       time.Duration // when this incarnation last answered, on our clock
+	answeredAt       time.Duration // when this incarnation last accepted a hold that was not overdue, on our clock
 	unresponsive     bool          // the last hold got no answer, or the last few failed
 	mayHideRuns      bool          // the last hold response had unreadable entries
 	unresolved       bool          // the outcome of a command is unknown, and no answer has come since
--- a/pkg/cell/explore_executor_test.go
+++ b/pkg/cell/explore_executor_test.go
@@ -33,29 +33,29 @@
 	onEnd        func(e *modelExecutor, end EndedTask)
 	onForget     func(e *modelExecutor, end EndedTask) // called for each end that an owner has seen and that is therefore forgotten
 
-	startedAt   int64         // when its incarnation started, as it publishes it; 0 if it doesn't
-	restartedAt time.Duration // on the simulation's clock
-	firstClock  time.Duration // its clock when its incarnation started
-	restarts    int
+	startedAt    int64         // when its incarnation started, as it publishes it; 0 if it doesn't
+	restartedAt  time.Duration // on the simulation's clock
+	initialClock time.Duration // clock reading at which the incarnation started
+	restarts     int
 
 	refuses        bool // it carries out no command, and says so
 	answersUnclear bool // its answers don't say whether it carried out the command
 }
 
 func newModelExecutor(i int, rate float64) *modelExecutor {
-	return &modelExecutor{id: executorID(i), clockRate: rate, firstClock: time.Hour, runs: map[string]modelRun{}, highest: map[string]int64{}}
+	return &modelExecutor{id: executorID(i), clockRate: rate, initialClock: time.Hour, runs: map[string]modelRun{}, highest: map[string]int64{}}
 }
 
 func (e *modelExecutor) clock(now time.Duration) time.Duration {
-	return e.firstClock + time.Duration(float64(now-e.restartedAt)*e.clockRate)
+	return e.initialClock + time.Duration(float64(now-e.restartedAt)*e.clockRate)
 }
 
 // restart ends all runs, drops all state and begins another incarnation under the same
-// id, whose clock starts at firstClock.
-func (e *modelExecutor) restart(firstClock, now time.Duration) {
+// id, with its clock at initialClock.
+func (e *modelExecutor) restart(initialClock, now time.Duration) {
 	e.restarts++
 	e.startedAt, e.restartedAt = int64(e.restarts+1), now
-	e.firstClock = firstClock
+	e.initialClock = initialClock
 	e.fence, e.deadline, e.next = 0, 0, 0
 	e.runs, e.highest, e.ended = map[string]modelRun{}, map[string]int64{}, nil
 }
--- a/pkg/cell/explore_trouble_test.go
+++ b/pkg/cell/explore_trouble_test.go
@@ -57,16 +57,16 @@
 	}
 }
 
-// clockOfNextIncarnation draws where the clock of an executor's next incarnation starts: at
-// zero, near that of the former one, or far ahead of it.
-func (w *cluster) clockOfNextIncarnation(e *modelExecutor) time.Duration {
+// randomInitialClock draws the initial clock of an executor's next incarnation: zero, within a
+// second of the current clock, or an hour ahead of it.
+func (w *cluster) randomInitialClock(e *modelExecutor) time.Duration {
 	switch w.random.IntN(4) {
 	case 0:
 		return 0
 	case 1:
 		return e.clock(w.now) + time.Hour
 	}
-	return e.clock(w.now) + w.between(-time.Second, time.Second)
+	return max(ms, e.clock(w.now)+w.between(-time.Second, time.Second))
 }
 
 // crashExecutor ends the incarnation of an executor. The next one starts under the
@@ -80,11 +80,11 @@
 	w.count.crashes++
 	w.record("", "%s crashes", e.id)
 	e.disconnected = true
-	firstClock := w.clockOfNextIncarnation(e)
-	e.restart(firstClock, w.now)
+	initialClock := w.randomInitialClock(e)
+	e.restart(initialClock, w.now)
 	w.after(w.between(0, 3*time.Second), func() {
 		e.disconnected = false
-		e.restart(firstClock, w.now)
+		e.restart(initialClock, w.now)
 		w.after(w.between(0, 2*time.Second), func() { w.updateListing(d, index, e.info(number)) })
 	})
 }
--- a/pkg/cell/incarnations.go
+++ b/pkg/cell/incarnations.go
@@ -8,12 +8,13 @@
 
 // An executor that crashes may restart under the same id, as another incarnation. Its former
 // runs have ended, but commands name only the id, so the next incarnation may carry out
-// starts that were sent to the former one: starts that were in flight, or whose answers do not
-// show which incarnation has carried them out. Their deadlines are on the former clock, far in
-// the future of the next one, so that their runs last as long as the longest lease that
-// executors grant. A task with such a start waits until the next incarnation has accepted a
-// stop of the run: it then does not start the run any more, and one that it has started ends
-// within the time of a stop.
+// starts that were sent to the former one. Answers to starts do not name the incarnation. The
+// clock in them does not identify it either, as the next one's may start at any reading. Only a
+// list of runs confirms that an incarnation has started a run. The deadline of an unconfirmed
+// start may be far ahead of the next incarnation's clock, so that its run lasts as long as the
+// longest lease that executors grant. A task with such a start waits until the next incarnation
+// has accepted a stop of the run: it then does not start the run any more, and one that it has
+// started ends within the time of a stop.
 
 // stopResendPause is the time between two stops of a run that the next incarnation of its
 // executor may start, while they fail.
@@ -78,15 +79,6 @@
 	c.recordCrash(e, now)
 }
 
-// confirmStart records that a start was carried out. Answers to starts do not name the
-// incarnation. It is the known one if the clock in the answer continues the known clock.
-func (r *run) confirmStart(clock, now time.Duration) {
-	if clock+clockResolution >= r.executor.clock.lowerBoundPast(r.firstSentAt) {
-		r.confirmed = true
-		r.executor.answeredAt = now
-	}
-}
-
 // resolveEndedIncarnation removes the runs of an ended incarnation. Those that the next
 // incarnation may have started are stopped first.
 func (c *Cell) resolveEndedIncarnation(e *executor, now time.Duration) {
--- a/pkg/cell/incarnations_test.go
+++ b/pkg/cell/incarnations_test.go
@@ -58,7 +58,7 @@
 	return there
 }
 
-func TestRunsOfAnEndedIncarnationAreRemovedAtOnce(t *testing.T) {
+func TestListedRunsOfAnEndedIncarnationAreRemovedAtOnce(t *testing.T) {
 	type scenario struct {
 		testName string
 		ends     func(d *driver, info *catalog.Executor)
@@ -79,6 +79,7 @@
 			for _, start := range d.startFourTasks() {
 				d.startAnswered(start, Accepted)
 			}
+			d.listRuns(&infos[0])
 			s.ends(d, &infos[0])
 			c.Assert(d.cell.executors[infos[0].Incarnation()], qt.Satisfies, func(e *executor) bool { return e == nil || len(e.runs) == 0 })
 			c.Assert(d.cell.executors[infos[1].Incarnation()].runs, qt.HasLen, 2)
@@ -110,8 +111,9 @@
 			d, infos := newRestartableDriver(c, 2)
 			starts := commandsFor(d.startFourTasks(), &infos[0])
 			c.Assert(starts, qt.HasLen, 2)
-			s.answer(d, starts[0])
 			d.startAnswered(starts[1], Accepted)
+			d.answerHold(&infos[0], HoldResponse{Clock: time.Minute + d.now, Running: []RunningTask{{Task: starts[1].Task, Run: starts[1].Run}}})
+			s.answer(d, starts[0])
 			d.commands = nil
 			d.answerHold(&infos[0], HoldResponse{Verdict: AcceptedByOther})
 			runs := d.cell.executors[infos[0].Incarnation()].runs
@@ -132,18 +134,18 @@
 	}
 }
 
-// Guards against a task that runs twice at once because its start was accepted by the next
-// incarnation of an executor, whose clock does not lie behind that of the former one.
+// Guards against a task that runs twice at once after the next incarnation of its executor has
+// accepted the start. The clock of that incarnation may start at any reading.
 func TestAStartAcceptedByTheNextIncarnationIsStoppedThere(t *testing.T) {
 	type scenario struct {
-		testName string
-		ahead    time.Duration // of the next incarnation's clock
+		testName    string
+		clockOffset time.Duration // from the former incarnation's clock to that of the next one
 	}
 	scenarios := []scenario{
-		{testName: "its clock is behind", ahead: -50 * time.Second},
-		{testName: "its clock agrees", ahead: 0},
-		{testName: "its clock is ahead by less than a lease", ahead: 50 * ms},
-		{testName: "its clock is far ahead, so that it first refuses the start", ahead: time.Hour},
+		{testName: "its clock is behind", clockOffset: -50 * time.Second},
+		{testName: "its clock equals the former one", clockOffset: 0},
+		{testName: "its clock is ahead by less than a lease", clockOffset: 50 * ms},
+		{testName: "its clock is far ahead, so that it first refuses the start", clockOffset: time.Hour},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
@@ -152,7 +154,7 @@
 			d.tick(ms)
 			d.submit(testJob("job", 1, d.now), 1)
 			start := d.takeCommands(Start)[0]
-			clock := time.Minute + d.now + s.ahead
+			clock := time.Minute + d.now + s.clockOffset
 			if clock >= start.Deadline {
 				d.cell.StartAnswered(start.Executor.Incarnation(), start.Task, start.Run, Late, clock, d.now)
 				d.takeActions()
