cell: don't assume that executors take a second to restart

A run that an unresponsive executor has not listed was retained beyond the known leases only if the executor had not answered for 0.7 s before the start, because a restart was assumed to take at least a second. If the next incarnation accepted a start and then became unreachable, the task could be started elsewhere once the leases of the former incarnation had expired, while the next one continued to run it for up to the longest lease that it grants.

Such a run is now retained until the leases that the next incarnation may have granted have expired: 300 ms for the delivery of the last command that grants a lease, the longest lease of an executor (LeaseCap) with the drift of its clock, and StopTime. The wait after the end of an incarnation is now the same. It counts from the last such command instead of from the end, as none is sent after it. Before, it counted neither the delivery nor the drift.

It replaces TestAnUnresponsiveExecutorMayHaveRestarted, one of whose cases required that a run is given up with the leases if the executor had answered just before the start. TestAnUnlistedRunIsRetainedUntilTheLastGrantHasExpired covers later commands.

--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -66,7 +66,6 @@
 	firstAttachAt    time.Duration // when a run here was first attached to a job; 0 before
 	ended            bool          // this incarnation is over
 	endedAt          time.Duration // when the end was found, on our clock
-	answeredAt       time.Duration // when this incarnation last accepted a hold that was not overdue, on our clock
 	unresponsive     bool          // the last hold got no answer, or the last few failed
 	mayHideRuns      bool          // the last hold response had unreadable entries
 	unresolved       bool          // the outcome of a command is unknown, and no answer has come since
@@ -78,6 +77,7 @@
 	fullUntil        time.Duration     // it has refused a start, and would refuse others until then
 	leasesLimited    bool              // a job's lease keeps those here far below a full lease
 	missedHolds      int               // consecutive holds that failed or were overdue
+	grantSentAt      time.Duration     // when the last command that grants a lease was sent, on our clock
 	grantedUntil     time.Duration     // latest end of a lease that a command of ours granted, on its clock
 	lastEndNumber    int64             // number of the newest end that was applied
 	unpersisted      []*unpersistedEnd // ends that it has to retain, oldest first
@@ -177,6 +177,7 @@
 	e.addRun(r)
 	r.deadline = c.limitLease(e, r.deadline, now)
 	e.grantedUntil = max(e.grantedUntil, r.deadline)
+	e.grantSentAt = now
 	c.addNotice(Notice{Event: "task_started", Executor: e.info.ID, Job: w.job.ID, Task: r.name, Detail: strconv.FormatInt(r.number, 10), Age: now - w.job.Received})
 	c.sendStart(r)
 }
--- a/pkg/cell/holds.go
+++ b/pkg/cell/holds.go
@@ -47,6 +47,7 @@
 	if renews && e.clock.known {
 		command.Deadline = c.leaseDeadline(e, now)
 		e.grantedUntil = max(e.grantedUntil, command.Deadline)
+		e.grantSentAt = now
 	}
 	if renews {
 		command.Wait = c.holdWait(e, now)
@@ -94,7 +95,6 @@
 		c.advance(now)
 		return
 	}
-	e.answeredAt = now
 	if e.missedHolds > 0 {
 		c.lossyUntil = now + lossyPeriod // earlier holds were lost or delayed
 	}
--- a/pkg/cell/incarnations.go
+++ b/pkg/cell/incarnations.go
@@ -8,35 +8,37 @@
 
 // An executor that crashes may restart under the same id, as another incarnation. Its former
 // runs have ended, but commands name only the id, so the next incarnation may carry out
-// starts that were sent to the former one. Answers to starts do not name the incarnation. The
-// clock in them does not identify it either, as the next one's may start at any reading. Only a
-// list of runs confirms that an incarnation has started a run. The deadline of an unconfirmed
-// start may be far ahead of the next incarnation's clock, so that its run lasts as long as the
-// longest lease that executors grant. A task with such a start waits until the next incarnation
-// has accepted a stop of the run: it then does not start the run any more, and one that it has
-// started ends within the time of a stop.
+// starts that were sent to the former one. Answers to starts do not name the incarnation, and
+// their clock does not identify it, as the clock of the next incarnation may start at any
+// reading. Only a list of runs confirms that an incarnation has started a run. The deadline of
+// an unconfirmed start may be far ahead of the next incarnation's clock, so its run may last as
+// long as the longest lease that executors grant. A task with such a start waits until the next
+// incarnation has accepted a stop of the run: it then no longer starts the run, and a run that
+// it has started ends within StopTime.
 
 // stopResendPause is the time between two stops of a run that the next incarnation of its
 // executor may start, while they fail.
 const stopResendPause = 100 * time.Millisecond
 
-const (
-	// shortestRestart is the least time from the end of an incarnation until the next one
-	// accepts commands.
-	shortestRestart = time.Second
-	// longestDelivery is how long after it was sent a command may arrive.
-	longestDelivery = 300 * time.Millisecond
-)
+// longestDelivery is the longest time from sending a command until it arrives.
+const longestDelivery = 300 * time.Millisecond
 
 // nextIncarnationMayRun reports whether an unconfirmed run may be active in a next incarnation of
-// its executor although the leases of the known one have expired. An executor that answered
-// shortly before the start was sent cannot have restarted since.
+// its executor although the leases of the known one have expired. There is no minimum restart
+// time: even an executor that answered just before the start was sent may have restarted since.
 func (c *Cell) nextIncarnationMayRun(r *run, now time.Duration) bool {
 	if r.executor.info.StartedAt == 0 || r.confirmed {
 		return false
 	}
-	mayBeNext := r.copies.sentAt+longestDelivery >= r.executor.answeredAt+shortestRestart
-	return mayBeNext && now < r.copies.sentAt+c.params.LeaseCap+c.params.StopTime
+	return now < c.nextIncarnationLeaseEnd(r.executor)
+}
+
+// nextIncarnationLeaseEnd returns the time, on our clock, by which all leases have expired that the
+// next incarnation of an executor may have granted for commands to the known one. The deadlines in
+// these commands do not limit the leases, as they refer to the clock of the known incarnation.
+func (c *Cell) nextIncarnationLeaseEnd(e *executor) time.Duration {
+	longest := c.params.LeaseCap + time.Duration(2*maxClockDrift*float64(c.params.LeaseCap))
+	return e.grantSentAt + longestDelivery + longest + c.params.StopTime
 }
 
 // withKnownIncarnation returns a listed executor as the incarnation that is known here if either
@@ -108,7 +110,7 @@
 	case r.stopAcceptedAt > 0:
 		return now >= r.stopAcceptedAt+c.params.StopTime
 	}
-	return now >= e.endedAt+c.params.LeaseCap+c.params.StopTime
+	return now >= c.nextIncarnationLeaseEnd(e)
 }
 
 // recordStopOfNextIncarnation records that the next incarnation of an executor has accepted the
--- a/pkg/cell/incarnations_test.go
+++ b/pkg/cell/incarnations_test.go
@@ -134,7 +134,7 @@
 	}
 }
 
-// Guards against a task that runs twice at once after the next incarnation of its executor has
+// Guards against two concurrent runs of a task after the next incarnation of its executor has
 // accepted the start. The clock of that incarnation may start at any reading.
 func TestAStartAcceptedByTheNextIncarnationIsStoppedThere(t *testing.T) {
 	type scenario struct {
@@ -252,17 +252,21 @@
 	c.Assert(d.cell.IsTakeoverComplete(d.now), qt.IsTrue)
 }
 
-// A start with an unknown outcome is retained for longer than the leases if the executor may
-// have restarted since its last answer.
-func TestAnUnresponsiveExecutorMayHaveRestarted(t *testing.T) {
+// Guards against two concurrent runs of a task after its executor has restarted shortly after an
+// answer and then become unreachable. The next incarnation may continue a run that was not listed
+// beyond the leases of the former one.
+func TestAnUnlistedRunIsRetainedBeyondTheLeasesOfAnUnresponsiveExecutor(t *testing.T) {
 	type scenario struct {
 		testName      string
-		unansweredFor time.Duration // before the start
-		retained      bool
+		unansweredFor time.Duration // between the last answer and the start
+		accepted      bool
+		listed        bool // the run was listed before the executor became unresponsive
 	}
 	scenarios := []scenario{
-		{testName: "it answered just before the start", unansweredFor: 0, retained: false},
-		{testName: "it has not answered for long enough to restart", unansweredFor: shortestRestart, retained: true},
+		{testName: "the start was not answered", unansweredFor: ms},
+		{testName: "neither the start nor anything in the second before it was answered", unansweredFor: time.Second},
+		{testName: "the start was accepted", unansweredFor: ms, accepted: true},
+		{testName: "the run was listed", unansweredFor: ms, accepted: true, listed: true},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
@@ -271,16 +275,95 @@
 			d.now += s.unansweredFor
 			d.submit(testJob("job", 1, d.now), 1)
 			start := d.takeCommands(Start)[0]
-			for range maxStartCopies {
-				d.startAnswered(start, Unanswered)
+			startedAt := d.now
+			if s.accepted {
+				d.startAnswered(start, Accepted)
+			} else {
+				for range maxStartCopies {
+					d.startAnswered(start, Unanswered)
+				}
+			}
+			if s.listed {
+				d.listRuns(&infos[0])
 			}
-			for range maxMissedHolds {
-				d.answerHold(&infos[0], HoldResponse{Verdict: Unanswered})
+			e := d.loseUntilLeasesExpire(&infos[0])
+			c.Assert(len(e.runs) == 0, qt.Equals, s.listed)
+
+			d.tick(d.longestLeaseEnd(startedAt) - ms - d.now)
+			c.Assert(len(e.runs) == 0, qt.Equals, s.listed)
+			d.tick(ms)
+			c.Assert(e.runs, qt.HasLen, 0)
+		})
+	}
+}
+
+// loseUntilLeasesExpire makes an executor unresponsive until its known leases have expired.
+func (d *driver) loseUntilLeasesExpire(info *catalog.Executor) *executor {
+	for range maxMissedHolds {
+		d.answerHold(info, HoldResponse{Verdict: Unanswered})
+	}
+	e := d.cell.executors[info.Incarnation()]
+	e.grantedUntil = 0
+	d.cell.advance(d.now)
+	d.takeActions()
+	return e
+}
+
+// longestLeaseEnd returns when the longest lease that an executor with the slowest clock grants for
+// a command has expired.
+func (d *driver) longestLeaseEnd(sentAt time.Duration) time.Duration {
+	longest := d.cell.params.LeaseCap * 104 / 100
+	return sentAt + longestDelivery + longest + d.cell.params.StopTime
+}
+
+// Guards against two concurrent runs of a task because a later command has extended the lease of
+// an unlisted run at the next incarnation of its executor.
+func TestAnUnlistedRunIsRetainedUntilTheLastGrantHasExpired(t *testing.T) {
+	type scenario struct {
+		testName string
+		grant    func(d *driver, info *catalog.Executor, start Command) // sends another command that grants a lease
+		ended    bool                                                   // the next incarnation is known, and its stops are not answered
+	}
+	resend := func(d *driver, info *catalog.Executor, start Command) {
+		d.cell.StartOverdue(info.Incarnation(), start.Task, start.Run, d.now)
+		d.takeActions()
+		d.c.Assert(d.takeCommands(Start), qt.HasLen, 1)
+		d.startAnswered(start, Unanswered)
+	}
+	hold := func(d *driver, info *catalog.Executor, _ Command) {
+		clock := time.Minute + d.now
+		d.answerHold(info, HoldResponse{Clock: clock, Running: []RunningTask{{Task: "other.0.0.0", Run: 1}}})
+		holds := d.takeCommands(Hold)
+		d.c.Assert(holds[len(holds)-1].Deadline > clock, qt.IsTrue)
+	}
+	scenarios := []scenario{
+		{testName: "another copy of the start", grant: resend},
+		{testName: "a hold", grant: hold},
+		{testName: "a hold, and the incarnation has ended", grant: hold, ended: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			d, infos := newRestartableDriver(c, 1)
+			d.tick(ms)
+			d.submit(testJob("other", 1, d.now), 1)
+			d.startAnswered(d.takeCommands(Start)[0], Accepted)
+			d.submit(testJob("job", 1, d.now), 1)
+			start := d.takeCommands(Start)[0]
+			d.now += 100 * ms
+			s.grant(d, &infos[0], start)
+			grantedAt := d.now
+			d.startAnswered(start, Unanswered)
+			if s.ended {
+				d.answerHold(&infos[0], HoldResponse{Verdict: AcceptedByOther})
 			}
-			e := d.cell.executors[infos[0].Incarnation()]
-			e.grantedUntil = 0 // its leases have expired
-			d.cell.advance(d.now)
-			c.Assert(len(e.runs) == 1, qt.Equals, s.retained)
+			e := d.loseUntilLeasesExpire(&infos[0])
+			c.Assert(e.runs[start.Task], qt.IsNotNil)
+
+			d.tick(d.longestLeaseEnd(grantedAt) - ms - d.now)
+			c.Assert(e.runs[start.Task], qt.IsNotNil)
+			d.tick(ms)
+			c.Assert(e.runs[start.Task], qt.IsNil)
 		})
 	}
 }
--- a/pkg/cell/overdue.go
+++ b/pkg/cell/overdue.go
@@ -86,6 +86,7 @@
 	r.copies.sent++
 	r.copies.pending++
 	r.copies.sentAt = now
+	e.grantSentAt = now
 	c.sendStart(r)
 }
 
