cell: a listed run may have another copy of its start in flight

An overdue start is sent again, and another copy of it may arrive up to 300 ms after it was sent. If an executor listed the run and restarted within that time, its next incarnation, which does not know the run, could carry out that copy. The owner removed the listed run as soon as it detected the restart, and the task was started elsewhere while the next incarnation ran it.

The start of a listed run counts as over with its incarnation only if it was sent once, or if the incarnation has answered a hold that was sent after all copies must have arrived. Otherwise, the run is first stopped at the next incarnation, like a run that was not listed. An answer to a copy decides nothing, as it does not name the incarnation.

--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -71,6 +71,7 @@
 	unresolved       bool          // the outcome of a command is unknown, and no answer has come since
 	holdInFlight     bool
 	unansweredHoldAt time.Duration     // when the first of the holds was sent that have been overdue since the last answered one; 0 when there is none
+	listRequestedAt  time.Duration     // when the newest hold that this incarnation has answered with a list was sent, on our clock
 	listClock        time.Duration     // executor's clock in the newest list of runs that was applied
 	nextHoldAt       time.Duration     // no hold before
 	polledAt         time.Duration     // when the last hold that renews nothing was sent
@@ -207,7 +208,7 @@
 	}
 	r.stopPending = r.state == starting
 	r.state = stopping
-	if r.executor.ended && r.confirmed {
+	if r.executor.ended && !r.mayHaveReachedNextIncarnation() {
 		return
 	}
 	c.addNotice(Notice{Event: "run_stopped", Executor: r.executor.info.ID, Task: r.name, Detail: reason})
--- a/pkg/cell/explore_again_test.go
+++ b/pkg/cell/explore_again_test.go
@@ -50,6 +50,7 @@
 		{testName: "executors refuse all commands for a while", faults: faults{commands: true, refusals: true}, halved: true},
 		{testName: "executors crash and restart under their ids", faults: faults{executorCrashes: true}},
 		{testName: "executors restart, and commands are lost", faults: faults{executorCrashes: true, commands: true}},
+		{testName: "executors restart and refuse all commands for a while, and commands are lost", faults: faults{executorCrashes: true, commands: true, refusals: true}},
 		{testName: "executors restart, and everything else", faults: faults{executorCrashes: true, hostCrashes: true, ownerCrashChains: true, freezes: true, frontMessages: true, commands: true, unreadableRows: true}, halved: true},
 		{testName: "unclear answers, refusals, and everything else", faults: faults{hostCrashes: true, ownerCrashChains: true, freezes: true, frontMessages: true, commands: true, unreadableRows: true, refusals: true, unclearAnswers: true, rates: unclearAnswerRates}, halved: true},
 	}
--- a/pkg/cell/holds.go
+++ b/pkg/cell/holds.go
@@ -117,6 +117,7 @@
 // applyList applies the runs and ends that an executor lists.
 func (c *Cell) applyList(e *executor, response HoldResponse, sentAt, now time.Duration) {
 	e.missedHolds = 0
+	e.listRequestedAt = max(e.listRequestedAt, sentAt)
 	c.clearUnresolved(e)
 	if e.unresponsive {
 		e.unresponsive = false
--- a/pkg/cell/incarnations.go
+++ b/pkg/cell/incarnations.go
@@ -10,9 +10,10 @@
 // runs have ended, but commands name only the id, so the next incarnation may carry out
 // starts that were sent to the former one. Answers to starts do not name the incarnation, and
 // their clock does not identify it, as the clock of the next incarnation may start at any
-// reading. Only a list of runs confirms that an incarnation has started a run. The deadline of
-// an unconfirmed start may be far ahead of the next incarnation's clock, so its run may last as
-// long as the longest lease that executors grant. A task with such a start waits until the next
+// reading. Only a list of runs confirms that an incarnation has started a run, and even then
+// another copy of the start may reach the next incarnation. The deadline of a start may be far
+// ahead of the next incarnation's clock, so its run may last as long as the longest lease that
+// executors grant. A task with a start that may reach the next incarnation waits until that
 // incarnation has accepted a stop of the run: it then no longer starts the run, and a run that
 // it has started ends within StopTime.
 
@@ -20,17 +21,28 @@
 // executor may start, while they fail.
 const stopResendPause = 100 * time.Millisecond
 
-// longestDelivery is the longest time from sending a command until it arrives.
+// longestDelivery is the longest time between sending a command and its arrival.
 const longestDelivery = 300 * time.Millisecond
 
-// nextIncarnationMayRun reports whether an unconfirmed run may be active in a next incarnation of
-// its executor although the leases of the known one have expired. There is no minimum restart
-// time: even an executor that answered just before the start was sent may have restarted since.
-func (c *Cell) nextIncarnationMayRun(r *run, now time.Duration) bool {
-	if r.executor.info.StartedAt == 0 || r.confirmed {
+// mayHaveReachedNextIncarnation reports whether the next incarnation of the executor may carry out
+// a copy of the run's start. Once the run is listed, this requires another copy, and that the
+// known incarnation has answered no hold sent after all copies must have arrived.
+func (r *run) mayHaveReachedNextIncarnation() bool {
+	e := r.executor
+	if e.info.StartedAt == 0 {
 		return false
 	}
-	return now < c.nextIncarnationLeaseEnd(r.executor)
+	if !r.confirmed {
+		return true
+	}
+	return r.copies.sent > 1 && e.listRequestedAt < r.copies.sentAt+longestDelivery
+}
+
+// nextIncarnationMayRun reports whether a run may be active in a next incarnation of its executor
+// although the leases of the known one have expired. There is no minimum restart time: even an
+// executor that answered just before the start was sent may have restarted since.
+func (c *Cell) nextIncarnationMayRun(r *run, now time.Duration) bool {
+	return r.mayHaveReachedNextIncarnation() && now < c.nextIncarnationLeaseEnd(r.executor)
 }
 
 // nextIncarnationLeaseEnd returns the time, on our clock, by which all leases have expired that the
@@ -105,7 +117,7 @@
 func (c *Cell) isOverWithIncarnation(r *run, now time.Duration) bool {
 	e := r.executor
 	switch {
-	case r.confirmed || e.info.StartedAt == 0:
+	case !r.mayHaveReachedNextIncarnation():
 		return true
 	case r.stopAcceptedAt > 0:
 		return now >= r.stopAcceptedAt+c.params.StopTime
--- a/pkg/cell/incarnations_test.go
+++ b/pkg/cell/incarnations_test.go
@@ -179,6 +179,55 @@
 	}
 }
 
+// Guards against two concurrent runs of a task after the next incarnation of its executor has carried
+// out another copy of the start of a run that the former one had listed.
+func TestAListedRunWithAnotherCopyInFlightIsStoppedAtTheNextIncarnation(t *testing.T) {
+	type scenario struct {
+		testName  string
+		listDelay time.Duration // between sending the second copy and the hold that lists the run
+		answers   []Verdict     // to the second copy, after the list
+		stopped   bool          // the run is stopped at the next incarnation
+	}
+	scenarios := []scenario{
+		{testName: "a copy is in flight", stopped: true},
+		{testName: "a copy was not answered, and may have arrived after the list", answers: []Verdict{Unanswered}, stopped: true},
+		{testName: "a copy was accepted after the list, and the answer does not name the incarnation", answers: []Verdict{Accepted}, stopped: true},
+		{testName: "a copy was not answered, but would have arrived before the list", listDelay: longestDelivery, answers: []Verdict{Unanswered}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			d, infos := newRestartableDriver(c, 1)
+			d.tick(ms)
+			d.submit(testJob("job", 1, d.now), 1)
+			start := d.takeCommands(Start)[0]
+			incarnation := start.Executor.Incarnation()
+			d.now += 30 * ms
+			d.cell.StartOverdue(incarnation, start.Task, start.Run, d.now)
+			d.takeActions()
+			c.Assert(d.takeCommands(Start), qt.HasLen, 1)
+			d.cell.LateStartAnswered(incarnation, start.Task, start.Run, Accepted, time.Minute+d.now, d.now)
+			d.takeActions()
+			d.now += s.listDelay
+			d.listRuns(&infos[0])
+			for _, verdict := range s.answers {
+				d.startAnswered(start, verdict)
+			}
+			d.commands = nil
+
+			d.answerHold(&infos[0], HoldResponse{Verdict: AcceptedByOther})
+			c.Assert(len(d.takeCommands(Stop)) > 0, qt.Equals, s.stopped)
+			c.Assert(d.cell.taskOf(start.Task).current != nil, qt.Equals, s.stopped)
+			if s.stopped {
+				d.cell.StopAnswered(incarnation, start.Task, start.Run, Accepted, time.Second, d.now)
+				d.takeActions()
+				d.tick(d.cell.params.StopTime)
+				c.Assert(d.cell.taskOf(start.Task).current, qt.IsNil)
+			}
+		})
+	}
+}
+
 // taskOf returns the task that executors list under a name.
 func (c *Cell) taskOf(name string) *task {
 	_, t := c.findTask(name)
@@ -286,7 +335,7 @@
 			if s.listed {
 				d.listRuns(&infos[0])
 			}
-			e := d.loseUntilLeasesExpire(&infos[0])
+			e := d.makeUnresponsiveAndExpireLeases(&infos[0])
 			c.Assert(len(e.runs) == 0, qt.Equals, s.listed)
 
 			d.tick(d.longestLeaseEnd(startedAt) - ms - d.now)
@@ -297,8 +346,8 @@
 	}
 }
 
-// loseUntilLeasesExpire makes an executor unresponsive until its known leases have expired.
-func (d *driver) loseUntilLeasesExpire(info *catalog.Executor) *executor {
+// makeUnresponsiveAndExpireLeases makes an executor unresponsive and lets its known leases expire.
+func (d *driver) makeUnresponsiveAndExpireLeases(info *catalog.Executor) *executor {
 	for range maxMissedHolds {
 		d.answerHold(info, HoldResponse{Verdict: Unanswered})
 	}
@@ -357,7 +406,7 @@
 			if s.ended {
 				d.answerHold(&infos[0], HoldResponse{Verdict: AcceptedByOther})
 			}
-			e := d.loseUntilLeasesExpire(&infos[0])
+			e := d.makeUnresponsiveAndExpireLeases(&infos[0])
 			c.Assert(e.runs[start.Task], qt.IsNotNil)
 
 			d.tick(d.longestLeaseEnd(grantedAt) - ms - d.now)
