cell: a task waits while the next incarnation lists its run

After an executor restarts, the owner stops the runs that its next incarnation may have started. If no stop is accepted, it considered such a run over once all leases had expired that the next incarnation may have granted for commands to the former one. Once the next incarnation is listed, however, the owner's own holds renew the leases of all runs there. If the next incarnation refused the stops meanwhile (503), the task was started elsewhere 1.4 s after the restart was detected, while the run that the next incarnation listed continued.

Such a run is now not considered over while the next incarnation lists it.

TestATaskWaitsWhileTheNextIncarnationListsItsRun failed before this change, at 1.401 s.

--- a/pkg/cell/incarnations.go
+++ b/pkg/cell/incarnations.go
@@ -15,7 +15,9 @@
 // ahead of the next incarnation's clock, so its run may last as long as the longest lease that
 // executors grant. A task with a start that may reach the next incarnation waits until that
 // incarnation has accepted a stop of the run: it then no longer starts the run, and a run that
-// it has started ends within StopTime.
+// it has started ends within StopTime. Without an accepted stop, the task waits until the leases
+// granted for the former incarnation's commands have expired and the next one does not list the
+// run.
 
 // stopResendPause is the time between two stops of a run that the next incarnation of its
 // executor may start, while they fail.
@@ -122,7 +124,19 @@
 	case r.stopAcceptedAt > 0:
 		return now >= r.stopAcceptedAt+c.params.StopTime
 	}
-	return now >= c.nextIncarnationLeaseEnd(e)
+	return now >= c.nextIncarnationLeaseEnd(e) && !c.isListedByNextIncarnation(r)
+}
+
+// isListedByNextIncarnation reports whether the next incarnation of a run's executor has listed the
+// run and it has not been removed there. Holds to that incarnation renew the leases of its runs, so
+// the run may still be active after nextIncarnationLeaseEnd.
+func (c *Cell) isListedByNextIncarnation(r *run) bool {
+	for _, e := range c.sorted {
+		if e != r.executor && e.info.ID == r.executor.info.ID && e.findRun(r.name, r.number) != nil {
+			return true
+		}
+	}
+	return false
 }
 
 // recordStopOfNextIncarnation records that the next incarnation of an executor has accepted the
--- a/pkg/cell/incarnations_test.go
+++ b/pkg/cell/incarnations_test.go
@@ -139,7 +139,7 @@
 func TestAStartAcceptedByTheNextIncarnationIsStoppedThere(t *testing.T) {
 	type scenario struct {
 		testName    string
-		clockOffset time.Duration // from the former incarnation's clock to that of the next one
+		clockOffset time.Duration // next incarnation's clock minus the former one's
 	}
 	scenarios := []scenario{
 		{testName: "its clock is behind", clockOffset: -50 * time.Second},
@@ -228,6 +228,46 @@
 	}
 }
 
+// Guards against two concurrent runs of a task when the next incarnation of its executor runs it and
+// refuses stops, while holds renew the run's lease there.
+func TestATaskWaitsWhileTheNextIncarnationListsItsRun(t *testing.T) {
+	c := qt.New(t)
+	d, infos := newRestartableDriver(c, 2)
+	d.tick(ms)
+	d.submit(testJob("job", 1, d.now), 1)
+	start := d.takeCommands(Start)[0]
+	d.startAnswered(start, Accepted)
+	i := indexOf(infos, start)
+	d.answerHold(&infos[i], HoldResponse{Verdict: AcceptedByOther})
+	infos[i] = nextIncarnation(infos[i])
+	d.cell.SetExecutors(infos, d.now)
+	d.takeActions()
+
+	running := []RunningTask{{Task: start.Task, Run: start.Run}}
+	until := d.now + 2*d.cell.params.LeaseCap
+	stops, renewals := 0, 0
+	for d.now < until {
+		d.tick(50 * ms)
+		d.answerHold(&infos[i], HoldResponse{Clock: time.Second + d.now, Running: running})
+		for _, hold := range d.takeCommands(Hold) {
+			if hold.Deadline > 0 && hold.Executor.ID == start.Executor.ID {
+				renewals++
+			}
+		}
+		for _, stop := range d.takeCommands(Stop) {
+			stops++
+			d.cell.StopAnswered(stop.Executor.Incarnation(), stop.Task, stop.Run, Unhealthy, 0, d.now)
+			d.takeActions()
+		}
+		c.Assert(d.takeCommands(Start), qt.HasLen, 0, qt.Commentf("%s", d.now))
+	}
+	c.Assert(stops > 0 && renewals > 0, qt.IsTrue, qt.Commentf("%d stops, %d renewals", stops, renewals))
+	ended := []EndedTask{{Number: 1, Task: start.Task, Run: start.Run, Kind: EndStopped}}
+	d.answerHold(&infos[i], HoldResponse{Clock: time.Second + d.now, Ended: ended})
+	d.tick(ms)
+	c.Assert(d.takeCommands(Start), qt.HasLen, 1)
+}
+
 // taskOf returns the task that executors list under a name.
 func (c *Cell) taskOf(name string) *task {
 	_, t := c.findTask(name)
@@ -365,13 +405,13 @@
 	return sentAt + longestDelivery + longest + d.cell.params.StopTime
 }
 
-// Guards against two concurrent runs of a task because a later command has extended the lease of
-// an unlisted run at the next incarnation of its executor.
+// Guards against two concurrent runs of a task when a later command has extended the lease of an
+// unlisted run at the next incarnation of its executor.
 func TestAnUnlistedRunIsRetainedUntilTheLastGrantHasExpired(t *testing.T) {
 	type scenario struct {
 		testName string
 		grant    func(d *driver, info *catalog.Executor, start Command) // sends another command that grants a lease
-		ended    bool                                                   // the next incarnation is known, and its stops are not answered
+		ended    bool                                                   // the former incarnation has ended, and stops are not answered
 	}
 	resend := func(d *driver, info *catalog.Executor, start Command) {
 		d.cell.StartOverdue(info.Incarnation(), start.Task, start.Run, d.now)
