cell: after a takeover, wait for leases of restarted executors not listed yet

The next incarnation of an executor may carry out a start of the former owner. The deadline of that start is on the clock of the former incarnation, so the run may last as long as the longest lease that executors grant. A new owner whose list still has the former incarnation learns of the next one from the answer to its hold, but cannot hold it before it is listed. The new owner considered all leases of the former owner expired after 1.04 s, and started returned jobs 1.2 s after they arrived. Both are too early where executors grant longer leases (LeaseCap 15 s).

The takeover is now complete, and returned jobs start, only when such an incarnation is listed and has answered, or when the longest lease, counted from its first answer, has expired. From an accepted hold on, it refuses commands of the former owner.

TestAReturnedJobWaitsForAnExecutorThatHasRestarted failed before this change. With leases of at most 1 s, the wait grows from 1.04 s to at most 1.09 s after the answer.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -43,10 +43,10 @@
 	return now > c.claimedAt+c.longestLease()
 }
 
-// allFormerLeasesOver reports whether formerLeasesOver holds for all executors that are not
-// adopted.
+// allFormerLeasesOver reports whether all leases of former owners have expired at executors that
+// are not adopted, including incarnations that are not listed yet.
 func (c *Cell) allFormerLeasesOver(now time.Duration) bool {
-	if now <= c.claimedAt+c.longestLease() {
+	if now <= c.claimedAt+c.longestLease() || now < c.unlistedIncarnationsLeaseEnd() {
 		return false
 	}
 	for _, e := range c.sorted {
@@ -78,7 +78,7 @@
 	if c.allAdopted() {
 		return 0
 	}
-	return now + max(c.longestLease(), c.params.JobLease)
+	return max(now+max(c.longestLease(), c.params.JobLease), c.unlistedIncarnationsLeaseEnd())
 }
 
 // parseTaskName splits the name of a task into its job's id and its key.
--- a/pkg/cell/incarnations.go
+++ b/pkg/cell/incarnations.go
@@ -26,9 +26,10 @@
 // longestDelivery is the longest time between sending a command and its arrival.
 const longestDelivery = 300 * time.Millisecond
 
-// mayHaveReachedNextIncarnation reports whether the next incarnation of the executor may carry out
-// a copy of the run's start. Once the run is listed, this requires another copy, and that the
-// known incarnation has answered no hold sent after all copies must have arrived.
+// mayHaveReachedNextIncarnation reports whether the next incarnation of the run's executor may
+// carry out a copy of the start. If the known incarnation has listed the run, this is possible only
+// if several copies were sent and that incarnation has not answered a hold that was sent at least
+// longestDelivery after the last of them.
 func (r *run) mayHaveReachedNextIncarnation() bool {
 	e := r.executor
 	if e.info.StartedAt == 0 {
@@ -51,8 +52,27 @@
 // next incarnation of an executor may have granted for commands to the known one. The deadlines in
 // these commands do not limit the leases, as they refer to the clock of the known incarnation.
 func (c *Cell) nextIncarnationLeaseEnd(e *executor) time.Duration {
-	longest := c.params.LeaseCap + time.Duration(2*maxClockDrift*float64(c.params.LeaseCap))
-	return e.grantSentAt + longestDelivery + longest + c.params.StopTime
+	return e.grantSentAt + longestDelivery + c.longestRunAfterGrant()
+}
+
+// longestRunAfterGrant returns how long, on our clock, a run can continue after its executor has
+// granted it a lease of LeaseCap, including clock drift and StopTime.
+func (c *Cell) longestRunAfterGrant() time.Duration {
+	return c.params.LeaseCap + time.Duration(2*maxClockDrift*float64(c.params.LeaseCap)) + c.params.StopTime
+}
+
+// unlistedIncarnationsLeaseEnd returns the time, on our clock, by which all leases have expired that
+// incarnations that are not listed yet may have granted to a former owner; 0 when there are none.
+// These incarnations are known only by their answer to a hold for the listed one, and refuse
+// commands of the former owner from that answer on.
+func (c *Cell) unlistedIncarnationsLeaseEnd() time.Duration {
+	end := time.Duration(0)
+	for _, e := range c.sorted {
+		if !e.adopted && e.ended && e.listed {
+			end = max(end, e.endedAt+c.longestRunAfterGrant())
+		}
+	}
+	return end
 }
 
 // withKnownIncarnation returns a listed executor as the incarnation that is known here if either
@@ -128,7 +148,7 @@
 }
 
 // isListedByNextIncarnation reports whether the next incarnation of a run's executor has listed the
-// run and it has not been removed there. Holds to that incarnation renew the leases of its runs, so
+// run, which has not been removed since. Holds to that incarnation renew the leases of its runs, so
 // the run may still be active after nextIncarnationLeaseEnd.
 func (c *Cell) isListedByNextIncarnation(r *run) bool {
 	for _, e := range c.sorted {
--- a/pkg/cell/incarnations_test.go
+++ b/pkg/cell/incarnations_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/job"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -179,8 +180,8 @@
 	}
 }
 
-// Guards against two concurrent runs of a task after the next incarnation of its executor has carried
-// out another copy of the start of a run that the former one had listed.
+// Guards against two concurrent runs of a task after the next incarnation of its executor has
+// carried out another copy of the start of a run that the former one had listed.
 func TestAListedRunWithAnotherCopyInFlightIsStoppedAtTheNextIncarnation(t *testing.T) {
 	type scenario struct {
 		testName  string
@@ -228,8 +229,8 @@
 	}
 }
 
-// Guards against two concurrent runs of a task when the next incarnation of its executor runs it and
-// refuses stops, while holds renew the run's lease there.
+// Guards against two concurrent runs of a task when the next incarnation of its executor runs it
+// and refuses stops, while holds renew the run's lease there.
 func TestATaskWaitsWhileTheNextIncarnationListsItsRun(t *testing.T) {
 	c := qt.New(t)
 	d, infos := newRestartableDriver(c, 2)
@@ -268,6 +269,36 @@
 	c.Assert(d.takeCommands(Start), qt.HasLen, 1)
 }
 
+// Guards against two concurrent runs of a task after a takeover, when the next incarnation of an
+// executor is not listed yet. It may have accepted a start of the former owner, whose run may
+// continue for LeaseCap.
+func TestAReturnedJobWaitsForAnExecutorThatHasRestarted(t *testing.T) {
+	c := qt.New(t)
+	const leaseCap = 15 * time.Second
+	params := DefaultParams(time.Second, testJobLease, 50*ms)
+	params.LeaseCap = leaseCap
+	infos := []catalog.Executor{startedExecutor(0), startedExecutor(1)}
+	d := &driver{c: c, cell: New(params, 7, 0), finished: map[string]job.Outcome{}}
+	d.cell.MarkListComplete()
+	d.cell.SetExecutors(infos, d.now)
+	d.takeActions()
+	d.answerHold(&infos[0], HoldResponse{Verdict: AcceptedByOther})
+	d.answerHold(&infos[1], HoldResponse{Clock: time.Minute})
+	j := testJob("job", 1, d.now)
+	j.Deadline = time.Minute
+	d.submit(j, 2)
+	end := leaseCap*104/100 + params.StopTime // on the slowest clock
+	for d.now < end-ms {
+		d.tick(min(100*ms, end-ms-d.now))
+		d.answerHold(&infos[1], HoldResponse{Clock: time.Minute + d.now})
+		c.Assert(d.takeCommands(Start), qt.HasLen, 0, qt.Commentf("%s", d.now))
+		c.Assert(d.cell.IsTakeoverComplete(d.now), qt.IsFalse)
+	}
+	d.tick(ms)
+	c.Assert(d.cell.IsTakeoverComplete(d.now), qt.IsTrue)
+	c.Assert(d.takeCommands(Start), qt.HasLen, 1)
+}
+
 // taskOf returns the task that executors list under a name.
 func (c *Cell) taskOf(name string) *task {
 	_, t := c.findTask(name)
@@ -342,8 +373,8 @@
 }
 
 // Guards against two concurrent runs of a task after its executor has restarted shortly after an
-// answer and then become unreachable. The next incarnation may continue a run that was not listed
-// beyond the leases of the former one.
+// answer and then become unreachable. A run that was not listed may be active in the next
+// incarnation after the leases of the former one have expired.
 func TestAnUnlistedRunIsRetainedBeyondTheLeasesOfAnUnresponsiveExecutor(t *testing.T) {
 	type scenario struct {
 		testName      string
@@ -398,8 +429,8 @@
 	return e
 }
 
-// longestLeaseEnd returns when the longest lease that an executor with the slowest clock grants for
-// a command has expired.
+// longestLeaseEnd returns the time by which a run has ended at an executor with the slowest clock
+// that granted it a lease of LeaseCap for a command sent at sentAt.
 func (d *driver) longestLeaseEnd(sentAt time.Duration) time.Duration {
 	longest := d.cell.params.LeaseCap * 104 / 100
 	return sentAt + longestDelivery + longest + d.cell.params.StopTime
