cell: shorten holds while a run is not listed, if executors grant long leases

When an executor is lost, a run that it has not listed is retained for the longest lease that executors grant. Where that is 15 s, the task of the run misses its deadline, and a task of a kept job makes no progress for 16 s. A hold waits up to 250 ms for an end, so that runs of a lost executor that began shortly before are not listed.

Where executors grant longer leases than owners ask for, a hold that is sent while a run is not listed now waits at most 100 ms. Elsewhere, nothing changes.

Test: TestAHoldReturnsSoonWhileARunIsNotListed.

--- a/pkg/cell/incarnations.go
+++ b/pkg/cell/incarnations.go
@@ -41,6 +41,21 @@
 	return r.copies.sent > 1 && e.listRequestedAt < r.copies.sentAt+longestDelivery
 }
 
+// hasUnlistedRun reports whether the executor has a run that it has not listed, so that its next
+// incarnation may start the run. It is always false for executors without a start time, as
+// mayHaveReachedNextIncarnation is.
+func (e *executor) hasUnlistedRun() bool {
+	if e.info.StartedAt == 0 {
+		return false
+	}
+	for _, r := range e.runs {
+		if !r.confirmed {
+			return true
+		}
+	}
+	return false
+}
+
 // nextIncarnationMayRun reports whether a run may be active in a next incarnation of its executor
 // although the leases of the known one have expired. There is no minimum restart time: even an
 // executor that answered just before the start was sent may have restarted since.
--- a/pkg/cell/incarnations_test.go
+++ b/pkg/cell/incarnations_test.go
@@ -299,6 +299,37 @@
 	c.Assert(d.takeCommands(Start), qt.HasLen, 1)
 }
 
+// Guards against tasks that wait for the longest lease of an executor that was lost during a long
+// hold, before it had listed their runs.
+func TestAHoldReturnsSoonWhileARunIsNotListed(t *testing.T) {
+	type scenario struct {
+		testName string
+		leaseCap time.Duration
+		isShort  bool
+	}
+	scenarios := []scenario{
+		{testName: "executors grant no longer leases than owners ask for", leaseCap: time.Second},
+		{testName: "executors grant longer leases than owners ask for", leaseCap: 15 * time.Second, isShort: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			d, infos := newRestartableDriver(c, 1)
+			d.cell.params.LeaseCap = s.leaseCap
+			d.submit(testJob("job", 1, d.now), 1)
+			d.startAnswered(d.takeCommands(Start)[0], Accepted)
+			holds := d.takeCommands(Hold)
+			c.Assert(holds, qt.HasLen, 1)
+			c.Assert(holds[0].Wait == unlistedHoldWait, qt.Equals, s.isShort)
+			d.now += holds[0].Wait
+			d.listRuns(&infos[0])
+			holds = d.takeCommands(Hold)
+			c.Assert(holds, qt.HasLen, 1)
+			c.Assert(holds[0].Wait, qt.Equals, d.cell.params.HoldWait)
+		})
+	}
+}
+
 // taskOf returns the task that executors list under a name.
 func (c *Cell) taskOf(name string) *task {
 	_, t := c.findTask(name)
--- a/pkg/cell/lease.go
+++ b/pkg/cell/lease.go
@@ -5,8 +5,12 @@
 const (
 	shortestLease    = 100 * time.Millisecond // of a start
 	shortestHoldWait = 40 * time.Millisecond  // while calls go unanswered or leases are limited
-	holdWaitMargin   = 15 * time.Millisecond  // added to the time at which an update of a run is due
-	lossyPeriod      = 2 * time.Second        // after an unanswered call
+	// unlistedHoldWait is the longest wait while a run is not listed yet, if executors grant longer
+	// leases than owners ask for. When such an executor is lost, the task of a run that it has not
+	// listed waits for the longest lease.
+	unlistedHoldWait = 100 * time.Millisecond
+	holdWaitMargin   = 15 * time.Millisecond // added to the time at which an update of a run is due
+	lossyPeriod      = 2 * time.Second       // after an unanswered call
 )
 
 // startLease returns the lease that a start grants. It bounds how late an unanswered start can
@@ -25,6 +29,9 @@
 		// The next hold may be able to renew the leases in full.
 		return min(shortestHoldWait, wait)
 	}
+	if c.params.LeaseCap > c.params.LongestLease && e.hasUnlistedRun() {
+		wait = min(wait, unlistedHoldWait)
+	}
 	if now >= c.lossyUntil {
 		return wait
 	}
