--- a/pkg/cell/answers.go
+++ b/pkg/cell/answers.go
@@ -25,15 +25,11 @@
 	// Tasks may have waited for the link.
 	c.dirty = c.dirty || c.pacer.full()
 	c.pacer.answered(name, number)
-	var r *run
-	if e := c.executors[incarnation]; e != nil {
-		r = e.findRun(name, number)
-	}
 	e := c.handleAnswer(incarnation, verdict, late, clock, now)
 	if e == nil {
 		return
 	}
-	if r != nil {
+	if r := e.findRun(name, number); r != nil {
 		c.applyStartAnswer(e, r, verdict, late, now)
 	}
 	c.advance(now)
