--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -30,7 +30,7 @@
 
 // longestLease is how long, on our clock, a lease can last that was granted just now.
 func (c *Cell) longestLease() time.Duration {
-	return c.params.LongestLease + time.Duration(2*maxClockDrift*float64(c.params.LongestLease))
+	return withDrift(c.params.LongestLease)
 }
 
 // formerLeasesOver reports whether all leases have expired that a former owner can have granted
--- a/pkg/cell/clock.go
+++ b/pkg/cell/clock.go
@@ -8,6 +8,12 @@
 // maxClockDrift is how much slower an executor's clock may run than ours, as a fraction.
 const maxClockDrift = 0.02
 
+// withDrift returns how long, on our clock, a lease can last whose end an executor with the slowest
+// clock measures.
+func withDrift(lease time.Duration) time.Duration {
+	return lease + time.Duration(2*maxClockDrift*float64(lease))
+}
+
 // remoteClock estimates an executor's clock from its answers. The estimate is never ahead of
 // the executor's clock, except by drift: the time in an answer has already passed when the
 // answer arrives.
--- a/pkg/cell/crashes_test.go
+++ b/pkg/cell/crashes_test.go
@@ -162,16 +162,10 @@
 
 // loseExecutor makes an executor unresponsive until its leases have expired.
 func (d *driver) loseExecutor(info *catalog.Executor) {
-	for range maxMissedHolds {
-		d.answerHold(info, HoldResponse{Verdict: Unanswered})
-	}
-	e := d.cell.executors[info.Incarnation()]
-	for _, r := range e.runs {
+	for _, r := range d.cell.executors[info.Incarnation()].runs {
 		r.confirmed = true
 	}
-	e.grantedUntil = 0
-	d.cell.advance(d.now)
-	d.takeActions()
+	d.makeUnresponsiveAndExpireLeases(info)
 }
 
 func TestARestartAfterDrainingIsNoCrash(t *testing.T) {
--- a/pkg/cell/incarnations.go
+++ b/pkg/cell/incarnations.go
@@ -73,7 +73,7 @@
 // longestRunAfterGrant returns how long, on our clock, a run can continue after its executor has
 // granted it a lease of LeaseCap, including clock drift and StopTime.
 func (c *Cell) longestRunAfterGrant() time.Duration {
-	return c.params.LeaseCap + time.Duration(2*maxClockDrift*float64(c.params.LeaseCap)) + c.params.StopTime
+	return withDrift(c.params.LeaseCap) + c.params.StopTime
 }
 
 // unlistedIncarnationsLeaseEnd returns the time, on our clock, by which all leases have expired that
