cell: log takeovers, runs of returned jobs and executors that leave the list

New events: takeover_complete (executors that have and have not answered the new owner), run_returned (a run of a job that is given back), executor_unlisted (a row has gone while the owner has runs there). No change of behaviour.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -15,6 +15,19 @@
 	return c.allAdopted() || c.allFormerLeasesOver(now)
 }
 
+// CountAdopted returns how many of the known executors have answered this owner, and how many have
+// not.
+func (c *Cell) CountAdopted() (adopted, unanswered int) {
+	for _, e := range c.sorted {
+		if e.adopted {
+			adopted++
+		} else {
+			unanswered++
+		}
+	}
+	return adopted, unanswered
+}
+
 // HasRunsOf reports whether executors list runs of a job, whether or not the job is here: a former
 // owner may have started them.
 func (c *Cell) HasRunsOf(id string) bool {
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -222,7 +222,7 @@
 func (c *Cell) Release(reason string) {
 	c.fenced = true
 	for _, w := range c.sortedJobs() {
-		c.finish(w, w.returnedOutcome(reason))
+		c.returnJob(w, reason)
 	}
 	c.commands = nil
 }
--- a/pkg/cell/closed.go
+++ b/pkg/cell/closed.go
@@ -27,18 +27,9 @@
 		if w.hasRuns() || now < w.notBefore {
 			continue
 		}
-		c.finish(w, w.returnedOutcome(ReasonClosed))
+		c.returnJob(w, ReasonClosed)
 	}
 }
 
 // hasRuns reports whether a task of the job may be running.
-func (w *jobState) hasRuns() bool {
-	for _, tasks := range w.steps {
-		for _, t := range tasks {
-			if t.current != nil {
-				return true
-			}
-		}
-	}
-	return false
-}
+func (w *jobState) hasRuns() bool { return len(w.runs()) > 0 }
--- a/pkg/cell/job_state.go
+++ b/pkg/cell/job_state.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -86,9 +87,25 @@
 	return progress
 }
 
-// returnedOutcome returns the outcome of a job that is returned to its front.
-func (w *jobState) returnedOutcome(reason string) job.Outcome {
-	return job.Outcome{Kind: job.Moved, Reason: reason, Started: w.mayHaveStarted, Progress: w.progress()}
+// returnJob returns a job to its front, which hands it to the next owner. Its runs may continue.
+func (c *Cell) returnJob(w *jobState, reason string) {
+	for _, r := range w.runs() {
+		c.addNotice(Notice{Event: "run_returned", Executor: string(r.executor.incarnation), Job: w.job.ID, Task: r.name, Detail: strconv.FormatInt(r.number, 10)})
+	}
+	c.finish(w, job.Outcome{Kind: job.Moved, Reason: reason, Started: w.mayHaveStarted, Progress: w.progress()})
+}
+
+// runs returns the runs of the job's tasks.
+func (w *jobState) runs() []*run {
+	var runs []*run
+	for _, tasks := range w.steps {
+		for _, t := range tasks {
+			if t.current != nil {
+				runs = append(runs, t.current)
+			}
+		}
+	}
+	return runs
 }
 
 func (w *jobState) task(key job.TaskKey) *task {
@@ -222,15 +239,11 @@
 
 // detachRuns detaches the runs of a job and returns them. Their leases count from renewedAt.
 func (w *jobState) detachRuns(renewedAt time.Duration) []*run {
-	var runs []*run
-	for _, tasks := range w.steps {
-		for _, t := range tasks {
-			if r := t.current; r != nil {
-				r.job, r.task, t.current = nil, nil, nil
-				r.renewedAt = renewedAt
-				runs = append(runs, r)
-			}
-		}
+	runs := w.runs()
+	for _, r := range runs {
+		r.task.current = nil
+		r.job, r.task = nil, nil
+		r.renewedAt = renewedAt
 	}
 	return runs
 }
--- a/pkg/cell/joblease.go
+++ b/pkg/cell/joblease.go
@@ -103,7 +103,7 @@
 func (c *Cell) returnUnrenewed(now time.Duration) {
 	for _, w := range c.unrenewed(now) {
 		c.addNotice(Notice{Event: "job_not_renewed", Job: w.job.ID, Age: now - w.renewedAt})
-		c.finish(w, w.returnedOutcome(ReasonNotRenewed))
+		c.returnJob(w, ReasonNotRenewed)
 		c.stopRuns(w, ReasonNotRenewed)
 	}
 }
--- a/pkg/cell/kept.go
+++ b/pkg/cell/kept.go
@@ -89,7 +89,7 @@
 func (c *Cell) returnWithoutExecutor(now time.Duration) {
 	for _, w := range c.jobsWithoutExecutor(now) {
 		c.addNotice(Notice{Event: "job_stranded", Job: w.job.ID, Age: now - c.usableAt[w.job.Service]})
-		c.finish(w, w.returnedOutcome(ReasonNoUsableExecutor))
+		c.returnJob(w, ReasonNoUsableExecutor)
 	}
 }
 
--- a/pkg/cell/listed.go
+++ b/pkg/cell/listed.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -18,6 +19,9 @@
 		c.setExecutor(info, now)
 	}
 	for incarnation, e := range c.executors {
+		if e.listed && !seen[incarnation] && len(e.runs) > 0 {
+			c.addNotice(Notice{Event: "executor_unlisted", Executor: string(incarnation), Detail: strconv.Itoa(len(e.runs))})
+		}
 		e.listed = seen[incarnation]
 	}
 	c.dirty = true
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -282,10 +282,12 @@
 	o.mu.Lock()
 	completed := !o.takeoverComplete && !o.stopped && o.state.IsTakeoverComplete(o.node.Clock.Now())
 	o.takeoverComplete = o.takeoverComplete || completed
+	adopted, unanswered := o.state.CountAdopted()
 	o.mu.Unlock()
 	if !completed {
 		return
 	}
+	o.node.Log.Info("takeover_complete", "cell", o.cell, "token", o.token, "adopted", adopted, "unanswered", unanswered)
 	o.node.claimAccepted(o.cell)
 	if o.formerOwner != "" {
 		o.node.sendHandOver(o.formerOwner, o.cell, o.token)
