cell, soak: failing tests of runs at executors that the next owner doesn't know

A cell's owner has runs at executors whose rows leave the store while they serve on. Another host takes the cell over, by a planned stop or after a kill, and starts the tasks again at once, while the first runs go on until their leases end.

Failed tries: rows that leave before the jobs come, 3.5 s before the takeover, double nothing, as executors that vanish from a list without other changes are dropped at once and get no tasks (History takes the time of the last change of the list for the time of the last listing).

--- /dev/null
+++ b/pkg/cell/inherited_runs_test.go
@@ -0,0 +1,69 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/job"
+	qt "github.com/frankban/quicktest"
+)
+
+// returnRunningJob has the owner of two executors start a job's only task, and release the cell
+// while the task runs. It returns the start and what the owner reports of the job.
+func returnRunningJob(c *qt.C) (*driver, Command, job.Outcome) {
+	d := newAdoptedDriver(c, 2)
+	d.submit(testJob("a", 1, d.now), 1)
+	start := d.takeCommands(Start)[0]
+	d.startAnswered(start, Accepted)
+	d.tick(100 * ms)
+	d.cell.Release("fenced")
+	d.takeActions()
+	return d, start, d.finished["a"]
+}
+
+// newNextOwner returns the next owner of the cell. Its list lacks the executor of a start, whose
+// row has left the store.
+func newNextOwner(c *qt.C, start Command) *driver {
+	var listed []catalog.Executor
+	for i := range 2 {
+		if info := testExecutor(i); info.ID != start.Executor.ID {
+			listed = append(listed, info)
+		}
+	}
+	d := newDriver(c, listed...)
+	d.cell.HoldAnswered(listed[0].Incarnation(), HoldResponse{Clock: time.Minute}, 0, d.now)
+	d.takeActions()
+	c.Assert(d.cell.IsTakeoverComplete(d.now), qt.IsTrue)
+	return d
+}
+
+// A task ran twice at once when the former owner of its cell had started it at an executor that the
+// next owner did not know.
+func TestAReturnedTaskWaitsForItsRunAtAnUnknownExecutor(t *testing.T) {
+	c := qt.New(t)
+	former, start, outcome := returnRunningJob(c)
+	c.Assert(outcome.Kind, qt.Equals, job.Moved)
+	next := newNextOwner(c, start)
+	next.cell.Submit(Handover{Job: testJob("a", 1, 0), Epoch: 2, Progress: outcome.Progress, RenewedAt: next.renewal()}, next.now)
+	next.takeActions()
+	c.Assert(next.takeCommands(Start), qt.HasLen, 0, qt.Commentf("the run may be alive until its lease ends"))
+
+	leaseEnds := former.cell.executors[start.Executor.Incarnation()].grantedUntil - time.Minute - former.now
+	for next.now < leaseEnds {
+		c.Assert(next.takeCommands(Start), qt.HasLen, 0, qt.Commentf("%s after the takeover, the lease ends at %s", next.now, leaseEnds))
+		next.tick(10 * ms)
+		next.holdAnswered(indexOfOther(start), HoldResponse{Clock: time.Minute + next.now}, next.now)
+	}
+	next.tick(200 * ms)
+	next.holdAnswered(indexOfOther(start), HoldResponse{Clock: time.Minute + next.now}, next.now)
+	c.Assert(next.takeCommands(Start), qt.HasLen, 1, qt.Commentf("the lease of the run has ended"))
+}
+
+// indexOfOther returns the index of the executor, out of two, to which a start was not sent.
+func indexOfOther(start Command) int {
+	if start.Executor.ID == executorID(0) {
+		return 1
+	}
+	return 0
+}
