cell: the next owner waits for runs that the former one reports as active

Callers saw a task run twice at once, each run ordered by another host of one domain, neither late.

Cause: a new owner starts returned jobs once every executor that it knows has answered it. It doesn't know executors whose rows have left the store, while the former owner keeps them as long as they run its tasks. Nothing that the former owner returned named these runs.

Change: with a task's progress an owner reports where a run of it may be active and for how long at most (leases that it granted, on the slowest clock). The next owner starts none of the job's tasks before these times, unless the executor has listed its runs to it. What an owner still waits for is passed on to the one after it.

TestAFencedOwnerReturnsItsJobs compared the whole progress; it now expects the new fields as well.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -223,7 +223,8 @@
 		if !old.overlaps(w) {
 			continue
 		}
-		w.applyProgress(old.progress())
+		w.applyProgress(c.progress(old))
+		w.recordFormerRuns(c.progress(old), c.lastEventAt)
 		w.mayHaveStarted = w.mayHaveStarted || old.mayHaveStarted
 		for _, r := range old.detachRuns(c.lastRenewal(old)) {
 			r.executor.mayHaveOrphans = true
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -184,6 +184,7 @@
 		w.notBefore, w.untilAdopted = unknownUntil, h.NotBefore == 0
 	}
 	w.applyProgress(h.Progress)
+	w.recordFormerRuns(h.Progress, now)
 	c.supersede(w)
 	c.jobs[j.ID] = w
 	c.byParent[j.WholeID()] = append(c.byParent[j.WholeID()], w)
@@ -198,7 +199,7 @@
 // Progress returns the progress of a job's tasks, for the job's next owner.
 func (c *Cell) Progress(id string) []job.Progress {
 	if w := c.jobs[id]; w != nil {
-		return w.progress()
+		return c.progress(w)
 	}
 	return nil
 }
--- a/pkg/cell/checkpoint.go
+++ b/pkg/cell/checkpoint.go
@@ -44,7 +44,7 @@
 	var due []Checkpoint
 	for _, w := range c.sortedJobs() {
 		if ends := c.unpersisted[w.job.ID]; slices.ContainsFunc(ends, func(u *unpersistedEnd) bool { return u.isCheckpointDue(now) }) {
-			progress := w.progress()
+			progress := c.progress(w)
 			for _, u := range ends {
 				u.reportedAt, u.reportedEnds = now, CountEnds(progress)
 			}
--- a/pkg/cell/closed.go
+++ b/pkg/cell/closed.go
@@ -23,8 +23,7 @@
 		return
 	}
 	for _, w := range c.sortedJobs() {
-		// Before notBefore the job may have runs that this owner does not know.
-		if w.hasRuns() || now < w.notBefore {
+		if w.hasRuns() || c.mayHaveUnknownRuns(w, now) {
 			continue
 		}
 		c.returnJob(w, ReasonClosed)
--- /dev/null
+++ b/pkg/cell/former_runs.go
@@ -0,0 +1,82 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/job"
+)
+
+// An owner that returns a job reports which of its runs may still be active, and for how long. The
+// next owner may not know their executors: its list lacks those whose rows have left the store,
+// while the former owner keeps them as long as they run tasks. The next owner therefore starts
+// none of the job's tasks before each of these runs has ended or its executor has listed its runs
+// to it.
+
+// formerRun is a run that a former owner of a job reported as possibly active.
+type formerRun struct {
+	task     job.TaskKey
+	executor catalog.Incarnation // empty when unknown
+	endsBy   time.Duration       // when it can't be active any more, on our clock
+}
+
+// runEndsBy returns the time, on our clock, by which a run can't be active any more unless its
+// leases are renewed.
+func (c *Cell) runEndsBy(r *run, now time.Duration) time.Duration {
+	e := r.executor
+	left := c.longestRunAfterGrant()
+	if e.clock.known {
+		left = withDrift(max(0, e.grantedUntil+c.params.StopTime-e.clock.lowerBound(now)))
+	}
+	if c.nextIncarnationMayRun(r, now) {
+		return max(now+left, c.nextIncarnationLeaseEnd(e))
+	}
+	return now + left
+}
+
+// activity returns where a task may be running, and for how long from now at most; 0 if it isn't.
+func (c *Cell) activity(w *jobState, t *task, now time.Duration) (at catalog.Incarnation, left time.Duration) {
+	if r := t.current; r != nil {
+		return r.executor.incarnation, c.runEndsBy(r, now) - now
+	}
+	if t.done {
+		return "", 0
+	}
+	if !w.untilAdopted || !c.allAdopted() {
+		left = max(0, w.notBefore-now)
+	}
+	for _, r := range w.formerRuns {
+		if r.task == t.key && c.mayBeActive(r, now) && r.endsBy-now > left {
+			at, left = r.executor, r.endsBy-now
+		}
+	}
+	return at, left
+}
+
+// recordFormerRuns records the active runs that the progress of a job names.
+func (w *jobState) recordFormerRuns(progress []job.Progress, now time.Duration) {
+	for _, p := range progress {
+		if p.ActiveFor > 0 && !p.Done && w.task(p.Key) != nil {
+			w.formerRuns = append(w.formerRuns, formerRun{task: p.Key, executor: catalog.Incarnation(p.ActiveAt), endsBy: now + p.ActiveFor})
+		}
+	}
+}
+
+// mayBeActive reports whether a former owner's run may be active without being known here. Runs at
+// executors that have listed their runs to this owner are known.
+func (c *Cell) mayBeActive(r formerRun, now time.Duration) bool {
+	e := c.executors[r.executor]
+	return now < r.endsBy && (e == nil || !e.adopted)
+}
+
+// mayHaveUnknownRuns reports whether a job may have runs that this owner does not know.
+func (c *Cell) mayHaveUnknownRuns(w *jobState, now time.Duration) bool {
+	return now < w.notBefore || c.awaitsFormerRuns(w, now)
+}
+
+// awaitsFormerRuns reports whether a job waits for runs of its former owner that are not known
+// here.
+func (c *Cell) awaitsFormerRuns(w *jobState, now time.Duration) bool {
+	return slices.ContainsFunc(w.formerRuns, func(r formerRun) bool { return c.mayBeActive(r, now) })
+}
--- a/pkg/cell/job_state.go
+++ b/pkg/cell/job_state.go
@@ -35,6 +35,7 @@
 	renewedAt      time.Duration // its caller was still waiting then
 	notBefore      time.Duration // no starts before
 	untilAdopted   bool          // notBefore ends early once all executors have answered this owner
+	formerRuns     []formerRun   // runs of former owners, some of which may be unknown here
 	steps          [][]*task
 	stepTimes      []time.Duration // expected time of a task, by step
 	chain          time.Duration   // expected time of the job with unlimited capacity
@@ -74,13 +75,17 @@
 	}
 }
 
-// progress returns the progress of the job's tasks, for its next owner.
-func (w *jobState) progress() []job.Progress {
+// progress returns the progress of a job's tasks, for its next owner.
+func (c *Cell) progress(w *jobState) []job.Progress {
 	var progress []job.Progress
 	for _, tasks := range w.steps {
 		for _, t := range tasks {
-			if t.done || t.failures > 0 || t.lastRun > 0 {
-				progress = append(progress, job.Progress{Key: t.key, Done: t.done, Failures: t.failures, Run: t.lastRun, Crashes: t.losses.crashes})
+			at, left := c.activity(w, t, c.lastEventAt)
+			if t.done || t.failures > 0 || t.lastRun > 0 || left > 0 {
+				progress = append(progress, job.Progress{
+					Key: t.key, Done: t.done, Failures: t.failures, Run: t.lastRun, Crashes: t.losses.crashes,
+					ActiveAt: string(at), ActiveFor: left,
+				})
 			}
 		}
 	}
@@ -92,7 +97,7 @@
 	for _, r := range w.runs() {
 		c.addNotice(Notice{Event: "run_returned", Executor: string(r.executor.incarnation), Job: w.job.ID, Task: r.name, Detail: strconv.FormatInt(r.number, 10)})
 	}
-	c.finish(w, job.Outcome{Kind: job.Moved, Reason: reason, Started: w.mayHaveStarted, Progress: w.progress()})
+	c.finish(w, job.Outcome{Kind: job.Moved, Reason: reason, Started: w.mayHaveStarted, Progress: c.progress(w)})
 }
 
 // runs returns the runs of the job's tasks.
--- a/pkg/cell/kept.go
+++ b/pkg/cell/kept.go
@@ -107,8 +107,7 @@
 
 func (c *Cell) lacksExecutor(w *jobState, now time.Duration) bool {
 	since := max(w.submittedAt, c.usableAt[w.job.Service])
-	// Before notBefore the job may have runs that this owner does not know.
-	return w.job.Kept && now >= since+noExecutorTimeout && now >= w.notBefore && !w.hasRuns()
+	return w.job.Kept && now >= since+noExecutorTimeout && !c.mayHaveUnknownRuns(w, now) && !w.hasRuns()
 }
 
 // retryAnywhere lets a task of a kept job start again where it has failed, once it has failed on
--- a/pkg/cell/lease_test.go
+++ b/pkg/cell/lease_test.go
@@ -83,7 +83,11 @@
 	c.Assert(d.cell.Fenced(), qt.IsTrue)
 	c.Assert(d.finished["a"].Kind, qt.Equals, job.Moved)
 	c.Assert(d.finished["a"].Started, qt.IsTrue)
-	c.Assert(d.finished["a"].Progress, qt.DeepEquals, []job.Progress{{Run: start.Run}})
+	progress := d.finished["a"].Progress
+	c.Assert(progress, qt.HasLen, 1)
+	activeFor, leaseLeft := progress[0].ActiveFor, d.cell.params.Lease+d.cell.params.StopTime
+	c.Assert(progress, qt.DeepEquals, []job.Progress{{Run: start.Run, ActiveAt: start.Executor.ID, ActiveFor: activeFor}})
+	c.Assert(activeFor >= leaseLeft && activeFor <= withDrift(leaseLeft), qt.IsTrue, qt.Commentf("%s for leases of %s", activeFor, leaseLeft))
 	d.commands = nil
 	d.tick(time.Second)
 	c.Assert(d.commands, qt.HasLen, 0, qt.Commentf("a fenced owner sends no commands"))
--- a/pkg/job/job.go
+++ b/pkg/job/job.go
@@ -173,6 +173,9 @@
 	Failures int
 	Run      int64 // highest run number used
 	Crashes  int   // executors that crashed while they ran it
+
+	ActiveAt  string        // the incarnation of the executor at which a run may be active; empty when unknown
+	ActiveFor time.Duration // how long that run may be active from now, at most; 0 if there is none
 }
 
 // Kind is the way in which a job ended at an owner.
