catalog: keep vanished executors from the first reading without them

Tasks ran twice at once after a cell's owner had been killed while it had runs at executors whose rows had left the store: the next owner didn't know these.

Cause: executors that vanish from the list are kept for 3 s, so that next owners adopt what runs there, but the time was counted from the last *change* of the list. In a list that doesn't change for 3 s, and after each outage of the store of that length, they were dropped at once.

Change: it counts from the first reading that lacks the executor. While the store is readable all along the entry can't have lapsed, so the executor is leaving: it is kept as a withheld one, which gets no new work, as before where it was dropped.

--- a/pkg/node/executors.go
+++ b/pkg/node/executors.go
@@ -33,7 +33,8 @@
 	// changes since an older position outnumber the entries of the full list.
 	maxPositionAge = 1500 * time.Millisecond
 	// missingEntriesPeriod is how long entries of running executors may be missing from the list
-	// after the store has become reachable again.
+	// after the store has become reachable again. Executors that vanish from the list are kept
+	// for as long.
 	missingEntriesPeriod = 3 * time.Second
 	// largeTransferBytes is the amount of data which, if received from the store while calls
 	// failed, shows that a large response occupied the link and the store was reachable.
@@ -307,9 +308,11 @@
 // the list that the node and its owners use. n.listing is held.
 func (n *Node) publish(changed bool, askedAt time.Duration) {
 	current := n.executors.Load()
+	since := time.Duration(n.listReadableSince.Load())
+	steady := since > 0 && askedAt >= since+missingEntriesPeriod
 	var next *listing
 	if changed || current == nil || n.history.Vanished() > 0 {
-		executors, checked := n.callableExecutors(n.history.Join(n.roster.Executors(), n.Clock.Now()))
+		executors, checked := n.callableExecutors(n.history.Join(n.roster.Executors(), n.Clock.Now(), steady))
 		sizes := sizesOf(executors)
 		next = newListing(askedAt, executors, sizes, n.cellCounts(sizes))
 		next.servicesChecked = checked
@@ -317,8 +320,7 @@
 	} else {
 		next = current.withAskedAt(askedAt)
 	}
-	since := time.Duration(n.listReadableSince.Load())
-	next.steady = since > 0 && askedAt >= since+missingEntriesPeriod
+	next.steady = steady
 	n.executors.Store(next)
 	for _, o := range n.allOwners() {
 		o.setExecutors(next)
