cell, node: old jobs of a lost owner wait for runs at vanished executors

A task ran twice at once after its cell's owner had been killed, with a run at an executor that had left the list for longer than the list keeps executors (3 s).

Cause: the next owner counts its takeover as complete once all executors that it knows have answered. A dead owner can't report its runs at others.

Change: a front tells the next owner that the former one was lost (a new field of Dispatch, which earlier builds ignore; kept jobs likewise). The next owner starts tasks of such a job at once, as before, if the job was received in the last 2 s before its claim: an executor to which it was given by then is still on the list. Fronts keep the progress that earlier owners reported when a later one is lost, as it tells of their runs.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -84,14 +84,28 @@
 	return true
 }
 
-// unknownRunsUntil returns until when runs of a job that a former owner returned just now may
-// continue at executors that have not answered this owner; 0 if all have. How long they have
-// been unreachable does not matter, as the former owner may have reached them.
-func (c *Cell) unknownRunsUntil(now time.Duration) time.Duration {
-	if c.allAdopted() {
-		return 0
-	}
-	return max(now+max(c.longestLease(), c.params.JobLease), c.unlistedIncarnationsLeaseEnd())
+// awaitUnknownRuns sets until when a job that another owner had waits for runs at executors that
+// have not answered this owner. How long these have been unreachable does not matter, as the
+// former owner may have reached them.
+func (c *Cell) awaitUnknownRuns(w *jobState, h Handover, now time.Duration) {
+	mayVanish := h.FormerLost && c.mayHaveRunsAtVanished(w)
+	if c.allAdopted() && !mayVanish {
+		return
+	}
+	until := max(now+max(c.longestLease(), c.params.JobLease), c.unlistedIncarnationsLeaseEnd())
+	if until > h.NotBefore {
+		w.notBefore, w.untilAdopted = until, h.NotBefore == 0 && !mayVanish
+	}
+}
+
+// listDelay is how long a former owner may have started tasks at an executor after its row had
+// left the store.
+const listDelay = time.Second
+
+// mayHaveRunsAtVanished reports whether a lost owner may have started tasks of a job at executors
+// that had left the list so long before this owner's claim that its list lacks them.
+func (c *Cell) mayHaveRunsAtVanished(w *jobState) bool {
+	return w.job.Received < c.claimedAt-(c.params.ListRetention-listDelay)
 }
 
 // parseTaskName splits the name of a task into its job's id and its key.
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -20,16 +20,17 @@
 
 // Params are the durations of leases and holds, and the scheduling policy.
 type Params struct {
-	Lease        time.Duration // lease that a hold grants
-	StartLease   time.Duration // longest lease that a start grants
-	HoldWait     time.Duration // longest time that a hold request waits for a run to end
-	LongestLease time.Duration // longest lease that any owner can have granted
-	LeaseCap     time.Duration // longest lease that executors grant, whatever a command asks for
-	JobLease     time.Duration // how long runs may continue after the last renewal of their job
-	OrphanGrace  time.Duration // how long runs of unknown jobs are kept after a takeover
-	StopTime     time.Duration // longest time that a stop takes at an executor
-	LinkRate     float64       // bandwidth of the host's link in bytes per second; 0 when unknown
-	Order        func() Order  // creates the scheduling order of the cell's jobs
+	Lease         time.Duration // lease that a hold grants
+	StartLease    time.Duration // longest lease that a start grants
+	HoldWait      time.Duration // longest time that a hold request waits for a run to end
+	LongestLease  time.Duration // longest lease that any owner can have granted
+	LeaseCap      time.Duration // longest lease that executors grant, whatever a command asks for
+	JobLease      time.Duration // how long runs may continue after the last renewal of their job
+	OrphanGrace   time.Duration // how long runs of unknown jobs are kept after a takeover
+	StopTime      time.Duration // longest time that a stop takes at an executor
+	ListRetention time.Duration // how long executors that vanish stay on the list
+	LinkRate      float64       // bandwidth of the host's link in bytes per second; 0 when unknown
+	Order         func() Order  // creates the scheduling order of the cell's jobs
 }
 
 // leaseTenths is the lease of a hold, in tenths of the longest lease. A job cannot start tasks at
@@ -37,19 +38,23 @@
 // last renewal.
 const leaseTenths = 7
 
+// defaultListRetention is the default of ListRetention.
+const defaultListRetention = 3 * time.Second
+
 // DefaultParams returns the parameters for a longest lease and a job lease. The lease of a
 // hold ends well before both, and a hold returns well before the lease that it renews ends.
 func DefaultParams(longestLease, jobLease, stopTime time.Duration) Params {
 	return Params{
-		Lease:        longestLease * leaseTenths / 10,
-		StartLease:   longestLease / 2,
-		HoldWait:     longestLease / 4,
-		LongestLease: longestLease,
-		LeaseCap:     longestLease,
-		JobLease:     jobLease,
-		OrphanGrace:  longestLease * 4 / 10,
-		StopTime:     stopTime,
-		Order:        newValueOrder,
+		Lease:         longestLease * leaseTenths / 10,
+		StartLease:    longestLease / 2,
+		HoldWait:      longestLease / 4,
+		LongestLease:  longestLease,
+		LeaseCap:      longestLease,
+		JobLease:      jobLease,
+		OrphanGrace:   longestLease * 4 / 10,
+		StopTime:      stopTime,
+		ListRetention: defaultListRetention,
+		Order:         newValueOrder,
 	}
 }
 
@@ -164,6 +169,8 @@
 	Progress  []job.Progress // known progress of its tasks
 	NotBefore time.Duration  // earliest time for a start, or 0
 	RenewedAt time.Duration  // last renewal of the job, as in Renew
+	// FormerLost reports that the last owner was lost, so that Progress doesn't name its runs.
+	FormerLost bool
 }
 
 // Submit adds a job. It returns false when the job is here already; its epoch and renewal
@@ -180,8 +187,8 @@
 		c.order.Observe(j)
 	}
 	w := newJobState(h, c.times, now)
-	if unknownUntil := c.unknownRunsUntil(now); h.Epoch > 1 && unknownUntil > h.NotBefore {
-		w.notBefore, w.untilAdopted = unknownUntil, h.NotBefore == 0
+	if h.Epoch > 1 {
+		c.awaitUnknownRuns(w, h, now)
 	}
 	w.applyProgress(h.Progress)
 	w.recordFormerRuns(h.Progress, now)
--- a/pkg/cell/inherited_runs_test.go
+++ b/pkg/cell/inherited_runs_test.go
@@ -60,6 +60,42 @@
 	c.Assert(next.takeCommands(Start), qt.HasLen, 1, qt.Commentf("the lease of the run has ended"))
 }
 
+// A task ran twice at once when the former owner of its cell had died with a run at an executor
+// that had left the list long before.
+func TestAJobOfALostOwnerWaitsIfItsRunsMayBeAtVanishedExecutors(t *testing.T) {
+	const claimedAt = 10 * time.Second
+	type scenario struct {
+		testName    string
+		age         time.Duration // of the job at the claim
+		formerLost  bool
+		startsAfter time.Duration
+	}
+	scenarios := []scenario{
+		{testName: "received lately, owner lost", age: time.Second, formerLost: true},
+		{testName: "received long ago, owner lost", age: 4 * time.Second, formerLost: true, startsAfter: testJobLease},
+		{testName: "received long ago, returned by its owner", age: 4 * time.Second},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			d := &driver{c: c, cell: New(DefaultParams(time.Second, testJobLease, 50*ms), 7, claimedAt), now: claimedAt, finished: map[string]job.Outcome{}}
+			d.cell.MarkListComplete()
+			d.cell.SetExecutors([]catalog.Executor{testExecutor(0)}, d.now)
+			d.holdAnswered(0, HoldResponse{Clock: time.Minute + d.now}, d.now)
+			j := testJob("a", 1, claimedAt-s.age)
+			j.Deadline = claimedAt + time.Minute
+			d.cell.Submit(Handover{Job: j, Epoch: 2, RenewedAt: d.renewal(), FormerLost: s.formerLost}, d.now)
+			for d.takeActions(); len(d.takeCommands(Start)) == 0; {
+				d.tick(10 * ms)
+				d.holdAnswered(0, HoldResponse{Clock: time.Minute + d.now}, d.now)
+				c.Assert(d.now-claimedAt < 2*testJobLease, qt.IsTrue)
+			}
+			c.Assert(d.now-claimedAt >= s.startsAfter, qt.IsTrue, qt.Commentf("started after %s", d.now-claimedAt))
+			c.Assert(d.now-claimedAt <= s.startsAfter+20*ms, qt.IsTrue, qt.Commentf("started after %s", d.now-claimedAt))
+		})
+	}
+}
+
 // indexOfOther returns the index of the executor, out of two, to which a start was not sent.
 func indexOfOther(start Command) int {
 	if start.Executor.ID == executorID(0) {
--- a/pkg/keeping/fakes_test.go
+++ b/pkg/keeping/fakes_test.go
@@ -135,8 +135,8 @@
 	return h.ask(id)
 }
 
-func (h *fakeHost) Dispatch(ctx context.Context, j *job.Job, cell string, epoch int, _ []job.Progress) job.Outcome {
-	dispatched := fakeDispatch{id: j.ID, cell: cell, epoch: epoch, end: make(chan job.Outcome, 1)}
+func (h *fakeHost) Dispatch(ctx context.Context, j *job.Job, d Dispatch) job.Outcome {
+	dispatched := fakeDispatch{id: j.ID, cell: d.Cell, epoch: d.Epoch, end: make(chan job.Outcome, 1)}
 	h.dispatches <- dispatched
 	select {
 	case outcome := <-dispatched.end:
--- a/pkg/keeping/follow.go
+++ b/pkg/keeping/follow.go
@@ -33,6 +33,7 @@
 	epoch          int
 	asOf           time.Duration // when the row was last confirmed
 	since          time.Duration // when the follower was created
+	formerLost     bool          // its last owner may have runs of it that progress doesn't name
 	released       bool          // the cell that the job was moved from has confirmed that it does not run it
 	dispatched     atomic.Bool   // it has been dispatched to an owner
 	cancel         context.CancelFunc
@@ -64,7 +65,7 @@
 		old.cancel()
 	}
 	ctx, cancel := context.WithCancel(p.service.ctx)
-	next := &follower{partition: p, record: f.Record, epoch: f.Epoch, asOf: f.AsOf, since: now, cancel: cancel, ended: make(chan struct{})}
+	next := &follower{partition: p, record: f.Record, epoch: f.Epoch, asOf: f.AsOf, since: now, formerLost: true, cancel: cancel, ended: make(chan struct{})}
 	next.job, next.progress = jobOf(&f.Record, p.coordinator.Age(&f.Record, now), now)
 	if old != nil {
 		next.ended = old.ended
@@ -106,7 +107,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.cancelDispatch.Store(&cancel)
-	return f.service().host.Dispatch(ctx, f.job, f.record.Cell, f.epoch, f.progress)
+	return f.service().host.Dispatch(ctx, f.job, Dispatch{Cell: f.record.Cell, Epoch: f.epoch, Progress: f.progress, FormerLost: f.formerLost})
 }
 
 func (f *follower) service() *Service { return f.partition.service }
@@ -197,7 +198,7 @@
 		f.move(f.record.From, f.progress)
 		f.awaitReplacement(ctx)
 	default:
-		f.released = true
+		f.released, f.formerLost = true, false
 	}
 }
 
@@ -230,8 +231,10 @@
 		if len(outcome.Progress) > 0 {
 			f.progress = outcome.Progress
 		}
+		f.formerLost = f.formerLost && !outcome.Started // an owner that has not accepted the job doesn't tell of its runs
 		return f.handleReturned(ctx, outcome)
 	default: // the owner is unreachable or cannot accept the job now
+		f.formerLost = true
 		common.Sleep(ctx, redispatchPause)
 	}
 	return false
--- a/pkg/keeping/service.go
+++ b/pkg/keeping/service.go
@@ -69,6 +69,14 @@
 	Progress  int  // number of task ends that are stored in the job's row; 0 if the notice is not about progress
 }
 
+// Dispatch is how a job is sent to the owner of its cell.
+type Dispatch struct {
+	Cell       string
+	Epoch      int
+	Progress   []job.Progress
+	FormerLost bool // its last owner may have runs of it that Progress doesn't name
+}
+
 // Host is what this package needs of the node.
 type Host interface {
 	// MembershipKnown reports whether this host knows the other hosts well enough to tell which of
@@ -100,7 +108,7 @@
 	// OwnersChanged returns a channel that is closed when owners may have changed.
 	OwnersChanged() <-chan struct{}
 	// Dispatch sends a job to the owner of its cell and waits for its end there.
-	Dispatch(ctx context.Context, j *job.Job, cell string, epoch int, progress []job.Progress) job.Outcome
+	Dispatch(ctx context.Context, j *job.Job, d Dispatch) job.Outcome
 	// NotifyOwner sends a notice to the owner of a cell. It returns the moved jobs that
 	// still run there, and false if the owner was not reached or cannot say yet.
 	NotifyOwner(ctx context.Context, notice OwnerNotice) ([]string, bool)
--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -33,6 +33,7 @@
 	formerCell    string        // cell of a former owner, where runs of the job may still be alive
 	notBefore     time.Duration // runs in formerCell have ended by then
 	preferredCell string        // cell to try first, once; empty when none
+	formerLost    bool          // the last owner was lost, so progress doesn't name its runs
 }
 
 // recordMoved records that an owner has returned the job. Its runs go on in the cell, where
@@ -42,6 +43,7 @@
 		return // the job was not accepted there
 	}
 	a.progress = outcome.Progress
+	a.formerLost = false
 	a.started = a.started || outcome.Started
 	if outcome.Reason == cell.ReasonClosed {
 		a.formerCell = "" // no run of the job is left there
@@ -52,10 +54,11 @@
 	}
 }
 
-// recordLost records that the owner of the job is unreachable.
+// recordLost records that the owner of the job is unreachable. The progress before it still tells
+// of runs of earlier owners.
 func (a *attempt) recordLost(cellName string, notBefore time.Duration) {
 	a.started = true
-	a.progress = nil
+	a.formerLost = true
 	a.formerCell, a.notBefore = cellName, notBefore
 }
 
--- a/pkg/node/front_test.go
+++ b/pkg/node/front_test.go
@@ -17,10 +17,12 @@
 	progress := []job.Progress{{Key: job.TaskKey{Step: 0, Index: 1}, Done: true}}
 	type scenario struct {
 		testName     string
+		before       attempt
 		apply        func(a *attempt)
 		wantCell     string
 		wantStarted  bool
 		wantProgress []job.Progress
+		wantLost     bool // the progress lacks the last owner's runs
 	}
 	scenarios := []scenario{
 		{
@@ -36,9 +38,11 @@
 		},
 		{
 			testName:     "returned untouched by a host that isn't the owner: the state stays",
+			before:       attempt{formerCell: "before", progress: progress, formerLost: true},
 			apply:        func(a *attempt) { a.recordMoved("other", job.Outcome{Reason: reasonNotOwner}, 2*settle) },
 			wantCell:     "before",
 			wantProgress: progress,
+			wantLost:     true,
 		},
 		{
 			testName: "returned by a closed cell: no runs of it are alive there",
@@ -49,23 +53,41 @@
 			wantProgress: progress,
 		},
 		{
-			testName:    "lost with its owner: it may run there, and its known progress is outdated",
+			testName:    "lost with its owner: it may run there",
 			apply:       func(a *attempt) { a.recordLost("cell", settle) },
 			wantCell:    "cell",
 			wantStarted: true,
+			wantLost:    true,
+		},
+		{
+			testName:     "lost with its owner after another one had returned it: that one's runs may go on",
+			before:       attempt{formerCell: "before", progress: progress},
+			apply:        func(a *attempt) { a.recordLost("cell", settle) },
+			wantCell:     "cell",
+			wantStarted:  true,
+			wantProgress: progress,
+			wantLost:     true,
+		},
+		{
+			testName: "returned by an owner that found its runs after another one was lost",
+			before:   attempt{formerCell: "cell", formerLost: true},
+			apply: func(a *attempt) {
+				a.recordMoved("cell", job.Outcome{Started: true, Progress: progress}, settle)
+			},
+			wantCell:     "cell",
+			wantStarted:  true,
+			wantProgress: progress,
 		},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
 			c := qt.New(t)
-			a := &attempt{epoch: 1}
-			if s.wantCell == "before" {
-				a.formerCell, a.progress = "before", progress
-			}
+			a := &s.before
 			s.apply(a)
 			c.Assert(a.formerCell, qt.Equals, s.wantCell)
 			c.Assert(a.started, qt.Equals, s.wantStarted)
 			c.Assert(a.progress, qt.DeepEquals, s.wantProgress)
+			c.Assert(a.formerLost, qt.Equals, s.wantLost)
 		})
 	}
 }
--- a/pkg/node/kept_host.go
+++ b/pkg/node/kept_host.go
@@ -170,12 +170,12 @@
 func (h *keptHost) OwnersChanged() <-chan struct{} { return h.node.changed.wait() }
 
 // Dispatch implements keeping.Host.
-func (h *keptHost) Dispatch(ctx context.Context, j *job.Job, cell string, epoch int, progress []job.Progress) job.Outcome {
-	claim, ok := h.ownerOf(cell)
+func (h *keptHost) Dispatch(ctx context.Context, j *job.Job, d keeping.Dispatch) job.Outcome {
+	claim, ok := h.ownerOf(d.Cell)
 	if !ok {
 		return job.Outcome{Kind: job.Moved, Reason: reasonNotOwner}
 	}
-	return h.node.front.dispatch(ctx, j, claim, &attempt{epoch: epoch, progress: progress})
+	return h.node.front.dispatch(ctx, j, claim, &attempt{epoch: d.Epoch, progress: d.Progress, formerLost: d.FormerLost})
 }
 
 // NotifyOwner implements keeping.Host.
--- a/pkg/node/params.go
+++ b/pkg/node/params.go
@@ -28,6 +28,7 @@
 	params.Order = n.order
 	params.LeaseCap = max(n.settings.LongestHold, hold)
 	params.LinkRate = n.settings.LinkRate()
+	params.ListRetention = missingEntriesPeriod
 	return params
 }
 
