node: a job waits at an owner whose claim has been superseded

Cause: a host claims a cell, and dies before its takeover is complete. The former owner hasn't been fenced or told yet, so its older claim is in effect again as soon as fronts lose the newer one's link. It gets the jobs of the dead owner back, and starts their tasks at once: all executors answered it once, before the newer claim. The runs that the dead owner started go on until their leases end.

Change: hosts remember the highest token claimed for each cell.

Test: two rows of TestWhenAnOwnerMayStartAJob fail without the change. Another way weighed: to let the older owner claim anew; it may not know of the newer claim.

--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -14,16 +14,29 @@
 // dispatch submits a job to an owner and waits for the outcome.
 func (f *front) dispatch(ctx context.Context, j *job.Job, claim ownership.Claim, state *attempt) job.Outcome {
 	f.node.Log.Info("job_dispatched", "job", j.ID, "cell", claim.Cell, "owner", claim.Owner, "token", claim.Token, "epoch", state.epoch, "queued_work", claim.Load.QueuedWork)
-	notBefore := time.Duration(0)
-	if state.formerCell != "" && state.formerCell != claim.Cell {
-		notBefore = state.notBefore
-	}
+	notBefore := f.earliestStart(claim, state)
 	if claim.Owner == f.node.settings.PeerAddress {
 		return f.dispatchLocal(ctx, j, claim, state, notBefore)
 	}
 	return f.dispatchToPeer(ctx, j, claim, state, notBefore)
 }
 
+// earliestStart returns the time before which an owner may not start a job, or 0 if it finds all
+// runs of the job itself: at the executors that it fenced after the former owner started them.
+func (f *front) earliestStart(claim ownership.Claim, state *attempt) time.Duration {
+	n := f.node
+	n.mu.Lock()
+	isSuperseded := n.claims.IsSuperseded(claim)
+	n.mu.Unlock()
+	switch {
+	case state.epoch > 1 && isSuperseded:
+		return n.Clock.Now() + n.settleTime()
+	case state.formerCell != "" && state.formerCell != claim.Cell:
+		return state.notBefore
+	}
+	return 0
+}
+
 func (f *front) dispatchLocal(ctx context.Context, j *job.Job, claim ownership.Claim, state *attempt, notBefore time.Duration) job.Outcome {
 	o := f.node.owner(claim.Cell)
 	if o == nil {
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -95,6 +95,7 @@
 	claims       map[string]map[string]Claim // by cell and owner's address
 	reported     map[string]bool             // by the host's address
 	highestToken int64                       // among all tokens seen or made
+	newestTokens map[string]int64            // the highest token of any claim seen, by cell
 	effective    *effectiveClaims            // computed from claims; nil after these have changed
 	cells        map[string]*cellState
 }
@@ -108,7 +109,7 @@
 
 // NewTable returns a table for a process that started at now.
 func NewTable(limits Limits, now time.Duration) *Table {
-	return &Table{limits: limits, started: now, claims: map[string]map[string]Claim{}, reported: map[string]bool{}, cells: map[string]*cellState{}}
+	return &Table{limits: limits, started: now, claims: map[string]map[string]Claim{}, reported: map[string]bool{}, newestTokens: map[string]int64{}, cells: map[string]*cellState{}}
 }
 
 // HasReported reports whether a reachable host has reported its claims.
@@ -132,6 +133,7 @@
 		}
 		t.claims[claim.Cell][owner] = claim
 		t.highestToken = max(t.highestToken, claim.Token)
+		t.newestTokens[claim.Cell] = max(t.newestTokens[claim.Cell], claim.Token)
 	}
 	return changed
 }
@@ -172,6 +174,10 @@
 	return claim, owned
 }
 
+// IsSuperseded reports whether a newer claim on the cell has been seen. If its owner is
+// unreachable, the older claim is in effect again, although executors may obey the newer one.
+func (t *Table) IsSuperseded(claim Claim) bool { return claim.Token < t.newestTokens[claim.Cell] }
+
 // Owns reports whether a host claims any cell.
 func (t *Table) Owns(owner string) bool {
 	for _, byOwner := range t.claims {
