cell: explore rows of executors that vanish while the executors serve on

The explorer's owners all had the same list, with every executor on it, so it could not show runs at executors that the next owner doesn't know.

Old jobs of lost owners are covered by the play of real processes and a unit test only: jobs live for a few seconds here.

--- a/pkg/cell/explore_again_test.go
+++ b/pkg/cell/explore_again_test.go
@@ -46,6 +46,9 @@
 		{testName: "everything", faults: faults{hostCrashes: true, ownerCrashChains: true, freezes: true, frontMessages: true, commands: true}},
 		{testName: "rows can't be read", faults: faults{unreadableRows: true}},
 		{testName: "rows can't be read, and everything else", faults: faults{hostCrashes: true, ownerCrashChains: true, freezes: true, frontMessages: true, commands: true, unreadableRows: true}},
+		{testName: "rows vanish", faults: faults{vanishingRows: true}},
+		{testName: "rows vanish, hosts freeze and crash", faults: faults{vanishingRows: true, hostCrashes: true, ownerCrashChains: true, freezes: true}},
+		{testName: "rows vanish, and everything else", faults: faults{vanishingRows: true, hostCrashes: true, ownerCrashChains: true, freezes: true, frontMessages: true, commands: true, unreadableRows: true}, halved: true},
 		{testName: "answers don't say whether commands were carried out", faults: faults{commands: true, unclearAnswers: true, rates: unclearAnswerRates}, halved: true},
 		{testName: "executors refuse all commands for a while", faults: faults{commands: true, refusals: true}, halved: true},
 		{testName: "executors crash and restart under their ids", faults: faults{executorCrashes: true}},
@@ -87,6 +90,7 @@
 	c.resubmitted += o.resubmitted
 	c.takeovers += o.takeovers
 	c.withheld += o.withheld
+	c.vanished += o.vanished
 	c.suspected += o.suspected
 	c.refusalPeriods += o.refusalPeriods
 	c.unclearPeriods += o.unclearPeriods
@@ -99,6 +103,7 @@
 	qc.Assert(c.resubmitted > 5*plays, qt.IsTrue, qt.Commentf("%+v", c))
 	qc.Assert(!f.ownerCrashChains || c.takeovers > 10*plays, qt.IsTrue, qt.Commentf("%+v", c))
 	qc.Assert(!f.unreadableRows || c.withheld > 5*plays, qt.IsTrue, qt.Commentf("%+v", c))
+	qc.Assert(!f.vanishingRows || c.vanished > 5*plays, qt.IsTrue, qt.Commentf("%+v", c))
 	qc.Assert(!f.refusals || c.refusalPeriods > 5*plays, qt.IsTrue, qt.Commentf("%+v", c))
 	qc.Assert(!f.executorCrashes || c.crashes > 5*plays, qt.IsTrue, qt.Commentf("%+v", c))
 	qc.Assert(!f.unclearAnswers || c.unclearPeriods > 2*plays, qt.IsTrue, qt.Commentf("%+v", c))
--- a/pkg/cell/explore_cluster_test.go
+++ b/pkg/cell/explore_cluster_test.go
@@ -41,6 +41,7 @@
 	resubmitted int
 	takeovers   int
 	withheld    int // rows that were withheld for a while
+	vanished    int // rows that left the store for a while
 	suspected   int // jobs that weren't renewed in time or whose front an owner found unresponsive
 
 	refusalPeriods int // times that an executor refused all commands for a while
@@ -52,9 +53,11 @@
 type domain struct {
 	name           string
 	listed         []catalog.Executor
-	owners         []*owner // the newest comes last
-	announced      *owner   // whom fronts know as the owner; nil for none
-	pendingCrashes int      // how many of the next owners crash soon after their claims
+	vanished       map[int]bool // by index in listed: the row has left the store
+	dropped        map[int]bool // by index in listed: hosts no longer have it on their lists
+	owners         []*owner     // the newest comes last
+	announced      *owner       // whom fronts know as the owner; nil for none
+	pendingCrashes int          // how many of the next owners crash soon after their claims
 }
 
 func (d *domain) newest() *owner { return d.owners[len(d.owners)-1] }
@@ -94,7 +97,7 @@
 	w.random = rand.New(rand.NewPCG(seed, 2))
 	w.lasts = w.drawRun
 	for i := range 2 {
-		d := &domain{name: fmt.Sprintf("z%d", i+1)}
+		d := &domain{name: fmt.Sprintf("z%d", i+1), vanished: map[int]bool{}, dropped: map[int]bool{}}
 		w.domains = append(w.domains, d)
 		for j := range domainExecutors {
 			number := i*domainExecutors + j
--- a/pkg/cell/explore_owner_test.go
+++ b/pkg/cell/explore_owner_test.go
@@ -50,7 +50,7 @@
 	w.record("", "%s claims its cell", o.name())
 	o.handle(func() {
 		o.cell.MarkListComplete()
-		o.cell.SetExecutors(d.listed, w.now)
+		o.cell.SetExecutors(d.listing(), w.now)
 	})
 	w.after(w.between(5*ms, 60*ms), func() {
 		if d.newest() == o {
@@ -170,7 +170,7 @@
 	if d.settleDelay > 0 {
 		settleAt = w.now + d.settleDelay
 	}
-	handover := Handover{Job: d.job, Epoch: d.epoch, Progress: d.progress, NotBefore: settleAt, RenewedAt: d.renewedAt}
+	handover := Handover{Job: d.job, Epoch: d.epoch, Progress: d.progress, NotBefore: settleAt, RenewedAt: d.renewedAt, FormerLost: d.formerLost}
 	o.handle(func() { o.cell.Submit(handover, w.now) })
 }
 
--- a/pkg/cell/explore_trouble_test.go
+++ b/pkg/cell/explore_trouble_test.go
@@ -21,6 +21,7 @@
 	refusals        bool // executors refuse all commands for a while
 	executorCrashes bool // executors crash and restart under the same id
 	unclearAnswers  bool // executors answer only by errors that the protocol doesn't define, for a while
+	vanishingRows   bool // rows of executors leave the store for a while; the executors serve on
 }
 
 // injectFault injects a random fault in some steps.
@@ -54,9 +55,35 @@
 		w.answerUnclearly(w.executors[w.random.IntN(len(w.executors))])
 	case kind > 21 && kind < 25 && w.faults.executorCrashes:
 		w.crashExecutor(d, w.random.IntN(len(d.listed)))
+	case kind > 24 && kind < 30 && w.faults.vanishingRows:
+		w.vanish(d, w.random.IntN(len(d.listed)))
 	}
 }
 
+// vanish has the row of an executor leave the store for a while. Hosts keep the executor on
+// their lists as a withheld one for defaultListRetention.
+func (w *cluster) vanish(d *domain, index int) {
+	if d.vanished[index] {
+		return
+	}
+	w.count.vanished++
+	number := w.numberOf(d, index)
+	w.record("", "the row of %s vanishes", w.executors[number].id)
+	d.vanished[index] = true
+	w.updateListing(d, index, w.executors[number].info(number).Withheld())
+	missingFor := w.between(time.Second, 8*time.Second)
+	w.after(defaultListRetention, func() {
+		if missingFor > defaultListRetention {
+			d.dropped[index] = true
+			w.announceListing(d)
+		}
+	})
+	w.after(missingFor, func() {
+		d.vanished[index], d.dropped[index] = false, false
+		w.updateListing(d, index, w.executors[number].info(number))
+	})
+}
+
 // randomInitialClock draws the initial clock of an executor's next incarnation: zero, within a
 // second of the current clock, or an hour ahead of it.
 func (w *cluster) randomInitialClock(e *modelExecutor) time.Duration {
@@ -127,9 +154,25 @@
 func (w *cluster) updateListing(d *domain, index int, executor catalog.Executor) {
 	d.listed = slices.Clone(d.listed)
 	d.listed[index] = executor
+	w.announceListing(d)
+}
+
+// announceListing delivers the list of a domain's executors to its owners.
+func (w *cluster) announceListing(d *domain) {
 	for _, o := range d.owners {
-		w.deliver(o, w.between(0, 500*ms), func() { o.cell.SetExecutors(d.listed, w.now) })
+		w.deliver(o, w.between(0, 500*ms), func() { o.cell.SetExecutors(d.listing(), w.now) })
+	}
+}
+
+// listing returns the executors that hosts have on their lists.
+func (d *domain) listing() []catalog.Executor {
+	var listing []catalog.Executor
+	for index, executor := range d.listed {
+		if !d.dropped[index] {
+			listing = append(listing, executor)
+		}
 	}
+	return listing
 }
 
 // hideRuns makes the runs in an executor's hold responses unreadable for a while.
