--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -98,8 +98,8 @@
 	}
 }
 
-// listDelay is how long a former owner may have started tasks at an executor after its row had
-// left the store.
+// listDelay is how long a former owner may have started tasks at an executor after this owner's
+// list had withheld it.
 const listDelay = time.Second
 
 // mayHaveRunsAtVanished reports whether a lost owner may have started tasks of a job at executors
