node, keeping: age the times for which returned runs may be active

The next owner of a job waited for runs of an earlier one that had ended long before: up to 1 s longer than needed for a job that had waited for an owner (after cells were divided anew), had been with another owner meanwhile, or was read from its row.

Cause: an owner reports for how long a run may be active from the time of its report. Fronts and coordinators passed this on unchanged, whenever they handed the job on, and rows of kept jobs held it.

Change: fronts and coordinators shorten it by the time since the report. Rows do not hold it: a coordinator that reads one reports the former owner as lost.

TestAttemptStateAfterAnOwner passes the time of the report; nothing else changed.

--- a/pkg/job/job.go
+++ b/pkg/job/job.go
@@ -3,6 +3,7 @@
 package job
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -178,6 +179,22 @@
 	ActiveFor time.Duration // how long that run may be active from now, at most; 0 if there is none
 }
 
+// AgeProgress returns progress that was reported some time ago as of now: its runs can be active
+// for less time.
+func AgeProgress(progress []Progress, age time.Duration) []Progress {
+	isActive := func(p Progress) bool { return p.ActiveFor > 0 }
+	if !slices.ContainsFunc(progress, isActive) {
+		return progress
+	}
+	aged := slices.Clone(progress)
+	for i := range aged {
+		if aged[i].ActiveFor = max(0, aged[i].ActiveFor-age); !isActive(aged[i]) {
+			aged[i].ActiveAt = ""
+		}
+	}
+	return aged
+}
+
 // Kind is the way in which a job ended at an owner.
 type Kind uint8
 
--- a/pkg/keeping/codec.go
+++ b/pkg/keeping/codec.go
@@ -72,9 +72,13 @@
 	return data
 }
 
-// encodeJob encodes a job with the progress of its tasks for its row.
+// encodeJob encodes a job with the progress of its tasks for its row. The row may be read at any
+// later time, so it doesn't hold for how long runs may be active.
 func encodeJob(j *job.Job, progress []job.Progress) []byte {
 	m := jobwire.ToDispatch(j, "", 0, progress, 0, j.Received)
+	for _, p := range m.Progress {
+		p.Executor, p.ActiveUs = "", 0
+	}
 	m.AgeUs, m.TimeLeftUs = 0, 0
 	return encode(m)
 }
--- a/pkg/keeping/follow.go
+++ b/pkg/keeping/follow.go
@@ -30,6 +30,7 @@
 	record         kept.Record
 	job            *job.Job
 	progress       []job.Progress
+	progressAt     time.Duration // when progress was reported
 	epoch          int
 	asOf           time.Duration // when the row was last confirmed
 	since          time.Duration // when the follower was created
@@ -107,7 +108,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.cancelDispatch.Store(&cancel)
-	return f.service().host.Dispatch(ctx, f.job, Dispatch{Cell: f.record.Cell, Epoch: f.epoch, Progress: f.progress, FormerLost: f.formerLost})
+	return f.service().host.Dispatch(ctx, f.job, Dispatch{Cell: f.record.Cell, Epoch: f.epoch, Progress: f.progressAsOfNow(), FormerLost: f.formerLost})
+}
+
+// progressAsOfNow returns the progress for an owner that gets the job now.
+func (f *follower) progressAsOfNow() []job.Progress {
+	return job.AgeProgress(f.progress, f.service().Clock.Now()-f.progressAt)
 }
 
 func (f *follower) service() *Service { return f.partition.service }
@@ -229,7 +235,7 @@
 		return true
 	case job.Moved:
 		if len(outcome.Progress) > 0 {
-			f.progress = outcome.Progress
+			f.progress, f.progressAt = outcome.Progress, f.service().Clock.Now()
 		}
 		f.formerLost = f.formerLost && !outcome.Started // an owner that has not accepted the job doesn't tell of its runs
 		return f.handleReturned(ctx, outcome)
--- a/pkg/keeping/service_test.go
+++ b/pkg/keeping/service_test.go
@@ -375,6 +375,15 @@
 	eventually(c, s, "a", kept.Completed)
 }
 
+// Guards against rows from which next coordinators take how long runs may be active, however long ago
+// they were written.
+func TestRowsDoNotHoldTheTimesOfActiveRuns(t *testing.T) {
+	c := qt.New(t)
+	record := kept.Record{ID: "a", Job: encodeJob(testJob("a"), []job.Progress{{Run: 501, ActiveAt: "i-1", ActiveFor: time.Second}})}
+	_, progress := jobOf(&record, 0, 0)
+	c.Assert(progress, qt.DeepEquals, []job.Progress{{Run: 501}})
+}
+
 func TestIsolatedHostDispatchesNothing(t *testing.T) {
 	c := qt.New(t)
 	host, store := newFakeHost(), newFakeStore()
--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -29,6 +29,7 @@
 type attempt struct {
 	epoch         int
 	progress      []job.Progress
+	progressAt    time.Duration // when progress was reported
 	started       bool
 	formerCell    string        // cell of a former owner, where runs of the job may still be alive
 	notBefore     time.Duration // runs in formerCell have ended by then
@@ -38,11 +39,11 @@
 
 // recordMoved records that an owner has returned the job. Its runs go on in the cell, where
 // the next owner adopts them.
-func (a *attempt) recordMoved(cellName string, outcome job.Outcome, notBefore time.Duration) {
+func (a *attempt) recordMoved(cellName string, outcome job.Outcome, now, notBefore time.Duration) {
 	if outcome.Reason == reasonNotOwner {
 		return // the job was not accepted there
 	}
-	a.progress = outcome.Progress
+	a.progress, a.progressAt = outcome.Progress, now
 	a.formerLost = false
 	a.started = a.started || outcome.Started
 	if outcome.Reason == cell.ReasonClosed {
@@ -62,6 +63,11 @@
 	a.formerCell, a.notBefore = cellName, notBefore
 }
 
+// progressAsOf returns the progress for an owner that gets the job now.
+func (a *attempt) progressAsOf(now time.Duration) []job.Progress {
+	return job.AgeProgress(a.progress, now-a.progressAt)
+}
+
 // Reasons in outcomes of fronts and owners.
 const (
 	reasonNotOwner     = "not_owner"     // the node does not own the cell; nothing of the job has run there
@@ -83,7 +89,8 @@
 		}
 		switch outcome.Kind {
 		case job.Moved:
-			state.recordMoved(claim.Cell, outcome, f.node.Clock.Now()+f.node.settleTime())
+			now := f.node.Clock.Now()
+			state.recordMoved(claim.Cell, outcome, now, now+f.node.settleTime())
 			common.Sleep(ctx, redispatchDelay)
 		case job.Lost:
 			state.recordLost(claim.Cell, f.node.Clock.Now()+f.node.settleTime())
--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -44,7 +44,7 @@
 	}
 	done := make(chan job.Outcome, 1)
 	self := f.node.settings.PeerAddress
-	handover := cell.Handover{Job: j, Epoch: state.epoch, Progress: state.progress, NotBefore: notBefore, RenewedAt: f.node.renewals.confirmedHere(), FormerLost: state.formerLost}
+	handover := cell.Handover{Job: j, Epoch: state.epoch, Progress: state.progressAsOf(f.node.Clock.Now()), NotBefore: notBefore, RenewedAt: f.node.renewals.confirmedHere(), FormerLost: state.formerLost}
 	o.submit(handover, waiter{front: self, reply: func(outcome job.Outcome) { done <- outcome }})
 	select {
 	case outcome := <-done:
@@ -63,7 +63,7 @@
 	defer f.recordDispatch(claim.Owner)()
 	now := f.node.Clock.Now()
 	settle := max(0, notBefore-now)
-	m := jobwire.ToDispatch(j, claim.Cell, state.epoch, state.progress, settle, now)
+	m := jobwire.ToDispatch(j, claim.Cell, state.epoch, state.progressAsOf(now), settle, now)
 	m.FormerLost = state.formerLost
 	m.Renewed = f.node.renewals.confirmed(claim.Owner)
 	answer, err := link.Call(ctx, &peerpb.Message{Body: &peerpb.Message_Dispatch{Dispatch: m}}, 0)
--- a/pkg/node/front_test.go
+++ b/pkg/node/front_test.go
@@ -12,8 +12,33 @@
 )
 
 // A job that may have run stays with its cell, so that the next owner finds its runs.
+// Guards against next owners that wait for runs which have ended while their job waited for an owner.
+func TestAttemptAgesTheTimesOfActiveRuns(t *testing.T) {
+	const reportedAt, activeFor = 10 * time.Second, 900 * time.Millisecond
+	type scenario struct {
+		testName string
+		after    time.Duration
+		want     job.Progress
+	}
+	scenarios := []scenario{
+		{testName: "at once", want: job.Progress{Run: 7, ActiveAt: "i-1", ActiveFor: activeFor}},
+		{testName: "before the run has ended", after: 300 * time.Millisecond, want: job.Progress{Run: 7, ActiveAt: "i-1", ActiveFor: 600 * time.Millisecond}},
+		{testName: "after the run has ended", after: time.Second, want: job.Progress{Run: 7}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			a := &attempt{epoch: 1}
+			reported := []job.Progress{{Run: 7, ActiveAt: "i-1", ActiveFor: activeFor}}
+			a.recordMoved("cell", job.Outcome{Started: true, Progress: reported}, reportedAt, reportedAt+time.Second)
+			c.Assert(a.progressAsOf(reportedAt+s.after), qt.DeepEquals, []job.Progress{s.want})
+			c.Assert(a.progress, qt.DeepEquals, reported)
+		})
+	}
+}
+
 func TestAttemptStateAfterAnOwner(t *testing.T) {
-	const settle = 5 * time.Second
+	const reportedAt, settle = time.Second, 5 * time.Second
 	progress := []job.Progress{{Key: job.TaskKey{Step: 0, Index: 1}, Done: true}}
 	type scenario struct {
 		testName     string
@@ -26,20 +51,22 @@
 	}
 	scenarios := []scenario{
 		{
-			testName:     "returned while it runs: the next owner of its cell adopts it",
-			apply:        func(a *attempt) { a.recordMoved("cell", job.Outcome{Started: true, Progress: progress}, settle) },
+			testName: "returned while it runs: the next owner of its cell adopts it",
+			apply: func(a *attempt) {
+				a.recordMoved("cell", job.Outcome{Started: true, Progress: progress}, reportedAt, settle)
+			},
 			wantCell:     "cell",
 			wantStarted:  true,
 			wantProgress: progress,
 		},
 		{
 			testName: "returned before it started: any cell may run it",
-			apply:    func(a *attempt) { a.recordMoved("cell", job.Outcome{}, settle) },
+			apply:    func(a *attempt) { a.recordMoved("cell", job.Outcome{}, reportedAt, settle) },
 		},
 		{
 			testName:     "returned untouched by a host that isn't the owner: the state stays",
 			before:       attempt{formerCell: "before", progress: progress, formerLost: true},
-			apply:        func(a *attempt) { a.recordMoved("other", job.Outcome{Reason: reasonNotOwner}, 2*settle) },
+			apply:        func(a *attempt) { a.recordMoved("other", job.Outcome{Reason: reasonNotOwner}, reportedAt, 2*settle) },
 			wantCell:     "before",
 			wantProgress: progress,
 			wantLost:     true,
@@ -47,7 +74,7 @@
 		{
 			testName: "returned by a closed cell: no runs of it are alive there",
 			apply: func(a *attempt) {
-				a.recordMoved("cell", job.Outcome{Reason: cell.ReasonClosed, Started: true, Progress: progress}, settle)
+				a.recordMoved("cell", job.Outcome{Reason: cell.ReasonClosed, Started: true, Progress: progress}, reportedAt, settle)
 			},
 			wantStarted:  true,
 			wantProgress: progress,
@@ -72,7 +99,7 @@
 			testName: "returned by an owner that found its runs after another one was lost",
 			before:   attempt{formerCell: "cell", formerLost: true},
 			apply: func(a *attempt) {
-				a.recordMoved("cell", job.Outcome{Started: true, Progress: progress}, settle)
+				a.recordMoved("cell", job.Outcome{Started: true, Progress: progress}, reportedAt, settle)
 			},
 			wantCell:     "cell",
 			wantStarted:  true,
