node, cell: no start of a job after its deadline

A front that has stood still gets its jobs back from their owners. If the caller had sent the job again meanwhile, both ran.

A front ends a started job at its deadline and doesn't hand it on; an owner ends a job that arrives at or after its deadline, for fronts of the landing before, too.

Both unit tests fail without the change (one start where none is expected; follow ends by its context only).

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -199,6 +199,9 @@
 	c.dirty = true
 	c.applyHistories(w)
 	c.finishIfDone(w)
+	if c.jobs[j.ID] == w && !j.Kept && now >= j.Deadline {
+		c.expire(w) // nothing of it is started between now and the next tick
+	}
 	c.advance(now)
 	return true
 }
--- a/pkg/cell/cell_test.go
+++ b/pkg/cell/cell_test.go
@@ -242,3 +242,29 @@
 	d.cell.penalize(e, penaltyTaskFailed, "task", first)
 	c.Assert(e.health.ejectedUntil > first, qt.IsTrue)
 }
+
+// Guards against starts after a job's deadline: its front handed it on late, after a resync.
+func TestAJobThatArrivesAtItsDeadlineIsNotStarted(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		epoch    int
+		late     time.Duration
+		want     job.Kind
+	}{
+		{testName: "handed on", epoch: 2, want: job.Expired},
+		{testName: "handed on after its deadline", epoch: 2, late: 400 * ms, want: job.Expired},
+		{testName: "first handover", epoch: 1, late: 400 * ms, want: job.Refused},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			d := newAdoptedDriver(c, 1)
+			d.now = 2 * time.Second
+			j := testJob("a", 1, 0)
+			j.Deadline = d.now - s.late
+			d.submit(j, s.epoch)
+			c.Assert(d.takeCommands(Start), qt.HasLen, 0)
+			c.Assert(d.finished["a"].Kind, qt.Equals, s.want)
+		})
+	}
+}
--- a/pkg/cell/job_state.go
+++ b/pkg/cell/job_state.go
@@ -282,12 +282,17 @@
 // the deadline otherwise.
 func (c *Cell) expireJobs(now time.Duration) {
 	for _, w := range c.unmeetable(now) {
-		if w.mayHaveStarted {
-			c.finish(w, job.Outcome{Kind: job.Expired, Reason: "deadline_passed", Started: true})
-			continue
-		}
-		c.finish(w, job.Outcome{Kind: job.Refused, Reason: "deadline_too_short"})
+		c.expire(w)
+	}
+}
+
+// expire ends a job that cannot meet its deadline.
+func (c *Cell) expire(w *jobState) {
+	if w.mayHaveStarted {
+		c.finish(w, job.Outcome{Kind: job.Expired, Reason: "deadline_passed", Started: true})
+		return
 	}
+	c.finish(w, job.Outcome{Kind: job.Refused, Reason: "deadline_too_short"})
 }
 
 // unmeetable returns the jobs that cannot meet their deadlines, sorted by id.
--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -78,6 +78,9 @@
 // follow dispatches a job to one owner after another until it has ended.
 func (f *front) follow(ctx context.Context, j *job.Job, state attempt) job.Outcome {
 	for {
+		if state.started && f.node.Clock.Now() >= j.Deadline {
+			return job.Outcome{Kind: job.Expired, Reason: reasonDeadline, Started: true}
+		}
 		claim, ok := f.awaitOwner(ctx, j, &state)
 		if !ok {
 			return f.outcomeWithoutOwner(ctx, j, &state)
--- a/pkg/node/front_test.go
+++ b/pkg/node/front_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -180,3 +181,17 @@
 		})
 	}
 }
+
+// Guards against starts after a job's deadline: a front that had stood still waited for the
+// announcements of the others, and then handed the job on.
+func TestAJobIsNotHandedOnAfterItsDeadline(t *testing.T) {
+	c := qt.New(t)
+	n := newTestNode(c, &fakeStore{})
+	n.claims.SetClaims("far:1", []ownership.Claim{{Cell: "y", Token: 1, Load: ownership.Load{CapacityCPU: 1000, FreeCPU: 1000, Ready: true, Services: []string{"s"}}}})
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	j := submission(n)
+	j.Deadline = n.Clock.Now()
+	outcome := n.front.follow(ctx, j, attempt{epoch: 2, started: true})
+	c.Assert(outcome, qt.DeepEquals, job.Outcome{Kind: job.Expired, Reason: reasonDeadline, Started: true})
+}
