peer: end a session's streams before its shutdown

Cause. yamux's Stream.Read, and Stream.Write while it waits for the window, wake by the session's shutdown channel and go back to their start. What makes them return is the state of the stream, which Session.Close sets only after the receive loop has stopped. Until then each of them spins. The receive loop is late where it doesn't wait in its read when the connection is closed: on a busy host, or when a write fails on a connection whose reset the receive loop hasn't been scheduled to see. The loop does call functions, so the runtime preempts it after 10 ms even with asyncpreemptoff=1, each reader for a slice of its own.

Change. streamMux wraps the session. It passes yamux a connection whose errors and whose Close first set past deadlines on the streams. A shutdown closes the connection right after the channel, so this covers those that start within yamux (failed writes, protocol errors). A reader then leaves the loop by its deadline; data that has arrived is still read. Nothing changes on the wire.

--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -14,7 +14,6 @@
 	"github.com/foxcroft/foxcroft/pkg/errkind"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
 	"github.com/foxcroft/foxcroft/pkg/settings"
-	"github.com/hashicorp/yamux"
 )
 
 const (
@@ -170,7 +169,7 @@
 		return nil, err
 	}
 	s := newSession(conn)
-	mux, err := yamux.Client(&receiveTrackingConn{Conn: l.counters.Wire.Conn(conn), clock: l.Clock, lastReceived: &s.lastReceived}, muxConfig())
+	mux, err := newClientMux(&receiveTrackingConn{Conn: l.counters.Wire.Conn(conn), clock: l.Clock, lastReceived: &s.lastReceived})
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
@@ -304,15 +303,3 @@
 	s.lastReceived.Store(int64(l.Clock.Now()))
 	l.observer.HeartbeatReply(l.address, reply)
 }
-
-func muxConfig() *yamux.Config {
-	config := yamux.DefaultConfig()
-	config.EnableKeepAlive = false // the heartbeats of Link detect unresponsive peers sooner
-	config.LogOutput = discard{}
-	config.MaxStreamWindowSize = 4 << 20
-	return config
-}
-
-type discard struct{}
-
-func (discard) Write(p []byte) (int, error) { return len(p), nil }
--- /dev/null
+++ b/pkg/peer/mux_test.go
@@ -0,0 +1,78 @@
+package peer
+
+import (
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/peerpb"
+	qt "github.com/frankban/quicktest"
+)
+
+// newMuxPair returns both ends of a session over a TCP connection.
+func newMuxPair(t *testing.T) (client, server *streamMux) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	client, err = newClientMux(conn)
+	c.Assert(err, qt.IsNil)
+	accepted, err := listener.Accept()
+	c.Assert(err, qt.IsNil)
+	server, err = newServerMux(accepted)
+	c.Assert(err, qt.IsNil)
+	t.Cleanup(func() {
+		_ = client.Close()
+		_ = server.Close()
+	})
+	return client, server
+}
+
+// Guards against losing messages that have arrived when their connection ends, and that
+// a busy host has not handled by then.
+func TestMessagesReceivedBeforeTheEndAreHandled(t *testing.T) {
+	c := qt.New(t)
+	client, server := newMuxPair(t)
+	opened, err := client.Open()
+	c.Assert(err, qt.IsNil)
+	sender := newPipe(opened, &Counters{})
+	accepted, err := server.Accept()
+	c.Assert(err, qt.IsNil)
+	receiver := newPipe(accepted, &Counters{})
+	const messages = 50
+	busy := make(chan struct{})
+	var handled atomic.Int64
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = receiver.readLoop(func(*peerpb.Message) {
+			<-busy
+			handled.Add(1)
+		})
+	}()
+	text := string(make([]byte, bufferBytes)) // one message at most is in the reader's buffer
+	for range messages {
+		sender.send(record(text), 0)
+	}
+	time.Sleep(100 * time.Millisecond) // lets the messages arrive
+	c.Assert(client.Close(), qt.IsNil)
+	<-server.CloseChan()
+	close(busy)
+	<-ended
+	c.Assert(handled.Load(), qt.Equals, int64(messages))
+}
+
+// A stream that is accepted while the session shuts down ends as well.
+func TestStreamAddedAfterTheEnd(t *testing.T) {
+	c := qt.New(t)
+	client, _ := newMuxPair(t)
+	stream, err := client.Session.Open()
+	c.Assert(err, qt.IsNil)
+	client.conn.streams.end()
+	client.conn.streams.add(stream)
+	_, err = stream.Read(make([]byte, 1))
+	c.Assert(err, qt.ErrorMatches, "i/o deadline reached")
+}
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -9,7 +9,6 @@
 	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/errkind"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
-	"github.com/hashicorp/yamux"
 )
 
 // Reply sends the reply to a call. It may be delayed by up to wait to share a
@@ -38,14 +37,14 @@
 	callers *callers
 
 	mu       sync.Mutex
-	sessions map[*yamux.Session]bool
+	sessions map[*streamMux]bool
 }
 
 // NewServer makes a server on a listener. Serve runs it.
 func NewServer(c *common.Common, listener net.Listener, handler Handler, observer Observer, counters *Counters) *Server {
 	return &Server{
 		Common: c, listener: listener, handler: handler, observer: observer, counters: counters,
-		callers: newCallers(handler.LinkClosed), sessions: map[*yamux.Session]bool{},
+		callers: newCallers(handler.LinkClosed), sessions: map[*streamMux]bool{},
 	}
 }
 
@@ -56,7 +55,7 @@
 		if err != nil {
 			return
 		}
-		mux, err := yamux.Server(s.counters.Wire.Conn(conn), muxConfig())
+		mux, err := newServerMux(s.counters.Wire.Conn(conn))
 		if err != nil {
 			_ = conn.Close()
 			continue
@@ -76,7 +75,7 @@
 	}
 }
 
-func (s *Server) track(mux *yamux.Session, open bool) {
+func (s *Server) track(mux *streamMux, open bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if open {
@@ -86,7 +85,7 @@
 	delete(s.sessions, mux)
 }
 
-func (s *Server) serveSession(mux *yamux.Session) {
+func (s *Server) serveSession(mux *streamMux) {
 	defer s.track(mux, false)
 	defer mux.Close()
 	served := &servedSession{server: s}
--- a/pkg/peer/session.go
+++ b/pkg/peer/session.go
@@ -8,13 +8,12 @@
 
 	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
-	"github.com/hashicorp/yamux"
 )
 
 // session is one connection of a link, from its hello to its end.
 type session struct {
 	conn         net.Conn
-	mux          *yamux.Session
+	mux          *streamMux
 	control      *pipe         // short messages
 	jobs         *pipe         // jobs, answers and configuration bodies
 	peer         *peerpb.Hello // of the process at the other end; set before the session is used
@@ -82,8 +81,7 @@
 func (s *session) endStreams() {
 	// Data in transit counts as lost, so it must not arrive later: a reset drops
 	// it, whereas an ordinary close delivers it once a network cut ends. The
-	// connection is closed before the yamux session: closing the session over an
-	// open connection can block the whole process.
+	// connection is closed before the yamux session, so that nothing more is sent.
 	if tcp, ok := s.conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
