peer: test messages that arrive before their connection ends one frame each

The test's sender put all its messages into one frame, which the reader takes in one piece, so it passed on a session that drops what its streams have received.

--- a/pkg/peer/mux_test.go
+++ b/pkg/peer/mux_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bufio"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -38,7 +39,7 @@
 	client, server := newMuxPair(t)
 	opened, err := client.Open()
 	c.Assert(err, qt.IsNil)
-	sender := newPipe(opened, &Counters{})
+	sender := &pipe{conn: opened, counters: &Counters{}}
 	accepted, err := server.Accept()
 	c.Assert(err, qt.IsNil)
 	receiver := newPipe(accepted, &Counters{})
@@ -53,9 +54,10 @@
 			handled.Add(1)
 		})
 	}()
-	text := string(make([]byte, bufferBytes)) // one message at most is in the reader's buffer
+	out := bufio.NewWriter(opened)
+	text := string(make([]byte, bufferBytes)) // more than one frame never fits the reader's buffer
 	for range messages {
-		sender.send(record(text), 0)
+		c.Assert(sender.write(out, []*peerpb.Message{record(text)}), qt.IsNil)
 	}
 	time.Sleep(100 * time.Millisecond) // lets the messages arrive
 	c.Assert(client.Close(), qt.IsNil)
