node: owners of a domain tell each other of open jobs

A job that was sent again within its domain ran beside its first sending, in another cell, both by epoch 1: the second front knew nothing of the first sending, and the owner of the other cell neither. By the logs, the first front couldn't tell in time: it had received the first sending 0.5 or 0.6 s late, stood still when it came, or was cut from the second front only. The first runs were stopped at the first sending's deadline, 0.001 to 0.74 s after the second ones began. Wide jobs, split by both fronts, were doubled too.

Owners of a domain's cells tell each other, each 0.1 s at most, of jobs that are 0.35 s old and may have started, by the fronts' own message (OpenJobs). An owner doesn't accept the first handover (epoch 1) of a job that another front holds open: it says where (Outcome.open_at, a new field), and the front joins the job there, as it does by other fronts' announcements. A front records the ends of started jobs of that age as it does those of jobs that it has announced itself.

Cost: a message to each owner of another cell of the domain, each 0.1 s while jobs of that age start. Processor time is not measured yet.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -214,6 +214,12 @@
 	return nil
 }
 
+// MayHaveStarted reports whether a task of a job may have started, here or at a former owner.
+func (c *Cell) MayHaveStarted(id string) bool {
+	w := c.jobs[id]
+	return w != nil && w.mayHaveStarted
+}
+
 // Withdraw removes a job whose caller no longer waits, or that was cancelled, and stops its
 // runs.
 func (c *Cell) Withdraw(id string, reason string, now time.Duration) bool {
--- a/pkg/job/job.go
+++ b/pkg/job/job.go
@@ -225,6 +225,15 @@
 	Started    bool          // a task may have started
 	Chain      time.Duration // the length of the critical path that the owner expected; 0 when unknown
 	Progress   []Progress
+	OpenAt     *OpenAt // the front that holds the job open, if an owner didn't accept the job for that
+}
+
+// OpenAt is the front that holds a job open.
+type OpenAt struct {
+	Address   string
+	Domain    string
+	Process   string        // its incarnation, as bytes
+	Remaining time.Duration // until no run of the job can be alive
 }
 
 // Objective returns the time from the job's receipt within which its answer is on
--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -90,6 +90,14 @@
 		if ctx.Err() != nil {
 			return abandoned(ctx, true)
 		}
+		if outcome.OpenAt != nil {
+			if outcome, ended := f.joinOpenAt(ctx, j, claim.Owner, outcome.OpenAt); ended {
+				outcome.Started = outcome.Started || state.started
+				return outcome
+			}
+			state = attempt{epoch: max(state.epoch, 2), started: true}
+			continue
+		}
 		switch outcome.Kind {
 		case job.Moved:
 			now := f.node.Clock.Now()
--- a/pkg/node/convert.go
+++ b/pkg/node/convert.go
@@ -18,9 +18,24 @@
 		Started:      outcome.Started,
 		Progress:     jobwire.ToProgress(outcome.Progress),
 		ChainUs:      outcome.Chain.Microseconds(),
+		OpenAt:       toOpenAt(outcome.OpenAt),
 	}}}
 }
 
+func toOpenAt(at *job.OpenAt) *peerpb.OpenAt {
+	if at == nil {
+		return nil
+	}
+	return &peerpb.OpenAt{Front: at.Address, Domain: at.Domain, Process: []byte(at.Process), LeftUs: at.Remaining.Microseconds()}
+}
+
+func fromOpenAt(m *peerpb.OpenAt) *job.OpenAt {
+	if m == nil {
+		return nil
+	}
+	return &job.OpenAt{Address: m.Front, Domain: m.Domain, Process: string(m.Process), Remaining: microseconds(m.LeftUs)}
+}
+
 func fromOutcome(m *peerpb.Outcome) job.Outcome {
 	return job.Outcome{
 		Kind:       job.Kind(m.Kind),
@@ -29,6 +44,7 @@
 		Started:    m.Started,
 		Progress:   jobwire.FromProgress(m.Progress),
 		Chain:      microseconds(m.ChainUs),
+		OpenAt:     fromOpenAt(m.OpenAt),
 	}
 }
 
--- a/pkg/node/convert_test.go
+++ b/pkg/node/convert_test.go
@@ -18,3 +18,13 @@
 	relayed := &catalog.RelayedList{Since: 3, Position: 5, Changes: catalog.ExecutorChanges{Revision: 4, Listed: []catalog.Executor{executor}}}
 	qt.Assert(t, fromRelayedList(toRelayedList(relayed)), qt.DeepEquals, relayed)
 }
+
+func TestOutcomeRoundTrip(t *testing.T) {
+	outcome := job.Outcome{
+		Kind: job.Moved, Reason: "r", RetryAfter: time.Second, Started: true, Chain: time.Minute,
+		OpenAt: &job.OpenAt{Address: "front:1", Domain: "z", Process: "p", Remaining: time.Second},
+	}
+	qt.Assert(t, fromOutcome(toOutcome(outcome).GetOutcome()), qt.DeepEquals, outcome)
+	outcome.OpenAt = nil
+	qt.Assert(t, fromOutcome(toOutcome(outcome).GetOutcome()), qt.DeepEquals, outcome)
+}
--- a/pkg/node/join.go
+++ b/pkg/node/join.go
@@ -60,6 +60,30 @@
 	return f.search(ctx, j.WholeID(), openjobs.NewSearch(j.WholeID(), 0), true)
 }
 
+// joinOpenAt joins a job that an owner didn't accept, at the front of which the owner knows that it
+// holds the job open. It returns false once no run of the earlier submission can be alive.
+func (f *front) joinOpenAt(ctx context.Context, j *job.Job, owner string, at *job.OpenAt) (job.Outcome, bool) {
+	n, id := f.node, j.WholeID()
+	f.mu.Lock()
+	open := f.open[id]
+	f.mu.Unlock()
+	if open == nil || at.Address == n.settings.PeerAddress {
+		return job.Outcome{}, false
+	}
+	front := openjobs.Front{Address: at.Address, Domain: at.Domain, Process: at.Process}
+	n.recordOpenJobs(front, owner, []openjobs.Announcement{{ID: id, Remaining: at.Remaining}}, false)
+	f.markStarted(open)
+	ctx, cancel := f.untilDeadline(ctx, j)
+	defer cancel()
+	if j.IsPart() { // other parts may run, so this front goes on following the job
+		return f.search(ctx, id, openjobs.NewSearch(id, 0), true)
+	}
+	f.setFollowed(open, false)
+	outcome, ended := f.search(ctx, id, n.openJobTable.newSearch(open, 0), false)
+	f.setFollowed(open, !ended)
+	return outcome, ended
+}
+
 // search asks the fronts that may hold a job open until one returns its outcome. It returns
 // false once none holds the job open and no run of it can be alive. follows tells that
 // this front already follows the job.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -72,6 +72,7 @@
 	leading               leading
 	rowLog                *rowlog.Log
 	openJobTable          *openJobTable
+	ownedAnnouncedAt      time.Duration // last scan for jobs to announce to other owners; used by runCells only
 	joins                 *joins
 
 	mu         sync.Mutex // guards what follows
@@ -262,6 +263,7 @@
 		}
 		n.renewJobs(n.Clock.Now())
 		n.announceOpenJobs(n.Clock.Now())
+		n.announceOwnedJobs(n.Clock.Now())
 		if now := n.Clock.Now(); now >= nextLinks {
 			n.refreshLinks()
 			nextLinks = now + linkRefreshInterval
--- a/pkg/node/open.go
+++ b/pkg/node/open.go
@@ -82,6 +82,16 @@
 	return open, open.isFollowed
 }
 
+// followed returns the open job with this id if this node follows it, or nil.
+func (f *front) followed(id string) *job.Job {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if open := f.open[id]; open != nil && open.isFollowed && open.ctx.Err() == nil {
+		return open.job
+	}
+	return nil
+}
+
 // join adds a waiter to the open job with this id and returns the job, or nil if there is
 // none. An abandoned job counts as open until it has ended.
 func (f *front) join(id string) *openJob {
@@ -179,10 +189,13 @@
 }
 
 // markFollowed records that this node follows the job.
-func (f *front) markFollowed(open *openJob) {
+func (f *front) markFollowed(open *openJob) { f.setFollowed(open, true) }
+
+// setFollowed records whether this node follows the job, or searches for an earlier submission.
+func (f *front) setFollowed(open *openJob, isFollowed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	open.isFollowed = true
+	open.isFollowed = isFollowed
 }
 
 func (f *front) markSplit(open *openJob) {
--- a/pkg/node/openjobs.go
+++ b/pkg/node/openjobs.go
@@ -30,6 +30,8 @@
 	others *openjobs.Table
 	ended  map[string]endedHere // jobs that ended here and may be asked about, by id
 
+	ownersAnnounceAfter time.Duration // age at which owners announce a job for its front
+
 	searches  map[string]*openjobs.Search // for resubmitted jobs, by id
 	resumedAt time.Duration               // when this host last resumed, after it was cut off from its domain or paused
 }
@@ -56,6 +58,8 @@
 		others: openjobs.NewTable(settle),
 		ended:  map[string]endedHere{},
 
+		ownersAnnounceAfter: openjobs.OwnerAnnounceAfter(resubmitAfter),
+
 		searches: map[string]*openjobs.Search{},
 	}
 }
@@ -75,7 +79,8 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.searches, open.job.ID)
-	isAnnounced := o.local.Remove(open.job.ID) || o.ended[open.job.ID].isAnnounced // this submission or an earlier one
+	isAnnounced := o.local.Remove(open.job.ID) || o.ended[open.job.ID].isAnnounced                 // this submission or an earlier one
+	isAnnounced = isAnnounced || outcome.Started && now >= open.job.Received+o.ownersAnnounceAfter // by an owner
 	e := endedHere{outcome: outcome, at: now, isAnnounced: isAnnounced}
 	if open.isFollowed && (e.isAnnounced || e.isAbandoned()) {
 		o.ended[open.job.ID] = e
@@ -210,15 +215,20 @@
 	for _, announced := range m.Jobs {
 		jobs = append(jobs, openjobs.Announcement{ID: announced.Id, Remaining: microseconds(announced.LeftUs)})
 	}
+	n.recordOpenJobs(front, from.Address, jobs, m.PassOn)
+	if m.PassOn {
+		n.relayOpenJobs(from.Address, front, jobs)
+	}
+}
+
+// recordOpenJobs records the open jobs of another front that a host, the reporter, announced.
+func (n *Node) recordOpenJobs(front openjobs.Front, reporter string, jobs []openjobs.Announcement, relay bool) {
 	n.openJobTable.mu.Lock()
-	dropped := n.openJobTable.others.Record(front, from.Address, jobs, m.PassOn, n.Clock.Now())
+	dropped := n.openJobTable.others.Record(front, reporter, jobs, relay, n.Clock.Now())
 	n.openJobTable.mu.Unlock()
 	if dropped > 0 {
 		n.Log.Warn("open_jobs_dropped", "front", front.Address, "jobs", dropped, "remedy", "shorten long jobs, or add hosts to spread them over")
 	}
-	if m.PassOn {
-		n.relayOpenJobs(from.Address, front, jobs)
-	}
 }
 
 func (n *Node) relayOpenJobs(from string, front openjobs.Front, jobs []openjobs.Announcement) {
@@ -245,6 +255,7 @@
 	relayed := n.openJobTable.others.ToRelay(now)
 	n.openJobTable.mu.Unlock()
 	n.sendOpenJobs(address, n.asFront(), local, domain != n.settings.Domain)
+	n.resendOwnedTo(address)
 	if domain != n.settings.Domain {
 		return
 	}
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -31,6 +31,9 @@
 	front      string        // peer address of its node
 	connection *peerpb.Hello // connection on which the job arrived; nil for this host's own front
 	reply      reply
+
+	job         *job.Job
+	isAnnounced bool // to the owners of the domain's other cells
 }
 
 // endedOutcome is the outcome of a job that has ended, and when to discard it.
@@ -54,8 +57,9 @@
 	ended            map[string]endedOutcome
 	kept             keptJobs
 	lastRun          time.Duration
-	takeoverComplete bool // the executors obey this owner only
-	stopped          bool // fenced or released: no longer owns the cell
+	takeoverComplete bool     // the executors obey this owner only
+	stopped          bool     // fenced or released: no longer owns the cell
+	announcedTo      []string // the owners of the domain's other cells, as of the last announcement
 }
 
 func newOwner(n *Node, cellName string, token int64, now time.Duration) *owner {
@@ -144,6 +148,14 @@
 		w.reply(keptCancelled)
 		return
 	}
+	if handover.Epoch == 1 && len(o.waiters[id]) == 0 {
+		if at := o.node.openAtOther(handover.Job, w.front); at != nil {
+			o.mu.Unlock()
+			w.reply(job.Outcome{Kind: job.Moved, Reason: reasonNotOwner, OpenAt: at})
+			return
+		}
+	}
+	w.job = handover.Job
 	if handover.Job.Kept {
 		o.kept.add(id)
 	}
--- /dev/null
+++ b/pkg/node/owner_announcements.go
@@ -0,0 +1,141 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/openjobs"
+	"github.com/foxcroft/foxcroft/pkg/ownership"
+)
+
+// announceOwnedJobs announces the jobs in this host's cells to the owners of the other cells of
+// the same domain.
+func (n *Node) announceOwnedJobs(now time.Duration) {
+	if now < n.ownedAnnouncedAt+openjobs.MinOwnerBatchInterval {
+		return
+	}
+	n.ownedAnnouncedAt = now
+	for _, o := range n.allOwners() {
+		others := n.ownersBeside(o.cell)
+		missed, due := o.nextAnnouncements(others, now)
+		for _, address := range others {
+			n.announceFor(address, due)
+		}
+		for address, jobs := range missed {
+			n.announceFor(address, jobs)
+		}
+	}
+}
+
+// ownersBeside returns the addresses of the owners of the other cells of a cell's domain, sorted.
+func (n *Node) ownersBeside(cellName string) []string {
+	domain := ownership.DomainOf(cellName)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var addresses []string
+	for _, claim := range n.claims.Owned() {
+		if claim.Cell != cellName && ownership.DomainOf(claim.Cell) == domain {
+			addresses = append(addresses, claim.Owner)
+		}
+	}
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
+}
+
+// announcements are open jobs, by the front that holds them open.
+type announcements map[openjobs.Front][]openjobs.Announcement
+
+// announceFor announces jobs to an owner, which may be this host, for the fronts that hold them
+// open.
+func (n *Node) announceFor(address string, byFront announcements) {
+	for front, jobs := range byFront {
+		switch {
+		case address != n.settings.PeerAddress:
+			n.sendOpenJobs(address, front, jobs, false)
+			n.metrics.OpenJobsTold(len(jobs))
+		case front.Address != n.settings.PeerAddress:
+			n.recordOpenJobs(front, address, jobs, false)
+		}
+	}
+}
+
+// nextAnnouncements returns what to announce to the owners of the domain's other cells: the jobs
+// that are due now, and those announced before to owners that have missed that. Jobs of which
+// nothing has started are not announced, as they may still be refused, and their callers come
+// again then.
+func (o *owner) nextAnnouncements(others []string, now time.Duration) (missed map[string]announcements, due announcements) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	missed = map[string]announcements{}
+	for _, address := range others {
+		if !slices.Contains(o.announcedTo, address) {
+			missed[address] = o.announcementsOf(func(w *waiter) bool { return w.isAnnounced }, now)
+		}
+	}
+	o.announcedTo = others
+	age := openjobs.OwnerAnnounceAfter(o.node.settings.ResubmitAfter)
+	due = o.announcementsOf(func(w *waiter) bool {
+		isDue := !w.isAnnounced && now >= w.job.Received+age && o.state.MayHaveStarted(w.job.ID)
+		w.isAnnounced = w.isAnnounced || isDue
+		return isDue
+	}, now)
+	return missed, due
+}
+
+// announcementsOf returns the jobs of the waiters that are wanted. o.mu is held.
+func (o *owner) announcementsOf(wanted func(w *waiter) bool, now time.Duration) announcements {
+	byFront := announcements{}
+	for _, waiters := range o.waiters {
+		for i := range waiters {
+			w := &waiters[i]
+			if w.job.Kept || !wanted(w) {
+				continue
+			}
+			front := o.node.frontOf(w)
+			remaining := max(0, w.job.Deadline-now) + o.node.settleTime()
+			byFront[front] = append(byFront[front], openjobs.Announcement{ID: w.job.WholeID(), Remaining: remaining})
+		}
+	}
+	return byFront
+}
+
+// resendOwnedTo has the jobs of this host's cells announced again to a host that may have missed
+// that.
+func (n *Node) resendOwnedTo(address string) {
+	for _, o := range n.allOwners() {
+		o.mu.Lock()
+		o.announcedTo = slices.DeleteFunc(slices.Clone(o.announcedTo), func(known string) bool { return known == address })
+		o.mu.Unlock()
+	}
+}
+
+// frontOf identifies the front of a waiter.
+func (n *Node) frontOf(w *waiter) openjobs.Front {
+	if w.connection == nil {
+		return n.asFront()
+	}
+	return openjobs.Front{Address: w.front, Domain: w.connection.Domain, Process: string(w.connection.Incarnation)}
+}
+
+// openAtOther returns the front that holds a job open which another front dispatches for the first
+// time, or nil if none is known.
+func (n *Node) openAtOther(j *job.Job, front string) *job.OpenAt {
+	if j.Kept {
+		return nil
+	}
+	now := n.Clock.Now()
+	for _, entry := range n.openJobTable.find(j.WholeID(), now) {
+		if entry.Front.Address != front {
+			return &job.OpenAt{Address: entry.Front.Address, Domain: entry.Front.Domain, Process: entry.Front.Process, Remaining: entry.ExpiresAt - now}
+		}
+	}
+	if front == n.settings.PeerAddress {
+		return nil
+	}
+	if own := n.front.followed(j.WholeID()); own != nil {
+		self := n.asFront()
+		return &job.OpenAt{Address: self.Address, Domain: self.Domain, Process: self.Process, Remaining: max(0, own.Deadline-now) + n.settleTime()}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/node/owner_announcements_test.go
@@ -0,0 +1,208 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/cell"
+	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/openjobs"
+	"github.com/foxcroft/foxcroft/pkg/ownership"
+	"github.com/foxcroft/foxcroft/pkg/peerpb"
+	qt "github.com/frankban/quicktest"
+)
+
+// has reports whether a front waits for a job at the owner.
+func (o *owner) has(id string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.waiters[id]) > 0
+}
+
+func (o *owner) submitFor(front string, j *job.Job, epoch int) chan job.Outcome {
+	answer := make(chan job.Outcome, 1)
+	connection := &peerpb.Hello{Address: front, Domain: "z", Incarnation: []byte(front)}
+	o.submit(cell.Handover{Job: j, Epoch: epoch}, waiter{front: front, connection: connection, reply: func(outcome job.Outcome) { answer <- outcome }})
+	return answer
+}
+
+// Guards against a second run in another cell of the domain: the owner of that cell knew nothing
+// of the first submission's front.
+func TestAnOwnerDoesNotAcceptAJobThatAnotherFrontHoldsOpen(t *testing.T) {
+	part := func(n *Node) *job.Job {
+		whole := submission(n)
+		whole.Steps[0].Count = 4
+		return whole.Split([]int{2, 2})[1]
+	}
+	kept := func(n *Node) *job.Job {
+		j := submission(n)
+		j.Kept = true
+		return j
+	}
+	scenarios := []struct {
+		testName string
+		front    string
+		epoch    int
+		job      func(n *Node) *job.Job
+		isHere   bool // the first submission is at the same owner
+		accepted bool
+	}{
+		{testName: "from another front", front: "second:1", epoch: 1, job: submission},
+		{testName: "a part of it from another front", front: "second:1", epoch: 1, job: part},
+		{testName: "from the front that holds it open", front: "first:1", epoch: 1, job: submission, accepted: true},
+		{testName: "from another front that has looked for it", front: "second:1", epoch: 2, job: submission, accepted: true},
+		{testName: "already at this owner", front: "second:1", epoch: 1, job: submission, isHere: true, accepted: true},
+		{testName: "kept, so followed by its coordinator", front: "second:1", epoch: 1, job: kept, accepted: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			n := newTestNode(c, &fakeStore{})
+			o := newOwner(n, "z/2.1", 1, n.Clock.Now())
+			if s.isHere {
+				o.submitFor("first:1", submission(n), 1)
+			}
+			n.recordOpenJobs(openjobs.Front{Address: "first:1", Domain: "z", Process: "p"}, "owner:1", []openjobs.Announcement{{ID: joinID, Remaining: time.Minute}}, false)
+			j := s.job(n)
+			answer := o.submitFor(s.front, j, s.epoch)
+			if s.accepted {
+				c.Assert(o.has(j.ID), qt.IsTrue)
+				c.Assert(answer, qt.HasLen, 0)
+				return
+			}
+			c.Assert(o.has(j.ID), qt.IsFalse)
+			outcome := <-answer
+			c.Assert(outcome.Kind, qt.Equals, job.Moved)
+			c.Assert(outcome.Reason, qt.Equals, reasonNotOwner, qt.Commentf("fronts of older builds dispatch it again later"))
+			c.Assert(outcome.OpenAt.Address, qt.Equals, "first:1")
+			c.Assert(outcome.OpenAt.Process, qt.Equals, "p")
+		})
+	}
+}
+
+// Guards against the same at a host that owns the other cell and is the first submission's front.
+func TestAnOwnerDoesNotAcceptAJobThatItsOwnFrontHoldsOpen(t *testing.T) {
+	c := qt.New(t)
+	n := newTestNode(c, &fakeStore{})
+	open, _ := n.front.enter(submission(n))
+	o := newOwner(n, "z/2.1", 1, n.Clock.Now())
+	n.front.markFollowed(open)
+	outcome := <-o.submitFor("second:1", submission(n), 1)
+	c.Assert(outcome.OpenAt.Address, qt.Equals, n.settings.PeerAddress)
+}
+
+func TestOwnersAnnounceJobsToTheOwnersOfTheDomainsOtherCells(t *testing.T) {
+	scenarios := []struct {
+		testName  string
+		cellOfB   string
+		epoch     int // above 1, a task may have started
+		isYoung   bool
+		announced bool
+	}{
+		{testName: "it may have started", cellOfB: "z/2.1", epoch: 2, announced: true},
+		{testName: "nothing has started", cellOfB: "z/2.1", epoch: 1},
+		{testName: "too recent", cellOfB: "z/2.1", epoch: 2, isYoung: true},
+		{testName: "owner of a cell of another domain", cellOfB: "y", epoch: 2},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			a, b := pairOf(t)
+			o := makeOwner(a, "z/2.0")
+			if s.isYoung {
+				a.settings.ResubmitAfter = time.Minute
+			}
+			o.submitFor("first:1", submission(a), s.epoch)
+			a.announceOwnedJobs(a.Clock.Now())
+			c.Assert(knowsOpenJob(b), qt.IsFalse, qt.Commentf("it owns no cell yet"))
+			a.mu.Lock()
+			a.claims.SetClaims(b.settings.PeerAddress, []ownership.Claim{{Cell: s.cellOfB, Token: 1, Owner: b.settings.PeerAddress}})
+			a.mu.Unlock()
+			a.announceOwnedJobs(a.Clock.Now() + time.Second)
+			if s.announced {
+				eventually(c, func() bool { return knowsOpenJob(b) })
+				c.Assert(b.openJobTable.find(joinID, b.Clock.Now())[0].Front, qt.Equals, openjobs.Front{Address: "first:1", Domain: "z", Process: "first:1"})
+				return
+			}
+			time.Sleep(100 * time.Millisecond)
+			c.Assert(knowsOpenJob(b), qt.IsFalse)
+		})
+	}
+}
+
+func TestAHostThatOwnsTwoCellsKnowsTheJobsOfBoth(t *testing.T) {
+	c := qt.New(t)
+	a := peerNode(t, "a", "z", 1)
+	first, second := makeOwner(a, "z/2.0"), makeOwner(a, "z/2.1")
+	a.claims.SetClaims(a.settings.PeerAddress, []ownership.Claim{{Cell: first.cell, Token: 1}, {Cell: second.cell, Token: 1}})
+	first.submitFor("first:1", submission(a), 2)
+	a.announceOwnedJobs(a.Clock.Now() + time.Second)
+	c.Assert(second.submitFor("second:1", submission(a), 1), qt.HasLen, 1)
+}
+
+// Guards against a second run in another cell whose owner missed the announcement.
+func TestAnnouncementsOfOwnersAreSentAgainAfterALinkIsResumed(t *testing.T) {
+	c := qt.New(t)
+	n := newTestNode(c, &fakeStore{})
+	o := newOwner(n, "z/2.0", 1, n.Clock.Now())
+	n.owners[o.cell] = o
+	o.submitFor("first:1", submission(n), 2)
+	others := []string{"b:1"}
+	later := n.Clock.Now() + time.Hour
+	_, due := o.nextAnnouncements(others, later)
+	c.Assert(due, qt.HasLen, 1)
+	missed, due := o.nextAnnouncements(others, later)
+	c.Assert(missed, qt.HasLen, 0)
+	c.Assert(due, qt.HasLen, 0)
+	n.LinkResumed("b:1", &peerpb.Hello{Domain: "z"})
+	missed, _ = o.nextAnnouncements(others, later)
+	c.Assert(missed["b:1"], qt.HasLen, 1)
+}
+
+// A front joins a job of which an owner says where it is open, also if the front that holds it
+// open has not announced it.
+func TestAFrontJoinsAJobThatAnOwnerKnowsToBeOpen(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		hasEnded bool // the caller left before, and runs may go on for the settle time
+	}{
+		{testName: "open"},
+		{testName: "just abandoned", hasEnded: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			a, b := pairOf(t)
+			first := openUnannounced(a)
+			if s.hasEnded {
+				a.front.end(first, mayHaveRun)
+			}
+			second := openUnannounced(b)
+			began := time.Now()
+			type result struct {
+				outcome job.Outcome
+				ended   bool
+			}
+			results := make(chan result, 1)
+			go func() {
+				self := a.asFront()
+				at := &job.OpenAt{Address: self.Address, Domain: self.Domain, Process: self.Process, Remaining: time.Minute}
+				outcome, ended := b.front.joinOpenAt(context.Background(), second.job, a.settings.PeerAddress, at)
+				results <- result{outcome, ended}
+			}()
+			if s.hasEnded {
+				c.Assert((<-results).ended, qt.IsFalse)
+				c.Assert(time.Since(began) > a.settleTime()/2, qt.IsTrue)
+				c.Assert(b.front.followed(joinID), qt.IsNotNil)
+				return
+			}
+			eventually(c, func() bool { return waiters(a, first) == 2 })
+			c.Assert(b.front.followed(joinID), qt.IsNil)
+			a.front.end(first, completed)
+			joined := <-results
+			c.Assert(joined.ended, qt.IsTrue)
+			c.Assert(joined.outcome, qt.DeepEquals, completed)
+		})
+	}
+}
--- a/pkg/openjobs/openjobs.go
+++ b/pkg/openjobs/openjobs.go
@@ -32,6 +32,24 @@
 	announceMargin = ScanInterval + minBatchInterval + 2*transitTime + maxReceiptDelay
 )
 
+// A front may receive the first submission later than maxReceiptDelay, or be unable to announce
+// it to the front that gets the second one. Within a domain the owners of cells, which are few,
+// announce to each other, for the fronts, the jobs that these have dispatched to them:
+//
+//	OwnerAnnounceAfter + ScanInterval + MinOwnerBatchInterval + transitTime + maxOwnerReceiptDelay = resubmission
+const (
+	// MinOwnerBatchInterval is the shortest time between two batches of an owner.
+	MinOwnerBatchInterval = 100 * time.Millisecond
+	// maxOwnerReceiptDelay is how late a front may receive the first submission.
+	maxOwnerReceiptDelay = 700 * time.Millisecond
+	ownerAnnounceMargin  = ScanInterval + MinOwnerBatchInterval + transitTime + maxOwnerReceiptDelay
+)
+
+// OwnerAnnounceAfter returns the age at which owners announce a job.
+func OwnerAnnounceAfter(resubmitAfter time.Duration) time.Duration {
+	return max(0, resubmitAfter-ownerAnnounceMargin)
+}
+
 // ResyncDelay is how long a front that was unreachable or suspended waits before it hands a
 // job, which may have been resubmitted meanwhile, to an owner. By then the other hosts have
 // reconnected, which they attempt every 0.3 s with a jitter of a quarter, and have
--- a/pkg/standin/relayd/relay.go
+++ b/pkg/standin/relayd/relay.go
@@ -3,6 +3,7 @@
 package relayd
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"net"
@@ -31,8 +32,13 @@
 	stranded int // those of which not even their end passes
 	taken    int // connections accepted so far
 	loss     Loss
+	heads    map[int][]byte  // what connections began with, by number
+	cutOf    map[string]bool // nothing passes of connections that began with one of these texts in their heads
 }
 
+// headBytes is how much of what a connection began with is kept, to tell who opened it.
+const headBytes = 1 << 10
+
 // Loss is what lost packets do to some connections of a relay: one piece of data in
 // Pieces comes late, and what was sent after it on its connection waits behind it.
 type Loss struct {
@@ -64,7 +70,7 @@
 
 // NewRelay makes a relay to an address.
 func NewRelay(to string, delay time.Duration) *Relay {
-	return &Relay{to: to, delay: delay, conns: map[net.Conn]bool{}}
+	return &Relay{to: to, delay: delay, conns: map[net.Conn]bool{}, heads: map[int][]byte{}, cutOf: map[string]bool{}}
 }
 
 // SetCut cuts the relay, or mends it. What was sent during a cut arrives after
@@ -78,6 +84,39 @@
 	r.cutTo, r.cutFrom = to, from
 }
 
+// SetCutOf cuts or mends, both ways, the connections whose first bytes contain a text by
+// which their opener is known, such as its address.
+func (r *Relay) SetCutOf(opener string, cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cutOf[opener] = cut
+}
+
+// recordHead keeps what a connection begins with.
+func (r *Relay) recordHead(number int, piece []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if head := r.heads[number]; len(head) < headBytes {
+		r.heads[number] = append(head, piece[:min(len(piece), headBytes-len(head))]...)
+	}
+}
+
+func (r *Relay) forgetHead(number int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.heads, number)
+}
+
+// isCutOf reports whether a connection is of an opener that is cut. r.mu is held.
+func (r *Relay) isCutOf(number int) bool {
+	for opener, cut := range r.cutOf {
+		if cut && bytes.Contains(r.heads[number], []byte(opener)) {
+			return true
+		}
+	}
+	return false
+}
+
 // Silence has all connections that are open now pass nothing any more, for good.
 // They stay open, and new ones work.
 func (r *Relay) Silence() {
@@ -137,14 +176,14 @@
 	_ = conn.Close()
 }
 
-// state returns whether a way is cut, and the delay.
-func (r *Relay) state(towards bool) (bool, time.Duration) {
+// state returns whether a way of a connection is cut, and the delay.
+func (r *Relay) state(towards bool, number int) (bool, time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if towards {
-		return r.cutTo, r.delay
+		return r.cutTo || r.isCutOf(number), r.delay
 	}
-	return r.cutFrom, r.delay
+	return r.cutFrom || r.isCutOf(number), r.delay
 }
 
 func (r *Relay) track(conn net.Conn, open bool) {
@@ -170,6 +209,7 @@
 
 func (r *Relay) relay(from net.Conn) {
 	number := r.number()
+	defer r.forgetHead(number)
 	r.track(from, true)
 	defer r.track(from, false)
 	defer from.Close()
@@ -217,10 +257,13 @@
 	passed := 0
 	for piece := range pieces {
 		passed++
-		cut, delay := r.state(towards)
+		if towards {
+			r.recordHead(number, piece)
+		}
+		cut, delay := r.state(towards, number)
 		for cut {
 			time.Sleep(cutPoll)
-			cut, delay = r.state(towards)
+			cut, delay = r.state(towards, number)
 		}
 		time.Sleep(delay + r.lateBy(number, passed))
 		if wasReset.Load() {
@@ -233,7 +276,7 @@
 			break
 		}
 	}
-	for cut, _ := r.state(towards); cut && !wasReset.Load(); cut, _ = r.state(towards) {
+	for cut, _ := r.state(towards, number); cut && !wasReset.Load(); cut, _ = r.state(towards, number) {
 		time.Sleep(cutPoll)
 	}
 	if wasReset.Load() && !(towards && r.isStranded(number)) {
--- a/pkg/standin/relayd/relay_test.go
+++ b/pkg/standin/relayd/relay_test.go
@@ -1,6 +1,8 @@
 package relayd
 
 import (
+	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -28,3 +30,50 @@
 		})
 	}
 }
+
+func TestCutOfOneOpener(t *testing.T) {
+	c := qt.New(t)
+	echo, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer echo.Close()
+	go func() {
+		for {
+			conn, err := echo.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn) }()
+		}
+	}()
+	relay := NewRelay(echo.Addr().String(), 0)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	go relay.Serve(listener)
+	dial := func(opener string) net.Conn {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		c.Assert(err, qt.IsNil)
+		_, err = conn.Write([]byte(opener))
+		c.Assert(err, qt.IsNil)
+		return conn
+	}
+	passes := func(conn net.Conn) bool {
+		_ = conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		_, err := conn.Read(make([]byte, 64))
+		return err == nil
+	}
+	first, other := dial("first"), dial("other")
+	defer first.Close()
+	defer other.Close()
+	c.Assert(passes(first), qt.IsTrue)
+	c.Assert(passes(other), qt.IsTrue)
+	relay.SetCutOf("first", true)
+	for _, conn := range []net.Conn{first, other} {
+		_, err = conn.Write([]byte("more"))
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(passes(first), qt.IsFalse)
+	c.Assert(passes(other), qt.IsTrue)
+	relay.SetCutOf("first", false)
+	c.Assert(passes(first), qt.IsTrue)
+}
