keeping: a job that goes on after a checkpoint may have further runs

The next owner of a kept job could start tasks at once although the former one, which was lost, had runs of them at executors that it did not know.

Cause: an owner that reports progress for a checkpoint goes on with the job, but the coordinator took the report for one that names all runs. If that owner is lost before the coordinator has dispatched the job to it again, the dispatch finds no link, which counts as a host that does not own the cell rather than as a lost owner.

Change: after a report for a checkpoint the owner counts as one that may have more runs.

TestNextOwnerIsToldWhetherProgressNamesAllRuns failed in this case and passes.

--- a/pkg/keeping/follow.go
+++ b/pkg/keeping/follow.go
@@ -237,7 +237,12 @@
 		if len(outcome.Progress) > 0 {
 			f.progress, f.progressAt = outcome.Progress, f.service().Clock.Now()
 		}
-		f.formerLost = f.formerLost && !outcome.Started // an owner that has not accepted the job doesn't tell of its runs
+		switch {
+		case outcome.Reason == ReasonProgress:
+			f.formerLost = true // its owner may start further runs
+		case outcome.Started: // an owner that has not accepted the job doesn't tell of its runs
+			f.formerLost = false
+		}
 		return f.handleReturned(ctx, outcome)
 	default: // the owner is unreachable or cannot accept the job now
 		f.formerLost = true
--- a/pkg/keeping/service_test.go
+++ b/pkg/keeping/service_test.go
@@ -375,6 +375,32 @@
 	eventually(c, s, "a", kept.Completed)
 }
 
+// Guards against a next owner that starts tasks of a kept job beside runs which the former one had
+// started after it had reported the job's progress for the last time.
+func TestNextOwnerIsToldWhetherProgressNamesAllRuns(t *testing.T) {
+	type scenario struct {
+		testName       string
+		outcome        job.Outcome // of the first dispatch
+		wantFormerLost bool        // at the second dispatch
+	}
+	scenarios := []scenario{
+		{testName: "its owner was lost", outcome: job.Outcome{Kind: job.Lost}, wantFormerLost: true},
+		{testName: "its owner has returned it", outcome: job.Outcome{Kind: job.Moved, Reason: "fenced", Started: true}},
+		{testName: "it goes on at its owner, which has reported progress", outcome: job.Outcome{Kind: job.Moved, Reason: ReasonProgress, Started: true}, wantFormerLost: true},
+		{testName: "a host that is not the owner did not take it", outcome: job.Outcome{Kind: job.Moved}, wantFormerLost: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			host := newFakeHost()
+			service := startService(t.Cleanup, host, newFakeStore())
+			service.Keep(context.Background(), testJob("a"))
+			within(c, host.dispatches).end <- s.outcome
+			c.Assert(within(c, host.dispatches).formerLost, qt.Equals, s.wantFormerLost)
+		})
+	}
+}
+
 // Guards against rows from which next coordinators take how long runs may be active, however long ago
 // they were written.
 func TestRowsDoNotHoldTheTimesOfActiveRuns(t *testing.T) {
