node, keeping: a job returned to a silent front may go on at its owner

The next owner of a job could start tasks at once although the former one, which was lost, had further runs of them at executors that it did not know.

Cause: an owner that takes a front for dead answers it that the job has moved. A kept job goes on there, and so does another one that a second front waits for (without the progress in the answer, even). The front counted this as a report of all runs. If the owner is lost before the front hands the job on, nothing says so to the next owner.

Change: after such an answer the owner counts as one that may have more runs, and the answer has the progress in both cases.

--- a/pkg/keeping/follow.go
+++ b/pkg/keeping/follow.go
@@ -238,7 +238,7 @@
 			f.progress, f.progressAt = outcome.Progress, f.service().Clock.Now()
 		}
 		switch {
-		case outcome.Reason == ReasonProgress:
+		case outcome.Reason == ReasonProgress || outcome.Reason == ReasonFrontUnresponsive:
 			f.formerLost = true // its owner may start further runs
 		case outcome.Started: // an owner that has not accepted the job doesn't tell of its runs
 			f.formerLost = false
@@ -268,6 +268,10 @@
 	return false
 }
 
+// ReasonFrontUnresponsive marks a job whose front or coordinator the owner took for dead. The job
+// may go on there.
+const ReasonFrontUnresponsive = "front_silent"
+
 // ReasonProgress marks a job that continues at its owner, which requests a checkpoint.
 const ReasonProgress = "kept_progress"
 
--- a/pkg/node/front_test.go
+++ b/pkg/node/front_test.go
@@ -96,6 +96,15 @@
 			wantProgress: progress,
 			wantLost:     true,
 		},
+		{
+			testName: "withdrawn because this front was silent: another front may have it there, where it goes on",
+			apply: func(a *attempt) {
+				a.recordMoved("cell", job.Outcome{Reason: reasonFrontUnresponsive, Started: true}, reportedAt, settle)
+			},
+			wantCell:    "cell",
+			wantStarted: true,
+			wantLost:    true,
+		},
 		{
 			testName: "returned by an owner that found its runs after another one was lost",
 			before:   attempt{formerCell: "cell", formerLost: true},
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -197,10 +197,10 @@
 	o.node.Log.Info("job_withdrawn", "job", id, "cell", o.cell, "reason", reason, "front", front, "last_of_it", last,
 		"silent_ms", o.node.arrivals.sinceReceived(front, o.node.Clock.Now()).Milliseconds())
 	var progress []job.Progress
-	if last {
+	if last || reason == reasonFrontUnresponsive {
 		o.do(func(state *cell.Cell, now time.Duration) {
 			progress = state.Progress(id)
-			if !o.kept.inCell[id] {
+			if last && !o.kept.inCell[id] {
 				state.Withdraw(id, reason, now)
 			}
 		})
