cell: a kept job counts as waiting until a task is known to have started

A kept job that no owner had started counted as started once an owner had returned it that waited for unknown runs itself.

Cause: progress entries used to name tasks that had run only. Since owners report for how long they wait for unknown runs, an entry may hold nothing else.

Change: such entries do not mark the job as started.

TestAKeptJobWaitsUntilATaskIsKnownToHaveStarted failed in this case and passes.

--- a/pkg/cell/inherited_runs_test.go
+++ b/pkg/cell/inherited_runs_test.go
@@ -103,3 +103,29 @@
 	}
 	return 0
 }
+
+// Guards against kept jobs that count as started because a former owner waited for unknown runs of
+// them.
+func TestAKeptJobWaitsUntilATaskIsKnownToHaveStarted(t *testing.T) {
+	type scenario struct {
+		testName string
+		progress job.Progress
+		waiting  bool
+	}
+	scenarios := []scenario{
+		{testName: "a run may be active somewhere", progress: job.Progress{ActiveFor: time.Second}, waiting: true},
+		{testName: "a run may be active at an executor", progress: job.Progress{Run: 501, ActiveAt: "i-1", ActiveFor: time.Second}},
+		{testName: "a task has run", progress: job.Progress{Run: 501}},
+		{testName: "a task is done", progress: job.Progress{Done: true}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			d := newAdoptedDriver(c, 1)
+			j := testJob("a", 2, d.now)
+			j.Kept = true
+			d.cell.Submit(Handover{Job: j, Epoch: 2, Progress: []job.Progress{s.progress}, NotBefore: d.now + time.Second, RenewedAt: d.renewal()}, d.now)
+			c.Assert(d.cell.jobs["a"].isWaiting(), qt.Equals, s.waiting)
+		})
+	}
+}
--- a/pkg/cell/job_state.go
+++ b/pkg/cell/job_state.go
@@ -70,7 +70,7 @@
 			t.mergeFailures(p.Failures)
 			t.lastRun = max(t.lastRun, p.Run)
 			t.losses.crashes = max(t.losses.crashes, p.Crashes)
-			w.knownStarted = true
+			w.knownStarted = w.knownStarted || p.Done || p.Failures > 0 || p.Run > 0
 		}
 	}
 }
