cell: forget former runs once they need not be waited for

A job waited for a run at an executor that had listed its runs to this owner, once that executor had been forgotten; and ranking went through all former runs of all jobs.

Cause: the runs that progress names were all recorded and looked up at each ranking, most of them at executors that are known here.

Change: only runs that may be unknown here are recorded, and removed when they need not be waited for any more.

TestAFormerRunIsKnownForGoodOnceItsExecutorHasAnswered failed and passes.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -237,8 +237,9 @@
 		if !old.overlaps(w) {
 			continue
 		}
-		w.applyProgress(c.progress(old))
-		w.recordFormerRuns(c.progress(old), c.lastEventAt)
+		progress := c.progress(old)
+		w.applyProgress(progress)
+		c.recordFormerRuns(w, progress, c.lastEventAt)
 		w.mayHaveStarted = w.mayHaveStarted || old.mayHaveStarted
 		for _, r := range old.detachRuns(c.lastRenewal(old)) {
 			r.executor.mayHaveOrphans = true
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -191,7 +191,7 @@
 		c.awaitUnknownRuns(w, h, now)
 	}
 	w.applyProgress(h.Progress)
-	w.recordFormerRuns(h.Progress, now)
+	c.recordFormerRuns(w, h.Progress, now)
 	c.supersede(w)
 	c.jobs[j.ID] = w
 	c.byParent[j.WholeID()] = append(c.byParent[j.WholeID()], w)
--- a/pkg/cell/former_runs.go
+++ b/pkg/cell/former_runs.go
@@ -54,11 +54,13 @@
 	return at, left
 }
 
-// recordFormerRuns records the active runs that the progress of a job names.
-func (w *jobState) recordFormerRuns(progress []job.Progress, now time.Duration) {
+// recordFormerRuns records the runs that the progress of a job names and that may be active without
+// being known here.
+func (c *Cell) recordFormerRuns(w *jobState, progress []job.Progress, now time.Duration) {
 	for _, p := range progress {
-		if p.ActiveFor > 0 && !p.Done && w.task(p.Key) != nil {
-			w.formerRuns = append(w.formerRuns, formerRun{task: p.Key, executor: catalog.Incarnation(p.ActiveAt), endsBy: now + p.ActiveFor})
+		r := formerRun{task: p.Key, executor: catalog.Incarnation(p.ActiveAt), endsBy: now + p.ActiveFor}
+		if !p.Done && w.task(p.Key) != nil && c.mayBeActive(r, now) {
+			w.formerRuns = append(w.formerRuns, r)
 		}
 	}
 }
@@ -66,8 +68,11 @@
 // mayBeActive reports whether a former owner's run may be active without being known here. Runs at
 // executors that have listed their runs to this owner are known.
 func (c *Cell) mayBeActive(r formerRun, now time.Duration) bool {
+	if now >= r.endsBy {
+		return false
+	}
 	e := c.executors[r.executor]
-	return now < r.endsBy && (e == nil || !e.adopted)
+	return e == nil || !e.adopted
 }
 
 // mayHaveUnknownRuns reports whether a job may have runs that this owner does not know.
@@ -76,7 +81,8 @@
 }
 
 // awaitsFormerRuns reports whether a job waits for runs of its former owner that are not known
-// here.
+// here. Runs that it need not wait for are removed, as their executors may be forgotten later.
 func (c *Cell) awaitsFormerRuns(w *jobState, now time.Duration) bool {
-	return slices.ContainsFunc(w.formerRuns, func(r formerRun) bool { return c.mayBeActive(r, now) })
+	w.formerRuns = slices.DeleteFunc(w.formerRuns, func(r formerRun) bool { return !c.mayBeActive(r, now) })
+	return len(w.formerRuns) > 0
 }
--- a/pkg/cell/inherited_runs_test.go
+++ b/pkg/cell/inherited_runs_test.go
@@ -129,3 +129,18 @@
 		})
 	}
 }
+
+// Guards against jobs that wait for a run at an executor that has listed its runs to this owner and
+// was forgotten since.
+func TestAFormerRunIsKnownForGoodOnceItsExecutorHasAnswered(t *testing.T) {
+	c := qt.New(t)
+	d := newAdoptedDriver(c, 2)
+	info := testExecutor(1)
+	vanishes := info.Incarnation()
+	progress := []job.Progress{{Run: 1, ActiveAt: string(vanishes), ActiveFor: time.Second}}
+	d.cell.Submit(Handover{Job: testJob("a", 1, d.now), Epoch: 2, Progress: progress, NotBefore: d.now + 200*ms, RenewedAt: d.renewal()}, d.now)
+	d.cell.SetExecutors([]catalog.Executor{testExecutor(0)}, d.now)
+	c.Assert(d.cell.executors[vanishes], qt.IsNil)
+	d.tick(210 * ms)
+	c.Assert(d.takeCommands(Start), qt.HasLen, 1)
+}
