node: a claim drops the executors that have been missing for long

A takeover could wait 0.94 s for executors that had left the list long before.

Cause: nodes that own no cell and do not read the list remove vanished executors only when they ping the store, each 5 s, or when the list changes. The new owner got the list as it was, and waits for each executor in it until the longest lease is over.

Change: a claim removes them first.

TestAClaimDropsExecutorsMissingForLong failed and passes.

--- a/pkg/node/claims.go
+++ b/pkg/node/claims.go
@@ -68,6 +68,7 @@
 	n.metrics.OwnershipChanged("claimed")
 	n.Log.Info("cell_claimed", "cell", cellName, "token", token, "former", o.formerOwner)
 	o.followClosures()
+	n.removeVanished() // the new owner waits for all executors that it gets
 	o.setExecutors(n.executors.Load())
 	n.requestList()
 	n.publishClaims()
