node, keeping: what does not say that it names all runs counts as lost

Beside earlier builds the next owner of a job still started tasks at once: earlier owners return jobs without naming their runs, and earlier fronts do not say that an owner was lost. Neither can be told from a new build that has nothing to report.

Change: an outcome says that its progress names all runs that may be active (names_runs), and so does a dispatch, in place of former_lost, which no landing has had. Where this is missing, the former owner counts as lost: jobs that were received over 2 s before the claim wait for the longest lease. This also covers owners that go on with a job that they return (checkpoints, silent fronts), without a list of reasons.

The rows on earlier builds in TestAttemptStateAfterAnOwner and TestNextOwnerIsToldWhetherProgressNamesAllRuns failed without it and pass. Outcomes in these tests that come from owners of this build now say so.

--- a/pkg/cell/inherited_runs_test.go
+++ b/pkg/cell/inherited_runs_test.go
@@ -44,6 +44,7 @@
 	c := qt.New(t)
 	former, start, outcome := returnRunningJob(c)
 	c.Assert(outcome.Kind, qt.Equals, job.Moved)
+	c.Assert(outcome.NamesRuns, qt.IsTrue)
 	next := newNextOwner(c, start)
 	next.cell.Submit(Handover{Job: testJob("a", 1, 0), Epoch: 2, Progress: outcome.Progress, RenewedAt: next.renewal()}, next.now)
 	next.takeActions()
--- a/pkg/cell/job_state.go
+++ b/pkg/cell/job_state.go
@@ -97,7 +97,7 @@
 	for _, r := range w.runs() {
 		c.addNotice(Notice{Event: "run_returned", Executor: string(r.executor.incarnation), Job: w.job.ID, Task: r.name, Detail: strconv.FormatInt(r.number, 10)})
 	}
-	c.finish(w, job.Outcome{Kind: job.Moved, Reason: reason, Started: w.mayHaveStarted, Progress: c.progress(w)})
+	c.finish(w, job.Outcome{Kind: job.Moved, Reason: reason, Started: w.mayHaveStarted, Progress: c.progress(w), NamesRuns: true})
 }
 
 // runs returns the runs of the job's tasks.
--- a/pkg/job/job.go
+++ b/pkg/job/job.go
@@ -225,9 +225,16 @@
 	Started    bool          // a task may have started
 	Chain      time.Duration // the length of the critical path that the owner expected; 0 when unknown
 	Progress   []Progress
+	NamesRuns  bool    // Progress names all runs of the job that may be active
 	OpenAt     *OpenAt // the front that holds the job open, if an owner didn't accept the job for that
 }
 
+// MayLeaveUnknownRuns reports whether owners that had the job may have left runs that Progress
+// doesn't name. before tells so of the owners before the one that has returned it.
+func (o *Outcome) MayLeaveUnknownRuns(before bool) bool {
+	return !o.NamesRuns && (o.Started || before)
+}
+
 // OpenAt is the front that holds a job open.
 type OpenAt struct {
 	Address   string
--- a/pkg/keeping/follow.go
+++ b/pkg/keeping/follow.go
@@ -237,12 +237,7 @@
 		if len(outcome.Progress) > 0 {
 			f.progress, f.progressAt = outcome.Progress, f.service().Clock.Now()
 		}
-		switch {
-		case outcome.Reason == ReasonProgress || outcome.Reason == ReasonFrontUnresponsive:
-			f.formerLost = true // its owner may start further runs
-		case outcome.Started: // an owner that has not accepted the job doesn't tell of its runs
-			f.formerLost = false
-		}
+		f.formerLost = outcome.MayLeaveUnknownRuns(f.formerLost)
 		return f.handleReturned(ctx, outcome)
 	default: // the owner is unreachable or cannot accept the job now
 		f.formerLost = true
@@ -268,10 +263,6 @@
 	return false
 }
 
-// ReasonFrontUnresponsive marks a job whose front or coordinator the owner took for dead. The job
-// may go on there.
-const ReasonFrontUnresponsive = "front_silent"
-
 // ReasonProgress marks a job that continues at its owner, which requests a checkpoint.
 const ReasonProgress = "kept_progress"
 
--- a/pkg/keeping/service_test.go
+++ b/pkg/keeping/service_test.go
@@ -385,9 +385,10 @@
 	}
 	scenarios := []scenario{
 		{testName: "its owner was lost", outcome: job.Outcome{Kind: job.Lost}, wantFormerLost: true},
-		{testName: "its owner has returned it", outcome: job.Outcome{Kind: job.Moved, Reason: "fenced", Started: true}},
+		{testName: "its owner has returned it", outcome: job.Outcome{Kind: job.Moved, Reason: "fenced", Started: true, NamesRuns: true}},
+		{testName: "its owner, an earlier build, has returned it", outcome: job.Outcome{Kind: job.Moved, Reason: "fenced", Started: true}, wantFormerLost: true},
 		{testName: "it goes on at its owner, which has reported progress", outcome: job.Outcome{Kind: job.Moved, Reason: ReasonProgress, Started: true}, wantFormerLost: true},
-		{testName: "it goes on at its owner, which took its coordinator for dead", outcome: job.Outcome{Kind: job.Moved, Reason: ReasonFrontUnresponsive, Started: true}, wantFormerLost: true},
+		{testName: "it goes on at its owner, which took its coordinator for dead", outcome: job.Outcome{Kind: job.Moved, Reason: "front_silent", Started: true}, wantFormerLost: true},
 		{testName: "a host that is not the owner did not take it", outcome: job.Outcome{Kind: job.Moved}, wantFormerLost: true},
 	}
 	for _, s := range scenarios {
--- a/pkg/node/arrivals.go
+++ b/pkg/node/arrivals.go
@@ -3,14 +3,12 @@
 import (
 	"sync"
 	"time"
-
-	"github.com/foxcroft/foxcroft/pkg/keeping"
 )
 
 // Reasons for which an owner removes the jobs of a front.
 const (
-	reasonFrontDisconnected = "front_gone"                    // its link has closed
-	reasonFrontUnresponsive = keeping.ReasonFrontUnresponsive // it has sent nothing for longer than SuspectAfter
+	reasonFrontDisconnected = "front_gone"   // its link has closed
+	reasonFrontUnresponsive = "front_silent" // it has sent nothing for longer than SuspectAfter
 )
 
 // arrivals records when each peer last sent something on a link that it opened.
--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -44,7 +44,7 @@
 		return // the job was not accepted there
 	}
 	a.progress, a.progressAt = outcome.Progress, now
-	a.formerLost = outcome.Reason == reasonFrontUnresponsive // the owner may go on with it for another front
+	a.formerLost = outcome.MayLeaveUnknownRuns(a.formerLost)
 	a.started = a.started || outcome.Started
 	if outcome.Reason == cell.ReasonClosed {
 		a.formerCell = "" // no run of the job is left there
--- a/pkg/node/convert.go
+++ b/pkg/node/convert.go
@@ -18,6 +18,7 @@
 		Started:      outcome.Started,
 		Progress:     jobwire.ToProgress(outcome.Progress),
 		ChainUs:      outcome.Chain.Microseconds(),
+		NamesRuns:    outcome.NamesRuns,
 		OpenAt:       toOpenAt(outcome.OpenAt),
 	}}}
 }
@@ -44,6 +45,7 @@
 		Started:    m.Started,
 		Progress:   jobwire.FromProgress(m.Progress),
 		Chain:      microseconds(m.ChainUs),
+		NamesRuns:  m.NamesRuns,
 		OpenAt:     fromOpenAt(m.OpenAt),
 	}
 }
--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -64,7 +64,7 @@
 	now := f.node.Clock.Now()
 	settle := max(0, notBefore-now)
 	m := jobwire.ToDispatch(j, claim.Cell, state.epoch, state.progressAsOf(now), settle, now)
-	m.FormerLost = state.formerLost
+	m.NamesRuns = !state.formerLost
 	m.Renewed = f.node.renewals.confirmed(claim.Owner)
 	answer, err := link.Call(ctx, &peerpb.Message{Body: &peerpb.Message_Dispatch{Dispatch: m}}, 0)
 	if ctx.Err() != nil {
--- a/pkg/node/front_test.go
+++ b/pkg/node/front_test.go
@@ -54,7 +54,7 @@
 		{
 			testName: "returned while it runs: the next owner of its cell adopts it",
 			apply: func(a *attempt) {
-				a.recordMoved("cell", job.Outcome{Started: true, Progress: progress}, reportedAt, settle)
+				a.recordMoved("cell", job.Outcome{Started: true, Progress: progress, NamesRuns: true}, reportedAt, settle)
 			},
 			wantCell:     "cell",
 			wantStarted:  true,
@@ -75,7 +75,7 @@
 		{
 			testName: "returned by a closed cell: no runs of it are alive there",
 			apply: func(a *attempt) {
-				a.recordMoved("cell", job.Outcome{Reason: cell.ReasonClosed, Started: true, Progress: progress}, reportedAt, settle)
+				a.recordMoved("cell", job.Outcome{Reason: cell.ReasonClosed, Started: true, Progress: progress, NamesRuns: true}, reportedAt, settle)
 			},
 			wantStarted:  true,
 			wantProgress: progress,
@@ -96,6 +96,16 @@
 			wantProgress: progress,
 			wantLost:     true,
 		},
+		{
+			testName: "returned by an earlier build, whose progress names no runs",
+			apply: func(a *attempt) {
+				a.recordMoved("cell", job.Outcome{Started: true, Progress: progress}, reportedAt, settle)
+			},
+			wantCell:     "cell",
+			wantStarted:  true,
+			wantProgress: progress,
+			wantLost:     true,
+		},
 		{
 			testName: "withdrawn because this front was silent: another front may have it there, where it goes on",
 			apply: func(a *attempt) {
@@ -109,7 +119,7 @@
 			testName: "returned by an owner that found its runs after another one was lost",
 			before:   attempt{formerCell: "cell", formerLost: true},
 			apply: func(a *attempt) {
-				a.recordMoved("cell", job.Outcome{Started: true, Progress: progress}, reportedAt, settle)
+				a.recordMoved("cell", job.Outcome{Started: true, Progress: progress, NamesRuns: true}, reportedAt, settle)
 			},
 			wantCell:     "cell",
 			wantStarted:  true,
