cell: jobs of a lost owner wait for runs at forgotten executors

A task could run twice at once after its former owner had been lost late, with a run at an executor that left the list and never answered the next owner.

Cause: such an executor is forgotten when the leases are over that the former owner can have granted before the claim. It never obeyed the next owner, though, so that one that lives on (cut off from the next owner, with runs at this executor only) may have renewed them since. Jobs that it returns name these runs; if it is lost, nothing does.

Change: jobs of lost owners that were received before such an executor was forgotten wait for the longest lease.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -103,9 +103,11 @@
 const listDelay = time.Second
 
 // mayHaveRunsAtVanished reports whether a lost owner may have started tasks of a job at executors
-// that had left the list so long before this owner's claim that its list lacks them.
+// that had left the list so long before this owner's claim that its list lacks them, or that were
+// forgotten here since. The latter have never obeyed this owner, so the lost one may have renewed
+// their leases until its end.
 func (c *Cell) mayHaveRunsAtVanished(w *jobState) bool {
-	return w.job.Received < c.claimedAt-(c.params.ListRetention-listDelay)
+	return w.job.Received < c.claimedAt-(c.params.ListRetention-listDelay) || c.forgotAt > 0 && w.job.Received < c.forgotAt
 }
 
 // parseTaskName splits the name of a task into its job's id and its key.
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -119,6 +119,7 @@
 	finished      []Finished
 	notices       []Notice
 	fenced        bool
+	forgotAt      time.Duration // when an executor was last forgotten that had never answered; 0 for none
 	listComplete  bool          // the listed executors are all that the former owner can have known
 	pausedUntil   time.Duration // no starts before
 	closed        bool          // operators have closed the cell to new work
--- a/pkg/cell/inherited_runs_test.go
+++ b/pkg/cell/inherited_runs_test.go
@@ -145,3 +145,47 @@
 	d.tick(210 * ms)
 	c.Assert(d.takeCommands(Start), qt.HasLen, 1)
 }
+
+// Guards against a task that runs twice at once when the former owner reached an executor that never
+// answered the next one, which forgot it, and was lost only then.
+func TestAJobOfALostOwnerWaitsIfItsRunsMayBeAtForgottenExecutors(t *testing.T) {
+	const forgottenBy = 2 * time.Second
+	type scenario struct {
+		testName    string
+		received    time.Duration
+		formerLost  bool
+		startsAfter time.Duration
+	}
+	scenarios := []scenario{
+		{testName: "received before, owner lost", received: 500 * ms, formerLost: true, startsAfter: testJobLease},
+		{testName: "received before, returned by its owner", received: 500 * ms},
+		{testName: "received later, owner lost", received: forgottenBy, formerLost: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			d := newDriver(c, testExecutor(0), testExecutor(1))
+			d.holdAnswered(0, HoldResponse{Clock: time.Minute}, 0)
+			d.cell.SetExecutors([]catalog.Executor{testExecutor(0)}, d.now)
+			silent := testExecutor(1)
+			d.cell.HoldAnswered(silent.Incarnation(), HoldResponse{Verdict: Unreached}, 0, d.now)
+			for d.now < forgottenBy {
+				d.tick(10 * ms)
+				d.holdAnswered(0, HoldResponse{Clock: time.Minute + d.now}, d.now)
+			}
+			d.takeActions()
+			c.Assert(d.cell.executors[silent.Incarnation()], qt.IsNil)
+			j := testJob("a", 1, s.received)
+			j.Deadline = time.Minute
+			d.cell.Submit(Handover{Job: j, Epoch: 2, RenewedAt: d.renewal(), FormerLost: s.formerLost}, d.now)
+			submittedAt := d.now
+			for d.takeActions(); len(d.takeCommands(Start)) == 0; {
+				d.tick(10 * ms)
+				d.holdAnswered(0, HoldResponse{Clock: time.Minute + d.now}, d.now)
+				c.Assert(d.now-submittedAt < 2*testJobLease, qt.IsTrue)
+			}
+			c.Assert(d.now-submittedAt >= s.startsAfter, qt.IsTrue, qt.Commentf("started after %s", d.now-submittedAt))
+			c.Assert(d.now-submittedAt <= s.startsAfter+20*ms, qt.IsTrue, qt.Commentf("started after %s", d.now-submittedAt))
+		})
+	}
+}
--- a/pkg/cell/listed.go
+++ b/pkg/cell/listed.go
@@ -56,6 +56,9 @@
 	for _, e := range c.sorted {
 		unused := !e.listed && len(e.runs) == 0 && !e.holdInFlight && !e.awaitsRestartCheck(now)
 		if unused && (e.adopted || e.ended || c.formerLeasesOver(e, now)) {
+			if !e.adopted && !e.ended {
+				c.forgotAt = now
+			}
 			c.releaseEndsOfExecutor(e)
 			delete(c.executors, e.incarnation)
 			continue
