cell: returned jobs do not wait for executors that are leaving

A job that its owner had returned waited for 1.2 s at the next owner, with a deadline of 1.5 s for nothing, if an executor had crashed or left without saying so in the last 3 s.

Cause: since vanished executors stay on the list, the next owner waits for their answer. Those that have ended never answer.

Change: a job whose former owner has named all runs that it may have left waits for executors that are withheld or off the list only if they are named. A job that comes again right after it was abandoned counts as one of a lost owner, as nobody names its runs.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -73,23 +73,33 @@
 // allAdopted reports whether every executor that the former owner can have known has answered
 // this one.
 func (c *Cell) allAdopted() bool {
-	if !c.listComplete {
-		return false
-	}
-	for _, e := range c.sorted {
-		if !e.adopted && (!e.ended || e.listed) {
-			return false // an ended incarnation that is still listed: the next one is not listed yet
-		}
+	return c.listComplete && !slices.ContainsFunc(c.sorted, (*executor).mayHideFormerRuns)
+}
+
+// adoptedFor reports whether every executor has answered this owner at which a job may have runs
+// that are not known here. Executors that are leaving may never answer. A job whose former owners
+// have named its runs waits for those of them that are named only.
+func (c *Cell) adoptedFor(w *jobState) bool {
+	if !w.runsNamed {
+		return c.allAdopted()
 	}
-	return true
+	return c.listComplete && !slices.ContainsFunc(c.sorted, func(e *executor) bool { return e.mayHideFormerRuns() && !e.isLeaving() })
 }
 
+// mayHideFormerRuns reports whether an executor may have runs of a former owner that it has not
+// listed to this one. After an ended incarnation that is still listed another one may follow, which
+// is not listed yet.
+func (e *executor) mayHideFormerRuns() bool { return !e.adopted && (!e.ended || e.listed) }
+
+// isLeaving reports whether the executor has left the list or gets no new work.
+func (e *executor) isLeaving() bool { return !e.listed || !e.info.TakesWork() }
+
 // awaitUnknownRuns sets until when a job that another owner had waits for runs at executors that
 // have not answered this owner. How long these have been unreachable does not matter, as the
 // former owner may have reached them.
 func (c *Cell) awaitUnknownRuns(w *jobState, h Handover, now time.Duration) {
 	mayVanish := h.FormerLost && c.mayHaveRunsAtVanished(w)
-	if c.allAdopted() && !mayVanish {
+	if c.adoptedFor(w) && !mayVanish {
 		return
 	}
 	until := max(now+max(c.longestLease(), c.params.JobLease), c.unlistedIncarnationsLeaseEnd())
--- a/pkg/cell/explore_front_test.go
+++ b/pkg/cell/explore_front_test.go
@@ -129,7 +129,7 @@
 	}
 	if outcome.Reason != "not_owner" {
 		a.epoch++
-		a.progress, a.formerLost = outcome.Progress, false
+		a.progress, a.formerLost = outcome.Progress, outcome.MayLeaveUnknownRuns(a.formerLost)
 		if outcome.Started {
 			a.lostCell, a.settleAt = a.cell, w.now+lostRunsEndWithin
 		}
--- a/pkg/cell/former_runs.go
+++ b/pkg/cell/former_runs.go
@@ -43,7 +43,7 @@
 	if t.done {
 		return "", 0
 	}
-	if !w.untilAdopted || !c.allAdopted() {
+	if !w.untilAdopted || !c.adoptedFor(w) {
 		left = max(0, w.notBefore-now)
 	}
 	for _, r := range w.formerRuns {
--- a/pkg/cell/inherited_runs_test.go
+++ b/pkg/cell/inherited_runs_test.go
@@ -97,6 +97,49 @@
 	}
 }
 
+// Guards against returned jobs that wait for an executor which has left the list and answers nobody.
+// Their former owner has named the executors at which they may have runs.
+func TestAReturnedJobDoesNotWaitForExecutorsThatAreLeaving(t *testing.T) {
+	leaving := testExecutor(1)
+	name := string(leaving.Incarnation())
+	type scenario struct {
+		testName    string
+		listed      []catalog.Executor
+		progress    []job.Progress
+		formerLost  bool
+		startsAfter time.Duration
+	}
+	withheld := []catalog.Executor{testExecutor(0), leaving.Withheld()}
+	scenarios := []scenario{
+		{testName: "withheld, returned", listed: withheld},
+		{testName: "withheld, its owner was lost", listed: withheld, formerLost: true, startsAfter: testJobLease},
+		{testName: "withheld, with a run of the job", listed: withheld, progress: []job.Progress{{Run: 1, ActiveAt: name, ActiveFor: 500 * ms}}, startsAfter: 500 * ms},
+		{testName: "withheld, with a run of the job somewhere", listed: withheld, progress: []job.Progress{{ActiveFor: 700 * ms}}, startsAfter: 700 * ms},
+		{testName: "off the list since the claim, returned", listed: []catalog.Executor{testExecutor(0)}},
+		{testName: "off the list since the claim, its owner was lost", listed: []catalog.Executor{testExecutor(0)}, formerLost: true, startsAfter: testJobLease},
+		{testName: "on the list: it may only be slow", listed: []catalog.Executor{testExecutor(0), leaving}, startsAfter: testJobLease},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			d := newDriver(c, testExecutor(0), leaving)
+			d.holdAnswered(0, HoldResponse{Clock: time.Minute}, 0)
+			d.cell.SetExecutors(s.listed, d.now)
+			j := testJob("a", 1, d.now)
+			j.Deadline = time.Minute
+			d.cell.Submit(Handover{Job: j, Epoch: 2, Progress: s.progress, RenewedAt: d.renewal(), FormerLost: s.formerLost}, d.now)
+			submittedAt := d.now
+			for d.takeActions(); len(d.takeCommands(Start)) == 0; {
+				d.tick(10 * ms)
+				d.holdAnswered(0, HoldResponse{Clock: time.Minute + d.now}, d.now)
+				c.Assert(d.now-submittedAt < 2*testJobLease, qt.IsTrue)
+			}
+			c.Assert(d.now-submittedAt >= s.startsAfter, qt.IsTrue, qt.Commentf("started after %s", d.now-submittedAt))
+			c.Assert(d.now-submittedAt <= s.startsAfter+20*ms, qt.IsTrue, qt.Commentf("started after %s", d.now-submittedAt))
+		})
+	}
+}
+
 // indexOfOther returns the index of the executor, out of two, to which a start was not sent.
 func indexOfOther(start Command) int {
 	if start.Executor.ID == executorID(0) {
--- a/pkg/cell/job_state.go
+++ b/pkg/cell/job_state.go
@@ -34,7 +34,8 @@
 	submittedAt    time.Duration
 	renewedAt      time.Duration // its caller was still waiting then
 	notBefore      time.Duration // no starts before
-	untilAdopted   bool          // notBefore ends early once all executors have answered this owner
+	untilAdopted   bool          // notBefore ends early once the executors have answered this owner
+	runsNamed      bool          // former owners have named all runs that they may have left
 	formerRuns     []formerRun   // runs of former owners, some of which may be unknown here
 	steps          [][]*task
 	stepTimes      []time.Duration // expected time of a task, by step
@@ -46,7 +47,7 @@
 
 func newJobState(h Handover, times *taskTimes, now time.Duration) *jobState {
 	j := h.Job
-	w := &jobState{job: j, epoch: h.Epoch, submittedAt: now, renewedAt: h.RenewedAt, notBefore: h.NotBefore, mayHaveStarted: h.Epoch > 1}
+	w := &jobState{job: j, epoch: h.Epoch, submittedAt: now, renewedAt: h.RenewedAt, notBefore: h.NotBefore, mayHaveStarted: h.Epoch > 1, runsNamed: !h.FormerLost}
 	for stepIndex, step := range j.Steps {
 		if stepIndex == 0 || step.Needs.CPU < w.leastCPU {
 			w.leastCPU = step.Needs.CPU
--- a/pkg/node/join_test.go
+++ b/pkg/node/join_test.go
@@ -371,6 +371,7 @@
 	c.Assert(state.epoch, qt.Equals, 3)
 	c.Assert(state.started, qt.IsTrue)
 	c.Assert(state.formerCell, qt.Equals, "y")
+	c.Assert(state.formerLost, qt.IsTrue, qt.Commentf("nobody has named the runs"))
 	c.Assert(state.notBefore >= n.settleTime(), qt.IsTrue)
 }
 
--- a/pkg/node/open.go
+++ b/pkg/node/open.go
@@ -163,7 +163,7 @@
 // stopped. The runs of a split job are with several owners, so it waits until all have ended.
 func (f *front) attemptAfter(ctx context.Context, former *openJob) attempt {
 	f.mu.Lock()
-	state := attempt{epoch: former.epoch + 1, started: former.started, formerCell: former.cell}
+	state := attempt{epoch: former.epoch + 1, started: former.started, formerCell: former.cell, formerLost: true}
 	isSplit := former.isSplit
 	f.mu.Unlock()
 	if !state.started {
@@ -172,7 +172,7 @@
 	state.notBefore = f.node.Clock.Now() + f.node.settleTime()
 	if isSplit {
 		f.sleepUntil(ctx, state.notBefore)
-		state.formerCell = ""
+		state.formerCell, state.formerLost = "", false
 	}
 	return state
 }
