node: owners' news pass other hosts after the loss of an owner's link

Two owners of a domain that are cut from each other, and reach all other hosts, each take the other's cell, and neither could tell the other of a first sending that its front had received late: the second sending ran beside it, the first one ordered by the owner of one cell and stopped by it or by the next one at the first sending's deadline, the second one ordered by the owner of the other cell, both by epoch 1.

For 10 s after the loss of the link to an owner of a cell of their domain, owners have two other hosts of the domain pass their announcements on, as fronts have done between domains (OpenJobs.pass_on).

Tried first: while a cell lacks an owner.

--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -123,6 +123,9 @@
 	n.members.LinkDown(address, n.Clock.Now())
 	n.viewVersion.Add(1)
 	n.renewals.forget(address)
+	if n.claims.OwnsIn(address, n.settings.Domain) {
+		n.ownerLostUntil = n.Clock.Now() + ownerLossPeriod
+	}
 	n.claims.Forget(address)
 	delete(n.peerCounts, address)
 	delete(n.storeUnreachable, address)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -85,6 +85,7 @@
 
 	restarted        bool                     // the first read of the rows contained this node's own: it has restarted
 	ownerless        bool                     // a cell of this domain lacks an owner
+	ownerLostUntil   time.Duration            // an owner of a cell of this domain counts as unreachable from here only until then
 	shortOfCapacity  bool                     // this domain is short of capacity
 	lastReachable    map[string]time.Duration // when the node of a row was last reachable, by node name
 	peerCounts       map[string]map[string]int
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -59,7 +59,7 @@
 	lastRun          time.Duration
 	takeoverComplete bool     // the executors obey this owner only
 	stopped          bool     // fenced or released: no longer owns the cell
-	announcedTo      []string // the owners of the domain's other cells, as of the last announcement
+	announcedTo      []string // the hosts to which its jobs were announced last
 }
 
 func newOwner(n *Node, cellName string, token int64, now time.Duration) *owner {
--- a/pkg/node/owner_announcements.go
+++ b/pkg/node/owner_announcements.go
@@ -17,13 +17,15 @@
 	}
 	n.ownedAnnouncedAt = now
 	for _, o := range n.allOwners() {
-		others := n.ownersBeside(o.cell)
-		missed, due := o.nextAnnouncements(others, now)
+		others, relays := n.ownersBeside(o.cell), n.relaysBeside(o.cell)
+		missed, due := o.nextAnnouncements(slices.Concat(others, relays), now)
 		for _, address := range others {
-			n.announceFor(address, due)
+			n.announceFor(address, due, false)
+			n.announceFor(address, missed[address], false)
 		}
-		for address, jobs := range missed {
-			n.announceFor(address, jobs)
+		for _, address := range relays {
+			n.announceFor(address, due, true)
+			n.announceFor(address, missed[address], true)
 		}
 	}
 }
@@ -43,16 +45,37 @@
 	return slices.Compact(addresses)
 }
 
+// ownerLossPeriod is how long after the loss of the link to an owner announcements are relayed.
+const ownerLossPeriod = 10 * time.Second
+
+// relaysBeside returns the addresses of a few hosts that relay announcements within a cell's domain
+// after the link to an owner of one of the domain's cells was lost, as it may be unreachable from
+// here only. It returns none for a cell of another domain.
+func (n *Node) relaysBeside(cellName string) []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.Clock.Now() >= n.ownerLostUntil || ownership.DomainOf(cellName) != n.settings.Domain {
+		return nil
+	}
+	var addresses []string
+	for _, p := range n.members.View(n.inc).Peers {
+		if p.Domain == n.settings.Domain && len(addresses) < relaysPerDomain && !n.claims.Owns(p.Address) {
+			addresses = append(addresses, p.Address)
+		}
+	}
+	return addresses
+}
+
 // announcements are open jobs, by the front that holds them open.
 type announcements map[openjobs.Front][]openjobs.Announcement
 
-// announceFor announces jobs to an owner, which may be this host, for the fronts that hold them
-// open.
-func (n *Node) announceFor(address string, byFront announcements) {
+// announceFor announces jobs for the fronts that hold them open, to an owner, which may be this
+// host, or to a host that relays the announcements within its domain.
+func (n *Node) announceFor(address string, byFront announcements, relay bool) {
 	for front, jobs := range byFront {
 		switch {
 		case address != n.settings.PeerAddress:
-			n.sendOpenJobs(address, front, jobs, false)
+			n.sendOpenJobs(address, front, jobs, relay)
 			n.metrics.OpenJobsTold(len(jobs))
 		case front.Address != n.settings.PeerAddress:
 			n.recordOpenJobs(front, address, jobs, false)
@@ -60,8 +83,8 @@
 	}
 }
 
-// nextAnnouncements returns what to announce to the owners of the domain's other cells: the jobs
-// that are due now, and those announced before to owners that have missed that. Jobs of which
+// nextAnnouncements returns what to announce to other hosts, the owners of the domain's other cells
+// among them: the jobs that are due now, and those announced before to hosts that have missed that. Jobs of which
 // nothing has started are not announced, as they may still be refused, and their callers come
 // again then.
 func (o *owner) nextAnnouncements(others []string, now time.Duration) (missed map[string]announcements, due announcements) {
--- a/pkg/node/owner_announcements_test.go
+++ b/pkg/node/owner_announcements_test.go
@@ -206,3 +206,41 @@
 		})
 	}
 }
+
+// Guards against a second run in another cell whose owner reaches the fronts, but not this owner.
+func TestAnnouncementsReachAnOwnerByOtherHosts(t *testing.T) {
+	scenarios := []struct {
+		testName  string
+		lostCell  string // of the host to which the link goes down; empty if none does
+		cell      string // of this host
+		announced bool
+	}{
+		{testName: "the owner of the domain's other cell is lost", lostCell: "z/2.1", cell: "z/2.0", announced: true},
+		{testName: "no owner is lost", cell: "z/2.0"},
+		{testName: "an owner of another domain is lost", lostCell: "y", cell: "z/2.0"},
+		{testName: "this cell is of another domain", lostCell: "z/2.1", cell: "y/2.0"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			a, between, other := peerNode(t, "a", "z", 1), peerNode(t, "between", "z", 2), peerNode(t, "other", "z", 3)
+			linkAll(t, a, between)
+			linkAll(t, between, other)
+			o := makeOwner(a, s.cell)
+			if s.lostCell != "" {
+				a.mu.Lock()
+				a.claims.SetClaims("lost:1", []ownership.Claim{{Cell: s.lostCell, Token: 1, Owner: "lost:1"}})
+				a.mu.Unlock()
+				a.LinkDown("lost:1")
+			}
+			o.submitFor("first:1", submission(a), 2)
+			a.announceOwnedJobs(a.Clock.Now() + time.Second)
+			if s.announced {
+				eventually(c, func() bool { return knowsOpenJob(other) })
+				return
+			}
+			time.Sleep(100 * time.Millisecond)
+			c.Assert(knowsOpenJob(other), qt.IsFalse)
+		})
+	}
+}
