peer: reach a session's streams only through streamMux

streamMux embedded the yamux session, whose OpenStream and AcceptStream would have opened streams that don't end with it. It is a field now. No behaviour changes.

--- a/pkg/peer/mux.go
+++ b/pkg/peer/mux.go
@@ -13,10 +13,11 @@
 //
 // A shutdown wakes the goroutines that read a stream or wait for its window, but yamux
 // changes the state that makes them return only after its receive loop has stopped.
-// Until then they spin, and without preemption the receive loop never runs again.
+// Until then they spin, each for whole time slices, and the receive loop waits for a
+// processor behind them.
 type streamMux struct {
-	*yamux.Session
-	conn *muxConn
+	session *yamux.Session
+	conn    *muxConn
 }
 
 func newClientMux(conn net.Conn) (*streamMux, error) { return newStreamMux(yamux.Client, conn) }
@@ -29,14 +30,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &streamMux{Session: session, conn: ending}, nil
+	return &streamMux{session: session, conn: ending}, nil
 }
 
 // Open opens a stream.
-func (m *streamMux) Open() (net.Conn, error) { return m.tracked(m.Session.Open()) }
+func (m *streamMux) Open() (net.Conn, error) { return m.tracked(m.session.Open()) }
 
 // Accept waits for a stream that the peer opens.
-func (m *streamMux) Accept() (net.Conn, error) { return m.tracked(m.Session.Accept()) }
+func (m *streamMux) Accept() (net.Conn, error) { return m.tracked(m.session.Accept()) }
 
 func (m *streamMux) tracked(stream net.Conn, err error) (net.Conn, error) {
 	if err != nil {
@@ -46,10 +47,13 @@
 	return stream, nil
 }
 
+// CloseChan returns a channel that is closed when the session shuts down.
+func (m *streamMux) CloseChan() <-chan struct{} { return m.session.CloseChan() }
+
 // Close ends the streams, the session and its connection.
 func (m *streamMux) Close() error {
 	m.conn.streams.end()
-	return m.Session.Close()
+	return m.session.Close()
 }
 
 // muxConn is the connection of a streamMux. It ends the streams before yamux sees an
--- a/pkg/peer/mux_test.go
+++ b/pkg/peer/mux_test.go
@@ -71,7 +71,7 @@
 func TestStreamAddedAfterTheEnd(t *testing.T) {
 	c := qt.New(t)
 	client, _ := newMuxPair(t)
-	stream, err := client.Session.Open()
+	stream, err := client.session.Open()
 	c.Assert(err, qt.IsNil)
 	client.conn.streams.end()
 	client.conn.streams.add(stream)
--- a/pkg/peer/shutdown_test.go
+++ b/pkg/peer/shutdown_test.go
@@ -39,7 +39,7 @@
 	{"closed here", func(s *shutdownSession) { _ = s.mux.Close() }},
 	{"closed by the peer", func(s *shutdownSession) { _ = s.remote.Close() }},
 	{"reset by the peer", func(s *shutdownSession) { s.reset() }},
-	{"silent and given up", func(s *shutdownSession) { s.link().close() }},
+	{"silent and given up", func(s *shutdownSession) { s.asLinkSession().close() }},
 	{"a write fails", func(s *shutdownSession) {
 		s.conn.broken.Store(true)
 		s.pipes[0].send(record("x"), 0)
@@ -63,8 +63,7 @@
 }
 
 // Guards against readers and writers of streams that spin while their session shuts
-// down: without preemption the process never goes on, and with it each of them uses
-// the processor for whole time slices.
+// down: each of them uses the processor for whole time slices.
 func TestNothingSpinsWhileSessionsEnd(t *testing.T) {
 	if ending := os.Getenv(shutdownCase); ending != "" {
 		playEnding(t, ending)
@@ -156,8 +155,8 @@
 	}
 }
 
-// link returns the session of a link that uses the streams.
-func (s *shutdownSession) link() *session {
+// asLinkSession returns a session of a link that uses two of the streams.
+func (s *shutdownSession) asLinkSession() *session {
 	l := newSession(s.conn.Conn)
 	l.mux, l.control, l.jobs = s.mux, s.pipes[0], s.pipes[1]
 	return l
