cell: a handover that names no runs waits for executors that are leaving

A job whose handover said nothing of former runs started beside an executor that was off the list, had never listed its runs whole and may have had runs of it.

Cause: a handover said only that the last owner was lost, so that one that says nothing counted as one that names all runs.

Change: it says that runs are named (NamesRuns), as outcomes and dispatches do.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -98,7 +98,7 @@
 // have not answered this owner. How long these have been unreachable does not matter, as the
 // former owner may have reached them.
 func (c *Cell) awaitUnknownRuns(w *jobState, h Handover, now time.Duration) {
-	mayVanish := h.FormerLost && c.mayHaveRunsAtVanished(w)
+	mayVanish := !h.NamesRuns && c.mayHaveRunsAtVanished(w)
 	if c.adoptedFor(w) && !mayVanish {
 		return
 	}
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -170,8 +170,9 @@
 	Progress  []job.Progress // known progress of its tasks
 	NotBefore time.Duration  // earliest time for a start, or 0
 	RenewedAt time.Duration  // last renewal of the job, as in Renew
-	// FormerLost reports that the last owner was lost, so that Progress doesn't name its runs.
-	FormerLost bool
+	// NamesRuns reports that Progress names all runs that former owners may have left. It is not
+	// set if the last one was lost.
+	NamesRuns bool
 }
 
 // Submit adds a job. It returns false when the job is here already; its epoch and renewal
--- a/pkg/cell/inherited_runs_test.go
+++ b/pkg/cell/inherited_runs_test.go
@@ -46,7 +46,7 @@
 	c.Assert(outcome.Kind, qt.Equals, job.Moved)
 	c.Assert(outcome.NamesRuns, qt.IsTrue)
 	next := newNextOwner(c, start)
-	next.cell.Submit(Handover{Job: testJob("a", 1, 0), Epoch: 2, Progress: outcome.Progress, RenewedAt: next.renewal()}, next.now)
+	next.cell.Submit(Handover{Job: testJob("a", 1, 0), Epoch: 2, Progress: outcome.Progress, NamesRuns: outcome.NamesRuns, RenewedAt: next.renewal()}, next.now)
 	next.takeActions()
 	c.Assert(next.takeCommands(Start), qt.HasLen, 0, qt.Commentf("the run may be alive until its lease ends"))
 
@@ -85,7 +85,7 @@
 			d.holdAnswered(0, HoldResponse{Clock: time.Minute + d.now}, d.now)
 			j := testJob("a", 1, claimedAt-s.age)
 			j.Deadline = claimedAt + time.Minute
-			d.cell.Submit(Handover{Job: j, Epoch: 2, RenewedAt: d.renewal(), FormerLost: s.formerLost}, d.now)
+			d.cell.Submit(Handover{Job: j, Epoch: 2, RenewedAt: d.renewal(), NamesRuns: !s.formerLost}, d.now)
 			for d.takeActions(); len(d.takeCommands(Start)) == 0; {
 				d.tick(10 * ms)
 				d.holdAnswered(0, HoldResponse{Clock: time.Minute + d.now}, d.now)
@@ -127,7 +127,7 @@
 			d.cell.SetExecutors(s.listed, d.now)
 			j := testJob("a", 1, d.now)
 			j.Deadline = time.Minute
-			d.cell.Submit(Handover{Job: j, Epoch: 2, Progress: s.progress, RenewedAt: d.renewal(), FormerLost: s.formerLost}, d.now)
+			d.cell.Submit(Handover{Job: j, Epoch: 2, Progress: s.progress, RenewedAt: d.renewal(), NamesRuns: !s.formerLost}, d.now)
 			submittedAt := d.now
 			for d.takeActions(); len(d.takeCommands(Start)) == 0; {
 				d.tick(10 * ms)
@@ -182,7 +182,7 @@
 	info := testExecutor(1)
 	vanishes := info.Incarnation()
 	progress := []job.Progress{{Run: 1, ActiveAt: string(vanishes), ActiveFor: time.Second}}
-	d.cell.Submit(Handover{Job: testJob("a", 1, d.now), Epoch: 2, Progress: progress, NotBefore: d.now + 200*ms, RenewedAt: d.renewal()}, d.now)
+	d.cell.Submit(Handover{Job: testJob("a", 1, d.now), Epoch: 2, Progress: progress, NamesRuns: true, NotBefore: d.now + 200*ms, RenewedAt: d.renewal()}, d.now)
 	d.cell.SetExecutors([]catalog.Executor{testExecutor(0)}, d.now)
 	c.Assert(d.cell.executors[vanishes], qt.IsNil)
 	d.tick(210 * ms)
@@ -220,7 +220,7 @@
 			c.Assert(d.cell.executors[silent.Incarnation()], qt.IsNil)
 			j := testJob("a", 1, s.received)
 			j.Deadline = time.Minute
-			d.cell.Submit(Handover{Job: j, Epoch: 2, RenewedAt: d.renewal(), FormerLost: s.formerLost}, d.now)
+			d.cell.Submit(Handover{Job: j, Epoch: 2, RenewedAt: d.renewal(), NamesRuns: !s.formerLost}, d.now)
 			submittedAt := d.now
 			for d.takeActions(); len(d.takeCommands(Start)) == 0; {
 				d.tick(10 * ms)
--- a/pkg/cell/job_state.go
+++ b/pkg/cell/job_state.go
@@ -47,7 +47,7 @@
 
 func newJobState(h Handover, times *taskTimes, now time.Duration) *jobState {
 	j := h.Job
-	w := &jobState{job: j, epoch: h.Epoch, submittedAt: now, renewedAt: h.RenewedAt, notBefore: h.NotBefore, mayHaveStarted: h.Epoch > 1, runsNamed: !h.FormerLost}
+	w := &jobState{job: j, epoch: h.Epoch, submittedAt: now, renewedAt: h.RenewedAt, notBefore: h.NotBefore, mayHaveStarted: h.Epoch > 1, runsNamed: h.NamesRuns}
 	for stepIndex, step := range j.Steps {
 		if stepIndex == 0 || step.Needs.CPU < w.leastCPU {
 			w.leastCPU = step.Needs.CPU
--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -44,7 +44,7 @@
 	}
 	done := make(chan job.Outcome, 1)
 	self := f.node.settings.PeerAddress
-	handover := cell.Handover{Job: j, Epoch: state.epoch, Progress: state.progressAsOf(f.node.Clock.Now()), NotBefore: notBefore, RenewedAt: f.node.renewals.confirmedHere(), FormerLost: state.formerLost}
+	handover := cell.Handover{Job: j, Epoch: state.epoch, Progress: state.progressAsOf(f.node.Clock.Now()), NotBefore: notBefore, RenewedAt: f.node.renewals.confirmedHere(), NamesRuns: !state.formerLost}
 	o.submit(handover, waiter{front: self, reply: func(outcome job.Outcome) { done <- outcome }})
 	select {
 	case outcome := <-done:
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -236,7 +236,7 @@
 	}
 	handover := cell.Handover{
 		Job: jobwire.FromDispatch(m, now), Epoch: int(m.Epoch), Progress: jobwire.FromProgress(m.Progress),
-		NotBefore: notBefore, RenewedAt: n.timeOf(m.Renewed), FormerLost: !m.NamesRuns,
+		NotBefore: notBefore, RenewedAt: n.timeOf(m.Renewed), NamesRuns: m.NamesRuns,
 	}
 	o.submit(handover, waiter{
 		front: from.Address, connection: from,
