--- a/pkg/catalog/unreadable.go
+++ b/pkg/catalog/unreadable.go
@@ -114,7 +114,7 @@
 }
 
 // Withheld returns a copy of the executor without capacity, for when its row can't be
-// read any more. It gets no new work, but stays listed with its address, so that this
+// read any more or has vanished. It gets no new work, but stays listed with its address, so that this
 // owner and the next can renew the leases of its runs until they end. Hosts relay it
 // like any other executor.
 func (e Executor) Withheld() Executor {
