--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -108,8 +108,8 @@
 	}
 }
 
-// listDelay is how long a former owner may have started tasks at an executor after this owner's
-// list had withheld it.
+// listDelay is how much later than this owner's list the list of a former owner may have withheld
+// a vanished executor for good.
 const listDelay = time.Second
 
 // mayHaveRunsAtVanished reports whether a lost owner may have started tasks of a job at executors
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -28,7 +28,7 @@
 	JobLease      time.Duration // how long runs may continue after the last renewal of their job
 	OrphanGrace   time.Duration // how long runs of unknown jobs are kept after a takeover
 	StopTime      time.Duration // longest time that a stop takes at an executor
-	ListRetention time.Duration // how long executors that vanish stay on the list without taking work
+	ListRetention time.Duration // how long executors that vanish stay on the list after they have been withheld for good
 	LinkRate      float64       // bandwidth of the host's link in bytes per second; 0 when unknown
 	Order         func() Order  // creates the scheduling order of the cell's jobs
 }
