node: test of a submission that joins by what an owner knows

Three hosts over real links: the front that holds the job open has not announced it, and the second front asks the owner first. Red if owners accept such jobs.

--- a/pkg/node/owner_announcements_test.go
+++ b/pkg/node/owner_announcements_test.go
@@ -244,3 +244,23 @@
 		})
 	}
 }
+
+// Guards against a second run in another cell: the front of the second submission joins the job at
+// the front of the first one, of which only the cell's owner knows.
+func TestASubmissionJoinsAJobOfWhichOnlyTheOwnerKnows(t *testing.T) {
+	c := qt.New(t)
+	holder, cellOwner, resubmittedTo := peerNode(t, "holder", "z", 1), peerNode(t, "owner", "z", 2), peerNode(t, "other", "z", 3)
+	linkAll(t, holder, cellOwner, resubmittedTo)
+	o := makeOwner(cellOwner, "z/2.1")
+	load := ownership.Load{CapacityCPU: 1000, FreeCPU: 1000, Ready: true, Services: []string{"s"}}
+	resubmittedTo.mu.Lock()
+	resubmittedTo.claims.SetClaims(cellOwner.settings.PeerAddress, []ownership.Claim{{Cell: o.cell, Token: 1, Owner: cellOwner.settings.PeerAddress, Load: load}})
+	resubmittedTo.mu.Unlock()
+	first := openUnannounced(holder)
+	cellOwner.recordOpenJobs(holder.asFront(), "owner:1", []openjobs.Announcement{{ID: joinID, Remaining: time.Minute}}, false)
+	answer := submitLater(context.Background(), resubmittedTo)
+	eventually(c, func() bool { return waiters(holder, first) == 2 })
+	c.Assert(o.has(joinID), qt.IsFalse)
+	holder.front.end(first, completed)
+	c.Assert(<-answer, qt.DeepEquals, completed)
+}
