--- a/pkg/cell/inherited_runs_test.go
+++ b/pkg/cell/inherited_runs_test.go
@@ -86,13 +86,7 @@
 			j := testJob("a", 1, claimedAt-s.age)
 			j.Deadline = claimedAt + time.Minute
 			d.cell.Submit(Handover{Job: j, Epoch: 2, RenewedAt: d.renewal(), NamesRuns: !s.formerLost}, d.now)
-			for d.takeActions(); len(d.takeCommands(Start)) == 0; {
-				d.tick(10 * ms)
-				d.holdAnswered(0, HoldResponse{Clock: time.Minute + d.now}, d.now)
-				c.Assert(d.now-claimedAt < 2*testJobLease, qt.IsTrue)
-			}
-			c.Assert(d.now-claimedAt >= s.startsAfter, qt.IsTrue, qt.Commentf("started after %s", d.now-claimedAt))
-			c.Assert(d.now-claimedAt <= s.startsAfter+20*ms, qt.IsTrue, qt.Commentf("started after %s", d.now-claimedAt))
+			d.assertStartsAfter(s.startsAfter)
 		})
 	}
 }
@@ -128,18 +122,24 @@
 			j := testJob("a", 1, d.now)
 			j.Deadline = time.Minute
 			d.cell.Submit(Handover{Job: j, Epoch: 2, Progress: s.progress, RenewedAt: d.renewal(), NamesRuns: !s.formerLost}, d.now)
-			submittedAt := d.now
-			for d.takeActions(); len(d.takeCommands(Start)) == 0; {
-				d.tick(10 * ms)
-				d.holdAnswered(0, HoldResponse{Clock: time.Minute + d.now}, d.now)
-				c.Assert(d.now-submittedAt < 2*testJobLease, qt.IsTrue)
-			}
-			c.Assert(d.now-submittedAt >= s.startsAfter, qt.IsTrue, qt.Commentf("started after %s", d.now-submittedAt))
-			c.Assert(d.now-submittedAt <= s.startsAfter+20*ms, qt.IsTrue, qt.Commentf("started after %s", d.now-submittedAt))
+			d.assertStartsAfter(s.startsAfter)
 		})
 	}
 }
 
+// assertStartsAfter asserts that a task starts after the given time, at an executor that answers all
+// holds meanwhile.
+func (d *driver) assertStartsAfter(want time.Duration) {
+	submittedAt := d.now
+	for d.takeActions(); len(d.takeCommands(Start)) == 0; {
+		d.tick(10 * ms)
+		d.holdAnswered(0, HoldResponse{Clock: time.Minute + d.now}, d.now)
+		d.c.Assert(d.now-submittedAt < 2*testJobLease, qt.IsTrue)
+	}
+	d.c.Assert(d.now-submittedAt >= want, qt.IsTrue, qt.Commentf("started after %s", d.now-submittedAt))
+	d.c.Assert(d.now-submittedAt <= want+20*ms, qt.IsTrue, qt.Commentf("started after %s", d.now-submittedAt))
+}
+
 // indexOfOther returns the index of the executor, out of two, to which a start was not sent.
 func indexOfOther(start Command) int {
 	if start.Executor.ID == executorID(0) {
@@ -221,14 +221,7 @@
 			j := testJob("a", 1, s.received)
 			j.Deadline = time.Minute
 			d.cell.Submit(Handover{Job: j, Epoch: 2, RenewedAt: d.renewal(), NamesRuns: !s.formerLost}, d.now)
-			submittedAt := d.now
-			for d.takeActions(); len(d.takeCommands(Start)) == 0; {
-				d.tick(10 * ms)
-				d.holdAnswered(0, HoldResponse{Clock: time.Minute + d.now}, d.now)
-				c.Assert(d.now-submittedAt < 2*testJobLease, qt.IsTrue)
-			}
-			c.Assert(d.now-submittedAt >= s.startsAfter, qt.IsTrue, qt.Commentf("started after %s", d.now-submittedAt))
-			c.Assert(d.now-submittedAt <= s.startsAfter+20*ms, qt.IsTrue, qt.Commentf("started after %s", d.now-submittedAt))
+			d.assertStartsAfter(s.startsAfter)
 		})
 	}
 }
