--- a/pkg/node/join.go
+++ b/pkg/node/join.go
@@ -151,6 +151,7 @@
 		}
 		reply := toReply(outcome, answered, n.Clock.Now())
 		replies = append(replies, reply)
+		n.Log.Info("join_answered", "job", id, "front", entry.Front.Address, "by", via, "verdict", reply.Verdict.String(), "runs_end_in_ms", outcome.RetryAfter.Milliseconds())
 		if reply.Verdict == openjobs.NotOpen || reply.Verdict == openjobs.Yields {
 			break
 		}
--- a/pkg/openjobs/search.go
+++ b/pkg/openjobs/search.go
@@ -27,6 +27,11 @@
 	Busy                // no final answer: the front searches for the job itself, or the link to it broke; it counts as alive and is asked again
 )
 
+// String returns the verdict as it is logged.
+func (v Verdict) String() string {
+	return [...]string{Unanswered: "unanswered", NotOpen: "not_open", Unreachable: "unreachable", Yields: "yields", Busy: "busy"}[v]
+}
+
 // Reply is the answer of one host.
 type Reply struct {
 	Verdict   Verdict
