Failing test: a job that is being abandoned is reported as ended

Between the moment at which a front gives a job up and its end there, the front replies to join requests that the job isn't open and that no run of it is alive. The asking front starts the job at once, while the runs wait for the withdrawal.

--- a/pkg/node/join_test.go
+++ b/pkg/node/join_test.go
@@ -418,3 +418,52 @@
 	b.front.end(open, completed)
 	c.Assert(<-answer, qt.DeepEquals, completed)
 }
+
+// Guards against a second start of a job whose front has given it up but not withdrawn it yet:
+// the front replies to join requests once the job has ended, with the end of its leases.
+func TestAJobThatIsBeingAbandonedIsNotReportedAsEnded(t *testing.T) {
+	type scenario struct {
+		testName    string
+		isAnnounced bool
+		end         job.Outcome
+		wantKind    job.Kind
+		wantSettles bool
+	}
+	lost := job.Outcome{Kind: job.Expired, Reason: "caller_left", Started: true}
+	scenarios := []scenario{
+		{testName: "announced", isAnnounced: true, end: lost, wantKind: job.Moved, wantSettles: true},
+		{testName: "not announced by its front", end: lost, wantKind: job.Moved, wantSettles: true},
+		{testName: "completed meanwhile", isAnnounced: true, end: completed, wantKind: job.Completed},
+		{testName: "nothing of it has started", end: job.Outcome{Kind: job.Expired, Reason: "caller_left"}, wantKind: job.Moved},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			n := newTestNode(c, &fakeStore{})
+			clock := &common.ManualClock{At: 10 * time.Second}
+			n.Clock = clock
+			open, _ := n.front.enter(submission(n))
+			if s.isAnnounced {
+				n.openJobTable.add(open.job)
+				clock.At += n.settings.ResubmitAfter
+				n.openJobTable.nextBatch(clock.At)
+			}
+			n.front.markFollowed(open)
+			open.cancel(errLeft)
+			answer := make(chan *peerpb.Outcome, 1)
+			go func() {
+				m := &peerpb.Join{Id: joinID, Front: n.settings.PeerAddress, Process: n.inc[:], Asker: "asker:1"}
+				answer <- n.answerJoin(context.Background(), m).GetOutcome()
+			}()
+			select {
+			case early := <-answer:
+				c.Fatalf("answered before the job had ended: %v", early)
+			case <-time.After(50 * time.Millisecond):
+			}
+			n.front.end(open, s.end)
+			got := fromOutcome(<-answer)
+			c.Assert(got.Kind, qt.Equals, s.wantKind)
+			c.Assert(got.RetryAfter == n.settleTime(), qt.Equals, s.wantSettles, qt.Commentf("%s", got.RetryAfter))
+		})
+	}
+}
