node: report the leases of jobs that ended before they were announced

Asked about a job that isn't open, a front replied that no run of it is alive if its end hadn't been announced. Another front may ask about such a job, as it knows an earlier submission to the same front, or by the owner's announcement. Ends of jobs that were given up were retained already; the reply now goes by any retained end.

--- a/pkg/node/join_test.go
+++ b/pkg/node/join_test.go
@@ -467,3 +467,20 @@
 		})
 	}
 }
+
+// Guards against a second start beside the runs of a job that was given up before it was announced:
+// another front may know of the job by the announcement of an earlier submission.
+func TestAJobThatEndedUnannouncedIsReportedWithItsLeases(t *testing.T) {
+	c := qt.New(t)
+	n := newTestNode(c, &fakeStore{})
+	clock := &common.ManualClock{At: 10 * time.Second}
+	n.Clock = clock
+	open, _ := n.front.enter(submission(n))
+	n.front.markFollowed(open)
+	n.front.end(open, job.Outcome{Kind: job.Expired, Reason: "caller_left", Started: true})
+	clock.At += 200 * time.Millisecond
+	m := &peerpb.Join{Id: joinID, Front: n.settings.PeerAddress, Process: n.inc[:], Asker: "asker:1"}
+	got := fromOutcome(n.answerJoin(context.Background(), m).GetOutcome())
+	c.Assert(got.Reason, qt.Equals, reasonNotOpen)
+	c.Assert(got.RetryAfter, qt.Equals, n.settleTime()-200*time.Millisecond)
+}
--- a/pkg/node/joins.go
+++ b/pkg/node/joins.go
@@ -159,7 +159,7 @@
 // endOf answers for a job that isn't open here: by its outcome if that is final, and
 // otherwise by the time after which none of its runs is alive.
 func (n *Node) endOf(id string) job.Outcome {
-	e, known := n.openJobTable.announcedEnd(id)
+	e, known := n.openJobTable.recordedEnd(id)
 	switch {
 	case !known:
 		return notOpen(0)
--- a/pkg/node/openjobs.go
+++ b/pkg/node/openjobs.go
@@ -72,9 +72,10 @@
 }
 
 // remove records that a job has ended at this front. The outcome is retained for outcomeRetention
-// if the job was announced, so that other fronts can ask about it, or if it was given up, so
-// that a resubmission isn't taken for a job of which nothing has run. Jobs that this front
-// didn't follow have left no runs and aren't retained.
+// if the job was announced, so that other fronts can ask about it, or if it was given up, as its
+// runs may be alive for a while. Other fronts may ask about such a job even if this submission
+// wasn't announced, as an earlier one may have been. Jobs that this front didn't follow have left
+// no runs and aren't retained.
 func (o *openJobTable) remove(open *openJob, outcome job.Outcome, now time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -106,12 +107,12 @@
 	return o.others.Find(id, now)
 }
 
-// announcedEnd returns the end of a job here, if the job was announced to other hosts.
-func (o *openJobTable) announcedEnd(id string) (endedHere, bool) {
+// recordedEnd returns the end of a job here, if it is retained.
+func (o *openJobTable) recordedEnd(id string) (endedHere, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	e, known := o.ended[id]
-	return e, known && e.isAnnounced
+	return e, known
 }
 
 // mayHaveRun reports whether an earlier submission of a job has ended here and tasks of it
