node: reply to join requests for an abandoned job once it has ended

When its callers have left, a front gives a job up and then withdraws it from its owner. Asked by another front in between, it found neither an open job nor an end, and replied that no run of the job is alive. The end of a cut brings both to one moment: the front sees that its callers' connections have closed, and the search of the second front, which has tried again every 0.1 s, reaches it.

An abandoned job now counts as open until it has ended, as it did for resubmissions to the same front. The reply is its outcome, or the time that its leases may last. TestRepliesToJoinRequests had a row that expected the reply at once; it now expects it once the job has ended, with the settle time.

--- a/pkg/node/join_test.go
+++ b/pkg/node/join_test.go
@@ -152,7 +152,7 @@
 	first := make(chan job.Outcome, 1)
 	go func() { first <- a.Submit(context.Background(), splitJob) }()
 	eventually(c, func() bool { a.announceOpenJobs(a.Clock.Now()); return knowsOpenJob(b) })
-	open, isFollowed := a.front.joinable(joinID)
+	open, isFollowed := a.front.joinable(context.Background(), joinID)
 	c.Assert(isFollowed, qt.IsTrue)
 	c.Assert(open.isSplit, qt.IsTrue)
 	a.front.leave(open)
@@ -343,7 +343,7 @@
 			}
 			second := submitLater(context.Background(), n)
 			eventually(c, func() bool {
-				open, isFollowed := n.front.joinable(joinID)
+				open, isFollowed := n.front.joinable(context.Background(), joinID)
 				if isFollowed { // joinable has added a waiter
 					n.front.leave(open)
 				}
@@ -394,7 +394,10 @@
 	c.Assert(ask(n.settings.PeerAddress, n.inc[:]).GetOutcome().Reason, qt.Equals, reasonBusy)
 	n.front.markFollowed(searching)
 	searching.cancel(errLeft)
-	c.Assert(ask(n.settings.PeerAddress, n.inc[:]).GetOutcome().Reason, qt.Equals, reasonNotOpen, qt.Commentf("it is abandoned and about to end"))
+	time.AfterFunc(20*time.Millisecond, func() { n.front.end(searching, job.Outcome{Kind: job.Expired, Reason: "caller_left", Started: true}) })
+	abandoned := ask(n.settings.PeerAddress, n.inc[:]).GetOutcome()
+	c.Assert(abandoned.Reason, qt.Equals, reasonNotOpen, qt.Commentf("it was abandoned, and has ended"))
+	c.Assert(microseconds(abandoned.RetryAfterUs), qt.Equals, n.settleTime())
 }
 
 // A front that was cut off waits for the announcements of the others before it dispatches a
--- a/pkg/node/joins.go
+++ b/pkg/node/joins.go
@@ -112,8 +112,10 @@
 		// settle time counted from this process's start.
 		return toOutcome(notOpen(n.settleTime() - n.Clock.Now()))
 	}
-	open, isFollowed := n.front.joinable(m.Id)
+	open, isFollowed := n.front.joinable(ctx, m.Id)
 	switch {
+	case ctx.Err() != nil:
+		return toOutcome(job.Outcome{Kind: job.Moved, Reason: reasonBusy})
 	case open == nil:
 		return toOutcome(n.endOf(m.Id))
 	case !isFollowed:
--- a/pkg/node/open.go
+++ b/pkg/node/open.go
@@ -66,20 +66,29 @@
 	}
 }
 
-// joinable returns the open job with this id, or nil if there is none or it is abandoned.
-// If this node follows it, isFollowed is set and a waiter is added; otherwise this node still
-// searches for an earlier submission.
-func (f *front) joinable(id string) (open *openJob, isFollowed bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	open = f.open[id]
-	if open == nil || open.ctx.Err() != nil {
-		return nil, false
+// joinable returns the open job with this id, or nil if there is none. If this node follows it,
+// isFollowed is set and a waiter is added; otherwise this node still searches for an earlier
+// submission. A job that its callers have abandoned counts as open until it has ended, as its
+// owner may not know of that yet, so joinable waits for its end. It returns nil once ctx ends.
+func (f *front) joinable(ctx context.Context, id string) (open *openJob, isFollowed bool) {
+	for {
+		f.mu.Lock()
+		open = f.open[id]
+		if open == nil || open.ctx.Err() == nil {
+			break
+		}
+		f.mu.Unlock()
+		select {
+		case <-open.done:
+		case <-ctx.Done():
+			return nil, false
+		}
 	}
-	if open.isFollowed {
+	defer f.mu.Unlock()
+	if open != nil && open.isFollowed {
 		open.waiters++
 	}
-	return open, open.isFollowed
+	return open, open != nil && open.isFollowed
 }
 
 // followed returns the open job with this id if this node follows it, or nil.
