--- a/pkg/openjobs/openjobs_test.go
+++ b/pkg/openjobs/openjobs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -298,6 +299,110 @@
 	c.Assert(round(false, 4*time.Second+unrenewedRunTTL), qt.IsFalse)
 }
 
+// startOf has a search of a table with one entry do its rounds from a time on, each with the same
+// replies, received in that round, and returns when the job may start.
+func startOf(t *testing.T, table *Table, from time.Duration, replies []Reply, vantage Vantage) time.Duration {
+	t.Helper()
+	search := NewSearch("a", 0)
+	for now := from; now < time.Minute; {
+		for _, e := range search.Round(table, now) {
+			received := slices.Clone(replies)
+			for i := range received {
+				received[i].At = now
+			}
+			search.HandleReplies(table, e, received, vantage, false, now)
+		}
+		at, mayStart := search.Next(table, now)
+		if mayStart {
+			return now
+		}
+		now = max(at, now+ms)
+	}
+	t.Fatal("the job is never started")
+	return 0
+}
+
+// A front that hosts of its domain can't reach may still renew: it may be the owner of its job's
+// cell itself, or the owner may still hear it. So a search starts the job only when the announced
+// time is over, or the front or the process that followed it at its address has answered.
+func TestUnreachableFrontMayRenew(t *testing.T) {
+	const (
+		from      = 2 * time.Second
+		expiresAt = 6 * time.Second
+	)
+	lost := func(at time.Duration) func(*Table) {
+		return func(table *Table) { table.LinkDown(front.Address, at) }
+	}
+	unreachable := Reply{Verdict: Unreachable, RunsEndBy: time.Second}
+	type scenario struct {
+		testName string
+		happens  func(table *Table)
+		replies  []Reply
+		vantage  Vantage
+		want     time.Duration
+	}
+	scenarios := []scenario{
+		{testName: "this host, of its domain, lost it before the search", happens: lost(time.Second), vantage: sameDomain, want: expiresAt},
+		{testName: "this host lost it so long ago that unrenewedRunTTL is over", happens: lost(from - unrenewedRunTTL), vantage: sameDomain, want: expiresAt},
+		{testName: "this host lost it as the search began", happens: lost(from), vantage: sameDomain, want: expiresAt},
+		{testName: "this host never had a link to it", vantage: sameDomain, want: expiresAt},
+		{testName: "this host was cut off itself until later", vantage: sameDomain, want: expiresAt,
+			happens: func(table *Table) { lost(time.Second)(table); table.ResetLosses(from) }},
+		{testName: "this host lost it again", vantage: sameDomain, want: expiresAt,
+			happens: func(table *Table) { lost(time.Second)(table); table.LinkUp(front.Address); lost(from)(table) }},
+		{testName: "it has answered through another host since", vantage: sameDomain, want: expiresAt,
+			happens: func(table *Table) { lost(time.Second)(table); table.ConfirmAlive(front.Address, from) }},
+		{testName: "a host of its domain can't reach it", replies: []Reply{unreachable}, want: expiresAt},
+		{testName: "a host of its domain can't reach it, another doesn't answer", replies: []Reply{unreachable, {Verdict: Unanswered}}, want: expiresAt},
+		{testName: "two hosts of its domain can't reach it", replies: []Reply{unreachable, unreachable}, want: expiresAt},
+		{testName: "neither this host nor another of its domain can reach it", happens: lost(time.Second), replies: []Reply{unreachable}, vantage: sameDomain, want: expiresAt},
+		{testName: "it has announced the job again, which the host that can't reach it doesn't know", replies: []Reply{unreachable}, want: 8 * time.Second,
+			happens: func(table *Table) {
+				table.Record(front, front.Address, []Announcement{{ID: "a", Remaining: 6 * time.Second}}, false, 2*time.Second)
+			}},
+		{testName: "the announced time is over", happens: lost(time.Second), replies: []Reply{{Verdict: Unreachable, RunsEndBy: 20 * time.Second}}, vantage: sameDomain, want: expiresAt},
+		{testName: "it answers through another host that it doesn't hold the job open", happens: lost(time.Second), replies: []Reply{unreachable, {Verdict: NotOpen, RunsEndBy: 3 * time.Second}}, vantage: sameDomain, want: 3 * time.Second},
+		{testName: "it answers that its runs have ended", happens: lost(time.Second), replies: []Reply{unreachable, {Verdict: NotOpen, RunsEndBy: from}}, vantage: sameDomain, want: from},
+		{testName: "the process that followed it answers when its runs end, later than announced", happens: lost(time.Second), replies: []Reply{unreachable, {Verdict: NotOpen, RunsEndBy: 7 * time.Second}}, vantage: sameDomain, want: 7 * time.Second},
+		{testName: "it searches for the job too, and yields", happens: lost(time.Second), replies: []Reply{unreachable, {Verdict: Yields, RunsEndBy: 3 * time.Second}}, vantage: sameDomain, want: 3 * time.Second},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			table := tableWith(expiresAt - time.Second)
+			if s.happens != nil {
+				s.happens(table)
+			}
+			qt.Assert(t, startOf(t, table, from, s.replies, s.vantage), qt.Equals, s.want)
+		})
+	}
+}
+
+// What a host of the front's domain tells others about its unreachable front.
+func TestRunsOfUnreachableFrontEndAsAnnounced(t *testing.T) {
+	const expiresAt = 6 * time.Second
+	type scenario struct {
+		testName string
+		happens  func(table *Table)
+	}
+	scenarios := []scenario{
+		{testName: "the link went down", happens: func(table *Table) { table.LinkDown(front.Address, 2*time.Second) }},
+		{testName: "the link went down long ago", happens: func(table *Table) { table.LinkDown(front.Address, time.Second) }},
+		{testName: "the link was never up", happens: func(*Table) {}},
+		{testName: "this host was cut off itself until later", happens: func(table *Table) { table.LinkDown(front.Address, 2*time.Second); table.ResetLosses(3 * time.Second) }},
+		{testName: "the front has answered through another host since", happens: func(table *Table) {
+			table.LinkDown(front.Address, 2*time.Second)
+			table.ConfirmAlive(front.Address, 3*time.Second)
+		}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			table := tableWith(expiresAt - time.Second)
+			s.happens(table)
+			qt.Assert(t, table.RunsEndBy(table.Find("a", time.Second)[0], 4*time.Second), qt.Equals, expiresAt)
+		})
+	}
+}
+
 // A domain that is cut off goes on serving, so jobs of its fronts must not be started
 // before their entries expire.
 func TestJobsOfUnreachableDomainAreNotStarted(t *testing.T) {
