--- a/pkg/openjobs/explore_owners_test.go
+++ b/pkg/openjobs/explore_owners_test.go
@@ -234,6 +234,8 @@
 func (e *execution) situation() string {
 	h := e.open.host
 	switch {
+	case e.endedAt > 0 && !e.open.isAnnounced:
+		return "given up before it was announced, and the front has answered that no run is alive"
 	case e.runsEndBy > 0 || e.separatedSince > 0 || h.dead:
 		return "its last renewal is less than unrenewedRunTTL ago"
 	case e.owner == h && h.isolatedSince > 0:
@@ -245,3 +247,26 @@
 	}
 	return "reconnecting"
 }
+
+// wasToldNotOpen reports whether the front of an execution has answered that it doesn't hold the
+// job open, after it had ended there.
+func (o *modelOpen) wasToldNotOpen(c *execution) bool {
+	at, isTold := o.notOpenAt[hostProcess{c.open.host.index, c.open.process}]
+	return isTold && c.endedAt > 0 && at >= c.endedAt
+}
+
+// missingAnnouncement names why a host doesn't know of an execution.
+func (e *execution) missingAnnouncement(host *modelHost) string {
+	expiresAt, hasHeard := host.heard[hostProcess{e.open.host.index, e.open.process}]
+	switch {
+	case e.endedAt > 0 && !e.open.isAnnounced:
+		return "given up before it was announced"
+	case hasHeard && expiresAt <= host.world.now:
+		return "announcement of an earlier submission there expired"
+	case hasHeard:
+		return "earlier submission there had ended"
+	case !e.open.isAnnounced:
+		return "not announced yet"
+	}
+	return "announcement lost"
+}
--- a/pkg/openjobs/explore_test.go
+++ b/pkg/openjobs/explore_test.go
@@ -21,7 +21,7 @@
 // front may start the job while a run of another front's may be alive. Suspended hosts are not
 // simulated.
 func TestExploredJobsRunOnce(t *testing.T) {
-	joined, continued, unannounced, unannouncedRuns := 0, 0, 0, 0
+	joined, continued, unannounced, unannouncedRuns := 0, 0, map[string]int{}, 0
 	var failed []string
 	renewing := map[string]int{}
 	for seed := *firstSeed; seed < *firstSeed+uint64(*runCount); seed++ {
@@ -40,18 +40,20 @@
 		}
 		joined += w.submissions - len(w.executions)
 		continued += len(w.executions) - 1
-		unannounced += w.unannounced
+		for reason, count := range w.unannounced {
+			unannounced[reason] += count
+		}
 		for situation, count := range w.renewing {
 			renewing[situation] += count
 		}
-		if w.unannounced > 0 {
+		if len(w.unannounced) > 0 {
 			unannouncedRuns++
 		}
 	}
 	if len(failed) > 0 {
 		t.Errorf("in %d of %d runs the job ran twice at once: seeds %s", len(failed), *runCount, strings.Join(failed[:min(len(failed), 100)], "; "))
 	}
-	t.Logf("%d runs: %d submissions started nothing, %d started the job after another front; %d, in %d runs, started it beside a front whose announcement could not arrive", *runCount, joined, continued, unannounced, unannouncedRuns)
+	t.Logf("%d runs: %d submissions started nothing, %d started the job after another front; in %d runs some started it beside a front whose announcement could not arrive: %v", *runCount, joined, continued, unannouncedRuns, unannounced)
 	t.Logf("fronts that went on renewing though hosts lost them: %v", renewing)
 	if len(renewing) < 3 && *runCount >= 100 {
 		t.Errorf("the simulated faults leave out a situation in which a front that hosts have lost renews")
@@ -76,7 +78,7 @@
 func (h *modelHost) startProcess() {
 	h.process++
 	h.dead, h.startedAt = false, h.world.now
-	h.open, h.ended = nil, nil
+	h.open, h.ended, h.heard = nil, nil, map[hostProcess]time.Duration{}
 	h.local, h.table = NewLocalJobs(resubmitAfter, unrenewedRunTTL), NewTable(unrenewedRunTTL)
 }
 
@@ -93,6 +95,7 @@
 	}
 	w.logf("host %d announces", h.index)
 	if h.open != nil {
+		h.open.isAnnounced = true
 		h.open.trackDelivery()
 	}
 	for i := range w.hosts {
@@ -125,6 +128,11 @@
 	h.table.Record(front, from.address(), jobs, relay, w.now)
 	h.relayAnnouncements(from, front, jobs, relay)
 	holder := w.hosts[hostIndex(front)]
+	for _, job := range jobs {
+		key := hostProcess{host: holder.index}
+		fmt.Sscan(front.Process, &key.process)
+		h.heard[key] = max(h.heard[key], w.now+job.Remaining)
+	}
 	if len(jobs) == 0 || holder.open == nil || holder.front() != front {
 		return
 	}
@@ -182,7 +190,7 @@
 		h.open.waiters[name] = answer
 		return
 	}
-	open := &modelOpen{host: h, process: h.process, waiters: map[string]func(bool){name: answer}, announcedTo: map[hostProcess]bool{}, deadline: h.world.now + jobDeadline}
+	open := &modelOpen{host: h, process: h.process, waiters: map[string]func(bool){name: answer}, announcedTo: map[hostProcess]bool{}, notOpenAt: map[hostProcess]time.Duration{}, receivedAt: h.world.now, deadline: h.world.now + jobDeadline}
 	h.open = open
 	h.local.Add(jobID, h.world.now, h.world.now+jobDeadline)
 	h.world.after(jobDeadline, func() {
@@ -251,13 +259,15 @@
 	})
 }
 
-// end ends the job at this front and answers all that wait for it.
+// end ends the job at this front and answers all that wait for it. The front retains the end if
+// it has announced this submission or an earlier one, or an owner may have announced it.
 func (o *modelOpen) end(isDone bool) {
 	h := o.host
 	h.open = nil
-	isAnnounced := h.local.Remove(jobID)
+	isAnnounced := h.local.Remove(jobID) || h.ended != nil || h.world.now >= o.receivedAt+OwnerAnnounceAfter(resubmitAfter)
 	if o.execution != nil {
 		o.execution.end(o.execution.renewedAt(), !isDone) // the withdrawal may be lost
+		o.execution.endedAt = h.world.now
 		if isAnnounced {
 			h.ended = o.execution
 		}
@@ -321,12 +331,15 @@
 		then(replies)
 		return
 	}
-	contact := hostIndex(Front{Address: contacts[0]})
+	contact, index := hostIndex(Front{Address: contacts[0]}), hostIndex(entry.Front)
 	if !w.isUp(h.index, contact) {
 		o.askContacts(entry, contacts[1:], replies, then)
 		return
 	}
 	w.call(h, w.hosts[contact], entry, h, func(reply Reply, ended bool) {
+		if reply.Verdict == NotOpen && entry.Front == w.hosts[index].front() {
+			o.notOpenAt[w.hosts[index].key()] = reply.At
+		}
 		reply.At = w.now
 		switch {
 		case !o.isOpen():
@@ -385,7 +398,7 @@
 	case entry.Front.Process != fmt.Sprint(h.process):
 		answer(Reply{Verdict: NotOpen, RunsEndBy: w.now + unrenewedRunTTL}, false)
 	case open == nil:
-		answer(Reply{Verdict: NotOpen, RunsEndBy: runsEndBy}, false)
+		answer(Reply{Verdict: NotOpen, At: w.now, RunsEndBy: runsEndBy}, false)
 	case open.execution != nil:
 		open.waiters[fmt.Sprint("host ", asker.index)] = func(ended bool) {
 			answer(Reply{Verdict: Busy}, ended)
--- a/pkg/openjobs/explore_world_test.go
+++ b/pkg/openjobs/explore_world_test.go
@@ -18,6 +18,7 @@
 	maxProcesses           = 3        // of a host: it crashes twice at most
 	minCallerDelay         = 500 * ms // from the start of a host to its first caller, as with the balancer's checks
 	announcementDelay      = 100 * ms // through another host
+	maxDetectionDelay      = 600 * ms // from the break of a caller's connection until its front detects it, if it does
 	redispatchDelay        = 20 * ms  // before a front dispatches a job whose owner it has lost
 )
 
@@ -36,7 +37,7 @@
 
 	executions  []*execution
 	submissions int
-	unannounced int // starts beside a front whose announcement could not have arrived
+	unannounced map[string]int // starts beside a front whose announcement could not have arrived, by reason
 	events      []string
 	ranTwice    bool
 	situations  []string       // of the fronts beside which the job was started
@@ -62,13 +63,15 @@
 	local *LocalJobs
 	table *Table
 	open  *modelOpen
-	ended *execution // of the last job that was announced
+	ended *execution                    // of the last job that was announced
+	heard map[hostProcess]time.Duration // by front: the latest expiry that it has announced to this process
 }
 
 // execution is the job as started by a front. Its runs may be alive until runsEndBy.
 type execution struct {
 	open      *modelOpen
 	startedAt time.Duration
+	endedAt   time.Duration // when the front stopped holding the job open; 0 before
 	runsEndBy time.Duration // 0 while the front follows the job
 
 	owner          *modelHost    // of the job's cell, where the front renews leases
@@ -100,12 +103,15 @@
 	execution   *execution // nil while it waits for another front
 	search      *Search
 	waiters     map[string]func(ended bool)
-	hasAsked    bool                 // another front
-	announcedTo map[hostProcess]bool // processes that an announcement of it must have reached, or has
+	receivedAt  time.Duration
+	isAnnounced bool
+	hasAsked    bool                          // another front
+	notOpenAt   map[hostProcess]time.Duration // when fronts have answered that they don't hold the job open
+	announcedTo map[hostProcess]bool          // processes that an announcement of it must have reached, or has
 }
 
 func newWorld(seed uint64) *world {
-	w := &world{random: rand.New(rand.NewPCG(seed, 0)), cuts: map[[2]int]int{}, cut: map[[2]int]bool{}, down: map[[2]int]bool{}, slow: map[[2]int]int{}, renewing: map[string]int{}}
+	w := &world{random: rand.New(rand.NewPCG(seed, 0)), cuts: map[[2]int]int{}, cut: map[[2]int]bool{}, down: map[[2]int]bool{}, slow: map[[2]int]int{}, renewing: map[string]int{}, unannounced: map[string]int{}}
 	for i := range 6 {
 		h := &modelHost{world: w, index: i, domain: fmt.Sprint("z", i/3)}
 		h.startProcess()
@@ -344,13 +350,13 @@
 func (w *world) startExecution(o *modelOpen) *execution {
 	for _, c := range w.executions {
 		switch isAlive := c.open != o && c.isAlive(w.now); {
-		case isAlive && c.open.announcedTo[o.host.key()]:
+		case isAlive && (c.open.announcedTo[o.host.key()] || o.wasToldNotOpen(c)):
 			w.ranTwice = true
 			w.situations = append(w.situations, c.situation())
 			w.logf("host %d starts the job beside host %d, which started it at %s and whose runs end by %s: %s, owner host %d, hosts with a link to it %v",
 				o.host.index, c.open.host.index, c.startedAt, c.runsEndBy, c.situation(), c.owner.index, w.hostsWithLink(c.open.host))
 		case isAlive:
-			w.unannounced++
+			w.unannounced[c.missingAnnouncement(o.host)]++
 		}
 	}
 	c := &execution{open: o, startedAt: w.now, owner: o.host.drawOwner()}
@@ -360,7 +366,7 @@
 }
 
 // submit has the caller submit the job, and resubmit it some time after its connection has
-// broken. Often the front doesn't detect the break.
+// broken. Often the front doesn't detect the break, or late.
 func (w *world) submit() {
 	h := w.hosts[w.random.IntN(len(w.hosts))]
 	if h.dead || w.now < h.startedAt+minCallerDelay || w.submissions > 5 {
@@ -378,9 +384,14 @@
 		isOpen = false
 		w.logf("connection of %s breaks", name)
 		w.after(resubmitAfter, w.submit)
-		if w.random.IntN(3) == 0 && h.process == process && !h.dead {
-			h.callerLeft(name)
+		if w.random.IntN(3) > 0 {
+			return
 		}
+		w.after(w.between(0, maxDetectionDelay), func() {
+			if h.process == process && !h.dead {
+				h.callerLeft(name)
+			}
+		})
 	}
 	h.receive(name, func(ended bool) {
 		if ended {
