openjobs: that hosts can't reach a front is no evidence that its runs have ended

A front to which a job is resubmitted asked hosts of the first front's domain that had lost their links to it, and took the first front's runs for ended 1.25 s after the last of these losses. That holds only if the first front is dead or cut off from the owner of the job. It is false where its own host is the owner, where the owner still hears a front that is slow, and where a cut separates it from some hosts only. It then goes on renewing.

A search now ends by an answer of the front, or of the process that followed it at its address, or when the time is over that the front has announced: its deadline for the job and the settle time. The times at which links were lost, which nothing else used, are gone. Replies of this kind by earlier releases count as no reply; these take the failure that hosts now reply in the same way.

The price: a job older than 0.8 s whose front has lost power is started again only after its deadline, or when a process at the front's address answers.

--- a/pkg/node/join.go
+++ b/pkg/node/join.go
@@ -16,7 +16,7 @@
 const (
 	reasonNotOpen          = "not_open"           // no run of the job is alive after RetryAfter
 	reasonYields           = "yields"             // also searched for here, and the asker goes first; no run is alive after RetryAfter
-	reasonFrontUnreachable = "front_out_of_sight" // from a host of the front's domain without a link to it; no run is alive after RetryAfter
+	reasonFrontUnreachable = "front_out_of_sight" // from hosts of earlier releases that have no link to the front; it says nothing of the front's runs
 	reasonBusy             = "ask_again"          // unresolved: the front is still searching itself, or the link to it broke
 )
 
@@ -121,10 +121,8 @@
 		if ctx.Err() != nil {
 			return abandoned(ctx, true), true
 		}
-		link := n.links.Link(entry.Front.Address)
-		vantage := n.vantageOf(entry.Front)
 		n.openJobTable.mu.Lock()
-		search.HandleReplies(n.openJobTable.others, entry, replies, vantage, link != nil && link.Up(), n.Clock.Now())
+		search.HandleReplies(n.openJobTable.others, entry, replies, n.Clock.Now())
 		n.openJobTable.mu.Unlock()
 	}
 	return job.Outcome{}, false
@@ -161,16 +159,14 @@
 
 // toReply converts the answer to a join request that brought no outcome of the job.
 func toReply(outcome job.Outcome, answered bool, now time.Duration) openjobs.Reply {
-	reply := openjobs.Reply{At: now, RunsEndBy: now + outcome.RetryAfter}
+	reply := openjobs.Reply{RunsEndBy: now + outcome.RetryAfter}
 	switch {
-	case !answered:
+	case !answered, outcome.Reason == reasonFrontUnreachable:
 		reply.Verdict = openjobs.Unanswered
 	case outcome.Reason == reasonNotOpen:
 		reply.Verdict = openjobs.NotOpen
 	case outcome.Reason == reasonYields:
 		reply.Verdict = openjobs.Yields
-	case outcome.Reason == reasonFrontUnreachable:
-		reply.Verdict = openjobs.Unreachable
 	default:
 		reply.Verdict = openjobs.Busy
 	}
@@ -184,17 +180,6 @@
 	open.started = true
 }
 
-// confirmAlive records that a front is alive after an answer that another host relayed.
-// The answer is the front's own, unless that host reports the front as unreachable.
-func (o *openJobTable) confirmAlive(address string, outcome *peerpb.Outcome, now time.Duration) {
-	if outcome == nil || outcome.Reason == reasonFrontUnreachable {
-		return
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.others.ConfirmAlive(address, now)
-}
-
 // joinRequest makes this front's request to wait for a job that another front holds open.
 func (n *Node) joinRequest(id string, front openjobs.Front, follows bool) *peerpb.Join {
 	return &peerpb.Join{
@@ -209,9 +194,6 @@
 func (f *front) askVia(ctx context.Context, link *peer.Link, via string, request *peerpb.Join) (job.Outcome, bool) {
 	defer f.recordDispatch(via)()
 	answer, err := link.Call(ctx, &peerpb.Message{Body: &peerpb.Message_Join{Join: request}}, 0)
-	if err == nil && via != request.Front {
-		f.node.openJobTable.confirmAlive(request.Front, answer.GetOutcome(), f.node.Clock.Now())
-	}
 	if ctx.Err() != nil {
 		leave := proto.Clone(request).(*peerpb.Join)
 		leave.Wish = peerpb.Join_LEAVE
--- a/pkg/node/joins.go
+++ b/pkg/node/joins.go
@@ -173,10 +173,8 @@
 	return notOpen(e.at + n.settleTime() - n.Clock.Now())
 }
 
-// relayJoin forwards a join request to a front to which the asker has no link. If that front
-// is unreachable from here too, a host of its domain answers when its runs have ended.
+// relayJoin forwards a join request to a front to which the asker has no link.
 func (n *Node) relayJoin(ctx context.Context, m *peerpb.Join) *peerpb.Message {
-	front := openjobs.Front{Address: m.Front, Process: string(m.Process)}
 	relayed := proto.Clone(m).(*peerpb.Join)
 	if link := n.links.Link(m.Front); link != nil && link.Up() {
 		outcome, answered := n.front.askVia(ctx, link, m.Front, relayed)
@@ -185,14 +183,5 @@
 		}
 		return toOutcome(job.Outcome{Kind: job.Moved, Reason: reasonBusy})
 	}
-	now := n.Clock.Now()
-	for _, entry := range n.openJobTable.find(m.Id, now) {
-		if entry.Front.Address == m.Front && entry.Front.Process == front.Process && n.vantageOf(entry.Front).SameDomain {
-			n.openJobTable.mu.Lock()
-			runsEndBy := n.openJobTable.others.RunsEndBy(entry, now)
-			n.openJobTable.mu.Unlock()
-			return toOutcome(job.Outcome{Kind: job.Moved, Reason: reasonFrontUnreachable, RetryAfter: max(0, runsEndBy-now)})
-		}
-	}
 	return peer.FailureMessage(errkind.New(errkind.PeerDown, "ask another host", "the front %s is unreachable from here too, and the state of its job is unknown", m.Front))
 }
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -130,7 +130,6 @@
 	delete(n.peerCounts, address)
 	delete(n.storeUnreachable, address)
 	n.mu.Unlock()
-	n.frontUnreachable(address)
 	n.changed.signal()
 	if mayClaim {
 		go n.claimCells(n.Clock.Now())
--- a/pkg/node/openjobs.go
+++ b/pkg/node/openjobs.go
@@ -17,9 +17,8 @@
 // than one, so that announcements still arrive if a relaying host fails.
 const relaysPerDomain = 2
 
-// askedPerDomain is how many hosts of each domain are asked about an unreachable front. Hosts
-// of the front's own domain report whether it is dead. It is more than one, because one of
-// them may itself be cut off from the front.
+// askedPerDomain is how many hosts of each domain are asked to relay a request to an unreachable
+// front. It is more than one, because one of them may itself be cut off from the front.
 const askedPerDomain = 3
 
 // openJobTable holds the open jobs that this host announces, and those that other fronts have
@@ -151,7 +150,6 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.resumedAt = now
-	o.others.ResetLosses(now)
 }
 
 // resyncedAt returns when this host has received the announcements of the others after it
@@ -251,7 +249,6 @@
 func (n *Node) resendAnnouncements(address, domain string) {
 	now := n.Clock.Now()
 	n.openJobTable.mu.Lock()
-	n.openJobTable.others.LinkUp(address)
 	local := n.openJobTable.local.Announced(now)
 	relayed := n.openJobTable.others.ToRelay(now)
 	n.openJobTable.mu.Unlock()
@@ -274,33 +271,6 @@
 	return slices.ContainsFunc(n.members.View(n.inc).Peers, isOther)
 }
 
-// frontUnreachable records that the link to a host is down.
-func (n *Node) frontUnreachable(address string) {
-	n.openJobTable.mu.Lock()
-	defer n.openJobTable.mu.Unlock()
-	n.openJobTable.others.LinkDown(address, n.Clock.Now())
-}
-
-// vantageOf reports whether this host, besides the front, reaches another host of the front's
-// domain, which shows that this host isn't cut off itself. If the domain has no third host,
-// a reachable host of any domain counts.
-func (n *Node) vantageOf(front openjobs.Front) openjobs.Vantage {
-	if front.Domain != n.settings.Domain {
-		return openjobs.Vantage{}
-	}
-	n.mu.Lock()
-	hasThird := false
-	for _, row := range n.memberRows {
-		isThird := row.PeerAddress != front.Address && row.PeerAddress != n.settings.PeerAddress
-		hasThird = hasThird || (isThird && row.Domain == n.settings.Domain)
-	}
-	n.mu.Unlock()
-	isEvidence := func(p member.Peer) bool {
-		return p.Address != front.Address && (!hasThird || p.Domain == n.settings.Domain)
-	}
-	return openjobs.Vantage{SameDomain: slices.ContainsFunc(n.reachablePeers(), isEvidence)}
-}
-
 // hostsToAsk returns a few hosts of each domain, through which an unreachable front may be
 // asked.
 func (n *Node) hostsToAsk() []string {
--- a/pkg/openjobs/openjobs.go
+++ b/pkg/openjobs/openjobs.go
@@ -68,8 +68,3 @@
 	ID        string
 	Remaining time.Duration // until no run of the job can be alive
 }
-
-// Vantage is what a host knows of its own connection to a front's domain.
-type Vantage struct {
-	SameDomain bool // the host is of that domain, and reaches other hosts of it than the front, so that it isn't cut off
-}
--- a/pkg/openjobs/search.go
+++ b/pkg/openjobs/search.go
@@ -10,51 +10,46 @@
 // later than it could.
 const retryInterval = 100 * time.Millisecond
 
-// replyTTL is how long after its receipt an Unreachable reply is valid. It is shorter than
-// ResyncDelay: if the front becomes reachable again while another host is slow to reply, the
-// front waits for ResyncDelay before it hands its job to an owner.
-const replyTTL = 200 * time.Millisecond
-
 // Verdict is the result of asking a host about a front.
 type Verdict uint8
 
 // Verdicts. There is none for a reply with the outcome of the job, which ends the search.
 const (
-	Unanswered  Verdict = iota
-	NotOpen             // the front doesn't hold the job open
-	Unreachable         // the host is of the front's domain, and can't reach the front either
-	Yields              // the front searches for the job too, and lets the asker go first
-	Busy                // no final answer: the front searches for the job itself, or the link to it broke; it counts as alive and is asked again
+	Unanswered Verdict = iota
+	NotOpen            // the front doesn't hold the job open
+	Yields             // the front searches for the job too, and lets the asker go first
+	Busy               // no final answer: the front searches for the job itself, or the link to it broke; it counts as alive and is asked again
 )
 
 // String returns the verdict as it is logged.
 func (v Verdict) String() string {
-	return [...]string{Unanswered: "unanswered", NotOpen: "not_open", Unreachable: "unreachable", Yields: "yields", Busy: "busy"}[v]
+	return [...]string{Unanswered: "unanswered", NotOpen: "not_open", Yields: "yields", Busy: "busy"}[v]
 }
 
 // Reply is the answer of one host.
 type Reply struct {
 	Verdict   Verdict
-	At        time.Duration // when the asker received it
-	RunsEndBy time.Duration // when none of the front's runs of the job can be alive any more, if NotOpen, Yields or Unreachable
+	RunsEndBy time.Duration // when none of the front's runs of the job can be alive any more, if NotOpen or Yields
 }
 
 // Search looks for the front that holds an earlier submission of a job open. In each round
 // it asks every front that may do so. It is over when the job has ended at one of them, or
-// when no run of an earlier submission can be alive.
+// when no run of an earlier submission can be alive: by the front's own answer, or when the time
+// is over that it has announced. That hosts can't reach a front is no evidence. A front that is
+// cut off from them, or slow, goes on renewing its job at an owner that it reaches, which may be
+// its own host.
 type Search struct {
 	id                  string
-	checked             map[Front]bool          // fronts that were asked in this round, or are known to have closed the job
-	yieldedTo           map[string]bool         // addresses of fronts that this search let go first in this round; a NotOpen reply from before doesn't close their entries
-	resolvedRunsEndBy   time.Duration           // when no run of this host, or of a front that gave a final answer, can be alive any more
-	unresolvedRunsEndBy time.Duration           // the same for fronts that gave no final answer in this round
-	unreachableSince    map[Front]time.Duration // by front that can't be asked: when that was first noticed
+	checked             map[Front]bool  // fronts that were asked in this round, or are known to have closed the job
+	yieldedTo           map[string]bool // addresses of fronts that this search let go first in this round; a NotOpen reply from before doesn't close their entries
+	resolvedRunsEndBy   time.Duration   // when no run of this host, or of a front that gave a final answer, can be alive any more
+	unresolvedRunsEndBy time.Duration   // the same for fronts that gave no final answer in this round
 }
 
 // NewSearch begins a search for a job. runsEndBy is when the runs of an earlier submission
 // to this front itself can't be alive any more; 0 if there are none.
 func NewSearch(id string, runsEndBy time.Duration) *Search {
-	return &Search{id: id, resolvedRunsEndBy: runsEndBy, checked: map[Front]bool{}, yieldedTo: map[string]bool{}, unreachableSince: map[Front]time.Duration{}}
+	return &Search{id: id, resolvedRunsEndBy: runsEndBy, checked: map[Front]bool{}, yieldedTo: map[string]bool{}}
 }
 
 // Round begins a round and returns the entries of the fronts to ask.
@@ -76,19 +71,9 @@
 
 // HandleReplies records the replies about one front. The contacts are asked in turn until
 // one gives a final answer (NotOpen or Yields); replies holds the answers of all that were
-// asked. isUp says that the link to the front itself is up; a front with a Busy reply, or
-// with an outdated Unreachable reply, is handled as if its link were up. If several hosts
-// can't reach the front, the one that lost it last counts: the others may have been cut off
-// from it while it was running.
-func (s *Search) HandleReplies(t *Table, e Entry, replies []Reply, vantage Vantage, isUp bool, now time.Duration) {
+// asked.
+func (s *Search) HandleReplies(t *Table, e Entry, replies []Reply, now time.Duration) {
 	s.checked[e.Front] = true
-	if slices.ContainsFunc(replies, func(r Reply) bool { return r.Verdict == Busy }) {
-		t.extend(e.ID, e.Front, now)
-	}
-	if known := t.entry(e.ID, e.Front); known != nil {
-		e.ExpiresAt = known.ExpiresAt // the front may have announced the job again meanwhile
-	}
-	runsEndBy := time.Duration(0)
 	for _, reply := range replies {
 		switch reply.Verdict {
 		case NotOpen, Yields:
@@ -97,28 +82,15 @@
 			}
 			s.resolvedRunsEndBy = max(s.resolvedRunsEndBy, reply.RunsEndBy)
 			return
-		case Unreachable:
-			runsEndBy = max(runsEndBy, reply.RunsEndBy)
-			isUp = isUp || now > reply.At+replyTTL
 		case Busy:
-			isUp = true
+			t.extend(e.ID, e.Front, now)
+		case Unanswered:
 		}
 	}
-	if isUp {
-		delete(s.unreachableSince, e.Front)
-		s.unresolvedRunsEndBy = max(s.unresolvedRunsEndBy, e.ExpiresAt)
-		return
-	}
-	if _, known := s.unreachableSince[e.Front]; !known {
-		s.unreachableSince[e.Front] = now
-	}
-	if vantage.SameDomain {
-		runsEndBy = max(runsEndBy, t.RunsEndBy(e, s.unreachableSince[e.Front]))
-	}
-	if runsEndBy == 0 { // no host can tell a dead front from a domain that is cut off
-		runsEndBy = e.ExpiresAt
+	if known := t.entry(e.ID, e.Front); known != nil {
+		e.ExpiresAt = known.ExpiresAt // the front may have announced the job again meanwhile
 	}
-	s.unresolvedRunsEndBy = max(s.unresolvedRunsEndBy, min(runsEndBy, e.ExpiresAt))
+	s.unresolvedRunsEndBy = max(s.unresolvedRunsEndBy, e.ExpiresAt)
 }
 
 // Next reports whether the job may start after a round, and otherwise when the next round
--- a/pkg/openjobs/table.go
+++ b/pkg/openjobs/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
@@ -39,13 +38,12 @@
 	byID            map[string][]*Entry
 	count           int
 	sweptAt         time.Duration
-	lostAt          map[string]time.Duration // by address: when the link to a host went down
 }
 
 // NewTable returns an empty table. unrenewedRunTTL is the time after its last renewal at
 // which a run can't be alive any more.
 func NewTable(unrenewedRunTTL time.Duration) *Table {
-	return &Table{unrenewedRunTTL: unrenewedRunTTL, byID: map[string][]*Entry{}, lostAt: map[string]time.Duration{}}
+	return &Table{unrenewedRunTTL: unrenewedRunTTL, byID: map[string][]*Entry{}}
 }
 
 // Record adds the jobs of a front that a host, the reporter, announced, and returns how many
@@ -125,7 +123,7 @@
 	t.retain(id, func(e *Entry) bool { return e.Front != front })
 }
 
-// sweep removes expired entries and losses.
+// sweep removes expired entries.
 func (t *Table) sweep(now time.Duration) {
 	if now < t.sweptAt+sweepInterval {
 		return
@@ -134,7 +132,6 @@
 	for id := range t.byID {
 		t.retain(id, func(e *Entry) bool { return now < e.ExpiresAt })
 	}
-	maps.DeleteFunc(t.lostAt, func(_ string, at time.Duration) bool { return now >= at+lossRetention })
 }
 
 // retain removes the entries of a job that are not wanted.
@@ -148,36 +145,6 @@
 	}
 }
 
-// lossRetention is how long the loss of a link is remembered. It exceeds the time for which
-// an entry can matter with the deadlines that callers set. An older loss counts as noticed
-// anew, which only makes a job wait.
-const lossRetention = time.Minute
-
-// LinkDown records that the link to a host went down.
-func (t *Table) LinkDown(address string, now time.Duration) {
-	if _, known := t.lostAt[address]; !known {
-		t.lostAt[address] = now
-	}
-}
-
-// LinkUp records that the link to a host is up.
-func (t *Table) LinkUp(address string) { delete(t.lostAt, address) }
-
-// ResetLosses records that this host was cut off from its domain, or suspended, until now.
-// Hosts that it lost meanwhile may have been running, so their losses count from now on.
-func (t *Table) ResetLosses(now time.Duration) {
-	for address := range t.lostAt {
-		t.lostAt[address] = now
-	}
-}
-
-// ConfirmAlive records that a front has answered through another host, and so is alive.
-func (t *Table) ConfirmAlive(address string, now time.Duration) {
-	if _, known := t.lostAt[address]; known {
-		t.lostAt[address] = now
-	}
-}
-
 // Contacts returns the hosts to ask about a front, in order: the front itself, the hosts
 // that announced its job, and others that may reach it.
 func (e *Entry) Contacts(others ...string) []string {
@@ -190,19 +157,6 @@
 	return contacts
 }
 
-// RunsEndBy returns when no run of a job can be alive whose front is unreachable. noticed
-// is used as the time of the loss if no loss of the link is recorded. Only a host of the
-// front's own domain can tell: for such a host the front is dead, or cut off from the owners
-// at which it renewed leases. For other hosts the front may be unreachable because its
-// domain is cut off and goes on serving.
-func (t *Table) RunsEndBy(e Entry, noticed time.Duration) time.Duration {
-	lostAt, known := t.lostAt[e.Front.Address]
-	if !known {
-		lostAt = noticed
-	}
-	return min(e.ExpiresAt, lostAt+t.unrenewedRunTTL)
-}
-
 // ToRelay returns the announcements that this host relays within its domain, by front, for
 // a host that may have missed them.
 func (t *Table) ToRelay(now time.Duration) map[Front][]Announcement {
