An owner refers the second front of a job to the first one

Cause: openAtOther compares a first handover with what others have announced, but a job that is at this very owner was accepted from a second front. Both fronts then followed the job without knowing of each other, and each counted its leases from its own loss of the owner. Change: for a first handover the owner looks at its own waiters first, for the whole job and for its parts, and answers with the front that waits (OpenAt). Parts of one front and kept jobs are accepted as before. Test: TestAnOwnerDoesNotAcceptAJobThatAnotherFrontHoldsOpen had a row that wanted the second front accepted. It wants the reference now, and rows for parts, the same front, a later epoch and kept jobs are new.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -216,6 +216,15 @@
 	return nil
 }
 
+// PartsOf returns the ids of the jobs here that are a whole job or parts of it.
+func (c *Cell) PartsOf(wholeID string) []string {
+	var ids []string
+	for _, w := range c.byParent[wholeID] {
+		ids = append(ids, w.job.ID)
+	}
+	return ids
+}
+
 // MayHaveStarted reports whether a task of a job may have started, here or at a former owner.
 func (c *Cell) MayHaveStarted(id string) bool {
 	w := c.jobs[id]
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -133,7 +133,7 @@
 func (o *owner) submit(handover cell.Handover, w waiter) {
 	var answer *job.Outcome
 	o.do(func(state *cell.Cell, now time.Duration) {
-		if answer = o.answerWithoutJob(handover, w.front, now); answer != nil {
+		if answer = o.answerWithoutJob(state, handover, w.front, now); answer != nil {
 			return
 		}
 		id := handover.Job.ID
@@ -150,7 +150,7 @@
 }
 
 // answerWithoutJob returns the answer to a job that this owner does not take, or nil. o.mu is held.
-func (o *owner) answerWithoutJob(handover cell.Handover, front string, now time.Duration) *job.Outcome {
+func (o *owner) answerWithoutJob(state *cell.Cell, handover cell.Handover, front string, now time.Duration) *job.Outcome {
 	id := handover.Job.ID
 	if o.stopped {
 		return &job.Outcome{Kind: job.Moved, Reason: reasonNotOwner}
@@ -161,13 +161,17 @@
 	if o.kept.isCancelled(id, now) {
 		return &keptCancelled
 	}
-	if handover.Epoch > 1 || len(o.waiters[id]) > 0 {
+	if handover.Epoch > 1 || handover.Job.Kept {
 		return nil
 	}
-	if at := o.node.openAtOther(handover.Job, front); at != nil {
-		return &job.Outcome{Kind: job.Moved, Reason: reasonNotOwner, OpenAt: at}
+	at, isHere := o.openHere(state, handover.Job, front)
+	if !isHere {
+		at = o.node.openAtOther(handover.Job, front)
 	}
-	return nil
+	if at == nil {
+		return nil
+	}
+	return &job.Outcome{Kind: job.Moved, Reason: reasonNotOwner, OpenAt: at}
 }
 
 // renew extends the leases of the jobs that arrived on a connection. Jobs of the
--- a/pkg/node/owner_announcements.go
+++ b/pkg/node/owner_announcements.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/cell"
 	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/openjobs"
 	"github.com/foxcroft/foxcroft/pkg/ownership"
@@ -162,3 +163,21 @@
 	}
 	return nil
 }
+
+// openHere returns the front that waits here for a job, or for a part of it, which another front
+// dispatches for the first time. It is nil if only that front waits; isHere tells whether any does.
+// o.mu is held.
+func (o *owner) openHere(state *cell.Cell, j *job.Job, front string) (at *job.OpenAt, isHere bool) {
+	now := o.node.Clock.Now()
+	for _, id := range state.PartsOf(j.WholeID()) {
+		for _, w := range o.waiters[id] {
+			isHere = true
+			if w.front != front {
+				holder := o.node.frontOf(&w)
+				remaining := max(0, w.job.Deadline-now) + o.node.settleTime()
+				return &job.OpenAt{Address: holder.Address, Domain: holder.Domain, Process: holder.Process, Remaining: remaining}, true
+			}
+		}
+	}
+	return nil, isHere
+}
--- a/pkg/node/owner_announcements_test.go
+++ b/pkg/node/owner_announcements_test.go
@@ -45,14 +45,18 @@
 		front    string
 		epoch    int
 		job      func(n *Node) *job.Job
-		isHere   bool // the first submission is at the same owner
+		isHere   bool // the first submission is at the same owner, and was announced by nobody
 		accepted bool
 	}{
 		{testName: "from another front", front: "second:1", epoch: 1, job: submission},
 		{testName: "a part of it from another front", front: "second:1", epoch: 1, job: part},
 		{testName: "from the front that holds it open", front: "first:1", epoch: 1, job: submission, accepted: true},
 		{testName: "from another front that has looked for it", front: "second:1", epoch: 2, job: submission, accepted: true},
-		{testName: "already at this owner", front: "second:1", epoch: 1, job: submission, isHere: true, accepted: true},
+		{testName: "already at this owner", front: "second:1", epoch: 1, job: submission, isHere: true},
+		{testName: "already at this owner, a part of it", front: "second:1", epoch: 1, job: part, isHere: true},
+		{testName: "already at this owner, from the front that holds it open", front: "first:1", epoch: 1, job: submission, isHere: true, accepted: true},
+		{testName: "already at this owner, from another front that has looked for it", front: "second:1", epoch: 2, job: submission, isHere: true, accepted: true},
+		{testName: "already at this owner, kept", front: "second:1", epoch: 1, job: kept, isHere: true, accepted: true},
 		{testName: "kept, so followed by its coordinator", front: "second:1", epoch: 1, job: kept, accepted: true},
 	}
 	for _, s := range scenarios {
@@ -62,8 +66,9 @@
 			o := newOwner(n, "z/2.1", 1, n.Clock.Now())
 			if s.isHere {
 				o.submitFor("first:1", submission(n), 1)
+			} else {
+				n.recordOpenJobs(openjobs.Front{Address: "first:1", Domain: "z", Process: "first:1"}, "owner:1", []openjobs.Announcement{{ID: joinID, Remaining: time.Minute}}, false)
 			}
-			n.recordOpenJobs(openjobs.Front{Address: "first:1", Domain: "z", Process: "p"}, "owner:1", []openjobs.Announcement{{ID: joinID, Remaining: time.Minute}}, false)
 			j := s.job(n)
 			answer := o.submitFor(s.front, j, s.epoch)
 			if s.accepted {
@@ -71,12 +76,15 @@
 				c.Assert(answer, qt.HasLen, 0)
 				return
 			}
-			c.Assert(o.has(j.ID), qt.IsFalse)
+			c.Assert(answer, qt.HasLen, 1)
 			outcome := <-answer
 			c.Assert(outcome.Kind, qt.Equals, job.Moved)
 			c.Assert(outcome.Reason, qt.Equals, reasonNotOwner, qt.Commentf("fronts of older builds dispatch it again later"))
 			c.Assert(outcome.OpenAt.Address, qt.Equals, "first:1")
-			c.Assert(outcome.OpenAt.Process, qt.Equals, "p")
+			c.Assert(outcome.OpenAt.Process, qt.Equals, "first:1")
+			c.Assert(outcome.OpenAt.Remaining > 0, qt.IsTrue)
+			o.withdraw(joinID, "first:1", "caller_left")
+			c.Assert(o.has(j.ID), qt.IsFalse)
 		})
 	}
 }
