A job's lease counts from the earliest renewal of all fronts that wait for it

Cause: a front that has lost an owner takes the runs there for over once the lease that it renewed last has ended. If a second front waited for the same job, its renewals prolonged the lease for as long as it waited. Change: owners record renewals by front. The lease of a job with several fronts counts from the earliest one, those of fronts included that were lost while others waited. The job then comes back to the second front (not_renewed), which looks for the first one. A withdrawal by the front ends its part; kept jobs have no lease and are as before. Open: runs of the second front's next handover are not bounded by the first front's loss; only its search finds that front.

--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -33,7 +32,8 @@
 	reply      reply
 
 	job         *job.Job
-	isAnnounced bool // to the owners of the domain's other cells
+	renewedAt   time.Duration // its last renewal of the job, as in cell.Renew; 0 when unknown
+	isAnnounced bool          // to the owners of the domain's other cells
 }
 
 // endedOutcome is the outcome of a job that has ended, and when to discard it.
@@ -54,6 +54,7 @@
 	mu               sync.Mutex
 	state            *cell.Cell
 	waiters          map[string][]waiter // by job id
+	lostFronts       lostFronts
 	ended            map[string]endedOutcome
 	kept             keptJobs
 	lastRun          time.Duration
@@ -64,15 +65,16 @@
 
 func newOwner(n *Node, cellName string, token int64, now time.Duration) *owner {
 	return &owner{
-		node:      n,
-		cell:      cellName,
-		token:     token,
-		claimedAt: now,
-		state:     cell.New(n.cellParams(), token, now),
-		waiters:   map[string][]waiter{},
-		ended:     map[string]endedOutcome{},
-		kept:      newKeptJobs(),
-		lastRun:   now,
+		node:       n,
+		cell:       cellName,
+		token:      token,
+		claimedAt:  now,
+		state:      cell.New(n.cellParams(), token, now),
+		waiters:    map[string][]waiter{},
+		lostFronts: lostFronts{},
+		ended:      map[string]endedOutcome{},
+		kept:       newKeptJobs(),
+		lastRun:    now,
 	}
 }
 
@@ -121,6 +123,7 @@
 			replies = append(replies, func() { w.reply(f.Outcome) })
 		}
 		delete(o.waiters, f.ID)
+		delete(o.lostFronts, f.ID)
 		if f.Outcome.Kind != job.Moved && f.Outcome.Kind != job.Refused { // these may be submitted again
 			o.ended[f.ID] = endedOutcome{outcome: f.Outcome, until: now + o.kept.outcomeRetention(f.ID)}
 		}
@@ -137,11 +140,12 @@
 			return
 		}
 		id := handover.Job.ID
-		w.job = handover.Job
+		w.job, w.renewedAt = handover.Job, handover.RenewedAt
 		if handover.Job.Kept {
 			o.kept.add(id)
 		}
 		o.waiters[id] = append(o.waiters[id], w)
+		handover.RenewedAt = o.renewedAt(id)
 		state.Submit(handover, now)
 	})
 	if answer != nil {
@@ -174,30 +178,10 @@
 	return &job.Outcome{Kind: job.Moved, Reason: reasonNotOwner, OpenAt: at}
 }
 
-// renew extends the leases of the jobs that arrived on a connection. Jobs of the
-// same front's earlier connections are not renewed: the front has submitted them
-// again, or has withdrawn them and the withdrawal may have been lost.
-func (o *owner) renew(connection *peerpb.Hello, at time.Duration) {
-	o.do(func(state *cell.Cell, now time.Duration) {
-		state.Renew(o.renewedBy(connection), at, now)
-	})
-}
-
-// renewedBy returns the ids of the jobs that arrived on a connection. o.mu is held.
-func (o *owner) renewedBy(connection *peerpb.Hello) []string {
-	var ids []string
-	for id, waiters := range o.waiters {
-		if slices.ContainsFunc(waiters, func(w waiter) bool { return w.connection == connection }) {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
 // withdraw removes a front's waiters for a job. Once a job has no waiters, it ends,
 // unless it is a kept job.
 func (o *owner) withdraw(id, front, reason string) {
-	taken, last := o.removeWaiters(id, front)
+	taken, last := o.removeWaiters(id, front, reason != reasonCallerLeft)
 	if len(taken) == 0 {
 		o.node.Log.Info("job_not_withdrawn", "job", id, "cell", o.cell, "reason", reason, "front", front)
 		return
@@ -222,26 +206,6 @@
 	}
 }
 
-// removeWaiters removes and returns a front's waiters for a job, and reports whether
-// the job has no other waiters.
-func (o *owner) removeWaiters(id, front string) (taken []waiter, last bool) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	remaining := o.waiters[id][:0]
-	for _, w := range o.waiters[id] {
-		if w.front == front {
-			taken = append(taken, w)
-			continue
-		}
-		remaining = append(remaining, w)
-	}
-	o.waiters[id] = remaining
-	if len(remaining) == 0 {
-		delete(o.waiters, id)
-	}
-	return taken, len(remaining) == 0
-}
-
 // fronts returns the addresses of the other nodes whose fronts wait for jobs.
 func (o *owner) fronts() []string {
 	o.mu.Lock()
