A second handover of a job tells its owner of the runs elsewhere

Cause: Submit ignored all but the epoch and the renewal of a handover whose job was here already. If two fronts held the job and the second one's former owners had left runs, the owner started tasks of the first one's job beside them. Change: the time before which nothing may start, the progress and the named runs of the second handover are applied to the job. Test: TestASecondHandoverOfAJobTellsOfItsRuns and ...OfItsEnds, before: started after 10 ms in place of 900 and 600 ms, and a done task started; now they pass. Open: a former owner of this cell that was lost without naming its runs isn't waited for when the job is here already.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -175,14 +175,13 @@
 	NamesRuns bool
 }
 
-// Submit adds a job. It returns false when the job is here already; its epoch and renewal
-// are then updated.
+// Submit adds a job. It returns false when the job is here already; it then learns what the
+// handover tells.
 func (c *Cell) Submit(h Handover, now time.Duration) bool {
 	c.lastEventAt = now
 	j := h.Job
 	if existing := c.jobs[j.ID]; existing != nil {
-		existing.epoch = max(existing.epoch, h.Epoch)
-		existing.renewedAt = max(existing.renewedAt, h.RenewedAt)
+		c.mergeHandover(existing, h, now)
 		return false
 	}
 	if j.Part.First == 0 { // parts of a split job count once
@@ -208,6 +207,20 @@
 	return true
 }
 
+// mergeHandover applies a further handover of a job that is here: by the same front, or by another
+// one whose former owners may have left runs elsewhere.
+func (c *Cell) mergeHandover(w *jobState, h Handover, now time.Duration) {
+	w.epoch = max(w.epoch, h.Epoch)
+	w.renewedAt = max(w.renewedAt, h.RenewedAt)
+	w.mayHaveStarted = w.mayHaveStarted || h.Epoch > 1
+	if h.NotBefore > w.notBefore {
+		w.notBefore, w.untilAdopted = h.NotBefore, false
+	}
+	w.applyProgress(h.Progress)
+	c.recordFormerRuns(w, h.Progress, now)
+	c.finishIfDone(w)
+}
+
 // Progress returns the progress of a job's tasks, for the job's next owner.
 func (c *Cell) Progress(id string) []job.Progress {
 	if w := c.jobs[id]; w != nil {
--- a/pkg/cell/inherited_runs_test.go
+++ b/pkg/cell/inherited_runs_test.go
@@ -225,3 +225,45 @@
 		})
 	}
 }
+
+// A job that waited here for one front started at once although another front had handed it over
+// with runs that its former owner may have left.
+func TestASecondHandoverOfAJobTellsOfItsRuns(t *testing.T) {
+	type scenario struct {
+		testName    string
+		second      Handover
+		startsAfter time.Duration
+	}
+	unknown := string(testIncarnation(5))
+	scenarios := []scenario{
+		{testName: "a lease of another cell has not ended", second: Handover{NotBefore: 900 * ms}, startsAfter: 900 * ms},
+		{testName: "a run at an unknown executor", second: Handover{NamesRuns: true, Progress: []job.Progress{{Run: 1, ActiveAt: unknown, ActiveFor: 600 * ms}}}, startsAfter: 600 * ms},
+		{testName: "a run that an executor here would list", second: Handover{NamesRuns: true, Progress: []job.Progress{{Run: 1, ActiveAt: executorID(0), ActiveFor: 600 * ms}}}},
+		{testName: "nothing that goes on", second: Handover{NamesRuns: true}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			d := newAdoptedDriver(c, 1)
+			d.cell.PauseStarts(d.now + 5*ms)
+			j := testJob("a", 1, d.now)
+			d.submit(j, 1)
+			s.second.Job, s.second.Epoch, s.second.RenewedAt = j, 2, d.renewal()
+			c.Assert(d.cell.Submit(s.second, d.now), qt.IsFalse)
+			d.assertStartsAfter(s.startsAfter)
+		})
+	}
+}
+
+// Guards against a task that runs here after a second handover has told that it is done.
+func TestASecondHandoverOfAJobTellsOfItsEnds(t *testing.T) {
+	c := qt.New(t)
+	d := newAdoptedDriver(c, 1)
+	d.cell.PauseStarts(d.now + 5*ms)
+	j := testJob("a", 1, d.now)
+	d.submit(j, 1)
+	d.cell.Submit(Handover{Job: j, Epoch: 2, RenewedAt: d.renewal(), NamesRuns: true, Progress: []job.Progress{{Done: true, Run: 1}}}, d.now)
+	d.tick(10 * ms)
+	c.Assert(d.takeCommands(Start), qt.HasLen, 0)
+	c.Assert(d.finished["a"].Kind, qt.Equals, job.Completed)
+}
