No lease at an executor is longer than that of a hold, however long it was idle

Cause: a lease ended at the owner's estimate of the executor's clock plus its length. The estimate of a clock 2% slow that was read 25 s ago is half a second ahead, so a start granted 1.0 s where 0.5 s was meant; for kept jobs, whose own lease doesn't limit it, there was no bound but the executor's. The next owner takes 0.7 s for the longest, and gives up runs of an executor that then falls silent by that. Change: limitLease bounds each lease by the lower bound of the clock plus the lease of a hold. An executor whose clock is too old for a start is read first, as before.

--- a/pkg/cell/joblease.go
+++ b/pkg/cell/joblease.go
@@ -74,14 +74,15 @@
 	return cmp.Or(cmp.Compare(c.jobRenewedAt(r), c.jobRenewedAt(other)), strings.Compare(r.name, other.name)) < 0
 }
 
-// limitLease returns the wanted end of an executor's leases, on its clock, or the latest one that
-// the leases of its jobs allow if that is earlier.
+// limitLease returns the wanted end of an executor's leases, on its clock, or an earlier one: the
+// leases of its jobs limit it, and no lease may be longer than that of a hold even if the executor's
+// clock runs slow. The next owner relies on the latter.
 func (c *Cell) limitLease(e *executor, wanted, now time.Duration) time.Duration {
-	r := c.limitingRun(e)
-	if r == nil {
-		return wanted
+	limit := min(wanted, e.clock.lowerBound(now)+c.params.Lease)
+	if r := c.limitingRun(e); r != nil {
+		limit = min(limit, e.clock.lowerBoundFuture(c.jobLeaseEnd(c.jobRenewedAt(r)), now))
 	}
-	return min(wanted, e.clock.lowerBoundFuture(c.jobLeaseEnd(c.jobRenewedAt(r)), now))
+	return limit
 }
 
 // mayLeaseStart reports whether the jobs that have runs at an executor allow a lease that is long
