cell: explorers with owners that don't reach an executor

An isolated owner goes on with a kept job for 8 s; the next one waits for an executor that it doesn't reach for 1.2 s.

--- a/pkg/cell/explore_again_test.go
+++ b/pkg/cell/explore_again_test.go
@@ -55,6 +55,10 @@
 		{testName: "executors restart, and commands are lost", faults: faults{executorCrashes: true, commands: true}},
 		{testName: "executors restart and refuse all commands for a while, and commands are lost", faults: faults{executorCrashes: true, commands: true, refusals: true}},
 		{testName: "executors restart, and everything else", faults: faults{executorCrashes: true, hostCrashes: true, ownerCrashChains: true, freezes: true, frontMessages: true, commands: true, unreadableRows: true}, halved: true},
+		{testName: "new owners don't reach an executor", faults: faults{partialCuts: true}},
+		{testName: "new owners don't reach an executor, hosts freeze and crash", faults: faults{partialCuts: true, hostCrashes: true, ownerCrashChains: true, freezes: true}},
+		{testName: "new owners don't reach an executor, and everything else", faults: faults{partialCuts: true, hostCrashes: true, ownerCrashChains: true, freezes: true, frontMessages: true, commands: true, unreadableRows: true, vanishingRows: true}, halved: true},
+		{testName: "new owners don't reach an executor, and executors restart", faults: faults{partialCuts: true, executorCrashes: true, commands: true}},
 		{testName: "unclear answers, refusals, and everything else", faults: faults{hostCrashes: true, ownerCrashChains: true, freezes: true, frontMessages: true, commands: true, unreadableRows: true, refusals: true, unclearAnswers: true, rates: unclearAnswerRates}, halved: true},
 	}
 	for _, s := range scenarios {
@@ -95,6 +99,7 @@
 	c.refusalPeriods += o.refusalPeriods
 	c.unclearPeriods += o.unclearPeriods
 	c.crashes += o.crashes
+	c.cut += o.cut
 }
 
 // assertEnough asserts that the simulations exercised the faults that they inject.
@@ -107,6 +112,7 @@
 	qc.Assert(!f.refusals || c.refusalPeriods > 5*plays, qt.IsTrue, qt.Commentf("%+v", c))
 	qc.Assert(!f.executorCrashes || c.crashes > 5*plays, qt.IsTrue, qt.Commentf("%+v", c))
 	qc.Assert(!f.unclearAnswers || c.unclearPeriods > 2*plays, qt.IsTrue, qt.Commentf("%+v", c))
+	qc.Assert(!f.partialCuts || c.cut > 5*plays, qt.IsTrue, qt.Commentf("%+v", c))
 	qc.Assert(!f.ownerCrashChains && !f.freezes || c.suspected > plays, qt.IsTrue, qt.Commentf("%+v", c))
 }
 
--- a/pkg/cell/explore_cluster_test.go
+++ b/pkg/cell/explore_cluster_test.go
@@ -46,6 +46,7 @@
 
 	refusalPeriods int // times that an executor refused all commands for a while
 	crashes        int // of executors
+	cut            int // takeovers by an owner that didn't reach one of its executors
 	unclearPeriods int // times that an executor gave unclear answers for a while
 }
 
--- a/pkg/cell/explore_executor_test.go
+++ b/pkg/cell/explore_executor_test.go
@@ -27,9 +27,10 @@
 	ended        []EndedTask // ends that it hasn't forgotten
 	next         int64
 	disconnected bool
-	hidesRuns    bool // its hold responses report all runs as unreadable
-	lapseCount   int  // how many times all leases expired
-	lapsed       bool // the leases have expired and none was given since
+	cutOffFrom   map[commandSender]bool // owners whose commands and holds don't arrive
+	hidesRuns    bool                   // its hold responses report all runs as unreadable
+	lapseCount   int                    // how many times all leases expired
+	lapsed       bool                   // the leases have expired and none was given since
 	onEnd        func(e *modelExecutor, end EndedTask)
 	onForget     func(e *modelExecutor, end EndedTask) // called for each end that an owner has seen and that is therefore forgotten
 
@@ -43,9 +44,12 @@
 }
 
 func newModelExecutor(i int, rate float64) *modelExecutor {
-	return &modelExecutor{id: executorID(i), clockRate: rate, initialClock: time.Hour, runs: map[string]modelRun{}, highest: map[string]int64{}}
+	return &modelExecutor{id: executorID(i), clockRate: rate, initialClock: time.Hour, runs: map[string]modelRun{}, highest: map[string]int64{}, cutOffFrom: map[commandSender]bool{}}
 }
 
+// isReachedBy reports whether commands of an owner arrive.
+func (e *modelExecutor) isReachedBy(o commandSender) bool { return !e.disconnected && !e.cutOffFrom[o] }
+
 func (e *modelExecutor) clock(now time.Duration) time.Duration {
 	return e.initialClock + time.Duration(float64(now-e.restartedAt)*e.clockRate)
 }
--- a/pkg/cell/explore_host_test.go
+++ b/pkg/cell/explore_host_test.go
@@ -175,6 +175,15 @@
 	}
 }
 
+// resetLinksTo closes the links of all fronts to an owner.
+func (w *cluster) resetLinksTo(o *owner) {
+	for _, front := range w.hosts {
+		if l := front.links[o]; l != nil && !l.frontClosed {
+			l.reset()
+		}
+	}
+}
+
 // freeze freezes a host. If it owns a cell and stays frozen for longer than
 // heartbeatTimeout, another host claims the cell.
 func (w *cluster) freeze(h *host, d time.Duration) {
--- a/pkg/cell/explore_kept_test.go
+++ b/pkg/cell/explore_kept_test.go
@@ -48,6 +48,7 @@
 	events         int
 	crashAt        int  // the newest owner crashes at that event; 0 for none
 	onlyOwnerCrash bool // no other faults are injected
+	partialCuts    bool // the owner after an isolated one doesn't reach an executor for a while
 	faultsStopped  bool
 }
 
@@ -265,8 +266,12 @@
 	}
 	o.waiters = map[string]*coordinator{}
 	w.after(heartbeatTimeout, func() {
-		if w.newest() == o {
-			w.replace(o)
+		if w.newest() != o {
+			return
+		}
+		w.replace(o)
+		if w.partialCuts {
+			w.cutOff(w.executors[w.random.IntN(len(w.executors))], w.newest(), w.between(0, 10*time.Second))
 		}
 	})
 }
@@ -537,6 +542,26 @@
 	}
 }
 
+// Guards against tasks of kept jobs that run twice at once: an isolated owner goes on with them at an
+// executor that the next one doesn't reach.
+func TestExploredKeptJobsRunOnceBesideIsolatedOwners(t *testing.T) {
+	const plays = 50
+	c := qt.New(t)
+	ended := 0
+	var failed []string
+	for seed := range uint64(plays * max(defaultPlays, *explorePlays) / defaultPlays) {
+		w := newKeptWorld(seed)
+		w.partialCuts = true
+		w.run()
+		ended += len(w.rows)
+		if len(w.doubles) > 0 {
+			failed = append(failed, fmt.Sprintf("seed %d: %s", seed, w.doubles[0]))
+		}
+	}
+	c.Assert(ended > 40*plays, qt.IsTrue)
+	c.Assert(failed, qt.HasLen, 0)
+}
+
 // Guards against kept jobs that are lost or run twice if their owner crashes at any
 // one of its events.
 func TestExploredKeptJobsOutliveTheirOwnerAtEveryStep(t *testing.T) {
--- a/pkg/cell/explore_orders_test.go
+++ b/pkg/cell/explore_orders_test.go
@@ -145,7 +145,7 @@
 func (w *transport) transmit(e *modelExecutor, call *modelCall) {
 	travel := time.Duration(w.random.IntN(3)) * ms
 	draw := w.random.IntN(100)
-	if e.disconnected {
+	if !e.isReachedBy(call.owner) {
 		return
 	}
 	if w.calm {
@@ -187,12 +187,18 @@
 		travel, back = w.between(0, 400*ms), w.between(ms, 200*ms)
 	}
 	w.after(travel, func() {
-		if !e.disconnected {
+		if e.isReachedBy(call.owner) {
 			w.serve(e, call, back)
 		}
 	})
 }
 
+// cutOff has all commands of an owner to an executor go unanswered for a while.
+func (w *transport) cutOff(e *modelExecutor, o commandSender, d time.Duration) {
+	e.cutOffFrom[o] = true
+	w.after(d, func() { delete(e.cutOffFrom, o) })
+}
+
 // serveUnclear answers a command at once without saying whether it was carried out.
 // Six commands in eight are carried out at once, one later, and one never.
 func (w *transport) serveUnclear(e *modelExecutor, call *modelCall) {
--- a/pkg/cell/explore_trouble_test.go
+++ b/pkg/cell/explore_trouble_test.go
@@ -22,6 +22,7 @@
 	executorCrashes bool // executors crash and restart under the same id
 	unclearAnswers  bool // executors answer only by errors that the protocol doesn't define, for a while
 	vanishingRows   bool // rows of executors leave the store for a while; the executors serve on
+	partialCuts     bool // an executor is cut off from the newest owner of its cell only, and former owners last
 }
 
 // injectFault injects a random fault in some steps.
@@ -29,8 +30,8 @@
 	d := w.domains[w.random.IntN(len(w.domains))]
 	switch kind := w.random.IntN(700); {
 	case kind < 2 && w.faults.commands:
-		w.cutOff(w.executors[w.random.IntN(len(w.executors))])
-	case kind == 2:
+		w.disconnect(w.executors[w.random.IntN(len(w.executors))])
+	case kind == 2 && !w.faults.partialCuts:
 		w.takeOverGracefully(d)
 	case kind == 3 && w.faults.freezes:
 		w.freeze(d.newest().host, w.between(0, 4*time.Second))
@@ -57,9 +58,44 @@
 		w.crashExecutor(d, w.random.IntN(len(d.listed)))
 	case kind > 24 && kind < 30 && w.faults.vanishingRows:
 		w.vanish(d, w.random.IntN(len(d.listed)))
+	case kind > 29 && kind < 36 && w.faults.partialCuts:
+		w.takeOverCutOff(d)
 	}
 }
 
+// takeOverCutOff has another host claim a cell that doesn't reach one of its executors for a while.
+// Half of the time the former owner loses its links to all hosts as well.
+func (w *cluster) takeOverCutOff(d *domain) {
+	former := d.newest()
+	if !former.host.awake() {
+		return
+	}
+	w.count.cut++
+	w.claim(d, former)
+	next := d.newest()
+	e := w.executors[w.numberOf(d, w.random.IntN(len(d.listed)))]
+	w.record("", "%s does not reach %s", next.name(), e.id)
+	w.cutOff(e, next, w.between(0, 4*time.Second))
+	if w.oneIn(2) {
+		w.after(w.between(0, heartbeatTimeout), func() { w.resetLinksTo(former) })
+	}
+	w.handOver(former, next)
+}
+
+// handOver has the former owner of a cell release it once the next one has found the takeover
+// complete.
+func (w *cluster) handOver(former, next *owner) {
+	w.deliverTo(next.host, 20*ms, func() {
+		if !next.cell.IsTakeoverComplete(w.now) {
+			w.handOver(former, next)
+			return
+		}
+		w.deliverTo(former.host, ms, func() {
+			former.handle(func() { former.cell.Release("taken over") })
+		})
+	})
+}
+
 // vanish has the row of an executor leave the store for a while. Hosts keep the executor on
 // their lists as a withheld one for defaultListRetention.
 func (w *cluster) vanish(d *domain, index int) {
@@ -196,8 +232,8 @@
 	})
 }
 
-// cutOff has all commands to an executor go unanswered for a while.
-func (w *cluster) cutOff(e *modelExecutor) {
+// disconnect has all commands to an executor go unanswered for a while.
+func (w *cluster) disconnect(e *modelExecutor) {
 	e.disconnected = true
 	w.after(w.between(0, 3*time.Second), func() { e.disconnected = false })
 }
