cell: rows that are gone stay gone in the explorer

Cause: a row that was unreadable beside being gone came back as one that takes work at the end of its unreadable time, and was dropped later as if it had been missing all along. A host's list can't do that.

--- a/pkg/cell/explore_trouble_test.go
+++ b/pkg/cell/explore_trouble_test.go
@@ -186,8 +186,12 @@
 	return slices.IndexFunc(w.executors, func(e *modelExecutor) bool { return e.id == d.listed[index].ID })
 }
 
-// updateListing updates the row of an executor at the owners of a cell.
+// updateListing updates the row of an executor at the owners of a cell. While the row is gone, the
+// executor stays withheld.
 func (w *cluster) updateListing(d *domain, index int, executor catalog.Executor) {
+	if d.vanished[index] {
+		executor = executor.Withheld()
+	}
 	d.listed = slices.Clone(d.listed)
 	d.listed[index] = executor
 	w.announceListing(d)
