Kept jobs of a lost owner wait for executors that don't answer the next one

Cause: an owner goes on with a kept job for 8 s without its coordinator, and a coordinator that is isolated with it renews the job for 6 s more. The next owner took runs at executors that it doesn't reach for over after 1.2 s, the lease of other jobs. Change: such a job waits for these executors until they answer or leave the list, 16 s at most; an owner that returns it meanwhile doesn't claim to name all runs. Jobs that were returned by their owners, and other jobs, wait as before. The same bound holds for the release of kept jobs that were moved to another cell. The simulated coordinators pass on whether an owner has named its runs. Cost: if an executor is dead when an owner is lost, its kept jobs wait until the executor has left the list. Not measured.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -15,6 +15,11 @@
 	return c.allAdopted() || c.allFormerLeasesOver(now)
 }
 
+// KnowsKeptRuns reports whether no run of a kept job can be alive that this owner does not know.
+func (c *Cell) KnowsKeptRuns(now time.Duration) bool {
+	return c.allAdopted() || now > c.claimedAt+keptRunsEndWithin && c.allFormerLeasesOver(now)
+}
+
 // CountAdopted returns how many of the known executors have answered this owner, and how many have
 // not.
 func (c *Cell) CountAdopted() (adopted, unanswered int) {
@@ -95,16 +100,19 @@
 func (e *executor) isLeaving() bool { return !e.listed || !e.info.TakesWork() }
 
 // awaitUnknownRuns sets until when a job that another owner had waits for runs at executors that
-// have not answered this owner. How long these have been unreachable does not matter, as the
-// former owner may have reached them.
+// have not answered this owner, or that may have been forgotten. How long the former have been
+// unreachable does not matter, as the former owner may have reached them.
 func (c *Cell) awaitUnknownRuns(w *jobState, h Handover, now time.Duration) {
-	mayVanish := !h.NamesRuns && c.mayHaveRunsAtVanished(w)
-	if c.adoptedFor(w) && !mayVanish {
+	until := max(now+max(c.longestLease(), c.params.JobLease), c.unlistedIncarnationsLeaseEnd())
+	if !h.NamesRuns && c.mayHaveRunsAtVanished(w) {
+		w.notBefore = max(w.notBefore, until)
+	}
+	if c.adoptedFor(w) {
 		return
 	}
-	until := max(now+max(c.longestLease(), c.params.JobLease), c.unlistedIncarnationsLeaseEnd())
-	if until > h.NotBefore {
-		w.notBefore, w.untilAdopted = until, h.NotBefore == 0 && !mayVanish
+	w.unadoptedUntil = until
+	if w.job.Kept && !h.NamesRuns {
+		w.lostOwnerUntil = now + keptRunsEndWithin
 	}
 }
 
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -213,9 +213,7 @@
 	w.epoch = max(w.epoch, h.Epoch)
 	w.renewedAt = max(w.renewedAt, h.RenewedAt)
 	w.mayHaveStarted = w.mayHaveStarted || h.Epoch > 1
-	if h.NotBefore > w.notBefore {
-		w.notBefore, w.untilAdopted = h.NotBefore, false
-	}
+	w.notBefore = max(w.notBefore, h.NotBefore)
 	w.applyProgress(h.Progress)
 	c.recordFormerRuns(w, h.Progress, now)
 	c.finishIfDone(w)
--- a/pkg/cell/explore_kept_test.go
+++ b/pkg/cell/explore_kept_test.go
@@ -75,6 +75,7 @@
 	dead  bool
 	epoch map[string]int
 	owner map[string]*keptOwner
+	lost  map[string]bool // jobs whose last owner was lost, or isn't known
 }
 
 func newKeptWorld(seed uint64) *keptWorld {
@@ -292,9 +293,10 @@
 
 // newCoordinator returns one that has read the table.
 func (w *keptWorld) newCoordinator() *coordinator {
-	k := &coordinator{world: w, epoch: map[string]int{}, owner: map[string]*keptOwner{}}
+	k := &coordinator{world: w, epoch: map[string]int{}, owner: map[string]*keptOwner{}, lost: map[string]bool{}}
 	for _, id := range slices.Sorted(maps.Keys(w.rows)) {
 		if row := w.rows[id]; !row.ended && row.job.Kept {
+			k.lost[id] = true
 			k.epoch[id] = 2 + int((w.now-row.accepted)/(100*ms))
 			k.dispatch(id, nil)
 		}
@@ -306,6 +308,7 @@
 func (k *coordinator) ownerLost(former *keptOwner) {
 	for _, id := range slices.Sorted(maps.Keys(k.owner)) {
 		if k.owner[id] == former {
+			k.lost[id] = true
 			k.redispatch(id, nil)
 		}
 	}
@@ -335,11 +338,12 @@
 			return
 		}
 		o.waiters[id] = k
-		o.cell.Submit(Handover{Job: w.rows[id].job, Epoch: epoch, Progress: progress, RenewedAt: max(1, w.now-renewalAge)}, w.now)
+		o.cell.Submit(Handover{Job: w.rows[id].job, Epoch: epoch, Progress: progress, RenewedAt: max(1, w.now-renewalAge), NamesRuns: !k.lost[id]}, w.now)
 	})
 	if o.dead {
 		w.after(heartbeatTimeout, func() {
 			if !k.dead && k.owner[id] == o && w.newest() != o {
+				k.lost[id] = true
 				k.redispatch(id, nil)
 			}
 		})
@@ -353,6 +357,7 @@
 		return
 	}
 	if outcome.Kind == job.Moved {
+		k.lost[id] = outcome.MayLeaveUnknownRuns(k.lost[id])
 		k.redispatch(id, outcome.Progress)
 		return
 	}
--- a/pkg/cell/former_runs.go
+++ b/pkg/cell/former_runs.go
@@ -43,9 +43,7 @@
 	if t.done {
 		return "", 0
 	}
-	if !w.untilAdopted || !c.adoptedFor(w) {
-		left = max(0, w.notBefore-now)
-	}
+	left = max(0, c.unnamedRunsEndBy(w)-now)
 	for _, r := range w.formerRuns {
 		if r.task == t.key && c.mayBeActive(r, now) && r.endsBy-now > left {
 			at, left = r.executor, r.endsBy-now
@@ -77,7 +75,16 @@
 
 // mayHaveUnknownRuns reports whether a job may have runs that this owner does not know.
 func (c *Cell) mayHaveUnknownRuns(w *jobState, now time.Duration) bool {
-	return now < w.notBefore || c.awaitsFormerRuns(w, now)
+	return now < c.unnamedRunsEndBy(w) || c.mayBeAtLostOwner(w, now) || c.awaitsFormerRuns(w, now)
+}
+
+// unnamedRunsEndBy returns the time by which no run of a job can be active that is neither known
+// here nor named by a former owner.
+func (c *Cell) unnamedRunsEndBy(w *jobState) time.Duration {
+	if w.unadoptedUntil > w.notBefore && !c.adoptedFor(w) {
+		return w.unadoptedUntil
+	}
+	return w.notBefore
 }
 
 // awaitsFormerRuns reports whether a job waits for runs of its former owner that are not known
--- a/pkg/cell/job_state.go
+++ b/pkg/cell/job_state.go
@@ -34,7 +34,8 @@
 	submittedAt    time.Duration
 	renewedAt      time.Duration // its caller was still waiting then
 	notBefore      time.Duration // no starts before
-	untilAdopted   bool          // notBefore ends early once the executors have answered this owner
+	unadoptedUntil time.Duration // no starts before, unless the executors have answered this owner
+	lostOwnerUntil time.Duration // the same for a kept job, as a lost owner may renew its runs until then
 	runsNamed      bool          // former owners have named all runs that they may have left
 	formerRuns     []formerRun   // runs of former owners, some of which may be unknown here
 	steps          [][]*task
@@ -98,7 +99,7 @@
 	for _, r := range w.runs() {
 		c.addNotice(Notice{Event: "run_returned", Executor: string(r.executor.incarnation), Job: w.job.ID, Task: r.name, Detail: strconv.FormatInt(r.number, 10)})
 	}
-	c.finish(w, job.Outcome{Kind: job.Moved, Reason: reason, Started: w.mayHaveStarted, Progress: c.progress(w), NamesRuns: true})
+	c.finish(w, job.Outcome{Kind: job.Moved, Reason: reason, Started: w.mayHaveStarted, Progress: c.progress(w), NamesRuns: !c.mayBeAtLostOwner(w, c.lastEventAt)})
 }
 
 // runs returns the runs of the job's tasks.
--- a/pkg/cell/kept.go
+++ b/pkg/cell/kept.go
@@ -21,6 +21,10 @@
 	// started: its coordinator may have died before it could report that the job was
 	// cancelled. It is longer than the takeover of a coordinator.
 	keptStartTimeout = 2 * time.Second
+	// keptRunsEndWithin is how long after the loss of an owner runs of its kept jobs may go on, if
+	// it lives: a coordinator that is isolated with it renews them for 6 s (isolationTimeout in
+	// pkg/keeping), and keptRenewalTimeout and a job lease follow.
+	keptRunsEndWithin = 16 * time.Second
 	// noExecutorTimeout is how long a kept job waits in a cell without a usable executor of
 	// its service. It is longer than most ejections and interruptions of executors.
 	noExecutorTimeout = 3 * time.Second
@@ -75,6 +79,12 @@
 	return c.params.JobLease - c.params.Lease/2
 }
 
+// mayBeAtLostOwner reports whether a lost owner that lives may still renew runs of a kept job at
+// executors that have not answered this one.
+func (c *Cell) mayBeAtLostOwner(w *jobState, now time.Duration) bool {
+	return now < w.lostOwnerUntil && !c.adoptedFor(w)
+}
+
 // recordUsable records which services have a usable executor.
 func (c *Cell) recordUsable(now time.Duration) {
 	for _, e := range c.sorted {
--- a/pkg/cell/kept_test.go
+++ b/pkg/cell/kept_test.go
@@ -374,3 +374,59 @@
 		c.Assert(state.Waiting()["r"] == 1, qt.Equals, s.waits, qt.Commentf(s.testName))
 	}
 }
+
+// A task of a kept job ran twice at once when its owner was isolated and the next one did not reach an
+// executor: the former owner goes on with a kept job for much longer than with others.
+func TestAKeptJobOfALostOwnerWaitsForExecutorsThatDoNotAnswer(t *testing.T) {
+	const longestWait = 20 * time.Second
+	type scenario struct {
+		testName      string
+		lost          bool
+		unlistedAfter time.Duration // the silent executor leaves the list; 0 for never
+		answersAfter  time.Duration // 0 for never
+		startsAfter   time.Duration
+	}
+	scenarios := []scenario{
+		{testName: "its owner was lost", lost: true, startsAfter: keptRunsEndWithin},
+		{testName: "the executor answers", lost: true, answersAfter: 3 * time.Second, startsAfter: 3 * time.Second},
+		{testName: "the executor leaves the list", lost: true, unlistedAfter: 5 * time.Second, startsAfter: 5 * time.Second},
+		{testName: "returned by its owner", startsAfter: testJobLease},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			d := newDriver(c, testExecutor(0), testExecutor(1))
+			d.holdAnswered(0, HoldResponse{Clock: time.Minute}, 0)
+			d.cell.HoldAnswered(testIncarnation(1), HoldResponse{Verdict: Unanswered}, 0, 0)
+			d.cell.Submit(Handover{Job: keptJob("a", 1, d.now), Epoch: 2, RenewedAt: d.renewal(), NamesRuns: !s.lost}, d.now)
+			for d.takeActions(); len(d.takeCommands(Start)) == 0; {
+				c.Assert(d.now < longestWait, qt.IsTrue)
+				d.tick(10 * ms)
+				d.holdAnswered(0, HoldResponse{Clock: time.Minute + d.now}, d.now)
+				silent := HoldResponse{Verdict: Unanswered}
+				if s.answersAfter > 0 && d.now >= s.answersAfter {
+					silent = HoldResponse{Clock: time.Minute + d.now}
+				}
+				d.holdAnswered(1, silent, d.now)
+				if s.unlistedAfter > 0 && d.now >= s.unlistedAfter {
+					d.cell.SetExecutors([]catalog.Executor{testExecutor(0)}, d.now)
+				}
+			}
+			c.Assert(d.now >= s.startsAfter, qt.IsTrue, qt.Commentf("started after %s", d.now))
+			c.Assert(d.now <= s.startsAfter+30*ms, qt.IsTrue, qt.Commentf("started after %s", d.now))
+		})
+	}
+}
+
+// Guards against kept jobs that are released to another cell while a former owner may go on with them
+// at executors that this one does not reach.
+func TestWhenAllRunsOfKeptJobsAreKnown(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver(c, testExecutor(0), testExecutor(1))
+	d.holdAnswered(0, HoldResponse{Clock: time.Minute}, 0)
+	c.Assert(d.cell.KnowsKeptRuns(2*time.Second), qt.IsFalse)
+	c.Assert(d.cell.IsTakeoverComplete(2*time.Second), qt.IsTrue)
+	c.Assert(d.cell.KnowsKeptRuns(keptRunsEndWithin+time.Second), qt.IsTrue)
+	d.holdAnswered(1, HoldResponse{Clock: time.Minute}, 0)
+	c.Assert(d.cell.KnowsKeptRuns(0), qt.IsTrue)
+}
--- a/pkg/cell/queue.go
+++ b/pkg/cell/queue.go
@@ -36,7 +36,7 @@
 	}
 	entries := make([]entry, 0, len(c.jobs))
 	for _, w := range c.jobs {
-		if w.notBefore > now && !(w.untilAdopted && c.adoptedFor(w)) || c.awaitsFormerRuns(w, now) || !c.mayStartTasks(w, now) {
+		if c.mayHaveUnknownRuns(w, now) || !c.mayStartTasks(w, now) {
 			continue
 		}
 		if s := w.candidate(now); s.WorkLeft > 0 {
--- a/pkg/node/owner_notices.go
+++ b/pkg/node/owner_notices.go
@@ -31,15 +31,15 @@
 const reasonKeptMoved = "kept_moved"
 
 // releaseMoved releases kept jobs that were moved to another cell, and returns those that
-// stay because a task of them has run or ended here. Until the takeover of this cell is
-// complete, it releases none and reports false: unknown runs of the former owner may be
-// alive, and the other cell would run the same tasks a second time.
+// stay because a task of them has run or ended here. While unknown runs of a former owner may
+// be alive, it releases none and reports false: the other cell would run the same tasks a second
+// time.
 func (o *owner) releaseMoved(ids []string) ([]string, bool) {
 	var continuing []string
 	var replies []reply
 	complete := false
 	o.do(func(state *cell.Cell, now time.Duration) {
-		if complete = !o.stopped && state.IsTakeoverComplete(now); !complete {
+		if complete = !o.stopped && state.KnowsKeptRuns(now); !complete {
 			return
 		}
 		for _, id := range ids {
--- a/pkg/node/owner_notices_test.go
+++ b/pkg/node/owner_notices_test.go
@@ -18,14 +18,15 @@
 		testName  string
 		prepare   func(k *keptOwnerTest)
 		continues []string
-		outcomes  int  // that its coordinators get
-		isNew     bool // the takeover is not complete: unknown runs of a former owner may be alive
-		unknown   bool // the owner cannot tell yet whether the job runs here
+		outcomes  int           // that its coordinators get
+		ownedFor  time.Duration // no executor has answered since: unknown runs of a former owner may be alive; a minute if 0
+		unknown   bool          // the owner cannot tell yet whether the job runs here
 	}{
 		{testName: "not here", prepare: func(*keptOwnerTest) {}},
 		{testName: "queued here", prepare: func(k *keptOwnerTest) { k.submit("a", true) }, outcomes: 1},
-		{testName: "not here, new owner", prepare: func(*keptOwnerTest) {}, isNew: true, unknown: true},
-		{testName: "queued here, new owner", prepare: func(k *keptOwnerTest) { k.submit("a", true) }, isNew: true, unknown: true},
+		{testName: "not here, new owner", prepare: func(*keptOwnerTest) {}, ownedFor: time.Millisecond, unknown: true},
+		{testName: "queued here, new owner", prepare: func(k *keptOwnerTest) { k.submit("a", true) }, ownedFor: time.Millisecond, unknown: true},
+		{testName: "not here, owner for two leases: an isolated former owner may go on with it", prepare: func(*keptOwnerTest) {}, ownedFor: 2 * time.Second, unknown: true},
 		{testName: "runs on an executor for a former owner", prepare: func(k *keptOwnerTest) { k.listRun("a.0.0.0") }, continues: []string{"a"}},
 		{testName: "another job runs on an executor for a former owner", prepare: func(k *keptOwnerTest) { k.listRun("b.0.0.0") }},
 		{testName: "has ended here", prepare: func(k *keptOwnerTest) {
@@ -48,10 +49,11 @@
 		t.Run(s.testName, func(t *testing.T) {
 			c := qt.New(t)
 			k := newKeptOwnerTest(c)
-			if !s.isNew {
-				n := k.owner.node
-				k.owner = newOwner(n, "cell", 1, n.Clock.Now()-2*n.settings.LongestHold)
+			if s.ownedFor == 0 {
+				s.ownedFor = time.Minute
 			}
+			n := k.owner.node
+			k.owner = newOwner(n, "cell", 1, n.Clock.Now()-s.ownedFor)
 			s.prepare(k)
 			continues, known := k.owner.handleNotice(&peerpb.Noted{Ids: []string{"a"}, Moved: true})
 			c.Assert(known, qt.Equals, !s.unknown)
