A start that an executor has fenced isn't reported as active

Cause: the first answer that tells an owner that it is fenced releases its jobs before the refused start is removed, so the next owner was told that its run may be active. Change: the run is removed first, unless another copy of its start may have been carried out. Test: TestAStartThatIsFencedIsNotReportedAsActive, failed before.

--- a/pkg/cell/answers.go
+++ b/pkg/cell/answers.go
@@ -25,6 +25,7 @@
 	// Tasks may have waited for the link.
 	c.dirty = c.dirty || c.pacer.full()
 	c.pacer.answered(name, number)
+	c.removeFencedRun(incarnation, name, number, verdict)
 	e := c.handleAnswer(incarnation, verdict, late, clock, now)
 	if e == nil {
 		return
@@ -35,6 +36,17 @@
 	c.advance(now)
 }
 
+// removeFencedRun removes a run whose start was fenced, before the cell is released for that.
+func (c *Cell) removeFencedRun(incarnation catalog.Incarnation, name string, number int64, verdict Verdict) {
+	e := c.executors[incarnation]
+	if e == nil || c.fenced || verdict != Fenced {
+		return
+	}
+	if r := e.findRun(name, number); r != nil && !r.confirmed && r.copies.answered(verdict) == startRefused {
+		c.removeRun(r)
+	}
+}
+
 // applyStartAnswer applies the answer to one copy of a start to its run.
 func (c *Cell) applyStartAnswer(e *executor, r *run, verdict Verdict, late bool, now time.Duration) {
 	if !late && verdict != Unanswered && r.copies.overtakes() {
--- a/pkg/cell/incarnations_test.go
+++ b/pkg/cell/incarnations_test.go
@@ -518,3 +518,14 @@
 		})
 	}
 }
+
+// Guards against tasks that wait for a run that its executor has refused.
+func TestAStartThatIsFencedIsNotReportedAsActive(t *testing.T) {
+	c := qt.New(t)
+	d := newAdoptedDriver(c, 1)
+	d.submit(testJob("a", 1, d.now), 1)
+	d.startAnswered(d.takeCommands(Start)[0], Fenced)
+	c.Assert(d.finished["a"].Kind, qt.Equals, job.Moved)
+	c.Assert(d.finished["a"].Progress, qt.HasLen, 1)
+	c.Assert(d.finished["a"].Progress[0].ActiveFor, qt.Equals, time.Duration(0))
+}
