Returned tasks wait for a list of executors that may restart under their ids

Cause: a run that a former owner names was taken for known, and so for ended, if its executor had answered this owner before and didn't list it. If the executor had restarted since, the next incarnation obeys the former owner, whose start may have reached it. Change: such a run is known once it is listed here, its task is done, or the executor answers a hold that was sent 300 ms (longestDelivery) or later after the handover; the hold is sent for this. Executors whose ids change when they restart are as before. Test: TestAReturnedTaskWaitsUntilItsExecutorHasListedItsRuns, before: 3 rows failed (started at once). TestCrashesAreHandedOverToTheNextOwner answers that hold now. Cost: a returned task with such a run waits 0.3 s, where executors tell their start times.

--- a/pkg/cell/crashes_test.go
+++ b/pkg/cell/crashes_test.go
@@ -207,7 +207,10 @@
 
 	next, others := newRestartableDriver(c, 2)
 	next.cell.Submit(Handover{Job: j, Epoch: 2, Progress: progress, RenewedAt: next.renewal()}, next.now)
-	next.takeActions()
+	next.tick(longestDelivery) // the former owner's start may arrive until then
+	for _, hold := range next.takeCommands(Hold) {
+		next.answerHold(&hold.Executor, HoldResponse{Clock: time.Minute + next.now})
+	}
 	next.crash(others, indexOf(others, next.acceptStarts()[0]))
 	c.Assert(next.finished["a"].Kind, qt.Equals, job.Failed)
 }
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -72,6 +72,7 @@
 	holdInFlight     bool
 	unansweredHoldAt time.Duration     // when the first of the holds was sent that have been overdue since the last answered one; 0 when there is none
 	listRequestedAt  time.Duration     // when the newest hold that this incarnation has answered with a list was sent, on our clock
+	listNeededAt     time.Duration     // a list is needed for a hold sent then or later; 0 when none is
 	listClock        time.Duration     // executor's clock in the newest list of runs that was applied
 	nextHoldAt       time.Duration     // no hold before
 	polledAt         time.Duration     // when the last hold that renews nothing was sent
--- a/pkg/cell/former_runs.go
+++ b/pkg/cell/former_runs.go
@@ -19,6 +19,7 @@
 	task     job.TaskKey
 	executor catalog.Incarnation // empty when unknown
 	endsBy   time.Duration       // when it can't be active any more, on our clock
+	arrived  time.Duration       // when its start has arrived, on our clock, if it ever does
 }
 
 // runEndsBy returns the time, on our clock, by which a run can't be active any more unless its
@@ -45,7 +46,7 @@
 	}
 	left = max(0, c.unnamedRunsEndBy(w)-now)
 	for _, r := range w.formerRuns {
-		if r.task == t.key && c.mayBeActive(r, now) && r.endsBy-now > left {
+		if r.task == t.key && c.mayBeActive(w, r, now) && r.endsBy-now > left {
 			at, left = r.executor, r.endsBy-now
 		}
 	}
@@ -56,21 +57,32 @@
 // being known here.
 func (c *Cell) recordFormerRuns(w *jobState, progress []job.Progress, now time.Duration) {
 	for _, p := range progress {
-		r := formerRun{task: p.Key, executor: catalog.Incarnation(p.ActiveAt), endsBy: now + p.ActiveFor}
-		if !p.Done && w.task(p.Key) != nil && c.mayBeActive(r, now) {
-			w.formerRuns = append(w.formerRuns, r)
+		r := formerRun{task: p.Key, executor: catalog.Incarnation(p.ActiveAt), endsBy: now + p.ActiveFor, arrived: now + longestDelivery}
+		if p.Done || w.task(p.Key) == nil || !c.mayBeActive(w, r, now) {
+			continue
+		}
+		w.formerRuns = append(w.formerRuns, r)
+		if e := c.executors[r.executor]; e != nil {
+			e.listNeededAt = max(e.listNeededAt, r.arrived)
 		}
 	}
 }
 
 // mayBeActive reports whether a former owner's run may be active without being known here. Runs at
-// executors that have listed their runs to this owner are known.
-func (c *Cell) mayBeActive(r formerRun, now time.Duration) bool {
+// executors that have listed their runs to this owner are known. If the executor may restart under
+// its id, the next incarnation obeys the former owner until it has answered this one, so a list is
+// needed from the time when the start has arrived.
+func (c *Cell) mayBeActive(w *jobState, r formerRun, now time.Duration) bool {
 	if now >= r.endsBy {
 		return false
 	}
 	e := c.executors[r.executor]
-	return e == nil || !e.adopted
+	if e == nil || !e.adopted {
+		return true
+	}
+	t := w.task(r.task)
+	isKnown := t.done || t.current != nil && t.current.executor == e
+	return e.info.StartedAt > 0 && !isKnown && e.listRequestedAt < r.arrived
 }
 
 // mayHaveUnknownRuns reports whether a job may have runs that this owner does not know.
@@ -90,6 +102,6 @@
 // awaitsFormerRuns reports whether a job waits for runs of its former owner that are not known
 // here. Runs that it need not wait for are removed, as their executors may be forgotten later.
 func (c *Cell) awaitsFormerRuns(w *jobState, now time.Duration) bool {
-	w.formerRuns = slices.DeleteFunc(w.formerRuns, func(r formerRun) bool { return !c.mayBeActive(r, now) })
+	w.formerRuns = slices.DeleteFunc(w.formerRuns, func(r formerRun) bool { return !c.mayBeActive(w, r, now) })
 	return len(w.formerRuns) > 0
 }
--- a/pkg/cell/holds.go
+++ b/pkg/cell/holds.go
@@ -33,7 +33,7 @@
 	if e.holdInFlight || e.ended || now < e.nextHoldAt || len(e.unpersisted) > 0 && now < e.nextListAt {
 		return
 	}
-	if e.adopted && len(e.runs) == 0 && e.isStateKnown() && e.missedHolds == 0 && !c.needsClock(e, now) {
+	if e.adopted && len(e.runs) == 0 && e.isStateKnown() && e.missedHolds == 0 && !c.needsClock(e, now) && !e.needsList(now) {
 		return
 	}
 	if !e.adopted && !e.listed {
@@ -58,6 +58,11 @@
 	c.commands = append(c.commands, command)
 }
 
+// needsList reports whether the executor has to list its runs although none is known there.
+func (e *executor) needsList(now time.Duration) bool {
+	return e.listRequestedAt < e.listNeededAt && now >= e.listNeededAt
+}
+
 // leaseDeadline returns the end of the leases that a hold grants, on the executor's clock; 0
 // when it renews nothing.
 func (c *Cell) leaseDeadline(e *executor, now time.Duration) time.Duration {
@@ -117,6 +122,7 @@
 // applyList applies the runs and ends that an executor lists.
 func (c *Cell) applyList(e *executor, response HoldResponse, sentAt, now time.Duration) {
 	e.missedHolds = 0
+	c.dirty = c.dirty || e.listRequestedAt < e.listNeededAt // tasks may have waited for the list
 	e.listRequestedAt = max(e.listRequestedAt, sentAt)
 	c.clearUnresolved(e)
 	if e.unresponsive {
--- a/pkg/cell/incarnations_test.go
+++ b/pkg/cell/incarnations_test.go
@@ -519,6 +519,70 @@
 	}
 }
 
+// A start of the former owner may have reached the next incarnation of an executor that had answered
+// this owner before, and that was idle since. The task was started again at once.
+func TestAReturnedTaskWaitsUntilItsExecutorHasListedItsRuns(t *testing.T) {
+	const activeFor = 1300 * ms
+	type scenario struct {
+		testName    string
+		noStart     bool // the executors don't tell their start times, so a crash changes their ids
+		running     bool // the executor has listed the run
+		silent      bool
+		restarted   bool // the next incarnation answers
+		startsAfter time.Duration
+		never       bool
+	}
+	scenarios := []scenario{
+		{testName: "it doesn't list the run", startsAfter: longestDelivery},
+		{testName: "it doesn't answer", silent: true, startsAfter: activeFor},
+		{testName: "its next incarnation has the run", restarted: true, never: true},
+		{testName: "it has listed the run", running: true, never: true},
+		{testName: "it doesn't restart under its id", noStart: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			d, infos := newRestartableDriver(c, 2)
+			if s.noStart {
+				d = newAdoptedDriver(c, 2)
+				infos = []catalog.Executor{testExecutor(0), testExecutor(1)}
+			}
+			var running []RunningTask
+			if s.running {
+				running = []RunningTask{{Task: "a.0.0.0", Run: 1}}
+				d.answerHold(&infos[1], HoldResponse{Clock: time.Minute + d.now, Running: running})
+			}
+			next := nextIncarnation(infos[1])
+			progress := []job.Progress{{Run: 1, ActiveAt: string(infos[1].Incarnation()), ActiveFor: activeFor}}
+			d.cell.Submit(Handover{Job: testJob("a", 1, d.now), Epoch: 2, Progress: progress, NamesRuns: true, RenewedAt: d.renewal()}, d.now)
+			for d.takeActions(); len(d.takeCommands(Start)) == 0 && d.now < 2*activeFor; {
+				for _, hold := range d.takeCommands(Hold) {
+					response := HoldResponse{Clock: time.Minute + d.now}
+					switch {
+					case hold.Executor.StartedAt == next.StartedAt && s.restarted:
+						response.Running = []RunningTask{{Task: "a.0.0.0", Run: 1}}
+					case hold.Executor.ID == next.ID && s.silent:
+						response = HoldResponse{Verdict: Unanswered}
+					case hold.Executor.ID == next.ID && s.restarted:
+						response.Verdict = AcceptedByOther
+						d.cell.SetExecutors([]catalog.Executor{infos[0], next}, d.now)
+					case hold.Executor.ID == next.ID:
+						response.Running = running
+					}
+					d.answerHold(&hold.Executor, response)
+				}
+				d.tick(10 * ms)
+			}
+			if s.never {
+				c.Assert(d.now >= 2*activeFor, qt.IsTrue, qt.Commentf("started after %s", d.now))
+				return
+			}
+			c.Assert(d.now >= s.startsAfter, qt.IsTrue, qt.Commentf("started after %s", d.now))
+			c.Assert(d.now <= s.startsAfter+40*ms, qt.IsTrue, qt.Commentf("started after %s", d.now))
+		})
+	}
+}
+
 // Guards against tasks that wait for a run that its executor has refused.
 func TestAStartThatIsFencedIsNotReportedAsActive(t *testing.T) {
 	c := qt.New(t)
