node: an owner refers a front to the one that holds the job open, in any epoch

A front that had lost the owner of a job handed it to another one after 1.25 s. That owner knew by announcements that another front held the job open, but accepted it, as the epoch was above 1: it took the front's own loss, or a search elsewhere, for a search for this front.

An owner now names each front that it knows once to a front that dispatches the job, in any epoch, and accepts the job when that front dispatches it again. It also names its own front while that one gives the job up, and until the leases of its runs are over. A front keeps what it knows of its own runs when it comes back from such a search.

TestAnOwnerDoesNotAcceptAJobThatAnotherFrontHoldsOpen had a row that accepted epoch 2 at once; it now is accepted once the front has been named. Its new rows and TestAnOwnerDoesNotAcceptAJobThatItsOwnFrontHasJustGivenUp failed before.

--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -63,6 +63,12 @@
 	a.formerCell, a.notBefore = cellName, notBefore
 }
 
+// recordSearch records that the job may have run for another front, of which no run is alive.
+func (a *attempt) recordSearch() {
+	a.epoch = max(a.epoch, 2)
+	a.started = true
+}
+
 // progressAsOf returns the progress for an owner that gets the job now.
 func (a *attempt) progressAsOf(now time.Duration) []job.Progress {
 	return job.AgeProgress(a.progress, now-a.progressAt)
@@ -91,11 +97,11 @@
 			return abandoned(ctx, true)
 		}
 		if outcome.OpenAt != nil {
-			if outcome, ended := f.joinOpenAt(ctx, j, claim.Owner, outcome.OpenAt); ended {
+			if outcome, ended := f.joinOpenAt(ctx, j, claim.Owner, outcome.OpenAt, state.formerCell != ""); ended {
 				outcome.Started = outcome.Started || state.started
 				return outcome
 			}
-			state = attempt{epoch: max(state.epoch, 2), started: true}
+			state.recordSearch()
 			continue
 		}
 		switch outcome.Kind {
--- a/pkg/node/join.go
+++ b/pkg/node/join.go
@@ -61,8 +61,9 @@
 }
 
 // joinOpenAt joins a job that an owner didn't accept, at the front of which the owner knows that it
-// holds the job open. It returns false once no run of the earlier submission can be alive.
-func (f *front) joinOpenAt(ctx context.Context, j *job.Job, owner string, at *job.OpenAt) (job.Outcome, bool) {
+// holds the job open. hasRun tells that runs may be alive that this front has followed. It returns
+// false once no run of the earlier submission can be alive.
+func (f *front) joinOpenAt(ctx context.Context, j *job.Job, owner string, at *job.OpenAt, hasRun bool) (job.Outcome, bool) {
 	n, id := f.node, j.WholeID()
 	f.mu.Lock()
 	open := f.open[id]
@@ -75,7 +76,7 @@
 	f.markStarted(open)
 	ctx, cancel := f.untilDeadline(ctx, j)
 	defer cancel()
-	if j.IsPart() { // other parts may run, so this front goes on following the job
+	if j.IsPart() || hasRun { // this front goes on following its own runs, or those of other parts
 		return f.search(ctx, id, openjobs.NewSearch(id, 0), true)
 	}
 	f.setFollowed(open, false)
--- a/pkg/node/open.go
+++ b/pkg/node/open.go
@@ -91,11 +91,12 @@
 	return open, open != nil && open.isFollowed
 }
 
-// followed returns the open job with this id if this node follows it, or nil.
+// followed returns the open job with this id if this node follows it, or nil. A job that its callers
+// have abandoned counts until it has ended.
 func (f *front) followed(id string) *job.Job {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if open := f.open[id]; open != nil && open.isFollowed && open.ctx.Err() == nil {
+	if open := f.open[id]; open != nil && open.isFollowed {
 		return open.job
 	}
 	return nil
--- a/pkg/node/openjobs.go
+++ b/pkg/node/openjobs.go
@@ -106,6 +106,13 @@
 	return o.others.Find(id, now)
 }
 
+// refer is Table.Refer.
+func (o *openJobTable) refer(id, dispatcher string, now time.Duration) (openjobs.Entry, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.others.Refer(id, dispatcher, now)
+}
+
 // recordedEnd returns the end of a job here, if it is retained.
 func (o *openJobTable) recordedEnd(id string) (endedHere, bool) {
 	o.mu.Lock()
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -165,10 +165,10 @@
 	if o.kept.isCancelled(id, now) {
 		return &keptCancelled
 	}
-	if handover.Epoch > 1 || handover.Job.Kept {
+	if handover.Job.Kept {
 		return nil
 	}
-	at, isHere := o.openHere(state, handover.Job, front)
+	at, isHere := o.openHere(state, handover, front)
 	if !isHere {
 		at = o.node.openAtOther(handover.Job, front)
 	}
--- a/pkg/node/owner_announcements.go
+++ b/pkg/node/owner_announcements.go
@@ -142,37 +142,39 @@
 	return openjobs.Front{Address: w.front, Domain: w.connection.Domain, Process: string(w.connection.Incarnation)}
 }
 
-// openAtOther returns the front that holds a job open which another front dispatches for the first
-// time, or nil if none is known.
+// openAtOther returns the front that a front has to ask about a job before an owner here accepts the
+// job from it, or nil if none is known: one that has announced the job, or this host's own.
 func (n *Node) openAtOther(j *job.Job, front string) *job.OpenAt {
 	if j.Kept {
 		return nil
 	}
-	now := n.Clock.Now()
-	for _, entry := range n.openJobTable.find(j.WholeID(), now) {
-		if entry.Front.Address != front {
-			return &job.OpenAt{Address: entry.Front.Address, Domain: entry.Front.Domain, Process: entry.Front.Process, Remaining: entry.ExpiresAt - now}
-		}
+	now, id := n.Clock.Now(), j.WholeID()
+	if entry, isOpen := n.openJobTable.refer(id, front, now); isOpen {
+		return &job.OpenAt{Address: entry.Front.Address, Domain: entry.Front.Domain, Process: entry.Front.Process, Remaining: entry.ExpiresAt - now}
 	}
 	if front == n.settings.PeerAddress {
 		return nil
 	}
-	if own := n.front.followed(j.WholeID()); own != nil {
-		self := n.asFront()
-		return &job.OpenAt{Address: self.Address, Domain: self.Domain, Process: self.Process, Remaining: max(0, own.Deadline-now) + n.settleTime()}
+	remaining := n.endOf(id).RetryAfter
+	if own := n.front.followed(id); own != nil {
+		remaining = max(0, own.Deadline-now) + n.settleTime()
+	}
+	if remaining <= 0 {
+		return nil
 	}
-	return nil
+	self := n.asFront()
+	return &job.OpenAt{Address: self.Address, Domain: self.Domain, Process: self.Process, Remaining: remaining}
 }
 
 // openHere returns the front that waits here for a job, or for a part of it, which another front
-// dispatches for the first time. It is nil if only that front waits; isHere tells whether any does.
-// o.mu is held.
-func (o *owner) openHere(state *cell.Cell, j *job.Job, front string) (at *job.OpenAt, isHere bool) {
+// dispatches for the first time. It is nil if only that front waits, or if that front has dispatched
+// the job before: it then waits here too. isHere tells whether any front waits. o.mu is held.
+func (o *owner) openHere(state *cell.Cell, handover cell.Handover, front string) (at *job.OpenAt, isHere bool) {
 	now := o.node.Clock.Now()
-	for _, id := range state.PartsOf(j.WholeID()) {
+	for _, id := range state.PartsOf(handover.Job.WholeID()) {
 		for _, w := range o.waiters[id] {
 			isHere = true
-			if w.front != front {
+			if w.front != front && handover.Epoch == 1 {
 				holder := o.node.frontOf(&w)
 				remaining := max(0, w.job.Deadline-now) + o.node.settleTime()
 				return &job.OpenAt{Address: holder.Address, Domain: holder.Domain, Process: holder.Process, Remaining: remaining}, true
--- a/pkg/node/owner_announcements_test.go
+++ b/pkg/node/owner_announcements_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/cell"
+	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/openjobs"
 	"github.com/foxcroft/foxcroft/pkg/ownership"
@@ -46,12 +47,15 @@
 		epoch    int
 		job      func(n *Node) *job.Job
 		isHere   bool // the first submission is at the same owner, and was announced by nobody
+		referred bool // the owner has named the front that holds it open before
 		accepted bool
 	}{
 		{testName: "from another front", front: "second:1", epoch: 1, job: submission},
 		{testName: "a part of it from another front", front: "second:1", epoch: 1, job: part},
 		{testName: "from the front that holds it open", front: "first:1", epoch: 1, job: submission, accepted: true},
-		{testName: "from another front that has looked for it", front: "second:1", epoch: 2, job: submission, accepted: true},
+		{testName: "from another front that has lost another owner, or has looked for it elsewhere", front: "second:1", epoch: 2, job: submission},
+		{testName: "from another front that has asked the one that holds it open", front: "second:1", epoch: 2, job: submission, referred: true, accepted: true},
+		{testName: "from a third front", front: "third:1", epoch: 2, job: submission, referred: true},
 		{testName: "already at this owner", front: "second:1", epoch: 1, job: submission, isHere: true},
 		{testName: "already at this owner, a part of it", front: "second:1", epoch: 1, job: part, isHere: true},
 		{testName: "already at this owner, from the front that holds it open", front: "first:1", epoch: 1, job: submission, isHere: true, accepted: true},
@@ -70,6 +74,9 @@
 				n.recordOpenJobs(openjobs.Front{Address: "first:1", Domain: "z", Process: "first:1"}, "owner:1", []openjobs.Announcement{{ID: joinID, Remaining: time.Minute}}, false)
 			}
 			j := s.job(n)
+			if s.referred {
+				c.Assert((<-o.submitFor("second:1", j, s.epoch)).OpenAt, qt.IsNotNil)
+			}
 			answer := o.submitFor(s.front, j, s.epoch)
 			if s.accepted {
 				c.Assert(o.has(j.ID), qt.IsTrue)
@@ -89,6 +96,22 @@
 	}
 }
 
+// Guards against a second run beside those of a job that this host's front has just given up.
+func TestAnOwnerDoesNotAcceptAJobThatItsOwnFrontHasJustGivenUp(t *testing.T) {
+	c := qt.New(t)
+	n := newTestNode(c, &fakeStore{})
+	clock := &common.ManualClock{At: time.Minute}
+	n.Clock = clock
+	o := newOwner(n, "z/2.1", 1, clock.At)
+	open := openUnannounced(n)
+	open.cancel(errLeft)
+	c.Assert((<-o.submitFor("second:1", submission(n), 1)).OpenAt, qt.IsNotNil, qt.Commentf("not withdrawn yet"))
+	n.front.end(open, mayHaveRun)
+	c.Assert((<-o.submitFor("second:1", submission(n), 2)).OpenAt.Remaining, qt.Equals, n.settleTime())
+	clock.At += n.settleTime()
+	c.Assert(o.submitFor("second:1", submission(n), 2), qt.HasLen, 0)
+}
+
 // Guards against the same at a host that owns the other cell and is the first submission's front.
 func TestAnOwnerDoesNotAcceptAJobThatItsOwnFrontHoldsOpen(t *testing.T) {
 	c := qt.New(t)
@@ -196,7 +219,7 @@
 			go func() {
 				self := a.asFront()
 				at := &job.OpenAt{Address: self.Address, Domain: self.Domain, Process: self.Process, Remaining: time.Minute}
-				outcome, ended := b.front.joinOpenAt(context.Background(), second.job, a.settings.PeerAddress, at)
+				outcome, ended := b.front.joinOpenAt(context.Background(), second.job, a.settings.PeerAddress, at, false)
 				results <- result{outcome, ended}
 			}()
 			if s.hasEnded {
