node: give up jobs whose announcement a domain has not confirmed

A front that is cut off from a domain, or its host from all others, can't announce its jobs there. Its callers may be cut off from it as well and submit their jobs in that domain, whose hosts know of nothing and start them at once, while the front goes on renewing until its deadline. That a domain which can't announce has no open jobs was taken for granted.

A front now has each domain confirm an announcement: a heartbeat to two of the domain's hosts takes the same way and is answered after it, by earlier releases too. Without an answer by 1.15 s after the job's receipt (0.15 s before a resubmission) it gives the job up. Jobs that came after it had noticed that the domain is cut off are kept, so that a domain goes on serving. Announcements are sent 0.1 s earlier, at the age of 0.7 s.

--- /dev/null
+++ b/pkg/node/confirmations.go
@@ -0,0 +1,130 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/openjobs"
+	"github.com/foxcroft/foxcroft/pkg/peerpb"
+)
+
+// A front that is cut off from a domain can't announce its jobs there. Its callers may be cut off
+// from it as well and resubmit their jobs in that domain, which it can't notice. So each domain has
+// to confirm an announcement, this host's own included; if one doesn't, the front gives up the jobs.
+
+// confirmersPerDomain is how many hosts of each domain are asked to confirm an announcement. One
+// that does is enough: it relays announcements within its domain.
+const confirmersPerDomain = relaysPerDomain
+
+// confirmRetryInterval is the time between two attempts to have an announcement confirmed.
+const confirmRetryInterval = 50 * time.Millisecond
+
+// confirmAnnouncement has each domain confirm an announcement of open jobs that was sent just now.
+func (n *Node) confirmAnnouncement(batch []openjobs.Announcement) {
+	var jobs []*openJob
+	for _, announced := range batch {
+		if open := n.front.openJob(announced.ID); open != nil {
+			jobs = append(jobs, open)
+		}
+	}
+	if len(jobs) == 0 {
+		return
+	}
+	for domain := range n.domainsBeside() {
+		go n.awaitConfirmation(domain, jobs)
+	}
+}
+
+// awaitConfirmation waits until a domain has confirmed an announcement, and gives up the jobs if it
+// doesn't in time.
+func (n *Node) awaitConfirmation(domain string, jobs []*openJob) {
+	limit := openjobs.ConfirmBy(jobs[0].job.Received, n.settings.ResubmitAfter)
+	for _, open := range jobs[1:] {
+		limit = min(limit, openjobs.ConfirmBy(open.job.Received, n.settings.ResubmitAfter))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit-n.Clock.Now())
+	defer cancel()
+	for !n.hasConfirmed(ctx, domain) {
+		if !n.front.sleepUntil(ctx, n.Clock.Now()+confirmRetryInterval) {
+			n.giveUpUnconfirmed(domain, jobs)
+			return
+		}
+	}
+	n.openJobTable.mu.Lock()
+	defer n.openJobTable.mu.Unlock()
+	n.openJobTable.confirmations.Confirmed(domain)
+}
+
+// hasConfirmed reports whether a host of a domain has handled what was sent to it before now. A
+// heartbeat takes the way of announcements and is answered after them, by hosts of earlier releases
+// too.
+func (n *Node) hasConfirmed(ctx context.Context, domain string) bool {
+	var hosts []string
+	for _, p := range n.reachablePeers() {
+		if p.Domain == domain && len(hosts) < confirmersPerDomain {
+			hosts = append(hosts, p.Address)
+		}
+	}
+	answers := make(chan bool, len(hosts))
+	for _, address := range hosts {
+		go func() {
+			link := n.links.Link(address)
+			if link == nil {
+				answers <- false
+				return
+			}
+			_, err := link.Call(ctx, &peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: n.Heartbeat()}}, 0)
+			answers <- err == nil
+		}()
+	}
+	for range hosts {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
+
+// giveUpUnconfirmed gives up the jobs of which a domain may not know, unless they came after this
+// host had noticed that the domain is cut off.
+func (n *Node) giveUpUnconfirmed(domain string, jobs []*openJob) {
+	n.openJobTable.mu.Lock()
+	giveUpBefore := n.openJobTable.confirmations.Missing(domain, n.Clock.Now())
+	n.openJobTable.mu.Unlock()
+	for _, open := range jobs {
+		if open.job.Received < giveUpBefore && !open.hasEnded() {
+			n.Log.Warn("open_job_unconfirmed", "job", open.job.ID, "domain", domain, "age_ms", (n.Clock.Now() - open.job.Received).Milliseconds())
+			open.cancel(errUnconfirmed)
+		}
+	}
+}
+
+// domainsBeside returns the domains with hosts other than this one.
+func (n *Node) domainsBeside() map[string]bool {
+	domains := map[string]bool{}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, row := range n.memberRows {
+		if row.PeerAddress != n.settings.PeerAddress {
+			domains[row.Domain] = true
+		}
+	}
+	return domains
+}
+
+// openJob returns the open job with this id, or nil.
+func (f *front) openJob(id string) *openJob {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.open[id]
+}
+
+// hasEnded reports whether the job has ended here.
+func (o *openJob) hasEnded() bool {
+	select {
+	case <-o.done:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/pkg/node/confirmations_test.go
@@ -0,0 +1,62 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/openjobs"
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a second start of a job in a domain to which its front couldn't announce it: the
+// caller may be cut off from the front as well, and resubmit the job there.
+func TestAJobThatADomainHasNotConfirmedIsGivenUp(t *testing.T) {
+	type scenario struct {
+		testName string
+		row      string // domain of a second host
+		isLinked bool
+		missing  time.Duration // how long before the job's receipt the domain was first missing; 0: it wasn't
+		givenUp  bool
+	}
+	scenarios := []scenario{
+		{testName: "another domain confirms", row: "y", isLinked: true},
+		{testName: "another domain is cut off", row: "y", givenUp: true},
+		{testName: "it has been cut off since before the job came", row: "y", missing: time.Second},
+		{testName: "cut off from the own domain", row: "z", givenUp: true},
+		{testName: "there is no other host"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			a := peerNode(t, "a", "z", 1)
+			a.settings.ResubmitAfter = time.Second
+			rows := []Member{{Name: "a", Domain: "z", PeerAddress: a.settings.PeerAddress}}
+			if s.row != "" {
+				b := peerNode(t, "b", s.row, 2)
+				rows = append(rows, Member{Name: "b", Domain: s.row, PeerAddress: b.settings.PeerAddress})
+				if s.isLinked {
+					linkAll(t, a, b)
+				}
+			}
+			a.mu.Lock()
+			for _, row := range rows {
+				a.memberRows[row.Name] = row
+			}
+			a.mu.Unlock()
+			open := openUnannounced(a)
+			if s.missing > 0 {
+				a.openJobTable.confirmations.Missing(s.row, open.job.Received-s.missing)
+			}
+			a.confirmAnnouncement([]openjobs.Announcement{{ID: joinID}})
+			select {
+			case <-open.ctx.Done():
+				c.Assert(s.givenUp, qt.IsTrue)
+				c.Assert(abandoned(open.ctx, true).Reason, qt.Equals, "not_announced")
+			case <-time.After(a.settings.ResubmitAfter):
+				c.Assert(s.givenUp, qt.IsFalse)
+			}
+			c.Assert(context.Cause(open.ctx) == errUnconfirmed, qt.Equals, s.givenUp)
+		})
+	}
+}
--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -38,13 +38,17 @@
 var (
 	errCancelled = errors.New("caller_cancelled")
 	errStopping  = errors.New("stopping")
+	// errUnconfirmed: a domain may not know of the job, and a caller may resubmit it there.
+	errUnconfirmed = errors.New("not_announced")
 )
 
 // abandoned returns the outcome of a job that the front no longer waits for.
 func abandoned(ctx context.Context, started bool) job.Outcome {
 	reason := "caller_left"
-	if cause := context.Cause(ctx); errors.Is(cause, errCancelled) || errors.Is(cause, errStopping) || errors.Is(cause, errDeadline) {
-		reason = cause.Error()
+	for _, known := range []error{errCancelled, errStopping, errDeadline, errUnconfirmed} {
+		if errors.Is(context.Cause(ctx), known) {
+			reason = known.Error()
+		}
 	}
 	if reason == errStopping.Error() && !started {
 		return job.Outcome{Kind: job.Refused, Reason: reason, RetryAfter: refusalRetryAfter}
--- a/pkg/node/openjobs.go
+++ b/pkg/node/openjobs.go
@@ -31,6 +31,8 @@
 
 	ownersAnnounceAfter time.Duration // age at which owners announce a job for its front
 
+	confirmations *openjobs.Confirmations
+
 	searches  map[string]*openjobs.Search // for resubmitted jobs, by id
 	resumedAt time.Duration               // when this host last resumed, after it was cut off from its domain or paused
 }
@@ -59,6 +61,8 @@
 
 		ownersAnnounceAfter: openjobs.OwnerAnnounceAfter(resubmitAfter),
 
+		confirmations: openjobs.NewConfirmations(),
+
 		searches: map[string]*openjobs.Search{},
 	}
 }
@@ -185,6 +189,7 @@
 	}
 	n.metrics.OpenJobsTold(len(batch) * len(peers))
 	n.Log.Info("open_jobs_told", "jobs", len(batch), "first", batch[0].ID, "hosts", len(peers), "passing", relays)
+	n.confirmAnnouncement(batch)
 }
 
 // asFront identifies this process to other hosts.
--- /dev/null
+++ b/pkg/openjobs/confirmations.go
@@ -0,0 +1,38 @@
+package openjobs
+
+import "time"
+
+// withdrawTime is how long before a possible resubmission a front gives up a job of which a domain
+// may not know. By the resubmission its runs have been stopped.
+const withdrawTime = 150 * time.Millisecond
+
+// ConfirmBy returns until when each domain has to confirm that it has received the announcement of
+// a job. Otherwise a caller may resubmit the job there, where no host would look for this one.
+func ConfirmBy(received, resubmitAfter time.Duration) time.Duration {
+	return received + resubmitAfter - withdrawTime
+}
+
+// Confirmations records the domains that don't confirm announcements. It is not safe for concurrent
+// use.
+type Confirmations struct {
+	missingSince map[string]time.Duration // by domain: when it was first noticed that it doesn't confirm, since it last did
+}
+
+// NewConfirmations returns an empty Confirmations.
+func NewConfirmations() *Confirmations {
+	return &Confirmations{missingSince: map[string]time.Duration{}}
+}
+
+// Confirmed records that a domain has confirmed an announcement.
+func (c *Confirmations) Confirmed(domain string) { delete(c.missingSince, domain) }
+
+// Missing records that it is noticed now that a domain doesn't confirm an announcement. It returns a
+// time: jobs that were received before it have to be given up. Those received later are kept, as their
+// callers reach this front although it is cut off from the domain.
+func (c *Confirmations) Missing(domain string, now time.Duration) (giveUpBefore time.Duration) {
+	if since, known := c.missingSince[domain]; known {
+		return since
+	}
+	c.missingSince[domain] = now
+	return now
+}
--- /dev/null
+++ b/pkg/openjobs/confirmations_test.go
@@ -0,0 +1,26 @@
+package openjobs
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestConfirmationsTellWhichJobsToGiveUp(t *testing.T) {
+	c := qt.New(t)
+	confirmations := NewConfirmations()
+	c.Assert(confirmations.Missing("y", 5*time.Second), qt.Equals, 5*time.Second)
+	c.Assert(confirmations.Missing("y", 7*time.Second), qt.Equals, 5*time.Second, qt.Commentf("cut off since the first one"))
+	c.Assert(confirmations.Missing("z", 7*time.Second), qt.Equals, 7*time.Second)
+	confirmations.Confirmed("y")
+	c.Assert(confirmations.Missing("y", 9*time.Second), qt.Equals, 9*time.Second, qt.Commentf("reachable in between"))
+}
+
+// An announcement is sent early enough to be confirmed before the job has to be given up.
+func TestAnnouncementsAreSentBeforeTheyHaveToBeConfirmed(t *testing.T) {
+	c := qt.New(t)
+	latest := AnnounceAfter(resubmitAfter) + ScanInterval + minBatchInterval
+	c.Assert(ConfirmBy(0, resubmitAfter)-latest >= 2*transitTime, qt.IsTrue)
+	c.Assert(ConfirmBy(0, resubmitAfter) < resubmitAfter, qt.IsTrue)
+}
--- a/pkg/openjobs/openjobs.go
+++ b/pkg/openjobs/openjobs.go
@@ -13,9 +13,9 @@
 import "time"
 
 // A caller resubmits a job some time after the connection of the first submission broke.
-// The announcement of the job has to have reached all hosts by then:
+// The announcement of the job has to have reached all hosts by then, and the front has to know that:
 //
-//	AnnounceAfter + ScanInterval + minBatchInterval + 2 x transitTime + maxReceiptDelay = resubmission
+//	AnnounceAfter + ScanInterval + minBatchInterval + 2 x transitTime + maxReceiptDelay + confirmTime = resubmission
 const (
 	// ScanInterval is the longest time between two scans for jobs to announce.
 	ScanInterval = 100 * time.Millisecond
@@ -28,8 +28,10 @@
 	transitTime = 50 * time.Millisecond
 	// maxReceiptDelay is how late a front may receive the first submission.
 	maxReceiptDelay = 100 * time.Millisecond
+	// confirmTime is the time of a domain's confirmation, with as much again for a process that is busy.
+	confirmTime = 2 * transitTime
 	// announceMargin is how long before a possible resubmission a job is announced.
-	announceMargin = ScanInterval + minBatchInterval + 2*transitTime + maxReceiptDelay
+	announceMargin = ScanInterval + minBatchInterval + 2*transitTime + maxReceiptDelay + confirmTime
 )
 
 // A front may receive the first submission later than maxReceiptDelay, or be unable to announce
