cell: the explorer's unclear executors drop late commands when they restart

Cause: a command that an unclear executor carried out later was carried out by its next incarnation too; the other late commands die with the one that received them (docs/design/lives.md). No scenario had both, so none showed it.

--- a/pkg/cell/explore_again_test.go
+++ b/pkg/cell/explore_again_test.go
@@ -59,6 +59,7 @@
 		{testName: "new owners don't reach an executor, hosts freeze and crash", faults: faults{partialCuts: true, hostCrashes: true, ownerCrashChains: true, freezes: true}},
 		{testName: "new owners don't reach an executor, and everything else", faults: faults{partialCuts: true, hostCrashes: true, ownerCrashChains: true, freezes: true, frontMessages: true, commands: true, unreadableRows: true, vanishingRows: true}, halved: true},
 		{testName: "new owners don't reach an executor, and executors restart", faults: faults{partialCuts: true, executorCrashes: true, commands: true}},
+		{testName: "everything, a fifth of the commands seconds late", faults: faults{partialCuts: true, hostCrashes: true, ownerCrashChains: true, freezes: true, frontMessages: true, commands: true, unreadableRows: true, refusals: true, unclearAnswers: true, executorCrashes: true, rates: lateCommandRates}, halved: true},
 		{testName: "unclear answers, refusals, and everything else", faults: faults{hostCrashes: true, ownerCrashChains: true, freezes: true, frontMessages: true, commands: true, unreadableRows: true, refusals: true, unclearAnswers: true, rates: unclearAnswerRates}, halved: true},
 	}
 	for _, s := range scenarios {
--- a/pkg/cell/explore_orders_test.go
+++ b/pkg/cell/explore_orders_test.go
@@ -161,12 +161,7 @@
 	}
 	draw -= f.delayed
 	if draw < 0 {
-		incarnation := e.startedAt
-		w.after(2*time.Second+time.Duration(w.random.IntN(8000))*ms, func() {
-			if e.startedAt == incarnation { // the incarnation that received the command is still alive
-				w.carryOut(e, call.command)
-			}
-		})
+		w.carryOutLater(e, call.command, 2*time.Second+time.Duration(w.random.IntN(8000))*ms)
 		return
 	}
 	draw -= f.answerLost
@@ -199,6 +194,17 @@
 	w.after(d, func() { delete(e.cutOffFrom, o) })
 }
 
+// carryOutLater has an executor carry a command out later, unless the incarnation that received it
+// has ended by then.
+func (w *transport) carryOutLater(e *modelExecutor, command Command, d time.Duration) {
+	incarnation := e.startedAt
+	w.after(d, func() {
+		if e.startedAt == incarnation {
+			w.carryOut(e, command)
+		}
+	})
+}
+
 // serveUnclear answers a command at once without saying whether it was carried out.
 // Six commands in eight are carried out at once, one later, and one never.
 func (w *transport) serveUnclear(e *modelExecutor, call *modelCall) {
@@ -206,7 +212,7 @@
 	case draw < 6:
 		w.carryOut(e, call.command)
 	case draw == 6:
-		w.after(w.between(0, 2*time.Second), func() { w.carryOut(e, call.command) })
+		w.carryOutLater(e, call.command, w.between(0, 2*time.Second))
 	}
 	w.deliver(call.owner, ms, func() { w.answer(call, Unclear, HoldResponse{Verdict: Unclear}) })
 }
