node: owners with nobody to tell skip their announcements

Reading of the previous landing: owners without other owners in their domain went through their jobs every 0.1 s to announce them to nobody.

--- a/pkg/node/owner_announcements.go
+++ b/pkg/node/owner_announcements.go
@@ -19,6 +19,10 @@
 	n.ownedAnnouncedAt = now
 	for _, o := range n.allOwners() {
 		others, relays := n.ownersBeside(o.cell), n.relaysBeside(o.cell)
+		if len(others)+len(relays) == 0 {
+			o.resetAnnouncedTo()
+			continue
+		}
 		missed, due := o.nextAnnouncements(slices.Concat(others, relays), now)
 		for _, address := range others {
 			n.announceFor(address, due, false)
@@ -107,6 +111,13 @@
 	return missed, due
 }
 
+// resetAnnouncedTo records that no host has been told of the jobs here.
+func (o *owner) resetAnnouncedTo() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.announcedTo = nil
+}
+
 // announcementsOf returns the jobs of the waiters that are wanted. o.mu is held.
 func (o *owner) announcementsOf(wanted func(w *waiter) bool, now time.Duration) announcements {
 	byFront := announcements{}
