node, keeping: one flag for whether progress names all runs

attempt and the followers of kept jobs had formerLost, the inverse of the NamesRuns that they send. Both keep namesRuns now. A job that comes back from a search for another submission no longer claims to name all runs: that submission's are not named.

--- a/pkg/cell/explore_caller_test.go
+++ b/pkg/cell/explore_caller_test.go
@@ -111,7 +111,7 @@
 		parts = j.Split([]int{first, c.tasks - first})
 	}
 	for _, part := range parts {
-		a := &attempt{front: s.front, job: part, epoch: 1}
+		a := &attempt{front: s.front, job: part, epoch: 1, namesRuns: true}
 		s.attempts = append(s.attempts, a)
 		s.front.open = append(s.front.open, a)
 		a.tryDispatch()
--- a/pkg/cell/explore_front_test.go
+++ b/pkg/cell/explore_front_test.go
@@ -15,17 +15,17 @@
 // attempt is a job, or a part of one, that a front hands to one owner after another
 // until it ends.
 type attempt struct {
-	front      *host
-	job        *job.Job
-	epoch      int
-	progress   []job.Progress
-	owner      *owner  // the owner that has the job, as far as the front knows; nil for none
-	link       *link   // to the owner; nil for one on the same host
-	cell       *domain // of that owner
-	lostCell   *domain // where runs of it may still be alive; nil for none
-	settleAt   time.Duration
-	formerLost bool // the last owner was lost
-	done       bool // the front no longer waits
+	front     *host
+	job       *job.Job
+	epoch     int
+	progress  []job.Progress
+	owner     *owner  // the owner that has the job, as far as the front knows; nil for none
+	link      *link   // to the owner; nil for one on the same host
+	cell      *domain // of that owner
+	lostCell  *domain // where runs of it may still be alive; nil for none
+	settleAt  time.Duration
+	namesRuns bool // progress names all runs that former owners may have left
+	done      bool // the front no longer waits
 }
 
 // dispatch is what a front sends to an owner with a job.
@@ -34,7 +34,7 @@
 	epoch       int
 	progress    []job.Progress
 	settleDelay time.Duration // from the arrival until the first start is allowed
-	formerLost  bool
+	namesRuns   bool
 	renewedAt   time.Duration // the newest timestamp of the owner at which the front's callers are confirmed to have waited; 0 for none
 }
 
@@ -82,7 +82,7 @@
 func (a *attempt) dispatchTo(target *domain) {
 	w := a.front.cluster
 	o := target.announced
-	d := dispatch{job: a.job, epoch: a.epoch, progress: a.progress, formerLost: a.formerLost}
+	d := dispatch{job: a.job, epoch: a.epoch, progress: a.progress, namesRuns: a.namesRuns}
 	if a.lostCell != nil && a.lostCell != target {
 		d.settleDelay = max(0, a.settleAt-w.now)
 	}
@@ -129,7 +129,7 @@
 	}
 	if outcome.Reason != "not_owner" {
 		a.epoch++
-		a.progress, a.formerLost = outcome.Progress, outcome.MayLeaveUnknownRuns(a.formerLost)
+		a.progress, a.namesRuns = outcome.Progress, outcome.NamesAllRuns(a.namesRuns)
 		if outcome.Started {
 			a.lostCell, a.settleAt = a.cell, w.now+lostRunsEndWithin
 		}
@@ -142,7 +142,7 @@
 	w := a.front.cluster
 	w.record(a.id(), "%s has lost the owner of %s, %s", a.front.name, a.job.ID, a.owner.name())
 	a.epoch++
-	a.formerLost = true
+	a.namesRuns = false
 	a.lostCell, a.settleAt = a.cell, w.now+lostRunsEndWithin
 	a.retry()
 }
--- a/pkg/cell/explore_kept_test.go
+++ b/pkg/cell/explore_kept_test.go
@@ -357,7 +357,7 @@
 		return
 	}
 	if outcome.Kind == job.Moved {
-		k.lost[id] = outcome.MayLeaveUnknownRuns(k.lost[id])
+		k.lost[id] = !outcome.NamesAllRuns(!k.lost[id])
 		k.redispatch(id, outcome.Progress)
 		return
 	}
--- a/pkg/cell/explore_owner_test.go
+++ b/pkg/cell/explore_owner_test.go
@@ -170,7 +170,7 @@
 	if d.settleDelay > 0 {
 		settleAt = w.now + d.settleDelay
 	}
-	handover := Handover{Job: d.job, Epoch: d.epoch, Progress: d.progress, NotBefore: settleAt, RenewedAt: d.renewedAt, NamesRuns: !d.formerLost}
+	handover := Handover{Job: d.job, Epoch: d.epoch, Progress: d.progress, NotBefore: settleAt, RenewedAt: d.renewedAt, NamesRuns: d.namesRuns}
 	o.handle(func() { o.cell.Submit(handover, w.now) })
 }
 
--- a/pkg/job/job.go
+++ b/pkg/job/job.go
@@ -229,10 +229,10 @@
 	OpenAt     *OpenAt // the front that holds the job open, if an owner didn't accept the job for that
 }
 
-// MayLeaveUnknownRuns reports whether owners that had the job may have left runs that Progress
-// doesn't name. before tells so of the owners before the one that has returned it.
-func (o *Outcome) MayLeaveUnknownRuns(before bool) bool {
-	return !o.NamesRuns && (o.Started || before)
+// NamesAllRuns reports whether Progress names all runs that owners of the job may have left. before
+// tells so of the owners before the one that has returned it.
+func (o *Outcome) NamesAllRuns(before bool) bool {
+	return o.NamesRuns || !o.Started && before
 }
 
 // OpenAt is the front that holds a job open.
--- a/pkg/keeping/follow.go
+++ b/pkg/keeping/follow.go
@@ -34,7 +34,7 @@
 	epoch          int
 	asOf           time.Duration // when the row was last confirmed
 	since          time.Duration // when the follower was created
-	formerLost     bool          // its last owner may have runs of it that progress doesn't name
+	namesRuns      bool          // progress names all runs that its owners may have left
 	released       bool          // the cell that the job was moved from has confirmed that it does not run it
 	dispatched     atomic.Bool   // it has been dispatched to an owner
 	cancel         context.CancelFunc
@@ -66,7 +66,7 @@
 		old.cancel()
 	}
 	ctx, cancel := context.WithCancel(p.service.ctx)
-	next := &follower{partition: p, record: f.Record, epoch: f.Epoch, asOf: f.AsOf, since: now, formerLost: true, cancel: cancel, ended: make(chan struct{})}
+	next := &follower{partition: p, record: f.Record, epoch: f.Epoch, asOf: f.AsOf, since: now, cancel: cancel, ended: make(chan struct{})}
 	next.job, next.progress = jobOf(&f.Record, p.coordinator.Age(&f.Record, now), now)
 	if old != nil {
 		next.ended = old.ended
@@ -108,7 +108,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.cancelDispatch.Store(&cancel)
-	return f.service().host.Dispatch(ctx, f.job, Dispatch{Cell: f.record.Cell, Epoch: f.epoch, Progress: f.progressAsOfNow(), FormerLost: f.formerLost})
+	return f.service().host.Dispatch(ctx, f.job, Dispatch{Cell: f.record.Cell, Epoch: f.epoch, Progress: f.progressAsOfNow(), NamesRuns: f.namesRuns})
 }
 
 // progressAsOfNow returns the progress for an owner that gets the job now.
@@ -204,7 +204,7 @@
 		f.move(f.record.From, f.progress)
 		f.awaitReplacement(ctx)
 	default:
-		f.released, f.formerLost = true, false
+		f.released, f.namesRuns = true, true
 	}
 }
 
@@ -237,10 +237,10 @@
 		if len(outcome.Progress) > 0 {
 			f.progress, f.progressAt = outcome.Progress, f.service().Clock.Now()
 		}
-		f.formerLost = outcome.MayLeaveUnknownRuns(f.formerLost)
+		f.namesRuns = outcome.NamesAllRuns(f.namesRuns)
 		return f.handleReturned(ctx, outcome)
 	default: // the owner is unreachable or cannot accept the job now
-		f.formerLost = true
+		f.namesRuns = false
 		common.Sleep(ctx, redispatchPause)
 	}
 	return false
--- a/pkg/keeping/service.go
+++ b/pkg/keeping/service.go
@@ -71,10 +71,10 @@
 
 // Dispatch is how a job is sent to the owner of its cell.
 type Dispatch struct {
-	Cell       string
-	Epoch      int
-	Progress   []job.Progress
-	FormerLost bool // its last owner may have runs of it that Progress doesn't name
+	Cell      string
+	Epoch     int
+	Progress  []job.Progress
+	NamesRuns bool // Progress names all runs that its owners may have left
 }
 
 // Host is what this package needs of the node.
--- a/pkg/keeping/service_test.go
+++ b/pkg/keeping/service_test.go
@@ -379,17 +379,17 @@
 // started after it had reported the job's progress for the last time.
 func TestNextOwnerIsToldWhetherProgressNamesAllRuns(t *testing.T) {
 	type scenario struct {
-		testName       string
-		outcome        job.Outcome // of the first dispatch
-		wantFormerLost bool        // at the second dispatch
+		testName      string
+		outcome       job.Outcome // of the first dispatch
+		wantNamesRuns bool        // at the second dispatch
 	}
 	scenarios := []scenario{
-		{testName: "its owner was lost", outcome: job.Outcome{Kind: job.Lost}, wantFormerLost: true},
-		{testName: "its owner has returned it", outcome: job.Outcome{Kind: job.Moved, Reason: "fenced", Started: true, NamesRuns: true}},
-		{testName: "its owner, an earlier build, has returned it", outcome: job.Outcome{Kind: job.Moved, Reason: "fenced", Started: true}, wantFormerLost: true},
-		{testName: "it goes on at its owner, which has reported progress", outcome: job.Outcome{Kind: job.Moved, Reason: ReasonProgress, Started: true}, wantFormerLost: true},
-		{testName: "it goes on at its owner, which took its coordinator for dead", outcome: job.Outcome{Kind: job.Moved, Reason: "front_silent", Started: true}, wantFormerLost: true},
-		{testName: "a host that is not the owner did not take it", outcome: job.Outcome{Kind: job.Moved}, wantFormerLost: true},
+		{testName: "its owner was lost", outcome: job.Outcome{Kind: job.Lost}},
+		{testName: "its owner has returned it", outcome: job.Outcome{Kind: job.Moved, Reason: "fenced", Started: true, NamesRuns: true}, wantNamesRuns: true},
+		{testName: "its owner, an earlier build, has returned it", outcome: job.Outcome{Kind: job.Moved, Reason: "fenced", Started: true}},
+		{testName: "it goes on at its owner, which has reported progress", outcome: job.Outcome{Kind: job.Moved, Reason: ReasonProgress, Started: true}},
+		{testName: "it goes on at its owner, which took its coordinator for dead", outcome: job.Outcome{Kind: job.Moved, Reason: "front_silent", Started: true}},
+		{testName: "a host that is not the owner did not take it", outcome: job.Outcome{Kind: job.Moved}},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
@@ -398,7 +398,7 @@
 			service := startService(t.Cleanup, host, newFakeStore())
 			service.Keep(context.Background(), testJob("a"))
 			within(c, host.dispatches).end <- s.outcome
-			c.Assert(within(c, host.dispatches).formerLost, qt.Equals, s.wantFormerLost)
+			c.Assert(within(c, host.dispatches).namesRuns, qt.Equals, s.wantNamesRuns)
 		})
 	}
 }
--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -34,7 +34,7 @@
 	formerCell    string        // cell of a former owner, where runs of the job may still be alive
 	notBefore     time.Duration // runs in formerCell have ended by then
 	preferredCell string        // cell to try first, once; empty when none
-	formerLost    bool          // the last owner was lost, so progress doesn't name its runs
+	namesRuns     bool          // progress names all runs that former owners may have left
 }
 
 // recordMoved records that an owner has returned the job. Its runs go on in the cell, where
@@ -44,7 +44,7 @@
 		return // the job was not accepted there
 	}
 	a.progress, a.progressAt = outcome.Progress, now
-	a.formerLost = outcome.MayLeaveUnknownRuns(a.formerLost)
+	a.namesRuns = outcome.NamesAllRuns(a.namesRuns)
 	a.started = a.started || outcome.Started
 	if outcome.Reason == cell.ReasonClosed {
 		a.formerCell = "" // no run of the job is left there
@@ -59,14 +59,14 @@
 // of runs of earlier owners.
 func (a *attempt) recordLost(cellName string, notBefore time.Duration) {
 	a.started = true
-	a.formerLost = true
+	a.namesRuns = false
 	a.formerCell, a.notBefore = cellName, notBefore
 }
 
 // recordSearch records that the job may have run for another front, of which no run is alive.
 func (a *attempt) recordSearch() {
 	a.epoch = max(a.epoch, 2)
-	a.started = true
+	a.started, a.namesRuns = true, false
 }
 
 // progressAsOf returns the progress for an owner that gets the job now.
--- a/pkg/node/front_test.go
+++ b/pkg/node/front_test.go
@@ -42,13 +42,13 @@
 	const reportedAt, settle = time.Second, 5 * time.Second
 	progress := []job.Progress{{Key: job.TaskKey{Step: 0, Index: 1}, Done: true}}
 	type scenario struct {
-		testName     string
-		before       attempt
-		apply        func(a *attempt)
-		wantCell     string
-		wantStarted  bool
-		wantProgress []job.Progress
-		wantLost     bool // the progress lacks the last owner's runs
+		testName      string
+		before        attempt
+		apply         func(a *attempt)
+		wantCell      string
+		wantStarted   bool
+		wantProgress  []job.Progress
+		wantNamesRuns bool // the progress names the runs of all owners
 	}
 	scenarios := []scenario{
 		{
@@ -56,45 +56,48 @@
 			apply: func(a *attempt) {
 				a.recordMoved("cell", job.Outcome{Started: true, Progress: progress, NamesRuns: true}, reportedAt, settle)
 			},
-			wantCell:     "cell",
-			wantStarted:  true,
-			wantProgress: progress,
+			wantCell:      "cell",
+			wantStarted:   true,
+			wantProgress:  progress,
+			wantNamesRuns: true,
 		},
+
 		{
-			testName: "returned before it started: any cell may run it",
-			apply:    func(a *attempt) { a.recordMoved("cell", job.Outcome{}, reportedAt, settle) },
+			testName:      "returned before it started: any cell may run it",
+			before:        attempt{namesRuns: true},
+			apply:         func(a *attempt) { a.recordMoved("cell", job.Outcome{}, reportedAt, settle) },
+			wantNamesRuns: true,
 		},
 		{
 			testName:     "returned untouched by a host that isn't the owner: the state stays",
-			before:       attempt{formerCell: "before", progress: progress, formerLost: true},
+			before:       attempt{formerCell: "before", progress: progress},
 			apply:        func(a *attempt) { a.recordMoved("other", job.Outcome{Reason: reasonNotOwner}, reportedAt, 2*settle) },
 			wantCell:     "before",
 			wantProgress: progress,
-			wantLost:     true,
 		},
 		{
 			testName: "returned by a closed cell: no runs of it are alive there",
 			apply: func(a *attempt) {
 				a.recordMoved("cell", job.Outcome{Reason: cell.ReasonClosed, Started: true, Progress: progress, NamesRuns: true}, reportedAt, settle)
 			},
-			wantStarted:  true,
-			wantProgress: progress,
+			wantStarted:   true,
+			wantProgress:  progress,
+			wantNamesRuns: true,
 		},
+
 		{
 			testName:    "lost with its owner: it may run there",
 			apply:       func(a *attempt) { a.recordLost("cell", settle) },
 			wantCell:    "cell",
 			wantStarted: true,
-			wantLost:    true,
 		},
 		{
 			testName:     "lost with its owner after another one had returned it: that one's runs may go on",
-			before:       attempt{formerCell: "before", progress: progress},
+			before:       attempt{formerCell: "before", progress: progress, namesRuns: true},
 			apply:        func(a *attempt) { a.recordLost("cell", settle) },
 			wantCell:     "cell",
 			wantStarted:  true,
 			wantProgress: progress,
-			wantLost:     true,
 		},
 		{
 			testName: "returned by an earlier build, whose progress names no runs",
@@ -104,7 +107,6 @@
 			wantCell:     "cell",
 			wantStarted:  true,
 			wantProgress: progress,
-			wantLost:     true,
 		},
 		{
 			testName: "withdrawn because this front was silent: another front may have it there, where it goes on",
@@ -113,17 +115,17 @@
 			},
 			wantCell:    "cell",
 			wantStarted: true,
-			wantLost:    true,
 		},
 		{
 			testName: "returned by an owner that found its runs after another one was lost",
-			before:   attempt{formerCell: "cell", formerLost: true},
+			before:   attempt{formerCell: "cell"},
 			apply: func(a *attempt) {
 				a.recordMoved("cell", job.Outcome{Started: true, Progress: progress, NamesRuns: true}, reportedAt, settle)
 			},
-			wantCell:     "cell",
-			wantStarted:  true,
-			wantProgress: progress,
+			wantCell:      "cell",
+			wantStarted:   true,
+			wantProgress:  progress,
+			wantNamesRuns: true,
 		},
 	}
 	for _, s := range scenarios {
@@ -134,7 +136,7 @@
 			c.Assert(a.formerCell, qt.Equals, s.wantCell)
 			c.Assert(a.started, qt.Equals, s.wantStarted)
 			c.Assert(a.progress, qt.DeepEquals, s.wantProgress)
-			c.Assert(a.formerLost, qt.Equals, s.wantLost)
+			c.Assert(a.namesRuns, qt.Equals, s.wantNamesRuns)
 		})
 	}
 }
--- a/pkg/node/join.go
+++ b/pkg/node/join.go
@@ -32,7 +32,7 @@
 		return own, attempt{}, true
 	}
 	if own.RetryAfter == 0 && len(n.openJobTable.find(j.ID, n.Clock.Now())) == 0 {
-		return job.Outcome{}, attempt{epoch: 1, started: n.openJobTable.mayHaveRun(j.ID)}, false
+		return job.Outcome{}, attempt{epoch: 1, started: n.openJobTable.mayHaveRun(j.ID), namesRuns: true}, false
 	}
 	f.markStarted(open)
 	ctx, cancel := f.untilDeadline(ctx, j)
--- a/pkg/node/join_test.go
+++ b/pkg/node/join_test.go
@@ -366,13 +366,13 @@
 	c := qt.New(t)
 	n := newTestNode(c, &fakeStore{})
 	former := newOpenJob(submission(n))
-	c.Assert(n.front.attemptAfter(context.Background(), former), qt.CmpEquals(cmp.AllowUnexported(attempt{})), attempt{epoch: 1}, qt.Commentf("it was never dispatched"))
+	c.Assert(n.front.attemptAfter(context.Background(), former), qt.CmpEquals(cmp.AllowUnexported(attempt{})), attempt{epoch: 1, namesRuns: true}, qt.Commentf("it was never dispatched"))
 	former.started, former.cell, former.epoch = true, "y", 2
 	state := n.front.attemptAfter(context.Background(), former)
 	c.Assert(state.epoch, qt.Equals, 3)
 	c.Assert(state.started, qt.IsTrue)
 	c.Assert(state.formerCell, qt.Equals, "y")
-	c.Assert(state.formerLost, qt.IsTrue, qt.Commentf("nobody has named the runs"))
+	c.Assert(state.namesRuns, qt.IsFalse, qt.Commentf("nobody has named the runs"))
 	c.Assert(state.notBefore >= n.settleTime(), qt.IsTrue)
 }
 
--- a/pkg/node/kept_host.go
+++ b/pkg/node/kept_host.go
@@ -175,7 +175,7 @@
 	if !ok {
 		return job.Outcome{Kind: job.Moved, Reason: reasonNotOwner}
 	}
-	return h.node.front.dispatch(ctx, j, claim, &attempt{epoch: d.Epoch, progress: d.Progress, progressAt: h.node.Clock.Now(), formerLost: d.FormerLost})
+	return h.node.front.dispatch(ctx, j, claim, &attempt{epoch: d.Epoch, progress: d.Progress, progressAt: h.node.Clock.Now(), namesRuns: d.NamesRuns})
 }
 
 // NotifyOwner implements keeping.Host.
--- a/pkg/node/open.go
+++ b/pkg/node/open.go
@@ -173,16 +173,16 @@
 // stopped. The runs of a split job are with several owners, so it waits until all have ended.
 func (f *front) attemptAfter(ctx context.Context, former *openJob) attempt {
 	f.mu.Lock()
-	state := attempt{epoch: former.epoch + 1, started: former.started, formerCell: former.cell, formerLost: true}
+	state := attempt{epoch: former.epoch + 1, started: former.started, formerCell: former.cell}
 	isSplit := former.isSplit
 	f.mu.Unlock()
 	if !state.started {
-		return attempt{epoch: 1}
+		return attempt{epoch: 1, namesRuns: true}
 	}
 	state.notBefore = f.node.Clock.Now() + f.node.settleTime()
 	if isSplit {
 		f.sleepUntil(ctx, state.notBefore)
-		state.formerCell, state.formerLost = "", false
+		state.formerCell, state.namesRuns = "", true
 	}
 	return state
 }
