node: a join request that was withdrawn before it is served leaves no waiter

Cause: joinable adds a waiter to a followed job, and joinAnswer then returned at once if the request had been withdrawn meanwhile. Each request is served in its own goroutine, so a withdrawal that arrives with its request, as after a cut or on a busy host, may be handled first. The job kept a waiter for good: it wasn't given up when its last caller left, and its leases were renewed until its deadline. A cancellation didn't reach the job.

Change: only a request that found no job is answered early; the others await the outcome, which removes the waiter and passes the cancellation on.

TestAJoinRequestThatWasWithdrawnBeforeItIsServed failed in 2 of 2 rows (2 waiters instead of 1) and passes.

--- a/pkg/node/joins.go
+++ b/pkg/node/joins.go
@@ -114,7 +114,7 @@
 	}
 	open, isFollowed := n.front.joinable(ctx, m.Id)
 	switch {
-	case ctx.Err() != nil:
+	case open == nil && ctx.Err() != nil: // the abandoned job may not have ended
 		return toOutcome(job.Outcome{Kind: job.Moved, Reason: reasonBusy})
 	case open == nil:
 		return toOutcome(n.endOf(m.Id))
