node: a front whose search is over no longer yields to another one

Cause: a search that found that the job may start stayed registered until the job ended. Until the front had marked the job as followed, a join request of another front was answered by that search, which could let the other front go first, with the reply that no run is alive. Both then started the job. It needs an announcement or a request of the other front between two steps of one goroutine, as on a host whose process is suspended between them.

Change: the search is removed under the lock under which it ends. A request in between is answered with "ask again".

TestAFrontThatMayStartAJobNoLongerYields got "yields" and now gets "ask_again".

--- a/pkg/node/join.go
+++ b/pkg/node/join.go
@@ -95,7 +95,7 @@
 		if outcome, found := f.askAll(ctx, id, search, follows); found {
 			return outcome, true
 		}
-		at, mayStart := n.openJobTable.next(search, n.Clock.Now())
+		at, mayStart := n.openJobTable.next(id, search, n.Clock.Now())
 		if mayStart {
 			n.Log.Info("job_not_joined", "job", id, "waited_ms", (n.Clock.Now() - began).Milliseconds())
 			n.metrics.JobJoined("not")
--- a/pkg/node/join_races_test.go
+++ b/pkg/node/join_races_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"testing"
+	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/openjobs"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
 	qt "github.com/frankban/quicktest"
 )
@@ -33,3 +35,18 @@
 		})
 	}
 }
+
+// A front whose search is over starts the job, so it must not let another front go first after that.
+func TestAFrontThatMayStartAJobNoLongerYields(t *testing.T) {
+	c := qt.New(t)
+	n := newTestNode(c, &fakeStore{})
+	asker := openjobs.Front{Address: "0.0.0.0:1", Domain: "z", Process: "p"}
+	open, _ := n.front.enter(submission(n))
+	search := n.openJobTable.newSearch(open, 0)
+	n.openJobTable.resumedAt = -time.Hour
+	_, mayStart := n.openJobTable.next(joinID, search, n.Clock.Now())
+	c.Assert(mayStart, qt.IsTrue)
+	n.recordOpenJobs(asker, asker.Address, []openjobs.Announcement{{ID: joinID, Remaining: time.Minute}}, false)
+	m := &peerpb.Join{Id: joinID, Front: n.settings.PeerAddress, Process: n.inc[:], Asker: asker.Address, AskerProcess: []byte(asker.Process)}
+	c.Assert(n.answerJoin(context.Background(), m).GetOutcome().Reason, qt.Equals, reasonBusy)
+}
--- a/pkg/node/openjobs.go
+++ b/pkg/node/openjobs.go
@@ -145,14 +145,18 @@
 }
 
 // next is Search.Next, but starts no job before this host has received the announcements of
-// the others after it resumed.
-func (o *openJobTable) next(s *openjobs.Search, now time.Duration) (at time.Duration, mayStart bool) {
+// the others after it resumed. A search after which the job may start no longer yields: the
+// other front would take this one's answer for final and start the job too.
+func (o *openJobTable) next(id string, s *openjobs.Search, now time.Duration) (at time.Duration, mayStart bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	at, mayStart = s.Next(o.others, now)
 	if resyncedAt := o.resumedAt + openjobs.ResyncDelay; mayStart && now < resyncedAt {
 		return resyncedAt, false
 	}
+	if mayStart && o.searches[id] == s {
+		delete(o.searches, id)
+	}
 	return at, mayStart
 }
 
