node: an owner refers a process again that was started anew at a referred address

Cause: an owner names a front that holds a job open once to each front that dispatches the job, and accepts it from that front the next time, as it has asked meanwhile. Fronts were told apart by their addresses, so a process that was started anew at the address was taken for one that had asked.

Change: the front's incarnation counts as well.

TestAnOwnerRefersAFrontAgainAfterItsRestart: the second process's job was accepted at once; it is referred now.

--- a/pkg/node/join_races_test.go
+++ b/pkg/node/join_races_test.go
@@ -50,3 +50,18 @@
 	m := &peerpb.Join{Id: joinID, Front: n.settings.PeerAddress, Process: n.inc[:], Asker: asker.Address, AskerProcess: []byte(asker.Process)}
 	c.Assert(n.answerJoin(context.Background(), m).GetOutcome().Reason, qt.Equals, reasonBusy)
 }
+
+// A process that has started at the address of one that was referred to a front hasn't asked it.
+func TestAnOwnerRefersAFrontAgainAfterItsRestart(t *testing.T) {
+	c := qt.New(t)
+	n := newTestNode(c, &fakeStore{})
+	o := newOwner(n, "z/2.1", 1, n.Clock.Now())
+	n.recordOpenJobs(openjobs.Front{Address: "first:1", Domain: "z", Process: "first:1"}, "owner:1", []openjobs.Announcement{{ID: joinID, Remaining: time.Minute}}, false)
+	for _, process := range []string{"one", "two"} {
+		second := newWaitingFront("second:1")
+		second.hello.Incarnation = []byte(process)
+		second.submit(o, submission(n), 1, 0)
+		c.Assert(second.answer, qt.HasLen, 1, qt.Commentf("process %s", process))
+		c.Assert((<-second.answer).OpenAt, qt.IsNotNil)
+	}
+}
--- a/pkg/node/openjobs.go
+++ b/pkg/node/openjobs.go
@@ -111,7 +111,7 @@
 }
 
 // refer is Table.Refer.
-func (o *openJobTable) refer(id, dispatcher string, now time.Duration) (openjobs.Entry, bool) {
+func (o *openJobTable) refer(id string, dispatcher openjobs.Front, now time.Duration) (openjobs.Entry, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.others.Refer(id, dispatcher, now)
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -136,7 +136,7 @@
 func (o *owner) submit(handover cell.Handover, w waiter) {
 	var answer *job.Outcome
 	o.do(func(state *cell.Cell, now time.Duration) {
-		if answer = o.answerWithoutJob(state, handover, w.front, now); answer != nil {
+		if answer = o.answerWithoutJob(state, handover, &w, now); answer != nil {
 			return
 		}
 		id := handover.Job.ID
@@ -154,7 +154,7 @@
 }
 
 // answerWithoutJob returns the answer to a job that this owner does not take, or nil. o.mu is held.
-func (o *owner) answerWithoutJob(state *cell.Cell, handover cell.Handover, front string, now time.Duration) *job.Outcome {
+func (o *owner) answerWithoutJob(state *cell.Cell, handover cell.Handover, w *waiter, now time.Duration) *job.Outcome {
 	id := handover.Job.ID
 	if o.stopped {
 		return &job.Outcome{Kind: job.Moved, Reason: reasonNotOwner}
@@ -168,9 +168,9 @@
 	if handover.Job.Kept {
 		return nil
 	}
-	at, isHere := o.openHere(state, handover, front)
+	at, isHere := o.openHere(state, handover, w.front)
 	if !isHere {
-		at = o.node.openAtOther(handover.Job, front)
+		at = o.node.openAtOther(handover.Job, o.node.frontOf(w))
 	}
 	if at == nil {
 		return nil
--- a/pkg/node/owner_announcements.go
+++ b/pkg/node/owner_announcements.go
@@ -155,7 +155,7 @@
 
 // openAtOther returns the front that a front has to ask about a job before an owner here accepts the
 // job from it, or nil if none is known: one that has announced the job, or this host's own.
-func (n *Node) openAtOther(j *job.Job, front string) *job.OpenAt {
+func (n *Node) openAtOther(j *job.Job, front openjobs.Front) *job.OpenAt {
 	if j.Kept {
 		return nil
 	}
@@ -163,7 +163,7 @@
 	if entry, isOpen := n.openJobTable.refer(id, front, now); isOpen {
 		return &job.OpenAt{Address: entry.Front.Address, Domain: entry.Front.Domain, Process: entry.Front.Process, Remaining: entry.ExpiresAt - now}
 	}
-	if front == n.settings.PeerAddress {
+	if front.Address == n.settings.PeerAddress {
 		return nil
 	}
 	remaining := n.endOf(id).RetryAfter
--- a/pkg/openjobs/table.go
+++ b/pkg/openjobs/table.go
@@ -30,7 +30,7 @@
 	closed    bool          // the front no longer holds the job open
 	relay     bool          // this host relays announcements of it within its domain
 	reporters []string      // hosts that announced it, the front among them if it did
-	referred  []string      // addresses of the fronts that Refer returned it to
+	referred  []Front       // the fronts that Refer returned it to
 }
 
 // Table holds the jobs that other fronts hold open. It is not safe for concurrent use.
@@ -107,11 +107,11 @@
 
 // Refer returns the entry of a front that another front, the dispatcher, has to ask before an owner
 // here accepts the job from it. Each entry is returned once to a dispatcher: when that one
-// dispatches the job again, it has asked.
-func (t *Table) Refer(id, dispatcher string, now time.Duration) (Entry, bool) {
+// dispatches the job again, it has asked. A process that was started anew has not.
+func (t *Table) Refer(id string, dispatcher Front, now time.Duration) (Entry, bool) {
 	for _, found := range t.Find(id, now) {
 		e := t.entry(id, found.Front)
-		if e.Front.Address != dispatcher && !slices.Contains(e.referred, dispatcher) {
+		if e.Front.Address != dispatcher.Address && !slices.Contains(e.referred, dispatcher) {
 			e.referred = append(e.referred, dispatcher)
 			return *e, true
 		}
