node: jobs that are announced together are given up one by one

Cause: a front gives up jobs whose announcement a domain has not confirmed 0.15 s before the oldest of them may be resubmitted. One that is announced late, as after the process stood still, took all younger ones with it: with an expired limit the domain wasn't even asked.

Change: each job has its own limit, and the domain is asked until that of the youngest.

TestAYoungerJobIsNotGivenUpWithAnOlderOne failed (given up at once beside a job of 1.2 s) and passes.

--- a/pkg/node/confirmations.go
+++ b/pkg/node/confirmations.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/openjobs"
@@ -30,29 +32,36 @@
 	if len(jobs) == 0 {
 		return
 	}
+	slices.SortFunc(jobs, func(a, b *openJob) int { return cmp.Compare(a.job.Received, b.job.Received) })
 	for domain := range n.domainsBeside() {
 		go n.awaitConfirmation(domain, jobs)
 	}
 }
 
-// awaitConfirmation waits until a domain has confirmed an announcement, and gives up the jobs if it
-// doesn't in time.
+// awaitConfirmation waits until a domain has confirmed an announcement, and gives up each job for
+// which it doesn't in time.
 func (n *Node) awaitConfirmation(domain string, jobs []*openJob) {
-	limit := openjobs.ConfirmBy(jobs[0].job.Received, n.settings.ResubmitAfter)
-	for _, open := range jobs[1:] {
-		limit = min(limit, openjobs.ConfirmBy(open.job.Received, n.settings.ResubmitAfter))
+	for _, open := range jobs {
+		if n.confirmsBy(domain, openjobs.ConfirmBy(open.job.Received, n.settings.ResubmitAfter)) {
+			return
+		}
+		n.giveUpUnconfirmed(domain, open)
 	}
+}
+
+// confirmsBy asks a domain until it has confirmed what was sent to it before now, or until limit.
+func (n *Node) confirmsBy(domain string, limit time.Duration) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), limit-n.Clock.Now())
 	defer cancel()
 	for !n.hasConfirmed(ctx, domain) {
 		if !n.front.sleepUntil(ctx, n.Clock.Now()+confirmRetryInterval) {
-			n.giveUpUnconfirmed(domain, jobs)
-			return
+			return false
 		}
 	}
 	n.openJobTable.mu.Lock()
 	defer n.openJobTable.mu.Unlock()
 	n.openJobTable.confirmations.Confirmed(domain)
+	return true
 }
 
 // hasConfirmed reports whether a host of a domain has handled what was sent to it before now. A
@@ -85,17 +94,15 @@
 	return false
 }
 
-// giveUpUnconfirmed gives up the jobs of which a domain may not know, unless they came after this
-// host had noticed that the domain is cut off.
-func (n *Node) giveUpUnconfirmed(domain string, jobs []*openJob) {
+// giveUpUnconfirmed gives up a job of which a domain may not know, unless it came after this host
+// had noticed that the domain is cut off.
+func (n *Node) giveUpUnconfirmed(domain string, open *openJob) {
 	n.openJobTable.mu.Lock()
 	giveUpBefore := n.openJobTable.confirmations.Missing(domain, n.Clock.Now())
 	n.openJobTable.mu.Unlock()
-	for _, open := range jobs {
-		if open.job.Received < giveUpBefore && !open.hasEnded() {
-			n.Log.Warn("open_job_unconfirmed", "job", open.job.ID, "domain", domain, "age_ms", (n.Clock.Now() - open.job.Received).Milliseconds())
-			open.cancel(errUnconfirmed)
-		}
+	if open.job.Received < giveUpBefore && !open.hasEnded() {
+		n.Log.Warn("open_job_unconfirmed", "job", open.job.ID, "domain", domain, "age_ms", (n.Clock.Now() - open.job.Received).Milliseconds())
+		open.cancel(errUnconfirmed)
 	}
 }
 
--- a/pkg/node/confirmations_test.go
+++ b/pkg/node/confirmations_test.go
@@ -60,3 +60,29 @@
 		})
 	}
 }
+
+// listDomain has a node know of a host of another domain.
+func listDomain(n, other *Node, domain string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.memberRows[other.settings.Name] = Member{Name: other.settings.Name, Domain: domain, PeerAddress: other.settings.PeerAddress}
+}
+
+// Jobs that are announced together are given up one by one: the domain may confirm in time for the
+// younger ones.
+func TestAYoungerJobIsNotGivenUpWithAnOlderOne(t *testing.T) {
+	c := qt.New(t)
+	a, b := peerNode(t, "a", "z", 1), peerNode(t, "b", "y", 2)
+	listDomain(a, b, "y")
+	a.settings.ResubmitAfter = 1300 * time.Millisecond
+	older := submission(a)
+	older.ID, older.Received = "older", older.Received-1200*time.Millisecond // this process stood still
+	late, _ := a.front.enter(older)
+	a.front.markFollowed(late)
+	young := openUnannounced(a)
+	linkAll(t, a, b)
+	a.confirmAnnouncement([]openjobs.Announcement{{ID: older.ID}, {ID: joinID}})
+	<-late.ctx.Done()
+	time.Sleep(a.settings.ResubmitAfter)
+	c.Assert(young.ctx.Err(), qt.IsNil)
+}
