node: a domain that doesn't confirm announcements is asked again until it answers

Cause: a front keeps jobs that it received after it had noticed that a domain doesn't confirm its announcements, as the domain counts as cut off since then. Only the confirmation of another announcement ended that, and only jobs older than 0.7 s are announced. Without one between two cuts the second one counted as part of the first: jobs received before it were kept, although the domain didn't know of them, and could run a second time there.

Change: domains that don't confirm are asked by a heartbeat every 0.2 s, until one of their hosts answers. Nothing is sent while there is no link to them.

TestADomainThatIsReachableAgainHasToConfirm: a job before a second cut, 1 s after the first one had ended, wasn't given up; it is now.

--- a/pkg/node/confirmations.go
+++ b/pkg/node/confirmations.go
@@ -58,12 +58,33 @@
 			return false
 		}
 	}
-	n.openJobTable.mu.Lock()
-	defer n.openJobTable.mu.Unlock()
-	n.openJobTable.confirmations.Confirmed(domain)
+	n.openJobTable.recordConfirmed(domain)
 	return true
 }
 
+// askMissingDomains asks the domains that don't confirm whether they can be reached again.
+func (n *Node) askMissingDomains(now time.Duration) {
+	n.openJobTable.mu.Lock()
+	due := n.openJobTable.confirmations.DueAgain(now)
+	n.openJobTable.mu.Unlock()
+	for _, domain := range due {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), n.settings.SuspectAfter)
+			defer cancel()
+			if n.hasConfirmed(ctx, domain) {
+				n.openJobTable.recordConfirmed(domain)
+			}
+		}()
+	}
+}
+
+// recordConfirmed is Confirmations.Confirmed.
+func (o *openJobTable) recordConfirmed(domain string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.confirmations.Confirmed(domain)
+}
+
 // hasConfirmed reports whether a host of a domain has handled what was sent to it before now. A
 // heartbeat takes the way of announcements and is answered after them, by hosts of earlier releases
 // too.
--- a/pkg/node/confirmations_test.go
+++ b/pkg/node/confirmations_test.go
@@ -68,6 +68,31 @@
 	n.memberRows[other.settings.Name] = Member{Name: other.settings.Name, Domain: domain, PeerAddress: other.settings.PeerAddress}
 }
 
+// Guards against a second start after a later cut: a domain that could be reached in between doesn't
+// count as cut off since the first one, also if this host had nothing to announce meanwhile.
+func TestADomainThatIsReachableAgainHasToConfirm(t *testing.T) {
+	c := qt.New(t)
+	a, b := peerNode(t, "a", "z", 1), peerNode(t, "b", "y", 2)
+	listDomain(a, b, "y")
+	first := openUnannounced(a)
+	a.confirmAnnouncement([]openjobs.Announcement{{ID: joinID}})
+	<-first.ctx.Done()
+	a.front.end(first, mayHaveRun)
+	linkAll(t, a, b)
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		a.announceOpenJobs(a.Clock.Now()) // as the node does; there is nothing to announce
+	}
+	closeNode(b)
+	eventually(c, func() bool { return len(a.reachablePeers()) == 0 })
+	second := openUnannounced(a)
+	a.confirmAnnouncement([]openjobs.Announcement{{ID: joinID}})
+	select {
+	case <-second.ctx.Done():
+	case <-time.After(2 * a.settings.ResubmitAfter):
+		c.Fatal("the job isn't given up")
+	}
+}
+
 // Jobs that are announced together are given up one by one: the domain may confirm in time for the
 // younger ones.
 func TestAYoungerJobIsNotGivenUpWithAnOlderOne(t *testing.T) {
--- a/pkg/node/openjobs.go
+++ b/pkg/node/openjobs.go
@@ -178,6 +178,7 @@
 // announceOpenJobs announces this host's open jobs to other hosts, to which callers may resubmit
 // them.
 func (n *Node) announceOpenJobs(now time.Duration) {
+	n.askMissingDomains(now)
 	batch := n.openJobTable.nextBatch(now)
 	if len(batch) == 0 {
 		return
--- a/pkg/openjobs/confirmations.go
+++ b/pkg/openjobs/confirmations.go
@@ -1,6 +1,10 @@
 package openjobs
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // withdrawTime is how long before a possible resubmission a front gives up a job of which a domain
 // may not know. By the resubmission its runs have been stopped.
@@ -16,6 +20,7 @@
 // use.
 type Confirmations struct {
 	missingSince map[string]time.Duration // by domain: when it was first noticed that it doesn't confirm, since it last did
+	askedAt      time.Duration            // when DueAgain last returned domains
 }
 
 // NewConfirmations returns an empty Confirmations.
@@ -23,7 +28,21 @@
 	return &Confirmations{missingSince: map[string]time.Duration{}}
 }
 
-// Confirmed records that a domain has confirmed an announcement.
+// missingRetryInterval is how often a domain that doesn't confirm is asked again.
+const missingRetryInterval = 200 * time.Millisecond
+
+// DueAgain returns the domains that don't confirm, if they have to be asked again now. Without that,
+// one that was cut off would count as cut off until the next announcement, which may come after
+// another cut.
+func (c *Confirmations) DueAgain(now time.Duration) []string {
+	if len(c.missingSince) == 0 || now < c.askedAt+missingRetryInterval {
+		return nil
+	}
+	c.askedAt = now
+	return slices.Sorted(maps.Keys(c.missingSince))
+}
+
+// Confirmed records that a domain has confirmed an announcement, or answers again.
 func (c *Confirmations) Confirmed(domain string) { delete(c.missingSince, domain) }
 
 // Missing records that it is noticed now that a domain doesn't confirm an announcement. It returns a
--- a/pkg/openjobs/confirmations_test.go
+++ b/pkg/openjobs/confirmations_test.go
@@ -24,3 +24,15 @@
 	c.Assert(ConfirmBy(0, resubmitAfter)-latest >= 2*transitTime, qt.IsTrue)
 	c.Assert(ConfirmBy(0, resubmitAfter) < resubmitAfter, qt.IsTrue)
 }
+
+func TestDomainsThatDoNotConfirmAreAskedAgain(t *testing.T) {
+	c := qt.New(t)
+	confirmations := NewConfirmations()
+	c.Assert(confirmations.DueAgain(5*time.Second), qt.HasLen, 0)
+	confirmations.Missing("y", 5*time.Second)
+	confirmations.Missing("x", 5*time.Second)
+	c.Assert(confirmations.DueAgain(6*time.Second), qt.DeepEquals, []string{"x", "y"})
+	c.Assert(confirmations.DueAgain(6*time.Second+missingRetryInterval-1), qt.HasLen, 0)
+	confirmations.Confirmed("x")
+	c.Assert(confirmations.DueAgain(6*time.Second+missingRetryInterval), qt.DeepEquals, []string{"y"})
+}
