node: an owner refers only fronts that remember their runs in later epochs

Cause: an owner refers a front to the one that holds the job open in any epoch since. A front of an earlier build that gets such an answer sets its attempt to {epoch 2, started} and so forgets the cell of an owner that it has lost, the time until which runs there may be alive, and the progress. It then hands the job to any owner without a time to wait: as soon as the front that it was referred to replies, its own runs may go on beside the new ones. Builds of both ages run beside each other during an upgrade.

Change: Dispatch says that the front keeps what it knows (keeps_runs). Without that, an owner refers a front in the first epoch only, as earlier builds do.

TestAnOwnerDoesNotReferFrontsThatForgetTheirRuns failed without the condition. Hosts of two builds were not run beside each other.

--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -238,7 +238,7 @@
 		NotBefore: notBefore, RenewedAt: n.timeOf(m.Renewed), NamesRuns: m.NamesRuns,
 	}
 	o.submit(handover, waiter{
-		front: from.Address, connection: from,
+		front: from.Address, connection: from, keepsRuns: m.KeepsRuns,
 		reply: func(outcome job.Outcome) { reply(n.withTimestamp(toOutcome(outcome)), 0) },
 	})
 }
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -32,6 +32,7 @@
 	reply      reply
 
 	job         *job.Job
+	keepsRuns   bool          // the front remembers its former runs when it is referred to another front; fronts of earlier builds don't
 	renewedAt   time.Duration // its last renewal of the job, as in cell.Renew; 0 when unknown
 	isAnnounced bool          // to the owners of the domain's other cells
 }
@@ -165,7 +166,7 @@
 	if o.kept.isCancelled(id, now) {
 		return &keptCancelled
 	}
-	if handover.Job.Kept {
+	if handover.Job.Kept || handover.Epoch > 1 && !w.keepsRuns {
 		return nil
 	}
 	at, isHere := o.openHere(state, handover, w.front)
--- a/pkg/node/owner_announcements_test.go
+++ b/pkg/node/owner_announcements_test.go
@@ -22,9 +22,13 @@
 }
 
 func (o *owner) submitFor(front string, j *job.Job, epoch int) chan job.Outcome {
+	return o.submitForBuild(front, j, epoch, true)
+}
+
+func (o *owner) submitForBuild(front string, j *job.Job, epoch int, keepsRuns bool) chan job.Outcome {
 	answer := make(chan job.Outcome, 1)
 	connection := &peerpb.Hello{Address: front, Domain: "z", Incarnation: []byte(front)}
-	o.submit(cell.Handover{Job: j, Epoch: epoch}, waiter{front: front, connection: connection, reply: func(outcome job.Outcome) { answer <- outcome }})
+	o.submit(cell.Handover{Job: j, Epoch: epoch}, waiter{front: front, connection: connection, keepsRuns: keepsRuns, reply: func(outcome job.Outcome) { answer <- outcome }})
 	return answer
 }
 
@@ -96,6 +100,18 @@
 	}
 }
 
+// Guards against a second run beside those that a front has followed at an owner that it has lost: a
+// front of an earlier build forgets them when it is referred, and hands the job to any owner at once.
+func TestAnOwnerDoesNotReferFrontsThatForgetTheirRuns(t *testing.T) {
+	c := qt.New(t)
+	n := newTestNode(c, &fakeStore{})
+	o := newOwner(n, "z/2.1", 1, n.Clock.Now())
+	n.recordOpenJobs(openjobs.Front{Address: "first:1", Domain: "z", Process: "first:1"}, "owner:1", []openjobs.Announcement{{ID: joinID, Remaining: time.Minute}}, false)
+	c.Assert((<-o.submitForBuild("second:1", submission(n), 1, false)).OpenAt, qt.IsNotNil, qt.Commentf("nothing has run for it yet"))
+	c.Assert(o.submitForBuild("third:1", submission(n), 2, false), qt.HasLen, 0, qt.Commentf("it may have runs"))
+	c.Assert(o.has(joinID), qt.IsTrue)
+}
+
 // Guards against a second run beside those of a job that this host's front has just given up.
 func TestAnOwnerDoesNotAcceptAJobThatItsOwnFrontHasJustGivenUp(t *testing.T) {
 	c := qt.New(t)
