node: a front continues a job that the front it joined gave up unconfirmed

Cause: a front that gives a job up because a domain has not confirmed its announcement answered the fronts that had joined the job with that outcome (expired, not_announced). Their callers wait there, and got a failure.

Change: they are told the time at which the runs have ended, as by a front that stops, and go on with the job then.

TestWaitersContinueAJobThatAStoppingFrontAbandons is a row of TestWaitersContinueAJobThatItsFrontAbandons now, which also checks the time; its row of an unconfirmed job failed (the caller got expired after 0.04 s) and passes.

--- a/pkg/node/join_test.go
+++ b/pkg/node/join_test.go
@@ -289,20 +289,40 @@
 	}
 }
 
-// A job that a stopping front abandons is continued by the front that joined it.
-func TestWaitersContinueAJobThatAStoppingFrontAbandons(t *testing.T) {
-	c := qt.New(t)
-	a, b := pairOf(t)
-	open := openAndAnnounce(a)
-	eventually(c, func() bool { return knowsOpenJob(b) })
-	followed := awaitFollowed(b)
-	answer := submitLater(context.Background(), b)
-	eventually(c, func() bool { return waiters(a, open) == 2 })
-	a.front.abandonOpenJobs()
-	a.front.end(open, abandoned(open.ctx, true))
-	<-followed
-	b.Cancel(joinID)
-	c.Assert((<-answer).Reason, qt.Equals, errCancelled.Error())
+// A job that a front abandons for reasons of its own is continued by the front that joined it, once
+// its runs have ended.
+func TestWaitersContinueAJobThatItsFrontAbandons(t *testing.T) {
+	type scenario struct {
+		testName string
+		abandon  func(a *Node, open *openJob)
+	}
+	scenarios := []scenario{
+		{testName: "it stops", abandon: func(a *Node, _ *openJob) { a.front.abandonOpenJobs() }},
+		{testName: "a domain has not confirmed the job", abandon: func(_ *Node, open *openJob) { open.cancel(errUnconfirmed) }},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			a, b := pairOf(t)
+			open := openAndAnnounce(a)
+			eventually(c, func() bool { return knowsOpenJob(b) })
+			b.openJobTable.resumedAt = -time.Hour
+			followed := awaitFollowed(b)
+			answer := submitLater(context.Background(), b)
+			eventually(c, func() bool { return waiters(a, open) == 2 })
+			s.abandon(a, open)
+			ended := time.Now()
+			a.front.end(open, abandoned(open.ctx, true))
+			select {
+			case <-followed:
+			case outcome := <-answer:
+				c.Fatalf("the caller got %v", outcome)
+			}
+			c.Assert(time.Since(ended) > a.settleTime()*9/10, qt.IsTrue, qt.Commentf("after %s", time.Since(ended)))
+			b.Cancel(joinID)
+			c.Assert((<-answer).Reason, qt.Equals, errCancelled.Error())
+		})
+	}
 }
 
 // Guards against a second start at a host that missed the first announcement of an open job.
--- a/pkg/node/joins.go
+++ b/pkg/node/joins.go
@@ -124,7 +124,7 @@
 	n.Log.Info("job_joined_from", "job", m.Id, "asker", m.Asker, "age_ms", (n.Clock.Now() - open.job.Received).Milliseconds())
 	outcome, isOver := n.front.await(ctx, open)
 	switch {
-	case isOver && outcome.Reason == errStopping.Error():
+	case isOver && (outcome.Reason == errStopping.Error() || outcome.Reason == errUnconfirmed.Error()):
 		return toOutcome(notOpen(n.settleTime())) // the asking front continues the job
 	case isOver:
 		return toOutcome(outcome)
