--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -14,6 +14,9 @@
 // dispatch submits a job to an owner and waits for the outcome.
 func (f *front) dispatch(ctx context.Context, j *job.Job, claim ownership.Claim, state *attempt) job.Outcome {
 	f.node.Log.Info("job_dispatched", "job", j.ID, "cell", claim.Cell, "owner", claim.Owner, "token", claim.Token, "epoch", state.epoch, "queued_work", claim.Load.QueuedWork)
+	if state.formerCell != "" && state.formerCell != claim.Cell {
+		f.node.Log.Info("job_leaves_cell", "job", j.ID, "former", state.formerCell, "cell", claim.Cell, "epoch", state.epoch, "runs_end_in_ms", (state.notBefore - f.node.Clock.Now()).Milliseconds())
+	}
 	notBefore := f.earliestStart(claim, state)
 	if claim.Owner == f.node.settings.PeerAddress {
 		return f.dispatchLocal(ctx, j, claim, state, notBefore)
