node: a resubmission beside a job that is being given up looks for other fronts too

Cause: a job that is submitted to a front which just gives its first submission up goes to the same cell without a search. A front that was cut off may notice its caller's break long after the caller has resubmitted the job to another front, and the next submission arrives at that moment: its job was handed to the first cell, although the front knew from an announcement that another one holds it open.

Change: if others are known to hold the job open, the front asks them first, as one that has followed the job. What it knows of its own runs stays.

--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -117,10 +117,22 @@
 // firstAttempt returns the outcome of an earlier submission of a job and true, or, if there
 // is none, the state of the job's first attempt and false.
 func (f *front) firstAttempt(open, former *openJob) (job.Outcome, attempt, bool) {
-	if former != nil && former.cell != "" {
-		return job.Outcome{}, f.attemptAfter(open.ctx, former), false
+	if former == nil || former.cell == "" {
+		return f.joinElsewhere(open.ctx, open)
 	}
-	return f.joinElsewhere(open.ctx, open)
+	n, j := f.node, open.job
+	state := f.attemptAfter(open.ctx, former)
+	if len(n.openJobTable.find(j.ID, n.Clock.Now())) == 0 {
+		return job.Outcome{}, state, false
+	}
+	// The caller may have left this front long before, and have resubmitted the job to others.
+	f.markStarted(open)
+	state.recordSearch()
+	ctx, cancel := f.untilDeadline(open.ctx, j)
+	defer cancel()
+	outcome, found := f.search(ctx, j.ID, n.openJobTable.newSearch(open, 0), true)
+	outcome.Started = true
+	return outcome, state, found
 }
 
 // abandonOpenJobs abandons all open jobs, so that their callers get an answer before this
--- a/pkg/node/join_races_test.go
+++ b/pkg/node/join_races_test.go
@@ -65,3 +65,21 @@
 		c.Assert((<-second.answer).OpenAt, qt.IsNotNil)
 	}
 }
+
+// Guards against a second run beside that of another front: while a front gives up the first
+// submission, which its caller has left long ago, another one may hold the job open already.
+func TestAFrontThatHasJustGivenUpAJobLooksForItElsewhere(t *testing.T) {
+	c := qt.New(t)
+	a, b := pairOf(t)
+	elsewhere := openAndAnnounce(b)
+	eventually(c, func() bool { return knowsOpenJob(a) })
+	former := openUnannounced(a)
+	a.front.markDispatched(joinID, "z", 1)
+	former.cancel(errLeft)
+	answer := submitLater(context.Background(), a)
+	time.Sleep(50 * time.Millisecond) // it waits for the end of the first submission
+	a.front.end(former, mayHaveRun)
+	eventually(c, func() bool { return waiters(b, elsewhere) == 2 })
+	b.front.end(elsewhere, completed)
+	c.Assert((<-answer).Kind, qt.Equals, completed.Kind)
+}
