keeping: an isolated host doesn't dispatch a job again after a checkpoint

Cause: a host that becomes isolated interrupts the dispatches in flight, and dispatches no job whose follower checks that first. A follower that goes on after a checkpoint doesn't check, and one between its check and its dispatch isn't interrupted. Both held a kept job at its owner for as long as that one reached the host, while the other coordinators count on 6 s.

Change: the state is checked again once the dispatch can be interrupted. The job counts as at a lost owner, so nothing is taken for over.

TestIsolatedHostDispatchesNothingAfterACheckpoint: 1 dispatch before, now none while isolated.

--- a/pkg/keeping/follow.go
+++ b/pkg/keeping/follow.go
@@ -108,6 +108,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.cancelDispatch.Store(&cancel)
+	if f.service().storeReach.isolated.Load() { // the interruption may have come before
+		return job.Outcome{Kind: job.Lost}
+	}
 	return f.service().host.Dispatch(ctx, f.job, Dispatch{Cell: f.record.Cell, Epoch: f.epoch, Progress: f.progressAsOfNow(), NamesRuns: f.namesRuns})
 }
 
--- a/pkg/keeping/service_test.go
+++ b/pkg/keeping/service_test.go
@@ -429,6 +429,22 @@
 	c.Assert(within(c, host.dispatches).epoch > 1, qt.IsTrue)
 }
 
+// Guards against an isolated host that holds a kept job for longer than the others wait for it: an
+// interruption may come between two dispatches, or while the owner asks for a checkpoint.
+func TestIsolatedHostDispatchesNothingAfterACheckpoint(t *testing.T) {
+	c := qt.New(t)
+	host := newFakeHost()
+	s := startService(t.Cleanup, host, newFakeStore())
+	s.Keep(context.Background(), testJob("a"))
+	first := within(c, host.dispatches)
+	s.storeReach.isolated.Store(true)
+	first.end <- job.Outcome{Kind: job.Moved, Reason: ReasonProgress}
+	time.Sleep(3 * ownerCheckInterval)
+	c.Assert(host.dispatches, qt.HasLen, 0)
+	s.setIsolated(false)
+	c.Assert(within(c, host.dispatches).namesRuns, qt.IsFalse, qt.Commentf("the owner may have gone on with it"))
+}
+
 func TestForeignRowsAreDecodeErrors(t *testing.T) {
 	c := qt.New(t)
 	record := kept.Record{ID: "a", Cell: "x", From: "y", AcceptedAt: time.Second, Epoch: 3, Job: encodeJob(testJob("a"), nil)}
