node: two fronts that follow a job and have lost its owner don't wait for each other

Cause: a front that has lost its job's owner asks the other fronts that hold the job open, and one that follows the job answers with its outcome. If both have lost their owners, each waits for the other until the deadline, and the job is lost. An owner with two waiting fronts brings this about: it returns the job to the second when the first no longer renews, and both then search.

Change: a front that follows the job and searches lets the other one go first if that one's address is lower and it follows the job too, as fronts that search without following do; also if the other one has waited here since before. It answers with the time at which its own runs at the lost owner are over, and asks again before it goes on. Parts don't yield, as others may run.

TestFrontsThatRejoinEachOtherDoNotWaitForever failed (both waited 2 s, until the test's limit). Its rows now also check that the first goes on no earlier than the other one's runs are over, and that the other one joins it: 3 of 3 pass, twice. pkg/node, pkg/openjobs and pkg/keeping pass. Not in the simulation of pkg/openjobs, whose fronts don't rejoin each other.

--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -97,7 +97,7 @@
 			return abandoned(ctx, true)
 		}
 		if outcome.OpenAt != nil {
-			if outcome, ended := f.joinOpenAt(ctx, j, claim.Owner, outcome.OpenAt, state.formerCell != ""); ended {
+			if outcome, ended := f.joinOpenAt(ctx, j, claim.Owner, outcome.OpenAt, &state); ended {
 				outcome.Started = outcome.Started || state.started
 				return outcome
 			}
@@ -122,7 +122,7 @@
 		state.epoch++
 		f.node.metrics.JobRedispatched(outcome.Kind.String())
 		f.node.Log.Info("job_handed_on", "job", j.ID, "cell", claim.Cell, "token", claim.Token, "epoch", state.epoch, "why", outcome.Kind.String(), "reason", outcome.Reason)
-		if outcome, ended := f.rejoin(ctx, j); ended {
+		if outcome, ended := f.rejoin(ctx, j, &state); ended {
 			outcome.Started = outcome.Started || state.started
 			return outcome
 		}
--- a/pkg/node/join.go
+++ b/pkg/node/join.go
@@ -49,7 +49,7 @@
 // to another one. That happens if this front was unreachable or paused, so that the other
 // front took it for dead. After such a fault it first waits for the announcements of the
 // other fronts.
-func (f *front) rejoin(ctx context.Context, j *job.Job) (job.Outcome, bool) {
+func (f *front) rejoin(ctx context.Context, j *job.Job, state *attempt) (job.Outcome, bool) {
 	n := f.node
 	if resyncedAt := n.openJobTable.resyncedAt(); n.Clock.Now() < resyncedAt && n.Clock.Now() >= j.Received+openjobs.AnnounceAfter(n.settings.ResubmitAfter) {
 		f.sleepUntil(ctx, resyncedAt)
@@ -57,13 +57,12 @@
 	if len(n.openJobTable.find(j.WholeID(), n.Clock.Now())) == 0 {
 		return job.Outcome{}, false
 	}
-	return f.search(ctx, j.WholeID(), openjobs.NewSearch(j.WholeID(), 0), true)
+	return f.search(ctx, j.WholeID(), n.openJobTable.newRejoin(j, state), true)
 }
 
 // joinOpenAt joins a job that an owner didn't accept, at the front of which the owner knows that it
-// holds the job open. hasRun tells that runs may be alive that this front has followed. It returns
-// false once no run of the earlier submission can be alive.
-func (f *front) joinOpenAt(ctx context.Context, j *job.Job, owner string, at *job.OpenAt, hasRun bool) (job.Outcome, bool) {
+// holds the job open. It returns false once no run of the earlier submission can be alive.
+func (f *front) joinOpenAt(ctx context.Context, j *job.Job, owner string, at *job.OpenAt, state *attempt) (job.Outcome, bool) {
 	n, id := f.node, j.WholeID()
 	f.mu.Lock()
 	open := f.open[id]
@@ -76,8 +75,8 @@
 	f.markStarted(open)
 	ctx, cancel := f.untilDeadline(ctx, j)
 	defer cancel()
-	if j.IsPart() || hasRun { // this front goes on following its own runs, or those of other parts
-		return f.search(ctx, id, openjobs.NewSearch(id, 0), true)
+	if j.IsPart() || state.formerCell != "" { // this front goes on following its own runs, or those of other parts
+		return f.search(ctx, id, n.openJobTable.newRejoin(j, state), true)
 	}
 	f.setFollowed(open, false)
 	outcome, ended := f.search(ctx, id, n.openJobTable.newSearch(open, 0), false)
--- a/pkg/node/join_races_test.go
+++ b/pkg/node/join_races_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/openjobs"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
 	qt "github.com/frankban/quicktest"
@@ -83,3 +84,52 @@
 	b.front.end(elsewhere, completed)
 	c.Assert((<-answer).Kind, qt.Equals, completed.Kind)
 }
+
+// Two fronts that follow the same job and have both lost its owner must not wait for each other. The
+// one that goes on does so when the other one's runs are over, and the other one joins it.
+func TestFrontsThatRejoinEachOtherDoNotWaitForever(t *testing.T) {
+	const settles = 700 * time.Millisecond
+	type scenario struct {
+		testName string
+		pauses   [2]time.Duration // before each front loses its owner, by ascending address
+	}
+	scenarios := []scenario{
+		{testName: "at once"},
+		{testName: "the one that goes on first", pauses: [2]time.Duration{0, 250 * time.Millisecond}},
+		{testName: "the one that goes on last", pauses: [2]time.Duration{250 * time.Millisecond, 0}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			low, high := pairOf(t)
+			if low.settings.PeerAddress > high.settings.PeerAddress {
+				low, high = high, low
+			}
+			open := openAndAnnounce(low)
+			openAndAnnounce(high)
+			eventually(c, func() bool { return knowsOpenJob(low) && knowsOpenJob(high) })
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			began, joined := time.Now(), make(chan job.Outcome, 1)
+			goesOn := make(chan bool, 1)
+			for i, n := range []*Node{low, high} {
+				n.openJobTable.resumedAt = -time.Hour
+				go func() {
+					time.Sleep(s.pauses[i])
+					state := attempt{formerCell: "z", notBefore: n.Clock.Now() + settles}
+					outcome, ended := n.front.rejoin(ctx, submission(n), &state)
+					if n == low {
+						goesOn <- !ended
+						return
+					}
+					joined <- outcome
+				}()
+			}
+			c.Assert(<-goesOn, qt.IsTrue)
+			c.Assert(time.Since(began) >= s.pauses[1]+settles, qt.IsTrue, qt.Commentf("the other one's runs may be alive"))
+			c.Assert(joined, qt.HasLen, 0)
+			low.front.end(open, completed)
+			c.Assert((<-joined).Kind, qt.Equals, completed.Kind)
+		})
+	}
+}
--- a/pkg/node/join_test.go
+++ b/pkg/node/join_test.go
@@ -433,7 +433,7 @@
 	j := submission(a)
 	answer := make(chan job.Outcome, 1)
 	go func() {
-		outcome, ended := a.front.rejoin(context.Background(), j)
+		outcome, ended := a.front.rejoin(context.Background(), j, &attempt{})
 		c.Check(ended, qt.IsTrue)
 		answer <- outcome
 	}()
--- a/pkg/node/joins.go
+++ b/pkg/node/joins.go
@@ -122,7 +122,7 @@
 		return toOutcome(n.answerWhileSearching(m))
 	}
 	n.Log.Info("job_joined_from", "job", m.Id, "asker", m.Asker, "age_ms", (n.Clock.Now() - open.job.Received).Milliseconds())
-	outcome, isOver := n.front.await(ctx, open)
+	outcome, isOver := n.awaitOrYield(ctx, open, m)
 	switch {
 	case isOver && (outcome.Reason == errStopping.Error() || outcome.Reason == errUnconfirmed.Error()):
 		return toOutcome(notOpen(n.settleTime())) // the asking front continues the job
@@ -134,6 +134,30 @@
 	return toOutcome(job.Outcome{Kind: job.Moved, Reason: reasonBusy})
 }
 
+// yieldCheckInterval is how often a front checks whether it has to yield a job that it follows.
+const yieldCheckInterval = 100 * time.Millisecond
+
+// awaitOrYield waits for the outcome of an open job for another front. If that one follows the job
+// as well, it also returns when this front yields to it. It returns false if ctx ends first.
+func (n *Node) awaitOrYield(ctx context.Context, open *openJob, m *peerpb.Join) (job.Outcome, bool) {
+	asker := openjobs.Front{Address: m.Asker, Process: string(m.AskerProcess)}
+	for m.Follows {
+		now := n.Clock.Now()
+		if runsEndBy, yields := n.openJobTable.yieldRejoin(m.Id, asker, n.settings.PeerAddress, now); yields {
+			n.front.leave(open)
+			return job.Outcome{Kind: job.Moved, Reason: reasonYields, RetryAfter: max(0, runsEndBy-now)}, true
+		}
+		select {
+		case <-open.done:
+			return open.outcome, true
+		case <-ctx.Done():
+			return n.front.await(ctx, open)
+		case <-time.After(yieldCheckInterval):
+		}
+	}
+	return n.front.await(ctx, open)
+}
+
 // answerWhileSearching answers a join request for a job that this front is searching for
 // itself, because it was resubmitted to both fronts.
 func (n *Node) answerWhileSearching(m *peerpb.Join) job.Outcome {
--- a/pkg/node/openjobs.go
+++ b/pkg/node/openjobs.go
@@ -34,6 +34,7 @@
 	confirmations *openjobs.Confirmations
 
 	searches  map[string]*openjobs.Search // for resubmitted jobs, by id
+	rejoins   map[string]rejoin           // for jobs that this front follows and has no owner for, by id
 	resumedAt time.Duration               // when this host last resumed, after it was cut off from its domain or paused
 }
 
@@ -64,6 +65,7 @@
 		confirmations: openjobs.NewConfirmations(),
 
 		searches: map[string]*openjobs.Search{},
+		rejoins:  map[string]rejoin{},
 	}
 }
 
@@ -83,6 +85,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.searches, open.job.ID)
+	delete(o.rejoins, open.job.ID)
 	isAnnounced := o.local.Remove(open.job.ID) || o.ended[open.job.ID].isAnnounced                 // this submission or an earlier one
 	isAnnounced = isAnnounced || outcome.Started && now >= open.job.Received+o.ownersAnnounceAfter // by an owner
 	e := endedHere{outcome: outcome, at: now, isAnnounced: isAnnounced}
@@ -144,6 +147,39 @@
 	return s
 }
 
+// rejoin is the search of a front that follows a job, for others that hold it open too, while the job
+// is at no owner.
+type rejoin struct {
+	search    *openjobs.Search
+	runsEndBy time.Duration // when none of the runs that this front has followed can be alive any more
+}
+
+// newRejoin begins such a search. Parts don't yield, as other parts may run.
+func (o *openJobTable) newRejoin(j *job.Job, state *attempt) *openjobs.Search {
+	s := openjobs.NewSearch(j.WholeID(), 0)
+	if j.IsPart() {
+		return s
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	begun := rejoin{search: s}
+	if state.formerCell != "" {
+		begun.runsEndBy = state.notBefore
+	}
+	o.rejoins[j.ID] = begun
+	return s
+}
+
+// yieldRejoin reports whether this front, which follows a job that is at no owner, lets another one
+// go first that follows it too, and when none of its runs can be alive any more. Without that
+// each would wait for the other.
+func (o *openJobTable) yieldRejoin(id string, asker openjobs.Front, self string, now time.Duration) (runsEndBy time.Duration, yields bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r, known := o.rejoins[id]
+	return r.runsEndBy, known && r.search.ShouldYield(o.others, asker, self, false, now)
+}
+
 // next is Search.Next, but starts no job before this host has received the announcements of
 // the others after it resumed. A search after which the job may start no longer yields: the
 // other front would take this one's answer for final and start the job too.
@@ -157,6 +193,9 @@
 	if mayStart && o.searches[id] == s {
 		delete(o.searches, id)
 	}
+	if mayStart && o.rejoins[id].search == s {
+		delete(o.rejoins, id)
+	}
 	return at, mayStart
 }
 
--- a/pkg/node/owner_announcements_test.go
+++ b/pkg/node/owner_announcements_test.go
@@ -235,7 +235,7 @@
 			go func() {
 				self := a.asFront()
 				at := &job.OpenAt{Address: self.Address, Domain: self.Domain, Process: self.Process, Remaining: time.Minute}
-				outcome, ended := b.front.joinOpenAt(context.Background(), second.job, a.settings.PeerAddress, at, false)
+				outcome, ended := b.front.joinOpenAt(context.Background(), second.job, a.settings.PeerAddress, at, &attempt{})
 				results <- result{outcome, ended}
 			}()
 			if s.hasEnded {
