node: a front that looks for its job at other fronts stops at the deadline

Callers were never answered: two fronts followed one job, each was returned the job by its owner, and each joined the other. The search for a job that an owner has returned had no time limit, unlike those for a job that comes again. TestARejoinEndsWithTheDeadline didn't end within its 10 s before.

--- a/pkg/node/join.go
+++ b/pkg/node/join.go
@@ -57,6 +57,8 @@
 	if len(n.openJobTable.find(j.WholeID(), n.Clock.Now())) == 0 {
 		return job.Outcome{}, false
 	}
+	ctx, cancel := f.untilDeadline(ctx, j)
+	defer cancel()
 	return f.search(ctx, j.WholeID(), n.openJobTable.newRejoin(j, state), true)
 }
 
--- a/pkg/node/join_test.go
+++ b/pkg/node/join_test.go
@@ -508,3 +508,18 @@
 	c.Assert(got.Reason, qt.Equals, reasonNotOpen)
 	c.Assert(got.RetryAfter, qt.Equals, n.settleTime()-200*time.Millisecond)
 }
+
+// Guards against a caller that is never answered: its front waits for another one without a time limit.
+func TestARejoinEndsWithTheDeadline(t *testing.T) {
+	c := qt.New(t)
+	a, b := pairOf(t)
+	openAndAnnounce(b)
+	eventually(c, func() bool { return knowsOpenJob(a) })
+	a.openJobTable.resumedAt = -time.Hour
+	j := submission(a)
+	j.Deadline = a.Clock.Now() + 200*time.Millisecond
+	outcome, ended := a.front.rejoin(context.Background(), j, &attempt{epoch: 2})
+	c.Assert(ended, qt.IsTrue)
+	c.Assert(outcome.Kind, qt.Equals, job.Expired)
+	c.Assert(outcome.Reason, qt.Equals, reasonDeadline)
+}
