node: a front's announcements are relayed after the loss of an owner

A front that is cut from an owner of its domain only couldn't announce its jobs to that owner's host, to which callers may resubmit them; hosts of a domain announce to each other directly. Owners had two other hosts relay their announcements for 10 s after such a loss. Fronts do so now, and repeat what they had announced before the loss.

TestAnnouncementsOfAFrontAreRelayedAfterTheLossOfAnOwner failed in 2 of 3 rows.

--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -123,7 +123,8 @@
 	n.members.LinkDown(address, n.Clock.Now())
 	n.viewVersion.Add(1)
 	n.renewals.forget(address)
-	if n.claims.OwnsIn(address, n.settings.Domain) {
+	isOwner := n.claims.OwnsIn(address, n.settings.Domain)
+	if isOwner {
 		n.ownerLostUntil = n.Clock.Now() + ownerLossPeriod
 	}
 	n.claims.Forget(address)
@@ -131,6 +132,9 @@
 	delete(n.storeUnreachable, address)
 	n.mu.Unlock()
 	n.changed.signal()
+	if isOwner {
+		n.relayAnnouncedInDomain()
+	}
 	if mayClaim {
 		go n.claimCells(n.Clock.Now())
 	}
--- a/pkg/node/openjobs.go
+++ b/pkg/node/openjobs.go
@@ -223,9 +223,9 @@
 		return
 	}
 	relays := map[string]int{} // number of hosts asked to relay, by domain
-	peers := n.reachablePeers()
+	peers, relaysInDomain := n.reachablePeers(), n.relaysInDomain()
 	for _, p := range peers {
-		relay := p.Domain != n.settings.Domain && relays[p.Domain] < relaysPerDomain
+		relay := p.Domain != n.settings.Domain && relays[p.Domain] < relaysPerDomain || slices.Contains(relaysInDomain, p.Address)
 		if relay {
 			relays[p.Domain]++
 		}
@@ -236,6 +236,17 @@
 	n.confirmAnnouncement(batch)
 }
 
+// relayAnnouncedInDomain has other hosts of the domain relay what this host has announced, as an owner
+// that it has lost may not have received it.
+func (n *Node) relayAnnouncedInDomain() {
+	n.openJobTable.mu.Lock()
+	announced := n.openJobTable.local.Announced(n.Clock.Now())
+	n.openJobTable.mu.Unlock()
+	for _, address := range n.relaysInDomain() {
+		n.sendOpenJobs(address, n.asFront(), announced, true)
+	}
+}
+
 // asFront identifies this process to other hosts.
 func (n *Node) asFront() openjobs.Front {
 	return openjobs.Front{Address: n.settings.PeerAddress, Domain: n.settings.Domain, Process: string(n.inc[:])}
--- a/pkg/node/owner_announcements.go
+++ b/pkg/node/owner_announcements.go
@@ -57,9 +57,17 @@
 // after the link to an owner of one of the domain's cells was lost, as it may be unreachable from
 // here only. It returns none for a cell of another domain.
 func (n *Node) relaysBeside(cellName string) []string {
+	if ownership.DomainOf(cellName) != n.settings.Domain {
+		return nil
+	}
+	return n.relaysInDomain()
+}
+
+// relaysInDomain is relaysBeside for the cells of this host's domain.
+func (n *Node) relaysInDomain() []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.Clock.Now() >= n.ownerLostUntil || ownership.DomainOf(cellName) != n.settings.Domain {
+	if n.Clock.Now() >= n.ownerLostUntil {
 		return nil
 	}
 	var addresses []string
--- a/pkg/node/owner_announcements_test.go
+++ b/pkg/node/owner_announcements_test.go
@@ -292,6 +292,51 @@
 	}
 }
 
+// Guards against a second run by an owner that this front has lost, but not the other hosts: the caller
+// may resubmit the job to that owner's host. Another host of the domain relays the announcement.
+func TestAnnouncementsOfAFrontAreRelayedAfterTheLossOfAnOwner(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		lost     bool
+		before   bool // the job is announced before the owner is lost
+		relayed  bool
+	}{
+		{testName: "announced before the loss", lost: true, before: true, relayed: true},
+		{testName: "announced after the loss", lost: true, relayed: true},
+		{testName: "no owner is lost"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			a, between := pairOf(t)
+			if s.before {
+				openAndAnnounce(a)
+			}
+			if s.lost {
+				a.mu.Lock()
+				a.claims.SetClaims("lost:1", []ownership.Claim{{Cell: "z/2.1", Token: 1, Owner: "lost:1"}})
+				a.mu.Unlock()
+				a.LinkDown("lost:1")
+			}
+			if !s.before {
+				openAndAnnounce(a)
+			}
+			eventually(c, func() bool { return knowsOpenJob(between) })
+			isRelayed := func() bool {
+				between.openJobTable.mu.Lock()
+				defer between.openJobTable.mu.Unlock()
+				return len(between.openJobTable.others.ToRelay(between.Clock.Now())) > 0
+			}
+			if s.relayed {
+				eventually(c, isRelayed)
+				return
+			}
+			time.Sleep(100 * time.Millisecond)
+			c.Assert(isRelayed(), qt.IsFalse)
+		})
+	}
+}
+
 // Guards against a second run in another cell: the front of the second submission joins the job at
 // the front of the first one, of which only the cell's owner knows.
 func TestASubmissionJoinsAJobOfWhichOnlyTheOwnerKnows(t *testing.T) {
