--- a/pkg/cell/clock_lease_test.go
+++ b/pkg/cell/clock_lease_test.go
@@ -7,8 +7,8 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// The next owner of a cell takes the leases that the former one has granted to last no longer than a
-// hold's. A former owner that had not read the slow clock of an idle executor for long granted more.
+// Guards against leases of idle executors with slow clocks that are longer than a hold's: the next owner
+// of the cell counts on that.
 func TestNoLeaseIsLongerThanThatOfAHold(t *testing.T) {
 	type scenario struct {
 		testName string
--- a/pkg/cell/incarnations_test.go
+++ b/pkg/cell/incarnations_test.go
@@ -519,8 +519,8 @@
 	}
 }
 
-// A start of the former owner may have reached the next incarnation of an executor that had answered
-// this owner before, and that was idle since. The task was started again at once.
+// Guards against a second start of a task whose first start may have reached the next incarnation of an
+// executor that had answered this owner before.
 func TestAReturnedTaskWaitsUntilItsExecutorHasListedItsRuns(t *testing.T) {
 	const activeFor = 1300 * ms
 	type scenario struct {
--- a/pkg/cell/inherited_runs_test.go
+++ b/pkg/cell/inherited_runs_test.go
@@ -226,8 +226,8 @@
 	}
 }
 
-// A job that waited here for one front started at once although another front had handed it over
-// with runs that its former owner may have left.
+// Guards against a start beside runs that a former owner may have left, of which a second front tells
+// while the job waits here for the first one.
 func TestASecondHandoverOfAJobTellsOfItsRuns(t *testing.T) {
 	type scenario struct {
 		testName    string
--- a/pkg/cell/kept_test.go
+++ b/pkg/cell/kept_test.go
@@ -375,8 +375,8 @@
 	}
 }
 
-// A task of a kept job ran twice at once when its owner was isolated and the next one did not reach an
-// executor: the former owner goes on with a kept job for much longer than with others.
+// Guards against a second run of a kept job's task at an owner that doesn't reach an executor: a former
+// owner that is isolated goes on with a kept job for much longer than with others.
 func TestAKeptJobOfALostOwnerWaitsForExecutorsThatDoNotAnswer(t *testing.T) {
 	const longestWait = 20 * time.Second
 	type scenario struct {
--- a/pkg/node/joins.go
+++ b/pkg/node/joins.go
@@ -96,14 +96,15 @@
 
 // answerJoin answers a join request. If the job is followed here, it waits for the outcome.
 func (n *Node) answerJoin(ctx context.Context, m *peerpb.Join) *peerpb.Message {
-	answer := n.joinAnswer(ctx, m)
+	answer := n.replyToJoin(ctx, m)
 	if outcome := answer.GetOutcome(); outcome != nil && ctx.Err() == nil {
-		n.Log.Info("join_answer", "job", m.Id, "front", m.Front, "asker", m.Asker, "reason", outcome.Reason, "runs_end_in_ms", outcome.RetryAfterUs/1000)
+		n.Log.Info("join_reply_sent", "job", m.Id, "front", m.Front, "asker", m.Asker, "reason", outcome.Reason, "runs_end_in_ms", outcome.RetryAfterUs/1000)
 	}
 	return answer
 }
 
-func (n *Node) joinAnswer(ctx context.Context, m *peerpb.Join) *peerpb.Message {
+// replyToJoin is answerJoin without its log line.
+func (n *Node) replyToJoin(ctx context.Context, m *peerpb.Join) *peerpb.Message {
 	if m.Front != n.settings.PeerAddress {
 		return n.relayJoin(ctx, m)
 	}
