--- a/pkg/node/confirmations.go
+++ b/pkg/node/confirmations.go
@@ -90,8 +90,8 @@
 // too.
 func (n *Node) hasConfirmed(ctx context.Context, domain string) bool {
 	var hosts []string
-	for _, p := range n.reachablePeers() {
-		if p.Domain == domain && len(hosts) < confirmersPerDomain {
+	for _, p := range fewPerDomain(n.reachablePeers(), confirmersPerDomain) {
+		if p.Domain == domain {
 			hosts = append(hosts, p.Address)
 		}
 	}
@@ -140,13 +140,6 @@
 	return domains
 }
 
-// openJob returns the open job with this id, or nil.
-func (f *front) openJob(id string) *openJob {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.open[id]
-}
-
 // hasEnded reports whether the job has ended here.
 func (o *openJob) hasEnded() bool {
 	select {
--- a/pkg/node/join.go
+++ b/pkg/node/join.go
@@ -66,9 +66,7 @@
 // holds the job open. It returns false once no run of the earlier submission can be alive.
 func (f *front) joinOpenAt(ctx context.Context, j *job.Job, owner string, at *job.OpenAt, state *attempt) (job.Outcome, bool) {
 	n, id := f.node, j.WholeID()
-	f.mu.Lock()
-	open := f.open[id]
-	f.mu.Unlock()
+	open := f.openJob(id)
 	if open == nil || at.Address == n.settings.PeerAddress {
 		return job.Outcome{}, false
 	}
--- a/pkg/node/joins.go
+++ b/pkg/node/joins.go
@@ -90,21 +90,16 @@
 	ctx, end := n.joins.add(key)
 	go func() {
 		defer end()
-		reply(n.answerJoin(ctx, m), 0)
+		answer := n.answerJoin(ctx, m)
+		if outcome := answer.GetOutcome(); outcome != nil && ctx.Err() == nil {
+			n.Log.Info("join_reply_sent", "job", m.Id, "front", m.Front, "asker", m.Asker, "reason", outcome.Reason, "runs_end_in_ms", outcome.RetryAfterUs/1000)
+		}
+		reply(answer, 0)
 	}()
 }
 
 // answerJoin answers a join request. If the job is followed here, it waits for the outcome.
 func (n *Node) answerJoin(ctx context.Context, m *peerpb.Join) *peerpb.Message {
-	answer := n.replyToJoin(ctx, m)
-	if outcome := answer.GetOutcome(); outcome != nil && ctx.Err() == nil {
-		n.Log.Info("join_reply_sent", "job", m.Id, "front", m.Front, "asker", m.Asker, "reason", outcome.Reason, "runs_end_in_ms", outcome.RetryAfterUs/1000)
-	}
-	return answer
-}
-
-// replyToJoin is answerJoin without its log line.
-func (n *Node) replyToJoin(ctx context.Context, m *peerpb.Join) *peerpb.Message {
 	if m.Front != n.settings.PeerAddress {
 		return n.relayJoin(ctx, m)
 	}
--- a/pkg/node/open.go
+++ b/pkg/node/open.go
@@ -91,6 +91,13 @@
 	return open, open != nil && open.isFollowed
 }
 
+// openJob returns the open job with this id, or nil.
+func (f *front) openJob(id string) *openJob {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.open[id]
+}
+
 // followed returns the open job with this id if this node follows it, or nil. A job that its callers
 // have abandoned counts until it has ended.
 func (f *front) followed(id string) *job.Job {
--- a/pkg/node/openjobs.go
+++ b/pkg/node/openjobs.go
@@ -338,15 +338,24 @@
 	return slices.ContainsFunc(n.members.View(n.inc).Peers, isOther)
 }
 
+// fewPerDomain returns the first peers of each domain, at most so many.
+func fewPerDomain(peers []member.Peer, most int) []member.Peer {
+	count := map[string]int{}
+	var few []member.Peer
+	for _, p := range peers {
+		if count[p.Domain]++; count[p.Domain] <= most {
+			few = append(few, p)
+		}
+	}
+	return few
+}
+
 // hostsToAsk returns a few hosts of each domain, through which an unreachable front may be
 // asked.
 func (n *Node) hostsToAsk() []string {
-	count := map[string]int{}
 	var hosts []string
-	for _, p := range n.reachablePeers() {
-		if count[p.Domain]++; count[p.Domain] <= askedPerDomain {
-			hosts = append(hosts, p.Address)
-		}
+	for _, p := range fewPerDomain(n.reachablePeers(), askedPerDomain) {
+		hosts = append(hosts, p.Address)
 	}
 	return hosts
 }
--- a/pkg/node/owner_announcements.go
+++ b/pkg/node/owner_announcements.go
@@ -136,8 +136,7 @@
 				continue
 			}
 			front := o.node.frontOf(w)
-			remaining := max(0, w.job.Deadline-now) + o.node.settleTime()
-			byFront[front] = append(byFront[front], openjobs.Announcement{ID: w.job.WholeID(), Remaining: remaining})
+			byFront[front] = append(byFront[front], openjobs.Announcement{ID: w.job.WholeID(), Remaining: o.node.untilRunsEnd(w.job, now)})
 		}
 	}
 	return byFront
@@ -164,25 +163,30 @@
 // openAtOther returns the front that a front has to ask about a job before an owner here accepts the
 // job from it, or nil if none is known: one that has announced the job, or this host's own.
 func (n *Node) openAtOther(j *job.Job, front openjobs.Front) *job.OpenAt {
-	if j.Kept {
-		return nil
-	}
 	now, id := n.Clock.Now(), j.WholeID()
 	if entry, isOpen := n.openJobTable.refer(id, front, now); isOpen {
-		return &job.OpenAt{Address: entry.Front.Address, Domain: entry.Front.Domain, Process: entry.Front.Process, Remaining: entry.ExpiresAt - now}
+		return openAt(entry.Front, entry.ExpiresAt-now)
 	}
 	if front.Address == n.settings.PeerAddress {
 		return nil
 	}
 	remaining := n.endOf(id).RetryAfter
 	if own := n.front.followed(id); own != nil {
-		remaining = max(0, own.Deadline-now) + n.settleTime()
+		remaining = n.untilRunsEnd(own, now)
 	}
 	if remaining <= 0 {
 		return nil
 	}
-	self := n.asFront()
-	return &job.OpenAt{Address: self.Address, Domain: self.Domain, Process: self.Process, Remaining: remaining}
+	return openAt(n.asFront(), remaining)
+}
+
+// untilRunsEnd returns how long runs of a job that its front follows can be alive at most.
+func (n *Node) untilRunsEnd(j *job.Job, now time.Duration) time.Duration {
+	return max(0, j.Deadline-now) + n.settleTime()
+}
+
+func openAt(front openjobs.Front, remaining time.Duration) *job.OpenAt {
+	return &job.OpenAt{Address: front.Address, Domain: front.Domain, Process: front.Process, Remaining: remaining}
 }
 
 // openHere returns the front that waits here for a job, or for a part of it, which another front
@@ -194,9 +198,7 @@
 		for _, w := range o.waiters[id] {
 			isHere = true
 			if w.front != front && handover.Epoch == 1 {
-				holder := o.node.frontOf(&w)
-				remaining := max(0, w.job.Deadline-now) + o.node.settleTime()
-				return &job.OpenAt{Address: holder.Address, Domain: holder.Domain, Process: holder.Process, Remaining: remaining}, true
+				return openAt(o.node.frontOf(&w), o.node.untilRunsEnd(w.job, now)), true
 			}
 		}
 	}
