Comments: reasons without the figures of tuning

The figures by which values were compared stand in docs/design/unanswered-orders.md, policy.md and thin-links.md; the comments keep the reasons. Comments only.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -222,9 +222,8 @@
 // Orphans are kept for less time beside runs of known jobs, whose leases cannot be renewed
 // meanwhile. The time is shorter than what is left of these leases after a takeover, and
 // long enough for the jobs to be handed over. With the default settings, at least 200 ms are
-// left if the next owner claims 250 ms after the death of the former one. A grace of 200 ms cost
-// these runs in one of ten phases of a takeover, 400 ms in five of ten; jobs were handed over
-// within 42 ms of the adoption.
+// left if the next owner claims 250 ms after the death of the former one; jobs are handed over
+// within some 50 ms of the adoption.
 const (
 	sharedOrphanGrace = 150 * time.Millisecond // from the adoption
 	attachGrace       = 50 * time.Millisecond  // from the first attached run: the other jobs arrive at about the same time
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -36,7 +36,7 @@
 // leaseTenths is the lease of a hold, in tenths of the longest lease. A job cannot start tasks at
 // an executor whose leases outlast its own, so a shorter lease allows starts longer after a job's
 // last renewal: by default up to 0.48 s after it, and with 8 tenths up to 0.38 s, while slow fronts
-// renew after up to 0.4 s. The value that callers get does not differ measurably between the two.
+// renew after up to 0.4 s.
 const leaseTenths = 7
 
 // defaultListRetention is the default of ListRetention.
--- a/pkg/cell/holds.go
+++ b/pkg/cell/holds.go
@@ -12,8 +12,7 @@
 
 // Pauses between holds that fail. The first retry follows at once, as a single hold may
 // have been lost. The first pause is short because the state of the executor's runs is
-// unknown until a hold succeeds. With one call in five lost, callers got 0.66 of a day's value
-// with a first pause of 100 ms, and 0.70 with 25 ms.
+// unknown until a hold succeeds, and tasks wait meanwhile (docs/design/unanswered-orders.md).
 const (
 	firstRetryPause   = 25 * time.Millisecond
 	maxDoublings      = 5
--- a/pkg/cell/overdue.go
+++ b/pkg/cell/overdue.go
@@ -114,8 +114,7 @@
 // unclearly for an executor to count as unresponsive. It then gets no starts, and its leases are
 // not renewed. A higher number tolerates more lost calls, but delays the detection of failed
 // executors. If one call in five is lost, two in a row are lost in 4% of all cases and three in
-// 0.8%. Callers then got 0.74 of a day's value with 2 missed holds and 3 copies of a start, and
-// 0.76 with 3 and 4; a failed executor is then detected 50 ms later.
+// 0.8%; the third delays the detection by some 50 ms.
 const maxMissedHolds = 3
 
 // LateHoldAnswered handles the outcome of a hold that HoldOverdue was called for. Later holds may
--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -11,9 +11,8 @@
 // request waits at the executor. Between the bounds, recent round trips decide.
 const (
 	// minRoundTrip applies to a link with negligible delay. A short timeout limits how
-	// long a job waits for the retry of a lost command. With one command in five lost and
-	// jobs of 60 ms, callers got 0.53 of a day's value with 80 ms, 0.61 with 40 ms, 0.64 with
-	// 25 ms and 0.65 with 15 ms and 10 ms; the last three differ no more than days do.
+	// long a job waits for the retry of a lost command, which matters for jobs of 60 ms; a
+	// shorter one gains nothing more (docs/design/unanswered-orders.md).
 	minRoundTrip = 25 * time.Millisecond
 	// burstBytes may be queued ahead of a command on the host's link: the starts
 	// that a cell has in flight (cell.Params.LinkRate), and as much of other traffic.
--- a/pkg/ownership/cells.go
+++ b/pkg/ownership/cells.go
@@ -9,7 +9,6 @@
 
 // Limits of the number of executors in a cell.
 const (
-	// The figure for maxCellSize is from the users' deployment of 350 executors.
 	maxCellSize = 76 // what an owner with 0.8 cores can serve
 	minCellSize = 4  // room for jobs of several tasks
 	// executorsPerCore depends on the tasks that an executor finishes a second and on the
@@ -17,8 +16,7 @@
 	executorsPerCore = 100.0
 	// executorsPerMbit is the number of executors that a link of 1 Mbit/s serves with
 	// commands that carry texts, so that half of the link stays free for other traffic. With
-	// texts of 2.4 kB, commands take 6 to 10 kB/s for each executor. A value of 4 measured worse
-	// (docs/design/thin-links.md).
+	// texts of 2.4 kB, commands take 6 to 10 kB/s for each executor (docs/design/thin-links.md).
 	executorsPerMbit = 6.0
 )
 
--- a/pkg/ownership/split.go
+++ b/pkg/ownership/split.go
@@ -7,8 +7,7 @@
 }
 
 // wideJobShare is the share of a cell's capacity above which a job counts as wide. That
-// much is rarely free at once in a well-used cell. On three seeds of five days, 0.25 was worse
-// than 0.12 by 0.009 of a day's value, 0.5 worse than 0.25 by 0.023, and 0.06 no better than 0.12.
+// much is rarely free at once in a well-used cell.
 const wideJobShare = 0.12
 
 // minFreeMultiple is how many times a wide job's need has to be free in its cell for the
