node: a test's claim comes of the owner's own load

TestASubmissionJoinsAJobOfWhichOnlyTheOwnerKnows set a claim with capacity, which the owner's next heartbeat replaced, as its cell had no executors; the submission was then refused. The cell has an executor now and the test waits for the heartbeat that tells of it; what it asserts is as before.

--- a/pkg/node/owner_announcements_test.go
+++ b/pkg/node/owner_announcements_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/catalog"
 	"github.com/foxcroft/foxcroft/pkg/cell"
 	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/job"
@@ -344,10 +345,18 @@
 	holder, cellOwner, resubmittedTo := peerNode(t, "holder", "z", 1), peerNode(t, "owner", "z", 2), peerNode(t, "other", "z", 3)
 	linkAll(t, holder, cellOwner, resubmittedTo)
 	o := makeOwner(cellOwner, "z/2.1")
-	load := ownership.Load{CapacityCPU: 1000, FreeCPU: 1000, Ready: true, Services: []string{"s"}}
-	resubmittedTo.mu.Lock()
-	resubmittedTo.claims.SetClaims(cellOwner.settings.PeerAddress, []ownership.Claim{{Cell: o.cell, Token: 1, Owner: cellOwner.settings.PeerAddress, Load: load}})
-	resubmittedTo.mu.Unlock()
+	now := cellOwner.Clock.Now()
+	o.mu.Lock()
+	o.state.SetExecutors([]catalog.Executor{{ID: "i-1", Service: "s", Domain: "z", Address: "127.0.0.1:1", Capacity: job.Resources{CPU: 1000}}}, now)
+	o.state.HoldAnswered("i-1", cell.HoldResponse{Clock: time.Second}, now, now)
+	o.state.TakeActions() // the calls that result; this node has no executors
+	o.mu.Unlock()
+	eventually(c, func() bool { // by the owner's heartbeats
+		resubmittedTo.mu.Lock()
+		defer resubmittedTo.mu.Unlock()
+		claim, known := resubmittedTo.claims.Owner(o.cell)
+		return known && claim.Load.Ready
+	})
 	first := openUnannounced(holder)
 	cellOwner.recordOpenJobs(holder.asFront(), "owner:1", []openjobs.Announcement{{ID: joinID, Remaining: time.Minute}}, false)
 	answer := submitLater(context.Background(), resubmittedTo)
