node: a host that is cut off from its domain accepts no jobs and claims no cells

It lost the other strong owner first and claimed the domain's other cell at once, while its idle links to weak hosts still counted as up. A job's second sending came to it 0.7 to 1.6 s after the cut; no announcement had reached it, so it started the whole job in that cell beside the first run, which the next owner of its own cell had adopted. One of the two was stopped later as an orphan.

A host that has lost one of its domain and not heard of another since is unsure of its contact for up to the suspect time: new jobs wait, and it claims no cell of its domain. It asks the others at once. A host that reaches none of its domain, though two or more should be running, is isolated for up to 3 s: it isn't ready, and answers new jobs at once by 504, as nothing can be said of their runs; callers send them to another host. A host that has just reached the others waits for their announcements: 0.45 s at most, or 0.1 s after the last link once it reaches all of its domain. A host of which just one other is out of reach serves on. Jobs that come while no link has changed for 3 s take no lock for it.

The tests in isolation_test.go fail without it.

--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -59,6 +59,7 @@
 	up               map[string]Peer          // by address: links that are up
 	leftAt           map[string]time.Duration // by address: when hosts that have not come back stopped as planned
 	unreachableSince map[string]time.Duration // by address: since when hubs are unreachable
+	aloneSince       time.Duration            // when the last link to a host of the own domain went down, if none is up; 0 until one was up
 	domains          map[string]rankedHosts   // listed hosts by domain
 	remoteLinks      []string                 // hosts of other domains to keep links to
 }
@@ -165,7 +166,11 @@
 		t.leftAt[address] = now
 		delete(t.gossip, address)
 	}
+	reached := t.reachesDomainHost()
 	delete(t.up, address)
+	if reached && !t.reachesDomainHost() {
+		t.aloneSince = now
+	}
 }
 
 // hasLeft reports whether a host has stopped as planned and not come back since.
--- a/pkg/node/claims.go
+++ b/pkg/node/claims.go
@@ -29,13 +29,18 @@
 	n.yieldCells(listing)
 }
 
-// cellsToClaim returns the cells that this node should claim in its current view.
+// cellsToClaim returns the cells that this node should claim in its current view. While it may be
+// cut off from its domain it claims none there: their owners may serve all other hosts.
 func (n *Node) cellsToClaim(listing *listing, now time.Duration) []string {
+	isUnsure := now < n.contact().unsureAt
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	view := n.ownershipView()
 	var names []string
 	for name := range listing.cells {
+		if isUnsure && ownership.DomainOf(name) == n.settings.Domain {
+			continue
+		}
 		if n.owners[name] == nil && n.claims.ShouldClaim(name, ownership.DomainOf(name), view, now) {
 			names = append(names, name)
 		}
--- a/pkg/node/heartbeat_handling.go
+++ b/pkg/node/heartbeat_handling.go
@@ -25,6 +25,9 @@
 	if changes.addresses {
 		n.refreshLinks()
 	}
+	if changes.contact {
+		go n.claimCells(n.Clock.Now())
+	}
 	closures := catalog.ClosureChanges{Position: heartbeat.ClosuresPosition, Closed: heartbeat.ClosedDomains}
 	if err := n.changeClosures(closures, address); err != nil {
 		n.Log.Error("closures_not_taken", "from", address, "error", err.Error())
@@ -36,6 +39,7 @@
 type heartbeatChanges struct {
 	claims    bool // the peer's claims
 	addresses bool // the hosts to keep links to
+	contact   bool // this host has heard of its domain since it lost a host of it
 }
 
 // recordHeartbeat records what a heartbeat reports of its sender and of other hosts. up is
@@ -63,6 +67,8 @@
 	if p.Domain != n.settings.Domain {
 		return changes, true
 	}
+	changes.contact = n.domainHeardAt <= n.domainLostAt
+	n.domainHeardAt = now
 	changes.addresses = n.members.AddDomainAddresses(heartbeat.Addresses, now) || changes.addresses
 	if heartbeat.ReadsList {
 		n.listConfirmedByPeerAt.Store(int64(now))
--- /dev/null
+++ b/pkg/node/isolation.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/member"
+	"github.com/foxcroft/foxcroft/pkg/openjobs"
+)
+
+// A host that is cut off from the hosts of its domain hears of no open jobs, while callers still reach
+// it. If it accepted a job that is open at one of the others, its tasks would run twice at once.
+
+// reasonIsolated is the reason of a job that a host doesn't accept because it is cut off. The job may
+// be open elsewhere, so that nothing can be said of its runs.
+const reasonIsolated = "isolated"
+
+const (
+	// announcementArrival is the time in which the announcements of a host arrive after its link has
+	// come up.
+	announcementArrival = 100 * time.Millisecond
+	// contactPollInterval is how often a job that waits for a contact checks for it.
+	contactPollInterval = 10 * time.Millisecond
+)
+
+// contact is the state of a host's contact with the other hosts of its domain.
+type contact struct {
+	isolated bool          // it is cut off from them
+	unsureAt time.Duration // it may be cut off until then: it has lost one and not heard of another since; 0 otherwise
+	syncedAt time.Duration // it has received their announcements by then
+}
+
+// contact returns the current contact. Most jobs come while no link has changed for some time, and
+// need no lock.
+func (n *Node) contact() contact {
+	if n.Clock.Now() >= time.Duration(n.contactUnsureUntil.Load()) {
+		return contact{}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.Clock.Now()
+	c := contact{isolated: n.members.IsIsolated(now), syncedAt: n.reachesOthersSince + openjobs.ResyncDelay}
+	if n.domainHeardAt <= n.domainLostAt && n.reachesSameDomain("") {
+		c.unsureAt = n.domainLostAt + n.settings.SuspectAfter
+	}
+	if now < c.syncedAt && n.members.ReachesDomain(now) {
+		c.syncedAt = min(c.syncedAt, n.newestLinkAt+announcementArrival)
+	}
+	return c
+}
+
+// contactChanged records that links or rows have changed, after which the contact may be lost or
+// incomplete for a while. n.mu is held.
+func (n *Node) contactChanged() {
+	until := n.Clock.Now() + max(member.IsolationLimit, openjobs.ResyncDelay, n.settings.SuspectAfter)
+	n.contactUnsureUntil.Store(int64(until))
+}
+
+// awaitContact waits until this host is in contact with the hosts of its domain and has received
+// their announcements. It returns true and the outcome of a new job if this host is cut off from
+// them: callers submit the job again to one of them sooner if they get an answer at once.
+func (f *front) awaitContact(ctx context.Context, id string) (job.Outcome, bool) {
+	n := f.node
+	for {
+		changed, now, c := n.changed.wait(), n.Clock.Now(), n.contact()
+		switch {
+		case c.isolated && now >= startupGrace:
+			n.Log.Warn("job_not_accepted", "job", id, "reason", reasonIsolated)
+			return job.Outcome{Kind: job.Expired, Reason: reasonIsolated, Started: true}, true
+		case c.isolated:
+			f.awaitChange(ctx, changed, startupGrace-now)
+		case now < c.unsureAt:
+			f.awaitChange(ctx, changed, contactPollInterval)
+		case now < c.syncedAt:
+			f.awaitChange(ctx, changed, c.syncedAt-now)
+		default:
+			return job.Outcome{}, false
+		}
+		if ctx.Err() != nil {
+			return abandoned(ctx, false), true
+		}
+	}
+}
+
+// awaitChange waits for a change of membership or claims, at most for a time.
+func (f *front) awaitChange(ctx context.Context, changed <-chan struct{}, most time.Duration) {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/pkg/node/isolation_test.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/member"
+	"github.com/foxcroft/foxcroft/pkg/peerpb"
+	qt "github.com/frankban/quicktest"
+)
+
+// listHosts lists hosts of a node's domain at addresses.
+func listHosts(n *Node, addresses ...string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var listed []member.ListedHost
+	for _, address := range addresses {
+		listed = append(listed, member.ListedHost{Name: address, Domain: n.settings.Domain, Address: address})
+	}
+	n.members.SetListed(listed)
+	n.contactChanged()
+}
+
+// Guards against a job that is accepted as new by a host that is cut off from all others, one of which
+// holds the job open.
+func TestAnIsolatedHostAcceptsNoJob(t *testing.T) {
+	c := qt.New(t)
+	n := peerNode(t, "a", "z", 1)
+	n.Clock = &manualClock{now: startupGrace}
+	listHosts(n, "127.0.0.2:1", "127.0.0.3:1")
+	c.Assert(n.Ready(), qt.IsFalse)
+	outcome := n.Submit(context.Background(), submission(n))
+	c.Assert(outcome.Kind, qt.Equals, job.Expired, qt.Commentf("nothing is known of its runs, so it is not refused"))
+	c.Assert(outcome.Reason, qt.Equals, reasonIsolated)
+}
+
+// Guards against a job that is accepted as new by a host that has just reached the others again and has not
+// received their announcements yet.
+func TestAHostThatReachesOthersAgainAwaitsTheirAnnouncements(t *testing.T) {
+	c := qt.New(t)
+	a, b := pairOf(t)
+	open := openAndAnnounce(a)
+	eventually(c, func() bool { return knowsOpenJob(b) })
+	b.openJobTable.others.MarkClosed(joinID, a.asFront(), 0, 0) // as before the announcement arrived
+	b.mu.Lock()
+	b.reachesOthersSince, b.newestLinkAt = b.Clock.Now(), b.Clock.Now()
+	b.contactChanged()
+	b.mu.Unlock()
+	answer := submitLater(context.Background(), b)
+	eventually(c, func() bool { return b.front.openJob(joinID) != nil })
+	b.recordOpenJobs(a.asFront(), a.settings.PeerAddress, a.openJobTable.local.Announced(a.Clock.Now()), false)
+	eventually(c, func() bool { return waiters(a, open) == 2 })
+	a.front.end(open, job.Outcome{Kind: job.Completed})
+	select {
+	case outcome := <-answer:
+		c.Assert(outcome.Kind, qt.Equals, job.Completed)
+	case <-time.After(5 * time.Second):
+		c.Fatal("the resubmitted job got no answer")
+	}
+}
+
+// Guards against a job that is accepted as new by a host that has lost one host of its domain, and has
+// not found out yet that it is cut off from the others too.
+func TestAHostThatHasLostAnotherOneAwaitsAContact(t *testing.T) {
+	tests := []struct {
+		name      string
+		afterLoss func(n *Node)
+		want      func(c contact, now time.Duration) bool
+	}{
+		{"nothing heard since", func(*Node) {}, func(c contact, now time.Duration) bool { return now < c.unsureAt }},
+		{"heard from another one", func(n *Node) { n.domainHeardAt = n.Clock.Now() + 1 }, func(c contact, now time.Duration) bool { return !c.isolated && now >= c.unsureAt }},
+		{"the other one is lost too", func(n *Node) { n.members.LinkDown("b", n.Clock.Now()) }, func(c contact, _ time.Duration) bool { return c.isolated }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			n := peerNode(t, "a", "z", 1)
+			n.Clock = &manualClock{now: time.Hour}
+			listHosts(n, "b", "c")
+			for _, address := range []string{"b", "c"} {
+				n.LinkUp(address, &peerpb.Hello{Name: address, Domain: "z", Incarnation: make([]byte, 16)})
+			}
+			n.reachesOthersSince, n.newestLinkAt = 0, 0
+			n.LinkDown("c")
+			n.mu.Lock()
+			test.afterLoss(n)
+			n.mu.Unlock()
+			qt.Assert(t, test.want(n.contact(), n.Clock.Now()), qt.IsTrue)
+		})
+	}
+}
+
+// Guards against a host that may be cut off from its domain and takes over cells of owners that serve
+// the other hosts.
+func TestAHostThatMayBeCutOffClaimsNoCellOfItsDomain(t *testing.T) {
+	c := qt.New(t)
+	n := peerNode(t, "a", "z", 1)
+	n.Clock = &manualClock{now: time.Hour}
+	listHosts(n, "b", "c")
+	for _, address := range []string{"b", "c"} {
+		n.LinkUp(address, &peerpb.Hello{Name: address, Domain: "z", Incarnation: make([]byte, 16)})
+	}
+	list := &catalog.Executors{Revision: 1, ByID: map[string]catalog.Executor{"i-1": listedExecutor("i-1", "10.0.0.1:80")}}
+	listing := newListing(0, list, sizesOf(list), map[string]int{"z": 1})
+	n.LinkDown("b")
+	c.Assert(n.cellsToClaim(listing, n.Clock.Now()), qt.HasLen, 0)
+	n.mu.Lock()
+	n.domainHeardAt = n.Clock.Now() + 1
+	n.rowsRead = true
+	n.mu.Unlock()
+	c.Assert(n.cellsToClaim(listing, n.Clock.Now()), qt.HasLen, 1)
+}
--- a/pkg/node/join.go
+++ b/pkg/node/join.go
@@ -31,6 +31,9 @@
 		n.metrics.JobJoined("here")
 		return own, attempt{}, true
 	}
+	if outcome, isolated := f.awaitContact(ctx, j.ID); isolated {
+		return outcome, attempt{}, true
+	}
 	if own.RetryAfter == 0 && len(n.openJobTable.find(j.ID, n.Clock.Now())) == 0 {
 		return job.Outcome{}, attempt{epoch: 1, started: n.openJobTable.mayHaveRun(j.ID), namesRuns: true}, false
 	}
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -45,6 +45,7 @@
 		n.restarted = announced && own.PeerAddress == n.settings.PeerAddress
 	}
 	n.members.SetListed(listed)
+	n.contactChanged()
 	n.members.ForgetSeeds()
 	n.mu.Unlock()
 	n.resizeCells()
@@ -104,6 +105,11 @@
 	copy(p.Incarnation[:], hello.Incarnation)
 	n.mu.Lock()
 	isReachableAgain := p.Domain == n.settings.Domain && !n.reachesSameDomain(address)
+	n.newestLinkAt = n.Clock.Now()
+	n.contactChanged()
+	if len(n.members.View(n.inc).Peers) == 0 {
+		n.reachesOthersSince = n.newestLinkAt
+	}
 	n.members.LinkUp(p)
 	n.viewVersion.Add(1)
 	n.mu.Unlock()
@@ -120,6 +126,12 @@
 	n.mu.Lock()
 	// In a large domain links to hosts that own nothing are closed all the time.
 	mayClaim := n.claims.Owns(address) || !n.members.IsLarge()
+	peer, wasUp := n.members.UpAt(address)
+	isDomainHost := wasUp && peer.Domain == n.settings.Domain
+	if isDomainHost {
+		n.domainLostAt = n.Clock.Now()
+		n.contactChanged()
+	}
 	n.members.LinkDown(address, n.Clock.Now())
 	n.viewVersion.Add(1)
 	n.renewals.forget(address)
@@ -132,6 +144,9 @@
 	delete(n.storeUnreachable, address)
 	n.mu.Unlock()
 	n.changed.signal()
+	if isDomainHost {
+		n.links.Nudge() // so that this host finds out soon whether it is cut off itself
+	}
 	if isOwner {
 		n.relayAnnouncedInDomain()
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -64,6 +64,7 @@
 	changed               *broadcast    // signals a change of membership or claims
 	storeRecovered        *broadcast    // signals that the store answers again
 	listRequested         chan struct{} // requests an immediate read of the executor list
+	contactUnsureUntil    atomic.Int64  // until when this host may be out of contact with its domain, see contact, as a time of the clock
 	viewVersion           atomic.Uint64 // increases when a host joins, leaves or begins to leave
 	heartbeats            heartbeats
 	arrivals              *arrivals
@@ -83,15 +84,19 @@
 
 	leadingDomain string // domain whose reader follows the executor list for all domains; empty when not known
 
-	restarted        bool                     // the first read of the rows contained this node's own: it has restarted
-	ownerless        bool                     // a cell of this domain lacks an owner
-	ownerLostUntil   time.Duration            // an owner of a cell of this domain counts as unreachable from here only until then
-	shortOfCapacity  bool                     // this domain is short of capacity
-	lastReachable    map[string]time.Duration // when the node of a row was last reachable, by node name
-	peerCounts       map[string]map[string]int
-	storeUnreachable map[string]bool // nodes that cannot read the store, by address
-	listReaders      map[string]bool // nodes that read the executor list for their domains, by address
-	owners           map[string]*owner
+	restarted          bool                     // the first read of the rows contained this node's own: it has restarted
+	ownerless          bool                     // a cell of this domain lacks an owner
+	reachesOthersSince time.Duration            // when this host first reached another one, after it had reached none
+	newestLinkAt       time.Duration            // when a link came up last
+	domainLostAt       time.Duration            // when the link to a host of this domain went down last
+	domainHeardAt      time.Duration            // when a host of this domain sent a heartbeat last, or replied to one
+	ownerLostUntil     time.Duration            // an owner of a cell of this domain counts as unreachable from here only until then
+	shortOfCapacity    bool                     // this domain is short of capacity
+	lastReachable      map[string]time.Duration // when the node of a row was last reachable, by node name
+	peerCounts         map[string]map[string]int
+	storeUnreachable   map[string]bool // nodes that cannot read the store, by address
+	listReaders        map[string]bool // nodes that read the executor list for their domains, by address
+	owners             map[string]*owner
 
 	front          *front
 	keeping        *keeping.Service
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -20,11 +20,14 @@
 func (n *Node) Now() time.Duration { return n.Clock.Now() }
 
 // Ready implements Service: a node is ready while it has a configuration, is not
-// stopping, and reaches an owner that can run jobs.
+// stopping, has the announcements of the other hosts, and reaches an owner that can run jobs.
 func (n *Node) Ready() bool {
 	if n.leaving.Load() || n.Configuration() == nil {
 		return false
 	}
+	if c := n.contact(); c.isolated || n.Clock.Now() < c.syncedAt {
+		return false
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, claim := range n.openClaims() {
