node: logs tell which front an owner refers and which jobs are open twice

- job_referred and job_accepted at the owner, with front, epoch and what is known of others.
First submissions of which no other front is known, nearly all jobs, are accepted without a line, as before; they cost one more lookup in the table of announced jobs.
- job_open_twice, and the counter foxcroft_node_jobs_open_twice: an announcement names the cell whose owner makes it (new field; empty from earlier builds and from fronts, which may be waiting for this host's job, so that those aren't counted).
- run_stopped has the run's number, job_expired is new.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -96,6 +96,7 @@
 	Job      string
 	Task     string
 	Detail   string
+	Run      int64         // number of the run; 0 when the event has none, or Detail tells it
 	Age      time.Duration // time since the event's cause
 }
 
--- a/pkg/cell/cell_test.go
+++ b/pkg/cell/cell_test.go
@@ -268,3 +268,20 @@
 		})
 	}
 }
+
+// Guards against a run that ends at its job's deadline without a trace in the owner's log.
+func TestAJobThatReachesItsDeadlineIsLoggedWithTheRunsThatAreStopped(t *testing.T) {
+	c := qt.New(t)
+	d := newAdoptedDriver(c, 1)
+	j := testJob("a", 1, d.now)
+	j.Deadline = 500 * ms
+	d.submit(j, 1)
+	start := d.takeCommands(Start)[0]
+	d.now = j.Deadline + ms
+	d.renew()
+	d.cell.TakeActions()
+	d.cell.Tick(d.now)
+	_, _, notices := d.cell.TakeActions()
+	c.Assert(notices[0], qt.Equals, Notice{Event: "job_expired", Job: "a", Age: d.now - j.Received})
+	c.Assert(notices[1], qt.Equals, Notice{Event: "run_stopped", Executor: start.Executor.ID, Task: start.Task, Detail: "expired", Run: start.Run})
+}
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -212,7 +212,7 @@
 	if r.executor.ended && !r.mayHaveReachedNextIncarnation() {
 		return
 	}
-	c.addNotice(Notice{Event: "run_stopped", Executor: r.executor.info.ID, Task: r.name, Detail: reason})
+	c.addNotice(Notice{Event: "run_stopped", Executor: r.executor.info.ID, Task: r.name, Detail: reason, Run: r.number})
 	if !r.stopPending {
 		c.sendStop(r, reason)
 	}
--- a/pkg/cell/job_state.go
+++ b/pkg/cell/job_state.go
@@ -291,6 +291,7 @@
 // expire ends a job that cannot meet its deadline.
 func (c *Cell) expire(w *jobState) {
 	if w.mayHaveStarted {
+		c.addNotice(Notice{Event: "job_expired", Job: w.job.ID, Age: c.lastEventAt - w.job.Received})
 		c.finish(w, job.Outcome{Kind: job.Expired, Reason: "deadline_passed", Started: true})
 		return
 	}
--- a/pkg/metrics/node.go
+++ b/pkg/metrics/node.go
@@ -35,8 +35,10 @@
 	rows     metric.Int64Counter
 	joins    metric.Int64Counter
 	told     metric.Int64Counter
-	labels   labelCache
-	kept     keptInstruments
+
+	openTwice metric.Int64Counter
+	labels    labelCache
+	kept      keptInstruments
 }
 
 // NewNode makes a node's instruments. gauges is called at each scrape, and bytes
@@ -98,6 +100,7 @@
 		{&n.rows, "foxcroft_node_rows_unreadable", "Rows that count as if they weren't there, by table and reason."},
 		{&n.joins, "foxcroft_node_jobs_joined", "Jobs sent again while an earlier sending looked open, by where that was."},
 		{&n.told, "foxcroft_node_open_jobs_told", "Open jobs told to other hosts, jobs times hosts."},
+		{&n.openTwice, "foxcroft_node_jobs_open_twice", "Jobs announced by the owner of another cell while open here too, by where."},
 	}
 	for _, counter := range counters {
 		if *counter.target, err = meter.Int64Counter(counter.name, metric.WithDescription(counter.description)); err != nil {
@@ -160,3 +163,9 @@
 
 // OpenJobsTold counts open jobs that other hosts were told of.
 func (n *Node) OpenJobsTold(count int) { n.told.Add(context.Background(), int64(count)) }
+
+// JobOpenTwice counts a job that the owner of another cell has announced while it is open here too:
+// in a cell, or at the front.
+func (n *Node) JobOpenTwice(where string) {
+	n.openTwice.Add(context.Background(), 1, metric.WithAttributes(attribute.String("where", where)))
+}
--- a/pkg/node/openjobs.go
+++ b/pkg/node/openjobs.go
@@ -265,7 +265,7 @@
 	}
 	m := &peerpb.OpenJobs{Front: front.Address, Domain: front.Domain, Process: []byte(front.Process), PassOn: relay}
 	for _, announced := range jobs {
-		m.Jobs = append(m.Jobs, &peerpb.OpenJob{Id: announced.ID, LeftUs: announced.Remaining.Microseconds()})
+		m.Jobs = append(m.Jobs, &peerpb.OpenJob{Id: announced.ID, LeftUs: announced.Remaining.Microseconds(), Cell: announced.Cell})
 	}
 	link.Send(&peerpb.Message{Body: &peerpb.Message_OpenJobs{OpenJobs: m}}, 0)
 }
@@ -279,7 +279,7 @@
 	}
 	jobs := make([]openjobs.Announcement, 0, len(m.Jobs))
 	for _, announced := range m.Jobs {
-		jobs = append(jobs, openjobs.Announcement{ID: announced.Id, Remaining: microseconds(announced.LeftUs)})
+		jobs = append(jobs, openjobs.Announcement{ID: announced.Id, Remaining: microseconds(announced.LeftUs), Cell: announced.Cell})
 	}
 	n.recordOpenJobs(front, from.Address, jobs, m.PassOn)
 	if m.PassOn {
@@ -295,6 +295,7 @@
 	if dropped > 0 {
 		n.Log.Warn("open_jobs_dropped", "front", front.Address, "jobs", dropped, "remedy", "shorten long jobs, or add hosts to spread them over")
 	}
+	n.reportOpenTwice(front, reporter, jobs)
 }
 
 func (n *Node) relayOpenJobs(from string, front openjobs.Front, jobs []openjobs.Announcement) {
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -149,11 +149,27 @@
 		handover.RenewedAt = o.renewedAt(id)
 		state.Submit(handover, now)
 	})
+	o.logDecision(handover, &w, answer)
 	if answer != nil {
 		w.reply(*answer)
 	}
 }
 
+// logDecision logs that a job was accepted from a front, or that the front was referred to another
+// one. First submissions of which no other front is known are accepted without a log line.
+func (o *owner) logDecision(handover cell.Handover, w *waiter, answer *job.Outcome) {
+	j := handover.Job
+	switch {
+	case answer != nil && answer.OpenAt != nil:
+		o.node.Log.Info("job_referred", "job", j.ID, "cell", o.cell, "front", w.front, "epoch", handover.Epoch,
+			"to", answer.OpenAt.Address, "runs_end_in_ms", answer.OpenAt.Remaining.Milliseconds())
+	case answer == nil && !j.Kept:
+		if known := o.node.otherFronts(j.WholeID(), w.front); handover.Epoch > 1 || known > 0 {
+			o.node.Log.Info("job_accepted", "job", j.ID, "cell", o.cell, "front", w.front, "epoch", handover.Epoch, "known", known)
+		}
+	}
+}
+
 // answerWithoutJob returns the answer to a job that this owner does not take, or nil. o.mu is held.
 func (o *owner) answerWithoutJob(state *cell.Cell, handover cell.Handover, w *waiter, now time.Duration) *job.Outcome {
 	id := handover.Job.ID
@@ -322,8 +338,11 @@
 }
 
 func (o *owner) log(notice cell.Notice) {
-	o.node.Log.Info(notice.Event, "cell", o.cell, "executor", notice.Executor, "job", notice.Job, "task", notice.Task,
-		"detail", notice.Detail, "age_ms", notice.Age.Milliseconds())
+	fields := []any{"cell", o.cell, "executor", notice.Executor, "job", notice.Job, "task", notice.Task, "detail", notice.Detail, "age_ms", notice.Age.Milliseconds()}
+	if notice.Run > 0 {
+		fields = append(fields, "run", notice.Run)
+	}
+	o.node.Log.Info(notice.Event, fields...)
 }
 
 // owner returns this node's owner of a cell, or nil when it does not own the cell.
--- a/pkg/node/owner_announcements.go
+++ b/pkg/node/owner_announcements.go
@@ -136,7 +136,7 @@
 				continue
 			}
 			front := o.node.frontOf(w)
-			byFront[front] = append(byFront[front], openjobs.Announcement{ID: w.job.WholeID(), Remaining: o.node.untilRunsEnd(w.job, now)})
+			byFront[front] = append(byFront[front], openjobs.Announcement{ID: w.job.WholeID(), Remaining: o.node.untilRunsEnd(w.job, now), Cell: o.cell})
 		}
 	}
 	return byFront
--- a/pkg/openjobs/openjobs.go
+++ b/pkg/openjobs/openjobs.go
@@ -69,4 +69,5 @@
 type Announcement struct {
 	ID        string
 	Remaining time.Duration // until no run of the job can be alive
+	Cell      string        // the cell whose owner announces it for the front; empty if the front does, or the owner is of an earlier build
 }
