node: owners go by what a front has asked, not by what they have answered

Cause: an owner marked another front's entry as asked when it had sent the referral. If that answer was lost, or the other front got the job again after it was asked, or another part of a split job came while the first part still asked, the next handover was accepted beside the other front's runs. Above epoch 1 an owner also accepted a job, or another division of it, beside a front that waits there, and superseded that one's part at once while its other parts ran elsewhere.

Change: a handover names the fronts that were asked to a final answer, and when (Dispatch.asked, names_asked). The owner refers it, at each epoch, while it knows of any other front that isn't among them, or that has announced or handed over the job since: by announcements, by the waiters of the cell, or its own host's front. The decision is openjobs.MustAsk. Handovers without names_asked are treated as before.

TestAnOwnerAcceptsAJobOnceItsFrontHasAskedTheOthers with the decision of before: 8 of 11 rows fail, e.g. "announced, and the answer was lost that told of it" accepts the second handover. TestAnOwnerAcceptsAJobThatItsOwnFrontLetsGoFirst failed too: the front was referred for ever to a front that waited for it.

--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -7,6 +7,7 @@
 	"github.com/foxcroft/foxcroft/pkg/cell"
 	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/openjobs"
 	"github.com/foxcroft/foxcroft/pkg/ownership"
 )
 
@@ -35,6 +36,8 @@
 	notBefore     time.Duration // runs in formerCell have ended by then
 	preferredCell string        // cell to try first, once; empty when none
 	namesRuns     bool          // progress names all runs that former owners may have left
+
+	asked openjobs.Asked // other fronts, about this job
 }
 
 // recordMoved records that an owner has returned the job. Its runs go on in the cell, where
--- a/pkg/node/convert.go
+++ b/pkg/node/convert.go
@@ -6,6 +6,7 @@
 	"github.com/foxcroft/foxcroft/pkg/catalog"
 	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/jobwire"
+	"github.com/foxcroft/foxcroft/pkg/openjobs"
 	"github.com/foxcroft/foxcroft/pkg/ownership"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
 )
@@ -37,6 +38,23 @@
 	return &job.OpenAt{Address: m.Front, Domain: m.Domain, Process: string(m.Process), Remaining: microseconds(m.LeftUs)}
 }
 
+func toAsked(asked openjobs.Asked, now time.Duration) []*peerpb.AskedFront {
+	var fronts []*peerpb.AskedFront
+	for _, front := range asked.Sorted() {
+		fronts = append(fronts, &peerpb.AskedFront{Front: front.Address, Domain: front.Domain, Process: []byte(front.Process), AgoUs: (now - asked[front]).Microseconds()})
+	}
+	return fronts
+}
+
+func fromAsked(fronts []*peerpb.AskedFront, now time.Duration) openjobs.Asked {
+	asked := openjobs.Asked{}
+	for _, m := range fronts {
+		front := openjobs.Front{Address: m.Front, Domain: m.Domain, Process: string(m.Process)}
+		asked[front] = now - microseconds(max(0, m.AgoUs))
+	}
+	return asked
+}
+
 func fromOutcome(m *peerpb.Outcome) job.Outcome {
 	return job.Outcome{
 		Kind:       job.Kind(m.Kind),
--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -48,7 +48,7 @@
 	done := make(chan job.Outcome, 1)
 	self := f.node.settings.PeerAddress
 	handover := cell.Handover{Job: j, Epoch: state.epoch, Progress: state.progressAsOf(f.node.Clock.Now()), NotBefore: notBefore, RenewedAt: f.node.renewals.confirmedHere(), NamesRuns: state.namesRuns}
-	o.submit(handover, waiter{front: self, keepsRuns: true, reply: func(outcome job.Outcome) { done <- outcome }})
+	o.submit(handover, waiter{front: self, keepsRuns: true, asked: state.asked, namesAsked: true, reply: func(outcome job.Outcome) { done <- outcome }})
 	select {
 	case outcome := <-done:
 		return outcome
@@ -68,6 +68,7 @@
 	settle := max(0, notBefore-now)
 	m := jobwire.ToDispatch(j, claim.Cell, state.epoch, state.progressAsOf(now), settle, now)
 	m.NamesRuns, m.KeepsRuns = state.namesRuns, true
+	m.Asked, m.NamesAsked = toAsked(state.asked, now), true
 	m.Renewed = f.node.renewals.confirmed(claim.Owner)
 	answer, err := link.Call(ctx, &peerpb.Message{Body: &peerpb.Message_Dispatch{Dispatch: m}}, 0)
 	if ctx.Err() != nil {
--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -130,8 +130,10 @@
 	state.recordSearch()
 	ctx, cancel := f.untilDeadline(open.ctx, j)
 	defer cancel()
-	outcome, found := f.search(ctx, j.ID, n.openJobTable.newSearch(open, 0), true)
+	s := n.openJobTable.newSearch(open, 0)
+	outcome, found := f.search(ctx, j.ID, s, true)
 	outcome.Started = true
+	state.asked = s.Asked()
 	return outcome, state, found
 }
 
--- a/pkg/node/join.go
+++ b/pkg/node/join.go
@@ -42,7 +42,7 @@
 		outcome.Started = outcome.Started || n.openJobTable.mayHaveRun(j.ID)
 		return outcome, attempt{}, true
 	}
-	return job.Outcome{}, attempt{epoch: 2, started: true}, false
+	return job.Outcome{}, attempt{epoch: 2, started: true, asked: s.Asked()}, false
 }
 
 // rejoin joins a job that an owner returned to this front, if it was meanwhile resubmitted
@@ -59,7 +59,16 @@
 	}
 	ctx, cancel := f.untilDeadline(ctx, j)
 	defer cancel()
-	return f.search(ctx, j.WholeID(), n.openJobTable.newRejoin(j, state), true)
+	return f.searchAgain(ctx, j, state)
+}
+
+// searchAgain is search for a front that goes on following its own runs of a job, or those of other
+// parts of it.
+func (f *front) searchAgain(ctx context.Context, j *job.Job, state *attempt) (job.Outcome, bool) {
+	s := f.node.openJobTable.newRejoin(j, state)
+	outcome, ended := f.search(ctx, j.WholeID(), s, true)
+	state.asked = state.asked.Merged(s.Asked())
+	return outcome, ended
 }
 
 // joinOpenAt joins a job that an owner didn't accept, at the front of which the owner knows that it
@@ -76,10 +85,12 @@
 	ctx, cancel := f.untilDeadline(ctx, j)
 	defer cancel()
 	if j.IsPart() || state.formerCell != "" { // this front goes on following its own runs, or those of other parts
-		return f.search(ctx, id, n.openJobTable.newRejoin(j, state), true)
+		return f.searchAgain(ctx, j, state)
 	}
 	f.setFollowed(open, false)
-	outcome, ended := f.search(ctx, id, n.openJobTable.newSearch(open, 0), false)
+	s := n.openJobTable.newSearch(open, 0)
+	outcome, ended := f.search(ctx, id, s, false)
+	state.asked = state.asked.Merged(s.Asked())
 	f.setFollowed(open, !ended)
 	return outcome, ended
 }
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -242,7 +242,7 @@
 		NotBefore: notBefore, RenewedAt: n.timeOf(m.Renewed), NamesRuns: m.NamesRuns,
 	}
 	o.submit(handover, waiter{
-		front: from.Address, connection: from, keepsRuns: m.KeepsRuns,
+		front: from.Address, connection: from, keepsRuns: m.KeepsRuns, asked: fromAsked(m.Asked, now), namesAsked: m.NamesAsked,
 		reply: func(outcome job.Outcome) { reply(n.withTimestamp(toOutcome(outcome)), 0) },
 	})
 }
--- a/pkg/node/open.go
+++ b/pkg/node/open.go
@@ -21,10 +21,11 @@
 	// The fields below are guarded by front.mu.
 	waiters    int
 	started    bool
-	isFollowed bool   // by this node; not set while it searches for an earlier submission at other fronts
-	cell       string // the cell to which it, or a part of it, was last dispatched
-	epoch      int    // the highest with which it was dispatched
-	isSplit    bool   // into parts that are dispatched separately
+	isFollowed bool          // by this node; not set while it searches for an earlier submission at other fronts
+	cell       string        // the cell to which it, or a part of it, was last dispatched
+	epoch      int           // the highest with which it was dispatched
+	isSplit    bool          // into parts that are dispatched separately
+	heldSince  time.Duration // when this node began to follow it, or last dispatched it
 }
 
 var (
@@ -109,6 +110,16 @@
 	return nil
 }
 
+// followedSince is followed, and returns when this node began to follow the job, or last dispatched it.
+func (f *front) followedSince(id string) (*job.Job, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if open := f.open[id]; open != nil && open.isFollowed {
+		return open.job, open.heldSince
+	}
+	return nil, 0
+}
+
 // join adds a waiter to the open job with this id and returns the job, or nil if there is
 // none. An abandoned job counts as open until it has ended.
 func (f *front) join(id string) *openJob {
@@ -202,6 +213,7 @@
 		open.started = true
 		open.cell = cellName
 		open.epoch = max(open.epoch, epoch)
+		open.heldSince = f.node.Clock.Now()
 	}
 }
 
@@ -213,6 +225,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	open.isFollowed = isFollowed
+	if isFollowed {
+		open.heldSince = f.node.Clock.Now()
+	}
 }
 
 func (f *front) markSplit(open *openJob) {
--- a/pkg/node/open_twice.go
+++ b/pkg/node/open_twice.go
@@ -5,17 +5,6 @@
 	"github.com/foxcroft/foxcroft/pkg/openjobs"
 )
 
-// otherFronts returns how many fronts other than one are known to hold a job open.
-func (n *Node) otherFronts(id, front string) int {
-	count := 0
-	for _, e := range n.openJobTable.find(id, n.Clock.Now()) {
-		if e.Front.Address != front {
-			count++
-		}
-	}
-	return count
-}
-
 // reportOpenTwice logs and counts the jobs that the owner of another cell has announced for a front,
 // and that are open here as well: in a cell for another front, or at this host's front. Jobs that a
 // front announces itself don't count, as it may be waiting for this host's.
--- a/pkg/node/openjobs.go
+++ b/pkg/node/openjobs.go
@@ -113,6 +113,13 @@
 	return o.others.Find(id, now)
 }
 
+// holders is Table.Holders.
+func (o *openJobTable) holders(id string, now time.Duration) []openjobs.Holder {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.others.Holders(id, now)
+}
+
 // refer is Table.Refer.
 func (o *openJobTable) refer(id string, dispatcher openjobs.Front, now time.Duration) (openjobs.Entry, bool) {
 	o.mu.Lock()
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -6,6 +6,7 @@
 
 	"github.com/foxcroft/foxcroft/pkg/cell"
 	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/openjobs"
 	"github.com/foxcroft/foxcroft/pkg/ownership"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
 )
@@ -32,7 +33,11 @@
 	reply      reply
 
 	job         *job.Job
-	keepsRuns   bool          // the front remembers its former runs when it is referred to another front; fronts of earlier builds don't
+	keepsRuns   bool // the front remembers its former runs when it is referred to another front; fronts of earlier builds don't
+	asked       openjobs.Asked
+	namesAsked  bool // asked is complete; not set by earlier builds
+	known       int  // fronts that the owner knew of, its own included
+	acceptedAt  time.Duration
 	renewedAt   time.Duration // its last renewal of the job, as in cell.Renew; 0 when unknown
 	isAnnounced bool          // to the owners of the domain's other cells
 }
@@ -141,7 +146,7 @@
 			return
 		}
 		id := handover.Job.ID
-		w.job, w.renewedAt = handover.Job, handover.RenewedAt
+		w.job, w.renewedAt, w.acceptedAt = handover.Job, handover.RenewedAt, now
 		if handover.Job.Kept {
 			o.kept.add(id)
 		}
@@ -161,18 +166,18 @@
 	j := handover.Job
 	switch {
 	case answer != nil && answer.OpenAt != nil:
-		o.node.Log.Info("job_referred", "job", j.ID, "cell", o.cell, "front", w.front, "epoch", handover.Epoch,
+		o.node.Log.Info("job_referred", "job", j.ID, "cell", o.cell, "front", w.front, "epoch", handover.Epoch, "asked", len(w.asked),
 			"to", answer.OpenAt.Address, "runs_end_in_ms", answer.OpenAt.Remaining.Milliseconds())
 	case answer == nil && !j.Kept:
-		if known := o.node.otherFronts(j.WholeID(), w.front); handover.Epoch > 1 || known > 0 {
-			o.node.Log.Info("job_accepted", "job", j.ID, "cell", o.cell, "front", w.front, "epoch", handover.Epoch, "known", known)
+		if handover.Epoch > 1 || w.known > 0 {
+			o.node.Log.Info("job_accepted", "job", j.ID, "cell", o.cell, "front", w.front, "epoch", handover.Epoch, "known", w.known, "asked", len(w.asked))
 		}
 	}
 }
 
 // answerWithoutJob returns the answer to a job that this owner does not take, or nil. o.mu is held.
 func (o *owner) answerWithoutJob(state *cell.Cell, handover cell.Handover, w *waiter, now time.Duration) *job.Outcome {
-	id := handover.Job.ID
+	id, whole := handover.Job.ID, handover.Job.WholeID()
 	if o.stopped {
 		return &job.Outcome{Kind: job.Moved, Reason: reasonNotOwner}
 	}
@@ -182,12 +187,16 @@
 	if o.kept.isCancelled(id, now) {
 		return &keptCancelled
 	}
-	if handover.Job.Kept || handover.Epoch > 1 && !w.keepsRuns {
+	if handover.Job.Kept {
 		return nil
 	}
-	at, isHere := o.openHere(state, handover, w.front)
-	if !isHere {
-		at = o.node.openAtOther(handover.Job, o.node.frontOf(w))
+	holders := o.holders(state, whole, now)
+	w.known = len(holders)
+	var at *job.OpenAt
+	if w.namesAsked {
+		at = mustAsk(o.node.frontOf(w), w.asked, holders, now)
+	} else {
+		at = o.mustAskByEarlierBuild(state, handover, w)
 	}
 	if at == nil {
 		return nil
--- a/pkg/node/owner_announcements.go
+++ b/pkg/node/owner_announcements.go
@@ -160,8 +160,61 @@
 	return openjobs.Front{Address: w.front, Domain: w.connection.Domain, Process: string(w.connection.Incarnation)}
 }
 
-// openAtOther returns the front that a front has to ask about a job before an owner here accepts the
-// job from it, or nil if none is known: one that has announced the job, or this host's own.
+// mustAsk is openjobs.MustAsk.
+func mustAsk(dispatcher openjobs.Front, asked openjobs.Asked, holders []openjobs.Holder, now time.Duration) *job.OpenAt {
+	holder, isUnasked := openjobs.MustAsk(dispatcher, asked, holders, now)
+	if !isUnasked {
+		return nil
+	}
+	return openAt(holder.Front, holder.ExpiresAt-now)
+}
+
+// holders returns the fronts that may hold a job open, as far as this host knows. o.mu is held.
+func (o *owner) holders(state *cell.Cell, id string, now time.Duration) []openjobs.Holder {
+	return slices.Concat(o.holdersHere(state, id, now), o.node.openJobTable.holders(id, now), o.node.ownHolder(id, now))
+}
+
+// holdersHere returns the fronts that wait at this owner for a job, or for a part of it. o.mu is held.
+func (o *owner) holdersHere(state *cell.Cell, id string, now time.Duration) []openjobs.Holder {
+	var holders []openjobs.Holder
+	for _, part := range state.PartsOf(id) {
+		for i := range o.waiters[part] {
+			w := &o.waiters[part][i]
+			holders = append(holders, openjobs.Holder{Front: o.node.frontOf(w), Since: w.acceptedAt, ExpiresAt: now + o.node.untilRunsEnd(w.job, now)})
+		}
+	}
+	return holders
+}
+
+// ownHolder returns this host's front if it follows a job, or has given it up so recently that runs
+// of it may be alive.
+func (n *Node) ownHolder(id string, now time.Duration) []openjobs.Holder {
+	if own, since := n.front.followedSince(id); own != nil {
+		return []openjobs.Holder{{Front: n.asFront(), Since: since, ExpiresAt: now + n.untilRunsEnd(own, now)}}
+	}
+	e, known := n.openJobTable.recordedEnd(id)
+	if !known {
+		return nil
+	}
+	return []openjobs.Holder{{Front: n.asFront(), Since: e.at, ExpiresAt: now + n.endOf(id).RetryAfter}}
+}
+
+// mustAskByEarlierBuild is mustAsk for a front that doesn't tell which fronts it has asked. o.mu is
+// held.
+func (o *owner) mustAskByEarlierBuild(state *cell.Cell, handover cell.Handover, w *waiter) *job.OpenAt {
+	if handover.Epoch > 1 && !w.keepsRuns {
+		return nil
+	}
+	at, isHere := o.openHere(state, handover, w.front)
+	if !isHere {
+		at = o.node.openAtOther(handover.Job, o.node.frontOf(w))
+	}
+	return at
+}
+
+// openAtOther returns the front that a front of an earlier build has to ask about a job before an
+// owner here accepts the job from it, or nil if none is known: one that has announced the job, or
+// this host's own.
 func (n *Node) openAtOther(j *job.Job, front openjobs.Front) *job.OpenAt {
 	now, id := n.Clock.Now(), j.WholeID()
 	if entry, isOpen := n.openJobTable.refer(id, front, now); isOpen {
--- /dev/null
+++ b/pkg/node/referrals_test.go
@@ -0,0 +1,124 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/cell"
+	"github.com/foxcroft/foxcroft/pkg/common"
+	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/openjobs"
+	"github.com/foxcroft/foxcroft/pkg/peerpb"
+	qt "github.com/frankban/quicktest"
+)
+
+// submitAsked hands a job over for a front that names the fronts that it has asked.
+func (o *owner) submitAsked(front string, j *job.Job, epoch int, asked openjobs.Asked) chan job.Outcome {
+	answer := make(chan job.Outcome, 1)
+	connection := &peerpb.Hello{Address: front, Domain: "z", Incarnation: []byte(front)}
+	o.submit(cell.Handover{Job: j, Epoch: epoch}, waiter{front: front, connection: connection, keepsRuns: true, asked: asked, namesAsked: true, reply: func(outcome job.Outcome) { answer <- outcome }})
+	return answer
+}
+
+func testFront(address string) openjobs.Front {
+	return openjobs.Front{Address: address, Domain: "z", Process: address}
+}
+
+// Guards against a second run beside that of a front that the dispatcher has not asked: an owner that
+// had referred it accepted the job the next time, though the answer was lost or outdated.
+func TestAnOwnerAcceptsAJobOnceItsFrontHasAskedTheOthers(t *testing.T) {
+	const askedAt = time.Minute
+	first := testFront("first:1")
+	whole := func(n *Node) *job.Job {
+		j := submission(n)
+		j.Steps[0].Count = 4
+		return j
+	}
+	part := func(n *Node) *job.Job { return whole(n).Split([]int{2, 2})[1] }
+	announced := func(n *Node, _ *owner) {
+		n.recordOpenJobs(first, "owner:1", []openjobs.Announcement{{ID: joinID, Remaining: time.Minute}}, false)
+	}
+	partHere := func(n *Node, o *owner) { o.submitFor("first:1", part(n), 1) }
+	wholeHere := func(n *Node, o *owner) { o.submitFor("first:1", whole(n), 1) }
+	scenarios := []struct {
+		testName  string
+		known     func(n *Node, o *owner)
+		dispatch  func(n *Node) *job.Job
+		epoch     int
+		wasAsked  openjobs.Asked
+		openAgain bool // after it was asked
+		accepted  bool
+	}{
+		{testName: "announced, and the answer was lost that told of it", known: announced, epoch: 2},
+		{testName: "announced and asked", known: announced, epoch: 2, wasAsked: openjobs.Asked{first: askedAt}, accepted: true},
+		{testName: "announced and asked before the first handover", known: announced, epoch: 1, wasAsked: openjobs.Asked{first: askedAt}, accepted: true},
+		{testName: "announced again since it was asked", known: announced, epoch: 2, wasAsked: openjobs.Asked{first: askedAt}, openAgain: true},
+		{testName: "announced, and a former process was asked", known: announced, epoch: 2, wasAsked: openjobs.Asked{{Address: "first:1", Domain: "z", Process: "former"}: askedAt}},
+		{testName: "a part of it is here", known: partHere, epoch: 2},
+		{testName: "a part of it is here, of a front that was asked", known: partHere, epoch: 2, wasAsked: openjobs.Asked{first: askedAt}, accepted: true},
+		{testName: "it is here", known: wholeHere, epoch: 2},
+		{testName: "it is here, and a part of it comes", known: wholeHere, dispatch: part, epoch: 2},
+		{testName: "it is here, of a front that was asked", known: wholeHere, epoch: 2, wasAsked: openjobs.Asked{first: askedAt}, accepted: true},
+		{testName: "nothing is known", known: func(*Node, *owner) {}, epoch: 1, accepted: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			n := newTestNode(c, &fakeStore{})
+			clock := &common.ManualClock{At: askedAt}
+			n.Clock = clock
+			o := newOwner(n, "z/2.1", 1, clock.At)
+			s.known(n, o)
+			if s.dispatch == nil {
+				s.dispatch = whole
+			}
+			j := s.dispatch(n)
+			clock.At += 100 * time.Millisecond
+			if s.openAgain {
+				s.known(n, o)
+			}
+			for range 2 {
+				answer := o.submitAsked("second:1", j, s.epoch, s.wasAsked)
+				if s.accepted {
+					c.Assert(answer, qt.HasLen, 0)
+					c.Assert(o.has(j.ID), qt.IsTrue)
+					return
+				}
+				c.Assert(answer, qt.HasLen, 1, qt.Commentf("the answer may be lost, so each handover is referred"))
+				outcome := <-answer
+				c.Assert(outcome.Reason, qt.Equals, reasonNotOwner)
+				c.Assert(outcome.OpenAt.Address, qt.Equals, "first:1")
+			}
+		})
+	}
+}
+
+// A front that goes on with a job after this host's front, which follows it too, has let it go first
+// is not sent back, unless this host's front has handed the job to an owner again.
+func TestAnOwnerAcceptsAJobThatItsOwnFrontLetsGoFirst(t *testing.T) {
+	c := qt.New(t)
+	n := newTestNode(c, &fakeStore{})
+	clock := &common.ManualClock{At: time.Minute}
+	n.Clock = clock
+	openUnannounced(n)
+	n.front.markDispatched(joinID, "z/2.0", 1)
+	o := newOwner(n, "z/2.1", 1, clock.At)
+	c.Assert((<-o.submitAsked("second:1", submission(n), 2, nil)).OpenAt.Address, qt.Equals, n.settings.PeerAddress)
+	clock.At += time.Second
+	asked := openjobs.Asked{n.asFront(): clock.At}
+	clock.At += time.Second
+	n.front.markDispatched(joinID, "z/2.0", 2)
+	c.Assert((<-o.submitAsked("second:1", submission(n), 2, asked)).OpenAt.Address, qt.Equals, n.settings.PeerAddress)
+	asked = openjobs.Asked{n.asFront(): clock.At}
+	c.Assert(o.submitAsked("second:1", submission(n), 2, asked), qt.HasLen, 0)
+	c.Assert(o.has(joinID), qt.IsTrue)
+}
+
+// Guards against a front that is referred back and forth: what it has asked has to reach the owner.
+func TestAskedFrontsOnTheWire(t *testing.T) {
+	c := qt.New(t)
+	asked := openjobs.Asked{testFront("first:1"): time.Second, testFront("third:1"): 3 * time.Second}
+	received := fromAsked(toAsked(asked, 4*time.Second), 10*time.Second)
+	c.Assert(received, qt.DeepEquals, openjobs.Asked{testFront("first:1"): 7 * time.Second, testFront("third:1"): 9 * time.Second})
+	c.Assert(fromAsked([]*peerpb.AskedFront{{Front: "first:1", AgoUs: -1}}, time.Second), qt.DeepEquals, openjobs.Asked{{Address: "first:1"}: time.Second})
+}
--- a/pkg/openjobs/search.go
+++ b/pkg/openjobs/search.go
@@ -44,23 +44,27 @@
 	yieldedTo           map[string]bool // addresses of fronts that this search let go first in this round; a NotOpen reply from before doesn't close their entries
 	resolvedRunsEndBy   time.Duration   // when no run of this host, or of a front that gave a final answer, can be alive any more
 	unresolvedRunsEndBy time.Duration   // the same for fronts that gave no final answer in this round
+
+	roundAt time.Duration // when this round began
+	asked   Asked
 }
 
 // NewSearch begins a search for a job. runsEndBy is when the runs of an earlier submission
 // to this front itself can't be alive any more; 0 if there are none.
 func NewSearch(id string, runsEndBy time.Duration) *Search {
-	return &Search{id: id, resolvedRunsEndBy: runsEndBy, checked: map[Front]bool{}, yieldedTo: map[string]bool{}}
+	return &Search{id: id, resolvedRunsEndBy: runsEndBy, checked: map[Front]bool{}, yieldedTo: map[string]bool{}, asked: Asked{}}
 }
 
 // Round begins a round and returns the entries of the fronts to ask.
 func (s *Search) Round(t *Table, now time.Duration) []Entry {
-	s.unresolvedRunsEndBy = 0
+	s.unresolvedRunsEndBy, s.roundAt = 0, now
 	clear(s.checked)
 	clear(s.yieldedTo)
 	var asked []Entry
 	for _, e := range t.Find(s.id, now) {
 		if e.closed {
 			s.checked[e.Front] = true
+			s.asked.add(e.Front, e.closedAt)
 			s.resolvedRunsEndBy = max(s.resolvedRunsEndBy, e.ExpiresAt)
 			continue
 		}
@@ -78,8 +82,9 @@
 		switch reply.Verdict {
 		case NotOpen, Yields:
 			if reply.Verdict == NotOpen && !s.yieldedTo[e.Front.Address] {
-				t.MarkClosed(e.ID, e.Front, reply.RunsEndBy, now)
+				t.MarkClosed(e.ID, e.Front, reply.RunsEndBy, s.roundAt, now)
 			}
+			s.asked.add(e.Front, s.roundAt)
 			s.resolvedRunsEndBy = max(s.resolvedRunsEndBy, reply.RunsEndBy)
 			return
 		case Busy:
@@ -88,8 +93,9 @@
 		}
 	}
 	if known := t.entry(e.ID, e.Front); known != nil {
-		e.ExpiresAt = known.ExpiresAt // the front may have announced the job again meanwhile
+		e.ExpiresAt, e.recordedAt = known.ExpiresAt, known.recordedAt // the front may have announced the job again meanwhile
 	}
+	s.asked.add(e.Front, e.recordedAt) // no run of what it has announced is alive when the search is over
 	s.unresolvedRunsEndBy = max(s.unresolvedRunsEndBy, e.ExpiresAt)
 }
 
@@ -110,6 +116,9 @@
 	return now, true
 }
 
+// Asked returns the fronts that the search has asked, once it is over.
+func (s *Search) Asked() Asked { return s.asked }
+
 // ShouldYield reports whether this search lets another front go first, which searches for
 // the job too and asks this one about it. This search yields only to a front of which it
 // has an open entry, since it then asks that front again before it starts the job. It yields
@@ -126,5 +135,6 @@
 	}
 	t.extend(s.id, known[at].Front, now)
 	s.yieldedTo[asker.Address] = true
+	delete(s.asked, known[at].Front)
 	return true
 }
--- a/pkg/openjobs/table.go
+++ b/pkg/openjobs/table.go
@@ -1,7 +1,6 @@
 package openjobs
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -31,6 +30,9 @@
 	relay     bool          // this host relays announcements of it within its domain
 	reporters []string      // hosts that announced it, the front among them if it did
 	referred  []Front       // the fronts that Refer returned it to
+
+	recordedAt time.Duration // when it was last announced
+	closedAt   time.Duration // what was announced until then is covered by the answer that closed it
 }
 
 // Table holds the jobs that other fronts hold open. It is not safe for concurrent use.
@@ -74,6 +76,7 @@
 		e.closed, e.ExpiresAt = false, 0
 	}
 	e.ExpiresAt = max(e.ExpiresAt, now+job.Remaining)
+	e.recordedAt = now
 	e.relay = e.relay || relay
 	if !slices.Contains(e.reporters, reporter) {
 		e.reporters = append(e.reporters, reporter)
@@ -99,15 +102,13 @@
 			found = append(found, *e)
 		}
 	}
-	slices.SortFunc(found, func(a, b Entry) int {
-		return cmp.Or(cmp.Compare(a.Front.Address, b.Front.Address), cmp.Compare(a.Front.Process, b.Front.Process))
-	})
+	slices.SortFunc(found, func(a, b Entry) int { return compareFronts(a.Front, b.Front) })
 	return found
 }
 
-// Refer returns the entry of a front that another front, the dispatcher, has to ask before an owner
-// here accepts the job from it. Each entry is returned once to a dispatcher: when that one
-// dispatches the job again, it has asked. A process that was started anew has not.
+// Refer is MustAsk for a dispatcher of an earlier build, which doesn't tell which fronts it has asked.
+// Each entry is returned once to a dispatcher: when that one dispatches the job again, it has asked,
+// unless the answer was lost. A process that was started anew has not.
 func (t *Table) Refer(id string, dispatcher Front, now time.Duration) (Entry, bool) {
 	for _, found := range t.Find(id, now) {
 		e := t.entry(id, found.Front)
@@ -127,11 +128,11 @@
 	}
 }
 
-// MarkClosed records that a front does not hold a job open, and that none of its runs of the
-// job can be alive at runsEndBy. The entry is removed if that time has passed.
-func (t *Table) MarkClosed(id string, front Front, runsEndBy, now time.Duration) {
+// MarkClosed records that a front, which was asked at askedAt, does not hold a job open, and that none
+// of its runs of the job can be alive at runsEndBy. The entry is removed if that time has passed.
+func (t *Table) MarkClosed(id string, front Front, runsEndBy, askedAt, now time.Duration) {
 	if e := t.entry(id, front); e != nil && now < runsEndBy {
-		e.closed = true
+		e.closed, e.closedAt = true, askedAt
 		e.ExpiresAt = runsEndBy
 		return
 	}
