node: a front that is referred to one that waits for it goes on

A front that an owner referred before anything of its job had started stopped following the job and searched for it as for any second sending. If the front that it was referred to had asked it a moment before, and waited there, each waited for the other until the deadline: the caller got nothing. Found by reading, while owners came to refer fronts at any epoch.

Such a front now goes on following the job while it asks, as one does that has runs elsewhere, so that one of them lets the other go first.

TestAFrontThatIsReferredToOneThatWaitsForItGoesOn: both rows failed before (neither front went on within 5 s), 3 of 3 runs pass now.

--- a/pkg/node/join.go
+++ b/pkg/node/join.go
@@ -84,10 +84,10 @@
 	f.markStarted(open)
 	ctx, cancel := f.untilDeadline(ctx, j)
 	defer cancel()
-	if j.IsPart() || state.formerCell != "" { // this front goes on following its own runs, or those of other parts
+	// This front goes on following its own runs, or those of other parts, and for fronts that wait here.
+	if j.IsPart() || state.formerCell != "" || !f.stopFollowing(open) {
 		return f.searchAgain(ctx, j, state)
 	}
-	f.setFollowed(open, false)
 	s := n.openJobTable.newSearch(open, 0)
 	outcome, ended := f.search(ctx, id, s, false)
 	state.asked = state.asked.Merged(s.Asked())
--- a/pkg/node/open.go
+++ b/pkg/node/open.go
@@ -25,6 +25,7 @@
 	cell       string        // the cell to which it, or a part of it, was last dispatched
 	epoch      int           // the highest with which it was dispatched
 	isSplit    bool          // into parts that are dispatched separately
+	isJoined   bool          // other fronts have waited for it here
 	heldSince  time.Duration // when this node began to follow it, or last dispatched it
 }
 
@@ -88,6 +89,7 @@
 	defer f.mu.Unlock()
 	if open != nil && open.isFollowed {
 		open.waiters++
+		open.isJoined = true
 	}
 	return open, open != nil && open.isFollowed
 }
@@ -230,6 +232,18 @@
 	}
 }
 
+// stopFollowing records that this node searches for an earlier submission of a job, unless other
+// fronts have waited here for the job: they may be those that it would search for.
+func (f *front) stopFollowing(open *openJob) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if open.isJoined {
+		return false
+	}
+	open.isFollowed = false
+	return true
+}
+
 func (f *front) markSplit(open *openJob) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/pkg/node/referrals_test.go
+++ b/pkg/node/referrals_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -122,3 +123,46 @@
 	c.Assert(received, qt.DeepEquals, openjobs.Asked{testFront("first:1"): 7 * time.Second, testFront("third:1"): 9 * time.Second})
 	c.Assert(fromAsked([]*peerpb.AskedFront{{Front: "first:1", AgoUs: -1}}, time.Second), qt.DeepEquals, openjobs.Asked{{Address: "first:1"}: time.Second})
 }
+
+// Guards against two fronts that wait for each other until the deadline: an owner refers a front to
+// one that has meanwhile asked that front, and waits there.
+func TestAFrontThatIsReferredToOneThatWaitsForItGoesOn(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		follows  bool // the one that waits follows the job too, and has lost its owner
+	}{
+		{testName: "to one that searches for the job"},
+		{testName: "to one that has lost its owner", follows: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			low, high := pairOf(t)
+			if low.settings.PeerAddress > high.settings.PeerAddress {
+				low, high = high, low
+			}
+			referred, waiting := high, low
+			if s.follows {
+				referred, waiting = low, high // the one that goes first when both follow
+			}
+			open := openAndAnnounce(referred)
+			eventually(c, func() bool { return knowsOpenJob(waiting) })
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			if s.follows {
+				openAndAnnounce(waiting)
+				waiting.openJobTable.resumedAt = -time.Hour
+				go waiting.front.rejoin(ctx, submission(waiting), &attempt{formerCell: "z", notBefore: waiting.Clock.Now()})
+			} else {
+				submitLater(ctx, waiting)
+			}
+			eventually(c, func() bool { return waiters(referred, open) == 2 })
+			self := waiting.asFront()
+			at := &job.OpenAt{Address: self.Address, Domain: self.Domain, Process: self.Process, Remaining: time.Minute}
+			_, ended := referred.front.joinOpenAt(ctx, open.job, "owner:1", at, &attempt{})
+			c.Assert(ended, qt.IsFalse, qt.Commentf("it goes on with the job"))
+			c.Assert(ctx.Err(), qt.IsNil)
+			c.Assert(referred.front.followed(joinID), qt.IsNotNil)
+		})
+	}
+}
