node: an owner knows the jobs of its host's other cells at once

The owner looked at the waiters of its own cell only; those of the other cell count from when owners announce jobs.

The owner now looks at the waiters of all cells of the domain that its host owns. That takes their locks one after the other before its own, so that two handovers in the same moment can still miss each other.

TestAnOwnerKnowsTheJobsOfItsHostsOtherCells, "from another front", failed before: it was accepted.

--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -141,8 +142,9 @@
 // submit accepts a job from a front, or answers it at once if its outcome is known here.
 func (o *owner) submit(handover cell.Handover, w waiter) {
 	var answer *job.Outcome
+	beside := o.holdersBeside(handover.Job)
 	o.do(func(state *cell.Cell, now time.Duration) {
-		if answer = o.answerWithoutJob(state, handover, &w, now); answer != nil {
+		if answer = o.answerWithoutJob(state, handover, &w, beside, now); answer != nil {
 			return
 		}
 		id := handover.Job.ID
@@ -175,8 +177,9 @@
 	}
 }
 
-// answerWithoutJob returns the answer to a job that this owner does not take, or nil. o.mu is held.
-func (o *owner) answerWithoutJob(state *cell.Cell, handover cell.Handover, w *waiter, now time.Duration) *job.Outcome {
+// answerWithoutJob returns the answer to a job that this owner does not take, or nil. beside has the
+// fronts that wait for the job at this host's other cells. o.mu is held.
+func (o *owner) answerWithoutJob(state *cell.Cell, handover cell.Handover, w *waiter, beside []openjobs.Holder, now time.Duration) *job.Outcome {
 	id, whole := handover.Job.ID, handover.Job.WholeID()
 	if o.stopped {
 		return &job.Outcome{Kind: job.Moved, Reason: reasonNotOwner}
@@ -190,7 +193,7 @@
 	if handover.Job.Kept {
 		return nil
 	}
-	holders := o.holders(state, whole, now)
+	holders := slices.Concat(beside, o.holders(state, whole, now))
 	w.known = len(holders)
 	var at *job.OpenAt
 	if w.namesAsked {
--- a/pkg/node/owner_announcements.go
+++ b/pkg/node/owner_announcements.go
@@ -186,6 +186,21 @@
 	return holders
 }
 
+// holdersBeside returns the fronts that wait for a job, or for a part of it, at this host's other cells
+// of the domain. No owner's lock may be held.
+func (o *owner) holdersBeside(j *job.Job) []openjobs.Holder {
+	var holders []openjobs.Holder
+	for _, other := range o.node.allOwners() {
+		if other == o || j.Kept || ownership.DomainOf(other.cell) != ownership.DomainOf(o.cell) {
+			continue
+		}
+		other.mu.Lock()
+		holders = append(holders, other.holdersHere(other.state, j.WholeID(), o.node.Clock.Now())...)
+		other.mu.Unlock()
+	}
+	return holders
+}
+
 // ownHolder returns this host's front if it follows a job, or has given it up so recently that runs
 // of it may be alive.
 func (n *Node) ownHolder(id string, now time.Duration) []openjobs.Holder {
--- a/pkg/node/referrals_test.go
+++ b/pkg/node/referrals_test.go
@@ -166,3 +166,33 @@
 		})
 	}
 }
+
+// Guards against a second run in another cell of the same host, within the time after which owners
+// announce a job.
+func TestAnOwnerKnowsTheJobsOfItsHostsOtherCells(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		front    string // of the second handover
+		asked    openjobs.Asked
+		accepted bool
+	}{
+		{testName: "from another front", front: "second:1"},
+		{testName: "from another front that has asked", front: "second:1", asked: openjobs.Asked{testFront("first:1"): time.Hour}, accepted: true},
+		{testName: "from the same front, which has split it", front: "first:1", accepted: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			n := newTestNode(c, &fakeStore{})
+			first, second := makeOwner(n, "z/2.0"), makeOwner(n, "z/2.1")
+			first.submitAsked("first:1", submission(n), 1, nil)
+			answer := second.submitAsked(s.front, submission(n), 1, s.asked)
+			if s.accepted {
+				c.Assert(second.has(joinID), qt.IsTrue)
+				return
+			}
+			c.Assert(answer, qt.HasLen, 1)
+			c.Assert((<-answer).OpenAt.Address, qt.Equals, "first:1")
+		})
+	}
+}
