node: of two owners that have one job, one returns it

That happens if a front reads the first submission over 0.7 s late, if it waited unstarted at its owner (such jobs aren't announced), or if the second owner has just started.

Cause: an announcement was looked at when a job was handed over, never when the job was here already.

Change: an announcement with a cell (its owner has the job) is compared with the jobs of this host's cells. The owner returns the job to its front, with the other one to ask, if nothing of it has started here, or if the other front goes first by the order of ShouldYield: both owners come to the same answer. Its runs are stopped, and the front searches as after a referral, still following its runs there; it gets the other front's outcome, or goes on after the settle time with the next epoch if the other one doesn't hold the job open. An owner that keeps its job announces it at once, whatever its age, as the other one may have to return it.

--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -100,11 +100,15 @@
 			return abandoned(ctx, true)
 		}
 		if outcome.OpenAt != nil {
+			now := f.node.Clock.Now()
+			state.recordMoved(claim.Cell, outcome, now, now+f.node.settleTime())
 			if outcome, ended := f.joinOpenAt(ctx, j, claim.Owner, outcome.OpenAt, &state); ended {
 				outcome.Started = outcome.Started || state.started
 				return outcome
 			}
-			state.recordSearch()
+			if state.recordSearch(); outcome.Started {
+				state.epoch++
+			}
 			continue
 		}
 		switch outcome.Kind {
--- a/pkg/node/openjobs.go
+++ b/pkg/node/openjobs.go
@@ -302,7 +302,7 @@
 	if dropped > 0 {
 		n.Log.Warn("open_jobs_dropped", "front", front.Address, "jobs", dropped, "remedy", "shorten long jobs, or add hosts to spread them over")
 	}
-	n.reportOpenTwice(front, reporter, jobs)
+	n.resolveOpenTwice(front, reporter, jobs)
 }
 
 func (n *Node) relayOpenJobs(from string, front openjobs.Front, jobs []openjobs.Announcement) {
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -41,6 +41,7 @@
 	acceptedAt  time.Duration
 	renewedAt   time.Duration // its last renewal of the job, as in cell.Renew; 0 when unknown
 	isAnnounced bool          // to the owners of the domain's other cells
+	announceNow bool          // whatever its age
 }
 
 // endedOutcome is the outcome of a job that has ended, and when to discard it.
--- a/pkg/node/owner_announcements.go
+++ b/pkg/node/owner_announcements.go
@@ -112,7 +112,7 @@
 	o.announcedTo = others
 	age := openjobs.OwnerAnnounceAfter(o.node.settings.ResubmitAfter)
 	due = o.announcementsOf(func(w *waiter) bool {
-		isDue := !w.isAnnounced && now >= w.job.Received+age && o.state.MayHaveStarted(w.job.ID)
+		isDue := !w.isAnnounced && (w.announceNow || now >= w.job.Received+age) && o.state.MayHaveStarted(w.job.ID)
 		w.isAnnounced = w.isAnnounced || isDue
 		return isDue
 	}, now)
--- a/pkg/node/waiters.go
+++ b/pkg/node/waiters.go
@@ -100,6 +100,11 @@
 func (o *owner) removeWaiters(id, front string, isLost bool) (taken []waiter, last bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	return o.takeWaiters(id, front, isLost)
+}
+
+// takeWaiters is removeWaiters with o.mu held.
+func (o *owner) takeWaiters(id, front string, isLost bool) (taken []waiter, last bool) {
 	remaining := o.waiters[id][:0]
 	for _, w := range o.waiters[id] {
 		if w.front == front {
--- a/pkg/openjobs/referral.go
+++ b/pkg/openjobs/referral.go
@@ -74,6 +74,14 @@
 	return slices.MinFunc(unasked, func(a, b Holder) int { return compareFronts(a.Front, b.Front) }), true
 }
 
+// LetsGoFirst reports whether a front whose job is at an owner lets another one go first, for which the
+// owner of another cell has announced the same job: if nothing of its own has started, and otherwise
+// by the order of ShouldYield. Owners announce jobs only once they may have started, so that one of
+// two fronts goes on.
+func LetsGoFirst(own, other Front, hasStarted bool) bool {
+	return own.Address != other.Address && (!hasStarted || other.Address < own.Address)
+}
+
 func compareFronts(a, b Front) int {
 	return cmp.Or(cmp.Compare(a.Address, b.Address), cmp.Compare(a.Process, b.Process))
 }
