--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -7,6 +7,7 @@
 	"github.com/foxcroft/foxcroft/pkg/cell"
 	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/openjobs"
 	"github.com/foxcroft/foxcroft/pkg/ownership"
 )
 
@@ -35,6 +36,8 @@
 	notBefore     time.Duration // runs in formerCell have ended by then
 	preferredCell string        // cell to try first, once; empty when none
 	namesRuns     bool          // progress names all runs that former owners may have left
+
+	asked openjobs.Asked // other fronts, about this job
 }
 
 // recordMoved records that an owner has returned the job. Its runs go on in the cell, where
@@ -97,11 +100,15 @@
 			return abandoned(ctx, true)
 		}
 		if outcome.OpenAt != nil {
+			now := f.node.Clock.Now()
+			state.recordMoved(claim.Cell, outcome, now, now+f.node.settleTime())
 			if outcome, ended := f.joinOpenAt(ctx, j, claim.Owner, outcome.OpenAt, &state); ended {
 				outcome.Started = outcome.Started || state.started
 				return outcome
 			}
-			state.recordSearch()
+			if state.recordSearch(); outcome.Started {
+				state.epoch++
+			}
 			continue
 		}
 		switch outcome.Kind {
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -1,11 +1,13 @@
 package node
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/cell"
 	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/openjobs"
 	"github.com/foxcroft/foxcroft/pkg/ownership"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
 )
@@ -32,9 +34,14 @@
 	reply      reply
 
 	job         *job.Job
-	keepsRuns   bool          // the front remembers its former runs when it is referred to another front; fronts of earlier builds don't
+	keepsRuns   bool // the front remembers its former runs when it is referred to another front; fronts of earlier builds don't
+	asked       openjobs.Asked
+	namesAsked  bool // asked is complete; not set by earlier builds
+	known       int  // fronts that the owner knew of, its own included
+	acceptedAt  time.Duration
 	renewedAt   time.Duration // its last renewal of the job, as in cell.Renew; 0 when unknown
 	isAnnounced bool          // to the owners of the domain's other cells
+	announceNow bool          // whatever its age
 }
 
 // endedOutcome is the outcome of a job that has ended, and when to discard it.
@@ -136,12 +143,13 @@
 // submit accepts a job from a front, or answers it at once if its outcome is known here.
 func (o *owner) submit(handover cell.Handover, w waiter) {
 	var answer *job.Outcome
+	beside := o.holdersBeside(handover.Job)
 	o.do(func(state *cell.Cell, now time.Duration) {
-		if answer = o.answerWithoutJob(state, handover, &w, now); answer != nil {
+		if answer = o.answerWithoutJob(state, handover, &w, beside, now); answer != nil {
 			return
 		}
 		id := handover.Job.ID
-		w.job, w.renewedAt = handover.Job, handover.RenewedAt
+		w.job, w.renewedAt, w.acceptedAt = handover.Job, handover.RenewedAt, now
 		if handover.Job.Kept {
 			o.kept.add(id)
 		}
@@ -149,14 +157,31 @@
 		handover.RenewedAt = o.renewedAt(id)
 		state.Submit(handover, now)
 	})
+	o.logDecision(handover, &w, answer)
 	if answer != nil {
 		w.reply(*answer)
 	}
 }
 
-// answerWithoutJob returns the answer to a job that this owner does not take, or nil. o.mu is held.
-func (o *owner) answerWithoutJob(state *cell.Cell, handover cell.Handover, w *waiter, now time.Duration) *job.Outcome {
-	id := handover.Job.ID
+// logDecision logs that a job was accepted from a front, or that the front was referred to another
+// one. First submissions of which no other front is known are accepted without a log line.
+func (o *owner) logDecision(handover cell.Handover, w *waiter, answer *job.Outcome) {
+	j := handover.Job
+	switch {
+	case answer != nil && answer.OpenAt != nil:
+		o.node.Log.Info("job_referred", "job", j.ID, "cell", o.cell, "front", w.front, "epoch", handover.Epoch, "asked", len(w.asked),
+			"to", answer.OpenAt.Address, "runs_end_in_ms", answer.OpenAt.Remaining.Milliseconds())
+	case answer == nil && !j.Kept:
+		if handover.Epoch > 1 || w.known > 0 {
+			o.node.Log.Info("job_accepted", "job", j.ID, "cell", o.cell, "front", w.front, "epoch", handover.Epoch, "known", w.known, "asked", len(w.asked))
+		}
+	}
+}
+
+// answerWithoutJob returns the answer to a job that this owner does not take, or nil. beside has the
+// fronts that wait for the job at this host's other cells. o.mu is held.
+func (o *owner) answerWithoutJob(state *cell.Cell, handover cell.Handover, w *waiter, beside []openjobs.Holder, now time.Duration) *job.Outcome {
+	id, whole := handover.Job.ID, handover.Job.WholeID()
 	if o.stopped {
 		return &job.Outcome{Kind: job.Moved, Reason: reasonNotOwner}
 	}
@@ -166,12 +191,16 @@
 	if o.kept.isCancelled(id, now) {
 		return &keptCancelled
 	}
-	if handover.Job.Kept || handover.Epoch > 1 && !w.keepsRuns {
+	if handover.Job.Kept {
 		return nil
 	}
-	at, isHere := o.openHere(state, handover, w.front)
-	if !isHere {
-		at = o.node.openAtOther(handover.Job, o.node.frontOf(w))
+	holders := slices.Concat(beside, o.holders(state, whole, now))
+	w.known = len(holders)
+	var at *job.OpenAt
+	if w.namesAsked {
+		at = mustAsk(o.node.frontOf(w), w.asked, holders, now)
+	} else {
+		at = o.mustAskByEarlierBuild(state, handover, w)
 	}
 	if at == nil {
 		return nil
@@ -322,8 +351,11 @@
 }
 
 func (o *owner) log(notice cell.Notice) {
-	o.node.Log.Info(notice.Event, "cell", o.cell, "executor", notice.Executor, "job", notice.Job, "task", notice.Task,
-		"detail", notice.Detail, "age_ms", notice.Age.Milliseconds())
+	fields := []any{"cell", o.cell, "executor", notice.Executor, "job", notice.Job, "task", notice.Task, "detail", notice.Detail, "age_ms", notice.Age.Milliseconds()}
+	if notice.Run > 0 {
+		fields = append(fields, "run", notice.Run)
+	}
+	o.node.Log.Info(notice.Event, fields...)
 }
 
 // owner returns this node's owner of a cell, or nil when it does not own the cell.
