node: a host is unsure of its contact only after a loss

In the first 0.6 s of a process jobs waited, as no loss and no contact counted as a loss. TestAResubmittedSplitJobJoinsTheParentJob failed by that in a loaded run.

--- a/pkg/node/isolation.go
+++ b/pkg/node/isolation.go
@@ -41,7 +41,7 @@
 	defer n.mu.Unlock()
 	now := n.Clock.Now()
 	c := contact{isolated: n.members.IsIsolated(now), syncedAt: n.reachesOthersSince + openjobs.ResyncDelay}
-	if n.domainHeardAt <= n.domainLostAt && n.reachesSameDomain("") {
+	if n.domainLostAt > 0 && n.domainHeardAt <= n.domainLostAt && n.reachesSameDomain("") {
 		c.unsureAt = n.domainLostAt + n.settings.SuspectAfter
 	}
 	if now < c.syncedAt && n.members.ReachesDomain(now) {
--- a/pkg/node/isolation_test.go
+++ b/pkg/node/isolation_test.go
@@ -44,7 +44,7 @@
 	a, b := pairOf(t)
 	open := openAndAnnounce(a)
 	eventually(c, func() bool { return knowsOpenJob(b) })
-	b.openJobTable.others.MarkClosed(joinID, a.asFront(), 0, 0) // as before the announcement arrived
+	b.openJobTable.others.MarkClosed(joinID, a.asFront(), 0, 0, 0) // as before the announcement arrived
 	b.mu.Lock()
 	b.reachesOthersSince, b.newestLinkAt = b.Clock.Now(), b.Clock.Now()
 	b.contactChanged()
