--- a/pkg/node/convert.go
+++ b/pkg/node/convert.go
@@ -46,11 +46,14 @@
 	return fronts
 }
 
+// longestAskedAgo bounds what other hosts tell, so that it doesn't overflow.
+const longestAskedAgo = time.Hour
+
 func fromAsked(fronts []*peerpb.AskedFront, now time.Duration) openjobs.Asked {
 	asked := openjobs.Asked{}
 	for _, m := range fronts {
 		front := openjobs.Front{Address: m.Front, Domain: m.Domain, Process: string(m.Process)}
-		asked[front] = now - microseconds(max(0, m.AgoUs))
+		asked[front] = now - microseconds(min(max(0, m.AgoUs), longestAskedAgo.Microseconds()))
 	}
 	return asked
 }
--- a/pkg/node/referrals_test.go
+++ b/pkg/node/referrals_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"testing"
 	"time"
 
@@ -122,6 +123,7 @@
 	received := fromAsked(toAsked(asked, 4*time.Second), 10*time.Second)
 	c.Assert(received, qt.DeepEquals, openjobs.Asked{testFront("first:1"): 7 * time.Second, testFront("third:1"): 9 * time.Second})
 	c.Assert(fromAsked([]*peerpb.AskedFront{{Front: "first:1", AgoUs: -1}}, time.Second), qt.DeepEquals, openjobs.Asked{{Address: "first:1"}: time.Second})
+	c.Assert(fromAsked([]*peerpb.AskedFront{{Front: "first:1", AgoUs: math.MaxInt64}}, time.Second), qt.DeepEquals, openjobs.Asked{{Address: "first:1"}: time.Second - longestAskedAgo})
 }
 
 // Guards against two fronts that wait for each other until the deadline: an owner refers a front to
