--- a/pkg/node/parts.go
+++ b/pkg/node/parts.go
@@ -57,7 +57,7 @@
 		return combined
 	}
 	f.node.Log.Info("parts_handed_in_again", "job", j.ID, "parts", len(refused), "reason", refused[0].outcome.Reason)
-	return combineOutcomes(job.Outcome{Kind: job.Completed, Started: true, Chain: combined.Chain}, f.followAll(ctx, cancel, refused, attempt{epoch: begin.epoch + 1, namesRuns: true}))
+	return combineOutcomes(job.Outcome{Kind: job.Completed, Started: true, Chain: combined.Chain}, f.followAll(ctx, cancel, refused, attempt{epoch: begin.epoch + 1, namesRuns: true, asked: begin.asked}))
 }
 
 func refusedParts(parts []*part) []*part {
