node: job_accepted isn't logged for each job of a host's own front

The front of the job itself counted as known, so that each first submission to a host that owns the cell had a line of its own. The front also logs that it goes on with a job that was returned because it was open elsewhere (job_handed_on).

TestAnOwnerLogsWhichFrontsItRefersAndWhatItKnewOfOthers, "first submission, to this host", failed before.

--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -108,6 +108,7 @@
 			}
 			if state.recordSearch(); outcome.Started {
 				state.epoch++
+				f.node.Log.Info("job_handed_on", "job", j.ID, "cell", claim.Cell, "token", claim.Token, "epoch", state.epoch, "why", outcome.Kind.String(), "reason", outcome.Reason)
 			}
 			continue
 		}
--- a/pkg/node/open_twice_test.go
+++ b/pkg/node/open_twice_test.go
@@ -61,10 +61,12 @@
 	scenarios := []struct {
 		testName string
 		known    bool // another front has announced the job
+		own      bool // this host's front submits it
 		epoch    int
 		logged   string
 	}{
 		{testName: "first submission", epoch: 1},
+		{testName: "first submission, to this host", own: true, epoch: 1},
 		{testName: "handed over again", epoch: 2, logged: "job_accepted"},
 		{testName: "open at another front", known: true, epoch: 1, logged: "job_referred"},
 	}
@@ -77,7 +79,12 @@
 			if s.known {
 				n.recordOpenJobs(openjobs.Front{Address: "first:1", Domain: "z", Process: "first:1"}, "owner:1", []openjobs.Announcement{{ID: joinID, Remaining: time.Minute}}, false)
 			}
-			o.submitFor("second:1", submission(n), s.epoch)
+			front := "second:1"
+			if s.own {
+				front = n.settings.PeerAddress
+				openUnannounced(n)
+			}
+			o.submitFor(front, submission(n), s.epoch)
 			if s.logged == "" {
 				c.Assert(lines.String(), qt.Equals, "")
 				return
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -37,7 +37,7 @@
 	keepsRuns   bool // the front remembers its former runs when it is referred to another front; fronts of earlier builds don't
 	asked       openjobs.Asked
 	namesAsked  bool // asked is complete; not set by earlier builds
-	known       int  // fronts that the owner knew of, its own included
+	known       int  // other fronts that might hold the job open, by what the owner knew
 	acceptedAt  time.Duration
 	renewedAt   time.Duration // its last renewal of the job, as in cell.Renew; 0 when unknown
 	isAnnounced bool          // to the owners of the domain's other cells
@@ -195,7 +195,7 @@
 		return nil
 	}
 	holders := slices.Concat(beside, o.holders(state, whole, now))
-	w.known = len(holders)
+	w.known = countOthers(holders, w.front)
 	var at *job.OpenAt
 	if w.namesAsked {
 		at = mustAsk(o.node.frontOf(w), w.asked, holders, now)
--- a/pkg/node/owner_announcements.go
+++ b/pkg/node/owner_announcements.go
@@ -174,6 +174,16 @@
 	return slices.Concat(o.holdersHere(state, id, now), o.node.openJobTable.holders(id, now), o.node.ownHolder(id, now))
 }
 
+func countOthers(holders []openjobs.Holder, front string) int {
+	count := 0
+	for _, h := range holders {
+		if h.Front.Address != front {
+			count++
+		}
+	}
+	return count
+}
+
 // holdersHere returns the fronts that wait at this owner for a job, or for a part of it. o.mu is held.
 func (o *owner) holdersHere(state *cell.Cell, id string, now time.Duration) []openjobs.Holder {
 	var holders []openjobs.Holder
