Fronts that stood still count from when a job may have been sent

A task ran twice at once where its front stood still for most of the time: it received the job up to a stall after its caller had sent it, and announced it, and had it confirmed, by the receipt. The caller counts its 1.3 s from the sending, and sent the job again to a host that had heard nothing of it.

A front now takes the earliest sending of a job: what arrived before the last poll but one before the stall counts as read, and the kernel tells when the last data of the connection arrived, as one window of 40 ms may pass without the request being read (seen in a trace: read in the second window, 1.0 s late, with two stalls before it). Announcements and confirmations count from it. A job that was received so late that it is due is announced without waiting for the batch interval; after a stall the process polls every 25 ms for 2 s. A confirmation that is read after the limit doesn't count.

--- a/pkg/job/job.go
+++ b/pkg/job/job.go
@@ -50,6 +50,7 @@
 	Spec        string // passed to every task
 	Steps       []Step
 	Received    time.Duration // on the clock of the process that holds this value
+	SentAfter   time.Duration // a lower bound of when its caller sent it, on the same clock; 0: none but Received is known
 	Deadline    time.Duration // until when the caller waits
 	Stretch     float64       // factor on the critical path in the objective
 	Target      time.Duration // added to the objective
@@ -114,6 +115,15 @@
 	return count
 }
 
+// EarliestSending returns when the job's caller may have sent it at the earliest. It counts the time until
+// it sends the job again from then on.
+func (j *Job) EarliestSending() time.Duration {
+	if j.SentAfter > 0 {
+		return min(j.SentAfter, j.Received)
+	}
+	return j.Received
+}
+
 // LateFactor is the multiple of a job's objective after which its answer has no
 // value to the caller.
 const LateFactor = 3
--- a/pkg/node/confirmations.go
+++ b/pkg/node/confirmations.go
@@ -32,7 +32,7 @@
 	if len(jobs) == 0 {
 		return
 	}
-	slices.SortFunc(jobs, func(a, b *openJob) int { return cmp.Compare(a.job.Received, b.job.Received) })
+	slices.SortFunc(jobs, func(a, b *openJob) int { return cmp.Compare(a.job.EarliestSending(), b.job.EarliestSending()) })
 	for domain := range n.domainsBeside() {
 		go n.awaitConfirmation(domain, jobs)
 	}
@@ -42,7 +42,7 @@
 // which it doesn't in time.
 func (n *Node) awaitConfirmation(domain string, jobs []*openJob) {
 	for _, open := range jobs {
-		if n.confirmsBy(domain, openjobs.ConfirmBy(open.job.Received, n.settings.ResubmitAfter)) {
+		if n.confirmsBy(domain, openjobs.ConfirmBy(open.job.EarliestSending(), n.settings.ResubmitAfter)) {
 			return
 		}
 		n.giveUpUnconfirmed(domain, open)
@@ -59,7 +59,7 @@
 		}
 	}
 	n.openJobTable.recordConfirmed(domain)
-	return true
+	return n.Clock.Now() <= limit // a process that stood still may read the answer later
 }
 
 // askMissingDomains asks the domains that don't confirm whether they can be reached again.
@@ -121,7 +121,7 @@
 	n.openJobTable.mu.Lock()
 	giveUpBefore := n.openJobTable.confirmations.Missing(domain, n.Clock.Now())
 	n.openJobTable.mu.Unlock()
-	if open.job.Received < giveUpBefore && !open.hasEnded() {
+	if open.job.EarliestSending() < giveUpBefore && !open.hasEnded() {
 		n.Log.Warn("open_job_unconfirmed", "job", open.job.ID, "domain", domain, "age_ms", (n.Clock.Now() - open.job.Received).Milliseconds())
 		open.cancel(errUnconfirmed)
 	}
--- a/pkg/node/join.go
+++ b/pkg/node/join.go
@@ -51,7 +51,7 @@
 // other fronts.
 func (f *front) rejoin(ctx context.Context, j *job.Job, state *attempt) (job.Outcome, bool) {
 	n := f.node
-	if resyncedAt := n.openJobTable.resyncedAt(); n.Clock.Now() < resyncedAt && n.Clock.Now() >= j.Received+openjobs.AnnounceAfter(n.settings.ResubmitAfter) {
+	if resyncedAt := n.openJobTable.resyncedAt(); n.Clock.Now() < resyncedAt && n.Clock.Now() >= j.EarliestSending()+openjobs.AnnounceAfter(n.settings.ResubmitAfter) {
 		f.sleepUntil(ctx, resyncedAt)
 	}
 	if len(n.openJobTable.find(j.WholeID(), n.Clock.Now())) == 0 {
--- /dev/null
+++ b/pkg/node/late_jobs_test.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/common"
+	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/openjobs"
+	"github.com/foxcroft/foxcroft/pkg/traffic"
+	qt "github.com/frankban/quicktest"
+)
+
+// pollAndStandStill has a node poll for a while and then not until a time, as a process that is stopped.
+func pollAndStandStill(n *Node, clock *common.ManualClock, stall time.Duration) {
+	for range 10 {
+		clock.At += renewInterval
+		n.renewJobs(clock.At)
+	}
+	clock.At += stall
+}
+
+// Guards against a second run beside a front that stood still: it receives a job up to a stall after
+// its caller has sent it, and the caller counts from the sending until it sends the job again.
+func TestAJobThatIsReceivedLateIsAnnouncedByItsSending(t *testing.T) {
+	type scenario struct {
+		testName    string
+		stall       time.Duration
+		isPolled    bool          // the poll after the stall comes before the request is handled
+		announcedIn time.Duration // after the receipt
+	}
+	scenarios := []scenario{
+		{testName: "no stall", announcedIn: 700 * time.Millisecond},
+		{testName: "a stall of 0.3 s", stall: 300 * time.Millisecond, announcedIn: 250 * time.Millisecond},
+		{testName: "a stall of 0.7 s", stall: 700 * time.Millisecond},
+		{testName: "a stall of 0.7 s, polled before", stall: 700 * time.Millisecond, isPolled: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			n := newTestNode(c, &fakeStore{})
+			clock := &common.ManualClock{At: time.Second}
+			n.Clock = clock
+			makeOwner(n, "z/1.0")
+			pollAndStandStill(n, clock, s.stall)
+			if s.isPolled {
+				n.renewJobs(clock.At)
+			}
+			ctx, leave := context.WithCancel(context.Background())
+			ended := make(chan job.Outcome, 1)
+			go func() { ended <- n.Submit(ctx, submission(n)) }()
+			var batch []openjobs.Announcement
+			for wait := time.Now().Add(time.Second); len(batch) == 0 && time.Now().Before(wait); time.Sleep(time.Millisecond) {
+				batch = n.openJobTable.nextBatch(clock.At + s.announcedIn)
+			}
+			c.Assert(batch, qt.HasLen, 1)
+			leave()
+			<-ended
+		})
+	}
+}
+
+// Guards against counting from the receipt of a request that waited at the machine for longer than one
+// stall of this process: it may stop again before it reads the request.
+func TestWhenARequestArrived(t *testing.T) {
+	type scenario struct {
+		testName string
+		waits    time.Duration // before the process accepts its connection
+	}
+	scenarios := []scenario{
+		{testName: "read at once"},
+		{testName: "read late", waits: 300 * time.Millisecond},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			n := newTestNode(c, &fakeStore{})
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			arrived := make(chan time.Duration, 1)
+			server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { arrived <- n.arrivalOf(r.Context()) })}
+			n.configureFront(server)
+			defer server.Close()
+			time.Sleep(time.Millisecond) // no request arrives at time 0
+			time.AfterFunc(s.waits, func() { _ = server.Serve(n.meter.Of(traffic.Callers).Listener(listener)) })
+			sent := n.Clock.Now()
+			response, err := http.Post("http://"+listener.Addr().String(), "application/json", strings.NewReader("{}"))
+			c.Assert(err, qt.IsNil)
+			_ = response.Body.Close()
+			at := <-arrived
+			c.Assert(at > 0, qt.IsTrue)
+			delay := at - sent
+			c.Assert(delay > -20*time.Millisecond && delay < 150*time.Millisecond, qt.IsTrue, qt.Commentf("arrived %s after its sending", delay))
+		})
+	}
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -238,6 +238,7 @@
 func (n *Node) configureFront(server *http.Server) {
 	server.MaxHeaderBytes = defaultHeaderBytes
 	server.IdleTimeout = defaultIdleTimeout
+	server.ConnContext = withConnection
 }
 
 // runCells ticks the cells that this node owns and claims cells that lack an
@@ -249,7 +250,7 @@
 		switch {
 		case n.tickOwners():
 			interval = tickInterval
-		case n.front.hasDispatched():
+		case n.front.hasDispatched(), n.stalledLately():
 			interval = renewInterval
 		}
 		if now := n.Clock.Now(); now >= nextClaim {
--- a/pkg/node/openjobs.go
+++ b/pkg/node/openjobs.go
@@ -73,7 +73,7 @@
 func (o *openJobTable) add(j *job.Job) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.local.Add(j.ID, j.Received, j.Deadline)
+	o.local.Add(j.ID, j.EarliestSending(), j.Received, j.Deadline)
 }
 
 // remove records that a job has ended at this front. The outcome is retained for outcomeRetention
--- a/pkg/node/renewals.go
+++ b/pkg/node/renewals.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/openjobs"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
 )
 
@@ -15,14 +16,16 @@
 	// renewInterval is the least time between two polls of the timestamps to renew with.
 	renewInterval = 25 * time.Millisecond
 	// maxPollGap is the time between two polls beyond which this process counts as paused.
-	// An idle process polls every 100 ms.
-	maxPollGap = 150 * time.Millisecond
+	maxPollGap = openjobs.MaxPollGap
 	// maxConsecutiveGaps is how many gaps in a row count as a pause. After more of them the
 	// process counts as slow rather than paused, and renews, so that its jobs are served.
 	maxConsecutiveGaps = 2
 	// minRenewalInterval is the least time between two renewals sent to an owner, who goes
 	// through all its jobs at each.
 	minRenewalInterval = 100 * time.Millisecond
+	// stallMemory is how long after a pause this process polls every renewInterval, so that little
+	// time passes between its last poll and the next pause.
+	stallMemory = 2 * time.Second
 )
 
 // renewals tracks, for each owner, the timestamp up to which this host confirms that its
@@ -35,6 +38,7 @@
 	confirmedLocal time.Duration               // the same for this host's own cells, by its own clock
 	polledAt       time.Duration               // the last poll
 	gaps           int                         // consecutive gaps before it
+	stalls         openjobs.Stalls             // polls at the same times
 }
 
 // ownerTimestamps are the timestamps received from one owner.
@@ -99,6 +103,7 @@
 	}
 	last := r.polledAt
 	r.polledAt = now
+	r.stalls.Poll(now)
 	if r.recordGap(now - last) {
 		return nil
 	}
@@ -125,6 +130,20 @@
 	return now > r.polledAt+maxTickGap
 }
 
+// earliestSending is Stalls.EarliestSending.
+func (r *renewals) earliestSending(received, arrived time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stalls.EarliestSending(received, arrived)
+}
+
+// stalledSince is Stalls.EndedSince.
+func (r *renewals) stalledSince(since, now time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stalls.EndedSince(since, now)
+}
+
 // recordGap records the time since the last poll, and reports whether this process counts as
 // paused meanwhile.
 func (r *renewals) recordGap(gap time.Duration) bool {
@@ -140,6 +159,12 @@
 	return r.gaps <= maxConsecutiveGaps
 }
 
+// stalledLately reports whether this process was paused a short time ago.
+func (n *Node) stalledLately() bool {
+	now := n.Clock.Now()
+	return n.renewals.stalledSince(now-stallMemory, now)
+}
+
 // recordTimestamp records the timestamp of an owner that came with a reply.
 func (n *Node) recordTimestamp(address string, reply *peerpb.Message) {
 	if reply.Moment != nil {
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -37,6 +37,7 @@
 
 // Submit implements Service.
 func (n *Node) Submit(ctx context.Context, j *job.Job) job.Outcome {
+	j.SentAfter = n.renewals.earliestSending(j.Received, n.arrivalOf(ctx))
 	return n.front.submit(ctx, j)
 }
 
--- a/pkg/openjobs/confirmations.go
+++ b/pkg/openjobs/confirmations.go
@@ -12,8 +12,9 @@
 
 // ConfirmBy returns until when each domain has to confirm that it has received the announcement of
 // a job. Otherwise a caller may resubmit the job there, where no host would look for this one.
-func ConfirmBy(received, resubmitAfter time.Duration) time.Duration {
-	return received + resubmitAfter - withdrawTime
+// sentAfter is the earliest time at which its caller may have sent it.
+func ConfirmBy(sentAfter, resubmitAfter time.Duration) time.Duration {
+	return sentAfter + resubmitAfter - withdrawTime
 }
 
 // Confirmations records the domains that don't confirm announcements. It is not safe for concurrent
@@ -46,7 +47,7 @@
 func (c *Confirmations) Confirmed(domain string) { delete(c.missingSince, domain) }
 
 // Missing records that it is noticed now that a domain doesn't confirm an announcement. It returns a
-// time: jobs that were received before it have to be given up. Those received later are kept, as their
+// time: jobs that were sent before it have to be given up. Those sent later are kept, as their
 // callers reach this front although it is cut off from the domain.
 func (c *Confirmations) Missing(domain string, now time.Duration) (giveUpBefore time.Duration) {
 	if since, known := c.missingSince[domain]; known {
--- a/pkg/openjobs/confirmations_test.go
+++ b/pkg/openjobs/confirmations_test.go
@@ -36,3 +36,11 @@
 	confirmations.Confirmed("x")
 	c.Assert(confirmations.DueAgain(6*time.Second+missingRetryInterval), qt.DeepEquals, []string{"y"})
 }
+
+func TestWhenJobsHaveToBeConfirmed(t *testing.T) {
+	c := qt.New(t)
+	limit := ConfirmBy(time.Second, resubmitAfter)
+	c.Assert(limit, qt.Equals, 2150*ms)
+	c.Assert(IsAnnounced(time.Second, time.Second+resubmitAfter, resubmitAfter), qt.IsFalse)
+	c.Assert(IsAnnounced(time.Second, time.Second+resubmitAfter+ms, resubmitAfter), qt.IsTrue)
+}
--- a/pkg/openjobs/explore_owners_test.go
+++ b/pkg/openjobs/explore_owners_test.go
@@ -33,6 +33,8 @@
 // isAlive reports whether runs of the execution may be alive.
 func (e *execution) isAlive(now time.Duration) bool {
 	switch {
+	case e.stoppedBy > 0:
+		return now < e.stoppedBy
 	case e.runsEndBy > 0:
 		return now < e.runsEndBy
 	case e.separatedSince > 0:
--- a/pkg/openjobs/explore_test.go
+++ b/pkg/openjobs/explore_test.go
@@ -85,7 +85,12 @@
 // announce announces the open job to the other hosts, again and again.
 func (h *modelHost) announce() {
 	w := h.world
-	w.after(w.between(ScanInterval/2, ScanInterval), h.announce)
+	if h.isStalled() {
+		w.after(h.stalledUntil-w.now, h.announce)
+		return
+	}
+	w.after(h.scanInterval(), h.announce)
+	h.stalls.Poll(w.now)
 	if h.dead {
 		return
 	}
@@ -180,15 +185,17 @@
 	return false
 }
 
-// receive handles a submission of the job.
-func (h *modelHost) receive(name string, answer func(ended bool)) {
+// receive handles a submission of the job that arrived at the host's machine at a time.
+func (h *modelHost) receive(name string, arrived time.Duration, answer func(ended bool)) {
 	if h.open != nil {
 		h.open.waiters[name] = answer
 		return
 	}
+	sentAfter := h.earliestSending(arrived)
 	open := &modelOpen{host: h, process: h.process, waiters: map[string]func(bool){name: answer}, announcedTo: map[hostProcess]bool{}, notOpenAt: map[hostProcess]time.Duration{}, receivedAt: h.world.now, deadline: h.world.now + jobDeadline}
 	h.open = open
-	h.local.Add(jobID, h.world.now, h.world.now+jobDeadline)
+	h.local.Add(jobID, sentAfter, h.world.now, h.world.now+jobDeadline)
+	open.limitUnconfirmed(sentAfter)
 	h.world.after(jobDeadline, func() {
 		if open.isOpen() {
 			open.end(false)
@@ -223,6 +230,9 @@
 	if o.execution != nil && o.execution.runsEndBy == 0 {
 		return // it continues already
 	}
+	if o.isGivenUp {
+		return
+	}
 	c := w.startExecution(o)
 	o.execution = c
 	w.after(jobDuration, func() { o.complete(c) })
@@ -264,6 +274,7 @@
 	isAnnounced := h.local.Remove(jobID) || h.ended != nil || h.world.now >= o.receivedAt+OwnerAnnounceAfter(resubmitAfter)
 	if o.execution != nil {
 		o.execution.end(o.execution.renewedAt(), !isDone) // the withdrawal may be lost
+		o.endWithdrawn(isDone)
 		o.execution.endedAt = h.world.now
 		if isAnnounced || !isDone {
 			h.ended = o.execution
@@ -276,6 +287,10 @@
 
 // round asks about each front that may hold the job open, one after the other.
 func (o *modelOpen) round() {
+	if o.host.isStalled() {
+		o.host.afterStall(o.round)
+		return
+	}
 	if !o.isOpen() {
 		return
 	}
--- a/pkg/openjobs/explore_world_test.go
+++ b/pkg/openjobs/explore_world_test.go
@@ -42,6 +42,10 @@
 	ranTwice    bool
 	situations  []string       // of the fronts beside which the job was started
 	renewing    map[string]int // fronts that went on renewing though hosts lost them, by situation
+
+	lateReceipts      int  // submissions that were received after a stall
+	onlyStalls        bool // hosts stand still, and there are no other faults
+	countsFromReceipt bool // fronts count from the receipt of a submission, not from its earliest sending
 }
 
 type event struct {
@@ -66,6 +70,10 @@
 	ended    *execution                    // of the last job that was announced or given up
 	deniedAt time.Duration                 // when it last answered that it doesn't hold the job open
 	heard    map[hostProcess]time.Duration // by front: the latest expiry that it has announced to this process
+
+	stalls       Stalls
+	stalledUntil time.Duration // it stands still until then
+	stallEndedAt time.Duration // when it last stood still; 0: never
 }
 
 // execution is the job as started by a front. Its runs may be alive until runsEndBy.
@@ -74,6 +82,7 @@
 	startedAt time.Duration
 	endedAt   time.Duration // when the front stopped holding the job open; 0 before
 	runsEndBy time.Duration // 0 while the front follows the job
+	stoppedBy time.Duration // when its runs have been stopped for certain, which its front can't know; 0: by runsEndBy
 
 	owner          *modelHost    // of the job's cell, where the front renews leases
 	separatedSince time.Duration // when the front was cut off from the owner; 0 when it isn't
@@ -109,6 +118,8 @@
 	hasAsked    bool                          // another front
 	notOpenAt   map[hostProcess]time.Duration // when fronts have answered that they don't hold the job open
 	announcedTo map[hostProcess]bool          // processes that an announcement of it must have reached, or has
+	confirmBy   time.Duration                 // until when each domain has to confirm it
+	isGivenUp   bool                          // as unconfirmed, though its front may not have noticed yet
 }
 
 func newWorld(seed uint64) *world {
@@ -198,7 +209,11 @@
 			w.deliver(link, to, process, 10*ms, do)
 			return
 		}
-		do()
+		w.hosts[to].afterStall(func() {
+			if !w.down[link] && w.hosts[to].process == process {
+				do()
+			}
+		})
 	})
 }
 
@@ -368,7 +383,7 @@
 // submit has the caller submit the job, and resubmit it some time after its connection has
 // broken. Often the front doesn't detect the break, or late.
 func (w *world) submit() {
-	h := w.hosts[w.random.IntN(len(w.hosts))]
+	h := w.drawReceiver()
 	if h.dead || w.now < h.startedAt+minCallerDelay || w.submissions > 5 {
 		w.after(resubmitAfter, w.submit)
 		return
@@ -388,15 +403,23 @@
 			return
 		}
 		w.after(w.between(0, maxDetectionDelay), func() {
-			if h.process == process && !h.dead {
-				h.callerLeft(name)
-			}
+			h.afterStall(func() {
+				if h.process == process && !h.dead {
+					h.callerLeft(name)
+				}
+			})
 		})
 	}
-	h.receive(name, func(ended bool) {
-		if ended {
-			isOpen = false
-		}
+	if h.isStalled() {
+		w.lateReceipts++
+	}
+	arrived := w.now
+	h.afterReading(func() {
+		h.receive(name, arrived, func(ended bool) {
+			if ended {
+				isOpen = false
+			}
+		})
 	})
 	w.after(w.between(0, 3*time.Second), breaks)
 }
--- a/pkg/openjobs/local_jobs.go
+++ b/pkg/openjobs/local_jobs.go
@@ -13,36 +13,37 @@
 	resubmitAfter   time.Duration
 	unrenewedRunTTL time.Duration // how long a run may outlive the last renewal of its lease, which may be as late as the job's deadline
 	open            map[string]*localJob
-	unannounced     byReceipt
+	unannounced     byDueTime
 	lastBatch       time.Duration // time of the last batch
+	isUrgent        bool          // a job was received so late that it is announced at once
 }
 
 type localJob struct {
 	id          string
-	received    time.Duration
+	dueAt       time.Duration
 	deadline    time.Duration
 	isClosed    bool
 	isAnnounced bool
 }
 
-// byReceipt is a heap of jobs, the oldest first, so that a scan does not visit jobs that
-// are too young to announce.
-type byReceipt []*localJob
+// byDueTime is a heap of jobs by when they are to be announced, so that a scan does not visit jobs that
+// are too young for that.
+type byDueTime []*localJob
 
 // Len implements heap.Interface.
-func (q byReceipt) Len() int { return len(q) }
+func (q byDueTime) Len() int { return len(q) }
 
 // Less implements heap.Interface.
-func (q byReceipt) Less(i, j int) bool { return q[i].received < q[j].received }
+func (q byDueTime) Less(i, j int) bool { return q[i].dueAt < q[j].dueAt }
 
 // Swap implements heap.Interface.
-func (q byReceipt) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q byDueTime) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
 
 // Push implements heap.Interface.
-func (q *byReceipt) Push(x any) { *q = append(*q, x.(*localJob)) }
+func (q *byDueTime) Push(x any) { *q = append(*q, x.(*localJob)) }
 
 // Pop implements heap.Interface.
-func (q *byReceipt) Pop() any {
+func (q *byDueTime) Pop() any {
 	last := len(*q) - 1
 	j := (*q)[last]
 	(*q)[last] = nil
@@ -57,15 +58,25 @@
 	return &LocalJobs{resubmitAfter: resubmitAfter, unrenewedRunTTL: unrenewedRunTTL, open: map[string]*localJob{}}
 }
 
-// Add records that this front holds a job open from now on. A job that ends before it can
-// be resubmitted is never announced.
-func (l *LocalJobs) Add(id string, received, deadline time.Duration) {
-	if deadline <= received+l.resubmitAfter {
+// IsAnnounced reports whether a job is announced if it does not end before. One whose deadline comes
+// before it can be resubmitted isn't.
+func IsAnnounced(received, deadline, resubmitAfter time.Duration) bool {
+	return deadline > received+resubmitAfter
+}
+
+// Add records that this front holds a job open from now on. sentAfter is the earliest time at which
+// its caller may have sent it.
+//
+// A job that was received late is announced earlier by as much, as the process may soon stand still
+// for as long again.
+func (l *LocalJobs) Add(id string, sentAfter, received, deadline time.Duration) {
+	if !IsAnnounced(received, deadline, l.resubmitAfter) {
 		return
 	}
 	l.Remove(id)
-	j := &localJob{id: id, received: received, deadline: deadline}
+	j := &localJob{id: id, dueAt: sentAfter + AnnounceAfter(l.resubmitAfter) - (received - sentAfter), deadline: deadline}
 	l.open[id] = j
+	l.isUrgent = l.isUrgent || sentAfter < received && j.dueAt <= received
 	heap.Push(&l.unannounced, j)
 }
 
@@ -82,14 +93,14 @@
 }
 
 // NextBatch returns the jobs to announce now, sorted by id. It is empty when there are
-// none, or when the last batch was less than minBatchInterval ago.
+// none, or when the last batch was less than minBatchInterval ago and no job is urgent.
 func (l *LocalJobs) NextBatch(now time.Duration) []Announcement {
-	if l.lastBatch > 0 && now < l.lastBatch+minBatchInterval {
+	if l.lastBatch > 0 && now < l.lastBatch+minBatchInterval && !l.isUrgent {
 		return nil
 	}
-	age := AnnounceAfter(l.resubmitAfter)
+	l.isUrgent = false
 	var batch []Announcement
-	for len(l.unannounced) > 0 && now >= l.unannounced[0].received+age {
+	for len(l.unannounced) > 0 && now >= l.unannounced[0].dueAt {
 		j := heap.Pop(&l.unannounced).(*localJob)
 		if !j.isClosed {
 			j.isAnnounced = true
--- a/pkg/openjobs/openjobs_test.go
+++ b/pkg/openjobs/openjobs_test.go
@@ -38,7 +38,14 @@
 // localJobsWith returns local jobs with one that was received at 1 s.
 func localJobsWith(deadline time.Duration) *LocalJobs {
 	l := NewLocalJobs(resubmitAfter, unrenewedRunTTL)
-	l.Add("a", time.Second, deadline)
+	l.Add("a", time.Second, time.Second, deadline)
+	return l
+}
+
+// lateJob returns local jobs with one that may have been sent at 1 s.
+func lateJob(received, deadline time.Duration) *LocalJobs {
+	l := NewLocalJobs(resubmitAfter, unrenewedRunTTL)
+	l.Add("a", time.Second, received, deadline)
 	return l
 }
 
@@ -53,6 +60,14 @@
 		{testName: "a job below the announcing age: nothing", batch: func() []Announcement { return localJobsWith(deadline).NextBatch(1699 * ms) }},
 		{testName: "a job at the announcing age", batch: func() []Announcement { return localJobsWith(deadline).NextBatch(1700 * ms) }, want: []Announcement{{ID: "a", Remaining: 7300*ms + unrenewedRunTTL}}},
 		{testName: "a job that ends before it can be resubmitted: nothing", batch: func() []Announcement { return localJobsWith(time.Second + resubmitAfter).NextBatch(1800 * ms) }},
+		{testName: "received late: counted from its sending, and earlier by as much: too early", batch: func() []Announcement {
+			return lateJob(1200*ms, 1200*ms+resubmitAfter+ms).NextBatch(1499 * ms)
+		}},
+		{testName: "received late, due", batch: func() []Announcement { return lateJob(1200*ms, deadline).NextBatch(1500 * ms) }, want: []Announcement{{ID: "a", Remaining: 7500*ms + unrenewedRunTTL}}},
+		{testName: "received so late that it is due at once", batch: func() []Announcement { return lateJob(1400*ms, deadline).NextBatch(1400 * ms) }, want: []Announcement{{ID: "a", Remaining: 7600*ms + unrenewedRunTTL}}},
+		{testName: "received late, but the caller doesn't wait for long enough to send it again: nothing", batch: func() []Announcement {
+			return lateJob(1400*ms, 1400*ms+resubmitAfter).NextBatch(2600 * ms)
+		}},
 		{testName: "a job that has ended: nothing", batch: func() []Announcement {
 			l := localJobsWith(deadline)
 			l.Remove("a")
@@ -66,20 +81,33 @@
 		{testName: "nothing within the batch interval", batch: func() []Announcement {
 			l := localJobsWith(deadline)
 			l.NextBatch(1800 * ms)
-			l.Add("b", 1050*ms, deadline)
+			l.Add("b", 1050*ms, 1050*ms, deadline)
 			return l.NextBatch(1999 * ms)
 		}},
+		{testName: "a job that is due at once, within the batch interval", batch: func() []Announcement {
+			l := localJobsWith(deadline)
+			l.NextBatch(1800 * ms)
+			l.Add("b", 1050*ms, 1810*ms, deadline)
+			return l.NextBatch(1810 * ms)
+		}, want: []Announcement{{ID: "b", Remaining: 7190*ms + unrenewedRunTTL}}},
+		{testName: "only once", batch: func() []Announcement {
+			l := localJobsWith(deadline)
+			l.Add("b", 1050*ms, 1810*ms, deadline)
+			l.NextBatch(1810 * ms)
+			l.Add("c", 1050*ms, 1100*ms, deadline)
+			return l.NextBatch(1900 * ms)
+		}},
 		{testName: "the next batch after the interval", batch: func() []Announcement {
 			l := localJobsWith(deadline)
 			l.NextBatch(1800 * ms)
-			l.Add("c", 1050*ms, deadline)
-			l.Add("b", 1050*ms, deadline)
+			l.Add("c", 1050*ms, 1050*ms, deadline)
+			l.Add("b", 1050*ms, 1050*ms, deadline)
 			return l.NextBatch(2000 * ms)
 		}, want: []Announcement{{ID: "b", Remaining: 7*time.Second + unrenewedRunTTL}, {ID: "c", Remaining: 7*time.Second + unrenewedRunTTL}}},
 		{testName: "all announced jobs for a host that may have missed them", batch: func() []Announcement {
 			l := localJobsWith(deadline)
 			l.NextBatch(1800 * ms)
-			l.Add("b", 1050*ms, deadline)
+			l.Add("b", 1050*ms, 1050*ms, deadline)
 			return l.Announced(2 * time.Second)
 		}, want: []Announcement{{ID: "a", Remaining: 7*time.Second + unrenewedRunTTL}}},
 		{testName: "runs may outlive the deadline", batch: func() []Announcement {
@@ -99,7 +127,7 @@
 	c := qt.New(t)
 	l := localJobsWith(9 * time.Second)
 	c.Assert(l.Remove("a"), qt.IsFalse)
-	l.Add("a", time.Second, 9*time.Second)
+	l.Add("a", time.Second, time.Second, 9*time.Second)
 	l.NextBatch(2 * time.Second)
 	c.Assert(l.Remove("a"), qt.IsTrue)
 	c.Assert(l.Remove("a"), qt.IsFalse)
--- /dev/null
+++ b/pkg/openjobs/stalls.go
@@ -0,0 +1,58 @@
+package openjobs
+
+import "time"
+
+const (
+	// MaxPollGap is the time between two polls beyond which a process stood still in between. An
+	// idle process polls every 100 ms.
+	MaxPollGap = 150 * time.Millisecond
+	// maxReadDelay is how long after a stall requests that came during it may still be read.
+	maxReadDelay = 100 * time.Millisecond
+)
+
+// Stalls bounds when the requests that a process reads were sent. A process that stood still reads a
+// request up to a stall later than its caller sent it, and the caller counts from the sending until
+// it sends the job again.
+//
+// The process polls while it runs. What was sent before a poll counts as read at the poll after the
+// next one. A process that stands still again and again may read it later: the time at which the
+// request arrived at the machine tells that. That time alone would miss that the whole machine stood
+// still. It is not safe for concurrent use.
+type Stalls struct {
+	polledAt   time.Duration // the last poll
+	previousAt time.Duration // the poll before it
+
+	endedAt    time.Duration // end of the last stall; 0 before the first one
+	readBefore time.Duration // what was sent before it had been read when that stall began
+}
+
+// Poll records that the process runs now.
+func (s *Stalls) Poll(now time.Duration) {
+	if now > s.polledAt+MaxPollGap {
+		s.endedAt, s.readBefore = now, s.previousAt
+	}
+	s.previousAt, s.polledAt = s.polledAt, now
+}
+
+// EndedSince reports whether the process has stood still and run on at a time or later, by its polls
+// up to now.
+func (s *Stalls) EndedSince(since, now time.Duration) bool {
+	return now > s.polledAt+MaxPollGap || s.endedAt > 0 && s.endedAt >= since
+}
+
+// EarliestSending returns a lower bound of when a request was sent that the process has read at received
+// and that arrived at its machine at arrived, or at an unknown time if that is 0. The bound allows for
+// maxReceiptDelay, as do the times that are counted from it. Without a delay it is received itself.
+func (s *Stalls) EarliestSending(received, arrived time.Duration) time.Duration {
+	sent := received
+	switch {
+	case received > s.polledAt+MaxPollGap: // a stall ends now
+		sent = s.previousAt
+	case s.endedAt > 0 && received <= s.endedAt+maxReadDelay:
+		sent = s.readBefore
+	}
+	if arrived > 0 {
+		sent = min(sent, arrived)
+	}
+	return min(received, sent+maxReceiptDelay)
+}
--- a/pkg/traffic/meter.go
+++ b/pkg/traffic/meter.go
@@ -3,8 +3,10 @@
 package traffic
 
 import (
+	"errors"
 	"net"
 	"sync/atomic"
+	"syscall"
 )
 
 // Purpose is what bytes on the host's link are for.
@@ -79,6 +81,14 @@
 	return n, err
 }
 
+// SyscallConn implements syscall.Conn, if the connection does.
+func (c *countedConn) SyscallConn() (syscall.RawConn, error) {
+	if conn, ok := c.Conn.(syscall.Conn); ok {
+		return conn.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 type countedListener struct {
 	net.Listener
 	counter *Counter
