A domain isn't taken for cut off because this process stood still

A front that stood still until the limit of a confirmation recorded the domain as cut off. It then kept the jobs sent later without a confirmation, as if their callers had reached it in spite of a cut, until the domain answered again. It still gives the job up, but records nothing.

Shown failing first: TestADomainIsNotTakenForCutOffAfterAStall (the row with a stall).

--- a/pkg/node/confirmations.go
+++ b/pkg/node/confirmations.go
@@ -41,11 +41,12 @@
 // awaitConfirmation waits until a domain has confirmed an announcement, and gives up each job for
 // which it doesn't in time.
 func (n *Node) awaitConfirmation(domain string, jobs []*openJob) {
+	askedAt := n.Clock.Now()
 	for _, open := range jobs {
 		if n.confirmsBy(domain, openjobs.ConfirmBy(open.job.EarliestSending(), n.settings.ResubmitAfter)) {
 			return
 		}
-		n.giveUpUnconfirmed(domain, open)
+		n.giveUpUnconfirmed(domain, open, askedAt)
 	}
 }
 
@@ -117,16 +118,26 @@
 
 // giveUpUnconfirmed gives up a job of which a domain may not know, unless it came after this host
 // had noticed that the domain is cut off.
-func (n *Node) giveUpUnconfirmed(domain string, open *openJob) {
-	n.openJobTable.mu.Lock()
-	giveUpBefore := n.openJobTable.confirmations.Missing(domain, n.Clock.Now())
-	n.openJobTable.mu.Unlock()
-	if open.job.EarliestSending() < giveUpBefore && !open.hasEnded() {
+func (n *Node) giveUpUnconfirmed(domain string, open *openJob, askedAt time.Duration) {
+	if open.job.EarliestSending() < n.giveUpBefore(domain, askedAt) && !open.hasEnded() {
 		n.Log.Warn("open_job_unconfirmed", "job", open.job.ID, "domain", domain, "age_ms", (n.Clock.Now() - open.job.Received).Milliseconds())
 		open.cancel(errUnconfirmed)
 	}
 }
 
+// giveUpBefore returns the time before which a job must have been sent to be given up, as a domain
+// that was asked at askedAt hasn't confirmed its announcement.
+func (n *Node) giveUpBefore(domain string, askedAt time.Duration) time.Duration {
+	now := n.Clock.Now()
+	hasStalled := n.renewals.stalledSince(askedAt, now)
+	n.openJobTable.mu.Lock()
+	defer n.openJobTable.mu.Unlock()
+	if hasStalled {
+		return n.openJobTable.confirmations.MissingSince(domain, now)
+	}
+	return n.openJobTable.confirmations.Missing(domain, now)
+}
+
 // domainsBeside returns the domains with hosts other than this one.
 func (n *Node) domainsBeside() map[string]bool {
 	domains := map[string]bool{}
--- a/pkg/node/late_jobs_test.go
+++ b/pkg/node/late_jobs_test.go
@@ -64,6 +64,33 @@
 	}
 }
 
+// Guards against keeping jobs that a domain hasn't confirmed, as if it had been cut off before they were
+// sent, only because this process stood still and missed an earlier confirmation.
+func TestADomainIsNotTakenForCutOffAfterAStall(t *testing.T) {
+	type scenario struct {
+		testName string
+		stall    time.Duration
+		want     bool
+	}
+	scenarios := []scenario{
+		{testName: "no stall", want: true},
+		{testName: "a stall", stall: time.Second},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			n := newTestNode(c, &fakeStore{})
+			clock := &common.ManualClock{At: time.Second}
+			n.Clock = clock
+			pollAndStandStill(n, clock, 0)
+			askedAt := clock.At
+			pollAndStandStill(n, clock, s.stall)
+			c.Assert(n.giveUpBefore("y", askedAt), qt.Equals, clock.At)
+			c.Assert(len(n.openJobTable.confirmations.DueAgain(clock.At)) > 0, qt.Equals, s.want)
+		})
+	}
+}
+
 // Guards against counting from the receipt of a request that waited at the machine for longer than one
 // stall of this process: it may stop again before it reads the request.
 func TestWhenARequestArrived(t *testing.T) {
--- a/pkg/openjobs/confirmations.go
+++ b/pkg/openjobs/confirmations.go
@@ -17,6 +17,11 @@
 	return sentAfter + resubmitAfter - withdrawTime
 }
 
+// CanBeConfirmed reports whether domains can still confirm a job by then that is announced now.
+func CanBeConfirmed(sentAfter, resubmitAfter, now time.Duration) bool {
+	return now+confirmTime <= ConfirmBy(sentAfter, resubmitAfter)
+}
+
 // Confirmations records the domains that don't confirm announcements. It is not safe for concurrent
 // use.
 type Confirmations struct {
@@ -50,9 +55,16 @@
 // time: jobs that were sent before it have to be given up. Those sent later are kept, as their
 // callers reach this front although it is cut off from the domain.
 func (c *Confirmations) Missing(domain string, now time.Duration) (giveUpBefore time.Duration) {
+	giveUpBefore = c.MissingSince(domain, now)
+	c.missingSince[domain] = giveUpBefore
+	return giveUpBefore
+}
+
+// MissingSince returns the same without recording anything, for a process that stood still and may
+// therefore have missed the confirmation of a domain that isn't cut off.
+func (c *Confirmations) MissingSince(domain string, now time.Duration) (giveUpBefore time.Duration) {
 	if since, known := c.missingSince[domain]; known {
 		return since
 	}
-	c.missingSince[domain] = now
 	return now
 }
--- a/pkg/openjobs/confirmations_test.go
+++ b/pkg/openjobs/confirmations_test.go
@@ -41,6 +41,20 @@
 	c := qt.New(t)
 	limit := ConfirmBy(time.Second, resubmitAfter)
 	c.Assert(limit, qt.Equals, 2150*ms)
+	c.Assert(CanBeConfirmed(time.Second, resubmitAfter, limit-confirmTime), qt.IsTrue)
+	c.Assert(CanBeConfirmed(time.Second, resubmitAfter, limit-confirmTime+ms), qt.IsFalse)
 	c.Assert(IsAnnounced(time.Second, time.Second+resubmitAfter, resubmitAfter), qt.IsFalse)
 	c.Assert(IsAnnounced(time.Second, time.Second+resubmitAfter+ms, resubmitAfter), qt.IsTrue)
 }
+
+// A process that stood still may have missed the confirmation: the jobs that come next have to be
+// confirmed too.
+func TestADomainDoesNotCountAsCutOffAfterAStall(t *testing.T) {
+	c := qt.New(t)
+	confirmations := NewConfirmations()
+	c.Assert(confirmations.MissingSince("z", time.Second), qt.Equals, time.Second)
+	c.Assert(confirmations.Missing("z", 2*time.Second), qt.Equals, 2*time.Second)
+	c.Assert(confirmations.MissingSince("z", 3*time.Second), qt.Equals, 2*time.Second)
+	confirmations.Confirmed("z")
+	c.Assert(confirmations.MissingSince("z", 4*time.Second), qt.Equals, 4*time.Second)
+}
