A job that is received too late to be announced is refused

A front that stood still for 1.1 s or more dispatched a job that its caller might send to another host at any moment, and gave it up some time later, when its tasks had run for a while: the caller got 504. Nothing of it has started on receipt, so the front now refuses it at once with 503 and Retry-After, and the caller may send it to any host. A job that has no other host, or whose caller doesn't wait for long enough to send it again, is served as before; one for which an earlier submission was searched has been announced meanwhile.

Shown failing first: TestAJobThatIsReceivedTooLateIsRefused (the row "too late").

--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/openjobs"
 )
 
 // refusalRetryAfter is the retry delay suggested to callers whose jobs were refused.
@@ -105,6 +106,9 @@
 	if ended {
 		return outcome
 	}
+	if state.epoch == 1 && f.isTooLate(j) {
+		return job.Outcome{Kind: job.Refused, Reason: reasonTooLate, RetryAfter: refusalRetryAfter, Started: state.started}
+	}
 	f.markFollowed(open)
 	shares := f.split(j)
 	if len(shares) == 0 {
@@ -114,6 +118,19 @@
 	return f.followParts(ctx, j, shares, state)
 }
 
+// reasonTooLate refuses a job that this process has received so late that its caller may send it again
+// before other hosts can know of it.
+const reasonTooLate = "received_too_late"
+
+// isTooLate reports whether to refuse a job for that reason. A job that was searched for at other
+// fronts has been announced meanwhile.
+func (f *front) isTooLate(j *job.Job) bool {
+	resubmitAfter := f.node.settings.ResubmitAfter
+	sentAfter := j.EarliestSending()
+	return sentAfter < j.Received && openjobs.IsAnnounced(j.Received, j.Deadline, resubmitAfter) &&
+		!openjobs.CanBeConfirmed(sentAfter, resubmitAfter, f.node.Clock.Now()) && len(f.node.domainsBeside()) > 0
+}
+
 // firstAttempt returns the outcome of an earlier submission of a job and true, or, if there
 // is none, the state of the job's first attempt and false.
 func (f *front) firstAttempt(open, former *openJob) (job.Outcome, attempt, bool) {
--- a/pkg/node/late_jobs_test.go
+++ b/pkg/node/late_jobs_test.go
@@ -64,6 +64,44 @@
 	}
 }
 
+// Guards against a job that nobody can know of before its caller may send it again. Callers send a
+// refused job again without any harm.
+func TestAJobThatIsReceivedTooLateIsRefused(t *testing.T) {
+	type scenario struct {
+		testName string
+		stall    time.Duration
+		isAlone  bool // there is no other host
+		deadline time.Duration
+		refused  bool
+	}
+	scenarios := []scenario{
+		{testName: "in time", stall: time.Second, deadline: time.Minute},
+		{testName: "too late", stall: 1200 * time.Millisecond, deadline: time.Minute, refused: true},
+		{testName: "too late, no other host", stall: 1200 * time.Millisecond, deadline: time.Minute, isAlone: true},
+		{testName: "too late, but the caller doesn't wait for long enough to send it again", stall: 1200 * time.Millisecond, deadline: 1200 * time.Millisecond},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			n := newTestNode(c, &fakeStore{})
+			clock := &common.ManualClock{At: time.Second}
+			n.Clock = clock
+			makeOwner(n, "z/1.0")
+			if !s.isAlone {
+				n.memberRows["b"] = Member{Name: "b", Domain: "y", PeerAddress: "127.0.0.1:2"}
+			}
+			pollAndStandStill(n, clock, s.stall)
+			j := submission(n)
+			j.Deadline = j.Received + s.deadline
+			ctx, leave := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			defer leave()
+			outcome := n.Submit(ctx, j)
+			c.Assert(outcome.Kind == job.Refused && outcome.Reason == "received_too_late", qt.Equals, s.refused, qt.Commentf("%+v", outcome))
+			c.Assert(outcome.RetryAfter > 0, qt.Equals, s.refused)
+		})
+	}
+}
+
 // Guards against keeping jobs that a domain hasn't confirmed, as if it had been cut off before they were
 // sent, only because this process stood still and missed an earlier confirmation.
 func TestADomainIsNotTakenForCutOffAfterAStall(t *testing.T) {
--- a/pkg/openjobs/explore_test.go
+++ b/pkg/openjobs/explore_test.go
@@ -192,6 +192,10 @@
 		return
 	}
 	sentAfter := h.earliestSending(arrived)
+	if h.world.onlyStalls && h.ended == nil && !CanBeConfirmed(sentAfter, resubmitAfter, h.world.now) {
+		h.world.logf("host %d refuses the job", h.index)
+		return
+	}
 	open := &modelOpen{host: h, process: h.process, waiters: map[string]func(bool){name: answer}, announcedTo: map[hostProcess]bool{}, notOpenAt: map[hostProcess]time.Duration{}, receivedAt: h.world.now, deadline: h.world.now + jobDeadline}
 	h.open = open
 	h.local.Add(jobID, sentAfter, h.world.now, h.world.now+jobDeadline)
