A front that stands still again and again gives up jobs without an owner

A job was lost beside a front that runs 40 of 600 or 760 ms: owners returned it as not renewed or as that of a silent front, the front lost its links to them, or its searches never ended within the time that it runs.

A process that was paused twice for over 0.4 s within 2 s now gives up a job that an owner returns, or that it searches for, and refuses one that it has received late. A front that waits for the job there continues it, as it does when the other one stops.

Shown failing first: TestAFrontThatStandsStillOftenGivesUpJobsThatItsOwnerReturns (timed out).

--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -116,6 +116,9 @@
 			outcome.Started = outcome.Started || state.started
 			return outcome
 		}
+		if f.node.standsStillOften() {
+			return givenUpStandingStill(state.started)
+		}
 		if outcome.Reason == reasonNotOwner || returnedUnstarted(outcome) {
 			continue
 		}
@@ -129,6 +132,16 @@
 	}
 }
 
+// givenUpStandingStill returns the outcome of a job without an owner that this process gives up, as it stands
+// still too often to follow it. Its callers may send it to any host, and a front that waits for it here
+// goes on.
+func givenUpStandingStill(started bool) job.Outcome {
+	if started {
+		return job.Outcome{Kind: job.Expired, Reason: errStandsStill.Error(), Started: true}
+	}
+	return job.Outcome{Kind: job.Refused, Reason: errStandsStill.Error(), RetryAfter: refusalRetryAfter}
+}
+
 // returnedUnstarted reports whether an owner has returned a job of which nothing has
 // run, so that the next owner may still refuse it.
 func returnedUnstarted(outcome job.Outcome) bool {
--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -41,6 +41,8 @@
 	errStopping  = errors.New("stopping")
 	// errUnconfirmed: a domain may not know of the job, and a caller may resubmit it there.
 	errUnconfirmed = errors.New("not_announced")
+	// errStandsStill: this process stands still too often to follow the job.
+	errStandsStill = errors.New("stands_still")
 )
 
 // abandoned returns the outcome of a job that the front no longer waits for.
@@ -106,7 +108,7 @@
 	if ended {
 		return outcome
 	}
-	if state.epoch == 1 && f.isTooLate(j) {
+	if state.epoch == 1 && (f.isTooLate(j) || f.isLateAtSlowHost(j)) {
 		return job.Outcome{Kind: job.Refused, Reason: reasonTooLate, RetryAfter: refusalRetryAfter, Started: state.started}
 	}
 	f.markFollowed(open)
@@ -131,6 +133,12 @@
 		!openjobs.CanBeConfirmed(sentAfter, resubmitAfter, f.node.Clock.Now()) && len(f.node.domainsBeside()) > 0
 }
 
+// isLateAtSlowHost reports whether this process stands still so often that it would hold a job that it has
+// received late without being able to follow it.
+func (f *front) isLateAtSlowHost(j *job.Job) bool {
+	return j.EarliestSending() < j.Received && f.node.standsStillOften() && len(f.node.domainsBeside()) > 0
+}
+
 // firstAttempt returns the outcome of an earlier submission of a job and true, or, if there
 // is none, the state of the job's first attempt and false.
 func (f *front) firstAttempt(open, former *openJob) (job.Outcome, attempt, bool) {
--- a/pkg/node/join.go
+++ b/pkg/node/join.go
@@ -100,6 +100,9 @@
 			n.metrics.JobJoined("not")
 			return job.Outcome{}, false
 		}
+		if n.standsStillOften() {
+			return givenUpStandingStill(true), true
+		}
 		if !f.sleepUntil(ctx, at) {
 			return abandoned(ctx, true), true
 		}
--- a/pkg/node/joins.go
+++ b/pkg/node/joins.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -120,7 +121,7 @@
 	n.Log.Info("job_joined_from", "job", m.Id, "asker", m.Asker, "age_ms", (n.Clock.Now() - open.job.Received).Milliseconds())
 	outcome, isOver := n.awaitOrYield(ctx, open, m)
 	switch {
-	case isOver && (outcome.Reason == errStopping.Error() || outcome.Reason == errUnconfirmed.Error()):
+	case isOver && leavesJobToOthers(outcome.Reason):
 		return toOutcome(notOpen(n.settleTime())) // the asking front continues the job
 	case isOver:
 		return toOutcome(outcome)
@@ -130,6 +131,12 @@
 	return toOutcome(job.Outcome{Kind: job.Moved, Reason: reasonBusy})
 }
 
+// leavesJobToOthers reports whether a job ended here for a reason that lies with this host, so that
+// another front may continue it.
+func leavesJobToOthers(reason string) bool {
+	return slices.Contains([]string{errStopping.Error(), errUnconfirmed.Error(), errStandsStill.Error(), reasonTooLate}, reason)
+}
+
 // yieldCheckInterval is how often a front checks whether it has to yield a job that it follows.
 const yieldCheckInterval = 100 * time.Millisecond
 
--- a/pkg/node/late_jobs_test.go
+++ b/pkg/node/late_jobs_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -163,3 +164,59 @@
 		})
 	}
 }
+
+// sharedClock is a clock that a test advances while a node reads it.
+type sharedClock struct{ at atomic.Int64 }
+
+// Now implements common.Clock.
+func (c *sharedClock) Now() time.Duration { return time.Duration(c.at.Load()) }
+
+// Guards against jobs that are lost at a front that stands still again and again: it held them until their
+// deadlines, and other fronts waited for it, though no owner could run them for it.
+func TestAFrontThatStandsStillOftenGivesUpJobsThatItsOwnerReturns(t *testing.T) {
+	type scenario struct {
+		testName string
+		stalls   int
+		started  bool
+		want     job.Kind
+	}
+	scenarios := []scenario{
+		{testName: "one stall: handed on", stalls: 1, started: true},
+		{testName: "often, a task may have started", stalls: 2, started: true, want: job.Expired},
+		{testName: "often, nothing has started", stalls: 2, want: job.Refused},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			n := newTestNode(c, &fakeStore{})
+			clock := &sharedClock{}
+			clock.at.Store(int64(time.Second))
+			n.Clock = clock
+			o := makeOwner(n, "z/1.0")
+			ended := submitLater(context.Background(), n)
+			isDispatched := func() bool {
+				o.mu.Lock()
+				defer o.mu.Unlock()
+				return len(o.waiters[joinID]) > 0
+			}
+			eventually(c, isDispatched)
+			for range s.stalls {
+				for _, step := range []time.Duration{renewInterval, renewInterval, 500 * time.Millisecond} {
+					n.renewJobs(time.Duration(clock.at.Add(int64(step))))
+				}
+			}
+			taken, _ := o.removeWaiters(joinID, n.settings.PeerAddress, false)
+			taken[0].reply(job.Outcome{Kind: job.Moved, Reason: reasonFrontUnresponsive, Started: s.started})
+			if s.want == 0 {
+				eventually(c, isDispatched)
+				n.front.openJob(joinID).cancel(errCancelled)
+				<-ended
+				return
+			}
+			outcome := <-ended
+			c.Assert(outcome.Kind, qt.Equals, s.want)
+			c.Assert(outcome.Reason, qt.Equals, "stands_still")
+			c.Assert(outcome.Started, qt.Equals, s.started)
+		})
+	}
+}
--- a/pkg/node/renewals.go
+++ b/pkg/node/renewals.go
@@ -144,6 +144,13 @@
 	return r.stalls.EndedSince(since, now)
 }
 
+// standsStillOften is Stalls.StandsStillOften.
+func (r *renewals) standsStillOften(now time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stalls.StandsStillOften(now)
+}
+
 // recordGap records the time since the last poll, and reports whether this process counts as
 // paused meanwhile.
 func (r *renewals) recordGap(gap time.Duration) bool {
@@ -165,6 +172,10 @@
 	return n.renewals.stalledSince(now-stallMemory, now)
 }
 
+// standsStillOften reports whether this process is paused again and again for so long that it can't
+// follow jobs.
+func (n *Node) standsStillOften() bool { return n.renewals.standsStillOften(n.Clock.Now()) }
+
 // recordTimestamp records the timestamp of an owner that came with a reply.
 func (n *Node) recordTimestamp(address string, reply *peerpb.Message) {
 	if reply.Moment != nil {
--- a/pkg/openjobs/stalls.go
+++ b/pkg/openjobs/stalls.go
@@ -8,6 +8,11 @@
 	MaxPollGap = 150 * time.Millisecond
 	// maxReadDelay is how long after a stall requests that came during it may still be read.
 	maxReadDelay = 100 * time.Millisecond
+	// longStall is how long a process stands still that can't follow jobs if it does so again and again:
+	// owners lose it, and it renews no lease.
+	longStall = 400 * time.Millisecond
+	// stallsPeriod is the time within which two long stalls show that.
+	stallsPeriod = 2 * time.Second
 )
 
 // Stalls bounds when the requests that a process reads were sent. A process that stood still reads a
@@ -24,20 +29,38 @@
 
 	endedAt    time.Duration // end of the last stall; 0 before the first one
 	readBefore time.Duration // what was sent before it had been read when that stall began
+
+	longEndedAt, formerLongEndedAt time.Duration // ends of the last two long stalls; 0 before
 }
 
 // Poll records that the process runs now.
 func (s *Stalls) Poll(now time.Duration) {
-	if now > s.polledAt+MaxPollGap {
+	if s.hasGap(now, MaxPollGap) {
 		s.endedAt, s.readBefore = now, s.previousAt
 	}
+	if s.hasGap(now, longStall) {
+		s.longEndedAt, s.formerLongEndedAt = now, s.longEndedAt
+	}
 	s.previousAt, s.polledAt = s.polledAt, now
 }
 
+// hasGap reports whether the last poll was longer than most ago. There is no gap before the first one.
+func (s *Stalls) hasGap(now, most time.Duration) bool { return s.polledAt > 0 && now > s.polledAt+most }
+
 // EndedSince reports whether the process has stood still and run on at a time or later, by its polls
 // up to now.
 func (s *Stalls) EndedSince(since, now time.Duration) bool {
-	return now > s.polledAt+MaxPollGap || s.endedAt > 0 && s.endedAt >= since
+	return s.hasGap(now, MaxPollGap) || s.endedAt > 0 && s.endedAt >= since
+}
+
+// StandsStillOften reports whether the process stands still again and again for so long that it can't
+// follow jobs.
+func (s *Stalls) StandsStillOften(now time.Duration) bool {
+	former := s.formerLongEndedAt
+	if s.hasGap(now, longStall) { // a long stall ends now
+		former = s.longEndedAt
+	}
+	return former > 0 && now < former+stallsPeriod
 }
 
 // EarliestSending returns a lower bound of when a request was sent that the process has read at received
@@ -46,7 +69,7 @@
 func (s *Stalls) EarliestSending(received, arrived time.Duration) time.Duration {
 	sent := received
 	switch {
-	case received > s.polledAt+MaxPollGap: // a stall ends now
+	case s.hasGap(received, MaxPollGap): // a stall ends now
 		sent = s.previousAt
 	case s.endedAt > 0 && received <= s.endedAt+maxReadDelay:
 		sent = s.readBefore
--- a/pkg/openjobs/stalls_test.go
+++ b/pkg/openjobs/stalls_test.go
@@ -30,7 +30,7 @@
 	scenarios := []scenario{
 		{testName: "no stall", polls: [][]time.Duration{pollsEvery(25*ms, 0, 1000*ms)}, received: 1010 * ms, sent: 1010 * ms, want: 1010 * ms},
 		{testName: "no stall, an idle process", polls: [][]time.Duration{pollsEvery(100*ms, 0, 1000*ms)}, received: 1140 * ms, sent: 1140 * ms, want: 1140 * ms},
-		{testName: "before the first poll", received: 20 * ms, sent: 20 * ms, want: 20 * ms},
+		{testName: "before the first poll", received: 500 * ms, sent: 500 * ms, want: 500 * ms},
 		{testName: "read before the poll that notices the stall", polls: [][]time.Duration{pollsEvery(25*ms, 0, 1000*ms)}, received: 1720 * ms, sent: 1001 * ms, want: 1075 * ms},
 		{testName: "read after that poll", polls: [][]time.Duration{pollsEvery(25*ms, 0, 1000*ms), {1720 * ms}}, received: 1721 * ms, sent: 1001 * ms, want: 1075 * ms},
 		{testName: "read some polls later", polls: [][]time.Duration{pollsEvery(25*ms, 0, 1000*ms), pollsEvery(25*ms, 1720*ms, 1795*ms)}, received: 1800 * ms, sent: 1001 * ms, want: 1075 * ms},
@@ -81,3 +81,35 @@
 	c.Assert(stalls.EndedSince(1050*ms, 1510*ms), qt.IsTrue)
 	c.Assert(stalls.EndedSince(1501*ms, 1510*ms), qt.IsFalse)
 }
+
+// Guards against jobs that a host holds though it can't follow them, as it stands still most of the time.
+func TestStandsStillOften(t *testing.T) {
+	type scenario struct {
+		testName string
+		polls    [][]time.Duration
+		now      time.Duration
+		want     bool
+	}
+	before := pollsEvery(100*ms, 0, 1000*ms)
+	scenarios := []scenario{
+		{testName: "never", polls: [][]time.Duration{before}, now: 1050 * ms},
+		{testName: "once, not polled since", polls: [][]time.Duration{before}, now: 1700 * ms},
+		{testName: "once", polls: [][]time.Duration{before, {1700 * ms}}, now: 1710 * ms},
+		{testName: "twice, not polled since", polls: [][]time.Duration{before, {1700 * ms, 1725 * ms}}, now: 2400 * ms, want: true},
+		{testName: "twice", polls: [][]time.Duration{before, {1700 * ms, 1725 * ms, 2400 * ms}}, now: 2410 * ms, want: true},
+		{testName: "twice, the first one long ago", polls: [][]time.Duration{before, {1700 * ms, 1725 * ms, 2400 * ms}, pollsEvery(100*ms, 2400*ms, 3700*ms)}, now: 3700 * ms},
+		{testName: "often, but for a short time", polls: [][]time.Duration{before, pollsEvery(310*ms, 1310*ms, 4000*ms)}, now: 4050 * ms},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			var stalls Stalls
+			for _, polls := range s.polls {
+				for _, at := range polls {
+					stalls.Poll(at)
+				}
+			}
+			c.Assert(stalls.StandsStillOften(s.now), qt.Equals, s.want)
+		})
+	}
+}
