cell, node: a job's lease is limited until its announcement is confirmed

Callers saw two runs of a task at once: the first one, renewed by a front that hadn't noticed that its caller had left, outlived the second sending by up to 367 ms (KNOWN-RED, TestSoakJobsSentAgainBesideAnOwnerThatIsCutOff).

The front gives such a job up in time, 0.15 s before the second sending. But its stop may not be carried out: the owner, which may be the same host, has been fenced by the next owner of the cell, which keeps the runs as orphans, and they have leases of up to 0.7 s. A sum of timeouts, none of which the front knows.

Now the leases carry the bound. A front hands a job over with a limit of its lease, and lifts it once each domain has confirmed the announcement. The owner leases nothing of the job beyond, and returns it two stop times before.

Jobs are announced from 0.4 s on, in place of 0.7 s, as starts of jobs that have waited for over 0.45 s depend on the confirmation.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -263,7 +263,7 @@
 		w.applyProgress(progress)
 		c.recordFormerRuns(w, progress, c.lastEventAt)
 		w.mayHaveStarted = w.mayHaveStarted || old.mayHaveStarted
-		for _, r := range old.detachRuns(c.lastRenewal(old)) {
+		for _, r := range old.detachRuns(c.finalLeaseEnd(old)) {
 			r.executor.mayHaveOrphans = true
 		}
 		c.finish(old, job.Outcome{Kind: job.Expired, Reason: "superseded", Started: true})
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -171,6 +171,9 @@
 	Progress  []job.Progress // known progress of its tasks
 	NotBefore time.Duration  // earliest time for a start, or 0
 	RenewedAt time.Duration  // last renewal of the job, as in Renew
+	// LeaseLimit is when the job's lease ends at the latest, on the owner's clock, whatever is renewed;
+	// 0 when there is no limit. A further handover replaces the limit, as SetLeaseLimits does.
+	LeaseLimit time.Duration
 	// NamesRuns reports that Progress names all runs that former owners may have left. It is not
 	// set if the last one was lost.
 	NamesRuns bool
@@ -214,6 +217,7 @@
 	w.epoch = max(w.epoch, h.Epoch)
 	w.renewedAt = max(w.renewedAt, h.RenewedAt)
 	w.mayHaveStarted = w.mayHaveStarted || h.Epoch > 1
+	w.leaseLimit = h.LeaseLimit
 	w.notBefore = max(w.notBefore, h.NotBefore)
 	w.applyProgress(h.Progress)
 	c.recordFormerRuns(w, h.Progress, now)
@@ -275,6 +279,7 @@
 	c.lastEventAt = now
 	c.dirty = true
 	c.expireJobs(now)
+	c.returnUnconfirmed(now)
 	c.returnUnrenewed(now)
 	c.refuseUnmeetable(now)
 	c.recordUsable(now)
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -38,7 +38,7 @@
 	firstSentAt     time.Duration // when the start was first sent, on our clock; 0 for a former owner's run
 	copies          startCopies
 	startResolvedAt time.Duration // when the start was resolved or a hold first listed the run, on our clock
-	renewedAt       time.Duration // of a run that no job waits for any more: the last renewal of its job; 0 when unknown
+	leaseEnd        time.Duration // of a run that no job waits for any more: the end of its job's lease, on our clock; 0 when unknown
 	attachedAt      time.Duration // when a former owner's run was attached to a kept job, on our clock
 	percent         int
 	progressedAt    time.Duration // when its progress last changed, on our clock
--- a/pkg/cell/holds.go
+++ b/pkg/cell/holds.go
@@ -72,7 +72,7 @@
 	e.leasesLimited = wanted-limit > c.params.Lease/2
 	if e.leasesLimited && !wasLimited {
 		r := c.limitingRun(e)
-		c.addNotice(Notice{Event: "leases_limited", Executor: e.info.ID, Job: r.jobID(), Task: r.name, Age: now - c.jobRenewedAt(r)})
+		c.addNotice(Notice{Event: "leases_limited", Executor: e.info.ID, Job: r.jobID(), Task: r.name, Age: now + c.params.JobLease - c.runLeaseEnd(r)})
 	}
 	if limit <= e.clock.lowerBound(now) {
 		return 0
--- a/pkg/cell/job_state.go
+++ b/pkg/cell/job_state.go
@@ -33,6 +33,7 @@
 	epoch          int
 	submittedAt    time.Duration
 	renewedAt      time.Duration // its caller was still waiting then
+	leaseLimit     time.Duration // its lease ends by then, whatever is renewed; 0 for no limit
 	notBefore      time.Duration // no starts before
 	unadoptedUntil time.Duration // no starts before, unless the executors have answered this owner
 	lostOwnerUntil time.Duration // the same for a kept job, as a lost owner may renew its runs until then
@@ -48,7 +49,7 @@
 
 func newJobState(h Handover, times *taskTimes, now time.Duration) *jobState {
 	j := h.Job
-	w := &jobState{job: j, epoch: h.Epoch, submittedAt: now, renewedAt: h.RenewedAt, notBefore: h.NotBefore, mayHaveStarted: h.Epoch > 1, runsNamed: h.NamesRuns}
+	w := &jobState{job: j, epoch: h.Epoch, submittedAt: now, renewedAt: h.RenewedAt, leaseLimit: h.LeaseLimit, notBefore: h.NotBefore, mayHaveStarted: h.Epoch > 1, runsNamed: h.NamesRuns}
 	for stepIndex, step := range j.Steps {
 		if stepIndex == 0 || step.Needs.CPU < w.leastCPU {
 			w.leastCPU = step.Needs.CPU
@@ -244,13 +245,14 @@
 	c.stopRuns(w, reason)
 }
 
-// detachRuns detaches the runs of a job and returns them. Their leases count from renewedAt.
-func (w *jobState) detachRuns(renewedAt time.Duration) []*run {
+// detachRuns detaches the runs of a job and returns them. Their leases are renewed until leaseEnd at
+// most.
+func (w *jobState) detachRuns(leaseEnd time.Duration) []*run {
 	runs := w.runs()
 	for _, r := range runs {
 		r.task.current = nil
 		r.job, r.task = nil, nil
-		r.renewedAt = renewedAt
+		r.leaseEnd = leaseEnd
 	}
 	return runs
 }
--- a/pkg/cell/kept.go
+++ b/pkg/cell/kept.go
@@ -40,7 +40,7 @@
 	return reason == ReasonClosed || reason == ReasonNoUsableExecutor
 }
 
-// noExpiry is used as the last renewal of a job that has no lease. Adding durations and clock
+// noExpiry is used as the lease end of a job that has no lease. Adding durations and clock
 // readings to it does not overflow.
 const noExpiry = time.Duration(1) << 61
 
@@ -48,27 +48,19 @@
 // suspended.
 func (c *Cell) hasNoLease(w *jobState) bool { return w.job.Kept && w.renewedAt > c.pausedUntil }
 
-// leaseRenewedAt returns the renewal from which a job's lease counts.
-func (c *Cell) leaseRenewedAt(w *jobState) time.Duration {
-	if c.hasNoLease(w) {
-		return noExpiry
-	}
-	return w.renewedAt
-}
-
 // mayStartTasks reports whether tasks of a job may start: a kept job without a lease has to have
 // been renewed recently. For jobs with a lease, leaseCovers decides.
 func (c *Cell) mayStartTasks(w *jobState, now time.Duration) bool {
 	return !c.hasNoLease(w) || now <= w.renewedAt+keptStartTimeout
 }
 
-// lastRenewal returns the renewal from which the leases of a job's runs count once the job is no
-// longer here.
-func (c *Cell) lastRenewal(w *jobState) time.Duration {
+// finalLeaseEnd returns until when the leases of a job's runs are renewed at most once the job is no
+// longer here; 0 when it is unknown.
+func (c *Cell) finalLeaseEnd(w *jobState) time.Duration {
 	if c.hasNoLease(w) {
-		return c.lastEventAt
+		return c.renewalEnd(c.lastEventAt)
 	}
-	return w.renewedAt
+	return c.leaseEnd(w)
 }
 
 // renewalTimeout returns how long a job stays here after its last renewal.
--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -87,6 +87,9 @@
 		if state.started && f.node.Clock.Now() >= j.Deadline {
 			return job.Outcome{Kind: job.Expired, Reason: reasonDeadline, Started: true}
 		}
+		if outcome, mayRun := f.awaitConfirmed(ctx, j, &state); !mayRun {
+			return outcome
+		}
 		claim, ok := f.awaitOwner(ctx, j, &state)
 		if !ok {
 			return f.outcomeWithoutOwner(ctx, j, &state)
@@ -132,7 +135,11 @@
 // returnedUnstarted reports whether an owner has returned a job of which nothing has
 // run, so that the next owner may still refuse it.
 func returnedUnstarted(outcome job.Outcome) bool {
-	return !outcome.Started && (outcome.Reason == cell.ReasonClosed || outcome.Reason == cell.ReasonNotRenewed)
+	switch outcome.Reason {
+	case cell.ReasonClosed, cell.ReasonNotRenewed, cell.ReasonNotConfirmed:
+		return !outcome.Started
+	}
+	return false
 }
 
 // settleTime is the time after which no unrenewed run can be alive: the lease of the job
--- a/pkg/node/confirmations.go
+++ b/pkg/node/confirmations.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/openjobs"
@@ -13,6 +14,7 @@
 // A front that is cut off from a domain can't announce its jobs there. Its callers may be cut off
 // from it as well and resubmit their jobs in that domain, which it can't notice. So each domain has
 // to confirm an announcement, this host's own included; if one doesn't, the front gives up the jobs.
+// Once all have, the limits of their leases are lifted (lease_limits.go).
 
 // confirmersPerDomain is how many hosts of each domain are asked to confirm an announcement. One
 // that does is enough: it relays announcements within its domain.
@@ -33,22 +35,70 @@
 		return
 	}
 	slices.SortFunc(jobs, func(a, b *openJob) int { return cmp.Compare(a.job.Received, b.job.Received) })
-	for domain := range n.domainsBeside() {
-		go n.awaitConfirmation(domain, jobs)
+	domains := n.domainsBeside()
+	if len(domains) == 0 {
+		n.front.confirm(jobs)
+		return
+	}
+	waits := &confirmationWaits{domains: map[*openJob]int{}}
+	for _, open := range jobs {
+		waits.domains[open] = len(domains)
+	}
+	for domain := range domains {
+		go n.awaitConfirmation(domain, jobs, waits)
 	}
 }
 
+// confirmationWaits counts the domains that have not confirmed the announcement of each job, and need to.
+type confirmationWaits struct {
+	mu      sync.Mutex
+	domains map[*openJob]int
+}
+
+// settle records that a domain has confirmed the announcement of jobs, or need not. It returns the jobs
+// for which no other domain needs to.
+func (w *confirmationWaits) settle(jobs []*openJob) (confirmed []*openJob) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, open := range jobs {
+		if w.domains[open]--; w.domains[open] == 0 {
+			confirmed = append(confirmed, open)
+		}
+	}
+	return confirmed
+}
+
 // awaitConfirmation waits until a domain has confirmed an announcement, and gives up each job for
 // which it doesn't in time.
-func (n *Node) awaitConfirmation(domain string, jobs []*openJob) {
-	for _, open := range jobs {
-		if n.confirmsBy(domain, openjobs.ConfirmBy(open.job.Received, n.settings.ResubmitAfter)) {
+func (n *Node) awaitConfirmation(domain string, jobs []*openJob, waits *confirmationWaits) {
+	exemptFrom := n.firstExempt(domain, jobs)
+	n.front.confirm(waits.settle(jobs[exemptFrom:]))
+	for i, open := range jobs {
+		isExempt := i >= exemptFrom
+		switch isConfirmed := n.confirmsBy(domain, openjobs.ConfirmBy(open.job.Received, n.settings.ResubmitAfter)); {
+		case isConfirmed && isExempt:
 			return
+		case isConfirmed:
+			n.front.confirm(waits.settle(jobs[i:exemptFrom]))
+			return
+		case !n.giveUpUnconfirmed(domain, open) && !isExempt:
+			n.front.confirm(waits.settle(jobs[i : i+1]))
 		}
-		n.giveUpUnconfirmed(domain, open)
 	}
 }
 
+// firstExempt returns the index of the first job, of jobs in the order of their receipt, that came after
+// this host had noticed that a domain is cut off. The domain need not confirm it (Confirmations.Missing).
+func (n *Node) firstExempt(domain string, jobs []*openJob) int {
+	n.openJobTable.mu.Lock()
+	defer n.openJobTable.mu.Unlock()
+	at := slices.IndexFunc(jobs, func(open *openJob) bool { return n.openJobTable.confirmations.IsExempt(domain, open.job.Received) })
+	if at < 0 {
+		return len(jobs)
+	}
+	return at
+}
+
 // confirmsBy asks a domain until it has confirmed what was sent to it before now, or until limit.
 func (n *Node) confirmsBy(domain string, limit time.Duration) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), limit-n.Clock.Now())
@@ -116,15 +166,19 @@
 }
 
 // giveUpUnconfirmed gives up a job of which a domain may not know, unless it came after this host
-// had noticed that the domain is cut off.
-func (n *Node) giveUpUnconfirmed(domain string, open *openJob) {
+// had noticed that the domain is cut off. It reports whether the job is not followed any more.
+func (n *Node) giveUpUnconfirmed(domain string, open *openJob) bool {
 	n.openJobTable.mu.Lock()
 	giveUpBefore := n.openJobTable.confirmations.Missing(domain, n.Clock.Now())
 	n.openJobTable.mu.Unlock()
-	if open.job.Received < giveUpBefore && !open.hasEnded() {
+	if open.job.Received >= giveUpBefore {
+		return false
+	}
+	if !open.hasEnded() {
 		n.Log.Warn("open_job_unconfirmed", "job", open.job.ID, "domain", domain, "age_ms", (n.Clock.Now() - open.job.Received).Milliseconds())
 		open.cancel(errUnconfirmed)
 	}
+	return true
 }
 
 // domainsBeside returns the domains with hosts other than this one.
@@ -140,6 +194,18 @@
 	return domains
 }
 
+// isOnlyHost reports whether the rows name no other host.
+func (n *Node) isOnlyHost() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, row := range n.memberRows {
+		if row.PeerAddress != n.settings.PeerAddress {
+			return false
+		}
+	}
+	return len(n.memberRows) > 0
+}
+
 // hasEnded reports whether the job has ended here.
 func (o *openJob) hasEnded() bool {
 	select {
--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -47,7 +47,12 @@
 	}
 	done := make(chan job.Outcome, 1)
 	self := f.node.settings.PeerAddress
-	handover := cell.Handover{Job: j, Epoch: state.epoch, Progress: state.progressAsOf(f.node.Clock.Now()), NotBefore: notBefore, RenewedAt: f.node.renewals.confirmedHere(), NamesRuns: state.namesRuns}
+	limit, end := f.beginDispatch(j, self)
+	defer end()
+	handover := cell.Handover{
+		Job: j, Epoch: state.epoch, Progress: state.progressAsOf(f.node.Clock.Now()), NotBefore: notBefore,
+		RenewedAt: f.node.renewals.confirmedHere(), LeaseLimit: limit, NamesRuns: state.namesRuns,
+	}
 	o.submit(handover, waiter{front: self, keepsRuns: true, reply: func(outcome job.Outcome) { done <- outcome }})
 	select {
 	case outcome := <-done:
@@ -64,11 +69,17 @@
 		return job.Outcome{Kind: job.Moved, Reason: reasonNotOwner}
 	}
 	defer f.recordDispatch(claim.Owner)()
+	limit, end := f.beginDispatch(j, claim.Owner)
+	defer end()
 	now := f.node.Clock.Now()
 	settle := max(0, notBefore-now)
 	m := jobwire.ToDispatch(j, claim.Cell, state.epoch, state.progressAsOf(now), settle, now)
 	m.NamesRuns, m.KeepsRuns = state.namesRuns, true
 	m.Renewed = f.node.renewals.confirmed(claim.Owner)
+	if limit != 0 {
+		m.LeaseUs = max(1, (limit - now).Microseconds())
+		m.Sent = f.node.renewals.timeAt(claim.Owner, now)
+	}
 	answer, err := link.Call(ctx, &peerpb.Message{Body: &peerpb.Message_Dispatch{Dispatch: m}}, 0)
 	if ctx.Err() != nil {
 		link.Send(&peerpb.Message{Body: &peerpb.Message_Withdraw{Withdraw: &peerpb.Withdraw{Id: j.ID, Cell: claim.Cell, Epoch: uint32(state.epoch)}}}, 0)
--- a/pkg/node/join_test.go
+++ b/pkg/node/join_test.go
@@ -310,6 +310,7 @@
 			followed := awaitFollowed(b)
 			answer := submitLater(context.Background(), b)
 			eventually(c, func() bool { return waiters(a, open) == 2 })
+			confirmAll(b) // the job, as its announcement would have been by now
 			s.abandon(a, open)
 			ended := time.Now()
 			a.front.end(open, abandoned(open.ctx, true))
--- /dev/null
+++ b/pkg/node/lease_limits.go
@@ -0,0 +1,174 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/cell"
+	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/openjobs"
+	"github.com/foxcroft/foxcroft/pkg/peerpb"
+)
+
+// A front may not notice that a caller has left, and renew the job until its deadline. So the leases
+// of a job end before its caller can resubmit it, whatever is renewed, until each domain has confirmed
+// its announcement. The front tells the limit to each owner to which it dispatches the job, and lifts
+// it at all of them. The executors' leases carry the limit: it holds without the front and the owner.
+
+// leaseLimitOf returns when the leases of a job end at the latest until its announcement is confirmed.
+func (n *Node) leaseLimitOf(j *job.Job) time.Duration {
+	if n.isAnnounced(j) {
+		return openjobs.ConfirmBy(j.Received, n.settings.ResubmitAfter)
+	}
+	return j.Received + n.settings.ResubmitAfter - n.settings.StopTime
+}
+
+// isAnnounced reports whether a job is announced if it does not end before.
+func (n *Node) isAnnounced(j *job.Job) bool {
+	return openjobs.IsAnnounced(j.Received, j.Deadline, n.settings.ResubmitAfter)
+}
+
+// beginDispatch records that a job, or a part of it, is dispatched to the host of an owner until the
+// returned function is called. It returns the limit of the job's lease there, by this node's clock; 0
+// for none.
+func (f *front) beginDispatch(j *job.Job, address string) (limit time.Duration, end func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	open := f.open[j.WholeID()]
+	if open == nil || open.isConfirmed || j.Kept {
+		return 0, func() {}
+	}
+	open.owners[address]++
+	return f.node.leaseLimitOf(open.job), func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if open.owners[address]--; open.owners[address] == 0 {
+			delete(open.owners, address)
+		}
+	}
+}
+
+// confirm lifts the limits of the leases of jobs at all owners that have them.
+func (f *front) confirm(jobs []*openJob) {
+	ids := map[string][]string{} // by the owner's address
+	f.mu.Lock()
+	for _, open := range jobs {
+		if open.isConfirmed {
+			continue
+		}
+		open.markConfirmed()
+		for address := range open.owners {
+			ids[address] = append(ids[address], open.job.ID)
+		}
+	}
+	f.mu.Unlock()
+	for address, confirmed := range ids {
+		if address == f.node.settings.PeerAddress {
+			f.node.liftLeaseLimits(nil, confirmed)
+		} else if link := f.node.links.Link(address); link != nil {
+			link.Send(&peerpb.Message{Body: &peerpb.Message_Renew{Renew: &peerpb.Renew{Confirmed: confirmed}}}, 0)
+		}
+	}
+}
+
+// markConfirmed records that the limit of the job's lease is lifted. front.mu is held.
+func (o *openJob) markConfirmed() {
+	o.isConfirmed = true
+	close(o.confirmed)
+}
+
+// awaitConfirmed waits, if the limit of a job's lease is so near that no owner would keep the job, until
+// the limit is lifted. It returns false if it isn't, and the outcome of the job.
+func (f *front) awaitConfirmed(ctx context.Context, j *job.Job, state *attempt) (job.Outcome, bool) {
+	open := f.openJob(j.WholeID())
+	if open == nil || j.Kept {
+		return job.Outcome{}, true
+	}
+	n := f.node
+	limit := n.leaseLimitOf(open.job)
+	select {
+	case <-open.confirmed:
+		return job.Outcome{}, true
+	default:
+	}
+	if n.Clock.Now() < cell.ReturnAt(limit, n.settings.StopTime) {
+		return job.Outcome{}, true
+	}
+	if n.isAnnounced(open.job) && f.sleepUntilConfirmed(ctx, open, limit+n.settings.StopTime) {
+		return job.Outcome{}, true
+	}
+	if ctx.Err() != nil {
+		return abandoned(ctx, state.started), false
+	}
+	n.Log.Info("job_unconfirmed", "job", j.ID, "age_ms", (n.Clock.Now() - j.Received).Milliseconds(), "started", state.started)
+	if state.started {
+		return job.Outcome{Kind: job.Expired, Reason: errUnconfirmed.Error(), Started: true}, false
+	}
+	return job.Outcome{Kind: job.Refused, Reason: errUnconfirmed.Error(), RetryAfter: refusalRetryAfter}, false
+}
+
+// sleepUntilConfirmed waits until the limit of a job's lease is lifted, and reports whether it was
+// before a time of the node's clock and before ctx ended.
+func (f *front) sleepUntilConfirmed(ctx context.Context, open *openJob, at time.Duration) bool {
+	timer := time.NewTimer(at - f.node.Clock.Now())
+	defer timer.Stop()
+	select {
+	case <-open.confirmed:
+		return true
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return false
+}
+
+// liftLeaseLimits lifts the limits of the leases of jobs that arrived on a connection, or at this host's
+// own front if that is nil.
+func (n *Node) liftLeaseLimits(connection *peerpb.Hello, ids []string) {
+	for _, o := range n.allOwners() {
+		o.liftLeaseLimits(connection, ids)
+	}
+}
+
+func (o *owner) liftLeaseLimits(connection *peerpb.Hello, wholeIDs []string) {
+	o.do(func(state *cell.Cell, now time.Duration) {
+		limits := map[string]time.Duration{}
+		for _, wholeID := range wholeIDs {
+			for _, id := range state.PartsOf(wholeID) {
+				for i := range o.waiters[id] {
+					if w := &o.waiters[id][i]; w.connection == connection {
+						w.leaseLimit = 0
+					}
+				}
+				limits[id] = o.leaseLimit(id)
+			}
+		}
+		state.SetLeaseLimits(limits, now)
+	})
+}
+
+// leaseLimit returns the limit of the lease of a job, 0 for none: the latest one of the fronts that wait
+// for it. The caller waits at one front at a time, and resubmits the job only some time after it has
+// left that one, so the limits of the fronts before are earlier. o.mu is held.
+func (o *owner) leaseLimit(id string) time.Duration {
+	latest := time.Duration(0)
+	for _, w := range o.waiters[id] {
+		if w.leaseLimit == 0 {
+			return 0
+		}
+		latest = max(latest, w.leaseLimit)
+	}
+	return latest
+}
+
+// leaseLimitFrom returns the limit of a lease that a dispatch sets, by this node's clock; 0 for none. It
+// counts from the sending, as the message may have been held up.
+func (n *Node) leaseLimitFrom(m *peerpb.Dispatch, now time.Duration) time.Duration {
+	if m.LeaseUs == 0 {
+		return 0
+	}
+	sentAt := n.timeOf(m.Sent)
+	if sentAt == 0 {
+		sentAt = now
+	}
+	return max(1, sentAt+microseconds(m.LeaseUs))
+}
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -239,7 +239,7 @@
 	}
 	handover := cell.Handover{
 		Job: jobwire.FromDispatch(m, now), Epoch: int(m.Epoch), Progress: jobwire.FromProgress(m.Progress),
-		NotBefore: notBefore, RenewedAt: n.timeOf(m.Renewed), NamesRuns: m.NamesRuns,
+		NotBefore: notBefore, RenewedAt: n.timeOf(m.Renewed), LeaseLimit: n.leaseLimitFrom(m, now), NamesRuns: m.NamesRuns,
 	}
 	o.submit(handover, waiter{
 		front: from.Address, connection: from, keepsRuns: m.KeepsRuns,
@@ -247,8 +247,15 @@
 	})
 }
 
-// onRenew extends the leases of the jobs that were dispatched on a peer's connection.
+// onRenew extends the leases of the jobs that were dispatched on a peer's connection, and lifts the
+// limits of the leases of some.
 func (n *Node) onRenew(from *peerpb.Hello, m *peerpb.Renew) {
+	if len(m.Confirmed) > 0 {
+		n.liftLeaseLimits(from, m.Confirmed)
+	}
+	if m.AsOf == nil {
+		return
+	}
 	renewedAt := n.timeOf(m.AsOf)
 	for _, o := range n.allOwners() {
 		o.renew(from, renewedAt)
--- a/pkg/node/open.go
+++ b/pkg/node/open.go
@@ -25,6 +25,11 @@
 	cell       string // the cell to which it, or a part of it, was last dispatched
 	epoch      int    // the highest with which it was dispatched
 	isSplit    bool   // into parts that are dispatched separately
+
+	// isConfirmed tells that all hosts to which the caller may resubmit the job know of it.
+	isConfirmed bool
+	confirmed   chan struct{}  // closed then
+	owners      map[string]int // how often it, or a part of it, is dispatched to a host with a limit of its lease, by the host's address
 }
 
 var (
@@ -37,7 +42,7 @@
 const reasonDeadline = "deadline_passed"
 
 func newOpenJob(j *job.Job) *openJob {
-	open := &openJob{job: j, done: make(chan struct{}), waiters: 1}
+	open := &openJob{job: j, done: make(chan struct{}), waiters: 1, confirmed: make(chan struct{}), owners: map[string]int{}}
 	open.ctx, open.cancel = context.WithCancelCause(context.Background())
 	return open
 }
@@ -46,11 +51,15 @@
 // callers have abandoned ends first, because its withdrawal would also withdraw the new one;
 // it is returned as former.
 func (f *front) enter(j *job.Job) (open, former *openJob) {
+	isOnlyHost := f.node.isOnlyHost()
 	for {
 		f.mu.Lock()
 		known := f.open[j.ID]
 		if known == nil {
 			open = newOpenJob(j)
+			if isOnlyHost {
+				open.markConfirmed()
+			}
 			f.open[j.ID] = open
 			f.mu.Unlock()
 			return open, former
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -34,6 +34,7 @@
 	job         *job.Job
 	keepsRuns   bool          // the front remembers its former runs when it is referred to another front; fronts of earlier builds don't
 	renewedAt   time.Duration // its last renewal of the job, as in cell.Renew; 0 when unknown
+	leaseLimit  time.Duration // as in cell.Handover, for this front alone; 0 for none
 	isAnnounced bool          // to the owners of the domain's other cells
 }
 
@@ -141,12 +142,12 @@
 			return
 		}
 		id := handover.Job.ID
-		w.job, w.renewedAt = handover.Job, handover.RenewedAt
+		w.job, w.renewedAt, w.leaseLimit = handover.Job, handover.RenewedAt, handover.LeaseLimit
 		if handover.Job.Kept {
 			o.kept.add(id)
 		}
 		o.waiters[id] = append(o.waiters[id], w)
-		handover.RenewedAt = o.renewedAt(id)
+		handover.RenewedAt, handover.LeaseLimit = o.renewedAt(id), o.leaseLimit(id)
 		state.Submit(handover, now)
 	})
 	if answer != nil {
@@ -198,6 +199,11 @@
 			}
 		})
 	}
+	if !last {
+		o.do(func(state *cell.Cell, now time.Duration) {
+			state.SetLeaseLimits(map[string]time.Duration{id: o.leaseLimit(id)}, now)
+		})
+	}
 	if reason != reasonFrontUnresponsive {
 		return
 	}
--- a/pkg/node/renewals.go
+++ b/pkg/node/renewals.go
@@ -39,17 +39,19 @@
 
 // ownerTimestamps are the timestamps received from one owner.
 type ownerTimestamps struct {
-	newest    *peerpb.Moment // nil if none has arrived since the last poll
-	pending   *peerpb.Moment // newest as of the last poll; nil if there was none
-	confirmed *peerpb.Moment // the newest confirmed one; nil if there is none yet
-	sentAt    time.Duration  // when the last renewal was sent
-	unsent    bool           // confirmed was set after that
+	newest     *peerpb.Moment // nil if none has arrived since the last poll
+	pending    *peerpb.Moment // newest as of the last poll; nil if there was none
+	confirmed  *peerpb.Moment // the newest confirmed one; nil if there is none yet
+	last       *peerpb.Moment // the newest of all
+	receivedAt time.Duration  // when it was received
+	sentAt     time.Duration  // when the last renewal was sent
+	unsent     bool           // confirmed was set after that
 }
 
 func newRenewals() *renewals { return &renewals{timestamps: map[string]*ownerTimestamps{}} }
 
 // record records the timestamp at which an owner has sent a reply.
-func (r *renewals) record(address string, timestamp *peerpb.Moment) {
+func (r *renewals) record(address string, timestamp *peerpb.Moment, now time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.timestamps[address] == nil {
@@ -62,6 +64,18 @@
 		}
 	}
 	m.newest = timestamp
+	m.last, m.receivedAt = timestamp, now
+}
+
+// timeAt returns a timestamp that an owner's clock had reached by now, or nil if none is known.
+func (r *renewals) timeAt(address string, now time.Duration) *peerpb.Moment {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.timestamps[address]
+	if m == nil || m.last == nil {
+		return nil
+	}
+	return &peerpb.Moment{Incarnation: m.last.Incarnation, AtUs: m.last.AtUs + (now - m.receivedAt).Microseconds()}
 }
 
 // forget removes the timestamps of an owner that is lost.
@@ -143,7 +157,7 @@
 // recordTimestamp records the timestamp of an owner that came with a reply.
 func (n *Node) recordTimestamp(address string, reply *peerpb.Message) {
 	if reply.Moment != nil {
-		n.renewals.record(address, reply.Moment)
+		n.renewals.record(address, reply.Moment, n.Clock.Now())
 	}
 }
 
--- a/pkg/openjobs/confirmations.go
+++ b/pkg/openjobs/confirmations.go
@@ -7,11 +7,12 @@
 )
 
 // withdrawTime is how long before a possible resubmission a front gives up a job of which a domain
-// may not know. By the resubmission its runs have been stopped.
-const withdrawTime = 150 * time.Millisecond
+// may not know. By the resubmission executors have ended its runs.
+const withdrawTime = 50*time.Millisecond + maxReceiptDelay
 
 // ConfirmBy returns until when each domain has to confirm that it has received the announcement of
-// a job. Otherwise a caller may resubmit the job there, where no host would look for this one.
+// a job. Otherwise a caller may resubmit the job there, where no host would look for this one. The leases
+// of its runs end by then unless it is confirmed.
 func ConfirmBy(received, resubmitAfter time.Duration) time.Duration {
 	return received + resubmitAfter - withdrawTime
 }
@@ -45,6 +46,13 @@
 // Confirmed records that a domain has confirmed an announcement, or answers again.
 func (c *Confirmations) Confirmed(domain string) { delete(c.missingSince, domain) }
 
+// IsExempt reports whether a domain need not confirm a job that was received after it was noticed that
+// the domain doesn't confirm: the caller reaches this front although it is cut off from the domain.
+func (c *Confirmations) IsExempt(domain string, received time.Duration) bool {
+	since, known := c.missingSince[domain]
+	return known && received >= since
+}
+
 // Missing records that it is noticed now that a domain doesn't confirm an announcement. It returns a
 // time: jobs that were received before it have to be given up. Those received later are kept, as their
 // callers reach this front although it is cut off from the domain.
--- a/pkg/openjobs/local_jobs.go
+++ b/pkg/openjobs/local_jobs.go
@@ -57,10 +57,15 @@
 	return &LocalJobs{resubmitAfter: resubmitAfter, unrenewedRunTTL: unrenewedRunTTL, open: map[string]*localJob{}}
 }
 
-// Add records that this front holds a job open from now on. A job that ends before it can
-// be resubmitted is never announced.
+// IsAnnounced reports whether a job is announced if it does not end before. One whose deadline comes
+// before it can be resubmitted isn't.
+func IsAnnounced(received, deadline, resubmitAfter time.Duration) bool {
+	return deadline > received+resubmitAfter
+}
+
+// Add records that this front holds a job open from now on.
 func (l *LocalJobs) Add(id string, received, deadline time.Duration) {
-	if deadline <= received+l.resubmitAfter {
+	if !IsAnnounced(received, deadline, l.resubmitAfter) {
 		return
 	}
 	l.Remove(id)
--- a/pkg/openjobs/openjobs.go
+++ b/pkg/openjobs/openjobs.go
@@ -13,9 +13,10 @@
 import "time"
 
 // A caller resubmits a job some time after the connection of the first submission broke.
-// The announcement of the job has to have reached all hosts by then, and the front has to know that:
+// The announcement of the job has to have reached all hosts by then, and the front has to know that, before
+// the leases of its runs end:
 //
-//	AnnounceAfter + ScanInterval + minBatchInterval + 2 x transitTime + maxReceiptDelay + confirmTime = resubmission
+//	AnnounceAfter + ScanInterval + minBatchInterval + 2 x transitTime + confirmTime + leaseTime + maxReceiptDelay = resubmission
 const (
 	// ScanInterval is the longest time between two scans for jobs to announce.
 	ScanInterval = 100 * time.Millisecond
@@ -30,8 +31,12 @@
 	maxReceiptDelay = 100 * time.Millisecond
 	// confirmTime is the time of a domain's confirmation, with as much again for a process that is busy.
 	confirmTime = 2 * transitTime
+	// leaseTime is how long before a resubmission a job is confirmed. It leaves 50 ms for executors to end
+	// runs whose leases are over, 100 ms to stop the runs of unconfirmed jobs before that, and a lease of
+	// 150 ms for the starts of jobs that are waiting.
+	leaseTime = 300 * time.Millisecond
 	// announceMargin is how long before a possible resubmission a job is announced.
-	announceMargin = ScanInterval + minBatchInterval + 2*transitTime + maxReceiptDelay + confirmTime
+	announceMargin = ScanInterval + minBatchInterval + 2*transitTime + confirmTime + leaseTime + maxReceiptDelay
 )
 
 // A front may receive the first submission later than maxReceiptDelay, or be unable to announce
