--- a/pkg/openjobs/local_jobs.go
+++ b/pkg/openjobs/local_jobs.go
@@ -65,16 +65,14 @@
 }
 
 // Add records that this front holds a job open from now on. sentAfter is the earliest time at which
-// its caller may have sent it.
-//
-// A job that was received late is announced earlier by as much, as the process may soon stand still
-// for as long again.
+// its caller may have sent it. A job that was received so late that it is due already is urgent, as the
+// process may soon stand still again.
 func (l *LocalJobs) Add(id string, sentAfter, received, deadline time.Duration) {
 	if !IsAnnounced(received, deadline, l.resubmitAfter) {
 		return
 	}
 	l.Remove(id)
-	j := &localJob{id: id, dueAt: sentAfter + AnnounceAfter(l.resubmitAfter) - (received - sentAfter), deadline: deadline}
+	j := &localJob{id: id, dueAt: sentAfter + AnnounceAfter(l.resubmitAfter), deadline: deadline}
 	l.open[id] = j
 	l.isUrgent = l.isUrgent || sentAfter < received && j.dueAt <= received
 	heap.Push(&l.unannounced, j)
