A host that stands still again and again gives up jobs that its own cell has not started

An owner starts nothing for 0.3 s after a stall. One that runs 40 of 600 ms never starts anything, and its own front waited for it until the deadline, with the fronts to which callers had sent the jobs again (9 rows of one play of TestSoakJobsSentAgainBesideAFrontThatStandsStill). Such jobs are returned to the front now, which refuses them. Jobs of other fronts at such an owner still wait.

Shown failing first: TestAHostThatStandsStillOftenGivesUpJobsThatItsOwnCellHasNotStarted.

--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -149,7 +149,7 @@
 // run, so that the next owner may still refuse it.
 func returnedUnstarted(outcome job.Outcome) bool {
 	switch outcome.Reason {
-	case cell.ReasonClosed, cell.ReasonNotRenewed, cell.ReasonNotConfirmed:
+	case cell.ReasonClosed, cell.ReasonNotRenewed, cell.ReasonNotConfirmed, errStandsStill.Error():
 		return !outcome.Started
 	}
 	return false
--- a/pkg/node/late_jobs_test.go
+++ b/pkg/node/late_jobs_test.go
@@ -203,7 +203,7 @@
 			eventually(c, isDispatched)
 			for range s.stalls {
 				for _, step := range []time.Duration{renewInterval, renewInterval, 500 * time.Millisecond} {
-					n.renewJobs(time.Duration(clock.at.Add(int64(step))))
+					n.renewals.poll(time.Duration(clock.at.Add(int64(step))))
 				}
 			}
 			taken, _ := o.removeWaiters(joinID, n.settings.PeerAddress, false)
@@ -221,3 +221,37 @@
 		})
 	}
 }
+
+// Guards against jobs that wait until their deadlines at an owner that stands still again and again, and
+// starts nothing for some time after each stall.
+func TestAHostThatStandsStillOftenGivesUpJobsThatItsOwnCellHasNotStarted(t *testing.T) {
+	c := qt.New(t)
+	n := newTestNode(c, &fakeStore{})
+	clock := &sharedClock{}
+	clock.at.Store(int64(time.Second))
+	n.Clock = clock
+	o := makeOwner(n, "z/1.0")
+	ended := submitLater(context.Background(), n)
+	eventually(c, func() bool {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		return len(o.waiters[joinID]) > 0
+	})
+	for range 2 {
+		for _, step := range []time.Duration{renewInterval, renewInterval, 450 * time.Millisecond} {
+			select {
+			case outcome := <-ended:
+				c.Fatalf("ended after one stall: %+v", outcome)
+			default:
+			}
+			n.renewJobs(time.Duration(clock.at.Add(int64(step))))
+		}
+	}
+	select {
+	case outcome := <-ended:
+		c.Assert(outcome.Kind, qt.Equals, job.Refused)
+		c.Assert(outcome.Reason, qt.Equals, "stands_still")
+	case <-time.After(5 * time.Second):
+		c.Fatal("the job still waits")
+	}
+}
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -213,6 +214,39 @@
 	}
 }
 
+// returnUnstarted returns to this host's own front the jobs of which nothing has started.
+func (o *owner) returnUnstarted() {
+	self := o.node.settings.PeerAddress
+	for _, id := range o.ownUnstarted() {
+		taken, last := o.removeWaiters(id, self, false)
+		started := true
+		o.do(func(state *cell.Cell, now time.Duration) {
+			started = state.MayHaveStarted(id)
+			if last {
+				state.Withdraw(id, errStandsStill.Error(), now)
+			}
+		})
+		for _, w := range taken {
+			w.reply(job.Outcome{Kind: job.Moved, Reason: errStandsStill.Error(), Started: started})
+		}
+	}
+}
+
+// ownUnstarted returns the ids of the jobs for which this host's own front waits and of which nothing has
+// started.
+func (o *owner) ownUnstarted() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var ids []string
+	for id, waiters := range o.waiters {
+		isOwn := slices.ContainsFunc(waiters, func(w waiter) bool { return w.connection == nil && !w.job.Kept })
+		if isOwn && !o.state.MayHaveStarted(id) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // fronts returns the addresses of the other nodes whose fronts wait for jobs.
 func (o *owner) fronts() []string {
 	o.mu.Lock()
--- a/pkg/node/renewals.go
+++ b/pkg/node/renewals.go
@@ -204,6 +204,11 @@
 		n.openJobTable.markResumed(now)
 	}
 	due := n.renewals.poll(now)
+	if n.renewals.standsStillOften(now) {
+		for _, o := range n.allOwners() {
+			o.returnUnstarted()
+		}
+	}
 	if due == nil {
 		return
 	}
