cell: the explorer has fronts that don't notice that their callers leave

Fronts renew such jobs at any owner, their own host included, while owners are cut off from executors and hosts, fenced, frozen and crash; a third of the jobs is never confirmed, and given up as pkg/node does. Callers resubmit a job that isn't confirmed.

--- a/pkg/cell/explore_again_test.go
+++ b/pkg/cell/explore_again_test.go
@@ -60,6 +60,10 @@
 		{testName: "new owners don't reach an executor, and everything else", faults: faults{partialCuts: true, hostCrashes: true, ownerCrashChains: true, freezes: true, frontMessages: true, commands: true, unreadableRows: true, vanishingRows: true}, halved: true},
 		{testName: "new owners don't reach an executor, and executors restart", faults: faults{partialCuts: true, executorCrashes: true, commands: true}},
 		{testName: "everything, a fifth of the commands seconds late", faults: faults{partialCuts: true, hostCrashes: true, ownerCrashChains: true, freezes: true, frontMessages: true, commands: true, unreadableRows: true, refusals: true, unclearAnswers: true, executorCrashes: true, rates: lateCommandRates}, halved: true},
+		{testName: "fronts don't notice that callers leave", faults: faults{unseenBreaks: true}},
+		{testName: "fronts don't notice that callers leave, owners are cut off", faults: faults{unseenBreaks: true, partialCuts: true}},
+		{testName: "fronts don't notice that callers leave, owners crash and freeze", faults: faults{unseenBreaks: true, hostCrashes: true, ownerCrashChains: true, freezes: true}},
+		{testName: "fronts don't notice that callers leave, and everything else", faults: faults{unseenBreaks: true, partialCuts: true, hostCrashes: true, ownerCrashChains: true, freezes: true, frontMessages: true, commands: true, unreadableRows: true, refusals: true, executorCrashes: true}, halved: true},
 		{testName: "unclear answers, refusals, and everything else", faults: faults{hostCrashes: true, ownerCrashChains: true, freezes: true, frontMessages: true, commands: true, unreadableRows: true, refusals: true, unclearAnswers: true, rates: unclearAnswerRates}, halved: true},
 	}
 	for _, s := range scenarios {
@@ -90,6 +94,21 @@
 	}
 }
 
+// The explorer has to find the runs that outlive a second sending if no limit of a lease ends them.
+func TestExplorerFindsRunsThatNoLeaseLimitEnds(t *testing.T) {
+	c := qt.New(t)
+	found := 0
+	for seed := range uint64(*explorePlays) {
+		w := newCluster(seed, faults{unseenBreaks: true, partialCuts: true, ignoresLimits: true})
+		w.run()
+		if len(w.doubles) > 0 {
+			found++
+		}
+	}
+	t.Logf("%d of %d simulations", found, *explorePlays)
+	c.Assert(found > 0, qt.IsTrue)
+}
+
 func (c *clusterCount) add(o clusterCount) {
 	c.ended += o.ended
 	c.resubmitted += o.resubmitted
@@ -101,6 +120,8 @@
 	c.unclearPeriods += o.unclearPeriods
 	c.crashes += o.crashes
 	c.cut += o.cut
+	c.unseen += o.unseen
+	c.confirmed += o.confirmed
 }
 
 // assertEnough asserts that the simulations exercised the faults that they inject.
@@ -113,6 +134,7 @@
 	qc.Assert(!f.refusals || c.refusalPeriods > 5*plays, qt.IsTrue, qt.Commentf("%+v", c))
 	qc.Assert(!f.executorCrashes || c.crashes > 5*plays, qt.IsTrue, qt.Commentf("%+v", c))
 	qc.Assert(!f.unclearAnswers || c.unclearPeriods > 2*plays, qt.IsTrue, qt.Commentf("%+v", c))
+	qc.Assert(!f.unseenBreaks || c.unseen > 2*plays && c.confirmed > 2*plays, qt.IsTrue, qt.Commentf("%+v", c))
 	qc.Assert(!f.partialCuts || c.cut > 5*plays, qt.IsTrue, qt.Commentf("%+v", c))
 	qc.Assert(!f.ownerCrashChains && !f.freezes || c.suspected > plays, qt.IsTrue, qt.Commentf("%+v", c))
 }
--- a/pkg/cell/explore_caller_test.go
+++ b/pkg/cell/explore_caller_test.go
@@ -26,6 +26,11 @@
 	front        *host
 	attempts     []*attempt
 	disconnected bool // the connection has closed
+	sentAt       time.Duration
+	receivedAt   time.Duration // 0 before
+
+	isConfirmed bool // all hosts know of it
+	isUnseen    bool // the connection has closed, and the front won't notice
 }
 
 // newCall has a caller submit a job whose tasks are estimated to be either short or
@@ -46,11 +51,15 @@
 	if h == nil || w.now > c.deadline {
 		return
 	}
-	s := &submission{call: c, front: h}
+	s := &submission{call: c, front: h, sentAt: w.now}
 	h.submissions = append(h.submissions, s)
 	w.record(c.id, "the caller submits %s to %s", c.id, h.name)
 	w.deliverTo(h, ms, s.accept)
-	if w.oneIn(8) {
+	breaks := 8 // one submission in so many
+	if w.faults.unseenBreaks {
+		breaks = 3
+	}
+	if w.oneIn(breaks) {
 		w.after(w.between(0, 600*ms), s.disconnect)
 	}
 }
@@ -79,6 +88,13 @@
 	s.disconnected = true
 	w.count.resubmitted++
 	w.record(s.call.id, "the connection for %s at %s closes", s.call.id, s.front.name)
+	if s.breaksUnseen() {
+		s.isUnseen = true
+		w.count.unseen++
+		w.record(s.call.id, "%s does not notice", s.front.name)
+		w.after(resubmitDelay, s.resubmit)
+		return
+	}
 	w.after(resubmitDelay, s.call.send)
 	w.deliverTo(s.front, w.between(0, maxDisconnectNotice), func() {
 		for _, a := range s.attempts {
@@ -103,6 +119,8 @@
 	if s.disconnected {
 		return
 	}
+	s.receivedAt = w.now
+	s.scheduleConfirmation()
 	j := testJob(c.id, c.tasks, w.now)
 	j.Steps[0].Estimate, j.Deadline, j.MaxAttempts, j.Target = c.estimate, c.deadline, 5, c.deadline-w.now
 	parts := []*job.Job{j}
@@ -111,7 +129,7 @@
 		parts = j.Split([]int{first, c.tasks - first})
 	}
 	for _, part := range parts {
-		a := &attempt{front: s.front, job: part, epoch: 1, namesRuns: true}
+		a := &attempt{front: s.front, submission: s, job: part, epoch: 1, namesRuns: true}
 		s.attempts = append(s.attempts, a)
 		s.front.open = append(s.front.open, a)
 		a.tryDispatch()
--- a/pkg/cell/explore_cluster_test.go
+++ b/pkg/cell/explore_cluster_test.go
@@ -48,6 +48,8 @@
 	crashes        int // of executors
 	cut            int // takeovers by an owner that didn't reach one of its executors
 	unclearPeriods int // times that an executor gave unclear answers for a while
+	unseen         int // connections that closed unnoticed
+	confirmed      int // submissions whose lease limits were lifted
 }
 
 // domain is a cell, and the hosts that may own it.
--- a/pkg/cell/explore_front_test.go
+++ b/pkg/cell/explore_front_test.go
@@ -15,7 +15,10 @@
 // attempt is a job, or a part of one, that a front hands to one owner after another
 // until it ends.
 type attempt struct {
-	front     *host
+	front *host
+
+	submission *submission
+
 	job       *job.Job
 	epoch     int
 	progress  []job.Progress
@@ -36,6 +39,7 @@
 	settleDelay time.Duration // from the arrival until the first start is allowed
 	namesRuns   bool
 	renewedAt   time.Duration // the newest timestamp of the owner at which the front's callers are confirmed to have waited; 0 for none
+	leaseLimit  time.Duration // as in Handover
 }
 
 func (a *attempt) id() string { return a.job.WholeID() }
@@ -51,7 +55,7 @@
 		return
 	}
 	d := a.chooseDomain()
-	if d == nil {
+	if limit := a.submission.leaseLimit(); d == nil || limit > 0 && w.now >= ReturnAt(limit, 50*ms) {
 		a.retry()
 		return
 	}
@@ -82,12 +86,12 @@
 func (a *attempt) dispatchTo(target *domain) {
 	w := a.front.cluster
 	o := target.announced
-	d := dispatch{job: a.job, epoch: a.epoch, progress: a.progress, namesRuns: a.namesRuns}
+	d := dispatch{job: a.job, epoch: a.epoch, progress: a.progress, namesRuns: a.namesRuns, leaseLimit: a.submission.leaseLimit()}
 	if a.lostCell != nil && a.lostCell != target {
 		d.settleDelay = max(0, a.settleAt-w.now)
 	}
 	a.owner, a.cell, a.link = o, target, nil
-	from := waiter{id: a.job.ID, front: a.front, attempt: a}
+	from := waiter{id: a.job.ID, front: a.front, attempt: a, leaseLimit: d.leaseLimit}
 	if o.host == a.front {
 		d.renewedAt = a.front.confirmedHere
 		o.submit(from, d)
--- a/pkg/cell/explore_owner_test.go
+++ b/pkg/cell/explore_owner_test.go
@@ -26,6 +26,8 @@
 	front   *host
 	attempt *attempt
 	link    *link // nil for the front of the same host
+
+	leaseLimit time.Duration // as in Handover, for this front alone
 }
 
 // claim has a host of the domain become the owner, unless another one has claimed the
@@ -170,7 +172,7 @@
 	if d.settleDelay > 0 {
 		settleAt = w.now + d.settleDelay
 	}
-	handover := Handover{Job: d.job, Epoch: d.epoch, Progress: d.progress, NotBefore: settleAt, RenewedAt: d.renewedAt, NamesRuns: d.namesRuns}
+	handover := Handover{Job: d.job, Epoch: d.epoch, Progress: d.progress, NotBefore: settleAt, RenewedAt: d.renewedAt, LeaseLimit: o.leaseLimit(from.id), NamesRuns: d.namesRuns}
 	o.handle(func() { o.cell.Submit(handover, w.now) })
 }
 
@@ -214,6 +216,7 @@
 		if !slices.ContainsFunc(o.waiters, func(waiting waiter) bool { return waiting.id == t.id }) {
 			o.handle(func() { o.cell.Withdraw(t.id, reason, w.now) })
 		}
+		o.updateLimit(t.id)
 	}
 	return taken
 }
--- a/pkg/cell/explore_trouble_test.go
+++ b/pkg/cell/explore_trouble_test.go
@@ -23,6 +23,9 @@
 	unclearAnswers  bool // executors answer only by errors that the protocol doesn't define, for a while
 	vanishingRows   bool // rows of executors leave the store for a while; the executors serve on
 	partialCuts     bool // an executor is cut off from the newest owner of its cell only, and former owners last
+
+	unseenBreaks  bool // fronts don't notice that connections of callers close
+	ignoresLimits bool // fronts set no limits of leases
 }
 
 // injectFault injects a random fault in some steps.
