--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -78,7 +78,7 @@
 	m.Renewed = f.node.renewals.confirmed(claim.Owner)
 	if limit != 0 {
 		m.LeaseUs = max(1, (limit - now).Microseconds())
-		m.Sent = f.node.renewals.timeAt(claim.Owner, now)
+		m.SentUs = f.node.renewals.timeAt(claim.Owner, m.Renewed, now).Microseconds()
 	}
 	answer, err := link.Call(ctx, &peerpb.Message{Body: &peerpb.Message_Dispatch{Dispatch: m}}, 0)
 	if ctx.Err() != nil {
--- a/pkg/node/lease_limits.go
+++ b/pkg/node/lease_limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/cell"
@@ -38,13 +39,12 @@
 	if open == nil || open.isConfirmed || j.Kept {
 		return 0, func() {}
 	}
-	open.owners[address]++
+	open.owners = append(open.owners, address)
 	return f.node.leaseLimitOf(open.job), func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		if open.owners[address]--; open.owners[address] == 0 {
-			delete(open.owners, address)
-		}
+		at := slices.Index(open.owners, address)
+		open.owners = slices.Delete(open.owners, at, at+1)
 	}
 }
 
@@ -57,8 +57,10 @@
 			continue
 		}
 		open.markConfirmed()
-		for address := range open.owners {
-			ids[address] = append(ids[address], open.job.ID)
+		for _, address := range open.owners {
+			if !slices.Contains(ids[address], open.job.ID) { // several parts may be there
+				ids[address] = append(ids[address], open.job.ID)
+			}
 		}
 	}
 	f.mu.Unlock()
@@ -74,27 +76,20 @@
 // markConfirmed records that the limit of the job's lease is lifted. front.mu is held.
 func (o *openJob) markConfirmed() {
 	o.isConfirmed = true
-	close(o.confirmed)
+	if o.confirmed != nil {
+		close(o.confirmed)
+	}
 }
 
 // awaitConfirmed waits, if the limit of a job's lease is so near that no owner would keep the job, until
 // the limit is lifted. It returns false if it isn't, and the outcome of the job.
 func (f *front) awaitConfirmed(ctx context.Context, j *job.Job, state *attempt) (job.Outcome, bool) {
-	open := f.openJob(j.WholeID())
-	if open == nil || j.Kept {
-		return job.Outcome{}, true
-	}
 	n := f.node
-	limit := n.leaseLimitOf(open.job)
-	select {
-	case <-open.confirmed:
-		return job.Outcome{}, true
-	default:
-	}
-	if n.Clock.Now() < cell.ReturnAt(limit, n.settings.StopTime) {
+	open, isDue := f.isLimitNear(j)
+	if !isDue {
 		return job.Outcome{}, true
 	}
-	if n.isAnnounced(open.job) && f.sleepUntilConfirmed(ctx, open, limit+n.settings.StopTime) {
+	if n.isAnnounced(open.job) && f.sleepUntilConfirmed(ctx, open, n.leaseLimitOf(open.job)+n.settings.StopTime) {
 		return job.Outcome{}, true
 	}
 	if ctx.Err() != nil {
@@ -107,6 +102,21 @@
 	return job.Outcome{Kind: job.Refused, Reason: errUnconfirmed.Error(), RetryAfter: refusalRetryAfter}, false
 }
 
+// isLimitNear reports whether no owner would keep a job, as the limit of its lease is near. It returns the
+// open job, with which sleepUntilConfirmed may be called then.
+func (f *front) isLimitNear(j *job.Job) (*openJob, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	open := f.open[j.WholeID()]
+	if open == nil || open.isConfirmed || j.Kept || f.node.Clock.Now() < cell.ReturnAt(f.node.leaseLimitOf(open.job), f.node.settings.StopTime) {
+		return nil, false
+	}
+	if open.confirmed == nil {
+		open.confirmed = make(chan struct{})
+	}
+	return open, true
+}
+
 // sleepUntilConfirmed waits until the limit of a job's lease is lifted, and reports whether it was
 // before a time of the node's clock and before ctx ended.
 func (f *front) sleepUntilConfirmed(ctx context.Context, open *openJob, at time.Duration) bool {
@@ -166,9 +176,9 @@
 	if m.LeaseUs == 0 {
 		return 0
 	}
-	sentAt := n.timeOf(m.Sent)
-	if sentAt == 0 {
-		sentAt = now
+	sentAt := now
+	if m.SentUs > 0 && n.timeOf(m.Renewed) > 0 {
+		sentAt = min(now, microseconds(m.SentUs))
 	}
 	return max(1, sentAt+microseconds(m.LeaseUs))
 }
--- a/pkg/node/lease_limits_test.go
+++ b/pkg/node/lease_limits_test.go
@@ -75,7 +75,7 @@
 			if s.ownCell {
 				o = makeOwner(a, "z/0")
 			}
-			eventually(c, func() bool { return a.renewals.timeAt(b.settings.PeerAddress, a.Clock.Now()) != nil })
+			eventually(c, func() bool { return a.renewals.timeAt(b.settings.PeerAddress, b.timestamp(), a.Clock.Now()) > 0 })
 			whole := submission(a)
 			whole.Deadline, whole.Kept = whole.Received+s.deadline, s.kept
 			whole.Steps[0].Count = 2
@@ -179,27 +179,26 @@
 		m        func(n *Node) *peerpb.Dispatch
 		want     time.Duration // from now
 	}
-	moment := func(n *Node, ago time.Duration) *peerpb.Moment {
-		m := n.timestamp()
-		m.AtUs -= ago.Microseconds()
-		return m
+	const now = time.Minute
+	sent := func(renewed *peerpb.Moment, ago time.Duration) *peerpb.Dispatch {
+		return &peerpb.Dispatch{LeaseUs: 900_000, Renewed: renewed, SentUs: (now - ago).Microseconds()}
 	}
 	scenarios := []scenario{
-		{testName: "by an earlier build", m: func(n *Node) *peerpb.Dispatch { return &peerpb.Dispatch{Sent: moment(n, 0)} }},
-		{testName: "sent now", m: func(n *Node) *peerpb.Dispatch { return &peerpb.Dispatch{LeaseUs: 900_000, Sent: moment(n, 0)} }, want: 900 * time.Millisecond},
-		{testName: "sent 0.4 s ago", m: func(n *Node) *peerpb.Dispatch {
-			return &peerpb.Dispatch{LeaseUs: 900_000, Sent: moment(n, 400*time.Millisecond)}
-		}, want: 500 * time.Millisecond},
-		{testName: "no moment known", m: func(*Node) *peerpb.Dispatch { return &peerpb.Dispatch{LeaseUs: 900_000} }, want: 900 * time.Millisecond},
-		{testName: "the moment of another process", m: func(*Node) *peerpb.Dispatch {
-			return &peerpb.Dispatch{LeaseUs: 900_000, Sent: &peerpb.Moment{Incarnation: []byte{7}, AtUs: 1}}
+		{testName: "by an earlier build", m: func(n *Node) *peerpb.Dispatch { return &peerpb.Dispatch{Renewed: n.timestamp()} }},
+		{testName: "sent now", m: func(n *Node) *peerpb.Dispatch { return sent(n.timestamp(), 0) }, want: 900 * time.Millisecond},
+		{testName: "sent 0.4 s ago", m: func(n *Node) *peerpb.Dispatch { return sent(n.timestamp(), 400*time.Millisecond) }, want: 500 * time.Millisecond},
+		{testName: "sent later than now", m: func(n *Node) *peerpb.Dispatch { return sent(n.timestamp(), -400*time.Millisecond) }, want: 900 * time.Millisecond},
+		{testName: "the time isn't known", m: func(n *Node) *peerpb.Dispatch {
+			return &peerpb.Dispatch{LeaseUs: 900_000, Renewed: n.timestamp()}
+		}, want: 900 * time.Millisecond},
+		{testName: "that of another process", m: func(*Node) *peerpb.Dispatch {
+			return sent(&peerpb.Moment{Incarnation: []byte{7}, AtUs: 1}, 400*time.Millisecond)
 		}, want: 900 * time.Millisecond},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
 			c := qt.New(t)
 			n := newTestNode(c, &fakeStore{})
-			now := time.Minute
 			n.Clock = &manualClock{now: now}
 			want := s.want
 			if want > 0 {
@@ -213,11 +212,12 @@
 func TestTimestampsAdvanceWithTheClockOfTheirReader(t *testing.T) {
 	c := qt.New(t)
 	r := newRenewals()
-	c.Assert(r.timeAt("owner", time.Second), qt.IsNil)
-	r.record("owner", &peerpb.Moment{Incarnation: []byte{3}, AtUs: 500_000}, time.Second)
-	at := r.timeAt("owner", 1200*time.Millisecond)
-	c.Assert(at.AtUs, qt.Equals, int64(700_000))
-	c.Assert(at.Incarnation, qt.DeepEquals, []byte{3})
+	known := &peerpb.Moment{Incarnation: []byte{3}, AtUs: 500_000}
+	c.Assert(r.timeAt("owner", known, time.Second), qt.Equals, time.Duration(0))
+	r.record("owner", known, time.Second)
+	c.Assert(r.timeAt("owner", known, 1200*time.Millisecond), qt.Equals, 700*time.Millisecond)
+	c.Assert(r.timeAt("owner", nil, 1200*time.Millisecond), qt.Equals, time.Duration(0))
+	c.Assert(r.timeAt("owner", &peerpb.Moment{Incarnation: []byte{4}}, 1200*time.Millisecond), qt.Equals, time.Duration(0))
 }
 
 // A job that no owner would keep isn't dispatched before it is confirmed, and is answered as soon as it
--- a/pkg/node/open.go
+++ b/pkg/node/open.go
@@ -28,8 +28,8 @@
 
 	// isConfirmed tells that all hosts to which the caller may resubmit the job know of it.
 	isConfirmed bool
-	confirmed   chan struct{}  // closed then
-	owners      map[string]int // how often it, or a part of it, is dispatched to a host with a limit of its lease, by the host's address
+	confirmed   chan struct{} // closed then; nil when nobody has waited for it
+	owners      []string      // addresses of the hosts to which it, or parts of it, are dispatched with a limit of their lease
 }
 
 var (
@@ -42,7 +42,7 @@
 const reasonDeadline = "deadline_passed"
 
 func newOpenJob(j *job.Job) *openJob {
-	open := &openJob{job: j, done: make(chan struct{}), waiters: 1, confirmed: make(chan struct{}), owners: map[string]int{}}
+	open := &openJob{job: j, done: make(chan struct{}), waiters: 1}
 	open.ctx, open.cancel = context.WithCancelCause(context.Background())
 	return open
 }
--- a/pkg/node/renewals.go
+++ b/pkg/node/renewals.go
@@ -67,15 +67,16 @@
 	m.last, m.receivedAt = timestamp, now
 }
 
-// timeAt returns a timestamp that an owner's clock had reached by now, or nil if none is known.
-func (r *renewals) timeAt(address string, now time.Duration) *peerpb.Moment {
+// timeAt returns a time that the clock of an owner's process, which has made a timestamp, had reached by
+// now; 0 when none is known.
+func (r *renewals) timeAt(address string, timestamp *peerpb.Moment, now time.Duration) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m := r.timestamps[address]
-	if m == nil || m.last == nil {
-		return nil
+	if timestamp == nil || m == nil || m.last == nil || !bytes.Equal(m.last.Incarnation, timestamp.Incarnation) {
+		return 0
 	}
-	return &peerpb.Moment{Incarnation: m.last.Incarnation, AtUs: m.last.AtUs + (now - m.receivedAt).Microseconds()}
+	return microseconds(m.last.AtUs) + now - m.receivedAt
 }
 
 // forget removes the timestamps of an owner that is lost.
