node: a front that waits for a job continues it at once if nothing of it has run

A front refuses a job of which nothing has run by the limit of its lease; those that had joined it waited for 1.25 s for runs that it can't have.

--- a/pkg/node/join_test.go
+++ b/pkg/node/join_test.go
@@ -293,10 +293,12 @@
 // its runs have ended.
 func TestWaitersContinueAJobThatItsFrontAbandons(t *testing.T) {
 	type scenario struct {
-		testName string
-		abandon  func(a *Node, open *openJob)
+		testName   string
+		notStarted bool
+		abandon    func(a *Node, open *openJob)
 	}
 	scenarios := []scenario{
+		{testName: "a domain has not confirmed the job, of which nothing has run", notStarted: true, abandon: func(*Node, *openJob) {}},
 		{testName: "it stops", abandon: func(a *Node, _ *openJob) { a.front.abandonOpenJobs() }},
 		{testName: "a domain has not confirmed the job", abandon: func(_ *Node, open *openJob) { open.cancel(errUnconfirmed) }},
 	}
@@ -313,13 +315,17 @@
 			confirmAll(b) // the job, as its announcement would have been by now
 			s.abandon(a, open)
 			ended := time.Now()
-			a.front.end(open, abandoned(open.ctx, true))
+			outcome := abandoned(open.ctx, true)
+			if s.notStarted {
+				outcome = job.Outcome{Kind: job.Refused, Reason: errUnconfirmed.Error()}
+			}
+			a.front.end(open, outcome)
 			select {
 			case <-followed:
 			case outcome := <-answer:
 				c.Fatalf("the caller got %v", outcome)
 			}
-			c.Assert(time.Since(ended) > a.settleTime()*9/10, qt.IsTrue, qt.Commentf("after %s", time.Since(ended)))
+			c.Assert(time.Since(ended) > a.settleTime()*9/10, qt.Equals, !s.notStarted, qt.Commentf("after %s", time.Since(ended)))
 			b.Cancel(joinID)
 			c.Assert((<-answer).Reason, qt.Equals, errCancelled.Error())
 		})
--- a/pkg/node/joins.go
+++ b/pkg/node/joins.go
@@ -121,6 +121,9 @@
 	outcome, isOver := n.awaitOrYield(ctx, open, m)
 	switch {
 	case isOver && (outcome.Reason == errStopping.Error() || outcome.Reason == errUnconfirmed.Error()):
+		if outcome.Kind == job.Refused && !outcome.Started {
+			return toOutcome(notOpen(0))
+		}
 		return toOutcome(notOpen(n.settleTime())) // the asking front continues the job
 	case isOver:
 		return toOutcome(outcome)
