--- /dev/null
+++ b/pkg/node/late_jobs_test.go
@@ -0,0 +1,257 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/common"
+	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/openjobs"
+	"github.com/foxcroft/foxcroft/pkg/traffic"
+	qt "github.com/frankban/quicktest"
+)
+
+// pollAndStandStill has a node poll for a while and then not until a time, as a process that is stopped.
+func pollAndStandStill(n *Node, clock *common.ManualClock, stall time.Duration) {
+	for range 10 {
+		clock.At += renewInterval
+		n.renewJobs(clock.At)
+	}
+	clock.At += stall
+}
+
+// Guards against a second run beside a front that stood still: it receives a job up to a stall after
+// its caller has sent it, and the caller counts from the sending until it sends the job again.
+func TestAJobThatIsReceivedLateIsAnnouncedByItsSending(t *testing.T) {
+	type scenario struct {
+		testName    string
+		stall       time.Duration
+		isPolled    bool          // the poll after the stall comes before the request is handled
+		announcedIn time.Duration // after the receipt
+	}
+	scenarios := []scenario{
+		{testName: "no stall", announcedIn: 400 * time.Millisecond},
+		{testName: "a stall of 0.3 s", stall: 300 * time.Millisecond, announcedIn: 175 * time.Millisecond},
+		{testName: "a stall of 0.7 s", stall: 700 * time.Millisecond},
+		{testName: "a stall of 0.7 s, polled before", stall: 700 * time.Millisecond, isPolled: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			n := newTestNode(c, &fakeStore{})
+			clock := &common.ManualClock{At: time.Second}
+			n.Clock = clock
+			makeOwner(n, "z/1.0")
+			pollAndStandStill(n, clock, s.stall)
+			if s.isPolled {
+				n.renewJobs(clock.At)
+			}
+			ctx, leave := context.WithCancel(context.Background())
+			ended := make(chan job.Outcome, 1)
+			go func() { ended <- n.Submit(ctx, submission(n)) }()
+			var batch []openjobs.Announcement
+			for wait := time.Now().Add(time.Second); len(batch) == 0 && time.Now().Before(wait); time.Sleep(time.Millisecond) {
+				batch = n.openJobTable.nextBatch(clock.At + s.announcedIn)
+			}
+			c.Assert(batch, qt.HasLen, 1)
+			leave()
+			<-ended
+		})
+	}
+}
+
+// Guards against a job that nobody can know of before its caller may send it again. Callers send a
+// refused job again without any harm.
+func TestAJobThatIsReceivedTooLateIsRefused(t *testing.T) {
+	type scenario struct {
+		testName string
+		stall    time.Duration
+		isAlone  bool // there is no other host
+		deadline time.Duration
+		refused  bool
+	}
+	scenarios := []scenario{
+		{testName: "in time", stall: time.Second, deadline: time.Minute},
+		{testName: "too late", stall: 1200 * time.Millisecond, deadline: time.Minute, refused: true},
+		{testName: "too late, no other host", stall: 1200 * time.Millisecond, deadline: time.Minute, isAlone: true},
+		{testName: "too late, but the caller doesn't wait for long enough to send it again", stall: 1200 * time.Millisecond, deadline: 1200 * time.Millisecond},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			n := newTestNode(c, &fakeStore{})
+			clock := &common.ManualClock{At: time.Second}
+			n.Clock = clock
+			makeOwner(n, "z/1.0")
+			n.memberRows["a"] = Member{Name: "a", Domain: "z", PeerAddress: n.settings.PeerAddress}
+			if !s.isAlone {
+				n.memberRows["b"] = Member{Name: "b", Domain: "y", PeerAddress: "127.0.0.1:2"}
+			}
+			pollAndStandStill(n, clock, s.stall)
+			j := submission(n)
+			j.Deadline = j.Received + s.deadline
+			ctx, leave := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			defer leave()
+			outcome := n.Submit(ctx, j)
+			c.Assert(outcome.Kind == job.Refused && outcome.Reason == "received_too_late", qt.Equals, s.refused, qt.Commentf("%+v", outcome))
+			c.Assert(outcome.RetryAfter > 0, qt.Equals, s.refused)
+		})
+	}
+}
+
+// Guards against keeping jobs that a domain hasn't confirmed, as if it had been cut off before they were
+// sent, only because this process stood still and missed an earlier confirmation.
+func TestADomainIsNotTakenForCutOffAfterAStall(t *testing.T) {
+	type scenario struct {
+		testName string
+		stall    time.Duration
+		want     bool
+	}
+	scenarios := []scenario{
+		{testName: "no stall", want: true},
+		{testName: "a stall", stall: time.Second},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			n := newTestNode(c, &fakeStore{})
+			clock := &common.ManualClock{At: time.Second}
+			n.Clock = clock
+			pollAndStandStill(n, clock, 0)
+			askedAt := clock.At
+			pollAndStandStill(n, clock, s.stall)
+			c.Assert(n.giveUpBefore("y", askedAt), qt.Equals, clock.At)
+			c.Assert(len(n.openJobTable.confirmations.DueAgain(clock.At)) > 0, qt.Equals, s.want)
+		})
+	}
+}
+
+// Guards against counting from the receipt of a request that waited at the machine for longer than one
+// stall of this process: it may stop again before it reads the request.
+func TestWhenARequestArrived(t *testing.T) {
+	type scenario struct {
+		testName string
+		waits    time.Duration // before the process accepts its connection
+	}
+	scenarios := []scenario{
+		{testName: "read at once"},
+		{testName: "read late", waits: 300 * time.Millisecond},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			n := newTestNode(c, &fakeStore{})
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			arrived := make(chan time.Duration, 1)
+			server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { arrived <- n.arrivalOf(r.Context()) })}
+			n.configureFront(server)
+			defer server.Close()
+			time.Sleep(time.Millisecond) // no request arrives at time 0
+			time.AfterFunc(s.waits, func() { _ = server.Serve(n.meter.Of(traffic.Callers).Listener(listener)) })
+			sent := n.Clock.Now()
+			response, err := http.Post("http://"+listener.Addr().String(), "application/json", strings.NewReader("{}"))
+			c.Assert(err, qt.IsNil)
+			_ = response.Body.Close()
+			at := <-arrived
+			c.Assert(at > 0, qt.IsTrue)
+			delay := at - sent
+			c.Assert(delay > -20*time.Millisecond && delay < 150*time.Millisecond, qt.IsTrue, qt.Commentf("arrived %s after its sending", delay))
+		})
+	}
+}
+
+// sharedClock is a clock that a test advances while a node reads it.
+type sharedClock struct{ at atomic.Int64 }
+
+// Now implements common.Clock.
+func (c *sharedClock) Now() time.Duration { return time.Duration(c.at.Load()) }
+
+// Guards against jobs that are lost at a front that stands still again and again: it held them until their
+// deadlines, and other fronts waited for it, though no owner could run them for it.
+func TestAFrontThatStandsStillOftenGivesUpJobsThatItsOwnerReturns(t *testing.T) {
+	type scenario struct {
+		testName string
+		stalls   int
+		started  bool
+		want     job.Kind
+	}
+	scenarios := []scenario{
+		{testName: "one stall: handed on", stalls: 1, started: true},
+		{testName: "often, a task may have started", stalls: 2, started: true, want: job.Expired},
+		{testName: "often, nothing has started", stalls: 2, want: job.Refused},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			n := newTestNode(c, &fakeStore{})
+			clock := &sharedClock{}
+			clock.at.Store(int64(time.Second))
+			n.Clock = clock
+			o := makeOwner(n, "z/1.0")
+			ended := submitLater(context.Background(), n)
+			isDispatched := func() bool {
+				o.mu.Lock()
+				defer o.mu.Unlock()
+				return len(o.waiters[joinID]) > 0
+			}
+			eventually(c, isDispatched)
+			for range s.stalls {
+				for _, step := range []time.Duration{renewInterval, renewInterval, 500 * time.Millisecond} {
+					n.renewals.poll(time.Duration(clock.at.Add(int64(step))))
+				}
+			}
+			taken, _ := o.removeWaiters(joinID, n.settings.PeerAddress, false)
+			taken[0].reply(job.Outcome{Kind: job.Moved, Reason: reasonFrontUnresponsive, Started: s.started})
+			if s.want == 0 {
+				eventually(c, isDispatched)
+				n.front.openJob(joinID).cancel(errCancelled)
+				<-ended
+				return
+			}
+			outcome := <-ended
+			c.Assert(outcome.Kind, qt.Equals, s.want)
+			c.Assert(outcome.Reason, qt.Equals, "stands_still")
+			c.Assert(outcome.Started, qt.Equals, s.started)
+		})
+	}
+}
+
+// Guards against jobs that wait until their deadlines at an owner that stands still again and again, and
+// starts nothing for some time after each stall.
+func TestAHostThatStandsStillOftenGivesUpJobsThatItsOwnCellHasNotStarted(t *testing.T) {
+	c := qt.New(t)
+	n := newTestNode(c, &fakeStore{})
+	clock := &sharedClock{}
+	clock.at.Store(int64(time.Second))
+	n.Clock = clock
+	o := makeOwner(n, "z/1.0")
+	ended := submitLater(context.Background(), n)
+	eventually(c, func() bool {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		return len(o.waiters[joinID]) > 0
+	})
+	for range 2 {
+		for _, step := range []time.Duration{renewInterval, renewInterval, 450 * time.Millisecond} {
+			select {
+			case outcome := <-ended:
+				c.Fatalf("ended after one stall: %+v", outcome)
+			default:
+			}
+			n.renewJobs(time.Duration(clock.at.Add(int64(step))))
+		}
+	}
+	select {
+	case outcome := <-ended:
+		c.Assert(outcome.Kind, qt.Equals, job.Refused)
+		c.Assert(outcome.Reason, qt.Equals, "stands_still")
+	case <-time.After(5 * time.Second):
+		c.Fatal("the job still waits")
+	}
+}
--- a/pkg/node/open.go
+++ b/pkg/node/open.go
@@ -27,6 +27,11 @@
 	isSplit    bool          // into parts that are dispatched separately
 	isJoined   bool          // other fronts have waited for it here
 	heldSince  time.Duration // when this node began to follow it, or last dispatched it
+
+	// isConfirmed tells that all hosts to which the caller may resubmit the job know of it.
+	isConfirmed bool
+	confirmed   chan struct{} // closed then; nil when nobody has waited for it
+	owners      []string      // addresses of the hosts to which it, or parts of it, are dispatched with a limit of their lease
 }
 
 var (
@@ -48,11 +53,15 @@
 // callers have abandoned ends first, because its withdrawal would also withdraw the new one;
 // it is returned as former.
 func (f *front) enter(j *job.Job) (open, former *openJob) {
+	isOnlyHost := f.node.isOnlyHost()
 	for {
 		f.mu.Lock()
 		known := f.open[j.ID]
 		if known == nil {
 			open = newOpenJob(j)
+			if isOnlyHost {
+				open.markConfirmed()
+			}
 			f.open[j.ID] = open
 			f.mu.Unlock()
 			return open, former
--- a/pkg/node/open_twice_test.go
+++ b/pkg/node/open_twice_test.go
@@ -199,6 +199,7 @@
 			})
 			answer := submitLater(context.Background(), high)
 			eventually(c, func() bool { return o.has(joinID) })
+			high.announceOpenJobs(high.Clock.Now()) // as an unconfirmed job doesn't go on after the settle time
 			first := openUnannounced(low)
 			if s.hasEnded {
 				low.front.end(first, mayHaveRun)
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -40,6 +40,7 @@
 	known       int  // other fronts that might hold the job open, by what the owner knew
 	acceptedAt  time.Duration
 	renewedAt   time.Duration // its last renewal of the job, as in cell.Renew; 0 when unknown
+	leaseLimit  time.Duration // as in cell.Handover, for this front alone; 0 for none
 	isAnnounced bool          // to the owners of the domain's other cells
 	announceNow bool          // whatever its age
 }
@@ -149,12 +150,12 @@
 			return
 		}
 		id := handover.Job.ID
-		w.job, w.renewedAt, w.acceptedAt = handover.Job, handover.RenewedAt, now
+		w.job, w.renewedAt, w.leaseLimit, w.acceptedAt = handover.Job, handover.RenewedAt, handover.LeaseLimit, now
 		if handover.Job.Kept {
 			o.kept.add(id)
 		}
 		o.waiters[id] = append(o.waiters[id], w)
-		handover.RenewedAt = o.renewedAt(id)
+		handover.RenewedAt, handover.LeaseLimit = o.renewedAt(id), o.leaseLimit(id)
 		state.Submit(handover, now)
 	})
 	o.logDecision(handover, &w, answer)
@@ -227,6 +228,11 @@
 			}
 		})
 	}
+	if !last {
+		o.do(func(state *cell.Cell, now time.Duration) {
+			state.SetLeaseLimits(map[string]time.Duration{id: o.leaseLimit(id)}, now)
+		})
+	}
 	if reason != reasonFrontUnresponsive {
 		return
 	}
@@ -236,6 +242,39 @@
 	}
 }
 
+// returnUnstarted returns to this host's own front the jobs of which nothing has started.
+func (o *owner) returnUnstarted() {
+	self := o.node.settings.PeerAddress
+	for _, id := range o.ownUnstarted() {
+		taken, last := o.removeWaiters(id, self, false)
+		started := true
+		o.do(func(state *cell.Cell, now time.Duration) {
+			started = state.MayHaveStarted(id)
+			if last {
+				state.Withdraw(id, errStandsStill.Error(), now)
+			}
+		})
+		for _, w := range taken {
+			w.reply(job.Outcome{Kind: job.Moved, Reason: errStandsStill.Error(), Started: started})
+		}
+	}
+}
+
+// ownUnstarted returns the ids of the jobs for which this host's own front waits and of which nothing has
+// started.
+func (o *owner) ownUnstarted() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var ids []string
+	for id, waiters := range o.waiters {
+		isOwn := slices.ContainsFunc(waiters, func(w waiter) bool { return w.connection == nil && !w.job.Kept })
+		if isOwn && !o.state.MayHaveStarted(id) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // fronts returns the addresses of the other nodes whose fronts wait for jobs.
 func (o *owner) fronts() []string {
 	o.mu.Lock()
--- a/pkg/node/renewals.go
+++ b/pkg/node/renewals.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/openjobs"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
 )
 
@@ -15,14 +16,16 @@
 	// renewInterval is the least time between two polls of the timestamps to renew with.
 	renewInterval = 25 * time.Millisecond
 	// maxPollGap is the time between two polls beyond which this process counts as paused.
-	// An idle process polls every 100 ms.
-	maxPollGap = 150 * time.Millisecond
+	maxPollGap = openjobs.MaxPollGap
 	// maxConsecutiveGaps is how many gaps in a row count as a pause. After more of them the
 	// process counts as slow rather than paused, and renews, so that its jobs are served.
 	maxConsecutiveGaps = 2
 	// minRenewalInterval is the least time between two renewals sent to an owner, who goes
 	// through all its jobs at each.
 	minRenewalInterval = 100 * time.Millisecond
+	// stallMemory is how long after a pause this process polls every renewInterval, so that little
+	// time passes between its last poll and the next pause.
+	stallMemory = 2 * time.Second
 )
 
 // renewals tracks, for each owner, the timestamp up to which this host confirms that its
@@ -35,21 +38,24 @@
 	confirmedLocal time.Duration               // the same for this host's own cells, by its own clock
 	polledAt       time.Duration               // the last poll
 	gaps           int                         // consecutive gaps before it
+	stalls         openjobs.Stalls             // polls at the same times
 }
 
 // ownerTimestamps are the timestamps received from one owner.
 type ownerTimestamps struct {
-	newest    *peerpb.Moment // nil if none has arrived since the last poll
-	pending   *peerpb.Moment // newest as of the last poll; nil if there was none
-	confirmed *peerpb.Moment // the newest confirmed one; nil if there is none yet
-	sentAt    time.Duration  // when the last renewal was sent
-	unsent    bool           // confirmed was set after that
+	newest     *peerpb.Moment // nil if none has arrived since the last poll
+	pending    *peerpb.Moment // newest as of the last poll; nil if there was none
+	confirmed  *peerpb.Moment // the newest confirmed one; nil if there is none yet
+	last       *peerpb.Moment // the newest of all
+	receivedAt time.Duration  // when it was received
+	sentAt     time.Duration  // when the last renewal was sent
+	unsent     bool           // confirmed was set after that
 }
 
 func newRenewals() *renewals { return &renewals{timestamps: map[string]*ownerTimestamps{}} }
 
 // record records the timestamp at which an owner has sent a reply.
-func (r *renewals) record(address string, timestamp *peerpb.Moment) {
+func (r *renewals) record(address string, timestamp *peerpb.Moment, now time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.timestamps[address] == nil {
@@ -62,6 +68,19 @@
 		}
 	}
 	m.newest = timestamp
+	m.last, m.receivedAt = timestamp, now
+}
+
+// timeAt returns a time that the clock of an owner's process, which has made a timestamp, had reached by
+// now; 0 when none is known.
+func (r *renewals) timeAt(address string, timestamp *peerpb.Moment, now time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.timestamps[address]
+	if timestamp == nil || m == nil || m.last == nil || !bytes.Equal(m.last.Incarnation, timestamp.Incarnation) {
+		return 0
+	}
+	return microseconds(m.last.AtUs) + now - m.receivedAt
 }
 
 // forget removes the timestamps of an owner that is lost.
@@ -99,6 +118,7 @@
 	}
 	last := r.polledAt
 	r.polledAt = now
+	r.stalls.Poll(now)
 	if r.recordGap(now - last) {
 		return nil
 	}
@@ -125,6 +145,27 @@
 	return now > r.polledAt+maxTickGap
 }
 
+// earliestSending is Stalls.EarliestSending.
+func (r *renewals) earliestSending(received, arrived time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stalls.EarliestSending(received, arrived)
+}
+
+// stalledSince is Stalls.EndedSince.
+func (r *renewals) stalledSince(since, now time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stalls.EndedSince(since, now)
+}
+
+// standsStillOften is Stalls.StandsStillOften.
+func (r *renewals) standsStillOften(now time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stalls.StandsStillOften(now)
+}
+
 // recordGap records the time since the last poll, and reports whether this process counts as
 // paused meanwhile.
 func (r *renewals) recordGap(gap time.Duration) bool {
@@ -140,10 +181,20 @@
 	return r.gaps <= maxConsecutiveGaps
 }
 
+// stalledLately reports whether this process was paused a short time ago.
+func (n *Node) stalledLately() bool {
+	now := n.Clock.Now()
+	return n.renewals.stalledSince(now-stallMemory, now)
+}
+
+// standsStillOften reports whether this process is paused again and again for so long that it can't
+// follow jobs.
+func (n *Node) standsStillOften() bool { return n.renewals.standsStillOften(n.Clock.Now()) }
+
 // recordTimestamp records the timestamp of an owner that came with a reply.
 func (n *Node) recordTimestamp(address string, reply *peerpb.Message) {
 	if reply.Moment != nil {
-		n.renewals.record(address, reply.Moment)
+		n.renewals.record(address, reply.Moment, n.Clock.Now())
 	}
 }
 
@@ -154,6 +205,11 @@
 		n.openJobTable.markResumed(now)
 	}
 	due := n.renewals.poll(now)
+	if n.renewals.standsStillOften(now) {
+		for _, o := range n.allOwners() {
+			o.returnUnstarted()
+		}
+	}
 	if due == nil {
 		return
 	}
--- a/pkg/openjobs/confirmations.go
+++ b/pkg/openjobs/confirmations.go
@@ -7,13 +7,20 @@
 )
 
 // withdrawTime is how long before a possible resubmission a front gives up a job of which a domain
-// may not know. By the resubmission its runs have been stopped.
-const withdrawTime = 150 * time.Millisecond
+// may not know. By the resubmission executors have ended its runs.
+const withdrawTime = 50*time.Millisecond + maxReceiptDelay
 
 // ConfirmBy returns until when each domain has to confirm that it has received the announcement of
-// a job. Otherwise a caller may resubmit the job there, where no host would look for this one.
-func ConfirmBy(received, resubmitAfter time.Duration) time.Duration {
-	return received + resubmitAfter - withdrawTime
+// a job. Otherwise a caller may resubmit the job there, where no host would look for this one. The leases
+// of its runs end by then unless it is confirmed. sentAfter is the earliest time at which its caller may
+// have sent it.
+func ConfirmBy(sentAfter, resubmitAfter time.Duration) time.Duration {
+	return sentAfter + resubmitAfter - withdrawTime
+}
+
+// CanBeConfirmed reports whether domains can still confirm a job by then that is announced now.
+func CanBeConfirmed(sentAfter, resubmitAfter, now time.Duration) bool {
+	return now+confirmTime <= ConfirmBy(sentAfter, resubmitAfter)
 }
 
 // Confirmations records the domains that don't confirm announcements. It is not safe for concurrent
@@ -45,13 +52,27 @@
 // Confirmed records that a domain has confirmed an announcement, or answers again.
 func (c *Confirmations) Confirmed(domain string) { delete(c.missingSince, domain) }
 
+// IsExempt reports whether a domain need not confirm a job that was sent after it was noticed that
+// the domain doesn't confirm: the caller reaches this front although it is cut off from the domain.
+func (c *Confirmations) IsExempt(domain string, sentAfter time.Duration) bool {
+	since, known := c.missingSince[domain]
+	return known && sentAfter >= since
+}
+
 // Missing records that it is noticed now that a domain doesn't confirm an announcement. It returns a
-// time: jobs that were received before it have to be given up. Those received later are kept, as their
+// time: jobs that were sent before it have to be given up. Those sent later are kept, as their
 // callers reach this front although it is cut off from the domain.
 func (c *Confirmations) Missing(domain string, now time.Duration) (giveUpBefore time.Duration) {
+	giveUpBefore = c.MissingSince(domain, now)
+	c.missingSince[domain] = giveUpBefore
+	return giveUpBefore
+}
+
+// MissingSince returns the same without recording anything, for a process that stood still and may
+// therefore have missed the confirmation of a domain that isn't cut off.
+func (c *Confirmations) MissingSince(domain string, now time.Duration) (giveUpBefore time.Duration) {
 	if since, known := c.missingSince[domain]; known {
 		return since
 	}
-	c.missingSince[domain] = now
 	return now
 }
