--- a/pkg/cell/joblease.go
+++ b/pkg/cell/joblease.go
@@ -167,11 +167,16 @@
 	sortByID(due)
 	for _, w := range due {
 		c.addNotice(Notice{Event: "job_not_confirmed", Job: w.job.ID, Detail: startedDetail(w), Age: now - w.job.Received})
-		c.returnJob(w, ReasonNotConfirmed)
-		c.stopRuns(w, ReasonNotConfirmed)
+		c.returnStopped(w, ReasonNotConfirmed)
 	}
 }
 
+// returnStopped returns a job to its front and stops its runs.
+func (c *Cell) returnStopped(w *jobState, reason string) {
+	c.returnJob(w, reason)
+	c.stopRuns(w, reason)
+}
+
 // startedDetail says in a notice whether tasks of a job may have started.
 func startedDetail(w *jobState) string {
 	if w.mayHaveStarted {
@@ -185,8 +190,7 @@
 func (c *Cell) returnUnrenewed(now time.Duration) {
 	for _, w := range c.unrenewed(now) {
 		c.addNotice(Notice{Event: "job_not_renewed", Job: w.job.ID, Age: now - w.renewedAt})
-		c.returnJob(w, ReasonNotRenewed)
-		c.stopRuns(w, ReasonNotRenewed)
+		c.returnStopped(w, ReasonNotRenewed)
 	}
 }
 
--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -50,7 +50,7 @@
 			reason = known.Error()
 		}
 	}
-	if reason == errStopping.Error() && !started {
+	if (reason == errStopping.Error() || reason == errUnconfirmed.Error()) && !started {
 		return job.Outcome{Kind: job.Refused, Reason: reason, RetryAfter: refusalRetryAfter}
 	}
 	return job.Outcome{Kind: job.Expired, Reason: reason, Started: started}
--- a/pkg/node/lease_limits.go
+++ b/pkg/node/lease_limits.go
@@ -95,7 +95,7 @@
 	if ctx.Err() != nil {
 		return abandoned(ctx, state.started), false
 	}
-	n.Log.Info("job_unconfirmed", "job", j.ID, "age_ms", (n.Clock.Now() - j.Received).Milliseconds(), "started", state.started)
+	n.Log.Info("unconfirmed_job_ended", "job", j.ID, "age_ms", (n.Clock.Now() - j.Received).Milliseconds(), "started", state.started)
 	if state.started {
 		return job.Outcome{Kind: job.Expired, Reason: errUnconfirmed.Error(), Started: true}, false
 	}
--- a/pkg/node/lease_limits_test.go
+++ b/pkg/node/lease_limits_test.go
@@ -76,7 +76,10 @@
 			if s.ownCell {
 				o = makeOwner(a, "z/0")
 			}
-			eventually(c, func() bool { a.renewals.poll(a.Clock.Now()); return a.renewals.confirmed(b.settings.PeerAddress) != nil })
+			eventually(c, func() bool {
+				a.renewals.poll(a.Clock.Now())
+				return a.renewals.confirmed(b.settings.PeerAddress) != nil
+			})
 			whole := submission(a)
 			whole.Deadline, whole.Kept = whole.Received+s.deadline, s.kept
 			whole.Steps[0].Count = 2
@@ -230,6 +233,7 @@
 		deadline   time.Duration
 		started    bool
 		confirm    bool
+		giveUp     bool
 		mayRun     bool
 		wantKind   job.Kind
 		wantWithin time.Duration
@@ -240,6 +244,8 @@
 		{testName: "near the limit, then confirmed", age: 1100 * time.Millisecond, deadline: time.Minute, confirm: true, mayRun: true},
 		{testName: "near the limit, not started", age: 1100 * time.Millisecond, deadline: time.Minute, wantKind: job.Refused, wantWithin: 500 * time.Millisecond},
 		{testName: "near the limit, started", age: 1100 * time.Millisecond, deadline: time.Minute, started: true, wantKind: job.Expired, wantWithin: 500 * time.Millisecond},
+		{testName: "near the limit, given up, not started", age: 1100 * time.Millisecond, deadline: time.Minute, giveUp: true, wantKind: job.Refused, wantWithin: 90 * time.Millisecond},
+		{testName: "near the limit, given up, started", age: 1100 * time.Millisecond, deadline: time.Minute, started: true, giveUp: true, wantKind: job.Expired, wantWithin: 90 * time.Millisecond},
 		{testName: "never announced", age: 1200 * time.Millisecond, deadline: resubmit, started: true, wantKind: job.Expired, wantWithin: 50 * time.Millisecond},
 	}
 	for _, s := range scenarios {
@@ -254,6 +260,9 @@
 			if s.confirm {
 				time.AfterFunc(20*time.Millisecond, func() { confirmAll(a) })
 			}
+			if s.giveUp {
+				open.cancel(errUnconfirmed)
+			}
 			began := time.Now()
 			outcome, mayRun := a.front.awaitConfirmed(open.ctx, j, &attempt{started: s.started})
 			c.Assert(mayRun, qt.Equals, s.mayRun)
