openjobs: the simulation has confirmations of announcements and limits of leases

A front beside whose runs another one started the job without having heard of it was counted only, whatever the reason.

--- a/pkg/openjobs/explore_owners_test.go
+++ b/pkg/openjobs/explore_owners_test.go
@@ -33,6 +33,8 @@
 // isAlive reports whether runs of the execution may be alive.
 func (e *execution) isAlive(now time.Duration) bool {
 	switch {
+	case e.open.isOver(now):
+		return false
 	case e.runsEndBy > 0:
 		return now < e.runsEndBy
 	case e.separatedSince > 0:
@@ -254,18 +256,24 @@
 	return isTold && c.endedAt > 0 && at >= c.endedAt
 }
 
+// Reasons why a host doesn't know of an execution.
+const (
+	givenUpUnannounced = "given up before it was announced"
+	notAnnouncedYet    = "not announced yet"
+)
+
 // missingAnnouncement names why a host doesn't know of an execution.
 func (e *execution) missingAnnouncement(host *modelHost) string {
 	expiresAt, hasHeard := host.heard[hostProcess{e.open.host.index, e.open.process}]
 	switch {
 	case e.endedAt > 0 && !e.open.isAnnounced:
-		return "given up before it was announced"
+		return givenUpUnannounced
 	case hasHeard && expiresAt <= host.world.now:
 		return "announcement of an earlier submission there expired"
 	case hasHeard:
 		return "earlier submission there had ended"
 	case !e.open.isAnnounced:
-		return "not announced yet"
+		return notAnnouncedYet
 	}
 	return "announcement lost"
 }
--- a/pkg/openjobs/explore_test.go
+++ b/pkg/openjobs/explore_test.go
@@ -21,18 +21,14 @@
 // front may start the job while a run of another front's may be alive. Suspended hosts are not
 // simulated.
 func TestExploredJobsRunOnce(t *testing.T) {
-	joined, continued, unannounced, unannouncedRuns := 0, 0, map[string]int{}, 0
+	joined, continued, unannounced, unannouncedRuns, givenUp := 0, 0, map[string]int{}, 0, 0
 	var failed []string
 	renewing := map[string]int{}
 	for seed := *firstSeed; seed < *firstSeed+uint64(*runCount); seed++ {
 		w := newWorld(seed)
-		w.after(minCallerDelay, w.submit)
-		w.after(w.between(0, 2*time.Second), w.injectFault)
-		for i := range w.hosts {
-			w.hosts[i].announce()
-		}
-		w.run()
-		if w.ranTwice {
+		w.play()
+		givenUp += w.givenUp
+		if w.ranTwice || w.startedUnannounced() > 0 {
 			failed = append(failed, fmt.Sprintf("%d (%s)", seed, strings.Join(w.situations, ", ")))
 			if len(failed) <= *logCount {
 				t.Errorf("seed %d:\n%s", seed, w)
@@ -51,18 +47,55 @@
 		}
 	}
 	if len(failed) > 0 {
-		t.Errorf("in %d of %d runs the job ran twice at once: seeds %s", len(failed), *runCount, strings.Join(failed[:min(len(failed), 100)], "; "))
+		t.Errorf("in %d of %d runs the job ran twice at once, or beside a run that was not announced: seeds %s", len(failed), *runCount, strings.Join(failed[:min(len(failed), 100)], "; "))
 	}
 	t.Logf("%d runs: %d submissions started nothing, %d started the job after another front; in %d runs some started it beside a front whose announcement could not arrive: %v", *runCount, joined, continued, unannouncedRuns, unannounced)
 	t.Logf("fronts that went on renewing though hosts lost them: %v", renewing)
 	if len(renewing) < 3 && *runCount >= 100 {
 		t.Errorf("the simulated faults leave out a situation in which a front that hosts have lost renews")
 	}
+	t.Logf("%d jobs were given up, as a domain did not confirm them", givenUp)
+	if givenUp == 0 && *runCount >= 100 {
+		t.Errorf("the simulated cuts leave no announcement unconfirmed")
+	}
 	if joined == 0 || continued == 0 {
 		t.Errorf("the simulated faults cause no resubmitted jobs to join or to start again")
 	}
 }
 
+// The simulation has to find runs that go on beside a second start if no limit of their leases ends them.
+func TestExplorerFindsJobsThatNoLeaseLimitEnds(t *testing.T) {
+	found := 0
+	for seed := range uint64(*runCount) {
+		w := newWorld(seed)
+		w.ignoresLimits = true
+		w.play()
+		if w.startedUnannounced() > 0 {
+			found++
+		}
+	}
+	t.Logf("%d of %d runs", found, *runCount)
+	if found == 0 {
+		t.Errorf("no job is started beside one that wasn't announced")
+	}
+}
+
+// play simulates the job, and the faults.
+func (w *world) play() {
+	w.after(minCallerDelay, w.submit)
+	w.after(w.between(0, 2*time.Second), w.injectFault)
+	for i := range w.hosts {
+		w.hosts[i].announce()
+	}
+	w.run()
+}
+
+// startedUnannounced returns how often the job was started beside a run of a front that had not announced
+// it, or had given it up before that.
+func (w *world) startedUnannounced() int {
+	return w.unannounced[notAnnouncedYet] + w.unannounced[givenUpUnannounced]
+}
+
 const jobID = "job"
 
 // hostIndex returns the index of a front's host.
@@ -80,6 +113,7 @@
 	h.dead, h.startedAt = false, h.world.now
 	h.open, h.ended, h.heard = nil, nil, map[hostProcess]time.Duration{}
 	h.local, h.table = NewLocalJobs(resubmitAfter, unrenewedRunTTL), NewTable(unrenewedRunTTL)
+	h.confirmations = NewConfirmations()
 }
 
 // announce announces the open job to the other hosts, again and again.
@@ -89,6 +123,7 @@
 	if h.dead {
 		return
 	}
+	h.askMissingDomains()
 	batch := h.local.NextBatch(w.now)
 	if len(batch) == 0 {
 		return
@@ -103,6 +138,9 @@
 			h.sendAnnouncements(i, h.front(), batch, w.hosts[i].domain != h.domain)
 		}
 	}
+	if h.open != nil {
+		h.open.confirmAnnouncement()
+	}
 }
 
 // trackDelivery records the hosts that an announcement sent now reaches.
@@ -223,6 +261,10 @@
 	if o.execution != nil && o.execution.runsEndBy == 0 {
 		return // it continues already
 	}
+	if !o.mayStart() {
+		w.after(retryInterval, o.round) // until the job is confirmed or given up
+		return
+	}
 	c := w.startExecution(o)
 	o.execution = c
 	w.after(jobDuration, func() { o.complete(c) })
--- a/pkg/openjobs/explore_world_test.go
+++ b/pkg/openjobs/explore_world_test.go
@@ -42,6 +42,9 @@
 	ranTwice    bool
 	situations  []string       // of the fronts beside which the job was started
 	renewing    map[string]int // fronts that went on renewing though hosts lost them, by situation
+
+	ignoresLimits bool // the leases of jobs have no limits
+	givenUp       int  // jobs that a domain didn't confirm
 }
 
 type event struct {
@@ -60,8 +63,11 @@
 	isolatedSince time.Duration // when it was cut off from its domain; 0 when it isn't
 	rejoinedAt    time.Duration // when it was last reconnected to its domain
 
-	local    *LocalJobs
-	table    *Table
+	local *LocalJobs
+	table *Table
+
+	confirmations *Confirmations
+
 	open     *modelOpen
 	ended    *execution                    // of the last job that was announced or given up
 	deniedAt time.Duration                 // when it last answered that it doesn't hold the job open
@@ -109,6 +115,9 @@
 	hasAsked    bool                          // another front
 	notOpenAt   map[hostProcess]time.Duration // when fronts have answered that they don't hold the job open
 	announcedTo map[hostProcess]bool          // processes that an announcement of it must have reached, or has
+
+	unconfirmedBy map[string]bool // domains that haven't confirmed the announcement, and have to
+	isConfirmed   bool            // all have
 }
 
 func newWorld(seed uint64) *world {
