--- a/pkg/node/confirmations.go
+++ b/pkg/node/confirmations.go
@@ -75,7 +75,7 @@
 	n.front.confirm(waits.settle(jobs[exemptFrom:]))
 	for i, open := range jobs {
 		isExempt := i >= exemptFrom
-		switch isConfirmed := n.confirmsBy(domain, openjobs.ConfirmBy(open.job.Received, n.settings.ResubmitAfter)); {
+		switch isConfirmed := n.confirmsBy(domain, openjobs.ConfirmBy(open.job.Received, n.settings.ResubmitAfter, n.settings.StopTime)); {
 		case isConfirmed && isExempt:
 			return
 		case isConfirmed:
--- a/pkg/node/lease_limits.go
+++ b/pkg/node/lease_limits.go
@@ -19,7 +19,7 @@
 // leaseLimitOf returns when the leases of a job end at the latest until its announcement is confirmed.
 func (n *Node) leaseLimitOf(j *job.Job) time.Duration {
 	if n.isAnnounced(j) {
-		return openjobs.ConfirmBy(j.Received, n.settings.ResubmitAfter)
+		return openjobs.ConfirmBy(j.Received, n.settings.ResubmitAfter, n.settings.StopTime)
 	}
 	return j.Received + n.settings.ResubmitAfter - n.settings.StopTime
 }
--- a/pkg/node/lease_limits_test.go
+++ b/pkg/node/lease_limits_test.go
@@ -50,7 +50,7 @@
 		isLifted  bool
 	}
 	const resubmit, stop = 13 * time.Second, 50 * time.Millisecond // long, beside the delays of a busy machine
-	confirmBy := openjobs.ConfirmBy(0, resubmit)
+	confirmBy := openjobs.ConfirmBy(0, resubmit, stop)
 	scenarios := []scenario{
 		{testName: "at another host", deadline: time.Minute, wantLimit: confirmBy, isLifted: true},
 		{testName: "at its own host", ownCell: true, deadline: time.Minute, wantLimit: confirmBy, isLifted: true},
--- a/pkg/openjobs/confirmations.go
+++ b/pkg/openjobs/confirmations.go
@@ -6,15 +6,11 @@
 	"time"
 )
 
-// withdrawTime is how long before a possible resubmission a front gives up a job of which a domain
-// may not know. By the resubmission executors have ended its runs.
-const withdrawTime = 50*time.Millisecond + maxReceiptDelay
-
 // ConfirmBy returns until when each domain has to confirm that it has received the announcement of
 // a job. Otherwise a caller may resubmit the job there, where no host would look for this one. The leases
-// of its runs end by then unless it is confirmed.
-func ConfirmBy(received, resubmitAfter time.Duration) time.Duration {
-	return received + resubmitAfter - withdrawTime
+// of its runs end by then unless it is confirmed, and executors have ended them after stopTime.
+func ConfirmBy(received, resubmitAfter, stopTime time.Duration) time.Duration {
+	return received + resubmitAfter - maxReceiptDelay - stopTime
 }
 
 // Confirmations records the domains that don't confirm announcements. It is not safe for concurrent
--- a/pkg/openjobs/confirmations_test.go
+++ b/pkg/openjobs/confirmations_test.go
@@ -21,8 +21,8 @@
 func TestAnnouncementsAreSentBeforeTheyHaveToBeConfirmed(t *testing.T) {
 	c := qt.New(t)
 	latest := AnnounceAfter(resubmitAfter) + ScanInterval + minBatchInterval
-	c.Assert(ConfirmBy(0, resubmitAfter)-latest >= 2*transitTime, qt.IsTrue)
-	c.Assert(ConfirmBy(0, resubmitAfter) < resubmitAfter, qt.IsTrue)
+	c.Assert(ConfirmBy(0, resubmitAfter, stopTime)-returnTime-latest >= 2*transitTime+confirmTime, qt.IsTrue)
+	c.Assert(ConfirmBy(0, resubmitAfter, stopTime)+stopTime <= resubmitAfter-maxReceiptDelay, qt.IsTrue)
 }
 
 func TestDomainsThatDoNotConfirmAreAskedAgain(t *testing.T) {
--- a/pkg/openjobs/explore_limits_test.go
+++ b/pkg/openjobs/explore_limits_test.go
@@ -11,7 +11,7 @@
 	returnTime           = 2 * stopTime
 )
 
-func (o *modelOpen) limit() time.Duration { return ConfirmBy(o.receivedAt, resubmitAfter) }
+func (o *modelOpen) limit() time.Duration { return ConfirmBy(o.receivedAt, resubmitAfter, stopTime) }
 
 // isOver reports whether the leases of the job are over by their limit.
 func (o *modelOpen) isOver(now time.Duration) bool {
