--- a/pkg/node/lease_limits.go
+++ b/pkg/node/lease_limits.go
@@ -50,13 +50,18 @@
 
 // confirm lifts the limits of the leases of jobs at all owners that have them.
 func (f *front) confirm(jobs []*openJob) {
+	if len(jobs) == 0 {
+		return
+	}
 	ids := map[string][]string{} // by the owner's address
+	oldest := jobs[0].job.Received
 	f.mu.Lock()
 	for _, open := range jobs {
 		if open.isConfirmed {
 			continue
 		}
 		open.markConfirmed()
+		oldest = min(oldest, open.job.Received)
 		for _, address := range open.owners {
 			if !slices.Contains(ids[address], open.job.ID) { // several parts may be there
 				ids[address] = append(ids[address], open.job.ID)
@@ -64,6 +69,7 @@
 		}
 	}
 	f.mu.Unlock()
+	f.node.Log.Info("open_jobs_confirmed", "jobs", len(jobs), "first", jobs[0].job.ID, "age_ms", (f.node.Clock.Now() - oldest).Milliseconds())
 	for address, confirmed := range ids {
 		if address == f.node.settings.PeerAddress {
 			f.node.liftLeaseLimits(nil, confirmed)
