--- a/pkg/node/lease_limits.go
+++ b/pkg/node/lease_limits.go
@@ -19,7 +19,7 @@
 // leaseLimitOf returns when the leases of a job end at the latest until its announcement is confirmed.
 func (n *Node) leaseLimitOf(j *job.Job) time.Duration {
 	if n.isAnnounced(j) {
-		return openjobs.ConfirmBy(j.EarliestSending(), n.settings.ResubmitAfter)
+		return openjobs.ConfirmBy(j.EarliestSending(), n.settings.ResubmitAfter, n.settings.StopTime)
 	}
 	return j.EarliestSending() + n.settings.ResubmitAfter - n.settings.StopTime
 }
@@ -50,13 +50,18 @@
 
 // confirm lifts the limits of the leases of jobs at all owners that have them.
 func (f *front) confirm(jobs []*openJob) {
+	if len(jobs) == 0 {
+		return
+	}
 	ids := map[string][]string{} // by the owner's address
+	oldest := jobs[0].job.Received
 	f.mu.Lock()
 	for _, open := range jobs {
 		if open.isConfirmed {
 			continue
 		}
 		open.markConfirmed()
+		oldest = min(oldest, open.job.Received)
 		for _, address := range open.owners {
 			if !slices.Contains(ids[address], open.job.ID) { // several parts may be there
 				ids[address] = append(ids[address], open.job.ID)
@@ -64,6 +69,7 @@
 		}
 	}
 	f.mu.Unlock()
+	f.node.Log.Info("open_jobs_confirmed", "jobs", len(jobs), "first", jobs[0].job.ID, "age_ms", (f.node.Clock.Now() - oldest).Milliseconds())
 	for address, confirmed := range ids {
 		if address == f.node.settings.PeerAddress {
 			f.node.liftLeaseLimits(nil, confirmed)
@@ -95,7 +101,7 @@
 	if ctx.Err() != nil {
 		return abandoned(ctx, state.started), false
 	}
-	n.Log.Info("job_unconfirmed", "job", j.ID, "age_ms", (n.Clock.Now() - j.Received).Milliseconds(), "started", state.started)
+	n.Log.Info("unconfirmed_job_ended", "job", j.ID, "age_ms", (n.Clock.Now() - j.Received).Milliseconds(), "started", state.started)
 	if state.started {
 		return job.Outcome{Kind: job.Expired, Reason: errUnconfirmed.Error(), Started: true}, false
 	}
--- a/pkg/openjobs/confirmations.go
+++ b/pkg/openjobs/confirmations.go
@@ -6,21 +6,17 @@
 	"time"
 )
 
-// withdrawTime is how long before a possible resubmission a front gives up a job of which a domain
-// may not know. By the resubmission executors have ended its runs.
-const withdrawTime = 50*time.Millisecond + maxReceiptDelay
-
 // ConfirmBy returns until when each domain has to confirm that it has received the announcement of
 // a job. Otherwise a caller may resubmit the job there, where no host would look for this one. The leases
-// of its runs end by then unless it is confirmed. sentAfter is the earliest time at which its caller may
-// have sent it.
-func ConfirmBy(sentAfter, resubmitAfter time.Duration) time.Duration {
-	return sentAfter + resubmitAfter - withdrawTime
+// of its runs end by then unless it is confirmed, and executors have ended them after stopTime. sentAfter is
+// the earliest time at which its caller may have sent it.
+func ConfirmBy(sentAfter, resubmitAfter, stopTime time.Duration) time.Duration {
+	return sentAfter + resubmitAfter - maxReceiptDelay - stopTime
 }
 
 // CanBeConfirmed reports whether domains can still confirm a job by then that is announced now.
-func CanBeConfirmed(sentAfter, resubmitAfter, now time.Duration) bool {
-	return now+confirmTime <= ConfirmBy(sentAfter, resubmitAfter)
+func CanBeConfirmed(sentAfter, resubmitAfter, stopTime, now time.Duration) bool {
+	return now+confirmTime <= ConfirmBy(sentAfter, resubmitAfter, stopTime)
 }
 
 // Confirmations records the domains that don't confirm announcements. It is not safe for concurrent
