--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -53,7 +53,7 @@
 			reason = known.Error()
 		}
 	}
-	if reason == errStopping.Error() && !started {
+	if (reason == errStopping.Error() || reason == errUnconfirmed.Error()) && !started {
 		return job.Outcome{Kind: job.Refused, Reason: reason, RetryAfter: refusalRetryAfter}
 	}
 	return job.Outcome{Kind: job.Expired, Reason: reason, Started: started}
@@ -130,7 +130,7 @@
 	resubmitAfter := f.node.settings.ResubmitAfter
 	sentAfter := j.EarliestSending()
 	return sentAfter < j.Received && openjobs.IsAnnounced(j.Received, j.Deadline, resubmitAfter) &&
-		!openjobs.CanBeConfirmed(sentAfter, resubmitAfter, f.node.Clock.Now()) && len(f.node.domainsBeside()) > 0
+		!openjobs.CanBeConfirmed(sentAfter, resubmitAfter, f.node.settings.StopTime, f.node.Clock.Now()) && len(f.node.domainsBeside()) > 0
 }
 
 // isLateAtSlowHost reports whether this process stands still so often that it would hold a job that it has
--- a/pkg/openjobs/confirmations_test.go
+++ b/pkg/openjobs/confirmations_test.go
@@ -21,8 +21,8 @@
 func TestAnnouncementsAreSentBeforeTheyHaveToBeConfirmed(t *testing.T) {
 	c := qt.New(t)
 	latest := AnnounceAfter(resubmitAfter) + ScanInterval + minBatchInterval
-	c.Assert(ConfirmBy(0, resubmitAfter)-latest >= 2*transitTime, qt.IsTrue)
-	c.Assert(ConfirmBy(0, resubmitAfter) < resubmitAfter, qt.IsTrue)
+	c.Assert(ConfirmBy(0, resubmitAfter, stopTime)-returnTime-latest >= 2*transitTime+confirmTime, qt.IsTrue)
+	c.Assert(ConfirmBy(0, resubmitAfter, stopTime)+stopTime <= resubmitAfter-maxReceiptDelay, qt.IsTrue)
 }
 
 func TestDomainsThatDoNotConfirmAreAskedAgain(t *testing.T) {
@@ -39,10 +39,10 @@
 
 func TestWhenJobsHaveToBeConfirmed(t *testing.T) {
 	c := qt.New(t)
-	limit := ConfirmBy(time.Second, resubmitAfter)
+	limit := ConfirmBy(time.Second, resubmitAfter, stopTime)
 	c.Assert(limit, qt.Equals, 2150*ms)
-	c.Assert(CanBeConfirmed(time.Second, resubmitAfter, limit-confirmTime), qt.IsTrue)
-	c.Assert(CanBeConfirmed(time.Second, resubmitAfter, limit-confirmTime+ms), qt.IsFalse)
+	c.Assert(CanBeConfirmed(time.Second, resubmitAfter, stopTime, limit-confirmTime), qt.IsTrue)
+	c.Assert(CanBeConfirmed(time.Second, resubmitAfter, stopTime, limit-confirmTime+ms), qt.IsFalse)
 	c.Assert(IsAnnounced(time.Second, time.Second+resubmitAfter, resubmitAfter), qt.IsFalse)
 	c.Assert(IsAnnounced(time.Second, time.Second+resubmitAfter+ms, resubmitAfter), qt.IsTrue)
 }
