node: a paused host refuses a job that it has not started, if the job was resubmitted to another one

Callers got no answer before their deadline: their job was with a host that stands still most of the time and owns the job's cell. It pauses its starts after each pause, and holds the job open meanwhile; the front of the second sending waited for it.

--- a/pkg/node/joins.go
+++ b/pkg/node/joins.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -118,9 +119,12 @@
 		return toOutcome(n.answerWhileSearching(m))
 	}
 	n.Log.Info("job_joined_from", "job", m.Id, "asker", m.Asker, "age_ms", (n.Clock.Now() - open.job.Received).Milliseconds())
+	if !m.Follows {
+		n.refuseIfPaused(open)
+	}
 	outcome, isOver := n.awaitOrYield(ctx, open, m)
 	switch {
-	case isOver && (outcome.Reason == errStopping.Error() || outcome.Reason == errUnconfirmed.Error()):
+	case isOver && slices.Contains([]string{errStopping.Error(), errUnconfirmed.Error(), reasonPaused}, outcome.Reason):
 		if outcome.Kind == job.Refused && !outcome.Started {
 			return toOutcome(notOpen(0))
 		}
@@ -133,6 +137,22 @@
 	return toOutcome(job.Outcome{Kind: job.Moved, Reason: reasonBusy})
 }
 
+// reasonPaused marks a job that a host refuses because it was paused, and the caller has resubmitted the job to
+// another host.
+const reasonPaused = "paused"
+
+// refuseIfPaused refuses a job that another front asks for, if this process was paused a moment ago and has
+// the job in a cell of its own without having started anything of it. A host that stands still most of the time
+// would keep the job from the other front until its deadline.
+func (n *Node) refuseIfPaused(open *openJob) {
+	if n.Clock.Now() >= n.openJobTable.resyncedAt() {
+		return
+	}
+	for _, o := range n.allOwners() {
+		o.refuseUnstarted(open.job.ID, reasonPaused)
+	}
+}
+
 // yieldCheckInterval is how often a front checks whether it has to yield a job that it follows.
 const yieldCheckInterval = 100 * time.Millisecond
 
--- a/pkg/node/lease_limits_test.go
+++ b/pkg/node/lease_limits_test.go
@@ -276,6 +276,55 @@
 	}
 }
 
+// Guards against a job that no host starts: its front, which also owns the job's cell, stands still most of the
+// time, and pauses its starts after each pause, while the front of the second sending waits for it.
+func TestAPausedHostRefusesAJobThatItHasNotStarted(t *testing.T) {
+	type scenario struct {
+		testName  string
+		isPaused  bool
+		isStarted bool
+		follows   bool // the other front follows the job too
+		refuses   bool
+	}
+	scenarios := []scenario{
+		{testName: "not started", isPaused: true, refuses: true},
+		{testName: "not paused"},
+		{testName: "may have started", isPaused: true, isStarted: true},
+		{testName: "the other front follows the job", isPaused: true, follows: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			a := peerNode(t, "a", "z", 1)
+			a.openJobTable.resumedAt = -time.Hour
+			o := makeOwner(a, "z/0")
+			j := submission(a)
+			open, _ := a.front.enter(j)
+			a.front.markFollowed(open)
+			state := attempt{epoch: 1, namesRuns: true}
+			if s.isStarted {
+				state.epoch = 2
+			}
+			go func() { a.front.end(open, a.front.follow(open.ctx, j, state)) }()
+			eventually(c, func() bool { return o.has(j.ID) })
+			if s.isPaused {
+				a.openJobTable.markResumed(a.Clock.Now())
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			defer cancel()
+			reply := a.answerJoin(ctx, &peerpb.Join{Id: j.ID, Front: a.settings.PeerAddress, Process: a.inc[:], Asker: "b:1", Follows: s.follows}).GetOutcome()
+			c.Assert(o.has(j.ID), qt.Equals, !s.refuses)
+			if s.refuses {
+				c.Assert(reply.Reason, qt.Equals, reasonNotOpen)
+				c.Assert(reply.RetryAfterUs, qt.Equals, int64(0))
+				return
+			}
+			c.Assert(reply.Reason, qt.Equals, reasonBusy)
+			open.cancel(errLeft)
+		})
+	}
+}
+
 // An owner returns a job whose limit is near. Its front hands the job over again, without a limit, if it is
 // confirmed after all, and refuses it otherwise, as nothing of it has run.
 func TestAJobThatAnOwnerReturnsUnconfirmed(t *testing.T) {
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -180,6 +180,24 @@
 	return &job.Outcome{Kind: job.Moved, Reason: reasonNotOwner, OpenAt: at}
 }
 
+// refuseUnstarted refuses a job that only this host's front waits for, if nothing of it may have started.
+func (o *owner) refuseUnstarted(id, reason string) {
+	var refused []waiter
+	o.do(func(state *cell.Cell, now time.Duration) {
+		waiters := o.waiters[id]
+		if len(waiters) != 1 || waiters[0].connection != nil || state.MayHaveStarted(id) {
+			return
+		}
+		refused = waiters
+		delete(o.waiters, id)
+		delete(o.lostFronts, id)
+		state.Withdraw(id, reason, now)
+	})
+	for _, w := range refused {
+		w.reply(job.Outcome{Kind: job.Refused, Reason: reason, RetryAfter: refusalRetryAfter})
+	}
+}
+
 // withdraw removes a front's waiters for a job. Once a job has no waiters, it ends,
 // unless it is a kept job.
 func (o *owner) withdraw(id, front, reason string) {
