--- a/pkg/node/joins.go
+++ b/pkg/node/joins.go
@@ -145,7 +145,8 @@
 // the job in a cell of its own without having started anything of it. A host that stands still most of the time
 // would keep the job from the other front until its deadline.
 func (n *Node) refuseIfPaused(open *openJob) {
-	if n.Clock.Now() >= n.openJobTable.resyncedAt() {
+	now := n.Clock.Now()
+	if now >= n.openJobTable.resyncedAt() && !n.renewals.wasPausedUntil(now) {
 		return
 	}
 	for _, o := range n.allOwners() {
--- a/pkg/node/lease_limits_test.go
+++ b/pkg/node/lease_limits_test.go
@@ -282,12 +282,14 @@
 	type scenario struct {
 		testName  string
 		isPaused  bool
+		wakesNow  bool // the request is the first thing that the process handles
 		isStarted bool
 		follows   bool // the other front follows the job too
 		refuses   bool
 	}
 	scenarios := []scenario{
 		{testName: "not started", isPaused: true, refuses: true},
+		{testName: "not started, and the pause isn't noticed yet", wakesNow: true, refuses: true},
 		{testName: "not paused"},
 		{testName: "may have started", isPaused: true, isStarted: true},
 		{testName: "the other front follows the job", isPaused: true, follows: true},
@@ -307,7 +309,11 @@
 			}
 			go func() { a.front.end(open, a.front.follow(open.ctx, j, state)) }()
 			eventually(c, func() bool { return o.has(j.ID) })
-			if s.isPaused {
+			a.renewals.poll(a.Clock.Now())
+			switch {
+			case s.wakesNow:
+				a.renewals.polledAt -= 2 * maxTickGap
+			case s.isPaused:
 				a.openJobTable.markResumed(a.Clock.Now())
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
