openjobs, node: relay announcements to hosts of the own domain that don't reply

Callers saw a job run in two domains at once: its front had handed it to another domain, and a host of the front's own domain, an owner, took the second sending as a new job 0.47 s after the front had announced the job.

Cause: the front was cut from that host only. The link still counted as up, as it takes 0.6 s to lose an owner and 6 s to lose another host, so the announcement went into the cut ("hosts 7" of 7), and the own domain counted as confirmed by the reply of another host. Relays within the domain were used only after the link to an owner was lost.

Change: hosts reply to announcements (Hello.confirms_open_jobs; hosts of earlier releases are asked by heartbeats as before). A front has two hosts of its domain, and after that two others, relay to those that haven't replied 0.1 s later and to listed ones without a link, and the relays answer whom they reached. The replies also confirm the announcement for the domain, in place of two heartbeats a domain. A host that nobody reaches is logged and doesn't hold up the job. Weighed: the host of the second sending asks others before it starts a job. It doesn't know for up to 6 s that it has lost a host, so it would have to ask for each job.

--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -47,6 +47,8 @@
 	Free        int    // idle slots there
 	Weight      int    // thousandths of a core that the host may use; 0 when unknown
 	Usable      int    // slots that it may fill at once; 1 until it reports them
+
+	ConfirmsOpenJobs bool // it replies to announcements of open jobs
 }
 
 // Table is a host's view of the others. It is not safe for concurrent use.
--- a/pkg/node/confirmations.go
+++ b/pkg/node/confirmations.go
@@ -22,9 +22,9 @@
 const confirmRetryInterval = 50 * time.Millisecond
 
 // confirmAnnouncement has each domain confirm an announcement of open jobs that was sent just now.
-func (n *Node) confirmAnnouncement(batch []openjobs.Announcement) {
+func (n *Node) confirmAnnouncement(sent *sentAnnouncement) {
 	var jobs []*openJob
-	for _, announced := range batch {
+	for _, announced := range sent.jobs {
 		if open := n.front.openJob(announced.ID); open != nil {
 			jobs = append(jobs, open)
 		}
@@ -34,26 +34,27 @@
 	}
 	slices.SortFunc(jobs, func(a, b *openJob) int { return cmp.Compare(a.job.Received, b.job.Received) })
 	for domain := range n.domainsBeside() {
-		go n.awaitConfirmation(domain, jobs)
+		go n.awaitConfirmation(domain, jobs, sent)
 	}
 }
 
 // awaitConfirmation waits until a domain has confirmed an announcement, and gives up each job for
 // which it doesn't in time.
-func (n *Node) awaitConfirmation(domain string, jobs []*openJob) {
+func (n *Node) awaitConfirmation(domain string, jobs []*openJob, sent *sentAnnouncement) {
 	for _, open := range jobs {
-		if n.confirmsBy(domain, openjobs.ConfirmBy(open.job.Received, n.settings.ResubmitAfter)) {
+		if n.confirmsBy(domain, openjobs.ConfirmBy(open.job.Received, n.settings.ResubmitAfter), sent) {
 			return
 		}
 		n.giveUpUnconfirmed(domain, open)
 	}
 }
 
-// confirmsBy asks a domain until it has confirmed what was sent to it before now, or until limit.
-func (n *Node) confirmsBy(domain string, limit time.Duration) bool {
+// confirmsBy waits until a domain has confirmed an announcement, or until limit. Hosts that don't
+// reply to announcements are asked, and all are if no reply can arrive any more.
+func (n *Node) confirmsBy(domain string, limit time.Duration, sent *sentAnnouncement) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), limit-n.Clock.Now())
 	defer cancel()
-	for !n.hasConfirmed(ctx, domain) {
+	for isFirst := true; !n.hasConfirmed(ctx, domain, sent, isFirst); isFirst = false {
 		if !n.front.sleepUntil(ctx, n.Clock.Now()+confirmRetryInterval) {
 			return false
 		}
@@ -71,7 +72,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), n.settings.SuspectAfter)
 			defer cancel()
-			if n.hasConfirmed(ctx, domain) {
+			if n.hasConfirmed(ctx, domain, nil, false) {
 				n.openJobTable.recordConfirmed(domain)
 			}
 		}()
@@ -85,29 +86,25 @@
 	o.confirmations.Confirmed(domain)
 }
 
-// hasConfirmed reports whether a host of a domain has handled what was sent to it before now. A
-// heartbeat takes the way of announcements and is answered after them, by hosts of earlier releases
-// too.
-func (n *Node) hasConfirmed(ctx context.Context, domain string) bool {
-	var hosts []string
+// hasConfirmed reports whether a host of a domain has handled what was sent to it before now: one
+// that replies to the announcement, if awaitsReplies is set, or one that answers a heartbeat.
+func (n *Node) hasConfirmed(ctx context.Context, domain string, sent *sentAnnouncement, awaitsReplies bool) bool {
+	var waits []func() bool
+	if awaitsReplies {
+		for _, address := range sent.inDomain(domain) {
+			waits = append(waits, func() bool { return sent.replies[address].await(ctx) })
+		}
+	}
 	for _, p := range fewPerDomain(n.reachablePeers(), confirmersPerDomain) {
-		if p.Domain == domain {
-			hosts = append(hosts, p.Address)
+		if p.Domain == domain && !(awaitsReplies && sent.replies[p.Address] != nil) {
+			waits = append(waits, func() bool { return n.answersHeartbeat(ctx, p.Address) })
 		}
 	}
-	answers := make(chan bool, len(hosts))
-	for _, address := range hosts {
-		go func() {
-			link := n.links.Link(address)
-			if link == nil {
-				answers <- false
-				return
-			}
-			_, err := link.Call(ctx, &peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: n.Heartbeat()}}, 0)
-			answers <- err == nil
-		}()
+	answers := make(chan bool, len(waits))
+	for _, wait := range waits {
+		go func() { answers <- wait() }()
 	}
-	for range hosts {
+	for range waits {
 		if <-answers {
 			return true
 		}
@@ -115,6 +112,17 @@
 	return false
 }
 
+// answersHeartbeat reports whether a host has handled what was sent to it before now. A heartbeat
+// takes the way of announcements and is answered after them, by hosts of earlier releases too.
+func (n *Node) answersHeartbeat(ctx context.Context, address string) bool {
+	link := n.links.Link(address)
+	if link == nil {
+		return false
+	}
+	_, err := link.Call(ctx, &peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: n.Heartbeat()}}, 0)
+	return err == nil
+}
+
 // giveUpUnconfirmed gives up a job of which a domain may not know, unless it came after this host
 // had noticed that the domain is cut off.
 func (n *Node) giveUpUnconfirmed(domain string, open *openJob) {
--- a/pkg/node/confirmations_test.go
+++ b/pkg/node/confirmations_test.go
@@ -48,7 +48,7 @@
 			if s.missing > 0 {
 				a.openJobTable.confirmations.Missing(s.row, open.job.Received-s.missing)
 			}
-			a.confirmAnnouncement([]openjobs.Announcement{{ID: joinID}})
+			a.confirmAnnouncement(newSentAnnouncement([]openjobs.Announcement{{ID: joinID}}))
 			select {
 			case <-open.ctx.Done():
 				c.Assert(s.givenUp, qt.IsTrue)
@@ -75,7 +75,7 @@
 	a, b := peerNode(t, "a", "z", 1), peerNode(t, "b", "y", 2)
 	listDomain(a, b, "y")
 	first := openUnannounced(a)
-	a.confirmAnnouncement([]openjobs.Announcement{{ID: joinID}})
+	a.confirmAnnouncement(newSentAnnouncement([]openjobs.Announcement{{ID: joinID}}))
 	<-first.ctx.Done()
 	a.front.end(first, mayHaveRun)
 	linkAll(t, a, b)
@@ -85,7 +85,7 @@
 	closeNode(b)
 	eventually(c, func() bool { return len(a.reachablePeers()) == 0 })
 	second := openUnannounced(a)
-	a.confirmAnnouncement([]openjobs.Announcement{{ID: joinID}})
+	a.confirmAnnouncement(newSentAnnouncement([]openjobs.Announcement{{ID: joinID}}))
 	select {
 	case <-second.ctx.Done():
 	case <-time.After(2 * a.settings.ResubmitAfter):
@@ -106,7 +106,7 @@
 	a.front.markFollowed(late)
 	young := openUnannounced(a)
 	linkAll(t, a, b)
-	a.confirmAnnouncement([]openjobs.Announcement{{ID: older.ID}, {ID: joinID}})
+	a.confirmAnnouncement(newSentAnnouncement([]openjobs.Announcement{{ID: older.ID}, {ID: joinID}}))
 	<-late.ctx.Done()
 	time.Sleep(a.settings.ResubmitAfter)
 	c.Assert(young.ctx.Err(), qt.IsNil)
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -96,12 +96,17 @@
 		Incarnation: n.inc[:],
 		Leaving:     n.leaving.Load(),
 		Weight:      uint32(n.settings.Weight),
+
+		ConfirmsOpenJobs: true,
 	}
 }
 
 // LinkUp implements peer.Observer.
 func (n *Node) LinkUp(address string, hello *peerpb.Hello) {
-	p := member.Peer{Name: hello.Name, Domain: hello.Domain, Address: address, Leaving: hello.Leaving, Weight: int(hello.Weight)}
+	p := member.Peer{
+		Name: hello.Name, Domain: hello.Domain, Address: address, Leaving: hello.Leaving, Weight: int(hello.Weight),
+		ConfirmsOpenJobs: hello.ConfirmsOpenJobs,
+	}
 	copy(p.Incarnation[:], hello.Incarnation)
 	n.mu.Lock()
 	isReachableAgain := p.Domain == n.settings.Domain && !n.reachesSameDomain(address)
@@ -192,7 +197,7 @@
 	case *peerpb.Message_Renew:
 		n.onRenew(from, body.Renew)
 	case *peerpb.Message_OpenJobs:
-		n.onOpenJobs(from, body.OpenJobs)
+		n.onOpenJobs(from, body.OpenJobs, m.Call > 0, reply)
 	case *peerpb.Message_Join:
 		n.onJoin(from, body.Join, reply)
 	case *peerpb.Message_Keep:
--- a/pkg/node/openjobs.go
+++ b/pkg/node/openjobs.go
@@ -230,17 +230,25 @@
 		return
 	}
 	relays := map[string]int{} // number of hosts asked to relay, by domain
+	sent := newSentAnnouncement(batch)
 	peers, relaysInDomain := n.reachablePeers(), n.relaysInDomain()
 	for _, p := range peers {
-		relay := p.Domain != n.settings.Domain && relays[p.Domain] < relaysPerDomain || slices.Contains(relaysInDomain, p.Address)
+		inDomain := p.Domain == n.settings.Domain
+		relay := !inDomain && relays[p.Domain] < relaysPerDomain || slices.Contains(relaysInDomain, p.Address)
 		if relay {
 			relays[p.Domain]++
 		}
-		n.sendOpenJobs(p.Address, n.asFront(), batch, relay)
+		m := toOpenJobs(n.asFront(), batch, relay)
+		if p.ConfirmsOpenJobs && (inDomain || relay) {
+			sent.add(p, n.callOpenJobs(p.Address, m))
+			continue
+		}
+		n.sendOpenJobs(p.Address, m)
 	}
 	n.metrics.OpenJobsTold(len(batch) * len(peers))
 	n.Log.Info("open_jobs_told", "jobs", len(batch), "first", batch[0].ID, "hosts", len(peers), "passing", relays)
-	n.confirmAnnouncement(batch)
+	n.confirmAnnouncement(sent)
+	go n.deliverInDomain(sent)
 }
 
 // relayAnnouncedInDomain has other hosts of the domain relay what this host has announced, as an owner
@@ -250,7 +258,7 @@
 	announced := n.openJobTable.local.Announced(n.Clock.Now())
 	n.openJobTable.mu.Unlock()
 	for _, address := range n.relaysInDomain() {
-		n.sendOpenJobs(address, n.asFront(), announced, true)
+		n.sendOpenJobs(address, toOpenJobs(n.asFront(), announced, true))
 	}
 }
 
@@ -265,33 +273,48 @@
 	return n.members.View(n.inc).Peers
 }
 
-func (n *Node) sendOpenJobs(address string, front openjobs.Front, jobs []openjobs.Announcement, relay bool) {
-	link := n.links.Link(address)
-	if link == nil || len(jobs) == 0 {
-		return
-	}
+// toOpenJobs converts announcements of a front's open jobs, which the receiver has to relay in its
+// domain if relay is set.
+func toOpenJobs(front openjobs.Front, jobs []openjobs.Announcement, relay bool) *peerpb.OpenJobs {
 	m := &peerpb.OpenJobs{Front: front.Address, Domain: front.Domain, Process: []byte(front.Process), PassOn: relay}
 	for _, announced := range jobs {
 		m.Jobs = append(m.Jobs, &peerpb.OpenJob{Id: announced.ID, LeftUs: announced.Remaining.Microseconds(), Cell: announced.Cell})
 	}
-	link.Send(&peerpb.Message{Body: &peerpb.Message_OpenJobs{OpenJobs: m}}, 0)
+	return m
+}
+
+// sendOpenJobs sends announcements to a host without a reply.
+func (n *Node) sendOpenJobs(address string, m *peerpb.OpenJobs) {
+	if link := n.links.Link(address); link != nil && len(m.Jobs) > 0 {
+		link.Send(&peerpb.Message{Body: &peerpb.Message_OpenJobs{OpenJobs: m}}, 0)
+	}
 }
 
 // onOpenJobs records the open jobs that a front announces, and relays them within this domain
-// if asked to.
-func (n *Node) onOpenJobs(from *peerpb.Hello, m *peerpb.OpenJobs) {
+// if asked to. A call is answered once they have been relayed.
+func (n *Node) onOpenJobs(from *peerpb.Hello, m *peerpb.OpenJobs, isCall bool, reply peer.Reply) {
 	front := openjobs.Front{Address: m.Front, Domain: m.Domain, Process: string(m.Process)}
-	if front.Address == n.settings.PeerAddress {
-		return
-	}
 	jobs := make([]openjobs.Announcement, 0, len(m.Jobs))
 	for _, announced := range m.Jobs {
 		jobs = append(jobs, openjobs.Announcement{ID: announced.Id, Remaining: microseconds(announced.LeftUs), Cell: announced.Cell})
 	}
-	n.recordOpenJobs(front, from.Address, jobs, m.PassOn)
-	if m.PassOn {
-		n.relayOpenJobs(from.Address, front, jobs)
+	if front.Address != n.settings.PeerAddress {
+		n.recordOpenJobs(front, from.Address, jobs, m.PassOn || len(m.PassTo) > 0)
+		if m.PassOn {
+			n.relayOpenJobs(from.Address, front, jobs)
+		}
+	}
+	if !isCall {
+		return
+	}
+	if len(m.PassTo) == 0 {
+		reply(&peerpb.Message{Body: &peerpb.Message_OpenJobs{OpenJobs: &peerpb.OpenJobs{}}}, 0)
+		return
 	}
+	go func() {
+		reached := n.relayOpenJobsTo(m.PassTo, toOpenJobs(front, jobs, false))
+		reply(&peerpb.Message{Body: &peerpb.Message_OpenJobs{OpenJobs: &peerpb.OpenJobs{Reached: reached}}}, 0)
+	}()
 }
 
 // recordOpenJobs records the open jobs of another front that a host, the reporter, announced.
@@ -308,7 +331,7 @@
 func (n *Node) relayOpenJobs(from string, front openjobs.Front, jobs []openjobs.Announcement) {
 	for _, p := range n.reachablePeers() {
 		if p.Domain == n.settings.Domain && p.Address != from && p.Address != front.Address {
-			n.sendOpenJobs(p.Address, front, jobs, false)
+			n.sendOpenJobs(p.Address, toOpenJobs(front, jobs, false))
 		}
 	}
 }
@@ -327,14 +350,14 @@
 	local := n.openJobTable.local.Announced(now)
 	relayed := n.openJobTable.others.ToRelay(now)
 	n.openJobTable.mu.Unlock()
-	n.sendOpenJobs(address, n.asFront(), local, domain != n.settings.Domain)
+	n.sendOpenJobs(address, toOpenJobs(n.asFront(), local, domain != n.settings.Domain))
 	n.resendOwnedTo(address)
 	if domain != n.settings.Domain {
 		return
 	}
 	for front, jobs := range relayed {
 		if front.Address != address {
-			n.sendOpenJobs(address, front, jobs, false)
+			n.sendOpenJobs(address, toOpenJobs(front, jobs, false))
 		}
 	}
 }
--- a/pkg/node/owner_announcements.go
+++ b/pkg/node/owner_announcements.go
@@ -88,7 +88,7 @@
 	for front, jobs := range byFront {
 		switch {
 		case address != n.settings.PeerAddress:
-			n.sendOpenJobs(address, front, jobs, relay)
+			n.sendOpenJobs(address, toOpenJobs(front, jobs, relay))
 			n.metrics.OpenJobsTold(len(jobs))
 		case front.Address != n.settings.PeerAddress:
 			n.recordOpenJobs(front, address, jobs, false)
--- a/pkg/openjobs/explore_test.go
+++ b/pkg/openjobs/explore_test.go
@@ -98,23 +98,105 @@
 		h.open.isAnnounced = true
 		h.open.trackDelivery()
 	}
-	for i := range w.hosts {
-		if w.isUp(h.index, i) {
-			h.sendAnnouncements(i, h.front(), batch, w.hosts[i].domain != h.domain)
+	delivery, confirmed := NewDelivery(h.others()), []string{}
+	for i, other := range w.hosts {
+		switch {
+		case !w.isUp(h.index, i):
+		case other.domain == h.domain:
+			h.sendWithReply(i, h.front(), batch, func() { confirmed = append(confirmed, other.address()) })
+		default:
+			h.sendAnnouncements(i, h.front(), batch, true)
 		}
 	}
+	h.deliver(delivery, batch, &confirmed)
+}
+
+// others returns the addresses of the other hosts of the domain.
+func (h *modelHost) others() []string {
+	var addresses []string
+	for _, other := range h.world.hosts {
+		if other != h && other.domain == h.domain {
+			addresses = append(addresses, other.address())
+		}
+	}
+	return addresses
+}
+
+// deliver has hosts that have confirmed an announcement relay it to the others of the domain.
+func (h *modelHost) deliver(delivery *Delivery, batch []Announcement, confirmed *[]string) {
+	w, process := h.world, h.process
+	w.after(RelayAfter, func() {
+		if h.dead || h.process != process {
+			return
+		}
+		delivery.Confirmed(*confirmed...)
+		relays, isOver := delivery.NextRelays(slices.Sorted(slices.Values(*confirmed)))
+		missing := delivery.Missing()
+		for _, address := range relays {
+			relay := w.hosts[hostIndex(Front{Address: address})]
+			w.logf("host %d has host %d relay to %v", h.index, relay.index, missing)
+			front := h.front()
+			w.send(h.index, relay.index, func() {
+				relay.handleAnnouncements(h, front, batch, false)
+				relay.relayTo(missing, front, batch, func(reached string) {
+					w.reply(h.index, relay.index, func() { delivery.Confirmed(reached) })
+				})
+			})
+		}
+		if !isOver {
+			h.deliver(delivery, batch, confirmed)
+		}
+	})
+}
+
+// relayTo relays the announcement of another front to hosts of the domain.
+func (h *modelHost) relayTo(addresses []string, front Front, batch []Announcement, reached func(address string)) {
+	for _, address := range addresses {
+		if to := hostIndex(Front{Address: address}); h.world.isUp(h.index, to) {
+			h.sendWithReply(to, front, batch, func() { reached(address) })
+		}
+	}
+}
+
+// sendWithReply sends announcements to a host that replies to them.
+func (h *modelHost) sendWithReply(to int, front Front, jobs []Announcement, replied func()) {
+	w := h.world
+	w.send(h.index, to, func() {
+		w.hosts[to].handleAnnouncements(h, front, jobs, false)
+		w.reply(h.index, to, replied)
+	})
 }
 
 // trackDelivery records the hosts that an announcement sent now reaches.
 func (o *modelOpen) trackDelivery() {
-	w := o.host.world
-	for i, other := range w.hosts {
-		if key := other.key(); w.reaches(o.host.index, i) {
-			w.after(announcementDelay, func() { o.announcedTo[key] = o.announcedTo[key] || w.reaches(o.host.index, i) })
-		}
+	for i := range o.host.world.hosts {
+		o.trackDeliveryTo(i, announcementDelay, 0)
 	}
 }
 
+// trackDeliveryTo records after a delay that an announcement has reached a host, if it could all the
+// time. The delay is longer if it has to be relayed in the front's domain. No cut is shorter than
+// announcementDelay.
+func (o *modelOpen) trackDeliveryTo(i int, delay, passed time.Duration) {
+	w, h := o.host.world, o.host
+	key := w.hosts[i].key()
+	if !w.reaches(h.index, i) {
+		return
+	}
+	if w.hosts[i].domain == h.domain && !w.reachesDirectly(h.index, i) {
+		delay = domainRelayDelay
+	}
+	if passed >= delay {
+		o.announcedTo[key] = true
+		return
+	}
+	w.after(announcementDelay, func() {
+		if w.hosts[i].key() == key {
+			o.trackDeliveryTo(i, delay, passed+announcementDelay)
+		}
+	})
+}
+
 func (h *modelHost) sendAnnouncements(to int, front Front, jobs []Announcement, relay bool) {
 	w := h.world
 	w.send(h.index, to, func() { w.hosts[to].handleAnnouncements(h, front, jobs, relay) })
--- a/pkg/openjobs/explore_world_test.go
+++ b/pkg/openjobs/explore_world_test.go
@@ -18,8 +18,11 @@
 	maxProcesses           = 3        // of a host: it crashes twice at most
 	minCallerDelay         = 500 * ms // from the start of a host to its first caller, as with the balancer's checks
 	announcementDelay      = 100 * ms // through another host
-	maxDetectionDelay      = 600 * ms // from the break of a caller's connection until its front detects it, if it does
-	redispatchDelay        = 20 * ms  // before a front dispatches a job whose owner it has lost
+	// domainRelayDelay is that of an announcement to a host of the front's domain through another one,
+	// which the front asks for if the host hasn't replied.
+	domainRelayDelay  = announcementDelay + 2*RelayAfter
+	maxDetectionDelay = 600 * ms // from the break of a caller's connection until its front detects it, if it does
+	redispatchDelay   = 20 * ms  // before a front dispatches a job whose owner it has lost
 )
 
 // world is a simulation of one job: hosts of two domains, links between some of them that
@@ -160,17 +163,16 @@
 }
 
 // reaches reports whether an announcement gets from one host to another now: by their own
-// link, or through a host of the other's domain, unless that is the first one's too.
+// link, or through a host of the other's domain.
 func (w *world) reaches(a, b int) bool {
-	direct := func(a, b int) bool {
-		return a == b || w.isUp(a, b) && !w.cut[pair(a, b)] && !w.hosts[b].dead
-	}
-	for i, other := range w.hosts {
-		if direct(a, i) && direct(i, b) && (i == a || i == b || other.domain == w.hosts[b].domain && other.domain != w.hosts[a].domain) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(w.hosts, func(by *modelHost) bool {
+		return w.reachesDirectly(a, by.index) && w.reachesDirectly(by.index, b) && (by.index == a || by.domain == w.hosts[b].domain)
+	})
+}
+
+// reachesDirectly reports whether a message gets from one host to another now by their own link.
+func (w *world) reachesDirectly(a, b int) bool {
+	return a == b || w.isUp(a, b) && !w.cut[pair(a, b)] && !w.hosts[b].dead
 }
 
 // isUp reports whether a host's link to another is up, as far as that host knows.
@@ -274,14 +276,17 @@
 	}
 }
 
-// injectFault causes a fault from time to time: a cut between two hosts of different
-// domains, around a host, between the domains, or between a host and others but not the owner
+// injectFault causes a fault from time to time: a cut between two hosts of one domain or of
+// different ones, around a host, between the domains, or between a host and others but not the owner
 // of its job; a slow host; or a host that crashes, detected at once or by missing heartbeats.
 func (w *world) injectFault() {
 	w.after(w.between(300*ms, 2500*ms), w.injectFault)
 	var pairs [][2]int
 	a, b := w.random.IntN(6), w.random.IntN(6)
-	switch w.random.IntN(7) {
+	switch w.random.IntN(8) {
+	case 7:
+		first := w.drawFront().index
+		pairs = [][2]int{{first, first/3*3 + (first+1+b%2)%3}}
 	case 0:
 		pairs = [][2]int{{a % 3, 3 + b%3}}
 	case 1:
