openjobs: an entry that is closed and opened again is referred to again

An owner names each front that may hold a job open once to a front that dispatches the job. TestReferReturnsAnEntryAgainThatWasClosedAndOpened fails without the change.

--- a/pkg/openjobs/openjobs_test.go
+++ b/pkg/openjobs/openjobs_test.go
@@ -379,3 +379,19 @@
 	c.Assert(search.ShouldYield(table, front, "zone:1", false, now), qt.IsTrue)
 	c.Assert(search.Round(table, now+retryInterval), qt.HasLen, 1, qt.Commentf("also after yielding to it"))
 }
+
+// Guards against a second start beside a front that has got a job again since it answered that it
+// didn't hold the job open.
+func TestReferReturnsAnEntryAgainThatWasClosedAndOpened(t *testing.T) {
+	c := qt.New(t)
+	table := tableWith(time.Minute)
+	_, isOpen := table.Refer("a", other, 2*time.Second)
+	c.Assert(isOpen, qt.IsTrue)
+	_, isOpen = table.Refer("a", other, 2*time.Second)
+	c.Assert(isOpen, qt.IsFalse, qt.Commentf("it has asked"))
+	table.MarkClosed("a", front, 4*time.Second, 2*time.Second, 2*time.Second)
+	table.Record(front, front.Address, []Announcement{{ID: "a", Remaining: time.Minute}}, false, 3*time.Second)
+	entry, isOpen := table.Refer("a", other, 3*time.Second)
+	c.Assert(isOpen, qt.IsTrue)
+	c.Assert(entry.Front, qt.Equals, front)
+}
--- a/pkg/openjobs/table.go
+++ b/pkg/openjobs/table.go
@@ -73,7 +73,7 @@
 		t.count++
 	}
 	if e.closed {
-		e.closed, e.ExpiresAt = false, 0
+		e.closed, e.ExpiresAt, e.referred = false, 0, nil // the front got the job again since it was asked
 	}
 	e.ExpiresAt = max(e.ExpiresAt, now+job.Remaining)
 	e.recordedAt = now
