--- a/pkg/node/lease_limits_test.go
+++ b/pkg/node/lease_limits_test.go
@@ -104,7 +104,7 @@
 				return
 			}
 			a.openJobTable.add(whole)
-			a.confirmAnnouncement([]openjobs.Announcement{{ID: whole.ID}})
+			a.confirmAnnouncement(newSentAnnouncement([]openjobs.Announcement{{ID: whole.ID}}))
 			eventually(c, func() bool { limit, waits := limitOfWaiter(o, j.ID); return waits && limit == 0 })
 
 			next, end := a.front.beginDispatch(j, "next:1") // a later owner
