--- a/pkg/node/joins.go
+++ b/pkg/node/joins.go
@@ -119,6 +119,9 @@
 		return toOutcome(n.answerWhileSearching(m))
 	}
 	n.Log.Info("job_joined_from", "job", m.Id, "asker", m.Asker, "age_ms", (n.Clock.Now() - open.job.Received).Milliseconds())
+	if !m.Follows {
+		n.refuseIfPaused(open)
+	}
 	outcome, isOver := n.awaitOrYield(ctx, open, m)
 	switch {
 	case isOver && leavesJobToOthers(outcome.Reason):
@@ -134,10 +137,27 @@
 	return toOutcome(job.Outcome{Kind: job.Moved, Reason: reasonBusy})
 }
 
+// reasonPaused marks a job that a host refuses because it was paused, and the caller has resubmitted the job to
+// another host.
+const reasonPaused = "paused"
+
+// refuseIfPaused refuses a job that another front asks for, if this process was paused a moment ago and has
+// the job in a cell of its own without having started anything of it. A host that stands still most of the time
+// would keep the job from the other front until its deadline.
+func (n *Node) refuseIfPaused(open *openJob) {
+	now := n.Clock.Now()
+	if now >= n.openJobTable.resyncedAt() && !n.renewals.wasPausedUntil(now) {
+		return
+	}
+	for _, o := range n.allOwners() {
+		o.refuseUnstarted(open.job.ID, reasonPaused)
+	}
+}
+
 // leavesJobToOthers reports whether a job ended here for a reason that lies with this host, so that
 // another front may continue it.
 func leavesJobToOthers(reason string) bool {
-	return slices.Contains([]string{errStopping.Error(), errUnconfirmed.Error(), errStandsStill.Error(), reasonTooLate}, reason)
+	return slices.Contains([]string{errStopping.Error(), errUnconfirmed.Error(), errStandsStill.Error(), reasonTooLate, reasonPaused}, reason)
 }
 
 // yieldCheckInterval is how often a front checks whether it has to yield a job that it follows.
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -181,6 +180,24 @@
 	return &job.Outcome{Kind: job.Moved, Reason: reasonNotOwner, OpenAt: at}
 }
 
+// refuseUnstarted refuses a job that only this host's front waits for, if nothing of it may have started.
+func (o *owner) refuseUnstarted(id, reason string) {
+	var refused []waiter
+	o.do(func(state *cell.Cell, now time.Duration) {
+		waiters := o.waiters[id]
+		if len(waiters) != 1 || waiters[0].connection != nil || state.MayHaveStarted(id) {
+			return
+		}
+		refused = waiters
+		delete(o.waiters, id)
+		delete(o.lostFronts, id)
+		state.Withdraw(id, reason, now)
+	})
+	for _, w := range refused {
+		w.reply(job.Outcome{Kind: job.Refused, Reason: reason, RetryAfter: refusalRetryAfter})
+	}
+}
+
 // withdraw removes a front's waiters for a job. Once a job has no waiters, it ends,
 // unless it is a kept job.
 func (o *owner) withdraw(id, front, reason string) {
@@ -214,33 +231,14 @@
 	}
 }
 
-// returnUnstarted returns to this host's own front the jobs of which nothing has started.
-func (o *owner) returnUnstarted() {
-	self := o.node.settings.PeerAddress
-	for _, id := range o.ownUnstarted() {
-		taken, last := o.removeWaiters(id, self, false)
-		started := true
-		o.do(func(state *cell.Cell, now time.Duration) {
-			started = state.MayHaveStarted(id)
-			if last {
-				state.Withdraw(id, errStandsStill.Error(), now)
-			}
-		})
-		for _, w := range taken {
-			w.reply(job.Outcome{Kind: job.Moved, Reason: errStandsStill.Error(), Started: started})
-		}
-	}
-}
-
-// ownUnstarted returns the ids of the jobs for which this host's own front waits and of which nothing has
+// ownUnstarted returns the ids of the jobs for which only this host's front waits and of which nothing has
 // started.
 func (o *owner) ownUnstarted() []string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var ids []string
 	for id, waiters := range o.waiters {
-		isOwn := slices.ContainsFunc(waiters, func(w waiter) bool { return w.connection == nil && !w.job.Kept })
-		if isOwn && !o.state.MayHaveStarted(id) {
+		if len(waiters) == 1 && waiters[0].connection == nil && !waiters[0].job.Kept && !o.state.MayHaveStarted(id) {
 			ids = append(ids, id)
 		}
 	}
