--- a/pkg/node/joins.go
+++ b/pkg/node/joins.go
@@ -137,12 +137,6 @@
 	return toOutcome(job.Outcome{Kind: job.Moved, Reason: reasonBusy})
 }
 
-// leavesJobToOthers reports whether a job ended here for a reason that lies with this host, so that
-// another front may continue it.
-func leavesJobToOthers(reason string) bool {
-	return slices.Contains([]string{errStopping.Error(), errUnconfirmed.Error(), errStandsStill.Error(), reasonTooLate, reasonPaused}, reason)
-}
-
 // reasonPaused marks a job that a host refuses because it was paused, and the caller has resubmitted the job to
 // another host.
 const reasonPaused = "paused"
@@ -160,6 +154,12 @@
 	}
 }
 
+// leavesJobToOthers reports whether a job ended here for a reason that lies with this host, so that
+// another front may continue it.
+func leavesJobToOthers(reason string) bool {
+	return slices.Contains([]string{errStopping.Error(), errUnconfirmed.Error(), errStandsStill.Error(), reasonTooLate, reasonPaused}, reason)
+}
+
 // yieldCheckInterval is how often a front checks whether it has to yield a job that it follows.
 const yieldCheckInterval = 100 * time.Millisecond
 
--- a/pkg/node/renewals.go
+++ b/pkg/node/renewals.go
@@ -206,9 +206,7 @@
 	}
 	due := n.renewals.poll(now)
 	if n.renewals.standsStillOften(now) {
-		for _, o := range n.allOwners() {
-			o.returnUnstarted()
-		}
+		n.refuseOwnUnstarted()
 	}
 	if due == nil {
 		return
@@ -224,6 +222,16 @@
 	}
 }
 
+// refuseOwnUnstarted refuses the jobs for which only this host's front waits and of which its own cells have
+// started nothing: they start nothing for some time after each pause.
+func (n *Node) refuseOwnUnstarted() {
+	for _, o := range n.allOwners() {
+		for _, id := range o.ownUnstarted() {
+			o.refuseUnstarted(id, errStandsStill.Error())
+		}
+	}
+}
+
 // timestamp returns the current timestamp of this process, which peers return in renewals.
 func (n *Node) timestamp() *peerpb.Moment {
 	return &peerpb.Moment{Incarnation: n.inc[:], AtUs: n.Clock.Now().Microseconds()}
