node: a job that is received too late isn't refused, as another host may run it

A process that stood still and reads a request too late answered 503, "nothing of the job has run". The request may be the second sending of a job that another host runs: its announcement is among what the process has not read yet. Seen in a play of TestSoakJobsSentAgainBesideALostOwner: the second sending of a job whose first one had been dispatched was refused so; no task of it had begun, by chance.

It is answered by 504 now, at once.

--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -109,7 +109,7 @@
 		return outcome
 	}
 	if state.epoch == 1 && (f.isTooLate(j) || f.isLateAtSlowHost(j)) {
-		return job.Outcome{Kind: job.Refused, Reason: reasonTooLate, RetryAfter: refusalRetryAfter, Started: state.started}
+		return job.Outcome{Kind: job.Expired, Reason: reasonTooLate, Started: true}
 	}
 	f.markFollowed(open)
 	shares := f.split(j)
@@ -120,11 +120,12 @@
 	return f.followParts(ctx, j, shares, state)
 }
 
-// reasonTooLate refuses a job that this process has received so late that its caller may send it again
+// reasonTooLate ends a job that this process has received so late that its caller may send it again
 // before other hosts can know of it.
 const reasonTooLate = "received_too_late"
 
-// isTooLate reports whether to refuse a job for that reason. A job that was searched for at other
+// isTooLate reports whether to end a job for that reason. It isn't refused: a process that stood still
+// may not have read yet that another host holds an earlier submission open. A job that was searched for at other
 // fronts has been announced meanwhile.
 func (f *front) isTooLate(j *job.Job) bool {
 	resubmitAfter := f.node.settings.ResubmitAfter
