node: a job that waits for its host's contact isn't refused

Callers of a host that has lost contact with its domain, or just regained it, could get a refusal, which states that nothing of the job has run or will run, when the host stopped or gave the job up while it waited. The job may be a second submission whose first one is open at a host that this one has not heard from.

Cause: awaitContact passed started = false to abandoned, which then refuses. It answers as for an isolated host now: nothing is known of the job's runs.

--- a/pkg/node/isolation.go
+++ b/pkg/node/isolation.go
@@ -78,7 +78,7 @@
 			return job.Outcome{}, false
 		}
 		if ctx.Err() != nil {
-			return abandoned(ctx, false), true
+			return abandoned(ctx, true), true // the job may be open elsewhere
 		}
 	}
 }
--- a/pkg/node/isolation_test.go
+++ b/pkg/node/isolation_test.go
@@ -37,6 +37,24 @@
 	c.Assert(outcome.Reason, qt.Equals, reasonIsolated)
 }
 
+// Guards against a refusal of a job that may be open at a host that this one has not heard from yet.
+func TestAJobThatWaitsForAContactIsNotRefused(t *testing.T) {
+	for _, cause := range []error{errStopping, errUnconfirmed, errLeft} {
+		t.Run(cause.Error(), func(t *testing.T) {
+			c := qt.New(t)
+			n := peerNode(t, "a", "z", 1)
+			n.Clock = &manualClock{now: startupGrace - time.Millisecond}
+			listHosts(n, "127.0.0.2:1", "127.0.0.3:1")
+			answer := submitLater(context.Background(), n)
+			eventually(c, func() bool { return n.front.openJob(joinID) != nil })
+			n.front.openJob(joinID).cancel(cause)
+			outcome := <-answer
+			c.Assert(outcome.Kind, qt.Equals, job.Expired)
+			c.Assert(outcome.Reason, qt.Equals, cause.Error())
+		})
+	}
+}
+
 // Guards against a job that is accepted as new by a host that has just reached the others again and has not
 // received their announcements yet.
 func TestAHostThatReachesOthersAgainAwaitsTheirAnnouncements(t *testing.T) {
