node: a host that stands still refuses no job that another front waits for

A host that stands still again and again takes back from its cells the jobs that they have not started, and refuses them. If another front waited for such a job at the same owner, the job stayed there and could start after the refusal, which states that no task will run.

Cause: returnUnstarted did not check for other waiters, as refuseUnstarted does. The job counts as possibly started then, so that the host's own front answers that the outcome is unknown.

--- a/pkg/node/late_jobs_test.go
+++ b/pkg/node/late_jobs_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/cell"
 	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/openjobs"
@@ -255,3 +256,31 @@
 		c.Fatal("the job still waits")
 	}
 }
+
+// Guards against a refusal of a job that another front has started later at the same owner.
+func TestAHostThatStandsStillOftenDoesNotRefuseAJobOfAnotherFront(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		isShared bool // another front waits for the job too
+		started  bool
+	}{
+		{testName: "its own front alone"},
+		{testName: "another front too", isShared: true, started: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			n := newTestNode(c, &fakeStore{})
+			o := makeOwner(n, "z/1.0")
+			answer := make(chan job.Outcome, 1)
+			o.submit(cell.Handover{Job: submission(n), Epoch: 1}, waiter{front: n.settings.PeerAddress, namesAsked: true, reply: func(outcome job.Outcome) { answer <- outcome }})
+			if s.isShared {
+				asked := openjobs.Asked{n.asFront(): n.Clock.Now()}
+				o.submitAsked("second:1", submission(n), 1, asked)
+			}
+			o.returnUnstarted()
+			c.Assert((<-answer).Started, qt.Equals, s.started)
+			c.Assert(o.has(joinID), qt.Equals, s.isShared)
+		})
+	}
+}
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -260,14 +260,15 @@
 	}
 }
 
-// returnUnstarted returns to this host's own front the jobs of which nothing has started.
+// returnUnstarted returns to this host's own front the jobs of which nothing has started. A job for which
+// another front waits too may start later, so that this front must not refuse it.
 func (o *owner) returnUnstarted() {
 	self := o.node.settings.PeerAddress
 	for _, id := range o.ownUnstarted() {
 		taken, last := o.removeWaiters(id, self, false)
 		started := true
 		o.do(func(state *cell.Cell, now time.Duration) {
-			started = state.MayHaveStarted(id)
+			started = !last || state.MayHaveStarted(id)
 			if last {
 				state.Withdraw(id, errStandsStill.Error(), now)
 			}
