node: a job's lease limit is that of the fronts that still wait

An owner that returned a job to one of several fronts, because it is open twice or because its host stands still, kept the limit of the job's lease as it was with that front. If that front's limit had been lifted, the remaining front's job had none, though its announcement wasn't confirmed.

Cause: only withdraw updated the limit after it had removed a front. All three share updateLeaseLimit now. The two new rows of TestAJobHasTheLatestLeaseLimitOfItsFronts fail without it.

--- a/pkg/node/lease_limits.go
+++ b/pkg/node/lease_limits.go
@@ -176,6 +176,12 @@
 	return latest
 }
 
+// updateLeaseLimit sets the limit of a job's lease after a front has left and others still wait. o.mu is
+// held.
+func (o *owner) updateLeaseLimit(state *cell.Cell, id string, now time.Duration) {
+	state.SetLeaseLimits(map[string]time.Duration{id: o.leaseLimit(id)}, now)
+}
+
 // leaseLimitFrom returns the limit of a lease that a dispatch sets, by this node's clock; 0 for none. It
 // counts from the sending, as the message may have been held up.
 func (n *Node) leaseLimitFrom(m *peerpb.Dispatch, now time.Duration) time.Duration {
--- a/pkg/node/lease_limits_test.go
+++ b/pkg/node/lease_limits_test.go
@@ -117,10 +117,11 @@
 // The caller waits at one front at a time, so the latest limit holds.
 func TestAJobHasTheLatestLeaseLimitOfItsFronts(t *testing.T) {
 	type scenario struct {
-		testName string
-		limits   []time.Duration // of the fronts that wait, from now; 0 for none
-		act      func(o *owner, first *waitingFront)
-		want     time.Duration
+		testName  string
+		limits    []time.Duration // of the fronts that wait, from now; 0 for none
+		unstarted bool            // no task may have started
+		act       func(o *owner, first *waitingFront)
+		want      time.Duration
 	}
 	later := 2 * time.Second
 	scenarios := []scenario{
@@ -140,6 +141,20 @@
 		{testName: "the front without a limit leaves", limits: []time.Duration{0, time.Second}, want: time.Second, act: func(o *owner, first *waitingFront) {
 			o.withdraw("a", first.hello.Address, reasonCallerLeft)
 		}},
+		{testName: "the job is returned to the front without a limit, as it is open twice", limits: []time.Duration{0, time.Second}, want: time.Second, act: func(o *owner, first *waitingFront) {
+			front := testFront("A") // only the first front lets it go first
+			o.mu.Lock()
+			o.waiters["a"][0].namesAsked = true
+			o.mu.Unlock()
+			o.returnOpenTwice(openjobs.Announcement{ID: "a", Remaining: time.Minute, Cell: "other"}, front)
+		}},
+		{testName: "this host's own front takes back a job of which nothing has started", limits: []time.Duration{time.Second}, unstarted: true, want: time.Second, act: func(o *owner, _ *waitingFront) {
+			o.mu.Lock()
+			o.waiters["a"] = append(o.waiters["a"], waiter{front: o.node.settings.PeerAddress, job: o.waiters["a"][0].job, reply: func(job.Outcome) {}})
+			o.state.SetLeaseLimits(map[string]time.Duration{"a": 0}, time.Minute)
+			o.mu.Unlock()
+			o.returnUnstarted()
+		}},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
@@ -156,7 +171,11 @@
 				}
 				f := newWaitingFront(string(rune('a' + i)))
 				fronts = append(fronts, f)
-				o.submit(cell.Handover{Job: j, Epoch: 2, RenewedAt: now, LeaseLimit: limit}, waiter{
+				epoch := 2
+				if s.unstarted {
+					epoch = 1
+				}
+				o.submit(cell.Handover{Job: j, Epoch: epoch, RenewedAt: now, LeaseLimit: limit}, waiter{
 					front: f.hello.Address, connection: f.hello, reply: func(outcome job.Outcome) { f.answer <- outcome },
 				})
 			}
--- a/pkg/node/open_twice.go
+++ b/pkg/node/open_twice.go
@@ -82,6 +82,8 @@
 				returned = append(returned, taken...)
 				if last {
 					state.Withdraw(id, reasonOpenElsewhere, now)
+				} else {
+					o.updateLeaseLimit(state, id, now)
 				}
 			}
 		}
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -247,9 +247,7 @@
 		})
 	}
 	if !last {
-		o.do(func(state *cell.Cell, now time.Duration) {
-			state.SetLeaseLimits(map[string]time.Duration{id: o.leaseLimit(id)}, now)
-		})
+		o.do(func(state *cell.Cell, now time.Duration) { o.updateLeaseLimit(state, id, now) })
 	}
 	if reason != reasonFrontUnresponsive {
 		return
@@ -271,6 +269,8 @@
 			started = !last || state.MayHaveStarted(id)
 			if last {
 				state.Withdraw(id, errStandsStill.Error(), now)
+			} else {
+				o.updateLeaseLimit(state, id, now)
 			}
 		})
 		for _, w := range taken {
