node: planned stops and idle links of large domains are no lost contact

A host that lost the link to one that stops as planned, or an idle link of a large domain, held new jobs back until it had heard from another host, and asked all of them. Neither is a sign of a cut.

--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -132,8 +132,8 @@
 	// In a large domain links to hosts that own nothing are closed all the time.
 	mayClaim := n.claims.Owns(address) || !n.members.IsLarge()
 	peer, wasUp := n.members.UpAt(address)
-	isDomainHost := wasUp && peer.Domain == n.settings.Domain
-	if isDomainHost {
+	isLost := wasUp && !peer.Leaving && mayClaim && peer.Domain == n.settings.Domain
+	if isLost {
 		n.domainLostAt = n.Clock.Now()
 		n.contactChanged()
 	}
@@ -149,7 +149,7 @@
 	delete(n.storeUnreachable, address)
 	n.mu.Unlock()
 	n.changed.signal()
-	if isDomainHost {
+	if isLost {
 		n.links.Nudge() // so that this host finds out soon whether it is cut off itself
 	}
 	if isOwner {
