--- a/pkg/node/isolation_test.go
+++ b/pkg/node/isolation_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/member"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
@@ -112,3 +113,18 @@
 	n.mu.Unlock()
 	c.Assert(n.cellsToClaim(listing, n.Clock.Now()), qt.HasLen, 1)
 }
+
+// Guards against a second start by a host that was cut off from its domain, while its links to other
+// domains count as up: the first link to a host of the domain is up, and no announcement has arrived.
+func TestAHostThatReachesItsDomainAgainAwaitsAnnouncements(t *testing.T) {
+	c := qt.New(t)
+	n := newTestNode(c, &fakeStore{})
+	clock := &common.ManualClock{At: time.Minute}
+	n.Clock = clock
+	n.LinkUp("far:1", &peerpb.Hello{Name: "far", Domain: "y", Address: "far:1", Incarnation: []byte("far")})
+	clock.At += time.Minute
+	n.LinkUp("near:1", &peerpb.Hello{Name: "near", Domain: n.settings.Domain, Address: "near:1", Incarnation: []byte("near")})
+	now := n.contact()
+	c.Assert(now.isolated, qt.IsFalse)
+	c.Assert(now.syncedAt >= clock.At+announcementArrival, qt.IsTrue)
+}
