member, node: a link of a host to itself is no contact with its domain

A host that was cut off from its whole domain could accept second submissions and start them beside the first runs, if it also reached itself by a second address, as behind a forwarder: it never counted as isolated, and its own heartbeats counted as news of the domain.

Cause: the check for reachable hosts of the own domain counted all links, unlike member.View, which leaves out the own incarnation. TestIsIsolated has a row for it, which fails without the change.

--- a/pkg/member/isolation.go
+++ b/pkg/member/isolation.go
@@ -29,10 +29,11 @@
 	return lostInDomain >= minLost || len(t.up) == 0 && lostInDomain > 0 && lost >= minLost
 }
 
-// reachesDomainHost reports whether another host of this domain is reachable.
+// reachesDomainHost reports whether another host of this domain is reachable. A link may lead to this
+// host itself, by a second address.
 func (t *Table) reachesDomainHost() bool {
 	for _, peer := range t.up {
-		if peer.Domain == t.self.Domain {
+		if peer.Domain == t.self.Domain && peer.Incarnation != t.self.Incarnation {
 			return true
 		}
 	}
--- a/pkg/member/isolation_test.go
+++ b/pkg/member/isolation_test.go
@@ -31,6 +31,13 @@
 		{name: "for a long time", listed: []ListedHost{{Domain: "a", Address: "a:1"}, {Domain: "b", Address: "b:1"}}, before: lost, now: time.Second + IsolationLimit},
 		{name: "one is in reach", listed: []ListedHost{{Domain: "a", Address: "a:1"}, {Domain: "a", Address: "a:2"}, {Domain: "b", Address: "b:1"}},
 			before: func(t *Table) { lost(t); t.LinkUp(peerNamed(2, "a")) }, now: 2 * time.Second},
+		{name: "only this host itself is in reach, by a second address", listed: []ListedHost{{Domain: "a", Address: "a:1"}, {Domain: "a", Address: "a:2"}},
+			before: func(t *Table) {
+				self := peerNamed(0, "a")
+				self.Address = "second:0"
+				t.LinkUp(self)
+				lost(t)
+			}, now: 2 * time.Second, want: true},
 		{name: "none was in reach yet", listed: []ListedHost{{Domain: "a", Address: "a:1"}, {Domain: "b", Address: "b:1"}}, before: func(*Table) {}, now: time.Second, want: true},
 		{name: "all others have stopped as planned", listed: []ListedHost{{Domain: "a", Address: "a:1", Leaving: true}, {Domain: "b", Address: "b:1", Leaving: true}}, before: lost, now: 2 * time.Second},
 	}
--- a/pkg/node/heartbeat_handling.go
+++ b/pkg/node/heartbeat_handling.go
@@ -67,8 +67,10 @@
 	if p.Domain != n.settings.Domain {
 		return changes, true
 	}
-	changes.contact = n.domainHeardAt <= n.domainLostAt
-	n.domainHeardAt = now
+	if p.Incarnation != n.inc { // not this host by a second address
+		changes.contact = n.domainHeardAt <= n.domainLostAt
+		n.domainHeardAt = now
+	}
 	changes.addresses = n.members.AddDomainAddresses(heartbeat.Addresses, now) || changes.addresses
 	if heartbeat.ReadsList {
 		n.listConfirmedByPeerAt.Store(int64(now))
