node: a host that reaches its domain again awaits announcements, whatever else it reaches

A host that was cut off from all hosts of its domain, but not from other domains, accepted a job as new in the moment in which the first link to its domain came up. The job could be open at one of those hosts, whose announcements had not arrived.

Cause: the time from which announcements are awaited was set only when no link at all was up. It is also set when no other host of the own domain was reachable. The first row of TestWhichLinksAreFollowedByAnnouncements fails without the change.

--- a/pkg/node/isolation_test.go
+++ b/pkg/node/isolation_test.go
@@ -80,6 +80,45 @@
 	}
 }
 
+// Guards against the same by a host that was cut off from the hosts of its domain only.
+func TestWhichLinksAreFollowedByAnnouncements(t *testing.T) {
+	tests := []struct {
+		name   string
+		domain string // of the host that this one reaches again
+		lost   []string
+		waits  bool
+	}{
+		{name: "the first host of this domain, after a cut from all of it", domain: "z", lost: []string{"b", "c"}, waits: true},
+		{name: "a further host of this domain", domain: "z", lost: []string{"b"}},
+		{name: "a host of another domain", domain: "y", lost: []string{"e"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			n := peerNode(t, "a", "z", 1)
+			clock := &manualClock{now: time.Hour}
+			n.Clock = clock
+			listHosts(n, "b", "c")
+			up := func(address, domain string) {
+				incarnation := make([]byte, 16)
+				copy(incarnation, address)
+				n.LinkUp(address, &peerpb.Hello{Name: address, Domain: domain, Incarnation: incarnation})
+			}
+			up("b", "z")
+			up("c", "z")
+			up("d", "y")
+			up("e", "y")
+			clock.now += time.Minute
+			for _, address := range test.lost {
+				n.LinkDown(address)
+			}
+			clock.now += time.Second
+			up(test.lost[0], test.domain)
+			n.domainHeardAt = clock.now
+			qt.Assert(t, clock.now < n.contact().syncedAt, qt.Equals, test.waits)
+		})
+	}
+}
+
 // Guards against a job that is accepted as new by a host that has lost one host of its domain, and has
 // not found out yet that it is cut off from the others too.
 func TestAHostThatHasLostAnotherOneAwaitsAContact(t *testing.T) {
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -112,7 +112,7 @@
 	isReachableAgain := p.Domain == n.settings.Domain && !n.reachesSameDomain(address)
 	n.newestLinkAt = n.Clock.Now()
 	n.contactChanged()
-	if len(n.members.View(n.inc).Peers) == 0 {
+	if isReachableAgain || len(n.members.View(n.inc).Peers) == 0 {
 		n.reachesOthersSince = n.newestLinkAt
 	}
 	n.members.LinkUp(p)
