--- a/pkg/node/open.go
+++ b/pkg/node/open.go
@@ -28,7 +28,7 @@
 	isJoined   bool          // other fronts have waited for it here
 	heldSince  time.Duration // when this node began to follow it, or last dispatched it
 
-	// isConfirmed tells that all hosts to which the caller may resubmit the job know of it.
+	// isConfirmed tells that each domain has confirmed the announcement of the job, or need not.
 	isConfirmed bool
 	confirmed   chan struct{} // closed then; nil when nobody has waited for it
 	owners      []string      // addresses of the hosts to which it, or parts of it, are dispatched with a limit of their lease
