--- a/pkg/node/claims.go
+++ b/pkg/node/claims.go
@@ -32,7 +32,7 @@
 // cellsToClaim returns the cells that this node should claim in its current view. While it may be
 // cut off from its domain it claims none there: their owners may serve all other hosts.
 func (n *Node) cellsToClaim(listing *listing, now time.Duration) []string {
-	isUnsure := now < n.contact().unsureAt
+	isUnsure := now < n.contact().unsureUntil
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	view := n.ownershipView()
--- a/pkg/node/isolation.go
+++ b/pkg/node/isolation.go
@@ -26,9 +26,9 @@
 
 // contact is the state of a host's contact with the other hosts of its domain.
 type contact struct {
-	isolated bool          // it is cut off from them
-	unsureAt time.Duration // it may be cut off until then: it has lost one and not heard of another since; 0 otherwise
-	syncedAt time.Duration // it has received their announcements by then
+	isolated    bool          // it is cut off from them
+	unsureUntil time.Duration // it may be cut off until then: it has lost one and not heard of another since; 0 otherwise
+	syncedAt    time.Duration // it has received their announcements by then
 }
 
 // contact returns the current contact. Most jobs come while no link has changed for some time, and
@@ -42,7 +42,7 @@
 	now := n.Clock.Now()
 	c := contact{isolated: n.members.IsIsolated(now), syncedAt: n.reachesOthersSince + openjobs.ResyncDelay}
 	if n.domainLostAt > 0 && n.domainHeardAt <= n.domainLostAt && n.reachesSameDomain("") {
-		c.unsureAt = n.domainLostAt + n.settings.SuspectAfter
+		c.unsureUntil = n.domainLostAt + n.settings.SuspectAfter
 	}
 	if now < c.syncedAt && n.members.ReachesDomain(now) {
 		c.syncedAt = min(c.syncedAt, n.newestLinkAt+announcementArrival)
@@ -70,7 +70,7 @@
 			return job.Outcome{Kind: job.Expired, Reason: reasonIsolated, Started: true}, true
 		case c.isolated:
 			f.awaitChange(ctx, changed, startupGrace-now)
-		case now < c.unsureAt:
+		case now < c.unsureUntil:
 			f.awaitChange(ctx, changed, contactPollInterval)
 		case now < c.syncedAt:
 			f.awaitChange(ctx, changed, c.syncedAt-now)
--- a/pkg/node/isolation_test.go
+++ b/pkg/node/isolation_test.go
@@ -128,8 +128,8 @@
 		afterLoss func(n *Node)
 		want      func(c contact, now time.Duration) bool
 	}{
-		{"nothing heard since", func(*Node) {}, func(c contact, now time.Duration) bool { return now < c.unsureAt }},
-		{"heard from another one", func(n *Node) { n.domainHeardAt = n.Clock.Now() + 1 }, func(c contact, now time.Duration) bool { return !c.isolated && now >= c.unsureAt }},
+		{"nothing heard since", func(*Node) {}, func(c contact, now time.Duration) bool { return now < c.unsureUntil }},
+		{"heard from another one", func(n *Node) { n.domainHeardAt = n.Clock.Now() + 1 }, func(c contact, now time.Duration) bool { return !c.isolated && now >= c.unsureUntil }},
 		{"the other one is lost too", func(n *Node) { n.members.LinkDown("b", n.Clock.Now()) }, func(c contact, _ time.Duration) bool { return c.isolated }},
 	}
 	for _, test := range tests {
