node: a host that is cut off from its domain claims no cell there, whatever else it reaches

A host that was cut off from its own domain, but not from the others, claimed the cells of its domain as soon as its last link there was down, and fenced the owners that served all other hosts.

Cause: cellsToClaim held claims back only while the host was unsure of its contact, which ends when no host of the domain is reachable. The limit in pkg/ownership counts the hosts of all domains.

--- a/pkg/node/claims.go
+++ b/pkg/node/claims.go
@@ -32,13 +32,14 @@
 // cellsToClaim returns the cells that this node should claim in its current view. While it may be
 // cut off from its domain it claims none there: their owners may serve all other hosts.
 func (n *Node) cellsToClaim(listing *listing, now time.Duration) []string {
-	isUnsure := now < n.contact().unsureAt
+	contact := n.contact()
+	mayBeCutOff := contact.isolated || now < contact.unsureAt
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	view := n.ownershipView()
 	var names []string
 	for name := range listing.cells {
-		if isUnsure && ownership.DomainOf(name) == n.settings.Domain {
+		if mayBeCutOff && ownership.DomainOf(name) == n.settings.Domain {
 			continue
 		}
 		if n.owners[name] == nil && n.claims.ShouldClaim(name, ownership.DomainOf(name), view, now) {
--- a/pkg/node/isolation_test.go
+++ b/pkg/node/isolation_test.go
@@ -169,3 +169,35 @@
 	n.mu.Unlock()
 	c.Assert(n.cellsToClaim(listing, n.Clock.Now()), qt.HasLen, 1)
 }
+
+// Guards against the same while the host reaches other domains, so that it counts most hosts as up.
+func TestAHostThatIsCutOffFromItsDomainOnlyClaimsNoCellOfIt(t *testing.T) {
+	c := qt.New(t)
+	n := peerNode(t, "a", "z", 1)
+	clock := &manualClock{now: time.Hour}
+	n.Clock = clock
+	listHosts(n, "b", "c")
+	up := func(address, domain string) {
+		incarnation := make([]byte, 16)
+		copy(incarnation, address)
+		n.LinkUp(address, &peerpb.Hello{Name: address, Domain: domain, Incarnation: incarnation})
+	}
+	up("b", "z")
+	up("c", "z")
+	up("d", "y")
+	up("e", "y")
+	n.mu.Lock()
+	n.rowsRead = true
+	n.mu.Unlock()
+	list := &catalog.Executors{Revision: 1, ByID: map[string]catalog.Executor{"i-1": listedExecutor("i-1", "10.0.0.1:80")}}
+	listing := newListing(0, list, sizesOf(list), map[string]int{"z": 1})
+	clock.now += time.Minute
+	n.LinkDown("b")
+	c.Assert(n.cellsToClaim(listing, n.Clock.Now()), qt.HasLen, 0)
+	clock.now += 300 * time.Millisecond
+	n.LinkDown("c")
+	c.Assert(n.contact().isolated, qt.IsTrue)
+	c.Assert(n.cellsToClaim(listing, n.Clock.Now()), qt.HasLen, 0)
+	clock.now += member.IsolationLimit
+	c.Assert(n.cellsToClaim(listing, n.Clock.Now()), qt.HasLen, 1, qt.Commentf("the others count as lost"))
+}
