openjobs: short stalls of a slow host don't hide that a domain is cut off

A front that stood still while it waited for a confirmation doesn't record the domain as cut off, as it may have read the reply too late. A host that runs 60 of 310 ms stands still within each wait, so it never recorded a dead domain, and gave up each of its jobs after 1.15 s for as long as the domain was out of reach. Found in review: 20 of 20 jobs in 30 s.

TestASlowHostRecordsADomainThatDoesNotConfirm: 20 given up before, 1 after.

--- a/pkg/node/late_jobs_test.go
+++ b/pkg/node/late_jobs_test.go
@@ -289,3 +289,33 @@
 		})
 	}
 }
+
+// Guards against a slow host that gives up all of its jobs while a domain is out of reach: it runs 60 of 310 ms.
+func TestASlowHostRecordsADomainThatDoesNotConfirm(t *testing.T) {
+	c := qt.New(t)
+	n := newTestNode(c, &fakeStore{})
+	clock := &common.ManualClock{At: time.Second}
+	n.Clock = clock
+	run := func(d time.Duration) {
+		for end := clock.At + d; clock.At < end; {
+			for range 2 {
+				clock.At += 30 * time.Millisecond
+				n.renewJobs(clock.At)
+			}
+			clock.At += 250 * time.Millisecond
+		}
+	}
+	run(2 * time.Second)
+	givenUp := 0
+	for range 20 { // a job each 1.5 s, announced 0.4 s after its sending
+		sent := clock.At
+		run(400 * time.Millisecond)
+		asked := clock.At
+		run(700 * time.Millisecond)
+		if sent < n.giveUpBefore("y", asked) {
+			givenUp++
+		}
+		run(400 * time.Millisecond)
+	}
+	c.Assert(givenUp, qt.Equals, 1)
+}
--- a/pkg/openjobs/stalls.go
+++ b/pkg/openjobs/stalls.go
@@ -47,10 +47,11 @@
 // hasGap reports whether the last poll was longer than most ago. There is no gap before the first one.
 func (s *Stalls) hasGap(now, most time.Duration) bool { return s.polledAt > 0 && now > s.polledAt+most }
 
-// EndedSince reports whether the process has stood still and run on at a time or later, by its polls
-// up to now.
+// EndedSince reports whether the process has stood still for a long time and run on at a time or later,
+// by its polls up to now. Short stalls don't count: a slow host has them all the time, and reads
+// replies in between.
 func (s *Stalls) EndedSince(since, now time.Duration) bool {
-	return s.hasGap(now, MaxPollGap) || s.endedAt > 0 && s.endedAt >= since
+	return s.hasGap(now, longStall) || s.longEndedAt > 0 && s.longEndedAt >= since
 }
 
 // StandsStillOften reports whether the process stands still again and again for so long that it can't
