node: refused parts are handed in again only if all others are completed

A caller was told that its job was completed, though one of its two tasks never ran.

TestRefusedPartsAreHandedInAgainBesideCompletedOnes: the three rows with an expired or failed part would be handed in again before.

--- a/pkg/node/parts.go
+++ b/pkg/node/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/ownership"
@@ -53,13 +54,21 @@
 	f.node.Log.Info("job_split", "job", j.ID, "tasks", j.TaskCount(), "shares", shares)
 	combined := f.followAll(ctx, cancel, parts, begin)
 	refused := refusedParts(parts)
-	if len(refused) == 0 || len(refused) == len(parts) || ctx.Err() != nil {
+	if !mayHandInAgain(parts) || ctx.Err() != nil {
 		return combined
 	}
 	f.node.Log.Info("parts_handed_in_again", "job", j.ID, "parts", len(refused), "reason", refused[0].outcome.Reason)
 	return combineOutcomes(job.Outcome{Kind: job.Completed, Started: true, Chain: combined.Chain}, f.followAll(ctx, cancel, refused, attempt{epoch: begin.epoch + 1, namesRuns: true, asked: begin.asked}))
 }
 
+// mayHandInAgain reports whether some parts were refused and all others are completed, so that the job can
+// still be completed.
+func mayHandInAgain(parts []*part) bool {
+	isOver := func(p *part) bool { return p.outcome.Kind != job.Completed && p.outcome.Kind != job.Refused }
+	refused := len(refusedParts(parts))
+	return refused > 0 && refused < len(parts) && !slices.ContainsFunc(parts, isOver)
+}
+
 func refusedParts(parts []*part) []*part {
 	var refused []*part
 	for _, p := range parts {
--- a/pkg/node/parts_test.go
+++ b/pkg/node/parts_test.go
@@ -71,3 +71,29 @@
 	c.Assert(refusedParts([]*part{first, second}), qt.HasLen, 1)
 	c.Assert(refusedParts([]*part{first, second})[0], qt.Equals, second)
 }
+
+// Guards against a job that is called completed though a part of it has ended otherwise, after the
+// refusal of another one.
+func TestRefusedPartsAreHandedInAgainBesideCompletedOnes(t *testing.T) {
+	tests := []struct {
+		name  string
+		kinds []job.Kind
+		want  bool
+	}{
+		{"all completed", []job.Kind{job.Completed, job.Completed}, false},
+		{"all refused", []job.Kind{job.Refused, job.Refused}, false},
+		{"one refused, one completed", []job.Kind{job.Refused, job.Completed}, true},
+		{"one refused, one expired", []job.Kind{job.Refused, job.Expired}, false},
+		{"one refused, one failed", []job.Kind{job.Refused, job.Failed}, false},
+		{"one refused, one completed, one expired", []job.Kind{job.Refused, job.Completed, job.Expired}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var parts []*part
+			for _, kind := range test.kinds {
+				parts = append(parts, &part{outcome: job.Outcome{Kind: kind}})
+			}
+			qt.Assert(t, mayHandInAgain(parts), qt.Equals, test.want)
+		})
+	}
+}
