openjobs: short stalls count again for the polls after a stall

Each has a method of its own now: LongEndedSince, EndedSince. TestStallsEndedSince asserts both; the assertion on the short stall moved to the former.

--- a/pkg/node/confirmations.go
+++ b/pkg/node/confirmations.go
@@ -193,7 +193,7 @@
 // that was asked at askedAt hasn't confirmed its announcement.
 func (n *Node) giveUpBefore(domain string, askedAt time.Duration) time.Duration {
 	now := n.Clock.Now()
-	hasStalled := n.renewals.stalledSince(askedAt, now)
+	hasStalled := n.renewals.stalledLongSince(askedAt, now)
 	n.openJobTable.mu.Lock()
 	defer n.openJobTable.mu.Unlock()
 	if hasStalled {
--- a/pkg/node/renewals.go
+++ b/pkg/node/renewals.go
@@ -159,6 +159,13 @@
 	return r.stalls.EndedSince(since, now)
 }
 
+// stalledLongSince is Stalls.LongEndedSince.
+func (r *renewals) stalledLongSince(since, now time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stalls.LongEndedSince(since, now)
+}
+
 // standsStillOften is Stalls.StandsStillOften.
 func (r *renewals) standsStillOften(now time.Duration) bool {
 	r.mu.Lock()
--- a/pkg/openjobs/explore_limits_test.go
+++ b/pkg/openjobs/explore_limits_test.go
@@ -89,7 +89,7 @@
 func (o *modelOpen) giveUpUnconfirmed(domain string) {
 	h, w := o.host, o.host.world
 	since := h.confirmations.MissingSince(domain, w.now)
-	if !h.stalls.EndedSince(o.announcedAt, w.now) {
+	if !h.stalls.LongEndedSince(o.announcedAt, w.now) {
 		since = h.confirmations.Missing(domain, w.now)
 	}
 	if o.sentAfter >= since {
--- a/pkg/openjobs/stalls.go
+++ b/pkg/openjobs/stalls.go
@@ -47,10 +47,15 @@
 // hasGap reports whether the last poll was longer than most ago. There is no gap before the first one.
 func (s *Stalls) hasGap(now, most time.Duration) bool { return s.polledAt > 0 && now > s.polledAt+most }
 
-// EndedSince reports whether the process has stood still for a long time and run on at a time or later,
-// by its polls up to now. Short stalls don't count: a slow host has them all the time, and reads
-// replies in between.
+// EndedSince reports whether the process has stood still and run on at a time or later, by its polls
+// up to now.
 func (s *Stalls) EndedSince(since, now time.Duration) bool {
+	return s.hasGap(now, MaxPollGap) || s.endedAt > 0 && s.endedAt >= since
+}
+
+// LongEndedSince is EndedSince for long stalls. A slow host has short ones all the time, and reads
+// replies in between.
+func (s *Stalls) LongEndedSince(since, now time.Duration) bool {
 	return s.hasGap(now, longStall) || s.longEndedAt > 0 && s.longEndedAt >= since
 }
 
--- a/pkg/openjobs/stalls_test.go
+++ b/pkg/openjobs/stalls_test.go
@@ -80,8 +80,10 @@
 	stalls.Poll(1500 * ms)
 	c.Assert(stalls.EndedSince(1050*ms, 1510*ms), qt.IsTrue)
 	c.Assert(stalls.EndedSince(1501*ms, 1510*ms), qt.IsFalse)
+	c.Assert(stalls.LongEndedSince(1050*ms, 1510*ms), qt.IsTrue)
 	stalls.Poll(1750 * ms)
-	c.Assert(stalls.EndedSince(1501*ms, 1760*ms), qt.IsFalse, qt.Commentf("a slow host's stall"))
+	c.Assert(stalls.EndedSince(1501*ms, 1760*ms), qt.IsTrue)
+	c.Assert(stalls.LongEndedSince(1501*ms, 1760*ms), qt.IsFalse, qt.Commentf("a slow host's stall"))
 }
 
 // Guards against jobs that a host holds though it can't follow them, as it stands still most of the time.
