node: one wait for a change of membership or claims; no time of the newest link

awaitOwner waited by the same timer and select as awaitChange, and calls it now. newestLinkAt has had no reader of its own since. No change of behaviour.

--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -207,15 +207,10 @@
 		if left <= 0 || f.node.noOpenOwnerReachable() {
 			return ownership.Claim{}, false
 		}
-		timer := time.NewTimer(min(left, ownerRecheckInterval))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		f.awaitChange(ctx, changed, min(left, ownerRecheckInterval))
+		if ctx.Err() != nil {
 			return ownership.Claim{}, false
-		case <-changed:
-		case <-timer.C:
 		}
-		timer.Stop()
 	}
 }
 
--- a/pkg/node/isolation_test.go
+++ b/pkg/node/isolation_test.go
@@ -66,7 +66,7 @@
 	eventually(c, func() bool { return knowsOpenJob(b) })
 	b.openJobTable.others.MarkClosed(joinID, a.asFront(), 0, 0, 0) // as before the announcement arrived
 	b.mu.Lock()
-	b.reachesOthersSince, b.newestLinkAt = b.Clock.Now(), b.Clock.Now()
+	b.reachesOthersSince = b.Clock.Now()
 	b.contactChanged()
 	b.mu.Unlock()
 	answer := submitLater(context.Background(), b)
@@ -141,7 +141,7 @@
 			for _, address := range []string{"b", "c"} {
 				n.LinkUp(address, &peerpb.Hello{Name: address, Domain: "z", Incarnation: make([]byte, 16)})
 			}
-			n.reachesOthersSince, n.newestLinkAt = 0, 0
+			n.reachesOthersSince = 0
 			n.LinkDown("c")
 			n.mu.Lock()
 			test.afterLoss(n)
--- a/pkg/node/join_test.go
+++ b/pkg/node/join_test.go
@@ -65,7 +65,7 @@
 	for _, n := range nodes {
 		eventually(qt.New(t), func() bool { return len(n.reachablePeers()) >= len(nodes)-1 })
 		n.mu.Lock()
-		n.reachesOthersSince, n.newestLinkAt = -time.Hour, -time.Hour // announcements have arrived
+		n.reachesOthersSince = -time.Hour // announcements have arrived
 		n.mu.Unlock()
 	}
 }
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -110,10 +110,9 @@
 	copy(p.Incarnation[:], hello.Incarnation)
 	n.mu.Lock()
 	isReachableAgain := p.Domain == n.settings.Domain && !n.reachesSameDomain(address)
-	n.newestLinkAt = n.Clock.Now()
 	n.contactChanged()
 	if isReachableAgain || len(n.members.View(n.inc).Peers) == 0 {
-		n.reachesOthersSince = n.newestLinkAt
+		n.reachesOthersSince = n.Clock.Now()
 	}
 	n.members.LinkUp(p)
 	n.viewVersion.Add(1)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -87,7 +87,6 @@
 	restarted          bool                     // the first read of the rows contained this node's own: it has restarted
 	ownerless          bool                     // a cell of this domain lacks an owner
 	reachesOthersSince time.Duration            // when this host first reached another one, after it had reached none of its domain or none at all
-	newestLinkAt       time.Duration            // when a link came up last
 	domainLostAt       time.Duration            // when the link to a host of this domain went down last
 	domainHeardAt      time.Duration            // when a host of this domain sent a heartbeat last, or replied to one
 	ownerLostUntil     time.Duration            // an owner of a cell of this domain counts as unreachable from here only until then
