member, node: one check whether a host of the domain is reachable

Node.reachesSameDomain built and sorted a view of all peers for what Table.reachesDomainHost tells from the links. The latter serves both now, with the address to leave out as its argument. A host with links at two addresses counts by either of them; it was counted by the first one.

--- a/pkg/member/isolation.go
+++ b/pkg/member/isolation.go
@@ -13,7 +13,7 @@
 // IsIsolated reports whether this host is probably cut off from the other hosts of its domain: it
 // reaches none of them, though several should be running.
 func (t *Table) IsIsolated(now time.Duration) bool {
-	if t.reachesDomainHost() || now >= t.aloneSince+IsolationLimit {
+	if t.ReachesDomainHost("") || now >= t.aloneSince+IsolationLimit {
 		return false
 	}
 	lost, lostInDomain := 0, 0
@@ -29,11 +29,11 @@
 	return lostInDomain >= minLost || len(t.up) == 0 && lostInDomain > 0 && lost >= minLost
 }
 
-// reachesDomainHost reports whether another host of this domain is reachable. A link may lead to this
-// host itself, by a second address.
-func (t *Table) reachesDomainHost() bool {
-	for _, peer := range t.up {
-		if peer.Domain == t.self.Domain && peer.Incarnation != t.self.Incarnation {
+// ReachesDomainHost reports whether another host of this domain is reachable at an address other than
+// except. A link may lead to this host itself, by a second address.
+func (t *Table) ReachesDomainHost(except string) bool {
+	for address, peer := range t.up {
+		if address != except && peer.Domain == t.self.Domain && peer.Incarnation != t.self.Incarnation {
 			return true
 		}
 	}
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -168,9 +168,9 @@
 		t.leftAt[address] = now
 		delete(t.gossip, address)
 	}
-	reached := t.reachesDomainHost()
+	reached := t.ReachesDomainHost("")
 	delete(t.up, address)
-	if reached && !t.reachesDomainHost() {
+	if reached && !t.ReachesDomainHost("") {
 		t.aloneSince = now
 	}
 }
--- a/pkg/node/isolation.go
+++ b/pkg/node/isolation.go
@@ -37,7 +37,7 @@
 	now := n.Clock.Now()
 	// Hosts announce by links of their own, which a slow one opens later than this host its links.
 	c := contact{isolated: n.members.IsIsolated(now), syncedAt: n.reachesOthersSince + openjobs.ResyncDelay}
-	if n.domainLostAt > 0 && n.domainHeardAt <= n.domainLostAt && n.reachesSameDomain("") {
+	if n.domainLostAt > 0 && n.domainHeardAt <= n.domainLostAt && n.members.ReachesDomainHost("") {
 		c.unsureUntil = n.domainLostAt + n.settings.SuspectAfter
 	}
 	return c
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -109,7 +109,7 @@
 	}
 	copy(p.Incarnation[:], hello.Incarnation)
 	n.mu.Lock()
-	isReachableAgain := p.Domain == n.settings.Domain && !n.reachesSameDomain(address)
+	isReachableAgain := p.Domain == n.settings.Domain && !n.members.ReachesDomainHost(address)
 	n.contactChanged()
 	if isReachableAgain || len(n.members.View(n.inc).Peers) == 0 {
 		n.reachesOthersSince = n.Clock.Now()
--- a/pkg/node/openjobs.go
+++ b/pkg/node/openjobs.go
@@ -362,13 +362,6 @@
 	}
 }
 
-// reachesSameDomain reports whether a host of this domain other than except is reachable. n.mu is
-// held.
-func (n *Node) reachesSameDomain(except string) bool {
-	isOther := func(p member.Peer) bool { return p.Address != except && p.Domain == n.settings.Domain }
-	return slices.ContainsFunc(n.members.View(n.inc).Peers, isOther)
-}
-
 // fewPerDomain returns the first peers of each domain, at most so many.
 func fewPerDomain(peers []member.Peer, most int) []member.Peer {
 	count := map[string]int{}
