--- a/pkg/node/isolation_test.go
+++ b/pkg/node/isolation_test.go
@@ -26,6 +26,27 @@
 	n.contactChanged()
 }
 
+// linkTwoDomains has a node of domain z reach two hosts of it, b and c, and two of domain y, d and e. It
+// returns the node's clock.
+func linkTwoDomains(n *Node) *manualClock {
+	clock := &manualClock{now: time.Hour}
+	n.Clock = clock
+	listHosts(n, "b", "c")
+	for _, address := range []string{"b", "c"} {
+		linkUp(n, address, "z")
+	}
+	for _, address := range []string{"d", "e"} {
+		linkUp(n, address, "y")
+	}
+	return clock
+}
+
+func linkUp(n *Node, address, domain string) {
+	incarnation := make([]byte, 16)
+	copy(incarnation, address)
+	n.LinkUp(address, &peerpb.Hello{Name: address, Domain: domain, Incarnation: incarnation})
+}
+
 // Guards against a job that is accepted as new by a host that is cut off from all others, one of which
 // holds the job open.
 func TestAnIsolatedHostAcceptsNoJob(t *testing.T) {
@@ -97,24 +118,13 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			n := peerNode(t, "a", "z", 1)
-			clock := &manualClock{now: time.Hour}
-			n.Clock = clock
-			listHosts(n, "b", "c")
-			up := func(address, domain string) {
-				incarnation := make([]byte, 16)
-				copy(incarnation, address)
-				n.LinkUp(address, &peerpb.Hello{Name: address, Domain: domain, Incarnation: incarnation})
-			}
-			up("b", "z")
-			up("c", "z")
-			up("d", "y")
-			up("e", "y")
+			clock := linkTwoDomains(n)
 			clock.now += time.Minute
 			for _, address := range test.lost {
 				n.LinkDown(address)
 			}
 			clock.now += time.Second
-			up(test.lost[0], test.domain)
+			linkUp(n, test.lost[0], test.domain)
 			n.domainHeardAt = clock.now
 			qt.Assert(t, clock.now < n.contact().syncedAt, qt.Equals, test.waits)
 		})
@@ -188,22 +198,12 @@
 	c.Assert(now.syncedAt, qt.Equals, clock.At+openjobs.ResyncDelay)
 }
 
-// Guards against the same while the host reaches other domains, so that it counts most hosts as up.
+// Guards against a host that is cut off from its domain only and takes over its cells, as it counts most
+// hosts as up.
 func TestAHostThatIsCutOffFromItsDomainOnlyClaimsNoCellOfIt(t *testing.T) {
 	c := qt.New(t)
 	n := peerNode(t, "a", "z", 1)
-	clock := &manualClock{now: time.Hour}
-	n.Clock = clock
-	listHosts(n, "b", "c")
-	up := func(address, domain string) {
-		incarnation := make([]byte, 16)
-		copy(incarnation, address)
-		n.LinkUp(address, &peerpb.Hello{Name: address, Domain: domain, Incarnation: incarnation})
-	}
-	up("b", "z")
-	up("c", "z")
-	up("d", "y")
-	up("e", "y")
+	clock := linkTwoDomains(n)
 	n.mu.Lock()
 	n.rowsRead = true
 	n.mu.Unlock()
