node: one outcome of a job that is given up without an owner

outcomeWithoutOwner, awaitConfirmed and givenUpStandingStill each chose between an expiry and a refusal by whether a task may have started. givenUp serves all three. No change of behaviour; the tests of pkg/node pass.

--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -128,7 +128,7 @@
 			return outcome
 		}
 		if f.node.standsStillOften() {
-			return givenUpStandingStill(state.started)
+			return givenUp(errStandsStill.Error(), state.started)
 		}
 		if outcome.Reason == reasonNotOwner || returnedUnstarted(outcome) {
 			continue
@@ -143,14 +143,13 @@
 	}
 }
 
-// givenUpStandingStill returns the outcome of a job without an owner that this process gives up, as it stands
-// still too often to follow it. Its callers may send it to any host, and a front that waits for it here
-// goes on.
-func givenUpStandingStill(started bool) job.Outcome {
+// givenUp returns the outcome of a job without an owner that its front gives up: a refusal if nothing of
+// it can have started.
+func givenUp(reason string, started bool) job.Outcome {
 	if started {
-		return job.Outcome{Kind: job.Expired, Reason: errStandsStill.Error(), Started: true}
+		return job.Outcome{Kind: job.Expired, Reason: reason, Started: true}
 	}
-	return job.Outcome{Kind: job.Refused, Reason: errStandsStill.Error(), RetryAfter: refusalRetryAfter}
+	return job.Outcome{Kind: job.Refused, Reason: reason, RetryAfter: refusalRetryAfter}
 }
 
 // returnedUnstarted reports whether an owner has returned a job of which nothing has
@@ -177,10 +176,7 @@
 	if f.node.noOpenOwnerReachable() {
 		reason = reasonDomainClosed
 	}
-	if state.started {
-		return job.Outcome{Kind: job.Expired, Reason: reason, Started: true}
-	}
-	return job.Outcome{Kind: job.Refused, Reason: reason, RetryAfter: refusalRetryAfter}
+	return givenUp(reason, state.started)
 }
 
 // ownerWaitLimit returns until when a job waits for an owner: as long as an owner found then
--- a/pkg/node/join.go
+++ b/pkg/node/join.go
@@ -115,7 +115,7 @@
 			return job.Outcome{}, false
 		}
 		if n.standsStillOften() {
-			return givenUpStandingStill(true), true
+			return givenUp(errStandsStill.Error(), true), true
 		}
 		if !f.sleepUntil(ctx, at) {
 			return abandoned(ctx, true), true
--- a/pkg/node/lease_limits.go
+++ b/pkg/node/lease_limits.go
@@ -102,10 +102,7 @@
 		return abandoned(ctx, state.started), false
 	}
 	n.Log.Info("unconfirmed_job_ended", "job", j.ID, "age_ms", (n.Clock.Now() - j.Received).Milliseconds(), "started", state.started)
-	if state.started {
-		return job.Outcome{Kind: job.Expired, Reason: errUnconfirmed.Error(), Started: true}, false
-	}
-	return job.Outcome{Kind: job.Refused, Reason: errUnconfirmed.Error(), RetryAfter: refusalRetryAfter}, false
+	return givenUp(errUnconfirmed.Error(), state.started), false
 }
 
 // isLimitNear reports whether no owner would keep a job, as the limit of its lease is near. It returns the
