cell: a failing test of jobs shown as failed when many executors crash at once

All four jobs end as failed with reason executors_crashed_under_task, though no run has ended as failed.

--- a/pkg/cell/crashes_test.go
+++ b/pkg/cell/crashes_test.go
@@ -214,3 +214,24 @@
 	next.crash(others, indexOf(others, next.acceptStarts()[0]))
 	c.Assert(next.finished["a"].Kind, qt.Equals, job.Failed)
 }
+
+// Guards against jobs shown as failed because many executors crashed at the same time, again and again, and
+// their tasks ran there: their tasks have never ended as failed.
+func TestJobsDoNotFailWhenManyExecutorsCrashTogether(t *testing.T) {
+	c := qt.New(t)
+	d, infos := newRestartableDriver(c, 8)
+	for _, id := range []string{"a", "b", "c", "d"} {
+		j := testJob(id, 1, d.now)
+		j.Steps[0].Needs.CPU = 16000 // each task has an executor for itself
+		j.Deadline = d.now + time.Hour
+		d.submit(j, 1)
+	}
+	for range maxCrashes {
+		for _, start := range d.acceptStarts() {
+			d.crash(infos, indexOf(infos, start))
+		}
+		d.tick(2 * time.Second)
+		c.Assert(d.finished, qt.HasLen, 0)
+	}
+	c.Assert(d.acceptStarts(), qt.HasLen, 4)
+}
