cell: crashes fail a job only if they are evidence against its task

Cause: two executors that were lost under a task were taken for a proof that the task crashed them. The class: a final answer to a caller that rests on a guess.

Change: losses of executors are recorded with the runs that they had. A crash is evidence only if the executor was listed, its one run was known to have started, and no other executor was lost within a second of it without a task that explains that loss: one with another crash at another time, while it ran alone. Two such crashes fail the job. From the second loss on, a task starts only on an executor without runs. The end of an executor that had left the list isn't a crash.

Two tests let the time of the assessment pass before they look at the outcome.

--- a/pkg/cell/answers.go
+++ b/pkg/cell/answers.go
@@ -184,6 +184,7 @@
 		c.addNotice(Notice{Event: "executor_silent", Executor: e.info.ID, Age: now - e.clock.readAt})
 	}
 	e.unresponsive = true
+	c.recordLoss(e, now)
 	c.dirty = true
 }
 
--- a/pkg/cell/crashes.go
+++ b/pkg/cell/crashes.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"slices"
 	"strconv"
 	"time"
@@ -11,26 +12,37 @@
 // A task may crash every executor that runs it, and all other runs there end with the
 // executor. When an executor is lost, it is unknown which of its runs caused that, if any.
 // All of their tasks are therefore suspect: each one runs alone next, on an executor without
-// runs if there is one, and nothing is started beside it. A task whose runs crash a second
-// executor is given up, and its job fails.
+// runs if there is one, and nothing is started beside it.
+//
+// A job fails only if the crashes are evidence against one of its tasks (executor_losses.go).
+// Without it, a best-effort job ends after a few crashes as one that may have run in part, and a
+// kept job continues, with pauses between its task's starts.
 //
 // An unresponsive executor may have crashed or be unreachable. Its next answer, or its next
 // incarnation, shows which. A task during whose runs two executors became unresponsive
 // waits for that, so that it does not crash one executor after another meanwhile.
 
 const (
-	// maxCrashes is how many executors may crash while they run a task, before the task is
-	// given up. Its runs are known to have started there.
-	maxCrashes = 2
+	// maxLoneCrashes is how many crashes that are evidence against a task fail its job.
+	maxLoneCrashes = 2
+	// maxCrashes is how many executors may crash while they run a task, before a best-effort job
+	// ends and a kept one pauses. Its runs are known to have started there.
+	maxCrashes = 3
 	// maxLikelyCrashes is the same limit when crashes during unanswered starts are included:
 	// the executor may have crashed before the start.
 	maxLikelyCrashes = 5
+	// maxUnresolvedLosses is how many executors may be lost under a task before it waits for the
+	// state of those that may have crashed.
+	maxUnresolvedLosses = 2
 	// firstLossPause is how long a task waits for the state of executors that were lost while
 	// they ran it. It doubles with each further one. It is longer than most restarts of a
 	// crashed executor.
 	firstLossPause = 3 * time.Second
-	// maxLossDoublings limits how often firstLossPause doubles.
-	maxLossDoublings = 4
+	// firstCrashPause is how long a task of a kept job waits after maxCrashes crashes that are no
+	// evidence against it. It doubles with each further one.
+	firstCrashPause = 2 * time.Second
+	// maxPauseDoublings limits how often these pauses double.
+	maxPauseDoublings = 4
 	// restartCheckTime is how long an executor that is no longer listed is polled to find out
 	// whether another incarnation has started at its address.
 	restartCheckTime = 5 * time.Second
@@ -38,10 +50,12 @@
 
 // losses counts the executors that were lost while they ran a task.
 type losses struct {
-	crashes       int           // crashed while a run was known to have started
-	likelyCrashes int           // crashed while a start was unanswered
-	unresolved    int           // unresponsive, not known to have crashed
-	lastAt        time.Duration // when the last one was lost, on our clock
+	crashes       int             // crashed while a run was known to have started
+	likelyCrashes int             // crashed while a start was unanswered
+	unresolved    int             // unresponsive, not known to have crashed, or crashed and not assessed yet
+	started       []*executorLoss // the crashes that are counted here while a run was known to have started
+	formerLone    int             // crashes that are evidence against the task, as a former owner reported them
+	lastAt        time.Duration   // when the last one was lost, on our clock
 }
 
 // lostRun is a run that was given up because its executor became unresponsive.
@@ -52,6 +66,13 @@
 	at         time.Duration
 }
 
+// crashedRun is a run whose executor has crashed, until it is assessed what the crash says about the task.
+type crashedRun struct {
+	lostRun
+	executor *executor
+	loss     *executorLoss
+}
+
 func newLostRun(r *run, now time.Duration) lostRun {
 	return lostRun{job: r.job, task: r.task, hadStarted: r.confirmed || r.state == running, at: now}
 }
@@ -61,20 +82,35 @@
 
 func (l *losses) total() int { return l.crashes + l.likelyCrashes + l.unresolved }
 
-// isPausedByLosses reports whether the task waits to learn the state of lost executors.
+// ranAloneInCrash reports whether an executor has crashed on which the task ran alone.
+func (l *losses) ranAloneInCrash() bool {
+	return slices.ContainsFunc(l.started, (*executorLoss).wasAlone)
+}
+
+// exceedsCrashLimit reports whether more executors have crashed under the task than one that is
+// innocent is likely to meet.
+func (l *losses) exceedsCrashLimit() bool {
+	return l.crashes >= maxCrashes || l.crashes+l.likelyCrashes >= maxLikelyCrashes
+}
+
+// isPausedByLosses reports whether the task waits to learn the state of lost executors, or because
+// several have crashed under it.
 func (t *task) isPausedByLosses(now time.Duration) bool {
-	if t.losses.unresolved == 0 || t.losses.total() < maxCrashes {
-		return false
+	l := &t.losses
+	if l.unresolved > 0 && l.total() >= maxUnresolvedLosses && now < l.lastAt+doubled(firstLossPause, l.total()-maxUnresolvedLosses) {
+		return true
 	}
-	doublings := min(t.losses.total()-maxCrashes, maxLossDoublings)
-	return now < t.losses.lastAt+firstLossPause<<doublings
+	return l.exceedsCrashLimit() && now < l.lastAt+doubled(firstCrashPause, l.crashes-maxCrashes)
 }
 
-// hasCrashedTooOften reports whether the task has to be given up.
-func (t *task) hasCrashedTooOften() bool {
-	return !t.done && (t.losses.crashes >= maxCrashes || t.losses.crashes+t.losses.likelyCrashes >= maxLikelyCrashes)
+// doubled returns a pause that doubles a number of times, up to maxPauseDoublings.
+func doubled(pause time.Duration, times int) time.Duration {
+	return pause << min(max(times, 0), maxPauseDoublings)
 }
 
+// mustRunAlone reports whether the task may only start on an executor without runs.
+func (t *task) mustRunAlone() bool { return t.losses.total() >= maxUnresolvedLosses }
+
 // recordLostRun records that a run is given up because its executor is unresponsive.
 func (c *Cell) recordLostRun(e *executor, r *run, now time.Duration) {
 	if r.task == nil || r.state == stopping {
@@ -101,40 +137,107 @@
 	return len(e.lostRuns) > 0 && !e.ended && now < e.lostRuns[len(e.lostRuns)-1].at+restartCheckTime
 }
 
-// recordCrash counts the end of an executor's incarnation as a crash for the tasks that it ran
-// and those whose runs were given up since it became unresponsive. Starts in flight are resolved
-// by their answers. The end of a draining executor is not a crash.
+// recordCrash records the end of an executor's incarnation as a crash during the runs that it had and
+// those that were given up since it became unresponsive. Starts in flight are resolved by their
+// answers. The end of an executor that was draining, or that had left the list before it was lost,
+// is not a crash.
 func (c *Cell) recordCrash(e *executor, now time.Duration) {
-	lost := e.lostRuns
-	c.clearLostRuns(e)
-	if e.info.Draining {
+	e.loss.endedAt = now
+	if e.info.Draining || !e.loss.listed {
+		c.clearLostRuns(e)
 		return
 	}
+	for _, lost := range e.lostRuns {
+		c.crashedRuns = append(c.crashedRuns, crashedRun{lostRun: lost, executor: e, loss: e.loss})
+	}
+	e.lostRuns = nil
 	for _, r := range e.sortedRuns() {
 		if r.task != nil && r.state != stopping && r.state != starting {
-			lost = append(lost, newLostRun(r, now))
+			r.task.losses.unresolved++
+			r.task.losses.lastAt = now
+			c.crashedRuns = append(c.crashedRuns, crashedRun{lostRun: newLostRun(r, now), executor: e, loss: e.loss})
 		}
 	}
-	for _, l := range lost {
-		c.countCrash(e, l)
+}
+
+// assessCrashes assesses the crashes that ended a while ago, so that other losses of the same time
+// are known.
+func (c *Cell) assessCrashes(now time.Duration) {
+	var due []crashedRun
+	c.crashedRuns = slices.DeleteFunc(c.crashedRuns, func(r crashedRun) bool {
+		isDue := now >= max(r.loss.at+lossCorrelationTime, r.loss.endedAt+crashReviewDelay)
+		if isDue {
+			due = append(due, r)
+		}
+		return isDue
+	})
+	for _, r := range due {
+		c.countCrash(r)
+	}
+	for _, r := range due {
+		c.endIfCrashing(r.job, r.task)
 	}
 }
 
-func (c *Cell) countCrash(e *executor, lost lostRun) {
-	t, w := lost.task, lost.job
-	if lost.hadStarted {
+// crashCount returns how many executors have crashed under a task, with those whose crashes are not
+// assessed yet.
+func (c *Cell) crashCount(t *task) int {
+	count := t.losses.crashes
+	for _, r := range c.crashedRuns {
+		if r.task == t && r.hadStarted {
+			count++
+		}
+	}
+	return count
+}
+
+// countCrash counts a crash for the task of a run.
+func (c *Cell) countCrash(r crashedRun) {
+	t := r.task
+	c.dirty = true
+	t.losses.unresolved--
+	if r.hadStarted {
 		t.losses.crashes++
+		t.losses.started = append(t.losses.started, r.loss)
 	} else {
 		t.losses.likelyCrashes++
 	}
-	t.losses.lastAt = max(t.losses.lastAt, lost.at)
-	c.addNotice(Notice{Event: "executor_crashed_under", Executor: string(e.incarnation), Job: w.job.ID, Task: w.job.TaskName(t.key), Detail: strconv.Itoa(t.losses.crashes)})
-	if c.jobs[w.job.ID] == w && t.hasCrashedTooOften() {
+	t.losses.lastAt = max(t.losses.lastAt, r.at)
+	name := r.job.job.TaskName(t.key)
+	c.addNotice(Notice{Event: "executor_crashed_under", Executor: string(r.executor.incarnation), Job: r.job.job.ID, Task: name, Detail: strconv.Itoa(t.losses.crashes)})
+	c.addNotice(Notice{
+		Event: "crash_assessed", Executor: string(r.executor.incarnation), Job: r.job.job.ID, Task: name,
+		Detail: fmt.Sprintf("%d runs there, %d other executors lost", r.loss.runs, c.unexplainedBeside(r.loss, t)),
+	})
+}
+
+// loneCrashes returns how many crashes are evidence against a task: it ran alone there, and no
+// other loss of an executor at about the same time is unexplained.
+func (c *Cell) loneCrashes(t *task) int {
+	count := t.losses.formerLone
+	for _, loss := range t.losses.started {
+		if loss.wasAlone() && c.unexplainedBeside(loss, t) == 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// endIfCrashing ends a job if its task crashes the executors that run it, or if too many have
+// crashed to start it again before the deadline of a best-effort job.
+func (c *Cell) endIfCrashing(w *jobState, t *task) {
+	if c.jobs[w.job.ID] != w || t.done {
+		return
+	}
+	switch {
+	case c.loneCrashes(t) >= maxLoneCrashes:
 		c.finish(w, job.Outcome{Kind: job.Failed, Reason: ReasonCrashes, Started: true})
+	case t.losses.exceedsCrashLimit() && !w.job.Kept:
+		c.finish(w, job.Outcome{Kind: job.Expired, Reason: ReasonCrashes, Started: true})
 	}
 }
 
-// ReasonCrashes marks a job that failed because executors crashed while they ran one of its tasks.
+// ReasonCrashes marks a job that ended because executors crashed while they ran one of its tasks.
 const ReasonCrashes = "executors_crashed_under_task"
 
 // idleExecutors returns the executors that have no runs.
--- a/pkg/cell/crashes_test.go
+++ b/pkg/cell/crashes_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -59,18 +60,23 @@
 	return -1
 }
 
+// assessCrashes lets the time pass after which crashes are assessed.
+func (d *driver) assessCrashes() { d.tick(lossCorrelationTime + ms) }
+
 // A task that crashes its executor must not do so to one executor after the other.
 func TestATaskFailsAfterTwoExecutorCrashes(t *testing.T) {
 	c := qt.New(t)
 	d, infos := newRestartableDriver(c, 3)
 	d.submit(smallJob("crashes", 1, d.now), 1)
-	for range maxCrashes {
+	for range maxLoneCrashes {
 		c.Assert(d.finished, qt.HasLen, 0)
 		starts := d.acceptStarts()
 		c.Assert(starts, qt.HasLen, 1)
 		d.crash(infos, indexOf(infos, starts[0]))
 	}
 	c.Assert(d.takeCommands(Start), qt.HasLen, 0)
+	d.assessCrashes()
+	c.Assert(d.takeCommands(Start), qt.HasLen, 0)
 	c.Assert(d.finished["crashes"].Kind, qt.Equals, job.Failed)
 	c.Assert(d.finished["crashes"].Reason, qt.Equals, ReasonCrashes)
 }
@@ -130,11 +136,13 @@
 		}, starts: 1},
 		{testName: "one of them has crashed", evidence: func(d *driver, infos []catalog.Executor, lost int) {
 			d.answerHold(&infos[lost], HoldResponse{Verdict: AcceptedByOther})
+			d.assessCrashes()
 		}},
 		{testName: "both have crashed", evidence: func(d *driver, infos []catalog.Executor, _ int) {
 			for i := range infos {
 				d.answerHold(&infos[i], HoldResponse{Verdict: AcceptedByOther})
 			}
+			d.assessCrashes()
 		}, failed: true},
 	}
 	for _, s := range scenarios {
@@ -145,7 +153,7 @@
 			j.Deadline = d.now + time.Hour
 			d.submit(j, 1)
 			lost := 0
-			for range maxCrashes {
+			for range maxUnresolvedLosses {
 				starts := d.acceptStarts()
 				c.Assert(starts, qt.HasLen, 1)
 				lost = indexOf(infos, starts[0])
@@ -201,9 +209,11 @@
 	j := smallJob("a", 1, d.now)
 	d.submit(j, 1)
 	d.crash(infos, indexOf(infos, d.acceptStarts()[0]))
+	d.assessCrashes()
 	progress := d.cell.Progress("a")
 	c.Assert(progress, qt.HasLen, 1)
 	c.Assert(progress[0].Crashes, qt.Equals, 1)
+	c.Assert(progress[0].LoneCrashes, qt.Equals, 1)
 
 	next, others := newRestartableDriver(c, 2)
 	next.cell.Submit(Handover{Job: j, Epoch: 2, Progress: progress, RenewedAt: next.renewal()}, next.now)
@@ -212,6 +222,7 @@
 		next.answerHold(&hold.Executor, HoldResponse{Clock: time.Minute + next.now})
 	}
 	next.crash(others, indexOf(others, next.acceptStarts()[0]))
+	next.assessCrashes()
 	c.Assert(next.finished["a"].Kind, qt.Equals, job.Failed)
 }
 
@@ -226,7 +237,7 @@
 		j.Deadline = d.now + time.Hour
 		d.submit(j, 1)
 	}
-	for range maxCrashes {
+	for range maxLoneCrashes {
 		for _, start := range d.acceptStarts() {
 			d.crash(infos, indexOf(infos, start))
 		}
@@ -235,3 +246,101 @@
 	}
 	c.Assert(d.acceptStarts(), qt.HasLen, 4)
 }
+
+// wideJob returns a job with one task that takes a whole executor, and time for many starts.
+func wideJob(id string, now time.Duration) *job.Job {
+	j := testJob(id, 1, now)
+	j.Steps[0].Needs.CPU = 16000
+	j.Steps[0].Estimate = time.Minute // so that no run counts as a straggler
+	j.Deadline = now + time.Hour
+	return j
+}
+
+// crashAll crashes the executors of all pending starts, and assesses the crashes.
+func (d *driver) crashAll(infos []catalog.Executor) {
+	for _, start := range d.acceptStarts() {
+		d.crash(infos, indexOf(infos, start))
+	}
+	d.assessCrashes()
+}
+
+// Guards against starting a task again and again that may crash its executors, and against calling its job
+// failed without evidence.
+func TestAJobAfterCrashesThatAreNoEvidence(t *testing.T) {
+	type scenario struct {
+		testName string
+		kept     bool
+	}
+	for _, s := range []scenario{{testName: "best effort"}, {testName: "kept", kept: true}} {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			d, infos := newRestartableDriver(c, 8)
+			for _, id := range []string{"a", "b"} {
+				j := wideJob(id, d.now)
+				j.Kept = s.kept
+				d.submit(j, 1)
+			}
+			for range maxCrashes {
+				c.Assert(d.finished, qt.HasLen, 0)
+				d.crashAll(infos)
+			}
+			if !s.kept {
+				c.Assert(d.finished["a"].Kind, qt.Equals, job.Expired)
+				c.Assert(d.finished["a"].Reason, qt.Equals, ReasonCrashes)
+				return
+			}
+			c.Assert(d.finished, qt.HasLen, 0)
+			c.Assert(d.takeCommands(Start), qt.HasLen, 0)
+			d.tick(firstCrashPause - lossCorrelationTime - ms)
+			c.Assert(d.takeCommands(Start), qt.HasLen, 2)
+		})
+	}
+}
+
+// Guards against crashes by another task that hide those by a task: each of the two explains its own.
+func TestATaskThatCrashesExecutorsBesideAnotherOne(t *testing.T) {
+	c := qt.New(t)
+	d, infos := newRestartableDriver(c, 8)
+	shared := wideJob("a", d.now)
+	shared.Steps[0].Count, shared.Steps[0].Needs.CPU = 2, 4000
+	d.submit(shared, 1)
+	starts := d.acceptStarts()
+	d.crash(infos, indexOf(infos, starts[0])) // no evidence, as two tasks ran there
+	d.assessCrashes()
+
+	d.submit(wideJob("b", d.now), 1)
+	again := d.acceptStarts()
+	c.Assert(again, qt.HasLen, 3)
+	d.crashUnder(infos, again, "a.0.0.0", "b.0.0.0")
+	d.assessCrashes()
+	c.Assert(d.finished, qt.HasLen, 0)
+	again = d.acceptStarts()
+	c.Assert(again, qt.HasLen, 2)
+	d.crashUnder(infos, again, "b.0.0.0")
+	d.assessCrashes()
+	d.crashUnder(infos, again, "a.0.0.0")
+	d.assessCrashes()
+	c.Assert(d.finished["a"].Kind, qt.Equals, job.Failed)
+}
+
+// crashUnder crashes the executors of the named tasks at the same time.
+func (d *driver) crashUnder(infos []catalog.Executor, starts []Command, tasks ...string) {
+	for _, start := range starts {
+		if slices.Contains(tasks, start.Task) {
+			d.crash(infos, indexOf(infos, start))
+		}
+	}
+}
+
+// An executor that was taken off the list before its incarnation ended was taken away.
+func TestTheEndOfAnExecutorThatHasLeftTheListIsNoCrash(t *testing.T) {
+	c := qt.New(t)
+	d, infos := newRestartableDriver(c, 2)
+	d.submit(smallJob("a", 1, d.now), 1)
+	start := d.acceptStarts()[0]
+	i := indexOf(infos, start)
+	d.cell.SetExecutors([]catalog.Executor{infos[1-i]}, d.now)
+	d.answerHold(&infos[i], HoldResponse{Verdict: AcceptedByOther})
+	d.assessCrashes()
+	c.Assert(d.cell.taskOf(start.Task).isSuspect(), qt.IsFalse)
+}
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -85,9 +85,10 @@
 	unpersisted      []*unpersistedEnd // ends that it has to retain, oldest first
 	nextListAt       time.Duration     // no hold before while it retains ends, as it would return at once
 	runs             map[string]*run
-	lostRuns         []lostRun // runs that were given up since it became unresponsive: it may have crashed while they ran
-	suspectRuns      int       // number of runs whose tasks are suspect
-	mayHaveOrphans   bool      // false only when no run is an orphan
+	lostRuns         []lostRun     // runs that were given up since it became unresponsive: it may have crashed while they ran
+	loss             *executorLoss // since it became unresponsive or ended; nil before
+	suspectRuns      int           // number of runs whose tasks are suspect
+	mayHaveOrphans   bool          // false only when no run is an orphan
 	used             job.Resources
 	health           health
 	slowdown         slowdown
--- a/pkg/cell/holds.go
+++ b/pkg/cell/holds.go
@@ -130,6 +130,7 @@
 		c.dirty = true
 		c.addNotice(Notice{Event: "executor_answers", Executor: e.info.ID})
 		c.clearLostRuns(e)
+		c.clearLoss(e)
 	}
 	newest := response.Clock >= e.listClock // a newer list may have arrived first
 	if newest || response.UnreadableRuns > 0 {
--- a/pkg/cell/incarnations.go
+++ b/pkg/cell/incarnations.go
@@ -121,6 +121,7 @@
 		return
 	}
 	c.addNotice(Notice{Event: "executor_replaced", Executor: string(e.incarnation), Detail: e.clock.formatEstimate(now), Age: now - e.clock.readAt})
+	c.recordLoss(e, now)
 	e.ended = true
 	e.endedAt = now
 	c.dirty = true
--- a/pkg/cell/job_state.go
+++ b/pkg/cell/job_state.go
@@ -73,6 +73,7 @@
 			t.mergeFailures(p.Failures)
 			t.lastRun = max(t.lastRun, p.Run)
 			t.losses.crashes = max(t.losses.crashes, p.Crashes)
+			t.losses.formerLone = max(t.losses.formerLone, p.LoneCrashes)
 			w.knownStarted = w.knownStarted || p.Done || p.Failures > 0 || p.Run > 0
 		}
 	}
@@ -86,7 +87,7 @@
 			at, left := c.activity(w, t, c.lastEventAt)
 			if t.done || t.failures > 0 || t.lastRun > 0 || left > 0 {
 				progress = append(progress, job.Progress{
-					Key: t.key, Done: t.done, Failures: t.failures, Run: t.lastRun, Crashes: t.losses.crashes,
+					Key: t.key, Done: t.done, Failures: t.failures, Run: t.lastRun, Crashes: c.crashCount(t), LoneCrashes: c.loneCrashes(t),
 					ActiveAt: string(at), ActiveFor: left,
 				})
 			}
--- a/pkg/cell/placement.go
+++ b/pkg/cell/placement.go
@@ -98,13 +98,16 @@
 }
 
 // chooseExecutor returns the executor for a task, or nil. A suspect task gets one without runs if
-// there is any.
+// there is any, and only such a one after several losses.
 func (c *Cell) chooseExecutor(candidates []*executor, w *jobState, t *task, now time.Duration) *executor {
 	if t.isSuspect() {
 		if e := c.bestFit(idleExecutors(candidates), w, t, now); e != nil {
 			return e
 		}
 	}
+	if t.mustRunAlone() {
+		return nil
+	}
 	return c.bestFit(candidates, w, t, now)
 }
 
