cell: rows of executors that crashed before aren't losses beside a crash

Cause: while a crashed executor has not begun anew, the list still has its row; each new list made it an executor again, whose first hold is refused, and each time that counted as another loss (crash_assessed: up to 20 in a zone of 12), so no crash was evidence against the task. Change: only executors that have answered this owner count as lost beside others. TestATaskThatCrashesExecutorsBesideAStaleRow failed before.

--- a/pkg/cell/crashes_test.go
+++ b/pkg/cell/crashes_test.go
@@ -332,6 +332,22 @@
 	}
 }
 
+// Guards against a stale row of the list that hides a task that crashes its executors: the row's executor was lost before.
+func TestATaskThatCrashesExecutorsBesideAStaleRow(t *testing.T) {
+	c := qt.New(t)
+	d, infos := newRestartableDriver(c, 3)
+	stale := startedExecutor(9)
+	d.submit(wideJob("a", d.now), 1)
+	for range maxLoneCrashes {
+		start := d.acceptStarts()[0]
+		d.cell.SetExecutors(append(infos, stale), d.now)
+		d.answerHold(&stale, HoldResponse{Verdict: WrongIncarnation})
+		d.crash(infos, indexOf(infos, start))
+		d.assessCrashes()
+	}
+	c.Assert(d.finished["a"].Kind, qt.Equals, job.Failed)
+}
+
 // An executor that was taken off the list before its incarnation ended was taken away.
 func TestTheEndOfAnExecutorThatHasLeftTheListIsNoCrash(t *testing.T) {
 	c := qt.New(t)
--- a/pkg/cell/executor_losses.go
+++ b/pkg/cell/executor_losses.go
@@ -32,7 +32,9 @@
 	runs        int           // runs there when it was lost, those of unknown jobs included
 }
 
-// recordLoss records that an executor has become unresponsive or has ended.
+// recordLoss records that an executor has become unresponsive or has ended. The loss of one that has
+// never answered this owner is not compared with others, as it may have been lost long ago: the
+// list still has executors that crashed and have not begun anew.
 func (c *Cell) recordLoss(e *executor, now time.Duration) {
 	if e.loss != nil {
 		return
@@ -43,7 +45,9 @@
 			e.loss.tasks = append(e.loss.tasks, r.task)
 		}
 	}
-	c.executorLosses = append(c.executorLosses, e.loss)
+	if e.adopted {
+		c.executorLosses = append(c.executorLosses, e.loss)
+	}
 }
 
 // clearLoss records that an executor that was unresponsive has answered.
