node: a second sending of a job under which executors crashed starts nothing

The front where it ended replies with that outcome now. The new row of TestAResubmittedJobThatIsNoLongerOpen failed before.

--- a/pkg/node/joins.go
+++ b/pkg/node/joins.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/cell"
 	"github.com/foxcroft/foxcroft/pkg/errkind"
 	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/openjobs"
@@ -208,8 +209,8 @@
 	return job.Outcome{Kind: job.Moved, Reason: reasonNotOpen, RetryAfter: max(0, runsEndIn)}
 }
 
-// endOf answers for a job that isn't open here: by its outcome if that is final, and
-// otherwise by the time after which none of its runs is alive.
+// endOf answers for a job that isn't open here: by its outcome if that is final, or if executors have
+// crashed under the job too often to start it again; and otherwise by the time after which none of its runs is alive.
 func (n *Node) endOf(id string) job.Outcome {
 	e, known := n.openJobTable.recordedEnd(id)
 	switch {
@@ -217,6 +218,8 @@
 		return notOpen(0)
 	case e.outcome.Kind == job.Completed, e.outcome.Kind == job.Failed:
 		return e.outcome
+	case e.outcome.Reason == cell.ReasonCrashes:
+		return e.outcome // further starts might crash further executors
 	case e.outcome.Kind == job.Refused && !e.outcome.Started:
 		return notOpen(0)
 	}
