cell: what counts as evidence against a task, after a review

Found by a reader who hadn't seen the work; each has a test that failed on: - Losses were forgotten after 20 s while the task's crashes stayed, so that those of a mass loss became evidence later. A crash is assessed once, 1.5 s after the loss. - A further handover to the same owner counted its own evidence again. Both counts are maxima. - A loss counted as simultaneous only by when it was noticed. It is a period now: from the last answer to the end. - Executors that answered again after a cut, idle ones that began anew under another id, and those at which the task was only being started were left out as losses beside it. - A task whose lost executors never came back counted them as unresolved for ever, and waited for an idle executor. They are let go with the executor, and the wait is limited to 2.5 s after the loss. - The pause of a task that crashes executors before they answer didn't grow; a job that came with three crashes was started once more; losses added up in a cell without ticks; a late answer of an ended incarnation cleared its loss. Upgrades: builds without assessment fail a job by crashes >= 2, so that field carries the evidence only; all_crashes is new.

Not mended: evidence of a crash that isn't assessed when its job moves is lost; victims of repeated mass losses excuse each other where every loss beside is one of theirs.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -260,7 +260,7 @@
 			continue
 		}
 		progress := c.progress(old)
-		w.applyProgress(progress)
+		w.applyProgress(progress, c.lastEventAt)
 		c.recordFormerRuns(w, progress, c.lastEventAt)
 		w.mayHaveStarted = w.mayHaveStarted || old.mayHaveStarted
 		for _, r := range old.detachRuns(c.finalLeaseEnd(old)) {
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -198,7 +198,7 @@
 	if h.Epoch > 1 {
 		c.awaitUnknownRuns(w, h, now)
 	}
-	w.applyProgress(h.Progress)
+	w.applyProgress(h.Progress, now)
 	c.recordFormerRuns(w, h.Progress, now)
 	c.supersede(w)
 	c.jobs[j.ID] = w
@@ -207,6 +207,7 @@
 	c.dirty = true
 	c.applyHistories(w)
 	c.finishIfDone(w)
+	c.endIfTasksCrash(w)
 	if c.jobs[j.ID] == w && !j.Kept && now >= j.Deadline {
 		c.expire(w) // nothing of it is started between now and the next tick
 	}
@@ -222,7 +223,7 @@
 	w.mayHaveStarted = w.mayHaveStarted || h.Epoch > 1
 	w.leaseLimit = h.LeaseLimit
 	w.notBefore = max(w.notBefore, h.NotBefore)
-	w.applyProgress(h.Progress)
+	w.applyProgress(h.Progress, now)
 	c.recordFormerRuns(w, h.Progress, now)
 	c.finishIfDone(w)
 }
--- a/pkg/cell/crashes.go
+++ b/pkg/cell/crashes.go
@@ -23,8 +23,8 @@
 // waits for that, so that it does not crash one executor after another meanwhile.
 
 const (
-	// maxLoneCrashes is how many crashes that are evidence against a task fail its job.
-	maxLoneCrashes = 2
+	// maxEvidence is how many crashes that are evidence against a task fail its job.
+	maxEvidence = 2
 	// maxCrashes is how many executors may crash while they run a task, before a best-effort job
 	// ends and a kept one pauses. Its runs are known to have started there.
 	maxCrashes = 3
@@ -37,10 +37,12 @@
 	// firstLossPause is how long a task waits for the state of executors that were lost while
 	// they ran it. It doubles with each further one. It is longer than most restarts of a
 	// crashed executor.
-	firstLossPause = 3 * time.Second
+	firstLossPause = 2 * time.Second
 	// firstCrashPause is how long a task of a kept job waits after maxCrashes crashes that are no
 	// evidence against it. It doubles with each further one.
 	firstCrashPause = 2 * time.Second
+	// maxLoneWait is how long after the loss of an executor a task waits for one without runs.
+	maxLoneWait = 2500 * time.Millisecond
 	// maxPauseDoublings limits how often these pauses double.
 	maxPauseDoublings = 4
 	// restartCheckTime is how long an executor that is no longer listed is polled to find out
@@ -53,8 +55,8 @@
 	crashes       int             // crashed while a run was known to have started
 	likelyCrashes int             // crashed while a start was unanswered
 	unresolved    int             // unresponsive, not known to have crashed, or crashed and not assessed yet
-	started       []*executorLoss // the crashes that are counted here while a run was known to have started
-	formerLone    int             // crashes that are evidence against the task, as a former owner reported them
+	executors     []*executorLoss // those that were lost here while a run was there, crashed or not
+	evidence      int             // crashes that are evidence against the task
 	lastAt        time.Duration   // when the last one was lost, on our clock
 }
 
@@ -74,19 +76,17 @@
 }
 
 func newLostRun(r *run, now time.Duration) lostRun {
-	return lostRun{job: r.job, task: r.task, hadStarted: r.confirmed || r.state == running, at: now}
+	return lostRun{job: r.job, task: r.task, hadStarted: r.hasStarted(), at: now}
 }
 
+// hasStarted reports whether the run is known to have started.
+func (r *run) hasStarted() bool { return r.confirmed || r.state == running }
+
 // isSuspect reports whether an executor was lost while it ran the task.
 func (t *task) isSuspect() bool { return t.losses.total() > 0 }
 
 func (l *losses) total() int { return l.crashes + l.likelyCrashes + l.unresolved }
 
-// ranAloneInCrash reports whether an executor has crashed on which the task ran alone.
-func (l *losses) ranAloneInCrash() bool {
-	return slices.ContainsFunc(l.started, (*executorLoss).wasAlone)
-}
-
 // exceedsCrashLimit reports whether more executors have crashed under the task than one that is
 // innocent is likely to meet.
 func (l *losses) exceedsCrashLimit() bool {
@@ -100,7 +100,7 @@
 	if l.unresolved > 0 && l.total() >= maxUnresolvedLosses && now < l.lastAt+doubled(firstLossPause, l.total()-maxUnresolvedLosses) {
 		return true
 	}
-	return l.exceedsCrashLimit() && now < l.lastAt+doubled(firstCrashPause, l.crashes-maxCrashes)
+	return l.exceedsCrashLimit() && now < l.lastAt+doubled(firstCrashPause, l.crashes+l.likelyCrashes-maxCrashes)
 }
 
 // doubled returns a pause that doubles a number of times, up to maxPauseDoublings.
@@ -108,8 +108,11 @@
 	return pause << min(max(times, 0), maxPauseDoublings)
 }
 
-// mustRunAlone reports whether the task may only start on an executor without runs.
-func (t *task) mustRunAlone() bool { return t.losses.total() >= maxUnresolvedLosses }
+// mustRunAlone reports whether the task may only start on an executor without runs. It doesn't wait
+// for long for such an executor.
+func (t *task) mustRunAlone(now time.Duration) bool {
+	return t.losses.total() >= maxUnresolvedLosses && now < t.losses.lastAt+maxLoneWait
+}
 
 // recordLostRun records that a run is given up because its executor is unresponsive.
 func (c *Cell) recordLostRun(e *executor, r *run, now time.Duration) {
@@ -142,7 +145,7 @@
 // answers. The end of an executor that was draining, or that had left the list before it was lost,
 // is not a crash.
 func (c *Cell) recordCrash(e *executor, now time.Duration) {
-	e.loss.endedAt = now
+	e.loss.recordEnd(now)
 	if e.info.Draining || !e.loss.listed {
 		c.clearLostRuns(e)
 		return
@@ -165,7 +168,7 @@
 func (c *Cell) assessCrashes(now time.Duration) {
 	var due []crashedRun
 	c.crashedRuns = slices.DeleteFunc(c.crashedRuns, func(r crashedRun) bool {
-		isDue := now >= max(r.loss.at+lossCorrelationTime, r.loss.endedAt+crashReviewDelay)
+		isDue := now >= max(r.loss.at+lossReviewDelay, r.loss.goneBy+endReviewDelay)
 		if isDue {
 			due = append(due, r)
 		}
@@ -198,31 +201,22 @@
 	t.losses.unresolved--
 	if r.hadStarted {
 		t.losses.crashes++
-		t.losses.started = append(t.losses.started, r.loss)
 	} else {
 		t.losses.likelyCrashes++
 	}
 	t.losses.lastAt = max(t.losses.lastAt, r.at)
+	beside := c.unexplainedBeside(r.loss, t)
+	if r.hadStarted && r.loss.wasAlone() && beside == 0 {
+		t.losses.evidence++
+	}
 	name := r.job.job.TaskName(t.key)
 	c.addNotice(Notice{Event: "executor_crashed_under", Executor: string(r.executor.incarnation), Job: r.job.job.ID, Task: name, Detail: strconv.Itoa(t.losses.crashes)})
 	c.addNotice(Notice{
 		Event: "crash_assessed", Executor: string(r.executor.incarnation), Job: r.job.job.ID, Task: name,
-		Detail: fmt.Sprintf("%d runs there, %d other executors lost", r.loss.runs, c.unexplainedBeside(r.loss, t)),
+		Detail: fmt.Sprintf("%d runs there, %d other executors lost", r.loss.runs, beside),
 	})
 }
 
-// loneCrashes returns how many crashes are evidence against a task: it ran alone there, and no
-// other loss of an executor at about the same time is unexplained.
-func (c *Cell) loneCrashes(t *task) int {
-	count := t.losses.formerLone
-	for _, loss := range t.losses.started {
-		if loss.wasAlone() && c.unexplainedBeside(loss, t) == 0 {
-			count++
-		}
-	}
-	return count
-}
-
 // endIfCrashing ends a job if its task crashes the executors that run it, or if too many have
 // crashed to start it again before the deadline of a best-effort job.
 func (c *Cell) endIfCrashing(w *jobState, t *task) {
@@ -230,13 +224,30 @@
 		return
 	}
 	switch {
-	case c.loneCrashes(t) >= maxLoneCrashes:
+	case t.losses.evidence >= maxEvidence:
 		c.finish(w, job.Outcome{Kind: job.Failed, Reason: ReasonCrashes, Started: true})
 	case t.losses.exceedsCrashLimit() && !w.job.Kept:
 		c.finish(w, job.Outcome{Kind: job.Expired, Reason: ReasonCrashes, Started: true})
 	}
 }
 
+// endIfTasksCrash is endIfCrashing for all tasks of a job.
+func (c *Cell) endIfTasksCrash(w *jobState) {
+	for _, tasks := range w.steps {
+		for _, t := range tasks {
+			c.endIfCrashing(w, t)
+		}
+	}
+}
+
+// applyCrashes applies the crashes that a former owner reported, of which so many are evidence.
+func (t *task) applyCrashes(crashes, evidence int, now time.Duration) {
+	if crashes > t.losses.crashes {
+		t.losses.crashes, t.losses.lastAt = crashes, now
+	}
+	t.losses.evidence = max(t.losses.evidence, evidence)
+}
+
 // ReasonCrashes marks a job that ended because executors crashed while they ran one of its tasks.
 const ReasonCrashes = "executors_crashed_under_task"
 
--- a/pkg/cell/job_state.go
+++ b/pkg/cell/job_state.go
@@ -66,14 +66,13 @@
 }
 
 // applyProgress applies the progress that a former owner reported.
-func (w *jobState) applyProgress(progress []job.Progress) {
+func (w *jobState) applyProgress(progress []job.Progress, now time.Duration) {
 	for _, p := range progress {
 		if t := w.task(p.Key); t != nil {
 			t.done = t.done || p.Done
 			t.mergeFailures(p.Failures)
 			t.lastRun = max(t.lastRun, p.Run)
-			t.losses.crashes = max(t.losses.crashes, p.Crashes)
-			t.losses.formerLone = max(t.losses.formerLone, p.LoneCrashes)
+			t.applyCrashes(p.Crashes, p.CrashEvidence, now)
 			w.knownStarted = w.knownStarted || p.Done || p.Failures > 0 || p.Run > 0
 		}
 	}
@@ -87,7 +86,7 @@
 			at, left := c.activity(w, t, c.lastEventAt)
 			if t.done || t.failures > 0 || t.lastRun > 0 || left > 0 {
 				progress = append(progress, job.Progress{
-					Key: t.key, Done: t.done, Failures: t.failures, Run: t.lastRun, Crashes: c.crashCount(t), LoneCrashes: c.loneCrashes(t),
+					Key: t.key, Done: t.done, Failures: t.failures, Run: t.lastRun, Crashes: c.crashCount(t), CrashEvidence: t.losses.evidence,
 					ActiveAt: string(at), ActiveFor: left,
 				})
 			}
--- a/pkg/cell/listed.go
+++ b/pkg/cell/listed.go
@@ -33,6 +33,7 @@
 	e := c.executors[incarnation]
 	if e == nil {
 		c.endOtherIncarnations(info.ID, now)
+		c.recordReplacement(info, now)
 		e = newExecutor(info)
 		c.executors[incarnation] = e
 		c.sorted = append(c.sorted, e)
@@ -59,6 +60,7 @@
 			if !e.adopted && !e.ended {
 				c.forgotAt = now
 			}
+			c.clearLostRuns(e) // they are not known to have crashed it
 			c.releaseEndsOfExecutor(e)
 			delete(c.executors, e.incarnation)
 			continue
--- a/pkg/cell/placement.go
+++ b/pkg/cell/placement.go
@@ -105,7 +105,7 @@
 			return e
 		}
 	}
-	if t.mustRunAlone() {
+	if t.mustRunAlone(now) {
 		return nil
 	}
 	return c.bestFit(candidates, w, t, now)
--- a/pkg/job/job.go
+++ b/pkg/job/job.go
@@ -184,9 +184,9 @@
 	Failures int
 	Run      int64 // highest run number used
 	Crashes  int   // executors that crashed while they ran it
-	// LoneCrashes is how many of these crashes are evidence that the task causes them. It is 0 if
+	// CrashEvidence is how many of these crashes are evidence that the task causes them. It is 0 if
 	// the former owner did not report it.
-	LoneCrashes int
+	CrashEvidence int
 
 	ActiveAt  string        // the incarnation of the executor at which a run may be active; empty when unknown
 	ActiveFor time.Duration // how long that run may be active from now, at most; 0 if there is none
--- a/pkg/jobwire/jobwire.go
+++ b/pkg/jobwire/jobwire.go
@@ -99,7 +99,7 @@
 	for _, p := range progress {
 		ms = append(ms, &peerpb.TaskProgress{
 			Step: uint32(p.Key.Step), Index: uint32(p.Key.Index), Done: p.Done, Failures: uint32(p.Failures), Run: p.Run,
-			Crashes: uint32(p.Crashes), LoneCrashes: uint32(p.LoneCrashes), Executor: p.ActiveAt, ActiveUs: p.ActiveFor.Microseconds(),
+			Crashes: uint32(p.CrashEvidence), AllCrashes: uint32(p.Crashes), Executor: p.ActiveAt, ActiveUs: p.ActiveFor.Microseconds(),
 		})
 	}
 	return ms
@@ -109,9 +109,13 @@
 func FromProgress(ms []*peerpb.TaskProgress) []job.Progress {
 	var progress []job.Progress
 	for _, m := range ms {
+		evidence := int(m.Crashes)
+		if m.AllCrashes == 0 {
+			evidence = 0 // of a build that doesn't assess crashes
+		}
 		progress = append(progress, job.Progress{
 			Key: job.TaskKey{Step: int(m.Step), Index: int(m.Index)}, Done: m.Done, Failures: int(m.Failures), Run: m.Run,
-			Crashes: int(m.Crashes), LoneCrashes: int(m.LoneCrashes), ActiveAt: m.Executor, ActiveFor: microseconds(m.ActiveUs),
+			Crashes: int(max(m.Crashes, m.AllCrashes)), CrashEvidence: evidence, ActiveAt: m.Executor, ActiveFor: microseconds(m.ActiveUs),
 		})
 	}
 	return progress
