kept: a job whose ended row can't be decoded isn't shown as failed

Change: such an end is undetermined: the job is no longer followed, its cell stops it, and all calls about it get Unknown with the reason end_unknown (GET 503, POST and DELETE 504, all with Retry-After): the row doesn't show that the job was accepted, nor that it was cancelled, and a state of a later build may mean anything. Nothing of this is written, and a readable row replaces it. While the job has an open row as well, the coordinator keeps the end in memory, so it doesn't follow the job again. The row is logged and counted (foxcroft_node_rows_unreadable) once for each content.

--- a/pkg/keeping/ended.go
+++ b/pkg/keeping/ended.go
@@ -29,14 +29,14 @@
 		delete(p.followers, e.ID)
 		p.service.Log.Info("kept_ended", "job", e.ID, "route", f.job.Route, "cell", e.Cell, "outcome", e.State.String(), "took_ms", (now - f.job.Received).Milliseconds())
 	}
-	if e.State == kept.Cancelled {
+	if e.State == kept.Cancelled || e.State == kept.Undetermined {
 		go p.service.notifyCancelled(e)
 		return
 	}
 	p.service.endNotices.add(e.Cell, e.ID, now+kept.EndNoticeDelay)
 }
 
-// notifyCancelled notifies the owner of a job's cell of the cancellation until it answers,
+// notifyCancelled notifies the owner of a job's cell that the job must be stopped until it answers,
 // and once more after cancelNoticeRepeat.
 func (s *Service) notifyCancelled(e kept.EndedJob) {
 	notice := OwnerNotice{Cell: e.Cell, IDs: []string{e.ID}, Cancelled: true}
--- a/pkg/keeping/fakes_test.go
+++ b/pkg/keeping/fakes_test.go
@@ -108,6 +108,8 @@
 	wait         time.Duration // queueing time at the cell
 	seesMinority atomic.Bool
 	stillRunning []string // moved jobs that still run in their previous cells
+
+	unreadable atomic.Int32 // unreadable rows that were counted
 }
 
 func newFakeHost() *fakeHost {
@@ -126,6 +128,8 @@
 
 func (h *fakeHost) KeptWritten(string, int, time.Duration) {}
 
+func (h *fakeHost) RowsUnreadable(_, _ string, rows int) { h.unreadable.Add(int32(rows)) }
+
 func (h *fakeHost) ChooseCell(*job.Job) (string, bool) { return "x", !h.noCell }
 
 func (h *fakeHost) AskCoordinator(_ context.Context, _, _ string, j *job.Job, _ int) (kept.Answer, bool) {
--- a/pkg/keeping/partition.go
+++ b/pkg/keeping/partition.go
@@ -58,7 +58,7 @@
 		p.deliver(a)
 	}
 	for _, problem := range effects.Problems {
-		p.service.Log.Error(problem.Event, "job", problem.ID, "part", p.part, "error", problem.Error)
+		p.service.reportUnreadable(problem.Row, problem.Error)
 	}
 	for _, ending := range effects.Ended {
 		p.handleEnd(ending, now)
--- a/pkg/keeping/service.go
+++ b/pkg/keeping/service.go
@@ -10,6 +10,7 @@
 	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/kept"
+	"github.com/foxcroft/foxcroft/pkg/rowlog"
 	"github.com/foxcroft/foxcroft/pkg/tables"
 )
 
@@ -121,6 +122,8 @@
 	KeptWritten(outcome string, changes int, took time.Duration)
 	// KeptAnswered counts an answer to a caller.
 	KeptAnswered(call, verdict string)
+	// RowsUnreadable counts rows of a table that cannot be decoded.
+	RowsUnreadable(table, reason string, rows int)
 }
 
 // Service serves kept jobs at one host.
@@ -132,6 +135,7 @@
 	partitions []*partition
 	endNotices *endNotices
 	unresolved *unresolvedJobs
+	rowLog     *rowlog.Log
 	storeReach storeReach
 	health     kept.Health
 	ctx        context.Context
@@ -140,7 +144,7 @@
 
 // NewService returns a service that is idle until Run is called.
 func NewService(c *common.Common, host Host, store tables.Store, meter Meter) *Service {
-	s := &Service{Common: c, host: host, store: store, meter: meter, endNotices: newEndNotices(), unresolved: newUnresolvedJobs()}
+	s := &Service{Common: c, host: host, store: store, meter: meter, endNotices: newEndNotices(), unresolved: newUnresolvedJobs(), rowLog: rowlog.New()}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	for i := range kept.Partitions {
 		s.partitions = append(s.partitions, newPartition(s, i))
@@ -360,7 +364,7 @@
 	case err != nil && known:
 		return kept.Answer{Verdict: kept.Accepted, State: state}
 	case err != nil:
-		return kept.Answer{Verdict: kept.Unknown, Reason: ReasonRowsUnreadable, RetryAfter: retryDelay}
+		return undetermined(ReasonRowsUnreadable)
 	case rows.ended != nil:
 		p.applyRows(id, rows)
 		return s.endState(p, id, rows)
@@ -379,7 +383,7 @@
 	}
 	end, err := codec{}.DecodeEnd(rows.ended.Value)
 	if err != nil {
-		return kept.Answer{Verdict: kept.Unknown, Reason: kept.ReasonRowUnreadable, RetryAfter: retryDelay}
+		return undetermined(kept.ReasonEndUnknown)
 	}
 	return kept.Answer{Verdict: kept.Accepted, State: end.State}
 }
@@ -421,7 +425,7 @@
 	}
 	rows, err := s.readRows(ctx, id)
 	if err != nil {
-		return kept.Answer{Verdict: kept.Unknown, Reason: ReasonRowsUnreadable, RetryAfter: retryDelay}
+		return undetermined(ReasonRowsUnreadable)
 	}
 	s.partitionOf(id).applyRows(id, rows)
 	if answer, known := s.cancelKnown(ctx, id); known {
--- a/pkg/kept/answer.go
+++ b/pkg/kept/answer.go
@@ -30,7 +30,10 @@
 type State uint8
 
 const (
-	Queued State = iota + 1
+	// Undetermined is the state of a job whose row shows that it has ended but not how. It
+	// is never written to a row and never answered.
+	Undetermined State = iota
+	Queued
 	Running
 	Completed
 	Failed
@@ -47,8 +50,8 @@
 	return "unknown"
 }
 
-// Ended reports whether the state is final.
-func (s State) Ended() bool { return s >= Completed }
+// Ended reports whether the state is a final one that this build knows.
+func (s State) Ended() bool { return s >= Completed && s <= Cancelled }
 
 // Answer is the answer to a call about a kept job.
 type Answer struct {
--- a/pkg/kept/coordinator.go
+++ b/pkg/kept/coordinator.go
@@ -19,7 +19,8 @@
 const (
 	ReasonStoreDown         = "store_down"     // this coordinator has not stored the job: the store failed, or the calls expired before a write
 	ReasonStoreUnresponsive = "store_silent"   // the outcome was not known at the call's deadline
-	ReasonRowUnreadable     = "row_unreadable" // the job's row cannot be decoded
+	ReasonRowUnreadable     = "row_unreadable" // the row of an open job cannot be decoded
+	ReasonEndUnknown        = "end_unknown"    // the job has ended, but no readable row shows how
 )
 
 // call is a caller that waits for an answer.
@@ -156,12 +157,12 @@
 	return true
 }
 
-// State returns the state of a job, or false if it is unknown here. Another coordinator
-// may have ended a job that is still open here, so callers read the job's row if the store
-// can be read.
+// State returns the state of a job, or false if it is unknown or undetermined here. Another
+// coordinator may have ended a job that is still open here, so callers read the job's row if
+// the store can be read.
 func (co *Coordinator) State(id string) (State, bool) {
 	if known, ok := co.ended[id]; ok {
-		return known.state, true
+		return known.state, known.state != Undetermined
 	}
 	if e := co.entries[id]; e != nil && e.isStored() {
 		return Queued, true
@@ -239,12 +240,16 @@
 // takes precedence over any reading.
 func (co *Coordinator) applyOpenRow(row tables.Row, began, now time.Duration) {
 	e := co.entries[row.Key]
-	if _, over := co.ended[row.Key]; over || e != nil && (e.queued || row.Version <= e.version) {
+	if known, over := co.ended[row.Key]; over {
+		co.renewUndetermined(row.Key, known, now)
+		return
+	}
+	if e != nil && (e.queued || row.Version <= e.version) {
 		return
 	}
 	record, err := co.codec.DecodeRecord(row.Key, row.Value)
 	if err != nil {
-		co.reportProblem("kept_row_unreadable", row.Key, err)
+		co.reportUnreadable(row, err)
 		return
 	}
 	if e == nil {
@@ -255,13 +260,13 @@
 	co.requestFollow(e, record.EpochAt(co.Age(&record, now)), began)
 }
 
-// applyEndedRow applies the row of an ended job. If it cannot be decoded, the job counts
-// as failed.
+// applyEndedRow applies the row of an ended job. If it cannot be decoded, the end of the
+// job is undetermined.
 func (co *Coordinator) applyEndedRow(id string, row tables.Row, now time.Duration) {
 	end, err := co.codec.DecodeEnd(row.Value)
 	if err != nil {
-		co.reportProblem("kept_row_unreadable", id, err)
-		end.State = Failed // the job has ended, but its row cannot be decoded
+		co.reportUnreadable(row, err)
+		end = End{}
 	}
 	co.recordEnd(id, end.State, end.Cell, now)
 }
@@ -335,9 +340,20 @@
 	co.queue = slices.DeleteFunc(co.queue, func(queued string) bool { return queued == id })
 }
 
+// renewUndetermined remembers an undetermined end for longer while the job has an open row
+// as well: the job would be followed again once its end was forgotten.
+func (co *Coordinator) renewUndetermined(id string, known endedEntry, now time.Duration) {
+	if known.state != Undetermined {
+		return
+	}
+	known.at = now
+	co.ended[id] = known
+	co.endedIDs = append(slices.DeleteFunc(co.endedIDs, func(other string) bool { return other == id }), id)
+}
+
 // recordEnd remembers the end of a job, also of one that is not open here. It answers the
 // calls about an open job and requests to stop following it. An end that is already
-// remembered keeps its state and its time.
+// remembered keeps its time, and also its state unless that was undetermined.
 func (co *Coordinator) recordEnd(id string, state State, cell string, now time.Duration) {
 	e := co.entries[id]
 	known, again := co.ended[id]
@@ -345,6 +361,9 @@
 		known = endedEntry{state: state, cell: cell, at: now}
 		co.ended[id] = known
 		co.endedIDs = append(co.endedIDs, id)
+	} else if known.state == Undetermined {
+		known.state, known.cell = state, cell
+		co.ended[id] = known
 	}
 	if e == nil {
 		return
@@ -353,13 +372,21 @@
 		co.answerEnded(c, known)
 	}
 	co.removeOpen(id)
+	if cell == "" {
+		cell = e.record.Cell // the ended row does not say it
+	}
 	co.effects.Ended = append(co.effects.Ended, EndedJob{ID: id, Cell: cell, State: state})
 }
 
 // answerEnded answers a call about an ended job. Only a cancelled job may still run in its
 // cell, so only then the answer names the cell, whose owner is notified before a cancel is
-// answered.
+// answered. An undetermined end confirms neither that the job was accepted nor that it was
+// cancelled.
 func (co *Coordinator) answerEnded(c call, known endedEntry) {
+	if known.state == Undetermined {
+		co.answer(c.number, Answer{Verdict: Unknown, Reason: ReasonEndUnknown, RetryAfter: retryDelay})
+		return
+	}
 	answer := CallAnswer{Call: c.number, Answer: Answer{Verdict: Accepted, State: known.state}}
 	if known.state == Cancelled {
 		answer.Cell = known.cell
@@ -388,6 +415,6 @@
 	co.effects.Answers = append(co.effects.Answers, CallAnswer{Call: number, Answer: answer})
 }
 
-func (co *Coordinator) reportProblem(event, id string, err error) {
-	co.effects.Problems = append(co.effects.Problems, Problem{Event: event, ID: id, Error: err.Error()})
+func (co *Coordinator) reportUnreadable(row tables.Row, err error) {
+	co.effects.Problems = append(co.effects.Problems, Problem{Row: row, Error: err.Error()})
 }
--- a/pkg/kept/effects.go
+++ b/pkg/kept/effects.go
@@ -1,6 +1,10 @@
 package kept
 
-import "time"
+import (
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/tables"
+)
 
 // CallAnswer is the answer to a call made with Accept or Cancel.
 type CallAnswer struct {
@@ -20,7 +24,8 @@
 }
 
 // EndedJob is a job whose end is stored. It is no longer followed, and the owner of its
-// cell may forget it. A cancelled job must be stopped there.
+// cell may forget it. A cancelled job must be stopped there, and so must one whose end is
+// undetermined.
 type EndedJob struct {
 	ID    string
 	Cell  string
@@ -36,10 +41,9 @@
 	Problems []Problem
 }
 
-// Problem is a fault to log for the operator.
+// Problem is a row that cannot be decoded, to report to the operator.
 type Problem struct {
-	Event string
-	ID    string
+	Row   tables.Row
 	Error string
 }
 
--- a/pkg/kept/group.go
+++ b/pkg/kept/group.go
@@ -202,7 +202,7 @@
 func (co *Coordinator) adoptOpenRow(c change, e *entry, row tables.Row, now time.Duration) {
 	record, err := co.codec.DecodeRecord(c.id, row.Value)
 	if err != nil {
-		co.reportProblem("kept_row_unreadable", c.id, err)
+		co.reportUnreadable(row, err)
 		co.abandonUnreadable(c.id, e)
 		return
 	}
--- a/pkg/kept/model_store_test.go
+++ b/pkg/kept/model_store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"slices"
 	"strings"
 	"time"
@@ -27,6 +28,9 @@
 func (jsonCodec) DecodeEnd(value []byte) (End, error) {
 	var end End
 	err := json.Unmarshal(value, &end)
+	if err == nil && !end.State.Ended() {
+		err = errors.New("no final state")
+	}
 	return end, err
 }
 
--- a/pkg/kept/record.go
+++ b/pkg/kept/record.go
@@ -29,6 +29,7 @@
 	EncodeRecord(record Record) []byte
 	DecodeRecord(id string, value []byte) (Record, error)
 	EncodeEnd(end End) []byte
+	// DecodeEnd fails on a state that is not a final one of this build.
 	DecodeEnd(value []byte) (End, error)
 }
 
--- a/pkg/metrics/node.go
+++ b/pkg/metrics/node.go
@@ -97,7 +97,7 @@
 		{&n.claims, "foxcroft_node_ownership_changes", "Cells claimed and released, by reason."},
 		{&n.handOns, "foxcroft_node_jobs_handed_on", "Jobs handed to another owner, by reason."},
 		{&n.store, "foxcroft_node_store_failures", "Failed readings of the store, by news."},
-		{&n.rows, "foxcroft_node_rows_unreadable", "Rows that count as if they weren't there, by table and reason."},
+		{&n.rows, "foxcroft_node_rows_unreadable", "Rows that can't be used, by table and reason."},
 		{&n.joins, "foxcroft_node_jobs_joined", "Jobs sent again while an earlier sending looked open, by where that was."},
 		{&n.told, "foxcroft_node_open_jobs_told", "Open jobs told to other hosts, jobs times hosts."},
 		{&n.openTwice, "foxcroft_node_jobs_open_twice", "Jobs announced by the owner of another cell while open here too, by where."},
@@ -151,7 +151,7 @@
 	n.store.Add(context.Background(), 1, metric.WithAttributes(attribute.String("news", news)))
 }
 
-// RowsUnreadable counts rows of a table that count as if they weren't there.
+// RowsUnreadable counts rows of a table that can't be used.
 func (n *Node) RowsUnreadable(table, reason string, rows int) {
 	n.rows.Add(context.Background(), int64(rows), n.labels.pair("table", table, "reason", reason))
 }
