keeping: a job whose open row can't be decoded isn't shown as queued or gone

Callers saw: 410 to a DELETE of an accepted job whose open row is damaged, and `queued` from GET, though nothing follows such a job. Cause: cancelLocally took "unknown to the coordinator after its rows were read" for "no such job", and stateLocally didn't decode the open row. Change: both answer Unknown with the reason row_unreadable (504, 503 with Retry-After), as a second POST already did. The row is logged and counted once. Measured: five cases of TestAnswersAboutUnreadableRows failed before, pass now.

--- a/pkg/keeping/service.go
+++ b/pkg/keeping/service.go
@@ -368,6 +368,8 @@
 	case rows.ended != nil:
 		p.applyRows(id, rows)
 		return s.endState(p, id, rows)
+	case rows.open != nil && !s.isReadable(rows.open):
+		return undetermined(kept.ReasonRowUnreadable)
 	case rows.open != nil && known:
 		return kept.Answer{Verdict: kept.Accepted, State: state}
 	case rows.open != nil:
@@ -431,6 +433,9 @@
 	if answer, known := s.cancelKnown(ctx, id); known {
 		return answer
 	}
+	if rows.open != nil {
+		return undetermined(kept.ReasonRowUnreadable)
+	}
 	return kept.Answer{Verdict: kept.NotFound}
 }
 
--- a/pkg/keeping/unreadable.go
+++ b/pkg/keeping/unreadable.go
@@ -20,6 +20,16 @@
 	}
 }
 
+// isReadable reports whether the row of an open job can be decoded, and otherwise reports
+// the row.
+func (s *Service) isReadable(open *tables.Row) bool {
+	_, err := codec{}.DecodeRecord(open.Key, open.Value)
+	if err != nil {
+		s.reportUnreadable(*open, err.Error())
+	}
+	return err == nil
+}
+
 // undetermined returns the answer about a job of which no readable row says how it ended or
 // whether it is open.
 func undetermined(reason string) kept.Answer {
--- a/pkg/keeping/unreadable_test.go
+++ b/pkg/keeping/unreadable_test.go
@@ -36,6 +36,7 @@
 		{"the ended row is empty", kept.TableEnded, nil},
 		{"the ended row has the state of a later build", kept.TableEnded, laterState},
 		{"the ended row has a large state number", kept.TableEnded, largeState},
+		{"the open row is damaged", kept.TableOpen, []byte("?")},
 	}
 	calls := []struct {
 		testName string
