kept: a job whose rows were removed isn't shown as cancelled

Callers saw `cancelled` for 30 s, of a job that nobody had cancelled, when a checkpoint or a move found both of its rows removed. Cause: resolveFromRows recorded such an end as Cancelled, so that the job is stopped in its cell. Change: the end is undetermined, which stops the job in its cell too. Calls about it get Unknown for 30 s; after that its rows are asked, and GET answers 410. Measured: TestAFollowedJobWhoseRowsAreRemoved and a case of TestUndeterminedEnds failed before, pass now.

--- a/pkg/keeping/partition.go
+++ b/pkg/keeping/partition.go
@@ -295,6 +295,13 @@
 	return state, known
 }
 
+// isUndetermined reports whether a job has ended, but it is not known here how.
+func (p *partition) isUndetermined(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.coordinator.IsUndetermined(id)
+}
+
 // open returns the number of jobs of the partition that this host does not know to have
 // ended.
 func (p *partition) open() int {
--- a/pkg/keeping/service.go
+++ b/pkg/keeping/service.go
@@ -368,6 +368,8 @@
 	case rows.ended != nil:
 		p.applyRows(id, rows)
 		return s.endState(p, id, rows)
+	case p.isUndetermined(id):
+		return undetermined(kept.ReasonEndUnknown)
 	case rows.open != nil && !s.isReadable(rows.open):
 		return undetermined(kept.ReasonRowUnreadable)
 	case rows.open != nil && known:
--- a/pkg/keeping/unreadable_test.go
+++ b/pkg/keeping/unreadable_test.go
@@ -87,3 +87,26 @@
 	c.Assert(s.State(context.Background(), "a"), qt.Equals, kept.Answer{Verdict: kept.Accepted, State: kept.Completed})
 	c.Assert(host.dispatches, qt.HasLen, 0)
 }
+
+// removeRows removes the rows of a job as another writer of the store does.
+func (s *fakeStore) removeRows(id string) {
+	s.setRow(kept.TableOpen, id, nil)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.rows, kept.PartOf(kept.PartitionOf(id))+kept.TableOpen+"/"+id)
+}
+
+// Removed rows do not show that a job was cancelled.
+func TestAFollowedJobWhoseRowsAreRemoved(t *testing.T) {
+	c := qt.New(t)
+	host, store := newFakeHost(), newFakeStore()
+	s := startService(t.Cleanup, host, store)
+	c.Assert(s.Keep(context.Background(), testJob("a")), qt.Equals, accepted)
+	dispatched := within(c, host.dispatches)
+	store.removeRows("a")
+	dispatched.end <- job.Outcome{Kind: job.Moved, Reason: ReasonProgress, Started: true, Progress: []job.Progress{{Done: true}}}
+	c.Assert(within(c, host.notices), qt.DeepEquals, OwnerNotice{Cell: "x", IDs: []string{"a"}, Cancelled: true})
+	c.Assert(s.State(context.Background(), "a").Verdict, qt.Equals, kept.Unknown)
+	c.Assert(s.Cancel(context.Background(), "a").Verdict, qt.Equals, kept.Unknown)
+	c.Assert(s.Keep(context.Background(), testJob("a")).Verdict, qt.Equals, kept.Unknown)
+}
--- a/pkg/kept/coordinator.go
+++ b/pkg/kept/coordinator.go
@@ -157,6 +157,12 @@
 	return true
 }
 
+// IsUndetermined reports whether a job has ended, but it is not known here how.
+func (co *Coordinator) IsUndetermined(id string) bool {
+	known, ok := co.ended[id]
+	return ok && known.state == Undetermined
+}
+
 // State returns the state of a job, or false if it is unknown or undetermined here. Another
 // coordinator may have ended a job that is still open here, so callers read the job's row if
 // the store can be read.
--- a/pkg/kept/group.go
+++ b/pkg/kept/group.go
@@ -189,9 +189,8 @@
 	case !ok && c.kind == end:
 		co.recordEnd(c.id, c.state, c.cell, now) // both rows are removed: it ended long ago
 	case !ok:
-		// A move finds both rows removed: the job ended long ago, in an unknown state. As
-		// Cancelled, it is also stopped in its cell.
-		co.recordEnd(c.id, Cancelled, e.record.Cell, now)
+		// A move finds both rows removed: the job ended long ago, in an unknown state.
+		co.recordEnd(c.id, Undetermined, e.record.Cell, now)
 	default:
 		co.adoptOpenRow(c, e, row, now)
 	}
--- a/pkg/kept/undetermined_test.go
+++ b/pkg/kept/undetermined_test.go
@@ -31,6 +31,11 @@
 			f.coordinator.Move(Record{ID: "a", Cell: "y"})
 			f.write(c)
 		}},
+		{"it is to be moved, and both rows are removed", func(f *fixture, c *qt.C) {
+			f.store.commit(tables.Transaction{Remove: []tables.Condition{{Table: TableOpen, Key: "a"}}}, f.now)
+			f.coordinator.Move(Record{ID: "a", Cell: "y"})
+			f.write(c)
+		}},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
