cell: a failed end that an executor lists again counts once

Callers saw a kept job as `failed` after fewer failed ends than max_attempts. Cause: an executor that left the list and was forgotten here lists the ends anew that it retains for kept jobs once it is listed again, and each listing counted. With max_attempts 2, one failed end and one such return failed the job. Reports of former owners hold only how many there are; those are matched with ends of run numbers that the report can cover, as before.

--- a/pkg/cell/holds.go
+++ b/pkg/cell/holds.go
@@ -235,8 +235,7 @@
 	if t == nil || t.done {
 		return
 	}
-	t.failures++
-	t.mergedFailures++
+	t.failures.add(r.number)
 	t.failedOn = append(t.failedOn, e.incarnation)
 	if w.isExhausted(t) {
 		c.finish(w, job.Outcome{Kind: job.Failed, Reason: "task_failed", Started: true})
--- a/pkg/cell/job_state.go
+++ b/pkg/cell/job_state.go
@@ -14,8 +14,7 @@
 type task struct {
 	key               job.TaskKey
 	done              bool
-	failures          int
-	mergedFailures    int // failures that executors or a former owner report too
+	failures          failures
 	lastRun           int64
 	current           *run // the run that may be active; nil when the task waits or is done
 	failedOn          []catalog.Incarnation
@@ -70,7 +69,7 @@
 	for _, p := range progress {
 		if t := w.task(p.Key); t != nil {
 			t.done = t.done || p.Done
-			t.mergeFailures(p.Failures)
+			t.failures.mergeCount(p.Failures, p.Run)
 			t.lastRun = max(t.lastRun, p.Run)
 			t.losses.crashes = max(t.losses.crashes, p.Crashes)
 			w.knownStarted = w.knownStarted || p.Done || p.Failures > 0 || p.Run > 0
@@ -84,9 +83,9 @@
 	for _, tasks := range w.steps {
 		for _, t := range tasks {
 			at, left := c.activity(w, t, c.lastEventAt)
-			if t.done || t.failures > 0 || t.lastRun > 0 || left > 0 {
+			if t.done || t.failures.count > 0 || t.lastRun > 0 || left > 0 {
 				progress = append(progress, job.Progress{
-					Key: t.key, Done: t.done, Failures: t.failures, Run: t.lastRun, Crashes: t.losses.crashes,
+					Key: t.key, Done: t.done, Failures: t.failures.count, Run: t.lastRun, Crashes: t.losses.crashes,
 					ActiveAt: string(at), ActiveFor: left,
 				})
 			}
--- a/pkg/cell/kept.go
+++ b/pkg/cell/kept.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/job"
@@ -157,9 +158,9 @@
 
 // taskHistory summarizes the listed ends of a kept job's task.
 type taskHistory struct {
-	done     bool
-	failures int
-	lastRun  int64
+	done    bool
+	failed  []int64 // run numbers
+	lastRun int64
 }
 
 // jobHistory has the histories of one job's tasks.
@@ -175,8 +176,8 @@
 	known := tasks[key]
 	known.lastRun = max(known.lastRun, end.Run)
 	known.done = known.done || end.Kind == EndDone
-	if end.Kind == EndFailed {
-		known.failures++
+	if end.Kind == EndFailed && !slices.Contains(known.failed, end.Run) {
+		known.failed = append(known.failed, end.Run)
 	}
 	tasks[key] = known
 }
@@ -216,7 +217,7 @@
 func (c *Cell) applyHistory(w *jobState, t *task, former taskHistory) {
 	w.mayHaveStarted, w.knownStarted = true, true
 	t.lastRun = max(t.lastRun, former.lastRun)
-	t.mergeFailures(former.failures)
+	t.failures.merge(former.failed)
 	if !former.done || t.done {
 		return
 	}
@@ -226,18 +227,9 @@
 	}
 }
 
-// mergeFailures adds the failures that former owners counted. A former owner and the executors
-// report the same failures, so only the excess over those already merged is added.
-func (t *task) mergeFailures(failures int) {
-	if failures > t.mergedFailures {
-		t.failures += failures - t.mergedFailures
-		t.mergedFailures = failures
-	}
-}
-
 // isExhausted reports whether a task has used up its attempts.
 func (w *jobState) isExhausted(t *task) bool {
-	return !t.done && t.failures >= max(1, w.job.MaxAttempts)
+	return !t.done && t.failures.count >= max(1, w.job.MaxAttempts)
 }
 
 // finishIfExhausted fails a job one of whose tasks has used up its attempts, counted over all
--- a/pkg/cell/placement.go
+++ b/pkg/cell/placement.go
@@ -133,7 +133,7 @@
 	if e.info.Service != w.job.Service || !e.free().Fits(step.Needs) {
 		return false
 	}
-	if e.health.onProbation() && (len(e.runs) > 0 || t.failures > 0) {
+	if e.health.onProbation() && (len(e.runs) > 0 || t.failures.count > 0) {
 		return false
 	}
 	if step.Constraint != "" && !e.info.HasLabel(step.Constraint) {
--- a/pkg/cell/unpersisted_test.go
+++ b/pkg/cell/unpersisted_test.go
@@ -305,7 +305,7 @@
 	again := d.takeCommands(Start)
 	c.Assert(again, qt.HasLen, 2, qt.Commentf("the task that failed and the task that waited"))
 	c.Assert(d.cell.jobs["a"].steps[0][0].done, qt.IsTrue)
-	c.Assert(d.cell.jobs["a"].steps[0][1].failures, qt.Equals, 1)
+	c.Assert(d.cell.jobs["a"].steps[0][1].failures.count, qt.Equals, 1)
 }
 
 // A run that counted as absent may still complete while its task runs again. The new run is
