cell: a failed end that a former owner has counted counts once

Callers saw a job as `failed` after fewer failed ends than max_attempts. Cause: a handover holds only how many runs of a task have failed. The next owner may have listed a run as running before the former one learns of its end; it then counts this end too. Change: progress holds the run numbers of failed ends (TaskProgress.failed_runs, a new field that earlier builds ignore), also in the rows of kept jobs. Progress of earlier builds, without them, counts as before. Measured: TestAnEndThatTheFormerOwnerHasCountedCountsOnce failed before (failed, task_failed after one failed end of two), passes now; the cases of an earlier end still fail the job.

--- a/pkg/cell/failures_test.go
+++ b/pkg/cell/failures_test.go
@@ -107,3 +107,39 @@
 		}
 	}
 }
+
+// The former owner may have counted the end of a run that an earlier hold response still lists as
+// running.
+func TestAnEndThatTheFormerOwnerHasCountedCountsOnce(t *testing.T) {
+	const run = firstKeptRun + 2
+	scenarios := []struct {
+		testName string
+		kept     bool
+		progress job.Progress
+		want     job.Kind // 0: it continues
+	}{
+		{"it has counted this end", true, job.Progress{Failures: 1, Run: run, FailedRuns: []int64{run}}, 0},
+		{"it has counted an earlier one", true, job.Progress{Failures: 1, Run: run, FailedRuns: []int64{run - 1}}, job.Failed},
+		{"it has counted this end of a job that is not kept", false, job.Progress{Failures: 1, Run: run, FailedRuns: []int64{run}}, 0},
+		{"it has counted an earlier one of a job that is not kept", false, job.Progress{Failures: 1, Run: run, FailedRuns: []int64{run - 1}}, job.Failed},
+		{"it has an earlier build, and doesn't tell which", true, job.Progress{Failures: 1, Run: run}, job.Failed},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			d := newDriver(c, testExecutor(0), testExecutor(1))
+			j := testJob("a", 1, d.now)
+			j.Kept, j.Deadline = s.kept, time.Hour
+			d.holdAnswered(0, HoldResponse{Clock: time.Minute, Running: []RunningTask{{Task: "a.0.0.0", Run: run}}}, d.now)
+			d.holdAnswered(1, HoldResponse{Clock: time.Minute}, d.now)
+			d.cell.Submit(Handover{Job: j, Epoch: 2, RenewedAt: d.renewal(), Progress: []job.Progress{s.progress}}, d.now)
+			d.takeActions()
+			d.tick(10 * ms)
+			d.holdAnswered(0, HoldResponse{Clock: time.Minute + d.now, Ended: []EndedTask{{Number: 1, Task: "a.0.0.0", Run: run, Kind: EndFailed}}}, d.now)
+			c.Assert(d.finished["a"].Kind, qt.Equals, s.want)
+			if s.want == 0 {
+				c.Assert(d.cell.Progress("a")[0].FailedRuns, qt.DeepEquals, s.progress.FailedRuns)
+			}
+		})
+	}
+}
--- a/pkg/cell/job_state.go
+++ b/pkg/cell/job_state.go
@@ -69,6 +69,7 @@
 	for _, p := range progress {
 		if t := w.task(p.Key); t != nil {
 			t.done = t.done || p.Done
+			t.failures.merge(p.FailedRuns)
 			t.failures.mergeCount(p.Failures, p.Run)
 			t.lastRun = max(t.lastRun, p.Run)
 			t.losses.crashes = max(t.losses.crashes, p.Crashes)
@@ -85,7 +86,7 @@
 			at, left := c.activity(w, t, c.lastEventAt)
 			if t.done || t.failures.count > 0 || t.lastRun > 0 || left > 0 {
 				progress = append(progress, job.Progress{
-					Key: t.key, Done: t.done, Failures: t.failures.count, Run: t.lastRun, Crashes: t.losses.crashes,
+					Key: t.key, Done: t.done, Failures: t.failures.count, FailedRuns: slices.Clone(t.failures.runs), Run: t.lastRun, Crashes: t.losses.crashes,
 					ActiveAt: string(at), ActiveFor: left,
 				})
 			}
--- a/pkg/job/job.go
+++ b/pkg/job/job.go
@@ -185,6 +185,8 @@
 	Run      int64 // highest run number used
 	Crashes  int   // executors that crashed while they ran it
 
+	FailedRuns []int64 // run numbers of Failures; some may be missing
+
 	ActiveAt  string        // the incarnation of the executor at which a run may be active; empty when unknown
 	ActiveFor time.Duration // how long that run may be active from now, at most; 0 if there is none
 }
--- a/pkg/keeping/fakes_test.go
+++ b/pkg/keeping/fakes_test.go
@@ -90,11 +90,13 @@
 
 // fakeDispatch is a dispatched job. The test sends its outcome to end.
 type fakeDispatch struct {
-	id        string
-	cell      string
-	epoch     int
-	namesRuns bool
-	end       chan job.Outcome
+	id          string
+	cell        string
+	epoch       int
+	maxAttempts int
+	progress    []job.Progress
+	namesRuns   bool
+	end         chan job.Outcome
 }
 
 // fakeHost is a node that coordinates every partition by default.
@@ -141,7 +143,7 @@
 }
 
 func (h *fakeHost) Dispatch(ctx context.Context, j *job.Job, d Dispatch) job.Outcome {
-	dispatched := fakeDispatch{id: j.ID, cell: d.Cell, epoch: d.Epoch, namesRuns: d.NamesRuns, end: make(chan job.Outcome, 1)}
+	dispatched := fakeDispatch{id: j.ID, cell: d.Cell, epoch: d.Epoch, maxAttempts: j.MaxAttempts, progress: d.Progress, namesRuns: d.NamesRuns, end: make(chan job.Outcome, 1)}
 	h.dispatches <- dispatched
 	select {
 	case outcome := <-dispatched.end:
