node, keeping: states and verdicts of later builds aren't taken for others

Callers would see {"state":"unknown"} or, for numbers over 255, another state or 410, if a host of a later build answered for its partition. Cause: fromKeptReply cut verdict and state to eight bits and passed on what it didn't know. Change: unknown verdicts count as Unknown, and an answer without a known state has this host read the rows. Measured: TestKeptReplyOfALaterBuild and TestAStateThatAnotherHostCannotTellIsReadFromTheRows failed before, pass now.

--- a/pkg/keeping/codec.go
+++ b/pkg/keeping/codec.go
@@ -57,8 +57,8 @@
 	if err := proto.Unmarshal(value, row); err != nil {
 		return kept.End{}, errkind.Wrap(err, errkind.BadRequest, "remove the row if another program wrote it", "the row of an ended job cannot be decoded")
 	}
-	end := kept.End{State: kept.State(row.State), Cell: row.Cell, At: microseconds(row.EndedUs)}
-	if uint32(end.State) != row.State || !end.State.Ended() {
+	end := kept.End{State: kept.StateOf(row.State), Cell: row.Cell, At: microseconds(row.EndedUs)}
+	if !end.State.Ended() {
 		return kept.End{}, errkind.New(errkind.BadRequest, "start a build that knows the state, or remove the row if another program wrote it", "the row of an ended job has the state %d, which is no final one of this build", row.State)
 	}
 	return end, nil
--- a/pkg/keeping/service.go
+++ b/pkg/keeping/service.go
@@ -332,12 +332,17 @@
 // stateAt asks the coordinator for the state of a job, and answers from this host's
 // knowledge and the job's rows if there is no clear answer.
 func (s *Service) stateAt(ctx context.Context, id string, hops int) kept.Answer {
-	if answer, ok := s.forwardState(ctx, id, false, hops); ok && answer.Verdict != kept.Unknown {
+	if answer, ok := s.forwardState(ctx, id, false, hops); ok && isClear(answer) {
 		return answer
 	}
 	return s.stateLocally(ctx, id)
 }
 
+// isClear reports whether an answer of another host tells the state of a job.
+func isClear(answer kept.Answer) bool {
+	return answer.Verdict != kept.Unknown && (answer.Verdict != kept.Accepted || answer.State != kept.Undetermined)
+}
+
 // forwardState sends a state or cancel request to the coordinator of a job's partition. It
 // returns false if that is this host, or if the request was not sent.
 func (s *Service) forwardState(ctx context.Context, id string, cancelled bool, hops int) (kept.Answer, bool) {
--- a/pkg/keeping/unreadable_test.go
+++ b/pkg/keeping/unreadable_test.go
@@ -110,3 +110,16 @@
 	c.Assert(s.Cancel(context.Background(), "a").Verdict, qt.Equals, kept.Unknown)
 	c.Assert(s.Keep(context.Background(), testJob("a")).Verdict, qt.Equals, kept.Unknown)
 }
+
+// A coordinator of a later build may answer a state that this build does not know.
+func TestAStateThatAnotherHostCannotTellIsReadFromTheRows(t *testing.T) {
+	c := qt.New(t)
+	host, store := newFakeHost(), newFakeStore()
+	host.coordinator = CoordinatorHost{Address: "10.0.0.1:1"}
+	host.ask = func(string) (kept.Answer, bool) { return kept.Answer{Verdict: kept.Accepted}, true }
+	s := startService(t.Cleanup, host, store)
+	store.setRow(kept.TableEnded, "a", encode(&peerpb.KeptEnd{State: uint32(kept.Cancelled) + 1, Cell: "x"}))
+	c.Assert(s.State(context.Background(), "a").Verdict, qt.Equals, kept.Unknown)
+	store.setRow(kept.TableEnded, "b", codec{}.EncodeEnd(kept.End{State: kept.Failed, Cell: "x"}))
+	c.Assert(s.State(context.Background(), "b").State, qt.Equals, kept.Failed)
+}
--- a/pkg/kept/answer.go
+++ b/pkg/kept/answer.go
@@ -26,6 +26,15 @@
 	return "none"
 }
 
+// VerdictOf returns the verdict with a number that another host sent, and Unknown for numbers
+// that this build does not know.
+func VerdictOf(number uint32) Verdict {
+	if number < uint32(Accepted) || number > uint32(NotFound) {
+		return Unknown
+	}
+	return Verdict(number)
+}
+
 // State is the state of a kept job.
 type State uint8
 
@@ -50,6 +59,15 @@
 	return "unknown"
 }
 
+// StateOf returns the state with a number that another host sent or stored, and Undetermined
+// for numbers that this build does not know.
+func StateOf(number uint32) State {
+	if number > uint32(Cancelled) {
+		return Undetermined
+	}
+	return State(number)
+}
+
 // Ended reports whether the state is a final one that this build knows.
 func (s State) Ended() bool { return s >= Completed && s <= Cancelled }
 
--- a/pkg/node/kept_messages.go
+++ b/pkg/node/kept_messages.go
@@ -51,8 +51,8 @@
 
 func fromKeptReply(m *peerpb.KeptReply) kept.Answer {
 	return kept.Answer{
-		Verdict:    kept.Verdict(m.Verdict),
-		State:      kept.State(m.State),
+		Verdict:    kept.VerdictOf(m.Verdict),
+		State:      kept.StateOf(m.State),
 		Reason:     m.Reason,
 		RetryAfter: microseconds(m.RetryAfterUs),
 	}
--- a/pkg/node/kept_test.go
+++ b/pkg/node/kept_test.go
@@ -56,3 +56,22 @@
 	answer := kept.Answer{Verdict: kept.Unknown, State: kept.Running, Reason: "store_silent", RetryAfter: refusalRetryAfter}
 	c.Assert(fromKeptReply(toKeptReply(answer).GetKeptReply()), qt.Equals, answer)
 }
+
+func TestKeptReplyOfALaterBuild(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		reply    *peerpb.KeptReply
+		want     kept.Answer
+	}{
+		{"nothing", &peerpb.KeptReply{}, kept.Answer{Verdict: kept.Unknown}},
+		{"a verdict that is unknown here", &peerpb.KeptReply{Verdict: uint32(kept.NotFound) + 1}, kept.Answer{Verdict: kept.Unknown}},
+		{"a large verdict", &peerpb.KeptReply{Verdict: 256 + uint32(kept.NotFound)}, kept.Answer{Verdict: kept.Unknown}},
+		{"a state that is unknown here", &peerpb.KeptReply{Verdict: uint32(kept.Accepted), State: uint32(kept.Cancelled) + 1}, kept.Answer{Verdict: kept.Accepted}},
+		{"a large state", &peerpb.KeptReply{Verdict: uint32(kept.Accepted), State: 256 + uint32(kept.Failed)}, kept.Answer{Verdict: kept.Accepted}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			qt.Assert(t, fromKeptReply(s.reply), qt.Equals, s.want)
+		})
+	}
+}
