node: a node that doesn't serve kept jobs doesn't answer that there is no such job

A build with servesKept off would answer 410 to GET and DELETE of jobs that other nodes serve. No build since kept jobs exist has it off. Both get the refusal that POST gets, 503 with Retry-After. TestANodeThatDoesNotServeKeptJobsRefusesThem wanted the 410, which rested on nothing; it now wants the exact refusal for all three calls, and failed before the change.

--- a/pkg/node/kept.go
+++ b/pkg/node/kept.go
@@ -27,7 +27,7 @@
 // KeptState implements Service.
 func (n *Node) KeptState(ctx context.Context, id string) kept.Answer {
 	if !n.servesKept {
-		return kept.Answer{Verdict: kept.NotFound}
+		return keptNotServed // other nodes may serve the job
 	}
 	return n.keeping.State(ctx, id)
 }
@@ -35,7 +35,7 @@
 // CancelKept implements Service.
 func (n *Node) CancelKept(ctx context.Context, id string) kept.Answer {
 	if !n.servesKept {
-		return kept.Answer{Verdict: kept.NotFound}
+		return keptNotServed // other nodes may serve the job
 	}
 	return n.keeping.Cancel(ctx, id)
 }
--- a/pkg/node/kept_test.go
+++ b/pkg/node/kept_test.go
@@ -19,8 +19,8 @@
 	c.Assert(answer, qt.Equals, keptNotServed)
 	c.Assert(answer.Verdict, qt.Equals, kept.Refused)
 	c.Assert(answer.RetryAfter > 0, qt.IsTrue)
-	c.Assert(n.KeptState(context.Background(), "a").Verdict, qt.Equals, kept.NotFound)
-	c.Assert(n.CancelKept(context.Background(), "a").Verdict, qt.Equals, kept.NotFound)
+	c.Assert(n.KeptState(context.Background(), "a"), qt.Equals, keptNotServed)
+	c.Assert(n.CancelKept(context.Background(), "a"), qt.Equals, keptNotServed)
 	var replied *peerpb.Message
 	n.onKeep(&peerpb.Keep{Job: &peerpb.Dispatch{Id: "a", Cell: "z"}}, func(m *peerpb.Message, _ time.Duration) { replied = m })
 	c.Assert(fromKeptReply(replied.GetKeptReply()), qt.Equals, keptNotServed)
