cell: the explorer of kept jobs checks that jobs shown as failed have used up a task's attempts

Each explorer of kept jobs compares a failed job with the failed ends at the model's executors, and a new one has executors leave the list for a while, so that owners forget them and read their ends anew.

--- a/pkg/cell/explore_kept_test.go
+++ b/pkg/cell/explore_kept_test.go
@@ -41,6 +41,7 @@
 	coordinator    *coordinator
 	starts         map[string]int               // by task
 	done           map[string]bool              // tasks that completed at an executor
+	failed         map[string]int               // by task: its runs that have ended as failed at executors
 	forgottenAt    map[string][]int             // by task: how often it had started at each forgotten failure; with the suffix " done", at its forgotten success
 	ends           map[string]map[int64]keptEnd // by executor and number of the end
 	violations     []string
@@ -49,6 +50,7 @@
 	crashAt        int  // the newest owner crashes at that event; 0 for none
 	onlyOwnerCrash bool // no other faults are injected
 	partialCuts    bool // the owner after an isolated one doesn't reach an executor for a while
+	listChanges    bool // executors leave the list for a while and are forgotten by their owner
 	faultsStopped  bool
 }
 
@@ -80,7 +82,7 @@
 
 func newKeptWorld(seed uint64) *keptWorld {
 	w := &keptWorld{
-		rows: map[string]*keptRow{}, starts: map[string]int{}, done: map[string]bool{},
+		rows: map[string]*keptRow{}, starts: map[string]int{}, done: map[string]bool{}, failed: map[string]int{},
 		forgottenAt: map[string][]int{}, ends: map[string]map[int64]keptEnd{},
 	}
 	w.random = rand.New(rand.NewPCG(seed, 3))
@@ -131,6 +133,9 @@
 	if end.Kind == EndDone {
 		w.done[end.Task] = true
 	}
+	if end.Kind == EndFailed {
+		w.failed[end.Task]++
+	}
 	w.ends[e.id][end.Number] = keptEnd{starts: w.starts[end.Task], lapses: e.lapseCount}
 }
 
@@ -384,8 +389,12 @@
 	})
 }
 
-// checkEnd checks that all tasks of a job that its caller sees as completed are done.
+// checkEnd checks that all tasks of a job that its caller sees as completed are done, and that a
+// task of one that its caller sees as failed has failed as often as allowed.
 func (w *keptWorld) checkEnd(row *keptRow) {
+	if row.state == job.Failed && !w.hasExhaustedTask(row.job) {
+		w.recordViolation("%s is failed though no task has failed so often", row.job.ID)
+	}
 	if row.state != job.Completed {
 		return
 	}
@@ -398,6 +407,38 @@
 	}
 }
 
+// hasExhaustedTask reports whether a task of a job has failed as often as allowed.
+func (w *keptWorld) hasExhaustedTask(j *job.Job) bool {
+	for step := range j.Steps {
+		for i := range j.Steps[step].Count {
+			if w.failed[j.TaskName(job.TaskKey{Step: step, Index: i})] >= j.MaxAttempts {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// changeList removes an executor from the newest owner's list for a while. Without runs it is
+// forgotten there.
+func (w *keptWorld) changeList() {
+	if !w.listChanges || w.faultsStopped || w.now%(500*ms) != 0 {
+		return
+	}
+	o, missing := w.newest(), w.random.IntN(len(w.executors))
+	list := func(without int) {
+		var listed []catalog.Executor
+		for i := range w.executors {
+			if i != without {
+				listed = append(listed, testExecutor(i))
+			}
+		}
+		o.handle(func() { o.cell.SetExecutors(listed, w.now) })
+	}
+	list(missing)
+	w.after(w.between(100*ms, 400*ms), func() { list(-1) })
+}
+
 // renewJobs has the coordinators renew their jobs at the owners.
 func (w *keptWorld) renewJobs() {
 	if w.now%(100*ms) != 0 {
@@ -482,6 +523,7 @@
 		}
 		w.faultsStopped = w.now > keptArrivals+10*time.Second
 		w.injectFault()
+		w.changeList()
 		w.renewJobs()
 		w.fire()
 		for _, o := range w.owners {
@@ -567,6 +609,31 @@
 	c.Assert(failed, qt.HasLen, 0)
 }
 
+// Guards against failed ends that count twice, for executors that list them anew once they are
+// listed again.
+func TestExploredKeptJobsFailOnlyWithoutAttempts(t *testing.T) {
+	const plays = 50
+	c := qt.New(t)
+	failures := 0
+	var wrong []string
+	for seed := range uint64(plays * max(defaultPlays, *explorePlays) / defaultPlays) {
+		w := newKeptWorld(seed)
+		w.listChanges = true
+		w.run()
+		for _, row := range w.rows {
+			if row.state == job.Failed {
+				failures++
+			}
+		}
+		if len(w.violations) > 0 {
+			wrong = append(wrong, fmt.Sprintf("seed %d: %s", seed, w.violations[0]))
+		}
+	}
+	t.Logf("%d jobs failed", failures)
+	c.Assert(failures > plays/2, qt.IsTrue)
+	c.Assert(wrong, qt.HasLen, 0)
+}
+
 // Guards against kept jobs that are lost or run twice if their owner crashes at any
 // one of its events.
 func TestExploredKeptJobsOutliveTheirOwnerAtEveryStep(t *testing.T) {
