kept: the end of a known job is written though its open row is damaged

Callers saw: a job that ran to its end while another writer had damaged its open row got no further answer (queued for good before; 503 since GET decodes the row), a DELETE of it 504. Cause: the conflict of the end with the undecodable row dropped the job at its coordinator. Change: the end replaces that row, as it does with a row that another coordinator has moved. GET answers the state of a job that is followed here. New jobs, checkpoints and moves still don't overwrite such a row.

--- a/pkg/keeping/service.go
+++ b/pkg/keeping/service.go
@@ -375,10 +375,10 @@
 		return s.endState(p, id, rows)
 	case p.isUndetermined(id):
 		return undetermined(kept.ReasonEndUnknown)
-	case rows.open != nil && !s.isReadable(rows.open):
-		return undetermined(kept.ReasonRowUnreadable)
 	case rows.open != nil && known:
 		return kept.Answer{Verdict: kept.Accepted, State: state}
+	case rows.open != nil && !s.isReadable(rows.open):
+		return undetermined(kept.ReasonRowUnreadable)
 	case rows.open != nil:
 		return kept.Answer{Verdict: kept.Accepted, State: kept.Queued}
 	}
--- a/pkg/keeping/unreadable_test.go
+++ b/pkg/keeping/unreadable_test.go
@@ -123,3 +123,18 @@
 	store.setRow(kept.TableEnded, "b", codec{}.EncodeEnd(kept.End{State: kept.Failed, Cell: "x"}))
 	c.Assert(s.State(context.Background(), "b").State, qt.Equals, kept.Failed)
 }
+
+// A job that is followed here goes on and ends though another writer has damaged its open row.
+func TestAFollowedJobWithADamagedOpenRow(t *testing.T) {
+	c := qt.New(t)
+	host, store := newFakeHost(), newFakeStore()
+	s := startService(t.Cleanup, host, store)
+	c.Assert(s.Keep(context.Background(), testJob("a")), qt.Equals, accepted)
+	dispatched := within(c, host.dispatches)
+	store.setRow(kept.TableOpen, "a", []byte("?"))
+	c.Assert(s.State(context.Background(), "a"), qt.Equals, kept.Answer{Verdict: kept.Accepted, State: kept.Running})
+	dispatched.end <- job.Outcome{Kind: job.Completed}
+	eventually(c, s, "a", kept.Completed)
+	next := startService(t.Cleanup, newFakeHost(), store)
+	c.Assert(next.State(context.Background(), "a"), qt.Equals, kept.Answer{Verdict: kept.Accepted, State: kept.Completed})
+}
--- a/pkg/kept/group.go
+++ b/pkg/kept/group.go
@@ -202,7 +202,7 @@
 	record, err := co.codec.DecodeRecord(c.id, row.Value)
 	if err != nil {
 		co.reportUnreadable(row, err)
-		co.abandonUnreadable(c.id, e)
+		co.resolveUnreadable(c, e, row)
 		return
 	}
 	e.record, e.version, e.pendingMove = record, row.Version, nil
@@ -215,6 +215,17 @@
 	co.requeueIfPending(c.id, e)
 }
 
+// resolveUnreadable resolves a conflict with an open row that cannot be decoded. An end replaces
+// the row, as the job is known here. Of other changes it is not known what they would overwrite.
+func (co *Coordinator) resolveUnreadable(c change, e *entry, row tables.Row) {
+	if c.kind != end {
+		co.abandonUnreadable(c.id, e)
+		return
+	}
+	e.version = row.Version
+	co.enqueue(c.id, e)
+}
+
 // abandonUnreadable drops a job whose row cannot be decoded. Its callers get Unknown.
 func (co *Coordinator) abandonUnreadable(id string, e *entry) {
 	for _, c := range slices.Concat(e.acceptCalls, e.cancelCalls) {
--- a/pkg/kept/undetermined_test.go
+++ b/pkg/kept/undetermined_test.go
@@ -82,3 +82,35 @@
 	}
 	c.Assert(effects.Follow, qt.HasLen, 0)
 }
+
+// The end of a job that is known here is written also if another writer has damaged its open row.
+func TestEndOfAJobWithADamagedOpenRow(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		end      func(f *fixture)
+		want     State
+	}{
+		{"it completes", func(f *fixture) { f.coordinator.Finish("a", Completed) }, Completed},
+		{"it fails", func(f *fixture) { f.coordinator.Finish("a", Failed) }, Failed},
+		{"it is cancelled", func(f *fixture) { f.coordinator.Cancel(2, "a", f.now+time.Minute, f.now) }, Cancelled},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			f := newAccepted(c, "a")
+			f.store.commit(tables.Transaction{Put: []tables.Row{{Table: TableOpen, Key: "a", Value: []byte("?")}}}, f.now)
+			f.coordinator.ApplyOpenRows(f.store.read(TableOpen), f.now, f.now)
+			s.end(f)
+			f.write(c)
+			f.write(c)
+			effects := f.coordinator.TakeEffects()
+			c.Assert(effects.Ended, qt.DeepEquals, []EndedJob{{ID: "a", Cell: "x", State: s.want}})
+			c.Assert(effects.Follow, qt.HasLen, 0)
+			for _, answer := range effects.Answers {
+				c.Assert(answer.Answer.Verdict, qt.Equals, Accepted)
+			}
+			c.Assert(f.store.row(TableOpen, "a"), qt.IsNil)
+			c.Assert(f.store.row(TableEnded, "a"), qt.Not(qt.IsNil))
+		})
+	}
+}
