node: an outcome of an unknown kind isn't taken for another one

A front would show `failed` or 503 for an outcome whose kind number is over 255, of a build that doesn't exist yet: fromOutcome cut the number to eight bits. Unknown kinds get 504 from a front, and a kept job is dispatched again, as before. TestOutcomeOfAnUnknownKind failed before, passes now.

--- a/pkg/job/job.go
+++ b/pkg/job/job.go
@@ -229,6 +229,15 @@
 	return "unknown"
 }
 
+// KindOf returns the kind with a number that another host sent, and 0 for numbers that this build
+// does not know.
+func KindOf(number uint32) Kind {
+	if number > uint32(Lost) {
+		return 0
+	}
+	return Kind(number)
+}
+
 // Outcome is the result of a job at an owner.
 type Outcome struct {
 	Kind       Kind
--- a/pkg/node/convert.go
+++ b/pkg/node/convert.go
@@ -60,7 +60,7 @@
 
 func fromOutcome(m *peerpb.Outcome) job.Outcome {
 	return job.Outcome{
-		Kind:       job.Kind(m.Kind),
+		Kind:       job.KindOf(m.Kind),
 		Reason:     m.Reason,
 		RetryAfter: microseconds(m.RetryAfterUs),
 		Started:    m.Started,
--- a/pkg/node/convert_test.go
+++ b/pkg/node/convert_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/foxcroft/foxcroft/pkg/catalog"
 	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/peerpb"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -19,6 +20,15 @@
 	qt.Assert(t, fromRelayedList(toRelayedList(relayed)), qt.DeepEquals, relayed)
 }
 
+// A kind that this build does not know, of a later build, must not be taken for another one.
+func TestOutcomeOfAnUnknownKind(t *testing.T) {
+	c := qt.New(t)
+	for _, number := range []uint32{0, uint32(job.Lost) + 1, 256 + uint32(job.Failed), 256 + uint32(job.Refused)} {
+		outcome := fromOutcome(&peerpb.Outcome{Kind: number})
+		c.Assert(outcome.Kind, qt.Equals, job.Kind(0), qt.Commentf("%d", number))
+	}
+}
+
 func TestOutcomeRoundTrip(t *testing.T) {
 	outcome := job.Outcome{
 		Kind: job.Moved, Reason: "fenced", RetryAfter: time.Second, Started: true, Chain: 2 * time.Second, NamesRuns: true,
