--- a/pkg/cell/job_state.go
+++ b/pkg/cell/job_state.go
@@ -14,8 +14,7 @@
 type task struct {
 	key               job.TaskKey
 	done              bool
-	failures          int
-	mergedFailures    int // failures that executors or a former owner report too
+	failures          failures
 	lastRun           int64
 	current           *run // the run that may be active; nil when the task waits or is done
 	failedOn          []catalog.Incarnation
@@ -70,7 +69,8 @@
 	for _, p := range progress {
 		if t := w.task(p.Key); t != nil {
 			t.done = t.done || p.Done
-			t.mergeFailures(p.Failures)
+			t.failures.merge(p.FailedRuns)
+			t.failures.mergeCount(p.Failures, p.Run)
 			t.lastRun = max(t.lastRun, p.Run)
 			t.applyCrashes(p.Crashes, p.CrashEvidence, now)
 			w.knownStarted = w.knownStarted || p.Done || p.Failures > 0 || p.Run > 0
@@ -84,9 +84,10 @@
 	for _, tasks := range w.steps {
 		for _, t := range tasks {
 			at, left := c.activity(w, t, c.lastEventAt)
-			if t.done || t.failures > 0 || t.lastRun > 0 || left > 0 {
+			if t.done || t.failures.count > 0 || t.lastRun > 0 || left > 0 {
 				progress = append(progress, job.Progress{
-					Key: t.key, Done: t.done, Failures: t.failures, Run: t.lastRun, Crashes: c.crashCount(t), CrashEvidence: t.losses.evidence,
+					Key: t.key, Done: t.done, Failures: t.failures.count, FailedRuns: slices.Clone(t.failures.runs), Run: t.lastRun,
+					Crashes: c.crashCount(t), CrashEvidence: t.losses.evidence,
 					ActiveAt: string(at), ActiveFor: left,
 				})
 			}
--- a/pkg/job/job.go
+++ b/pkg/job/job.go
@@ -188,6 +188,8 @@
 	// the former owner did not report it.
 	CrashEvidence int
 
+	FailedRuns []int64 // run numbers of Failures; some may be missing
+
 	ActiveAt  string        // the incarnation of the executor at which a run may be active; empty when unknown
 	ActiveFor time.Duration // how long that run may be active from now, at most; 0 if there is none
 }
@@ -230,6 +232,15 @@
 	return "unknown"
 }
 
+// KindOf returns the kind with a number that another host sent, and 0 for numbers that this build
+// does not know.
+func KindOf(number uint32) Kind {
+	if number > uint32(Lost) {
+		return 0
+	}
+	return Kind(number)
+}
+
 // Outcome is the result of a job at an owner.
 type Outcome struct {
 	Kind       Kind
--- a/pkg/keeping/partition.go
+++ b/pkg/keeping/partition.go
@@ -58,7 +58,7 @@
 		p.deliver(a)
 	}
 	for _, problem := range effects.Problems {
-		p.service.Log.Error(problem.Event, "job", problem.ID, "part", p.part, "error", problem.Error)
+		p.service.reportUnreadable(problem.Row, problem.Error)
 	}
 	for _, ending := range effects.Ended {
 		p.handleEnd(ending, now)
@@ -295,6 +295,13 @@
 	return state, known
 }
 
+// isUndetermined reports whether a job has ended, but it is not known here how.
+func (p *partition) isUndetermined(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.coordinator.IsUndetermined(id)
+}
+
 // open returns the number of jobs of the partition that this host does not know to have
 // ended.
 func (p *partition) open() int {
--- a/pkg/kept/answer.go
+++ b/pkg/kept/answer.go
@@ -26,11 +26,23 @@
 	return "none"
 }
 
+// VerdictOf returns the verdict with a number that another host sent, and Unknown for numbers
+// that this build does not know.
+func VerdictOf(number uint32) Verdict {
+	if number < uint32(Accepted) || number > uint32(NotFound) {
+		return Unknown
+	}
+	return Verdict(number)
+}
+
 // State is the state of a kept job.
 type State uint8
 
 const (
-	Queued State = iota + 1
+	// Undetermined is the state of a job whose row shows that it has ended but not how. It
+	// is never written to a row and never answered.
+	Undetermined State = iota
+	Queued
 	Running
 	Completed
 	Failed
@@ -47,8 +59,17 @@
 	return "unknown"
 }
 
-// Ended reports whether the state is final.
-func (s State) Ended() bool { return s >= Completed }
+// StateOf returns the state with a number that another host sent or stored, and Undetermined
+// for numbers that this build does not know.
+func StateOf(number uint32) State {
+	if number > uint32(Cancelled) {
+		return Undetermined
+	}
+	return State(number)
+}
+
+// Ended reports whether the state is a final one that this build knows.
+func (s State) Ended() bool { return s >= Completed && s <= Cancelled }
 
 // Answer is the answer to a call about a kept job.
 type Answer struct {
--- a/pkg/kept/group.go
+++ b/pkg/kept/group.go
@@ -189,9 +189,8 @@
 	case !ok && c.kind == end:
 		co.recordEnd(c.id, c.state, c.cell, now) // both rows are removed: it ended long ago
 	case !ok:
-		// A move finds both rows removed: the job ended long ago, in an unknown state. As
-		// Cancelled, it is also stopped in its cell.
-		co.recordEnd(c.id, Cancelled, e.record.Cell, now)
+		// A move finds both rows removed: the job ended long ago, in an unknown state.
+		co.recordEnd(c.id, Undetermined, e.record.Cell, now)
 	default:
 		co.adoptOpenRow(c, e, row, now)
 	}
@@ -202,8 +201,8 @@
 func (co *Coordinator) adoptOpenRow(c change, e *entry, row tables.Row, now time.Duration) {
 	record, err := co.codec.DecodeRecord(c.id, row.Value)
 	if err != nil {
-		co.reportProblem("kept_row_unreadable", c.id, err)
-		co.abandonUnreadable(c.id, e)
+		co.reportUnreadable(row, err)
+		co.resolveUnreadable(c, e, row)
 		return
 	}
 	e.record, e.version, e.pendingMove = record, row.Version, nil
@@ -216,6 +215,17 @@
 	co.requeueIfPending(c.id, e)
 }
 
+// resolveUnreadable resolves a conflict with an open row that cannot be decoded. An end replaces
+// the row, as the job is known here. Of other changes it is not known what they would overwrite.
+func (co *Coordinator) resolveUnreadable(c change, e *entry, row tables.Row) {
+	if c.kind != end {
+		co.abandonUnreadable(c.id, e)
+		return
+	}
+	e.version = row.Version
+	co.enqueue(c.id, e)
+}
+
 // abandonUnreadable drops a job whose row cannot be decoded. Its callers get Unknown.
 func (co *Coordinator) abandonUnreadable(id string, e *entry) {
 	for _, c := range slices.Concat(e.acceptCalls, e.cancelCalls) {
