node: incarnations of one executor count once for the number of cells

Cause: the store lists a crashed executor's former row beside that of its next incarnation until it expires. A domain of 88 executors of which 29 restart counted as 117, above the bound of 114 for one cell, so it was divided into two, which fences its owner, and a kept job may leave its cell only after cellRemovalDelay. Evidence: cells_resized 0.6 s after the crashes; the cell of an executor depends on its address, of which there were no more than before.

Change: sizesOf counts addresses instead of rows.

--- a/pkg/node/listing.go
+++ b/pkg/node/listing.go
@@ -14,7 +14,7 @@
 	askedAt         time.Duration  // when it was requested from the store
 	servicesChecked bool           // only executors of configured services are in it
 	steady          bool           // reads have succeeded for longer than missingEntriesPeriod, so that no entry is missing
-	sizes           map[string]int // number of executors by domain
+	sizes           map[string]int // number of executors by domain, see sizesOf
 	counts          map[string]int // number of cells by domain
 	cells           map[string][]catalog.Executor
 	followed        map[string]bool // cells of other domains whose owners this node keeps links to
@@ -33,11 +33,24 @@
 	l.followed = ownership.FollowedCells(names, self, domain, followedPerDomain)
 }
 
-// sizesOf returns the number of executors of each domain.
+// sizesOf returns the number of executors of each domain. Incarnations of one executor, which have
+// the same address, count once: after a crash, the row of the former one stays in the store until
+// it expires.
 func sizesOf(executors *catalog.Executors) map[string]int {
-	sizes := map[string]int{}
+	rows := map[string]int{}
 	for _, executor := range executors.ByID {
-		sizes[executor.Domain]++
+		rows[executor.Domain]++
+	}
+	addresses := make(map[string]map[string]bool, len(rows))
+	for domain, count := range rows {
+		addresses[domain] = make(map[string]bool, count)
+	}
+	for _, executor := range executors.ByID {
+		addresses[executor.Domain][executor.Address] = true
+	}
+	sizes := make(map[string]int, len(rows))
+	for domain := range rows {
+		sizes[domain] = len(addresses[domain])
 	}
 	return sizes
 }
