ownership: a change of a domain's number of cells has to be due for 8 s

A change of the number of cells fences each owner in the domain, and its kept jobs stand still. It was made within 0.1 s, whatever the list or the claims said at that moment: executors that are being replaced are listed beside their replacements for some seconds, and while the owners of a domain's cells were unreachable the number was computed anew, so that a takeover could become a resize (88 executors: from 1 cell to 2). Evidence: TestTheNumberOfCellsChangesLate, which gives 2 for 1 in both cases before.

Change: CellCounts decides by the time for which a change has been due without interruption, and keeps the number for 4 s while nobody claims a cell. Above three times what the owners can serve, a change is made at once. All hosts follow the newest claim, at once and whoever made it, hosts of the former build included. Where hosts count differently (builds, restarts), they may wait for each other for at most these 4 s, in a domain that has lost all its owners.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -79,6 +79,7 @@
 	mu         sync.Mutex // guards what follows
 	members    *member.Table
 	claims     *ownership.Table
+	resizing   *ownership.CellCounts
 	memberRows map[string]Member // the nodes' rows in the store, by node name
 	rowsRead   bool              // the nodes' rows have been read at least once
 
@@ -143,6 +144,7 @@
 	n.members = member.NewTable(self, excludeAddress(s.Seeds, s.PeerAddress), linksToOtherDomains)
 	n.isHub.Store(true) // until the nodes' rows have been read
 	n.claims = ownership.NewTable(ownership.DefaultLimits(), c.Clock.Now())
+	n.resizing = ownership.NewCellCounts()
 	link := settings.Link{Heartbeat: s.Heartbeat, SuspectAfter: s.SuspectAfter}
 	n.links = peer.NewSet(c, link, n, n.counters)
 	n.openJobTable = newOpenJobTable(s.ResubmitAfter, n.settleTime())
--- a/pkg/node/sizes.go
+++ b/pkg/node/sizes.go
@@ -60,18 +60,20 @@
 
 // cellCounts returns the number of cells of each domain, from its number of executors.
 func (n *Node) cellCounts(executors map[string]int) map[string]int {
+	now := n.Clock.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	sizes := n.cellSizes()
 	counts := map[string]int{}
 	for domain, count := range executors {
-		inUse := n.claims.ClaimedCellCount(domain)
-		if !n.rowsRead && inUse > 0 {
+		claimed := n.claims.ClaimedCellCount(domain)
+		if inUse := n.resizing.InUse(domain, claimed, now); !n.rowsRead && inUse > 0 {
 			counts[domain] = inUse
 			continue
 		}
-		counts[domain] = ownership.StableCellCount(count, sizes.of(domain), inUse)
+		counts[domain] = n.resizing.Update(domain, count, sizes.of(domain), claimed, now)
 	}
+	n.resizing.RetainOnly(executors)
 	return counts
 }
 
--- a/pkg/node/sizes_test.go
+++ b/pkg/node/sizes_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"testing"
+	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/member"
 	"github.com/foxcroft/foxcroft/pkg/once"
 	"github.com/foxcroft/foxcroft/pkg/ownership"
@@ -48,3 +50,38 @@
 		})
 	}
 }
+
+// A change of the number of cells fences each owner of the domain, so it isn't made for executors
+// that are listed for some seconds only, nor while its owners are being replaced.
+func TestTheNumberOfCellsChangesLate(t *testing.T) {
+	type scenario struct {
+		testName  string
+		executors int
+		lost      bool // the owner is unreachable
+		after     time.Duration
+		want      int
+	}
+	scenarios := []scenario{
+		{testName: "executors are being replaced", executors: 128, after: 4 * time.Second, want: 1},
+		{testName: "executors were added", executors: 128, after: 20 * time.Second, want: 2},
+		{testName: "the owner is lost", executors: 88, lost: true, after: 3 * time.Second, want: 1},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			n := newTestNode(c, &fakeStore{})
+			clock := &common.ManualClock{At: time.Minute}
+			n.Clock = clock
+			n.settings.Weight, n.settings.LinkMbps = 800, 200
+			n.setRows([]Member{n.ownRow()})
+			n.claims.SetClaims(otherAddress, []ownership.Claim{{Cell: "z", Token: 1}})
+			c.Assert(n.cellCounts(map[string]int{"z": 88})["z"], qt.Equals, 1)
+			if s.lost {
+				n.claims.Forget(otherAddress)
+			}
+			n.cellCounts(map[string]int{"z": s.executors})
+			clock.At += s.after
+			c.Assert(n.cellCounts(map[string]int{"z": s.executors})["z"], qt.Equals, s.want)
+		})
+	}
+}
