keeping: kept jobs follow their executors into new cells without a wait

Cause: a job leaves a cell without an owner only after cellRemovalDelay, which stands for hosts that can't be seen, even if the former owner has returned it and the executors obey the owners of the new cells.

Change: the follower moves such a job at once to one of the cells that have replaced its own. It is dispatched there when the owner of each other new cell confirms, by the message for moved jobs, which the former build answers as well, that every executor obeys it and lists no run of the job; the new owner waits for its own executors as at each takeover. Runs that the former owner named are passed on to the next follower of the same host. A job that goes back to its former cell isn't dispatched as one whose runs are all named. Where the proof is missing the wait stays, is logged (kept_awaits_cell) and counted (foxcroft_kept_jobs_awaiting_cell).

Measured: tests only so far.

--- a/pkg/keeping/fakes_test.go
+++ b/pkg/keeping/fakes_test.go
@@ -94,6 +94,7 @@
 	cell      string
 	epoch     int
 	namesRuns bool
+	progress  []job.Progress
 	end       chan job.Outcome
 }
 
@@ -108,6 +109,36 @@
 	wait         time.Duration // queueing time at the cell
 	seesMinority atomic.Bool
 	stillRunning []string // moved jobs that still run in their previous cells
+	cells        fakeCells
+}
+
+// fakeCells is a domain that may have been divided into other cells. The zero value has no cells
+// of which anything is known.
+type fakeCells struct {
+	mu         sync.Mutex
+	removed    map[string]bool
+	successors []string            // of removed cells
+	ownerless  map[string]bool     // cells without a reachable owner
+	unadopted  map[string]bool     // cells whose owners may not know all runs
+	runs       map[string][]string // jobs that have runs, by cell
+}
+
+func (f *fakeCells) change(event func(f *fakeCells)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	event(f)
+}
+
+func (f *fakeCells) hasOwner(cell string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.ownerless[cell]
+}
+
+func (f *fakeCells) notify(notice OwnerNotice) (runs []string, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs[notice.Cell], !f.ownerless[notice.Cell] && !f.unadopted[notice.Cell]
 }
 
 func newFakeHost() *fakeHost {
@@ -118,9 +149,8 @@
 func (h *fakeHost) ViewVersion() uint64               { return 1 }
 func (h *fakeHost) CoordinatorOf(int) CoordinatorHost { return h.coordinator }
 func (h *fakeHost) QueueDelay(string) time.Duration   { return h.wait }
-func (h *fakeHost) HasOwner(string) bool              { return !h.noOwner }
+func (h *fakeHost) HasOwner(cell string) bool         { return !h.noOwner && h.cells.hasOwner(cell) }
 func (h *fakeHost) SeesMinority() bool                { return h.seesMinority.Load() }
-func (h *fakeHost) CellRemoved(string) bool           { return false }
 func (h *fakeHost) OwnersChanged() <-chan struct{}    { return make(chan struct{}) }
 func (h *fakeHost) KeptAnswered(string, string)       {}
 
@@ -128,6 +158,20 @@
 
 func (h *fakeHost) ChooseCell(*job.Job) (string, bool) { return "x", !h.noCell }
 
+func (h *fakeHost) CellRemoved(cell string) bool {
+	h.cells.mu.Lock()
+	defer h.cells.mu.Unlock()
+	return h.cells.removed[cell]
+}
+
+func (h *fakeHost) Successors(cell string) ([]string, bool) {
+	h.cells.mu.Lock()
+	defer h.cells.mu.Unlock()
+	return h.cells.successors, h.cells.removed[cell] && h.cells.ownerless[cell]
+}
+
+func (h *fakeHost) ChooseAmong(cells []string, _ *job.Job) (string, bool) { return cells[0], true }
+
 func (h *fakeHost) AskCoordinator(_ context.Context, _, _ string, j *job.Job, _ int) (kept.Answer, bool) {
 	return h.ask(j.ID)
 }
@@ -137,7 +181,7 @@
 }
 
 func (h *fakeHost) Dispatch(ctx context.Context, j *job.Job, d Dispatch) job.Outcome {
-	dispatched := fakeDispatch{id: j.ID, cell: d.Cell, epoch: d.Epoch, namesRuns: d.NamesRuns, end: make(chan job.Outcome, 1)}
+	dispatched := fakeDispatch{id: j.ID, cell: d.Cell, epoch: d.Epoch, namesRuns: d.NamesRuns, progress: d.Progress, end: make(chan job.Outcome, 1)}
 	h.dispatches <- dispatched
 	select {
 	case outcome := <-dispatched.end:
@@ -149,7 +193,8 @@
 
 func (h *fakeHost) NotifyOwner(_ context.Context, notice OwnerNotice) ([]string, bool) {
 	h.notices <- notice
-	return h.stillRunning, !h.noOwner
+	runs, ok := h.cells.notify(notice)
+	return append(runs, h.stillRunning...), ok && !h.noOwner
 }
 
 // startService runs a service until the test ends.
--- a/pkg/keeping/follow.go
+++ b/pkg/keeping/follow.go
@@ -35,6 +35,7 @@
 	asOf           time.Duration // when the row was last confirmed
 	since          time.Duration // when the follower was created
 	namesRuns      bool          // progress names all runs that its owners may have left
+	ranBefore      bool          // it may have runs that its owners before that of record.From have left
 	released       bool          // the cell that the job was moved from has confirmed that it does not run it
 	dispatched     atomic.Bool   // it has been dispatched to an owner
 	cancel         context.CancelFunc
@@ -46,6 +47,8 @@
 
 	cancelDispatch atomic.Pointer[context.CancelFunc] // cancels the dispatch in flight
 	checkpointed   atomic.Pointer[[]byte]             // the encoded job of the last checkpoint
+	awaitsCell     atomic.Bool                        // it waits for long to leave its cell, see noteWait
+	left           atomic.Pointer[handover]           // for the follower that replaces this one after a move
 }
 
 // interrupt cancels the dispatch in flight.
@@ -70,6 +73,7 @@
 	next.job, next.progress = jobOf(&f.Record, p.coordinator.Age(&f.Record, now), now)
 	if old != nil {
 		next.ended = old.ended
+		next.inherit(old)
 	}
 	p.followers[f.Record.ID] = next
 	p.service.Log.Info("kept_followed", "job", f.Record.ID, "part", p.part, "cell", f.Record.Cell, "epoch", f.Epoch, "from", f.Record.From)
@@ -144,15 +148,20 @@
 		return false
 	}
 	f.ownerlessSince = 0
+	f.awaitsCell.Store(false)
 	return true
 }
 
 // awaitOwner waits for an owner of the job's cell. If the cell has been removed, the job
-// moves to another one.
+// moves to another one: at once to a cell that has replaced its own.
 func (f *follower) awaitOwner(ctx context.Context, now time.Duration) {
 	if f.ownerlessSince == 0 {
 		f.ownerlessSince = now
 	}
+	if f.moveToSuccessor(ctx) {
+		return
+	}
+	f.noteWait(f.ownerlessSince, now, f.record.Cell, waitsForSuccessor)
 	if now > f.ownerlessSince+cellRemovalDelay && f.service().host.CellRemoved(f.record.Cell) {
 		f.moveToOtherCell(ctx)
 		return
@@ -199,15 +208,19 @@
 	defer cancel()
 	runs, ok := f.service().host.NotifyOwner(notifyCtx, OwnerNotice{Cell: f.record.From, IDs: []string{f.record.ID}, Moved: true})
 	switch {
+	case !ok && f.isReleasedBySuccessors(notifyCtx):
+		f.released = true
 	case !ok && now > f.since+cellRemovalDelay && f.service().host.CellRemoved(f.record.From):
 		f.released = true // the cell has been removed
 	case !ok:
+		f.noteWait(f.since, now, f.record.From, waitsForRelease)
 		f.awaitChange(ctx)
 	case len(runs) > 0:
+		f.namesRuns, f.ranBefore = false, true // it may have started them since it returned the job
 		f.move(f.record.From, f.progress)
 		f.awaitReplacement(ctx)
 	default:
-		f.released, f.namesRuns = true, true
+		f.released, f.namesRuns = true, !f.ranBefore
 	}
 }
 
@@ -316,6 +329,7 @@
 	moved := f.record
 	moved.Cell, moved.Epoch = to, f.epoch
 	moved.Job = encodeJob(f.job, progress)
+	f.left.Store(&handover{record: moved, progress: progress, progressAt: f.progressAt, namesRuns: f.namesRuns && f.dispatched.Load(), ranBefore: f.ranBefore})
 	f.service().Log.Info("kept_moves", "job", f.record.ID, "cell", f.record.Cell, "to", to, "epoch", f.epoch)
 	f.partition.do(func(co *kept.Coordinator, _ time.Duration) { co.Move(moved) })
 }
--- a/pkg/keeping/service.go
+++ b/pkg/keeping/service.go
@@ -105,6 +105,7 @@
 	// true only at a host that can read the store and reaches more than half of the
 	// expected hosts.
 	CellRemoved(cell string) bool
+	Successors
 	// OwnersChanged returns a channel that is closed when owners may have changed.
 	OwnersChanged() <-chan struct{}
 	// Dispatch sends a job to the owner of its cell and waits for its end there.
--- a/pkg/metrics/node.go
+++ b/pkg/metrics/node.go
@@ -22,6 +22,9 @@
 	ClosedDomains  int64 // that operators have closed to new work, as far as this node knows
 	LogDropped     int64 // lines
 	KeptOpen       int64 // kept jobs that this node looks after
+	// KeptAwaitingCell is the number of those that have waited for long to leave a cell without an
+	// owner.
+	KeptAwaitingCell int64
 }
 
 // Node are the instruments of a node.
@@ -121,6 +124,7 @@
 		{"foxcroft_node_executors_age_ms", func(g NodeGauges) int64 { return g.ExecutorsAgeMS }},
 		{"foxcroft_node_closed_domains", func(g NodeGauges) int64 { return g.ClosedDomains }},
 		{"foxcroft_node_kept_open", func(g NodeGauges) int64 { return g.KeptOpen }},
+		{"foxcroft_kept_jobs_awaiting_cell", func(g NodeGauges) int64 { return g.KeptAwaitingCell }},
 		{"foxcroft_node_log_lines_dropped", func(g NodeGauges) int64 { return g.LogDropped }},
 	})
 }
--- a/pkg/node/gauges.go
+++ b/pkg/node/gauges.go
@@ -5,7 +5,7 @@
 // gauges returns the current values of the node's gauges for a scrape of the metrics.
 func (n *Node) gauges() metrics.NodeGauges {
 	now := n.Clock.Now()
-	g := metrics.NodeGauges{OpenJobs: int64(n.openJobs()), KeptOpen: int64(n.keeping.Open())}
+	g := metrics.NodeGauges{OpenJobs: int64(n.openJobs()), KeptOpen: int64(n.keeping.Open()), KeptAwaitingCell: int64(n.keeping.AwaitingCell())}
 	for _, o := range n.allOwners() {
 		load := o.load(now)
 		g.Cells++
