keeping: jobs between owners are counted as waiting

Cause: the owner counts the jobs that it has, and the host that follows a job counted it only until its first dispatch; a job that its owner had returned, or that had lost its owner, was counted by nobody. Evidence: TestJobsBetweenOwnersAreCountedAsWaiting gives 0 for 1 before.

Change: the coordinator counts followed jobs that are at no owner and of which no task is known to have begun, by what owners and rows have told, as owners do for jobs of former owners. Jobs whose ends wait for the store aren't counted, nor, once dispatched, those followed by other hosts as well.

Measured: tests only so far.

--- a/pkg/keeping/follow.go
+++ b/pkg/keeping/follow.go
@@ -38,6 +38,8 @@
 	ranBefore      bool          // it may have runs that its owners before that of record.From have left
 	released       bool          // the cell that the job was moved from has confirmed that it does not run it
 	dispatched     atomic.Bool   // it has been dispatched to an owner
+	atOwner        atomic.Bool   // an owner may have the job, and counts it
+	begun          atomic.Bool   // a task of the job is known to have begun
 	cancel         context.CancelFunc
 	ended          chan struct{} // closed when the end of the job is stored
 	ownerlessSince time.Duration // since when its cell has had no reachable owner; 0 while it has one
@@ -71,8 +73,10 @@
 	ctx, cancel := context.WithCancel(p.service.ctx)
 	next := &follower{partition: p, record: f.Record, epoch: f.Epoch, asOf: f.AsOf, since: now, cancel: cancel, ended: make(chan struct{})}
 	next.job, next.progress = jobOf(&f.Record, p.coordinator.Age(&f.Record, now), now)
+	next.begun.Store(len(next.progress) > 0)
 	if old != nil {
 		next.ended = old.ended
+		next.begun.Store(next.begun.Load() || old.begun.Load())
 		next.inherit(old)
 	}
 	p.followers[f.Record.ID] = next
@@ -115,6 +119,8 @@
 	if f.service().storeReach.isolated.Load() { // the interruption may have come before
 		return job.Outcome{Kind: job.Lost}
 	}
+	f.atOwner.Store(true)
+	defer f.atOwner.Store(false)
 	return f.service().host.Dispatch(ctx, f.job, Dispatch{Cell: f.record.Cell, Epoch: f.epoch, Progress: f.progressAsOfNow(), NamesRuns: f.namesRuns})
 }
 
@@ -242,6 +248,9 @@
 // done.
 func (f *follower) handleOutcome(ctx context.Context, outcome job.Outcome) bool {
 	f.service().Log.Info("kept_came_back", "job", f.record.ID, "cell", f.record.Cell, "epoch", f.epoch, "outcome", outcome.Kind.String(), "reason", outcome.Reason)
+	if outcome.Started || len(outcome.Progress) > 0 || outcome.Kind == job.Completed || outcome.Kind == job.Failed {
+		f.begun.Store(true)
+	}
 	switch outcome.Kind {
 	case job.Completed:
 		f.finish(kept.Completed)
--- a/pkg/keeping/handover_test.go
+++ b/pkg/keeping/handover_test.go
@@ -5,7 +5,9 @@
 	"testing"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/errkind"
 	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/kept"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -119,3 +121,64 @@
 	c.Assert(next.cell, qt.Equals, "x")
 	c.Assert(next.namesRuns, qt.IsFalse, qt.Commentf("it may have run there since it was returned"))
 }
+
+// A job of which nothing has begun is counted as waiting by the host that follows it while no owner
+// has it.
+func TestJobsBetweenOwnersAreCountedAsWaiting(t *testing.T) {
+	type scenario struct {
+		testName string
+		outcome  job.Outcome // of the first dispatch; the job then has no owner
+		want     int
+	}
+	scenarios := []scenario{
+		{testName: "returned before a task began", outcome: job.Outcome{Kind: job.Moved, Reason: "fenced", NamesRuns: true}, want: 1},
+		{testName: "its owner was lost", outcome: job.Outcome{Kind: job.Lost}, want: 1},
+		{testName: "returned with a run", outcome: fenced()},
+		{testName: "returned after a task has ended", outcome: job.Outcome{Kind: job.Moved, Reason: "fenced", Started: true, Progress: []job.Progress{{Done: true, Run: 501}}}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			host := newFakeHost()
+			service := startService(t.Cleanup, host, newFakeStore())
+			service.Keep(context.Background(), testJob("a"))
+			first := within(c, host.dispatches)
+			c.Assert(service.Waiting()["route"], qt.Equals, 0, qt.Commentf("its owner counts it"))
+			host.cells.change(func(f *fakeCells) { f.ownerless = map[string]bool{"x": true} })
+			first.end <- s.outcome
+			time.Sleep(2 * viewInterval) // it determines meanwhile that it is the coordinator
+			c.Assert(service.Waiting()["route"], qt.Equals, s.want)
+			host.cells.change(func(f *fakeCells) { f.ownerless = nil })
+			within(c, host.dispatches)
+			c.Assert(service.Waiting()["route"], qt.Equals, 0)
+		})
+	}
+}
+
+func TestJobsWhoseEndsAreNotStoredDontWait(t *testing.T) {
+	c := qt.New(t)
+	host, store := newFakeHost(), newFakeStore()
+	service := startService(t.Cleanup, host, store)
+	service.Keep(context.Background(), testJob("a"))
+	first := within(c, host.dispatches)
+	store.setFail(errkind.New(errkind.PlatformDown, "try again", "down"))
+	first.end <- job.Outcome{Kind: job.Completed}
+	time.Sleep(2 * viewInterval)
+	c.Assert(service.Open(), qt.Equals, 1)
+	c.Assert(service.Waiting()["route"], qt.Equals, 0)
+}
+
+// A job that several hosts follow, as after a cut, is counted once.
+func TestOnlyTheCoordinatorCountsJobsBetweenOwners(t *testing.T) {
+	c := qt.New(t)
+	host := newFakeHost()
+	host.coordinator = CoordinatorHost{Address: "other"}
+	host.ask = func(string) (kept.Answer, bool) { return kept.Answer{}, false }
+	service := startService(t.Cleanup, host, newFakeStore())
+	service.Keep(context.Background(), testJob("a"))
+	first := within(c, host.dispatches)
+	host.cells.change(func(f *fakeCells) { f.ownerless = map[string]bool{"x": true} })
+	first.end <- job.Outcome{Kind: job.Moved, Reason: "fenced", NamesRuns: true}
+	time.Sleep(2 * viewInterval)
+	c.Assert(service.Waiting()["route"], qt.Equals, 0)
+}
--- a/pkg/keeping/partition.go
+++ b/pkg/keeping/partition.go
@@ -303,13 +303,14 @@
 	return p.coordinator.Open()
 }
 
-// countWaiting adds to counts, by route, the followed jobs that this host has not
-// dispatched to an owner yet.
+// countWaiting adds to counts, by route, the followed jobs that no owner has and of which no
+// task is known to have begun. Several hosts may follow a job that was dispatched before; only the
+// coordinator counts it.
 func (p *partition) countWaiting(counts map[string]int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, f := range p.followers {
-		if !f.dispatched.Load() {
+		if !f.atOwner.Load() && !f.begun.Load() && (p.isCoordinator || !f.dispatched.Load()) {
 			counts[f.job.Route]++
 		}
 	}
--- a/pkg/keeping/service.go
+++ b/pkg/keeping/service.go
@@ -198,8 +198,8 @@
 	return open
 }
 
-// Waiting counts, by route, the jobs followed here that this host has not dispatched to an
-// owner yet.
+// Waiting counts, by route, the jobs followed here that no owner has and of which no task is
+// known to have begun. Owners count the jobs that they have.
 func (s *Service) Waiting() map[string]int {
 	counts := map[string]int{}
 	for _, p := range s.partitions {
