--- a/pkg/keeping/service.go
+++ b/pkg/keeping/service.go
@@ -106,6 +106,7 @@
 	// true only at a host that can read the store and reaches more than half of the
 	// expected hosts.
 	CellRemoved(cell string) bool
+	Successors
 	// OwnersChanged returns a channel that is closed when owners may have changed.
 	OwnersChanged() <-chan struct{}
 	// Dispatch sends a job to the owner of its cell and waits for its end there.
@@ -201,8 +202,8 @@
 	return open
 }
 
-// Waiting counts, by route, the jobs followed here that this host has not dispatched to an
-// owner yet.
+// Waiting counts, by route, the jobs followed here that no owner has and of which no task is
+// known to have begun. Owners count the jobs that they have.
 func (s *Service) Waiting() map[string]int {
 	counts := map[string]int{}
 	for _, p := range s.partitions {
