cell: the explorer's owners forget only executors that have answered them

A host retains executors in its list that a former owner may have used; the explorer of changed lists dropped them at once, so a new owner started a task again whose end it couldn't know.

--- a/pkg/cell/explore_kept_test.go
+++ b/pkg/cell/explore_kept_test.go
@@ -419,13 +419,17 @@
 	return false
 }
 
-// changeList removes an executor from the newest owner's list for a while. Without runs it is
-// forgotten there.
+// changeList removes an executor from the newest owner's list for a while, once all executors have
+// answered that owner: a host retains those in its list that a former owner may have used. Without
+// runs the executor is forgotten.
 func (w *keptWorld) changeList() {
 	if !w.listChanges || w.faultsStopped || w.now%(500*ms) != 0 {
 		return
 	}
 	o, missing := w.newest(), w.random.IntN(len(w.executors))
+	if !o.cell.allAdopted() {
+		return
+	}
 	list := func(without int) {
 		var listed []catalog.Executor
 		for i := range w.executors {
