node: requests shortly after a host's start await its configuration

Callers whose job was sent again to a host that had just started got 503 within the 0.1 to 0.5 s until its configuration was in force, though another host might run the job.

Cause: the front answered before anything was known. It waits now until 1.2 s after the start, as jobs do for owners and for the contact with the domain, and then takes the usual way: search, announcements, confirmation. The job counts from its receipt, not from the end of the wait.

The tests failed with the wait taken out and with the receipt taken after it: "the request didn't wait", Received 1m0.5s in place of 1m0s.

--- a/pkg/node/ports.go
+++ b/pkg/node/ports.go
@@ -124,8 +124,9 @@
 
 // Service is the part of the node that an adapter's front uses.
 type Service interface {
-	// Configuration returns the configuration in effect, or nil before one is loaded.
-	Configuration() *catalog.Configuration
+	// AwaitConfiguration returns the configuration in effect. Shortly after the node's start it waits
+	// until one is loaded. It returns nil if there is none, or when ctx ends.
+	AwaitConfiguration(ctx context.Context) *catalog.Configuration
 	// Submit runs a job and returns its outcome. It returns early when ctx ends.
 	Submit(ctx context.Context, j *job.Job) job.Outcome
 	// Waiting returns the number of a route's jobs of which no task has started.
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -8,7 +8,21 @@
 	"github.com/foxcroft/foxcroft/pkg/job"
 )
 
-// Configuration implements Service.
+// configurationPollInterval is how often a request that waits for a configuration checks for it.
+const configurationPollInterval = 10 * time.Millisecond
+
+// AwaitConfiguration implements Service.
+func (n *Node) AwaitConfiguration(ctx context.Context) *catalog.Configuration {
+	for {
+		changed, left := n.changed.wait(), startupGrace-n.Clock.Now()
+		if current := n.Configuration(); current != nil || left <= 0 || ctx.Err() != nil {
+			return current
+		}
+		n.front.awaitChange(ctx, changed, min(left, configurationPollInterval))
+	}
+}
+
+// Configuration returns the configuration in effect, or nil before one is loaded.
 func (n *Node) Configuration() *catalog.Configuration {
 	if current := n.configuration.Load(); current != nil {
 		return current.parsed
