keeping: ends of a moved job's tasks at other new cells count as its progress

Change: coordinators ask the owners of the other new cells to report the ends that their executors list (Noted.report_ends, Noted.ends). These owners keep the ends, as no row holds them. Owners of the former build ignore the field: the task may run again there, not at once.

--- a/pkg/cell/explore_kept_test.go
+++ b/pkg/cell/explore_kept_test.go
@@ -31,6 +31,8 @@
 	accepted time.Duration
 	ended    bool
 	state    job.Kind
+	cell     modelDivision // the cell that it is assigned to
+	moved    bool          // from another cell
 }
 
 // keptWorld is the state of one simulation.
@@ -50,6 +52,11 @@
 	onlyOwnerCrash bool // no other faults are injected
 	partialCuts    bool // the owner after an isolated one doesn't reach an executor for a while
 	faultsStopped  bool
+	resizes        bool
+	withoutProof   bool         // jobs are dispatched to their new cells without a confirmation
+	withoutMoves   bool         // jobs stay in cells that were removed
+	division       int          // changes of the number of cells
+	newestOwners   []*keptOwner // by cell
 }
 
 // keptEnd is the state at the end of a run: the starts of its task, and the lease
@@ -67,6 +74,7 @@
 	waiters map[string]*coordinator
 	ended   map[string]job.Outcome
 	lastRun time.Duration
+	of      modelDivision // the cell that it has claimed
 }
 
 // coordinator follows all open jobs.
@@ -76,6 +84,8 @@
 	epoch map[string]int
 	owner map[string]*keptOwner
 	lost  map[string]bool // jobs whose last owner was lost, or isn't known
+
+	confirmed map[string]int // by moved job: the division in which it can run in its new cell only
 }
 
 func newKeptWorld(seed uint64) *keptWorld {
@@ -91,7 +101,8 @@
 		w.ends[e.id] = map[int64]keptEnd{}
 		w.executors = append(w.executors, e)
 	}
-	w.newOwner()
+	w.newestOwners = make([]*keptOwner, 1)
+	w.newOwner(modelDivision{cells: 1})
 	w.coordinator = w.newCoordinator()
 	return w
 }
@@ -166,17 +177,20 @@
 	}
 }
 
-// newOwner has a host claim the cell.
-func (w *keptWorld) newOwner() *keptOwner {
+// newOwner has a host claim a cell.
+func (w *keptWorld) newOwner(of modelDivision) *keptOwner {
 	token := int64(len(w.owners) + 1)
 	o := &keptOwner{
 		world: w, cell: New(DefaultParams(time.Second, testJobLease, 50*ms), token, w.now),
-		waiters: map[string]*coordinator{}, ended: map[string]job.Outcome{}, lastRun: w.now,
+		waiters: map[string]*coordinator{}, ended: map[string]job.Outcome{}, lastRun: w.now, of: of,
 	}
 	w.owners = append(w.owners, o)
+	w.newestOwners[of.index] = o
 	var listed []catalog.Executor
 	for i := range w.executors {
-		listed = append(listed, testExecutor(i))
+		if i%of.cells == of.index {
+			listed = append(listed, testExecutor(i))
+		}
 	}
 	o.handle(func() {
 		o.cell.MarkListComplete()
@@ -185,7 +199,15 @@
 	return o
 }
 
-func (w *keptWorld) newest() *keptOwner { return w.owners[len(w.owners)-1] }
+// newest returns the newest owner of a cell.
+func (w *keptWorld) newest() *keptOwner {
+	if len(w.newestOwners) == 1 {
+		return w.newestOwners[0]
+	}
+	return w.newestOwners[w.random.IntN(len(w.newestOwners))]
+}
+
+func (w *keptWorld) isNewest(o *keptOwner) bool { return slices.Contains(w.newestOwners, o) }
 
 func (o *keptOwner) state() *Cell           { return o.cell }
 func (o *keptOwner) process() *modelProcess { return &o.modelProcess }
@@ -202,7 +224,7 @@
 	o.lastRun = w.now
 	event()
 	w.events++
-	crashes := o == w.newest() && w.events == w.crashAt
+	crashes := w.isNewest(o) && w.events == w.crashAt
 	commands, finished, _ := o.cell.TakeActions()
 	for _, command := range commands {
 		w.send(o, command)
@@ -232,7 +254,7 @@
 		w.crashCoordinator()
 	}
 	w.after(w.between(100*ms, 700*ms), func() {
-		if w.newest() == o {
+		if w.isNewest(o) {
 			w.replace(o)
 		}
 	})
@@ -241,7 +263,7 @@
 // replace has another host claim the cell, and the coordinator hand its jobs over to
 // it.
 func (w *keptWorld) replace(former *keptOwner) {
-	w.newOwner()
+	w.newOwner(former.of)
 	w.coordinator.ownerLost(former)
 }
 
@@ -254,7 +276,7 @@
 			return
 		}
 		o.waiters = map[string]*coordinator{}
-		if w.newest() == o {
+		if w.isNewest(o) {
 			w.replace(o)
 		}
 	})
@@ -267,12 +289,12 @@
 	}
 	o.waiters = map[string]*coordinator{}
 	w.after(heartbeatTimeout, func() {
-		if w.newest() != o {
+		if !w.isNewest(o) {
 			return
 		}
 		w.replace(o)
 		if w.partialCuts {
-			w.cutOff(w.executors[w.random.IntN(len(w.executors))], w.newest(), w.between(0, 10*time.Second))
+			w.cutOff(w.executors[w.random.IntN(len(w.executors))], w.newestOwners[o.of.index], w.between(0, 10*time.Second))
 		}
 	})
 }
@@ -293,7 +315,7 @@
 
 // newCoordinator returns one that has read the table.
 func (w *keptWorld) newCoordinator() *coordinator {
-	k := &coordinator{world: w, epoch: map[string]int{}, owner: map[string]*keptOwner{}, lost: map[string]bool{}}
+	k := &coordinator{world: w, epoch: map[string]int{}, owner: map[string]*keptOwner{}, lost: map[string]bool{}, confirmed: map[string]int{}}
 	for _, id := range slices.Sorted(maps.Keys(w.rows)) {
 		if row := w.rows[id]; !row.ended && row.job.Kept {
 			k.lost[id] = true
@@ -319,10 +341,13 @@
 	k.dispatch(id, progress)
 }
 
-// dispatch hands a job to the newest owner.
+// dispatch hands a job to the newest owner of its cell.
 func (k *coordinator) dispatch(id string, progress []job.Progress) {
 	w := k.world
-	o := w.newest()
+	if !k.prepare(id, progress) {
+		return
+	}
+	o := w.newestOwners[w.rows[id].cell.index]
 	k.owner[id] = o
 	epoch := k.epoch[id]
 	w.deliver(o, ms, func() {
@@ -342,7 +367,7 @@
 	})
 	if o.dead {
 		w.after(heartbeatTimeout, func() {
-			if !k.dead && k.owner[id] == o && w.newest() != o {
+			if !k.dead && k.owner[id] == o && !w.isNewest(o) {
 				k.lost[id] = true
 				k.redispatch(id, nil)
 			}
@@ -444,6 +469,10 @@
 		return
 	}
 	o := w.newest()
+	if w.resizes && w.oneIn(300) {
+		w.resize()
+		return
+	}
 	switch w.random.IntN(600) {
 	case 0, 1:
 		e := w.executors[w.random.IntN(len(w.executors))]
@@ -468,7 +497,7 @@
 
 // takeOverGracefully has another host claim the cell and the former owner release it.
 func (w *keptWorld) takeOverGracefully(former *keptOwner) {
-	w.newOwner()
+	w.newOwner(former.of)
 	w.deliver(former, 20*ms, func() { former.cell.Release("taken over") })
 	w.after(2*heartbeatTimeout, func() { w.coordinator.ownerLost(former) }) // in case the release didn't reach the former owner
 }
--- a/pkg/cell/kept.go
+++ b/pkg/cell/kept.go
@@ -181,6 +181,17 @@
 	tasks[key] = known
 }
 
+// ListedEnds returns what the listed ends tell of the tasks of a kept job, sorted by task. The job
+// need not be here.
+func (c *Cell) ListedEnds(id string) []job.Progress {
+	var ends []job.Progress
+	for key, known := range c.histories[id] {
+		ends = append(ends, job.Progress{Key: key, Done: known.done, Failures: known.failures, Run: known.lastRun})
+	}
+	job.SortProgress(ends)
+	return ends
+}
+
 // adoptEnd applies the end of a kept job's run that is not known here: one of a former owner, or
 // one that this owner had given up.
 func (c *Cell) adoptEnd(end EndedTask) {
--- a/pkg/keeping/fakes_test.go
+++ b/pkg/keeping/fakes_test.go
@@ -121,6 +121,7 @@
 	ownerless  map[string]bool     // cells without a reachable owner
 	unadopted  map[string]bool     // cells whose owners may not know all runs
 	runs       map[string][]string // jobs that have runs, by cell
+	ends       []job.Progress      // that executors of other cells than that of a job list
 }
 
 func (f *fakeCells) change(event func(f *fakeCells)) {
@@ -170,6 +171,13 @@
 	return h.cells.successors, h.cells.removed[cell] && h.cells.ownerless[cell]
 }
 
+func (h *fakeHost) ReleaseMoved(_ context.Context, cell, id string) ([]job.Progress, bool) {
+	notice := OwnerNotice{Cell: cell, IDs: []string{id}, Moved: true}
+	h.notices <- notice
+	runs, ok := h.cells.notify(notice)
+	return h.cells.ends, ok && len(runs) == 0
+}
+
 func (h *fakeHost) ChooseAmong(cells []string, _ *job.Job) (string, bool) { return cells[0], true }
 
 func (h *fakeHost) AskCoordinator(_ context.Context, _, _ string, j *job.Job, _ int) (kept.Answer, bool) {
--- a/pkg/keeping/handover.go
+++ b/pkg/keeping/handover.go
@@ -21,6 +21,10 @@
 	// Successors returns the cells of a removed cell's domain. It reports false unless CellRemoved
 	// holds, the cell has no reachable owner, and each of its successors has one.
 	Successors(cell string) ([]string, bool)
+	// ReleaseMoved has the owner of a cell drop a job that was moved to another one. It returns the
+	// ends of the job's tasks that executors there list, and false unless the owner confirms that
+	// all executors obey it and none runs the job.
+	ReleaseMoved(ctx context.Context, cell, id string) ([]job.Progress, bool)
 	// ChooseAmong returns which of some cells should run a job, or false if none can.
 	ChooseAmong(cells []string, j *job.Job) (string, bool)
 }
@@ -64,7 +68,8 @@
 }
 
 // isReleasedBySuccessors reports whether nothing of the job can run or start outside of its new
-// cell, by the word of the owners of the other cells that have replaced its former one.
+// cell, by the word of the owners of the other cells that have replaced its former one. Ends of its
+// tasks that are known there count as progress of the job.
 func (f *follower) isReleasedBySuccessors(ctx context.Context) bool {
 	cells, ok := f.service().host.Successors(f.record.From)
 	if !ok || !slices.Contains(cells, f.record.Cell) {
@@ -74,10 +79,20 @@
 		if cell == f.record.Cell {
 			continue
 		}
-		runs, ok := f.service().host.NotifyOwner(ctx, OwnerNotice{Cell: cell, IDs: []string{f.record.ID}, Moved: true})
-		if !ok || len(runs) > 0 {
+		ends, ok := f.service().host.ReleaseMoved(ctx, cell, f.record.ID)
+		if !ok {
 			return false
 		}
+		f.addEnds(ends)
 	}
 	return true
 }
+
+// addEnds adds ends of tasks that are listed outside of the job's cell.
+func (f *follower) addEnds(ends []job.Progress) {
+	if len(ends) == 0 {
+		return
+	}
+	f.progress, f.progressAt = job.MergeEnds(f.progressAsOfNow(), ends), f.service().Clock.Now()
+	f.begun.Store(true)
+}
--- a/pkg/keeping/handover_test.go
+++ b/pkg/keeping/handover_test.go
@@ -102,6 +102,21 @@
 	}
 }
 
+// A task that has ended at an executor of another new cell, after the former owner returned the job,
+// isn't started again.
+func TestAJobIsDispatchedWithTheEndsAtOtherNewCells(t *testing.T) {
+	c := qt.New(t)
+	host := newFakeHost()
+	service := startService(t.Cleanup, host, newFakeStore())
+	service.Keep(context.Background(), testJob("a"))
+	first := within(c, host.dispatches)
+	done := job.Progress{Key: job.TaskKey{Index: 1}, Done: true, Run: 501}
+	host.cells.change(divide("x/2.0", "x/2.1"))
+	host.cells.change(func(f *fakeCells) { f.ends = []job.Progress{done} })
+	first.end <- fenced()
+	c.Assert(within(c, host.dispatches).progress, qt.DeepEquals, []job.Progress{done})
+}
+
 // A cell that is claimed again before the job has left it keeps the job.
 func TestAJobReturnsToItsCellIfItRunsThere(t *testing.T) {
 	c := qt.New(t)
--- a/pkg/node/kept_host.go
+++ b/pkg/node/kept_host.go
@@ -180,17 +180,26 @@
 
 // NotifyOwner implements keeping.Host.
 func (h *keptHost) NotifyOwner(ctx context.Context, notice keeping.OwnerNotice) ([]string, bool) {
-	claim, ok := h.ownerOf(notice.Cell)
+	m := &peerpb.Noted{Cell: notice.Cell, Ids: notice.IDs, Cancelled: notice.Cancelled, Moved: notice.Moved, Progress: uint32(notice.Progress)}
+	answer, ok := h.notify(ctx, m)
+	return answer.GetIds(), ok
+}
+
+// ReleaseMoved implements keeping.Host.
+func (h *keptHost) ReleaseMoved(ctx context.Context, cell, id string) ([]job.Progress, bool) {
+	answer, ok := h.notify(ctx, &peerpb.Noted{Cell: cell, Ids: []string{id}, Moved: true, ReportEnds: true})
+	return jobwire.FromProgress(answer.GetEnds()), ok && len(answer.GetIds()) == 0
+}
+
+// notify sends a notice to the owner of its cell. It reports false without an answer by which the
+// owner has applied it.
+func (h *keptHost) notify(ctx context.Context, m *peerpb.Noted) (*peerpb.Noted, bool) {
+	claim, ok := h.ownerOf(m.Cell)
 	if !ok {
 		return nil, false
 	}
-	m := &peerpb.Noted{Cell: notice.Cell, Ids: notice.IDs, Cancelled: notice.Cancelled, Moved: notice.Moved, Progress: uint32(notice.Progress)}
 	if claim.Owner == h.node.settings.PeerAddress {
-		o := h.node.owner(notice.Cell)
-		if o == nil {
-			return nil, false
-		}
-		return o.handleNotice(m)
+		return h.notifyOwn(m)
 	}
 	link := h.node.links.Link(claim.Owner)
 	if link == nil || !link.Up() {
@@ -200,5 +209,14 @@
 	if err != nil || answer.GetNoted() == nil {
 		return nil, false
 	}
-	return answer.GetNoted().Ids, true
+	return answer.GetNoted(), true
+}
+
+// notifyOwn applies a notice to a cell that this host owns.
+func (h *keptHost) notifyOwn(m *peerpb.Noted) (*peerpb.Noted, bool) {
+	o := h.node.owner(m.Cell)
+	if o == nil {
+		return nil, false
+	}
+	return o.answerNotice(m)
 }
--- a/pkg/node/kept_messages.go
+++ b/pkg/node/kept_messages.go
@@ -32,12 +32,12 @@
 		reply(peer.FailureMessage(errkind.New(errkind.NotFound, "notify the cell's owner", "this host does not own cell %s", m.Cell)), 0)
 		return
 	}
-	continuing, known := o.handleNotice(m)
+	answer, known := o.answerNotice(m)
 	if !known {
 		reply(peer.FailureMessage(errkind.New(errkind.NotReady, "retry later", "the takeover of cell %s is not complete: runs of its former owner may be unknown here", m.Cell)), 0)
 		return
 	}
-	reply(&peerpb.Message{Body: &peerpb.Message_Noted{Noted: &peerpb.Noted{Cell: m.Cell, Ids: continuing}}}, 0)
+	reply(&peerpb.Message{Body: &peerpb.Message_Noted{Noted: answer}}, 0)
 }
 
 func toKeptReply(answer kept.Answer) *peerpb.Message {
--- a/pkg/node/owner_notices.go
+++ b/pkg/node/owner_notices.go
@@ -5,16 +5,28 @@
 
 	"github.com/foxcroft/foxcroft/pkg/cell"
 	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/jobwire"
 	"github.com/foxcroft/foxcroft/pkg/keeping"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
 )
 
+// answerNotice applies a coordinator's notice, and returns the answer to it, or false when the
+// coordinator has to ask again.
+func (o *owner) answerNotice(m *peerpb.Noted) (*peerpb.Noted, bool) {
+	continuing, known := o.handleNotice(m)
+	answer := &peerpb.Noted{Cell: m.Cell, Ids: continuing}
+	if m.ReportEnds {
+		answer.Ends = jobwire.ToProgress(o.listedEnds(m.Ids))
+	}
+	return answer, known
+}
+
 // handleNotice applies a coordinator's notice about the rows of kept jobs. It returns
 // those of the moved jobs that continue here, and false when that is not known yet.
 func (o *owner) handleNotice(m *peerpb.Noted) ([]string, bool) {
 	switch {
 	case m.Moved:
-		return o.releaseMoved(m.Ids)
+		return o.releaseMoved(m.Ids, !m.ReportEnds)
 	case m.Progress > 0:
 		o.do(func(state *cell.Cell, now time.Duration) {
 			for _, id := range m.Ids {
@@ -33,8 +45,9 @@
 // releaseMoved releases kept jobs that were moved to another cell, and returns those that
 // stay because a task of them has run or ended here. While unknown runs of a former owner may
 // be alive, it releases none and reports false: the other cell would run the same tasks a second
-// time.
-func (o *owner) releaseMoved(ids []string) ([]string, bool) {
+// time. The ends of the jobs' tasks may be forgotten if holdEnds says that the rows of the jobs hold
+// them.
+func (o *owner) releaseMoved(ids []string, holdEnds bool) ([]string, bool) {
 	var continuing []string
 	var replies []reply
 	complete := false
@@ -53,7 +66,9 @@
 			delete(o.waiters, id)
 			o.kept.remove(id)
 			state.Withdraw(id, reasonKeptMoved, now)
-			state.EndsPersisted([]string{id}, now) // the job's row holds the tasks that have ended here
+			if holdEnds {
+				state.EndsPersisted([]string{id}, now)
+			}
 		}
 	})
 	for _, reply := range replies {
@@ -62,6 +77,17 @@
 	return continuing, complete
 }
 
+// listedEnds returns what executors list of the ends of tasks of kept jobs.
+func (o *owner) listedEnds(ids []string) []job.Progress {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var ends []job.Progress
+	for _, id := range ids {
+		ends = append(ends, o.state.ListedEnds(id)...)
+	}
+	return ends
+}
+
 // checkpointInterval is how often an owner checks kept jobs for progress to persist.
 const checkpointInterval = 250 * time.Millisecond
 
