--- a/pkg/cell/explore_kept_resize_test.go
+++ b/pkg/cell/explore_kept_resize_test.go
@@ -101,7 +101,8 @@
 		if ends, released := o.releaseMoved(id); released && !answered {
 			answered = true
 			w.after(ms, func() {
-				k.askOthers(id, job.MergeEnds(job.AgeProgress(progress, w.now-asked), ends), division, index+1)
+				k.ends[id] = job.MergeEnds(k.ends[id], ends) // kept beyond the loss of an owner
+				k.askOthers(id, job.AgeProgress(progress, w.now-asked), division, index+1)
 			})
 		}
 	})
--- a/pkg/cell/explore_kept_test.go
+++ b/pkg/cell/explore_kept_test.go
@@ -85,7 +85,8 @@
 	owner map[string]*keptOwner
 	lost  map[string]bool // jobs whose last owner was lost, or isn't known
 
-	confirmed map[string]int // by moved job: the division in which it can run in its new cell only
+	confirmed map[string]int            // by moved job: the division in which it can run in its new cell only
+	ends      map[string][]job.Progress // of tasks at other cells, by moved job
 }
 
 func newKeptWorld(seed uint64) *keptWorld {
@@ -315,7 +316,7 @@
 
 // newCoordinator returns one that has read the table.
 func (w *keptWorld) newCoordinator() *coordinator {
-	k := &coordinator{world: w, epoch: map[string]int{}, owner: map[string]*keptOwner{}, lost: map[string]bool{}, confirmed: map[string]int{}}
+	k := &coordinator{world: w, epoch: map[string]int{}, owner: map[string]*keptOwner{}, lost: map[string]bool{}, confirmed: map[string]int{}, ends: map[string][]job.Progress{}}
 	for _, id := range slices.Sorted(maps.Keys(w.rows)) {
 		if row := w.rows[id]; !row.ended && row.job.Kept {
 			k.lost[id] = true
@@ -349,6 +350,7 @@
 	}
 	o := w.newestOwners[w.rows[id].cell.index]
 	k.owner[id] = o
+	progress = job.MergeEnds(progress, k.ends[id])
 	epoch := k.epoch[id]
 	w.deliver(o, ms, func() {
 		if k.dead || k.owner[id] != o || w.rows[id].ended {
