cell: the explorer isolates owners of removed cells

Beside each second change of the number of cells, the former owners live on unreachable to all other hosts, and an executor doesn't answer its new owner for up to 10 s.

--- a/pkg/cell/explore_kept_resize_test.go
+++ b/pkg/cell/explore_kept_resize_test.go
@@ -35,6 +35,9 @@
 	for i := range w.newestOwners {
 		w.newOwner(modelDivision{cells: len(w.newestOwners), index: i})
 	}
+	if w.partialCuts && w.oneIn(2) {
+		w.isolateFormer(former)
+	}
 	w.after(2*heartbeatTimeout, func() { // in case they are dead, or isolated
 		for _, o := range former {
 			w.coordinator.ownerLost(o)
@@ -42,6 +45,16 @@
 	})
 }
 
+// isolateFormer makes running owners of removed cells unreachable to all other hosts, and an executor
+// unreachable to its new owner.
+func (w *keptWorld) isolateFormer(former []*keptOwner) {
+	for _, o := range former {
+		o.waiters = map[string]*coordinator{}
+	}
+	i := w.random.IntN(len(w.executors))
+	w.cutOff(w.executors[i], w.newestOwners[i%len(w.newestOwners)], w.between(0, 10*time.Second))
+}
+
 // prepare reports whether a job may be dispatched to its cell now. Otherwise it is dispatched
 // later.
 func (k *coordinator) prepare(id string, progress []job.Progress) bool {
@@ -150,6 +163,26 @@
 	c.Assert(failed, qt.HasLen, 0)
 }
 
+// Guards against tasks of kept jobs that run twice at once: an isolated owner of a removed cell goes
+// on with them at an executor that an owner of a new cell doesn't reach.
+func TestExploredKeptJobsRunOnceBesideIsolatedOwnersOfRemovedCells(t *testing.T) {
+	const plays = 50
+	c := qt.New(t)
+	resizes := 0
+	var failed []string
+	for seed := range uint64(plays * max(defaultPlays, *explorePlays) / defaultPlays) {
+		w := newKeptWorld(seed)
+		w.resizes, w.partialCuts = true, true
+		w.run()
+		resizes += w.division
+		if len(w.doubles) > 0 {
+			failed = append(failed, fmt.Sprintf("seed %d: %s", seed, w.doubles[0]))
+		}
+	}
+	c.Assert(resizes > plays, qt.IsTrue)
+	c.Assert(failed, qt.HasLen, 0)
+}
+
 // The explorer finds jobs that stay in removed cells, and tasks whose ends only executors of other
 // cells list.
 func TestExplorerFindsFaultsOfMovesBetweenCells(t *testing.T) {
