make test runs its parts side by side

Cause: make test took 12 min at a load of 2 to 3 on 8 cores. platform/soak alone took 496 s, as its tests mostly wait and run one after the other, and the race stage began only after it.

--- a/Makefile
+++ b/Makefile
@@ -21,8 +21,6 @@
 run: build
 	scripts/run.sh $(or $(DEPLOYMENT),andina)
 
-RACE_PACKAGES := ./pkg/peer/... ./pkg/entry/... ./pkg/target/... ./pkg/client/... ./pkg/standin/... ./pkg/platform/... ./pkg/integration/... ./pkg/node/... ./pkg/logbuffer/... ./platform ./platform/standin/...
-
 # measure prints one JSON object a scenario and policy; see docs/LOAD.md.
 measure: build
 	scripts/measure.sh
@@ -37,13 +35,10 @@
 	go tool staticcheck ./...
 
 # test is what CI runs: format, vet, linter, all tests, and the concurrent
-# packages again under the race detector. No result is taken from the cache: it
-# doesn't know of the program that the soak builds and runs. Tests listed in
-# KNOWN-RED.txt are passed over.
+# packages again under the race detector. Tests listed in KNOWN-RED.txt are
+# passed over.
 test: build fmt vet lint
-	skip=$$(scripts/known-red.sh) && \
-		go test -count=1 -timeout 20m -skip "$$skip" ./... && \
-		go test -count=1 -timeout 20m -race -skip "$$skip" $(RACE_PACKAGES)
+	scripts/test.sh
 
 # known-red runs just the tests listed in KNOWN-RED.txt, which should fail.
 known-red:
