cell: an executor that answers isn't lost, whatever the list said

An executor at whose address another one is listed counted as lost although it answered on, so that a later crash was dated to that time.

--- a/pkg/cell/crashes.go
+++ b/pkg/cell/crashes.go
@@ -217,8 +217,8 @@
 	})
 }
 
-// endIfCrashing ends a job if its task crashes the executors that run it, or if too many have
-// crashed to start it again before the deadline of a best-effort job.
+// endIfCrashing ends a job if there is enough evidence that its task crashes the executors that run
+// it. It also ends a best-effort job if many have crashed without such evidence.
 func (c *Cell) endIfCrashing(w *jobState, t *task) {
 	if c.jobs[w.job.ID] != w || t.done {
 		return
--- a/pkg/cell/executor_losses.go
+++ b/pkg/cell/executor_losses.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// clearLoss records that an executor that was unresponsive has answered. Its loss still shows that
+// clearLoss records that an executor has answered after it counted as lost. The loss still shows that
 // others of the same time need not be due to their tasks.
 func (c *Cell) clearLoss(e *executor) {
 	if e.loss == nil || e.ended {
--- a/pkg/cell/executor_losses_test.go
+++ b/pkg/cell/executor_losses_test.go
@@ -246,6 +246,21 @@
 	c.Assert(d.cell.Progress("a")[0].CrashEvidence, qt.Equals, 0)
 }
 
+// Guards against the loss of an executor that is found at the address of another one being dated to that
+// time although it has answered since.
+func TestAnExecutorThatAnswersAfterItsReplacementWasListedIsNotLost(t *testing.T) {
+	c := qt.New(t)
+	d, infos := newRestartableDriver(c, 2)
+	other := infos[0]
+	other.ID += "-next"
+	d.cell.SetExecutors(append(infos, other), d.now)
+	d.takeActions()
+	e := d.cell.executors[infos[0].Incarnation()]
+	c.Assert(e.loss, qt.IsNotNil)
+	d.answerHold(&infos[0], HoldResponse{Clock: time.Minute + d.now})
+	c.Assert(e.loss, qt.IsNil)
+}
+
 // Guards against losses that add up in a cell without work, which gets no ticks.
 func TestLossesDoNotAddUpWithoutTicks(t *testing.T) {
 	c := qt.New(t)
--- a/pkg/cell/holds.go
+++ b/pkg/cell/holds.go
@@ -130,8 +130,8 @@
 		c.dirty = true
 		c.addNotice(Notice{Event: "executor_answers", Executor: e.info.ID})
 		c.clearLostRuns(e)
-		c.clearLoss(e)
 	}
+	c.clearLoss(e)
 	newest := response.Clock >= e.listClock // a newer list may have arrived first
 	if newest || response.UnreadableRuns > 0 {
 		c.applyUnreadable(e, response, now)
