--- a/pkg/cell/executor_losses_test.go
+++ b/pkg/cell/executor_losses_test.go
@@ -17,17 +17,21 @@
 	}
 }
 
+// submitWideJobs submits three jobs that take an executor each, after a change to each of them.
+func (d *driver) submitWideJobs(change func(j *job.Job)) {
+	for _, id := range []string{"a", "b", "c"} {
+		j := wideJob(id, d.now)
+		change(j)
+		d.submit(j, 1)
+	}
+}
+
 // Guards against crashes that become evidence against a task once the other losses of the same moment are
 // forgotten (lossRetention).
 func TestCrashesOfAMassLossAreNoEvidenceLater(t *testing.T) {
 	c := qt.New(t)
 	d, infos := newRestartableDriver(c, 8)
-	for _, id := range []string{"a", "b", "c"} {
-		j := wideJob(id, d.now)
-		j.Kept = true
-		j.Steps[0].Estimate = time.Hour
-		d.submit(j, 1)
-	}
+	d.submitWideJobs(func(j *job.Job) { j.Kept, j.Steps[0].Estimate = true, time.Hour })
 	d.crashAll(infos)
 	c.Assert(d.cell.Progress("a")[0].CrashEvidence, qt.Equals, 0)
 	d.acceptStarts()
@@ -39,12 +43,7 @@
 func TestAJobDoesNotFailAfterMassLossesFarApart(t *testing.T) {
 	c := qt.New(t)
 	d, infos := newRestartableDriver(c, 8)
-	for _, id := range []string{"a", "b", "c"} {
-		j := wideJob(id, d.now)
-		j.Kept = true
-		j.Steps[0].Estimate = time.Hour
-		d.submit(j, 1)
-	}
+	d.submitWideJobs(func(j *job.Job) { j.Kept, j.Steps[0].Estimate = true, time.Hour })
 	for range 3 {
 		d.tick(5 * time.Second)
 		starts := d.acceptStarts()
@@ -78,11 +77,7 @@
 func TestACrashDuringACutCoincidesWithTheOthers(t *testing.T) {
 	c := qt.New(t)
 	d, infos := newRestartableDriver(c, 8)
-	for _, id := range []string{"a", "b", "c"} {
-		j := wideJob(id, d.now)
-		j.Deadline = d.now + time.Hour
-		d.submit(j, 1)
-	}
+	d.submitWideJobs(func(*job.Job) {})
 	starts := d.acceptStarts()
 	cut := indexOf(infos, starts[0])
 	d.loseExecutor(&infos[cut]) // its link is cut; a's lease expires
@@ -228,11 +223,7 @@
 func TestLossesOfACutCountOnceItIsOver(t *testing.T) {
 	c := qt.New(t)
 	d, infos := newRestartableDriver(c, 8)
-	for _, id := range []string{"a", "b", "c"} {
-		j := wideJob(id, d.now)
-		j.Deadline = d.now + time.Hour
-		d.submit(j, 1)
-	}
+	d.submitWideJobs(func(*job.Job) {})
 	starts := d.acceptStarts()
 	for _, start := range starts {
 		d.loseExecutor(&infos[indexOf(infos, start)])
