node: a domain confirms an announcement only by hosts that relay it

Callers could have had a task run twice at once: once the replies of the two hosts of another domain that relay an announcement were lost, the front took the answer of any host there to a heartbeat for the domain's confirmation, and lifted the limits of the leases. That host had received the announcement without being asked to relay it, so the other hosts of its domain didn't know of the job. A heartbeat could also overtake the announcement on a link that had come up or had been replaced just then.

A host that hasn't replied, or that was never asked, is now sent the announcement again as a call that it relays; its reply confirms it. Heartbeats serve hosts of earlier builds only, after the announcement. askMissingDomains keeps its heartbeat: it clears the mark of a domain, after which jobs have to be confirmed again; TestAReachableDomainConfirmsNoJob shows that it lifts no limit.

--- a/pkg/node/confirmations.go
+++ b/pkg/node/confirmations.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/member"
 	"github.com/foxcroft/foxcroft/pkg/openjobs"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
 )
@@ -102,12 +103,11 @@
 	return at
 }
 
-// confirmsBy waits until a domain has confirmed an announcement, or until limit. Hosts that don't
-// reply to announcements are asked, and all are if no reply can arrive any more.
+// confirmsBy waits until a domain has confirmed an announcement, or until limit.
 func (n *Node) confirmsBy(domain string, limit time.Duration, sent *sentAnnouncement) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), limit-n.Clock.Now())
 	defer cancel()
-	for isFirst := true; !n.hasConfirmed(ctx, domain, sent, isFirst); isFirst = false {
+	for !n.hasConfirmed(ctx, domain, sent) {
 		if !n.front.sleepUntil(ctx, n.Clock.Now()+confirmRetryInterval) {
 			return false
 		}
@@ -116,7 +116,8 @@
 	return n.Clock.Now() <= limit // a process that stood still may read the answer later
 }
 
-// askMissingDomains asks the domains that don't confirm whether they can be reached again.
+// askMissingDomains asks the domains that don't confirm whether they can be reached again. An answer
+// says nothing of announcements: jobs of the domain have to be confirmed again from then on.
 func (n *Node) askMissingDomains(now time.Duration) {
 	n.openJobTable.mu.Lock()
 	due := n.openJobTable.confirmations.DueAgain(now)
@@ -125,7 +126,11 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), n.settings.SuspectAfter)
 			defer cancel()
-			if n.hasConfirmed(ctx, domain, nil, false) {
+			var answers []func() bool
+			for _, p := range n.confirmers(domain) {
+				answers = append(answers, func() bool { return n.answersHeartbeat(ctx, p.Address) })
+			}
+			if isAnyTrue(answers) {
 				n.openJobTable.recordConfirmed(domain)
 			}
 		}()
@@ -139,34 +144,57 @@
 	o.confirmations.Confirmed(domain)
 }
 
-// hasConfirmed reports whether a host of a domain has handled what was sent to it before now: one
-// that replies to the announcement, if awaitsReplies is set, or one that answers a heartbeat.
-func (n *Node) hasConfirmed(ctx context.Context, domain string, sent *sentAnnouncement, awaitsReplies bool) bool {
-	var waits []func() bool
-	if awaitsReplies {
-		for _, address := range sent.inDomain(domain) {
-			waits = append(waits, func() bool { return sent.replies[address].await(ctx) })
+// confirmers returns the hosts of a domain that are asked to confirm announcements.
+func (n *Node) confirmers(domain string) []member.Peer {
+	return slices.DeleteFunc(fewPerDomain(n.reachablePeers(), confirmersPerDomain), func(p member.Peer) bool { return p.Domain != domain })
+}
+
+// hasConfirmed reports whether a host of a domain has received an announcement and relayed it there. It
+// returns false once none of those that have been asked can reply any more.
+func (n *Node) hasConfirmed(ctx context.Context, domain string, sent *sentAnnouncement) bool {
+	var answers []func() bool
+	for _, address := range sent.inDomain(domain) {
+		if reply := sent.reply(address); !reply.isLost() {
+			answers = append(answers, func() bool { return reply.await(ctx) })
 		}
 	}
-	for _, p := range fewPerDomain(n.reachablePeers(), confirmersPerDomain) {
-		if p.Domain == domain && !(awaitsReplies && sent.replies[p.Address] != nil) {
-			waits = append(waits, func() bool { return n.answersHeartbeat(ctx, p.Address) })
+	for _, p := range n.confirmers(domain) {
+		if reply := sent.reply(p.Address); reply == nil || reply.isLost() {
+			answers = append(answers, n.announceAgain(ctx, p, sent))
 		}
 	}
-	answers := make(chan bool, len(waits))
-	for _, wait := range waits {
-		go func() { answers <- wait() }()
+	return isAnyTrue(answers)
+}
+
+// announceAgain sends an announcement to a host that may not have received it, or hasn't been asked to
+// relay it in its domain. It returns a function that waits for the host's confirmation.
+func (n *Node) announceAgain(ctx context.Context, p member.Peer, sent *sentAnnouncement) (isConfirmed func() bool) {
+	m := toOpenJobs(n.asFront(), sent.jobs, p.Domain != n.settings.Domain)
+	if !p.ConfirmsOpenJobs {
+		n.sendOpenJobs(p.Address, m)
+		return func() bool { return n.answersHeartbeat(ctx, p.Address) }
+	}
+	reply := n.callOpenJobs(p.Address, m)
+	sent.add(p, reply)
+	return func() bool { return reply.await(ctx) }
+}
+
+// isAnyTrue calls functions concurrently, and returns true as soon as one of them does.
+func isAnyTrue(functions []func() bool) bool {
+	results := make(chan bool, len(functions))
+	for _, f := range functions {
+		go func() { results <- f() }()
 	}
-	for range waits {
-		if <-answers {
+	for range functions {
+		if <-results {
 			return true
 		}
 	}
 	return false
 }
 
-// answersHeartbeat reports whether a host has handled what was sent to it before now. A heartbeat
-// takes the way of announcements and is answered after them, by hosts of earlier releases too.
+// answersHeartbeat reports whether a host answers a heartbeat. It has handled the announcements that were
+// sent to it on the same connection before.
 func (n *Node) answersHeartbeat(ctx context.Context, address string) bool {
 	link := n.links.Link(address)
 	if link == nil {
--- a/pkg/node/confirmations_test.go
+++ b/pkg/node/confirmations_test.go
@@ -111,3 +111,31 @@
 	time.Sleep(a.settings.ResubmitAfter)
 	c.Assert(young.ctx.Err(), qt.IsNil)
 }
+
+// Guards against runs beyond the limit of a job's lease: a heartbeat that a domain answers says nothing of
+// the announcement of a job, and lifts no limit.
+func TestAReachableDomainConfirmsNoJob(t *testing.T) {
+	c := qt.New(t)
+	a, b := peerNode(t, "a", "z", 1), peerNode(t, "b", "y", 2)
+	listDomain(a, b, "y")
+	linkAll(t, a, b)
+	open := openUnannounced(a)
+	a.openJobTable.mu.Lock()
+	a.openJobTable.confirmations.Missing("y", a.Clock.Now())
+	a.openJobTable.mu.Unlock()
+	eventually(c, func() bool { a.askMissingDomains(a.Clock.Now()); return !isMissing(a, "y") })
+	c.Assert(isConfirmed(open, a), qt.IsFalse)
+	closeNode(b)
+	eventually(c, func() bool { return len(a.reachablePeers()) == 0 })
+	a.confirmAnnouncement(newSentAnnouncement([]openjobs.Announcement{{ID: joinID}}))
+	<-open.ctx.Done()
+	c.Assert(context.Cause(open.ctx) == errUnconfirmed, qt.IsTrue)
+	c.Assert(isConfirmed(open, a), qt.IsFalse)
+}
+
+// isConfirmed reports whether the limit of the lease of a node's job has been lifted.
+func isConfirmed(open *openJob, n *Node) bool {
+	n.front.mu.Lock()
+	defer n.front.mu.Unlock()
+	return open.isConfirmed
+}
--- a/pkg/node/delivery.go
+++ b/pkg/node/delivery.go
@@ -13,7 +13,9 @@
 
 // sentAnnouncement is an announcement of open jobs, with the replies of the hosts that confirm it.
 type sentAnnouncement struct {
-	jobs    []openjobs.Announcement
+	jobs []openjobs.Announcement
+
+	mu      sync.Mutex
 	replies map[string]*openJobsReply // by the address of the host
 	domains map[string]string         // of these hosts, by their addresses
 }
@@ -23,11 +25,22 @@
 }
 
 func (s *sentAnnouncement) add(p member.Peer, reply *openJobsReply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.replies[p.Address], s.domains[p.Address] = reply, p.Domain
 }
 
+// reply returns the reply of a host, or nil if it hasn't been asked for one.
+func (s *sentAnnouncement) reply(address string) *openJobsReply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.replies[address]
+}
+
 // inDomain returns the addresses of the hosts of a domain that have been asked to reply, sorted.
 func (s *sentAnnouncement) inDomain(domain string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var addresses []string
 	for address := range s.replies {
 		if s.domains[address] == domain {
@@ -55,6 +68,16 @@
 	}
 }
 
+// isLost reports whether no reply will arrive.
+func (r *openJobsReply) isLost() bool {
+	select {
+	case <-r.done:
+		return !r.arrived
+	default:
+		return false
+	}
+}
+
 // await waits until the reply arrives. It returns false if ctx ends first, or if there will be none.
 func (r *openJobsReply) await(ctx context.Context) bool {
 	select {
@@ -94,7 +117,7 @@
 		time.Sleep(openjobs.RelayAfter)
 		var confirmed []string
 		for _, address := range asked {
-			if sent.replies[address].hasArrived() {
+			if sent.reply(address).hasArrived() {
 				confirmed = append(confirmed, address)
 			}
 		}
--- a/pkg/node/delivery_test.go
+++ b/pkg/node/delivery_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -84,6 +86,13 @@
 	}
 }
 
+// isMissing reports whether a domain doesn't confirm a node's announcements.
+func isMissing(n *Node, domain string) bool {
+	n.openJobTable.mu.Lock()
+	defer n.openJobTable.mu.Unlock()
+	return n.openJobTable.confirmations.IsExempt(domain, n.Clock.Now())
+}
+
 // A domain confirms by the replies to an announcement, without heartbeats for it.
 func TestHostsConfirmAnnouncementsByTheirReplies(t *testing.T) {
 	for _, domain := range []string{"z", "y"} {
@@ -113,3 +122,35 @@
 		})
 	}
 }
+
+// Guards against a second start in another domain: a host that isn't asked to relay an announcement
+// confirms it in place of lost ones, and the other hosts of its domain don't know of the job.
+func TestADomainThatConfirmsKnowsTheJobAtAllItsHosts(t *testing.T) {
+	c := qt.New(t)
+	a, other := peerNode(t, "a", "z", 1), peerNode(t, "other", "y", 2)
+	a.settings.ResubmitAfter = 3 * time.Second
+	var linked []*Node // of the other domain, in the order in which they are asked
+	relays := map[*Node]*relayd.Relay{}
+	for i, name := range []string{"b", "c", "d"} {
+		n, relay := peerNodeBehindRelay(t, name, "y", byte(3+i))
+		linked, relays[n] = append(linked, n), relay
+		listDomain(a, n, "y")
+	}
+	slices.SortFunc(linked, func(x, y *Node) int { return strings.Compare(x.settings.PeerAddress, y.settings.PeerAddress) })
+	linkAll(t, append([]*Node{a}, linked...)...)
+	linkAll(t, append([]*Node{other}, linked...)...)
+	lost := linked[:relaysPerDomain]
+	for _, n := range lost {
+		relays[n].SetCutOf("a", true)
+	}
+	open := openUnannounced(a)
+	a.announceOpenJobs(a.Clock.Now())
+	for _, n := range lost {
+		closeNode(n)
+		relays[n].Reset()
+	}
+	eventually(c, func() bool { return isConfirmed(open, a) || open.ctx.Err() != nil })
+	c.Assert(isConfirmed(open, a), qt.IsTrue)
+	c.Assert(knowsOpenJob(linked[relaysPerDomain]), qt.IsTrue)
+	eventually(c, func() bool { return knowsOpenJob(other) })
+}
