--- a/pkg/node/renewals.go
+++ b/pkg/node/renewals.go
@@ -137,6 +137,16 @@
 	return due
 }
 
+// gapUntil returns the time since the last poll; 0 before the first one.
+func (r *renewals) gapUntil(now time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.polledAt == 0 {
+		return 0
+	}
+	return now - r.polledAt
+}
+
 // wasPausedUntil reports whether this process was paused since the last poll for so long that
 // others may have taken it for dead.
 func (r *renewals) wasPausedUntil(now time.Duration) bool {
@@ -208,6 +218,9 @@
 // renewJobs renews the leases of the jobs that callers of this host wait for, at its own
 // cells and at other owners.
 func (n *Node) renewJobs(now time.Duration) {
+	if gap := n.renewals.gapUntil(now); gap > maxPollGap {
+		n.Log.Info("stood_still", "gap_ms", gap.Milliseconds())
+	}
 	if n.renewals.wasPausedUntil(now) {
 		n.openJobTable.markResumed(now)
 	}
