cell: the crashes under a task count for later submissions of its job

Callers' jobs whose first task crashes each executor that starts it took more executors with them at each sending: the owner forgot the losses as the caller left at its deadline, before the crashes were assessed (1.5 s), and the next sending started the task anew. The trace of one job: 2 starts in each of 4 sendings, 8 in all, 4 of them at an owner that had seen two crashes of the same task 1.3 s before.

An owner now remembers the suspect tasks of best-effort jobs that leave without a final outcome, for 20 s after the last loss. A later submission goes on with these losses: it fails by evidence, is answered 504 after three crashes, or starts the task alone.

TestCrashesCountForLaterSubmissionsOfAJob fails in 3 of 3 rows without the change.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -109,6 +109,7 @@
 	sorted         []*executor     // by id and incarnation
 	executorLosses []*executorLoss // recent ones, by the time at which they were noticed
 	crashedRuns    []crashedRun    // whose crashes are not assessed yet
+	formerSuspects formerSuspects
 	order          Order
 	times          *taskTimes
 	pacer          *pacer
@@ -136,19 +137,21 @@
 // tokens that the claimer has seen.
 func New(params Params, token int64, now time.Duration) *Cell {
 	return &Cell{
-		params:        params,
-		token:         token,
-		claimedAt:     now,
-		executors:     map[catalog.Incarnation]*executor{},
-		order:         params.Order(),
-		times:         newTaskTimes(),
-		pacer:         newPacer(params.LinkRate),
-		jobs:          map[string]*jobState{},
-		byParent:      map[string][]*jobState{},
-		unmatchedDone: map[string]bool{},
-		histories:     map[string]jobHistory{},
-		unpersisted:   map[string][]*unpersistedEnd{},
-		usableAt:      map[string]time.Duration{},
+		params:    params,
+		token:     token,
+		claimedAt: now,
+		executors: map[catalog.Incarnation]*executor{},
+		order:     params.Order(),
+		times:     newTaskTimes(),
+		pacer:     newPacer(params.LinkRate),
+		jobs:      map[string]*jobState{},
+		byParent:  map[string][]*jobState{},
+
+		formerSuspects: formerSuspects{},
+		unmatchedDone:  map[string]bool{},
+		histories:      map[string]jobHistory{},
+		unpersisted:    map[string][]*unpersistedEnd{},
+		usableAt:       map[string]time.Duration{},
 	}
 }
 
@@ -199,6 +202,7 @@
 		c.awaitUnknownRuns(w, h, now)
 	}
 	w.applyProgress(h.Progress, now)
+	c.resumeSuspects(w)
 	c.recordFormerRuns(w, h.Progress, now)
 	c.supersede(w)
 	c.jobs[j.ID] = w
@@ -283,6 +287,7 @@
 	c.lastEventAt = now
 	c.dirty = true
 	c.forgetOldLosses(now)
+	c.forgetOldSuspects(now)
 	c.assessCrashes(now)
 	c.expireJobs(now)
 	c.returnUnconfirmed(now)
--- /dev/null
+++ b/pkg/cell/former_suspects_test.go
@@ -0,0 +1,75 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/job"
+	qt "github.com/frankban/quicktest"
+)
+
+// startAndCrash accepts the starts of a job with one task, and crashes the executor of the only one.
+func (d *driver) startAndCrash(infos []catalog.Executor) {
+	d.c.Helper()
+	starts := d.acceptStarts()
+	d.c.Assert(starts, qt.HasLen, 1)
+	d.crash(infos, indexOf(infos, starts[0]))
+}
+
+// Guards against a task that crashes several executors for each submission of its job: its crashes were
+// forgotten with the submission.
+func TestCrashesCountForLaterSubmissionsOfAJob(t *testing.T) {
+	for _, s := range []struct {
+		testName   string
+		isAssessed bool // the crashes are, before the job comes again
+		isSilent   bool // the first executor is known to have crashed only after the job has come again
+	}{
+		{testName: "assessed before", isAssessed: true},
+		{testName: "assessed after"},
+		{testName: "silent until then", isSilent: true},
+	} {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			d, infos := newRestartableDriver(c, 4)
+			d.submit(smallJob("crashes", 1, d.now), 1)
+			starts := d.acceptStarts()
+			c.Assert(starts, qt.HasLen, 1)
+			first := indexOf(infos, starts[0])
+			if s.isSilent {
+				d.loseExecutor(&infos[first])
+			} else {
+				d.crash(infos, first)
+			}
+			d.startAndCrash(infos)
+			d.cell.Withdraw("crashes", "caller_left", d.now)
+			d.takeActions()
+			if s.isAssessed {
+				d.assessCrashes()
+			}
+			d.submit(smallJob("crashes", 1, d.now), 2)
+			c.Assert(d.takeCommands(Start), qt.HasLen, 0)
+			if s.isSilent {
+				d.crash(infos, first)
+			}
+			d.assessCrashes()
+			c.Assert(d.finished["crashes"].Kind, qt.Equals, job.Failed)
+			d.submit(smallJob("crashes", 1, d.now), 3)
+			d.assessCrashes()
+			c.Assert(d.takeCommands(Start), qt.HasLen, 0)
+		})
+	}
+}
+
+// A job without crashes in the last lossRetention starts as if it were new.
+func TestFormerCrashesAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	d, infos := newRestartableDriver(c, 3)
+	d.submit(smallJob("crashes", 1, d.now), 1)
+	d.startAndCrash(infos)
+	d.cell.Withdraw("crashes", "caller_left", d.now)
+	d.tick(time.Second)
+	c.Assert(d.cell.formerSuspects, qt.HasLen, 1)
+	d.tick(lossRetention)
+	c.Assert(d.cell.formerSuspects, qt.HasLen, 0)
+}
--- a/pkg/cell/job_state.go
+++ b/pkg/cell/job_state.go
@@ -242,6 +242,7 @@
 
 // removeJob forgets a job and stops its runs.
 func (c *Cell) removeJob(w *jobState, reason string) {
+	c.recordSuspects(w)
 	c.forgetJob(w)
 	c.stopRuns(w, reason)
 }
