node: hosts tell each other of tasks under which several executors have crashed

By the trace no search asks for them either: 1.3 s after the end of a sending the announcement of the former one has expired.

An owner replies to the withdrawal of a job with the crashes under its tasks, if there are any, and adds them to the outcome of one that expires. The front remembers them for 20 s, hands them to each owner that it dispatches the job to, and tells other hosts once two executors have crashed under one task; two hosts of each other domain relay that. So a job is started once more at most, alone, wherever it comes.

Wire: a field in OpenJobs; a withdrawal is a call. Builds of before ignore the field and don't reply, as do owners without crashes.

--- a/pkg/cell/former_suspects.go
+++ b/pkg/cell/former_suspects.go
@@ -1,6 +1,10 @@
 package cell
 
-import "time"
+import (
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/job"
+)
 
 // A job that ends without a final outcome, as its caller left or its deadline passed, may be submitted
 // again. If executors were lost under one of its tasks, this owner remembers them: otherwise each
@@ -42,9 +46,12 @@
 
 // takeLosses has a task replace the one of a former submission in all losses of executors.
 func (c *Cell) takeLosses(w *jobState, t, former *task) {
-	crashes, evidence, lastAt := t.losses.crashes, t.losses.evidence, t.losses.lastAt
+	reported := t.losses // by the front, which may include those of this owner
+	elsewhere := max(0, reported.crashes-c.crashCount(former))
 	t.losses = former.losses
-	t.applyCrashes(crashes, evidence, lastAt)
+	t.losses.crashes += elsewhere
+	t.losses.evidence = max(t.losses.evidence, reported.evidence)
+	t.losses.lastAt = max(t.losses.lastAt, reported.lastAt)
 	for _, loss := range t.losses.executors {
 		for i := range loss.tasks {
 			if loss.tasks[i] == former {
@@ -69,6 +76,19 @@
 	}
 }
 
+// crashProgress returns the crashes under the tasks of a job, for its later submissions.
+func (c *Cell) crashProgress(w *jobState) []job.Progress {
+	var progress []job.Progress
+	for _, tasks := range w.steps {
+		for _, t := range tasks {
+			if crashes := c.crashCount(t); crashes > 0 {
+				progress = append(progress, job.Progress{Key: t.key, Crashes: crashes, CrashEvidence: t.losses.evidence})
+			}
+		}
+	}
+	return progress
+}
+
 // forgetOldSuspects removes the tasks under which no executor was lost for some time.
 func (c *Cell) forgetOldSuspects(now time.Duration) {
 	for name, t := range c.formerSuspects {
--- a/pkg/cell/job_state.go
+++ b/pkg/cell/job_state.go
@@ -219,6 +219,9 @@
 // finish ends a job and reports it.
 func (c *Cell) finish(w *jobState, outcome job.Outcome) {
 	outcome.Chain = w.chain
+	if outcome.Kind == job.Expired {
+		outcome.Progress = c.crashProgress(w)
+	}
 	c.finished = append(c.finished, Finished{ID: w.job.ID, Outcome: outcome})
 	c.limitRetention(w, outcome.Kind)
 	if outcome.Kind == job.Moved {
--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -18,10 +18,16 @@
 		f.node.Log.Info("job_leaves_cell", "job", j.ID, "former", state.formerCell, "cell", claim.Cell, "epoch", state.epoch, "runs_end_in_ms", (state.notBefore - f.node.Clock.Now()).Milliseconds())
 	}
 	notBefore := f.earliestStart(claim, state)
+	var outcome job.Outcome
 	if claim.Owner == f.node.settings.PeerAddress {
-		return f.dispatchLocal(ctx, j, claim, state, notBefore)
+		outcome = f.dispatchLocal(ctx, j, claim, state, notBefore)
+	} else {
+		outcome = f.dispatchToPeer(ctx, j, claim, state, notBefore)
 	}
-	return f.dispatchToPeer(ctx, j, claim, state, notBefore)
+	if outcome.Kind == job.Expired {
+		f.node.recordCrashes(j.WholeID(), outcome.Progress)
+	}
+	return outcome
 }
 
 // earliestStart returns the time before which an owner may not start a job, or 0 if it finds all
@@ -50,7 +56,7 @@
 	limit, end := f.beginDispatch(j, self)
 	defer end()
 	handover := cell.Handover{
-		Job: j, Epoch: state.epoch, Progress: state.progressAsOf(f.node.Clock.Now()), NotBefore: notBefore,
+		Job: j, Epoch: state.epoch, Progress: f.node.progressFor(j, state), NotBefore: notBefore,
 		RenewedAt: f.node.renewals.confirmedHere(), LeaseLimit: limit, NamesRuns: state.namesRuns,
 	}
 	o.submit(handover, waiter{front: self, keepsRuns: true, asked: state.asked, namesAsked: true, reply: func(outcome job.Outcome) { done <- outcome }})
@@ -58,7 +64,7 @@
 	case outcome := <-done:
 		return outcome
 	case <-ctx.Done():
-		o.withdraw(j.ID, self, "caller_left")
+		f.node.recordCrashes(j.WholeID(), o.withdraw(j.ID, self, reasonCallerLeft))
 		return abandoned(ctx, true)
 	}
 }
@@ -73,7 +79,7 @@
 	defer end()
 	now := f.node.Clock.Now()
 	settle := max(0, notBefore-now)
-	m := jobwire.ToDispatch(j, claim.Cell, state.epoch, state.progressAsOf(now), settle, now)
+	m := jobwire.ToDispatch(j, claim.Cell, state.epoch, f.node.progressFor(j, state), settle, now)
 	m.NamesRuns, m.KeepsRuns = state.namesRuns, true
 	m.Asked, m.NamesAsked = toAsked(state.asked, now), true
 	m.Renewed = f.node.renewals.confirmed(claim.Owner)
@@ -83,7 +89,7 @@
 	}
 	answer, err := link.Call(ctx, &peerpb.Message{Body: &peerpb.Message_Dispatch{Dispatch: m}}, 0)
 	if ctx.Err() != nil {
-		link.Send(&peerpb.Message{Body: &peerpb.Message_Withdraw{Withdraw: &peerpb.Withdraw{Id: j.ID, Cell: claim.Cell, Epoch: uint32(state.epoch)}}}, 0)
+		f.withdraw(link, j, &peerpb.Withdraw{Id: j.ID, Cell: claim.Cell, Epoch: uint32(state.epoch)})
 		return abandoned(ctx, true)
 	}
 	if err != nil {
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -191,9 +191,7 @@
 	case *peerpb.Message_Dispatch:
 		n.onDispatch(from, body.Dispatch, reply)
 	case *peerpb.Message_Withdraw:
-		if o := n.owner(body.Withdraw.Cell); o != nil {
-			o.withdraw(body.Withdraw.Id, from.Address, "caller_left")
-		}
+		n.onWithdraw(from, body.Withdraw, m.Call > 0, reply)
 	case *peerpb.Message_Renew:
 		n.onRenew(from, body.Renew)
 	case *peerpb.Message_OpenJobs:
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -73,6 +73,7 @@
 	leading               leading
 	rowLog                *rowlog.Log
 	openJobTable          *openJobTable
+	crashes               *crashHistory
 	ownedAnnouncedAt      time.Duration // last scan for jobs to announce to other owners; used by runCells only
 	joins                 *joins
 
@@ -148,6 +149,7 @@
 	link := settings.Link{Heartbeat: s.Heartbeat, SuspectAfter: s.SuspectAfter}
 	n.links = peer.NewSet(c, link, n, n.counters)
 	n.openJobTable = newOpenJobTable(s.ResubmitAfter, n.settleTime())
+	n.crashes = newCrashHistory()
 	n.joins = newJoins()
 	n.front = newFront(n)
 	n.foreignDomains = newForeignDomains()
--- a/pkg/node/openjobs.go
+++ b/pkg/node/openjobs.go
@@ -303,6 +303,7 @@
 		if m.PassOn {
 			n.relayOpenJobs(from.Address, front, jobs)
 		}
+		n.onCrashedJobs(from.Address, m)
 	}
 	if !isCall {
 		return
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -228,12 +228,12 @@
 }
 
 // withdraw removes a front's waiters for a job. Once a job has no waiters, it ends,
-// unless it is a kept job.
-func (o *owner) withdraw(id, front, reason string) {
+// unless it is a kept job. It returns the crashes of executors under the tasks of a job that ends.
+func (o *owner) withdraw(id, front, reason string) (crashes []job.Progress) {
 	taken, last := o.removeWaiters(id, front, reason != reasonCallerLeft)
 	if len(taken) == 0 {
 		o.node.Log.Info("job_not_withdrawn", "job", id, "cell", o.cell, "reason", reason, "front", front)
-		return
+		return nil
 	}
 	o.node.Log.Info("job_withdrawn", "job", id, "cell", o.cell, "reason", reason, "front", front, "last_of_it", last,
 		"silent_ms", o.node.arrivals.sinceReceived(front, o.node.Clock.Now()).Milliseconds())
@@ -250,12 +250,13 @@
 		o.do(func(state *cell.Cell, now time.Duration) { o.updateLeaseLimit(state, id, now) })
 	}
 	if reason != reasonFrontUnresponsive {
-		return
+		return crashesOf(progress)
 	}
 	// An unresponsive front may still be alive, and would wait for an answer that never comes.
 	for _, w := range taken {
 		w.reply(job.Outcome{Kind: job.Moved, Reason: reason, Started: true, Progress: progress})
 	}
+	return nil
 }
 
 // ownUnstarted returns the ids of the jobs for which only this host's front waits and of which nothing has
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -80,27 +80,45 @@
 // returns the reply. It fails with PeerDown when the link is down, goes down, or
 // ctx ends; the peer may have acted on the message nevertheless.
 func (l *Link) Call(ctx context.Context, m *peerpb.Message, wait time.Duration) (*peerpb.Message, error) {
-	s := l.session.Load()
-	if s == nil {
-		return nil, l.down()
+	return l.Begin(m, wait).Await(ctx)
+}
+
+// PendingCall is a call whose message has been sent.
+type PendingCall struct {
+	link    *Link
+	session *session
+	number  uint64
+	reply   chan *peerpb.Message // nil: the link was down
+}
+
+// Begin sends the message of a call, in order with those that are sent before and after it. Await has to
+// follow.
+func (l *Link) Begin(m *peerpb.Message, wait time.Duration) *PendingCall {
+	c := &PendingCall{link: l, session: l.session.Load()}
+	if c.session != nil {
+		c.number = l.calls.Add(1)
+		c.reply = c.session.call(c.number, m, wait)
 	}
-	number := l.calls.Add(1)
-	reply := s.call(number, m, wait)
-	if reply == nil {
-		return nil, l.down()
+	return c
+}
+
+// Await returns the reply. It fails as Call does.
+func (c *PendingCall) Await(ctx context.Context) (*peerpb.Message, error) {
+	if c.reply == nil {
+		return nil, c.link.down()
 	}
 	select {
-	case answer, ok := <-reply:
+	case answer, ok := <-c.reply:
 		if !ok {
-			return nil, l.down()
+			return nil, c.link.down()
 		}
 		if failure := answer.GetFailure(); failure != nil {
 			return nil, errkind.New(errkind.Kind(failure.Kind), failure.Remedy, "%s", failure.Message)
 		}
 		return answer, nil
 	case <-ctx.Done():
-		s.forget(number)
-		return nil, errkind.Wrap(ctx.Err(), errkind.PeerDown, "try again", "peer %s did not answer", l.address)
+		c.session.forget(c.number)
+		return nil, errkind.Wrap(ctx.Err(), errkind.PeerDown, "try again", "peer %s did not answer", c.link.address)
 	}
 }
 
