--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -118,6 +118,7 @@
 	unmatchedDone  map[string]bool              // names of tasks listed as done whose jobs are not here yet
 	histories      map[string]jobHistory        // of kept jobs, by id: the ends of tasks that executors retain
 	unpersisted    map[string][]*unpersistedEnd // of kept jobs, by id: the ends that executors have to retain
+	unlistedEnds   []*unpersistedEnd            // those of jobs that are not here, at executors that are forgotten
 	usableAt       map[string]time.Duration     // by service: when an executor of it was last usable
 	lastEventAt    time.Duration                // time of the newest event
 	commands       []Command
--- a/pkg/cell/unpersisted.go
+++ b/pkg/cell/unpersisted.go
@@ -148,10 +148,26 @@
 	}
 }
 
-// releaseEndsOfExecutor removes the ends of an executor that is forgotten.
-func (c *Cell) releaseEndsOfExecutor(e *executor) {
+// releaseEndsOfExecutor removes the ends of an executor that is forgotten. Those of jobs that are not here
+// are remembered for as long as an executor would retain them: the job may be handed over after a takeover.
+func (c *Cell) releaseEndsOfExecutor(e *executor, now time.Duration) {
 	for _, u := range e.unpersisted {
+		if c.jobs[u.job] == nil && !u.mayBeForgotten(now) {
+			c.unlistedEnds = append(c.unlistedEnds, u)
+			continue
+		}
 		c.releaseEnd(u)
 	}
 	e.unpersisted = nil
 }
+
+// releaseUnlistedEnds removes the remembered ends of forgotten executors that need not be kept any more.
+func (c *Cell) releaseUnlistedEnds(now time.Duration) {
+	c.unlistedEnds = slices.DeleteFunc(c.unlistedEnds, func(u *unpersistedEnd) bool {
+		isDue := u.mayBeForgotten(now)
+		if isDue {
+			c.releaseEnd(u)
+		}
+		return isDue
+	})
+}
--- a/pkg/cell/unpersisted_test.go
+++ b/pkg/cell/unpersisted_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/catalog"
 	"github.com/foxcroft/foxcroft/pkg/job"
 	qt "github.com/frankban/quicktest"
 )
@@ -331,3 +332,33 @@
 	c.Assert(d.takeCommands(Stop), qt.HasLen, 1)
 	c.Assert(d.finished["a"].Kind, qt.Equals, job.Completed)
 }
+
+// Guards against a task of a kept job that starts again after its success: the executor that listed its end was
+// forgotten before the job was handed over.
+func TestEndsAtAForgottenExecutorCountForAJobThatArrives(t *testing.T) {
+	for _, s := range []struct {
+		testName string
+		after    time.Duration // from the executor's answer to the handover
+		starts   int
+	}{
+		{testName: "in time", after: unknownJobEndRetention / 2},
+		{testName: "too late", after: unknownJobEndRetention, starts: 1},
+	} {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			d := newDriver(c, testExecutor(0), testExecutor(1))
+			ended := []EndedTask{{Number: 1, Task: "a.0.0.0", Run: firstKeptRun + 1, Kind: EndDone}}
+			d.holdAnswered(0, HoldResponse{Clock: time.Minute, Ended: ended}, d.now)
+			d.holdAnswered(1, HoldResponse{Clock: time.Minute}, d.now)
+			d.cell.SetExecutors([]catalog.Executor{testExecutor(1)}, d.now)
+			d.tick(s.after)
+			c.Assert(d.cell.executors[testIncarnation(0)], qt.IsNil)
+			d.takeCommands(Start)
+			d.submit(keptJob("a", 1, d.now), 2)
+			c.Assert(d.takeCommands(Start), qt.HasLen, s.starts)
+			d.cell.EndsPersisted([]string{"a"}, d.now)
+			d.tick(20 * ms)
+			c.Assert(d.cell.unlistedEnds, qt.HasLen, 0)
+		})
+	}
+}
