--- a/pkg/openjobs/explore_stalls_test.go
+++ b/pkg/openjobs/explore_stalls_test.go
@@ -39,6 +39,31 @@
 	}
 }
 
+// Guards against a second start by a host that has stood still, and has not received the announcements that it
+// missed.
+func TestExploredJobsSentAgainToHostsThatStoodStillRunOnce(t *testing.T) {
+	var failed []string
+	executions := 0
+	for seed := *firstSeed; seed < *firstSeed+uint64(*runCount); seed++ {
+		w := newStallingWorld(seed)
+		w.laterToStalled = true
+		w.run()
+		executions += len(w.executions)
+		if w.ranTwice {
+			failed = append(failed, fmt.Sprintf("%d (%s)", seed, strings.Join(w.situations, ", ")))
+			if len(failed) <= *logCount {
+				t.Errorf("seed %d:\n%s", seed, w)
+			}
+		}
+	}
+	if len(failed) > 0 {
+		t.Errorf("in %d of %d runs the job ran twice at once: seeds %s", len(failed), *runCount, strings.Join(failed[:min(len(failed), 100)], "; "))
+	}
+	if executions < *runCount {
+		t.Errorf("the simulated stalls keep the job from being started")
+	}
+}
+
 // Guards against a simulation that would show nothing: if fronts count from the receipt, jobs run twice.
 func TestExploredJobsRunTwiceIfFrontsCountFromTheReceipt(t *testing.T) {
 	failed := 0
@@ -138,7 +163,7 @@
 	if !w.onlyStalls {
 		return w.hosts[w.random.IntN(len(w.hosts))]
 	}
-	return w.drawHost(w.submissions == 0)
+	return w.drawHost((w.submissions == 0) != w.laterToStalled)
 }
 
 // drawHost draws one of the hosts that stand still at times, or one of the others. Each domain has both.
--- a/pkg/openjobs/explore_world_test.go
+++ b/pkg/openjobs/explore_world_test.go
@@ -51,6 +51,7 @@
 
 	lateReceipts      int  // submissions that were received after a stall
 	onlyStalls        bool // hosts stand still, and there are no other faults
+	laterToStalled    bool // the submissions after the first one go to the hosts that stand still, in place of the first one
 	countsFromReceipt bool // fronts count from the receipt of a submission, not from its earliest sending
 }
 
