cell: a run whose job has left still shows what crashed its executor

A task that crashes executors which keep their ids was started up to 5 times, half of these tasks more than 3 times (81 of 164). By the trace each sending leaves while its last run is at an executor that is silent, but not known as lost yet: the run was detached from its task and stopped, and the crash counted for none once the next incarnation answered.

A run of a best-effort job keeps the task that it had when the job leaves. If its executor hasn't answered since and is lost, the loss counts for the task, or for that of a later submission; the owner tells all hosts once two executors have crashed.

TestCrashesThatAreKnownLateCount fails without it. pkg/cell and pkg/node pass.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -110,6 +110,7 @@
 	executorLosses []*executorLoss // recent ones, by the time at which they were noticed
 	crashedRuns    []crashedRun    // whose crashes are not assessed yet
 	formerSuspects formerSuspects
+	crashedLate    []lostRun // whose jobs had left before their executors were known to have crashed
 	order          Order
 	times          *taskTimes
 	pacer          *pacer
--- a/pkg/cell/crashes.go
+++ b/pkg/cell/crashes.go
@@ -116,6 +116,11 @@
 
 // recordLostRun records that a run is given up because its executor is unresponsive.
 func (c *Cell) recordLostRun(e *executor, r *run, now time.Duration) {
+	if lost, ok := c.leftRun(e, r); ok {
+		e.lostRuns = append(e.lostRuns, lost)
+		c.recordLateLoss(e, lost, now)
+		return
+	}
 	if r.task == nil || r.state == stopping {
 		return
 	}
@@ -152,9 +157,16 @@
 	}
 	for _, lost := range e.lostRuns {
 		c.crashedRuns = append(c.crashedRuns, crashedRun{lostRun: lost, executor: e, loss: e.loss})
+		c.reportCrash(lost)
 	}
 	e.lostRuns = nil
 	for _, r := range e.sortedRuns() {
+		if lost, ok := c.leftRun(e, r); ok {
+			c.crashedRuns = append(c.crashedRuns, crashedRun{lostRun: lost, executor: e, loss: e.loss})
+			c.recordLateLoss(e, lost, now)
+			c.reportCrash(lost)
+			continue
+		}
 		if r.task != nil && r.state != stopping && r.state != starting {
 			r.task.losses.unresolved++
 			r.task.losses.lastAt = now
--- a/pkg/cell/executor.go
+++ b/pkg/cell/executor.go
@@ -44,7 +44,8 @@
 	progressedAt    time.Duration // when its progress last changed, on our clock
 	longReported    bool          // its task was logged as long
 	estimate        time.Duration
-	suspect         bool // executors were lost while they ran its task
+	suspect         bool     // executors were lost while they ran its task
+	left            *lostRun // it went on when its best-effort job left; nil if it has a job
 }
 
 // jobID returns the id of the job that waits for the run, or "".
--- a/pkg/cell/former_suspects.go
+++ b/pkg/cell/former_suspects.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/job"
@@ -97,3 +98,72 @@
 		}
 	}
 }
+
+// recordLeftRuns records the runs of a best-effort job that are known to go on as the job leaves.
+func (c *Cell) recordLeftRuns(w *jobState) {
+	if w.job.Kept {
+		return
+	}
+	for _, r := range w.runs() {
+		if r.hasStarted() && r.state != stopping {
+			r.left = &lostRun{job: w, task: r.task, hadStarted: true, at: c.lastEventAt}
+		}
+	}
+}
+
+// leftRun returns a run at a lost executor whose job has left, as a run of the task that stands for it now, if
+// the executor may have been lost before the job left: it has not answered since.
+func (c *Cell) leftRun(e *executor, r *run) (lostRun, bool) {
+	if r.left == nil || e.clock.readAt > r.left.at {
+		return lostRun{}, false
+	}
+	lost := *r.left
+	for _, w := range c.byParent[lost.job.job.WholeID()] {
+		if t := w.task(lost.task.key); t != nil {
+			lost.job, lost.task = w, t // the job has been submitted again
+			return lost, true
+		}
+	}
+	if former := c.formerSuspects[lost.job.job.TaskName(lost.task.key)]; former != nil {
+		lost.task = former
+	}
+	return lost, true
+}
+
+// recordLateLoss records the loss of an executor under a task, which may belong to a job that has left.
+func (c *Cell) recordLateLoss(e *executor, lost lostRun, now time.Duration) {
+	lost.task.losses.unresolved++
+	lost.task.losses.lastAt = now
+	if e.loss != nil && !slices.Contains(e.loss.tasks, lost.task) {
+		e.loss.tasks = append(e.loss.tasks, lost.task)
+		lost.task.losses.executors = append(lost.task.losses.executors, e.loss)
+	}
+	if c.jobs[lost.job.job.ID] != lost.job {
+		c.formerSuspects[lost.job.job.TaskName(lost.task.key)] = lost.task
+	}
+}
+
+// CrashReport tells of the crashes under a task whose job has left, of which its front doesn't know.
+type CrashReport struct {
+	WholeID string
+	Crashes []job.Progress // with key and crashes only
+}
+
+// reportCrash records that an executor has crashed under a task, if its job has left.
+func (c *Cell) reportCrash(lost lostRun) {
+	isKnown := func(other lostRun) bool { return other.task == lost.task }
+	if c.jobs[lost.job.job.ID] != lost.job && !lost.job.job.Kept && !slices.ContainsFunc(c.crashedLate, isKnown) {
+		c.crashedLate = append(c.crashedLate, lost)
+	}
+}
+
+// TakeCrashReports returns the crashes that became known after their jobs had left, since the last call.
+func (c *Cell) TakeCrashReports() []CrashReport {
+	var reports []CrashReport
+	for _, lost := range c.crashedLate {
+		crashes := job.Progress{Key: lost.task.key, Crashes: c.crashCount(lost.task), CrashEvidence: lost.task.losses.evidence}
+		reports = append(reports, CrashReport{WholeID: lost.job.job.WholeID(), Crashes: []job.Progress{crashes}})
+	}
+	c.crashedLate = nil
+	return reports
+}
--- a/pkg/cell/former_suspects_test.go
+++ b/pkg/cell/former_suspects_test.go
@@ -73,3 +73,42 @@
 	d.tick(lossRetention)
 	c.Assert(d.cell.formerSuspects, qt.HasLen, 0)
 }
+
+// Guards against a crash that counts for no task: the executor was silent from before the job left, and had
+// a run of it until then.
+func TestCrashesThatAreKnownLateCount(t *testing.T) {
+	c := qt.New(t)
+	d, infos := newRestartableDriver(c, 4)
+	d.submit(smallJob("crashes", 1, d.now), 1)
+	first := indexOf(infos, d.acceptStarts()[0])
+	d.crash(infos, first)
+	second := indexOf(infos, d.acceptStarts()[0])
+	d.cell.Withdraw("crashes", "caller_left", d.now)
+	d.takeActions()
+	c.Assert(d.cell.TakeCrashReports(), qt.HasLen, 0)
+	d.makeUnresponsiveAndExpireLeases(&infos[second])
+	d.crash(infos, second)
+	want := []CrashReport{{WholeID: "crashes", Crashes: []job.Progress{{Crashes: maxEvidence}}}}
+	c.Assert(d.cell.TakeCrashReports(), qt.DeepEquals, want)
+	c.Assert(d.cell.TakeCrashReports(), qt.HasLen, 0)
+	d.takeCommands(Start)
+	d.assessCrashes()
+	d.submit(smallJob("crashes", 1, d.now), 2)
+	c.Assert(d.takeCommands(Start), qt.HasLen, 0)
+	c.Assert(d.finished["crashes"].Kind, qt.Equals, job.Failed)
+}
+
+// An executor that has answered since its job left did not crash under the task.
+func TestACrashAfterTheStopDoesNotCount(t *testing.T) {
+	c := qt.New(t)
+	d, infos := newRestartableDriver(c, 4)
+	d.submit(smallJob("a", 1, d.now), 1)
+	i := indexOf(infos, d.acceptStarts()[0])
+	d.cell.Withdraw("a", "caller_left", d.now)
+	d.takeActions()
+	d.now += 10 * ms
+	d.listRuns(&infos[i])
+	d.crash(infos, i)
+	c.Assert(d.cell.TakeCrashReports(), qt.HasLen, 0)
+	c.Assert(d.cell.formerSuspects, qt.HasLen, 0)
+}
--- a/pkg/cell/joblease.go
+++ b/pkg/cell/joblease.go
@@ -211,6 +211,7 @@
 
 // stopRuns stops the runs of a job that is no longer here.
 func (c *Cell) stopRuns(w *jobState, reason string) {
+	c.recordLeftRuns(w)
 	for _, r := range w.detachRuns(c.finalLeaseEnd(w)) {
 		c.stopRun(r, reason)
 	}
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -312,6 +312,7 @@
 // tick advances the cell to the current time and reports whether it has jobs or runs.
 func (o *owner) tick() bool {
 	busy := false
+	var crashReports []cell.CrashReport
 	o.do(func(state *cell.Cell, now time.Duration) {
 		state.Tick(now)
 		busy = state.NeedsTicks()
@@ -321,7 +322,11 @@
 			}
 		}
 		o.kept.expire(now)
+		crashReports = state.TakeCrashReports()
 	})
+	for _, r := range crashReports {
+		o.node.recordCrashes(r.WholeID, r.Crashes)
+	}
 	o.reportCheckpoints()
 	o.checkTakeover()
 	return busy
