--- a/pkg/node/crash_history.go
+++ b/pkg/node/crash_history.go
@@ -103,6 +103,23 @@
 	return nil
 }
 
+// told returns the jobs that other hosts are told of.
+func (h *crashHistory) told(now time.Duration) map[string][]job.Progress {
+	if h.count.Load() == 0 {
+		return nil
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.expire(now)
+	told := map[string][]job.Progress{}
+	for id, known := range h.jobs {
+		if areTold(known.crashes) {
+			told[id] = known.crashes
+		}
+	}
+	return told
+}
+
 // progressFor returns the progress of a job for its next owner, with the crashes of former submissions.
 func (n *Node) progressFor(j *job.Job, state *attempt) []job.Progress {
 	now := n.Clock.Now()
--- a/pkg/node/crash_reports.go
+++ b/pkg/node/crash_reports.go
@@ -31,13 +31,10 @@
 func (n *Node) recordCrashes(wholeID string, progress []job.Progress) {
 	crashes := crashesOf(progress)
 	n.crashes.record(wholeID, crashes, n.Clock.Now())
-	if !slices.ContainsFunc(crashes, func(p job.Progress) bool { return p.Crashes >= toldCrashes }) {
+	if !areTold(crashes) {
 		return
 	}
-	m := &peerpb.OpenJobs{
-		Front: n.settings.PeerAddress, Domain: n.settings.Domain, Process: n.inc[:],
-		Crashed: []*peerpb.CrashedJob{{Id: wholeID, Tasks: jobwire.ToProgress(crashes)}},
-	}
+	m := n.toCrashed(map[string][]job.Progress{wholeID: crashes})
 	relays := map[string]int{} // number of hosts asked to relay, by domain
 	for _, p := range n.reachablePeers() {
 		relay := p.Domain != n.settings.Domain && relays[p.Domain] < relaysPerDomain
@@ -48,6 +45,26 @@
 	}
 }
 
+// areTold reports whether other hosts are told of the crashes under a job's tasks.
+func areTold(crashes []job.Progress) bool {
+	return slices.ContainsFunc(crashes, func(p job.Progress) bool { return p.Crashes >= toldCrashes })
+}
+
+func (n *Node) toCrashed(jobs map[string][]job.Progress) *peerpb.OpenJobs {
+	m := &peerpb.OpenJobs{Front: n.settings.PeerAddress, Domain: n.settings.Domain, Process: n.inc[:]}
+	for id, crashes := range jobs {
+		m.Crashed = append(m.Crashed, &peerpb.CrashedJob{Id: id, Tasks: jobwire.ToProgress(crashes)})
+	}
+	return m
+}
+
+// resendCrashes tells a host of the crashed jobs that it may have missed, as the link to it is new.
+func (n *Node) resendCrashes(address, domain string) {
+	if told := n.crashes.told(n.Clock.Now()); len(told) > 0 {
+		n.sendCrashed(address, n.toCrashed(told), domain != n.settings.Domain)
+	}
+}
+
 // sendCrashed tells a host of crashed jobs, which it has to relay in its domain if relay is set.
 func (n *Node) sendCrashed(address string, m *peerpb.OpenJobs, relay bool) {
 	if link := n.links.Link(address); link != nil {
--- a/pkg/node/openjobs.go
+++ b/pkg/node/openjobs.go
@@ -353,6 +353,7 @@
 	n.openJobTable.mu.Unlock()
 	n.sendOpenJobs(address, toOpenJobs(n.asFront(), local, domain != n.settings.Domain))
 	n.resendOwnedTo(address)
+	n.resendCrashes(address, domain)
 	if domain != n.settings.Domain {
 		return
 	}
