cell, node: an owner logs and counts two runs of a task that its executors list

A host that met two runs of a task left no line with both: run_adopted and orphan_found name one run each, and job_open_twice tells of two owners only. Now a list that shows a run beside another one of the task in the cell, which an executor has listed or accepted, gives task_runs_twice, with both executors and runs, the token, the former owner, who ordered the other run and how old that knowledge is, and counts in foxcroft_node_tasks_run_twice. Runs of two cells are told by job_open_twice as before.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -158,6 +158,7 @@
 func (c *Cell) adoptRun(e *executor, entry RunningTask, now time.Duration) {
 	r := &run{executor: e, name: entry.Task, number: entry.Run, state: running, confirmed: true, startResolvedAt: now, percent: entry.Percent}
 	e.addRun(r)
+	c.reportConcurrentRuns(r, now)
 	if w, t := c.findTask(entry.Task); t != nil {
 		c.attachRun(w, t, r, now)
 	}
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -98,6 +98,7 @@
 	Detail   string
 	Run      int64         // number of the run; 0 when the event has none, or Detail tells it
 	Age      time.Duration // time since the event's cause
+	Other    *RunAt        // another run of the task; nil when the event has none
 }
 
 // Cell is the owner's state of a cell.
--- a/pkg/metrics/node.go
+++ b/pkg/metrics/node.go
@@ -40,6 +40,7 @@
 	told     metric.Int64Counter
 
 	openTwice metric.Int64Counter
+	runsTwice metric.Int64Counter
 	labels    labelCache
 	kept      keptInstruments
 }
@@ -104,6 +105,7 @@
 		{&n.joins, "foxcroft_node_jobs_joined", "Jobs sent again while an earlier sending looked open, by where that was."},
 		{&n.told, "foxcroft_node_open_jobs_told", "Open jobs told to other hosts, jobs times hosts."},
 		{&n.openTwice, "foxcroft_node_jobs_open_twice", "Jobs announced by the owner of another cell while open here too, by where."},
+		{&n.runsTwice, "foxcroft_node_tasks_run_twice", "Runs that executors list beside another run of their task in the same cell."},
 	}
 	for _, counter := range counters {
 		if *counter.target, err = meter.Int64Counter(counter.name, metric.WithDescription(counter.description)); err != nil {
@@ -173,3 +175,7 @@
 func (n *Node) JobOpenTwice(where string) {
 	n.openTwice.Add(context.Background(), 1, metric.WithAttributes(attribute.String("where", where)))
 }
+
+// TaskRunsTwice counts a run that an executor lists while another run of its task may go on in the same
+// cell.
+func (n *Node) TaskRunsTwice() { n.runsTwice.Add(context.Background(), 1) }
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -398,9 +398,20 @@
 	if notice.Run > 0 {
 		fields = append(fields, "run", notice.Run)
 	}
+	if notice.Event == cell.EventConcurrentRuns {
+		o.logConcurrentRuns(fields, notice.Other)
+		return
+	}
 	o.node.Log.Info(notice.Event, fields...)
 }
 
+// logConcurrentRuns logs and counts a run that an executor lists beside another one of its task.
+func (o *owner) logConcurrentRuns(fields []any, other *cell.RunAt) {
+	o.node.metrics.TaskRunsTwice()
+	o.node.Log.Warn(cell.EventConcurrentRuns, append(fields, "token", o.token, "former", o.formerOwner,
+		"other_executor", other.Executor, "other_run", other.Number, "other_own", other.IsOwn, "other_seen_ms", other.SeenAgo.Milliseconds())...)
+}
+
 // owner returns this node's owner of a cell, or nil when it does not own the cell.
 func (n *Node) owner(cellName string) *owner {
 	n.mu.Lock()
