cell: a clock in the list of executors far ahead of an executor's answers is ignored

Cause: the estimate took over each clock of the list that is ahead, and an answer that is behind the estimate continued from the estimate's lower bound, so that it never came back.

Change: an answer replaces what the list says, and the list counts only up to 500 ms ahead of the estimate from the answers.

--- a/pkg/cell/clock.go
+++ b/pkg/cell/clock.go
@@ -19,34 +19,55 @@
 // answer arrives.
 type remoteClock struct {
 	known   bool
-	reading time.Duration // executor's clock in the best answer
-	readAt  time.Duration // our clock when that answer arrived
+	reading time.Duration // executor's clock in the best reading
+	readAt  time.Duration // our clock when that reading arrived
+
+	answered bool          // the executor itself has told its clock
+	answer   time.Duration // executor's clock in its best answer
+	answerAt time.Duration // our clock when that answer arrived
 }
 
+// maxListLead is how far the list of executors may be ahead of the estimate from an executor's
+// own answers, which are as old as the answer took to arrive.
+const maxListLead = 500 * time.Millisecond
+
 // observe records the time in an answer that arrived at now. When a delayed answer shows less
 // than the lower bound, the estimate continues from the lower bound, so that it does not run
-// ahead of a slow clock until a faster answer arrives.
+// ahead of a slow clock until a faster answer arrives. The list of executors does not count
+// beside an answer, as its row may be another writer's.
 func (c *remoteClock) observe(reading, now time.Duration) {
-	if c.known {
-		reading = max(reading, c.lowerBound(now))
+	if c.answered {
+		reading = max(reading, lowerBoundOf(c.answer, now-c.answerAt))
 	}
-	c.known = true
-	c.reading = reading
-	c.readAt = now
+	c.answered, c.answer, c.answerAt = true, reading, now
+	c.set(reading, now)
 }
 
-// observeIfAhead records a time that may be older than the executor's own answers. It is
-// ignored unless it is ahead of the lower bound.
-func (c *remoteClock) observeIfAhead(reading, now time.Duration) {
-	if !c.known || reading >= c.lowerBound(now) {
-		c.observe(reading, now)
+// observeListed records a time from the list of executors. It is ignored unless it is ahead of
+// the lower bound. A time that is too far ahead of the executor's own answers is another writer's:
+// leases up to such a time would seem to last for years.
+func (c *remoteClock) observeListed(reading, now time.Duration) {
+	if c.known && reading < c.lowerBound(now) || c.answered && reading > c.answer+now-c.answerAt+maxListLead {
+		return
 	}
+	c.set(reading, now)
+}
+
+func (c *remoteClock) set(reading, now time.Duration) {
+	c.known = true
+	c.reading = reading
+	c.readAt = now
 }
 
 // lowerBound returns a time that the executor's clock has reached by now even if it runs slow.
 func (c *remoteClock) lowerBound(now time.Duration) time.Duration {
-	elapsed := now - c.readAt
-	return c.reading + elapsed - time.Duration(float64(elapsed)*maxClockDrift)
+	return lowerBoundOf(c.reading, now-c.readAt)
+}
+
+// lowerBoundOf returns a time that a clock has reached some time after a reading even if it runs
+// slow.
+func lowerBoundOf(reading, elapsed time.Duration) time.Duration {
+	return reading + elapsed - time.Duration(float64(elapsed)*maxClockDrift)
 }
 
 // lowerBoundFuture returns a time that the executor's clock will have reached at a later moment
--- a/pkg/cell/clock_test.go
+++ b/pkg/cell/clock_test.go
@@ -143,3 +143,49 @@
 		}
 	}
 }
+
+// Another writer's row with a clock far ahead must not move the estimate for good: leases
+// would be granted up to the executor's limit, and lapse years later for this owner.
+func TestAnOddClockInTheListIsCorrected(t *testing.T) {
+	type scenario struct {
+		testName string
+		before   bool // the row comes before the executor's first answer
+		lead     time.Duration
+	}
+	scenarios := []scenario{
+		{testName: "an hour ahead, before any answer", before: true, lead: time.Hour},
+		{testName: "an hour ahead, after an answer", lead: time.Hour},
+		{testName: "90 years ahead, before any answer", before: true, lead: 90 * 365 * 24 * time.Hour},
+		{testName: "90 years ahead, after an answer", lead: 90 * 365 * 24 * time.Hour},
+		{testName: "half a second ahead again and again", lead: 490 * ms},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			var d *driver
+			odd := testExecutor(0)
+			if s.before {
+				odd.Clock = time.Minute + s.lead
+				d = newDriver(c, odd, testExecutor(1))
+			} else {
+				d = newAdoptedDriver(c, 2)
+			}
+			for range 20 {
+				d.now += 100 * ms
+				odd.Clock = d.cell.executors[testIncarnation(0)].clock.estimate(d.now) + s.lead
+				d.cell.SetExecutors([]catalog.Executor{odd, testExecutor(1)}, d.now)
+			}
+			for i := range 2 {
+				d.holdAnswered(i, HoldResponse{Clock: clockOf(d)}, d.now)
+			}
+			c.Assert(d.cell.executors[testIncarnation(0)].clock.estimate(d.now), qt.Equals, clockOf(d))
+
+			d.submit(testJob("a", 4, d.now), 1)
+			starts := d.takeCommands(Start)
+			c.Assert(len(starts) > 0, qt.IsTrue)
+			for _, start := range starts {
+				c.Assert(start.Deadline <= clockOf(d)+time.Second, qt.IsTrue, qt.Commentf("the lease ends at %s, %s", start.Deadline, start.Executor.ID))
+			}
+		})
+	}
+}
--- a/pkg/cell/listed.go
+++ b/pkg/cell/listed.go
@@ -46,7 +46,7 @@
 	info.Draining = info.Draining || e.info.Draining
 	e.info = info
 	if info.Clock > 0 {
-		e.clock.observeIfAhead(info.Clock, now)
+		e.clock.observeListed(info.Clock, now)
 	}
 }
 
