--- a/pkg/catalog/unreadable.go
+++ b/pkg/catalog/unreadable.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/job"
 )
@@ -22,6 +23,7 @@
 	NoDomain       Reason = "no_domain"   // the failure domain is missing
 	WrongAddress   Reason = "address"     // not an IP address with a port
 	WrongCapacity  Reason = "capacity"    // no capacity, or more than a machine can have
+	WrongClock     Reason = "clock"       // the clock or the start of the incarnation is out of range
 	UnknownState   Reason = "state"       // an unknown state
 	UnknownService Reason = "service"     // no service, or one that no configuration names
 	HiddenRun      Reason = "hidden_run"  // an unreadable entry of a hold response that may stand for a run
@@ -43,6 +45,13 @@
 	maxGPU      = 1_000_000
 )
 
+// MaxTime bounds the times that other programs report. Two of them add up without an overflow.
+const MaxTime = 100 * 365 * 24 * time.Hour
+
+// MaxStartedAt is the latest possible start of an incarnation, in Unix milliseconds: the end of
+// the year 9999.
+const MaxStartedAt = 253_402_300_799_999
+
 // Check returns why an executor can't be called, or Readable.
 func (e *Executor) Check() Reason {
 	switch {
@@ -56,6 +65,8 @@
 		return WrongAddress
 	case !isPlausibleCapacity(e.Capacity):
 		return WrongCapacity
+	case e.Clock < 0 || e.Clock >= MaxTime || e.StartedAt < 0 || e.StartedAt > MaxStartedAt:
+		return WrongClock
 	}
 	return Readable
 }
