job: a job of another writer that can't be carried out is unreadable

What operators would have seen: the row of a kept job, or a message, with a step that comes after one that isn't there ended the host that got it with an index out of range, and each one that took the job over after it; a step of tasks took all memory. Times that overflow, such as an estimate of ms, became other times; the objective of a job with large estimates became negative.

Cause: jobs were checked only where callers hand them in.

Change: job.Check finds such jobs. Rows with them count as unreadable, as any other row that can't be decoded; the owner refuses a message with one (unreadable_job). Times of other programs are clamped to 100 years by common.Milliseconds and common.Microseconds, the sums of a job's estimates to 10 years.

--- a/pkg/catalog/unreadable.go
+++ b/pkg/catalog/unreadable.go
@@ -2,8 +2,8 @@
 
 import (
 	"net/netip"
-	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/job"
 )
 
@@ -45,9 +45,6 @@
 	maxGPU      = 1_000_000
 )
 
-// MaxTime bounds the times that other programs report. Two of them add up without an overflow.
-const MaxTime = 100 * 365 * 24 * time.Hour
-
 // MaxStartedAt is the latest possible start of an incarnation, in Unix milliseconds: the end of
 // the year 9999.
 const MaxStartedAt = 253_402_300_799_999
@@ -65,7 +62,7 @@
 		return WrongAddress
 	case !isPlausibleCapacity(e.Capacity):
 		return WrongCapacity
-	case e.Clock < 0 || e.Clock >= MaxTime || e.StartedAt < 0 || e.StartedAt > MaxStartedAt:
+	case e.Clock < 0 || e.Clock >= common.MaxTime || e.StartedAt < 0 || e.StartedAt > MaxStartedAt:
 		return WrongClock
 	}
 	return Readable
--- a/pkg/catalog/unreadable_test.go
+++ b/pkg/catalog/unreadable_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/job"
 	qt "github.com/frankban/quicktest"
 )
@@ -37,7 +38,7 @@
 		{testName: "more accelerators than a machine can have", change: func(e *Executor) { e.Capacity.GPU = 1 << 62 }, want: WrongCapacity},
 		{testName: "a clock", change: func(e *Executor) { e.Clock = time.Hour }, want: Readable},
 		{testName: "a negative clock", change: func(e *Executor) { e.Clock = -1 }, want: WrongClock},
-		{testName: "a clock that is too large", change: func(e *Executor) { e.Clock = MaxTime }, want: WrongClock},
+		{testName: "a clock that is too large", change: func(e *Executor) { e.Clock = common.MaxTime }, want: WrongClock},
 		{testName: "a start", change: func(e *Executor) { e.StartedAt = 1_700_000_000_000 }, want: Readable},
 		{testName: "a negative start", change: func(e *Executor) { e.StartedAt = -1 }, want: WrongClock},
 		{testName: "a start that is too late", change: func(e *Executor) { e.StartedAt = MaxStartedAt + 1 }, want: WrongClock},
--- a/pkg/job/job.go
+++ b/pkg/job/job.go
@@ -287,9 +287,14 @@
 // Objective returns the time from the job's receipt within which its answer is on
 // time, given the length of its critical path.
 func (j *Job) Objective(chain time.Duration) time.Duration {
-	return time.Duration(j.Stretch*float64(chain)) + j.Target
+	stretched := time.Duration(min(j.Stretch*float64(chain), float64(maxObjective)))
+	return min(stretched+min(j.Target, maxObjective), maxObjective)
 }
 
+// maxObjective bounds the sums over the estimates of a job, so that LateFactor times an objective
+// doesn't overflow.
+const maxObjective = 10 * 365 * 24 * time.Hour
+
 // LongestChain returns the length of the job's critical path by the caller's
 // estimates: its run time with unlimited capacity.
 func (j *Job) LongestChain() time.Duration {
@@ -303,7 +308,7 @@
 	for i, step := range j.Steps {
 		chains[i] = taskTime(i)
 		for _, earlier := range step.After {
-			chains[i] = max(chains[i], chains[earlier]+taskTime(i))
+			chains[i] = min(max(chains[i], chains[earlier]+taskTime(i)), maxObjective)
 		}
 		longest = max(longest, chains[i])
 	}
--- a/pkg/jobwire/jobwire.go
+++ b/pkg/jobwire/jobwire.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
 )
@@ -57,7 +58,7 @@
 
 // FromDispatch returns the job of a message that arrived at now.
 func FromDispatch(m *peerpb.Dispatch, now time.Duration) *job.Job {
-	received := now - microseconds(m.AgeUs)
+	received := now - common.Microseconds(m.AgeUs)
 	j := &job.Job{
 		ID:          m.Id,
 		Route:       m.Route,
@@ -66,9 +67,9 @@
 		MaxAttempts: int(m.MaxAttempts),
 		Spec:        m.Spec,
 		Received:    received,
-		Deadline:    now + microseconds(m.TimeLeftUs),
+		Deadline:    now + common.Microseconds(m.TimeLeftUs),
 		Stretch:     m.Stretch,
-		Target:      microseconds(m.TargetUs),
+		Target:      common.Microseconds(m.TargetUs),
 		Kept:        m.Kept,
 		Part:        job.Part{Whole: m.Whole, First: int(m.PartFirst), Of: int(m.PartOf)},
 	}
@@ -82,7 +83,7 @@
 	step := job.Step{
 		Count:        int(m.Count),
 		Needs:        job.Resources{CPU: m.Cpu, MemoryMB: m.MemoryMb, GPU: m.Gpu},
-		Estimate:     time.Duration(m.EstimateMs) * time.Millisecond,
+		Estimate:     common.Milliseconds(m.EstimateMs),
 		Constraint:   m.Constraint,
 		Affinity:     m.Affinity,
 		AntiAffinity: int(m.AntiAffinity),
@@ -115,10 +116,8 @@
 		}
 		progress = append(progress, job.Progress{
 			Key: job.TaskKey{Step: int(m.Step), Index: int(m.Index)}, Done: m.Done, Failures: int(m.Failures), Run: m.Run,
-			Crashes: int(max(m.Crashes, m.AllCrashes)), CrashedAt: m.CrashedAt, CrashEvidence: evidence, FailedRuns: m.FailedRuns, ActiveAt: m.Executor, ActiveFor: microseconds(m.ActiveUs),
+			Crashes: int(max(m.Crashes, m.AllCrashes)), CrashedAt: m.CrashedAt, CrashEvidence: evidence, FailedRuns: m.FailedRuns, ActiveAt: m.Executor, ActiveFor: common.Microseconds(m.ActiveUs),
 		})
 	}
 	return progress
 }
-
-func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- a/pkg/keeping/codec.go
+++ b/pkg/keeping/codec.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/errkind"
 	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/jobwire"
@@ -36,11 +37,14 @@
 	if err := proto.Unmarshal(row.Job, m); err != nil || m.Id != id || row.Cell == "" {
 		return kept.Record{}, errkind.New(errkind.BadRequest, "remove the row if another program wrote it", "the row of job %s holds another job or names no cell", id)
 	}
+	if err := jobwire.FromDispatch(m, 0).Check(); err != nil {
+		return kept.Record{}, errkind.Wrap(err, errkind.BadRequest, "remove the row if another program wrote it", "the row of job %s holds a job that can't be carried out", id)
+	}
 	return kept.Record{
 		ID:         id,
 		Cell:       row.Cell,
 		From:       row.From,
-		AcceptedAt: microseconds(row.AcceptedUs),
+		AcceptedAt: common.Microseconds(row.AcceptedUs),
 		Epoch:      int(row.Epoch),
 		Job:        row.Job,
 	}, nil
@@ -57,7 +61,7 @@
 	if err := proto.Unmarshal(value, row); err != nil {
 		return kept.End{}, errkind.Wrap(err, errkind.BadRequest, "remove the row if another program wrote it", "the row of an ended job cannot be decoded")
 	}
-	end := kept.End{State: kept.StateOf(row.State), Cell: row.Cell, At: microseconds(row.EndedUs)}
+	end := kept.End{State: kept.StateOf(row.State), Cell: row.Cell, At: common.Microseconds(row.EndedUs)}
 	if !end.State.Ended() {
 		return kept.End{}, errkind.New(errkind.BadRequest, "start a build that knows the state, or remove the row if another program wrote it", "the row of an ended job has the state %d, which is no final one of this build", row.State)
 	}
@@ -99,5 +103,3 @@
 	j.Deadline = now + noDeadline
 	return j, jobwire.FromProgress(m.Progress)
 }
-
-func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- a/pkg/keeping/unreadable_test.go
+++ b/pkg/keeping/unreadable_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"testing"
 
 	"github.com/foxcroft/foxcroft/pkg/job"
@@ -27,6 +28,9 @@
 	laterState := encode(&peerpb.KeptEnd{State: uint32(kept.Cancelled) + 1, Cell: "x"})
 	// The lowest eight bits are those of a state of this build.
 	largeState := encode(&peerpb.KeptEnd{State: 256 + uint32(kept.Completed), Cell: "x"})
+	encoded := func(steps ...*peerpb.StepSpec) []byte {
+		return encode(&peerpb.KeptJob{Cell: "x", Job: encode(&peerpb.Dispatch{Id: "a", Steps: steps})})
+	}
 	rows := []struct {
 		testName string
 		table    string
@@ -37,6 +41,11 @@
 		{"the ended row has the state of a later build", kept.TableEnded, laterState},
 		{"the ended row has a large state number", kept.TableEnded, largeState},
 		{"the open row is damaged", kept.TableOpen, []byte("?")},
+		{"the open row has no steps", kept.TableOpen, encoded()},
+		{"the open row has more tasks than fit into memory", kept.TableOpen, encoded(&peerpb.StepSpec{Count: math.MaxUint32})},
+		{"the open row has a step after itself", kept.TableOpen, encoded(&peerpb.StepSpec{Count: 1, After: []uint32{0}})},
+		{"the open row has a step after one that isn't there", kept.TableOpen, encoded(&peerpb.StepSpec{Count: 1, After: []uint32{math.MaxUint32}})},
+		{"the open row has a need that is too large", kept.TableOpen, encoded(&peerpb.StepSpec{Count: 1, Cpu: math.MaxInt64})},
 	}
 	calls := []struct {
 		testName string
--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -79,9 +79,10 @@
 
 // Reasons in outcomes of fronts and owners.
 const (
-	reasonNotOwner     = "not_owner"     // the node does not own the cell; nothing of the job has run there
-	reasonNoOwner      = "no_owner"      // no owner was reachable in time
-	reasonDomainClosed = "domain_closed" // this domain is closed, and no owner of an open one is reachable
+	reasonUnreadableJob = "unreadable_job" // the job can't be carried out; nothing of it has run
+	reasonNotOwner      = "not_owner"      // the node does not own the cell; nothing of the job has run there
+	reasonNoOwner       = "no_owner"       // no owner was reachable in time
+	reasonDomainClosed  = "domain_closed"  // this domain is closed, and no owner of an open one is reachable
 )
 
 // follow dispatches a job to one owner after another until it has ended.
--- a/pkg/node/convert.go
+++ b/pkg/node/convert.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/jobwire"
 	"github.com/foxcroft/foxcroft/pkg/openjobs"
@@ -35,7 +36,7 @@
 	if m == nil {
 		return nil
 	}
-	return &job.OpenAt{Address: m.Front, Domain: m.Domain, Process: string(m.Process), Remaining: microseconds(m.LeftUs)}
+	return &job.OpenAt{Address: m.Front, Domain: m.Domain, Process: string(m.Process), Remaining: common.Microseconds(m.LeftUs)}
 }
 
 func toAsked(asked openjobs.Asked, now time.Duration) []*peerpb.AskedFront {
@@ -53,7 +54,7 @@
 	asked := openjobs.Asked{}
 	for _, m := range fronts {
 		front := openjobs.Front{Address: m.Front, Domain: m.Domain, Process: string(m.Process)}
-		asked[front] = now - microseconds(min(max(0, m.AgoUs), longestAskedAgo.Microseconds()))
+		asked[front] = now - common.Microseconds(min(max(0, m.AgoUs), longestAskedAgo.Microseconds()))
 	}
 	return asked
 }
@@ -62,10 +63,10 @@
 	return job.Outcome{
 		Kind:       job.KindOf(m.Kind),
 		Reason:     m.Reason,
-		RetryAfter: microseconds(m.RetryAfterUs),
+		RetryAfter: common.Microseconds(m.RetryAfterUs),
 		Started:    m.Started,
 		Progress:   jobwire.FromProgress(m.Progress),
-		Chain:      microseconds(m.ChainUs),
+		Chain:      common.Microseconds(m.ChainUs),
 		NamesRuns:  m.NamesRuns,
 		OpenAt:     fromOpenAt(m.OpenAt),
 	}
@@ -101,8 +102,6 @@
 	return claims
 }
 
-func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
-
 // fromRouteCounts returns the number of waiting jobs by route.
 func fromRouteCounts(counts []*peerpb.RouteCount) map[string]int {
 	byRoute := make(map[string]int, len(counts))
@@ -154,7 +153,7 @@
 			Address:   listed.Address,
 			Domain:    listed.Domain,
 			Draining:  listed.Draining,
-			Remains:   time.Duration(listed.RemainsMs) * time.Millisecond,
+			Remains:   common.Milliseconds(listed.RemainsMs),
 			Capacity:  job.Resources{CPU: listed.Cpu, MemoryMB: listed.MemoryMb, GPU: listed.Gpu},
 			Labels:    listed.Labels,
 		})
--- a/pkg/node/join_test.go
+++ b/pkg/node/join_test.go
@@ -426,7 +426,7 @@
 	c.Assert(unknown.RetryAfterUs, qt.Equals, int64(0))
 	former := ask(n.settings.PeerAddress, []byte("former")).GetOutcome()
 	c.Assert(former.Reason, qt.Equals, reasonNotOpen)
-	c.Assert(microseconds(former.RetryAfterUs), qt.Equals, n.settleTime()-500*time.Millisecond, qt.Commentf("that process had ended when this one started"))
+	c.Assert(common.Microseconds(former.RetryAfterUs), qt.Equals, n.settleTime()-500*time.Millisecond, qt.Commentf("that process had ended when this one started"))
 	c.Assert(ask("far:1", nil).GetFailure(), qt.IsNotNil, qt.Commentf("the front is unknown"))
 	searching, _ := n.front.enter(submission(n))
 	c.Assert(ask(n.settings.PeerAddress, n.inc[:]).GetOutcome().Reason, qt.Equals, reasonBusy)
@@ -435,7 +435,7 @@
 	time.AfterFunc(20*time.Millisecond, func() { n.front.end(searching, job.Outcome{Kind: job.Expired, Reason: "caller_left", Started: true}) })
 	abandoned := ask(n.settings.PeerAddress, n.inc[:]).GetOutcome()
 	c.Assert(abandoned.Reason, qt.Equals, reasonNotOpen, qt.Commentf("it was abandoned, and has ended"))
-	c.Assert(microseconds(abandoned.RetryAfterUs), qt.Equals, n.settleTime())
+	c.Assert(common.Microseconds(abandoned.RetryAfterUs), qt.Equals, n.settleTime())
 }
 
 // A front that was cut off waits for the announcements of the others before it dispatches a
--- a/pkg/node/kept_messages.go
+++ b/pkg/node/kept_messages.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/errkind"
 	"github.com/foxcroft/foxcroft/pkg/jobwire"
 	"github.com/foxcroft/foxcroft/pkg/kept"
@@ -54,6 +55,6 @@
 		Verdict:    kept.VerdictOf(m.Verdict),
 		State:      kept.StateOf(m.State),
 		Reason:     m.Reason,
-		RetryAfter: microseconds(m.RetryAfterUs),
+		RetryAfter: common.Microseconds(m.RetryAfterUs),
 	}
 }
--- a/pkg/node/lease_limits.go
+++ b/pkg/node/lease_limits.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/cell"
+	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/openjobs"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
@@ -187,7 +188,7 @@
 	}
 	sentAt := now
 	if m.SentUs > 0 && n.timeOf(m.Renewed) > 0 {
-		sentAt = min(now, microseconds(m.SentUs))
+		sentAt = min(now, common.Microseconds(m.SentUs))
 	}
-	return max(1, sentAt+microseconds(m.LeaseUs))
+	return max(1, sentAt+common.Microseconds(m.LeaseUs))
 }
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -10,6 +10,7 @@
 
 	"github.com/foxcroft/foxcroft/pkg/catalog"
 	"github.com/foxcroft/foxcroft/pkg/cell"
+	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/errkind"
 	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/jobwire"
@@ -251,12 +252,18 @@
 		return
 	}
 	now := n.Clock.Now()
+	j := jobwire.FromDispatch(m, now)
+	if err := j.Check(); err != nil {
+		n.Log.Error("job_unreadable", "job", m.Id, "from", from.Address, "error", err.Error())
+		reply(toOutcome(job.Outcome{Kind: job.Refused, Reason: reasonUnreadableJob, RetryAfter: refusalRetryAfter}), 0)
+		return
+	}
 	notBefore := time.Duration(0)
 	if m.SettleUs > 0 {
-		notBefore = now + microseconds(m.SettleUs)
+		notBefore = now + common.Microseconds(m.SettleUs)
 	}
 	handover := cell.Handover{
-		Job: jobwire.FromDispatch(m, now), Epoch: int(m.Epoch), Progress: jobwire.FromProgress(m.Progress),
+		Job: j, Epoch: int(m.Epoch), Progress: jobwire.FromProgress(m.Progress),
 		NotBefore: notBefore, RenewedAt: n.timeOf(m.Renewed), LeaseLimit: n.leaseLimitFrom(m, now), NamesRuns: m.NamesRuns,
 	}
 	o.submit(handover, waiter{
--- a/pkg/node/openjobs.go
+++ b/pkg/node/openjobs.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/member"
 	"github.com/foxcroft/foxcroft/pkg/openjobs"
@@ -296,7 +297,7 @@
 	front := openjobs.Front{Address: m.Front, Domain: m.Domain, Process: string(m.Process)}
 	jobs := make([]openjobs.Announcement, 0, len(m.Jobs))
 	for _, announced := range m.Jobs {
-		jobs = append(jobs, openjobs.Announcement{ID: announced.Id, Remaining: microseconds(announced.LeftUs), Cell: announced.Cell})
+		jobs = append(jobs, openjobs.Announcement{ID: announced.Id, Remaining: common.Microseconds(announced.LeftUs), Cell: announced.Cell})
 	}
 	if front.Address != n.settings.PeerAddress {
 		n.recordOpenJobs(front, from.Address, jobs, m.PassOn || len(m.PassTo) > 0)
--- a/pkg/node/renewals.go
+++ b/pkg/node/renewals.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/openjobs"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
 )
@@ -80,7 +81,7 @@
 	if timestamp == nil || m == nil || m.last == nil || !bytes.Equal(m.last.Incarnation, timestamp.Incarnation) {
 		return 0
 	}
-	return microseconds(m.last.AtUs) + now - m.receivedAt
+	return common.Microseconds(m.last.AtUs) + now - m.receivedAt
 }
 
 // forget removes the timestamps of an owner that is lost.
@@ -269,5 +270,5 @@
 	if m == nil || !bytes.Equal(m.Incarnation, n.inc[:]) {
 		return 0
 	}
-	return min(microseconds(m.AtUs), n.Clock.Now())
+	return min(common.Microseconds(m.AtUs), n.Clock.Now())
 }
--- a/pkg/node/renewals_test.go
+++ b/pkg/node/renewals_test.go
@@ -100,7 +100,7 @@
 		r.poll(now)
 	}
 	c.Assert(now-r.confirmedHere() < 10*maxPollGap, qt.IsTrue)
-	c.Assert(now-microseconds(r.confirmed("owner").AtUs) < 20*maxPollGap, qt.IsTrue)
+	c.Assert(now-common.Microseconds(r.confirmed("owner").AtUs) < 20*maxPollGap, qt.IsTrue)
 }
 
 // A front that has lost an owner waits until the job's lease there is over and executors have
