node: positions, tokens, ages and addresses out of range of other hosts are ignored

What operators would have seen: after one message with a revision or a position beyond the store's, a host takes in no list of executors, closures or configuration any more, since everything later counts as older.

Cause: only the executors of a relayed list were checked.

Change: plausible.go has bounds for what other hosts report.

Before, failed: TestOddPositionsOfOtherHostsAreIgnored (4 cases), TestOddAgesOfLists, TestOddHeartbeats. TestOddPositionOfARelayedConfigurationIsIgnored was written with the fix. TestOddRelayedExecutorLeavesTheOthers passed before but for nothing changed here.

--- a/pkg/node/convert.go
+++ b/pkg/node/convert.go
@@ -87,13 +87,16 @@
 func fromCellLoads(ms []*peerpb.CellLoad) []ownership.Claim {
 	var claims []ownership.Claim
 	for _, m := range ms {
+		if !isPlausibleClaim(m) {
+			continue
+		}
 		claims = append(claims, ownership.Claim{
 			Cell:  m.Cell,
 			Token: int64(m.Token),
 			Load: ownership.Load{
-				CapacityCPU: m.CapacityCpu,
-				FreeCPU:     m.FreeCpu,
-				QueuedWork:  m.QueuedWork,
+				CapacityCPU: plausibleLoad(m.CapacityCpu),
+				FreeCPU:     plausibleLoad(m.FreeCpu),
+				QueuedWork:  plausibleLoad(m.QueuedWork),
 				Ready:       m.Ready,
 				Services:    m.Services,
 			},
--- a/pkg/node/heartbeat_handling.go
+++ b/pkg/node/heartbeat_handling.go
@@ -45,8 +45,10 @@
 		go n.claimCells(n.Clock.Now())
 	}
 	closures := catalog.ClosureChanges{Position: heartbeat.ClosuresPosition, Closed: heartbeat.ClosedDomains}
-	if err := n.changeClosures(closures, address); err != nil {
-		n.Log.Error("closures_not_taken", "from", address, "error", err.Error())
+	if isPlausible(closures.Position) {
+		if err := n.changeClosures(closures, address); err != nil {
+			n.Log.Error("closures_not_taken", "from", address, "error", err.Error())
+		}
 	}
 	n.fetchNewer(address, heartbeat)
 }
@@ -77,7 +79,7 @@
 	n.storeUnreachable[address] = heartbeat.StoreFails
 	now := n.Clock.Now()
 	newOwner := n.members.AddAddresses(n.ownersToFollow(heartbeat.Owners), now)
-	newNeighbour := n.members.AddAddresses(excludeAddress(heartbeat.Neighbours, n.settings.PeerAddress), now)
+	newNeighbour := n.members.AddAddresses(dialable(heartbeat.Neighbours, n.settings.PeerAddress), now)
 	changes.addresses = newOwner || newNeighbour
 	n.listReaders[address] = heartbeat.ReadsList
 	if p.Domain != n.settings.Domain {
@@ -87,7 +89,7 @@
 		changes.contact = n.domainHeardAt <= n.domainLostAt
 		n.domainHeardAt = now
 	}
-	changes.addresses = n.members.AddDomainAddresses(heartbeat.Addresses, now) || changes.addresses
+	changes.addresses = n.members.AddDomainAddresses(dialable(heartbeat.Addresses, ""), now) || changes.addresses
 	if heartbeat.ReadsList {
 		n.listConfirmedByPeerAt.Store(int64(now))
 	}
@@ -103,7 +105,7 @@
 	}
 	var addresses []string
 	for _, o := range reported {
-		if listing.followed[o.Cell] && o.Owner != n.settings.PeerAddress {
+		if listing.followed[o.Cell] && o.Owner != n.settings.PeerAddress && isDialable(o.Owner) {
 			addresses = append(addresses, o.Owner)
 		}
 	}
--- a/pkg/node/leading.go
+++ b/pkg/node/leading.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/member"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
 )
@@ -171,12 +172,13 @@
 
 // isFreshList reports whether a response holds a list that was read recently enough.
 func isFreshList(m *peerpb.Snapshot) bool {
-	return m.GetKind() == snapshotExecutors && m.GetRevision() > 0 && ageOf(m) <= maxLeadingListAge
+	age := ageOf(m)
+	return m.GetKind() == snapshotExecutors && m.GetRevision() > 0 && hasPlausiblePositions(m) && age >= 0 && age <= maxLeadingListAge
 }
 
 // ageOf returns how long ago the sender of a list requested it from the store.
 func ageOf(m *peerpb.Snapshot) time.Duration {
-	return time.Duration(m.GetAgeMs()) * time.Millisecond
+	return common.Milliseconds(m.GetAgeMs())
 }
 
 // applyList applies changes from a host of the leading domain and relays them in this
--- a/pkg/node/relaying.go
+++ b/pkg/node/relaying.go
@@ -171,7 +171,7 @@
 
 // handleRelayed applies changes of executors that a peer relayed.
 func (n *Node) handleRelayed(m *peerpb.Snapshot, from string) {
-	if m.Kind != snapshotExecutors || m.Revision == 0 {
+	if m.Kind != snapshotExecutors || m.Revision == 0 || !hasPlausiblePositions(m) {
 		return
 	}
 	relayed := fromRelayedList(m)
--- a/pkg/node/snapshots.go
+++ b/pkg/node/snapshots.go
@@ -226,6 +226,9 @@
 
 // fetchNewer fetches from a peer what is newer there according to its heartbeat.
 func (n *Node) fetchNewer(address string, heartbeat *peerpb.Heartbeat) {
+	if !isPlausible(heartbeat.Version) || !isPlausible(heartbeat.ExecutorsRevision) {
+		return
+	}
 	if current := n.configuration.Load(); current == nil || heartbeat.Version > current.snapshot.Revision {
 		if heartbeat.Version > 0 {
 			n.startFetch(address, snapshotConfiguration)
@@ -284,6 +287,9 @@
 
 // applyPackedConfiguration applies a compressed configuration that a peer sent.
 func (n *Node) applyPackedConfiguration(m *peerpb.Snapshot, from string) {
+	if !hasPlausiblePositions(m) {
+		return
+	}
 	body, err := unpack(m.Body)
 	if err != nil {
 		n.Log.Error("configuration_unreadable", "from", from, "error", err.Error())
