cell: a second id at the address of an executor that has answered delays no takeover

What operators would have seen: as long as a row of another writer stands that names the address of an executor under a second id with a start time, no takeover counts as complete by answers, and each job that comes from another owner waits for the longest lease.

Cause: an ended incarnation that is still listed may be followed by one that isn't listed yet. A second id ends with its first answer, that of another executor, and stays listed.

Change: it hides no runs once the executor at its address has answered this owner.

Before, failed: TestASecondIDAtAnAddressDelaysNoTakeover. TestASecondIDAtAnAddressIsNotUsed passed before: no start goes to the second id, its room doesn't count, another id every 50 ms leaves nothing behind. Open: a second id without a start time is forgotten and asked again at each list, once in 0.5 s; a takeover isn't complete in the milliseconds until its answer.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -78,7 +78,7 @@
 // allAdopted reports whether every executor that the former owner can have known has answered
 // this one.
 func (c *Cell) allAdopted() bool {
-	return c.listComplete && !slices.ContainsFunc(c.sorted, (*executor).mayHideFormerRuns)
+	return c.listComplete && !slices.ContainsFunc(c.sorted, c.mayHideFormerRuns)
 }
 
 // adoptedFor reports whether every executor has answered this owner at which a job may have runs
@@ -88,13 +88,21 @@
 	if !w.runsNamed {
 		return c.allAdopted()
 	}
-	return c.listComplete && !slices.ContainsFunc(c.sorted, func(e *executor) bool { return e.mayHideFormerRuns() && !e.isLeaving() })
+	return c.listComplete && !slices.ContainsFunc(c.sorted, func(e *executor) bool { return c.mayHideFormerRuns(e) && !e.isLeaving() })
 }
 
 // mayHideFormerRuns reports whether an executor may have runs of a former owner that it has not
 // listed to this one. After an ended incarnation that is still listed another one may follow, which
-// is not listed yet.
-func (e *executor) mayHideFormerRuns() bool { return !e.adopted && (!e.ended || e.listed) }
+// is not listed yet, unless the executor at its address has answered: then that one has listed all
+// that runs there. A second id at an address may be another writer's, and stand for good.
+func (c *Cell) mayHideFormerRuns(e *executor) bool {
+	return !e.adopted && (!e.ended || e.listed && !c.isAnsweredAt(e.info.Address))
+}
+
+// isAnsweredAt reports whether an executor at an address has answered this owner.
+func (c *Cell) isAnsweredAt(address string) bool {
+	return slices.ContainsFunc(c.sorted, func(e *executor) bool { return e.adopted && !e.ended && e.info.Address == address })
+}
 
 // isLeaving reports whether the executor has left the list or gets no new work.
 func (e *executor) isLeaving() bool { return !e.listed || !e.info.TakesWork() }
--- a/pkg/cell/incarnations.go
+++ b/pkg/cell/incarnations.go
@@ -84,7 +84,7 @@
 func (c *Cell) unlistedIncarnationsLeaseEnd() time.Duration {
 	end := time.Duration(0)
 	for _, e := range c.sorted {
-		if !e.adopted && e.ended && e.listed {
+		if e.ended && c.mayHideFormerRuns(e) {
 			end = max(end, e.endedAt+c.longestRunAfterGrant())
 		}
 	}
