--- a/pkg/rowlog/rowlog_test.go
+++ b/pkg/rowlog/rowlog_test.go
@@ -61,3 +61,17 @@
 	l.Take("members", manyRows(20*maxRemembered), 0)
 	c.Assert(len(l.contents) <= maxRemembered, qt.IsTrue)
 }
+
+// One row with another content at each reading must flood neither log nor memory.
+func TestARowThatChangesAllTheTimeFloodsNeitherLogNorMemory(t *testing.T) {
+	c := qt.New(t)
+	l := New()
+	logged := 0
+	const readings = 20 * 3600 // an hour, one every 50 ms
+	for i := range readings {
+		row := catalog.Unreadable{Key: "a", Reason: catalog.Damaged, Content: uint64(i)}
+		logged += len(l.Take("t", []catalog.Unreadable{row}, time.Duration(i)*50*time.Millisecond).Logged)
+	}
+	c.Assert(l.contents, qt.HasLen, 1)
+	c.Assert(logged <= 3600/10*maxLinesPerInterval, qt.IsTrue, qt.Commentf("%d lines", logged))
+}
