job: the estimated work of a job doesn't overflow

What operators would have seen: a caller's jobs of a billion thousandths of a core for a billion milliseconds each, which are within the limits, made the queued work of their cell 0 or negative, so that it seemed idle and other fronts chose it.

Change: the work of a job is at most 2^53 thousandths of a core x milliseconds.

Before, failed: TestLoadOfJobsWithHugeFigures, TestWorkOutOfRangeIsClamped.

--- a/pkg/cell/capacity_test.go
+++ b/pkg/cell/capacity_test.go
@@ -1,10 +1,12 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/job"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -64,3 +66,17 @@
 		})
 	}
 }
+
+// Jobs whose work is out of range must not make the cell seem idle: all fronts would choose it.
+func TestLoadOfJobsWithHugeFigures(t *testing.T) {
+	c := qt.New(t)
+	d := newAdoptedDriver(c, 1)
+	for i := range 10 {
+		j := testJob(fmt.Sprint("huge-", i), 1000, d.now)
+		j.Steps[0].Needs.CPU, j.Steps[0].Estimate = job.MaxFigure, job.MaxFigure*ms
+		j.Kept = true
+		d.submit(j, 1)
+		d.submit(testJob(fmt.Sprint("small-", i), 1, d.now), 1)
+		c.Assert(d.cell.Load(d.now).QueuedWork > 0, qt.IsTrue, qt.Commentf("%d", d.cell.Load(d.now).QueuedWork))
+	}
+}
--- a/pkg/cell/job_state.go
+++ b/pkg/cell/job_state.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/job"
 )
 
@@ -186,7 +187,7 @@
 		each := w.job.Steps[step].Needs.CPU * w.estimate(step).Milliseconds()
 		for _, t := range tasks {
 			if t.isWaiting() {
-				total += each
+				total = min(total+each, job.MaxWork)
 			}
 		}
 	}
@@ -280,7 +281,7 @@
 	}
 	var ahead, bytesAhead int64
 	for _, w := range c.rankedJobs(now) {
-		wait := time.Duration(float64(ahead)/float64(capacity)) * time.Millisecond
+		wait := common.Milliseconds(int64(float64(ahead) / float64(capacity)))
 		wait = max(wait, c.pacer.transferTime(bytesAhead))
 		ahead += w.waitingWork()
 		bytesAhead += w.waitingBytes()
--- a/pkg/job/check_test.go
+++ b/pkg/job/check_test.go
@@ -63,3 +63,12 @@
 	c.Assert(j.Objective(j.LongestChain()) > 0, qt.IsTrue)
 	c.Assert(j.UsefulUntil(j.LongestChain()) > 0, qt.IsTrue)
 }
+
+// The work of a job must not overflow, or the cell that has it would seem to be idle.
+func TestWorkOutOfRangeIsClamped(t *testing.T) {
+	huge := Step{Count: 1000, Needs: Resources{CPU: MaxFigure}, Estimate: MaxFigure * time.Millisecond}
+	qt.Check(t, (&Job{Steps: []Step{huge, huge}}).Work(), qt.Equals, int64(MaxWork))
+	qt.Check(t, (&Job{Steps: []Step{huge}, Part: Part{Whole: "w", Of: 1000}}).Work(), qt.Equals, int64(MaxWork))
+	small := Step{Count: 3, Needs: Resources{CPU: 500}, Estimate: time.Second}
+	qt.Check(t, (&Job{Steps: []Step{small, small}}).Work(), qt.Equals, int64(3_000_000))
+}
--- a/pkg/job/job.go
+++ b/pkg/job/job.go
@@ -157,15 +157,23 @@
 // thousandths of a core x milliseconds.
 func (j *Job) Work() int64 {
 	if j.IsPart() {
-		return int64(j.Part.Of) * j.Steps[0].TaskWork()
+		return workOf(j.Part.Of, &j.Steps[0])
 	}
 	var total int64
 	for i := range j.Steps {
-		total += int64(j.Steps[i].Count) * j.Steps[i].TaskWork()
+		total = min(total+workOf(j.Steps[i].Count, &j.Steps[i]), MaxWork)
 	}
 	return total
 }
 
+// MaxWork bounds the expected work of a job, so that sums over jobs don't overflow.
+const MaxWork = 1 << 53
+
+// workOf returns the expected work of a number of tasks of a step.
+func workOf(tasks int, s *Step) int64 {
+	return int64(min(float64(tasks)*float64(s.TaskWork()), MaxWork))
+}
+
 // TaskKey identifies a task within its job.
 type TaskKey struct {
 	Step  int
