--- a/pkg/job/job.go
+++ b/pkg/job/job.go
@@ -157,15 +157,23 @@
 // thousandths of a core x milliseconds.
 func (j *Job) Work() int64 {
 	if j.IsPart() {
-		return int64(j.Part.Of) * j.Steps[0].TaskWork()
+		return workOf(j.Part.Of, &j.Steps[0])
 	}
 	var total int64
 	for i := range j.Steps {
-		total += int64(j.Steps[i].Count) * j.Steps[i].TaskWork()
+		total = min(total+workOf(j.Steps[i].Count, &j.Steps[i]), MaxWork)
 	}
 	return total
 }
 
+// MaxWork bounds the expected work of a job, so that sums over jobs don't overflow.
+const MaxWork = 1 << 53
+
+// workOf returns the expected work of a number of tasks of a step.
+func workOf(tasks int, s *Step) int64 {
+	return int64(min(float64(tasks)*float64(s.TaskWork()), MaxWork))
+}
+
 // TaskKey identifies a task within its job.
 type TaskKey struct {
 	Step  int
@@ -287,9 +295,14 @@
 // Objective returns the time from the job's receipt within which its answer is on
 // time, given the length of its critical path.
 func (j *Job) Objective(chain time.Duration) time.Duration {
-	return time.Duration(j.Stretch*float64(chain)) + j.Target
+	stretched := time.Duration(min(j.Stretch*float64(chain), float64(maxObjective)))
+	return min(stretched+min(j.Target, maxObjective), maxObjective)
 }
 
+// maxObjective bounds the sums over the estimates of a job, so that LateFactor times an objective
+// doesn't overflow.
+const maxObjective = 10 * 365 * 24 * time.Hour
+
 // LongestChain returns the length of the job's critical path by the caller's
 // estimates: its run time with unlimited capacity.
 func (j *Job) LongestChain() time.Duration {
@@ -303,7 +316,7 @@
 	for i, step := range j.Steps {
 		chains[i] = taskTime(i)
 		for _, earlier := range step.After {
-			chains[i] = max(chains[i], chains[earlier]+taskTime(i))
+			chains[i] = min(max(chains[i], chains[earlier]+taskTime(i)), maxObjective)
 		}
 		longest = max(longest, chains[i])
 	}
