node: a host that is cut off asks in the store whether others live

Callers saw: tasks of one job run twice at once, where an owner was cut off from all hosts, but not from executors, store and callers, for over 5 s.

Cause: after 3 s without a host of its domain it counted as the last one, accepted jobs and claimed cells. It can't tell a cut from the loss of all others by its links. A job whose other sending is at a living host began anew.

Change: a host that is alone writes a question into its row of the table of hosts. The first two hosts that reach each other answer in theirs. It stays isolated while they do, and serves after 3 s without an answer, as before. Where all hosts are cut off from each other, the first one by name serves.

--- a/pkg/member/isolation.go
+++ b/pkg/member/isolation.go
@@ -2,18 +2,24 @@
 
 import "time"
 
-// IsolationLimit is how long a host that reaches no other one of its domain counts as isolated. After that
+// IsolationLimit is how long a host that reaches no other one of its domain counts as isolated, from the
+// loss of the last one or from the last sign in the platform's store that another one lives. After that
 // the others count as lost, so that the last host of a domain serves.
 const IsolationLimit = 3 * time.Second
 
-// minLost is how many hosts of its domain have to be out of reach for a host to count as isolated, or of
+// minLost is how many hosts of its domain have to be out of reach for a host to count as alone, or of
 // all domains if it reaches no host at all. A single one that is out of reach is more likely to have failed.
 const minLost = 2
 
 // IsIsolated reports whether this host is probably cut off from the other hosts of its domain: it
-// reaches none of them, though several should be running.
+// is alone, and nothing shows yet that the others are lost.
 func (t *Table) IsIsolated(now time.Duration) bool {
-	if t.ReachesDomainHost("") || now >= t.aloneSince+IsolationLimit {
+	return now < max(t.aloneSince, t.confirmedAt)+IsolationLimit && t.IsAlone()
+}
+
+// IsAlone reports whether this host reaches no other one of its domain, though several should be running.
+func (t *Table) IsAlone() bool {
+	if t.ReachesDomainHost("") {
 		return false
 	}
 	lost, lostInDomain := 0, 0
@@ -33,9 +39,14 @@
 // except. A link may lead to this host itself, by a second address.
 func (t *Table) ReachesDomainHost(except string) bool {
 	for address, peer := range t.up {
-		if address != except && peer.Domain == t.self.Domain && peer.Incarnation != t.self.Incarnation {
+		if address != except && t.isOtherOfDomain(peer) {
 			return true
 		}
 	}
 	return false
 }
+
+// isOtherOfDomain reports whether a peer is another host of this domain.
+func (t *Table) isOtherOfDomain(peer Peer) bool {
+	return peer.Domain == t.self.Domain && peer.Incarnation != t.self.Incarnation
+}
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -62,6 +62,8 @@
 	leftAt           map[string]time.Duration // by address: when hosts that have not come back stopped as planned
 	unreachableSince map[string]time.Duration // by address: since when hubs are unreachable
 	aloneSince       time.Duration            // when the last link to a host of the own domain went down, if none is up; 0 until one was up
+	confirmedAt      time.Duration            // when a mark last showed that another host of the own domain lives, while this one was alone
+	inquiry          inquiry                  // whether others live, while this host is alone
 	domains          map[string]rankedHosts   // listed hosts by domain
 	remoteLinks      []string                 // hosts of other domains to keep links to
 }
--- a/pkg/node/follow.go
+++ b/pkg/node/follow.go
@@ -26,6 +26,9 @@
 // recheckInterval is how often a node checks whether a table is relayed to it.
 const recheckInterval = 200 * time.Millisecond
 
+// maxPauseStep is how late a node notices at most that a table's pause has become shorter.
+const maxPauseStep = 300 * time.Millisecond
+
 // follower keeps a node's copy of a table up to date.
 type follower struct {
 	node     *Node
@@ -114,11 +117,22 @@
 	f.setDown(false)
 	f.backoff = firstStoreBackoff
 	if next != f.position && f.table.pause != nil {
-		common.Sleep(ctx, f.table.pause())
+		f.sleepForPause(ctx)
 	}
 	f.position = next
 }
 
+// sleepForPause sleeps for the table's pause, which may become shorter meanwhile.
+func (f *follower) sleepForPause(ctx context.Context) {
+	began := f.node.Clock.Now()
+	for {
+		left := began + f.table.pause() - f.node.Clock.Now()
+		if left <= 0 || !common.Sleep(ctx, min(left, maxPauseStep)) {
+			return
+		}
+	}
+}
+
 func (f *follower) failed(ctx context.Context, err error) {
 	f.node.metrics.StoreFailed(f.table.name)
 	if !f.down {
--- /dev/null
+++ b/pkg/node/inquiry_test.go
@@ -0,0 +1,164 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/member"
+	qt "github.com/frankban/quicktest"
+)
+
+// markStore is a store that records the rows that a node announces.
+type markStore struct {
+	Store
+	mu        sync.Mutex
+	announced []Member
+}
+
+func (s *markStore) Announce(_ context.Context, row Member) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.announced = append(s.announced, row)
+	return nil
+}
+
+func (s *markStore) marks() []member.ContactMark {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var marks []member.ContactMark
+	for _, row := range s.announced {
+		marks = append(marks, row.Contact)
+	}
+	return marks
+}
+
+// cutOffNode returns a node of domain z that has just lost both other hosts of it, b and c, while its store
+// and two hosts of domain y are in reach.
+func cutOffNode(t *testing.T) (*Node, *manualClock, *markStore) {
+	n := peerNode(t, "a", "z", 1)
+	store := &markStore{}
+	n.store = store
+	clock := linkTwoDomains(n)
+	n.mu.Lock()
+	n.rowsRead, n.membersPosition = true, 10
+	n.mu.Unlock()
+	clock.now += time.Minute
+	n.LinkDown("b")
+	n.LinkDown("c")
+	return n, clock, store
+}
+
+// markOf returns a change of a host's row in domain z.
+func markOf(name string, mark member.ContactMark, position uint64) MemberChanges {
+	return MemberChanges{Position: position, Listed: []Member{{Name: name, Domain: "z", PeerAddress: name, Contact: mark}}}
+}
+
+// Guards against a host that is cut off for long and accepts jobs and claims cells, as if it had outlived
+// the others.
+func TestAHostThatIsCutOffStaysIsolatedWhileOthersLive(t *testing.T) {
+	tests := []struct {
+		name    string
+		changes MemberChanges
+		want    bool
+	}{
+		{name: "another one answers", changes: markOf("b", member.ContactMark{SeenUpTo: 11}, 12), want: true},
+		{name: "none answers"},
+		{name: "an answer to an earlier question", changes: markOf("b", member.ContactMark{SeenUpTo: 9}, 12)},
+		{name: "the row of another one without a mark", changes: markOf("b", member.ContactMark{}, 12)},
+		{name: "its own mark", changes: markOf("a", member.ContactMark{SeenUpTo: 11}, 12)},
+		{name: "a host of another domain answers", changes: MemberChanges{Position: 12, Listed: []Member{{Name: "d", Domain: "y", Contact: member.ContactMark{SeenUpTo: 11}}}}},
+	}
+	list := &catalog.Executors{Revision: 1, ByID: map[string]catalog.Executor{"i-1": listedExecutor("i-1", "10.0.0.1:80")}}
+	listing := newListing(0, list, sizesOf(list), map[string]int{"z": 1})
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			n, clock, store := cutOffNode(t)
+			n.updateIsolation(clock.now)
+			clock.now += time.Second
+			n.updateIsolation(clock.now)
+			eventually(c, func() bool { return len(store.marks()) == 1 })
+			c.Assert(store.marks()[0], qt.Equals, member.ContactMark{Asks: 1})
+			n.handleMarks(test.changes)
+			clock.now += member.IsolationLimit - 500*time.Millisecond
+			c.Assert(n.contact().isolated, qt.Equals, test.want)
+			c.Assert(len(n.cellsToClaim(listing, clock.now)) == 0, qt.Equals, test.want)
+		})
+	}
+}
+
+// Guards against a host that serves beside the others for the rest of a cut, as it couldn't ask in time.
+func TestAHostThatServesAloneIsIsolatedOnceAnotherOneAnswers(t *testing.T) {
+	c := qt.New(t)
+	n, clock, _ := cutOffNode(t)
+	n.updateIsolation(clock.now)
+	clock.now += member.IsolationLimit
+	c.Assert(n.contact().isolated, qt.IsFalse)
+	n.handleMarks(markOf("b", member.ContactMark{SeenUpTo: 11}, 12))
+	c.Assert(n.contact().isolated, qt.IsTrue)
+}
+
+// Guards against questions that nobody answers, and against answers by hosts that are isolated themselves.
+func TestAHostAnswersThoseThatAreAlone(t *testing.T) {
+	c := qt.New(t)
+	n, clock, store := cutOffNode(t)
+	question := markOf("c", member.ContactMark{Asks: 3}, 20)
+	n.handleMarks(question)
+	linkUp(n, "b", "z")
+	n.handleMarks(MemberChanges{Position: 21, Listed: []Member{{Name: "c", Domain: "z", Contact: member.ContactMark{SeenUpTo: 3}}}})
+	c.Assert(store.marks(), qt.HasLen, 0)
+	question.Position = 22
+	n.handleMarks(question)
+	eventually(c, func() bool { return len(store.marks()) == 1 })
+	c.Assert(store.marks()[0], qt.Equals, member.ContactMark{SeenUpTo: 22})
+	n.updateIsolation(clock.now)
+	c.Assert(store.marks(), qt.HasLen, 1, qt.Commentf("a host that reaches another one asks nothing"))
+}
+
+// Guards against a domain whose rows all hosts apply anew with each question and answer.
+func TestMarksChangeNoRows(t *testing.T) {
+	c := qt.New(t)
+	n := peerNode(t, "a", "z", 1)
+	row := Member{Name: "b", Domain: "z", PeerAddress: "127.0.0.2:1", Contact: member.ContactMark{Asks: 1}}
+	c.Assert(n.affectsRows(MemberChanges{Listed: []Member{row}}), qt.IsTrue)
+	n.setRows([]Member{n.ownRow(), row})
+	row.Contact = member.ContactMark{Asks: 2}
+	c.Assert(n.affectsRows(MemberChanges{Listed: []Member{row}}), qt.IsFalse)
+	row.PeerAddress = "127.0.0.3:1"
+	c.Assert(n.affectsRows(MemberChanges{Listed: []Member{row}}), qt.IsTrue)
+}
+
+// Guards against answers that come too late in a large domain, whose hosts read the rows at long intervals.
+func TestHowSoonHostsReadMarksInALargeDomain(t *testing.T) {
+	const hosts = 400
+	tests := []struct {
+		name  string
+		links []string
+		want  time.Duration
+	}{
+		{name: "alone", want: maxPauseAlone},
+		{name: "the first of those that reach each other", links: []string{"h-000"}, want: minMembersPause},
+		{name: "a further one", links: []string{"a-1", "a-2"}, want: membersPauseFor(hosts + 1)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			n := peerNode(t, "b", "z", 1)
+			n.settings.Weight = 800 // a hub
+			rows := []Member{n.ownRow()}
+			for i := range hosts {
+				name := fmt.Sprintf("h-%03d", i)
+				rows = append(rows, Member{Name: name, Domain: "z", PeerAddress: name})
+			}
+			n.setRows(rows)
+			for _, name := range test.links {
+				linkUp(n, name, "z")
+			}
+			c.Assert(n.membersPause(), qt.Equals, test.want)
+		})
+	}
+}
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -33,6 +33,7 @@
 	listed := make([]member.ListedHost, 0, len(rows))
 	byName := map[string]Member{}
 	for _, row := range rows {
+		row.Contact = member.ContactMark{}
 		byName[row.Name] = row
 		listed = append(listed, member.ListedHost{Name: row.Name, Domain: row.Domain, Address: row.PeerAddress, Weight: row.Capacity.CPU})
 	}
@@ -57,14 +58,18 @@
 }
 
 // affectsRows reports whether changes affect the known rows or the own one. Unreadable rows
-// of foreign writers don't, and may change at any time.
+// of foreign writers don't, and may change at any time, and neither do marks.
 func (n *Node) affectsRows(changes MemberChanges) bool {
-	if len(changes.Listed)+len(changes.Removed) > 0 {
+	if len(changes.Removed) > 0 {
 		return true
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return slices.ContainsFunc(changes.Unreadable, func(row catalog.Unreadable) bool {
+	isNew := func(row Member) bool {
+		row.Contact = member.ContactMark{}
+		return n.memberRows[row.Name] != row
+	}
+	return slices.ContainsFunc(changes.Listed, isNew) || slices.ContainsFunc(changes.Unreadable, func(row catalog.Unreadable) bool {
 		_, known := n.memberRows[row.Key]
 		return known || row.Key == n.settings.Name // which has to be rewritten
 	})
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -52,6 +52,8 @@
 	isHub                 atomic.Bool  // as of the last check, this node may own cells of its domain
 	listReadFails         atomic.Bool  // the last read of the executor list failed
 	operatorReadFails     atomic.Bool  // the last read of the operators' changes failed
+	membersReadFails      atomic.Bool  // the last read of the hosts' rows failed
+	questionFails         atomic.Bool  // the last question whether other hosts live wasn't written, or may not have been
 	listReadableSince     atomic.Int64 // since when the executor list has been readable, as a time of the clock; 0 while it is not
 	listing               sync.Mutex   // guards roster, history and listRelayedAt; held while a read of the executor list is applied
 	roster                *catalog.Roster
@@ -84,6 +86,9 @@
 	memberRows map[string]Member // the nodes' rows in the store, by node name
 	rowsRead   bool              // the nodes' rows have been read at least once
 
+	membersPosition uint64 // in the store's history up to which the nodes' rows have been read
+	isolation       isolationLog
+
 	leadingDomain string // domain whose reader follows the executor list for all domains; empty when not known
 
 	restarted          bool                     // the first read of the rows contained this node's own: it has restarted
@@ -263,6 +268,7 @@
 		}
 		if now := n.Clock.Now(); now >= nextClaim {
 			n.resizeCells()
+			n.updateIsolation(now)
 			n.claimCells(now)
 			n.refreshOwnClaims()
 			n.updateShortOfCapacity()
--- a/pkg/node/ports.go
+++ b/pkg/node/ports.go
@@ -15,6 +15,7 @@
 	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/kept"
 	"github.com/foxcroft/foxcroft/pkg/kernel"
+	"github.com/foxcroft/foxcroft/pkg/member"
 	"github.com/foxcroft/foxcroft/pkg/ownership"
 	"github.com/foxcroft/foxcroft/pkg/settings"
 	"github.com/foxcroft/foxcroft/pkg/tables"
@@ -45,6 +46,7 @@
 	Domain      string
 	PeerAddress string
 	Capacity    ownership.Capacity
+	Contact     member.ContactMark
 }
 
 // MemberChanges holds changes of the nodes' rows.
--- a/pkg/node/snapshots.go
+++ b/pkg/node/snapshots.go
@@ -28,6 +28,7 @@
 	// and grows from there: after each change all hosts request the next one.
 	minMembersPause   = 300 * time.Millisecond
 	hostsAtMinPause   = 40
+	maxPauseAlone     = time.Second
 	firstStoreBackoff = 100 * time.Millisecond
 	lastStoreBackoff  = 1500 * time.Millisecond
 	peerFetchTimeout  = time.Second
@@ -152,7 +153,7 @@
 	for ctx.Err() == nil && !n.announce(ctx) {
 		common.Sleep(ctx, common.Jitter(lastStoreBackoff, common.Unit()))
 	}
-	n.follow(ctx, followedTable{name: "members", read: n.readMembers, await: n.awaitMembers, pause: n.membersPause})
+	n.follow(ctx, followedTable{name: "members", read: n.readMembers, await: n.awaitMembers, pause: n.membersPause, failing: &n.membersReadFails})
 }
 
 // rowsTimeout is how long after its start a node waits for the hosts' rows before it reads
@@ -180,10 +181,12 @@
 }
 
 // announce writes this node's row and reports whether it succeeded.
-func (n *Node) announce(ctx context.Context) bool {
+func (n *Node) announce(ctx context.Context) bool { return n.announceRow(ctx, n.ownRow()) }
+
+func (n *Node) announceRow(ctx context.Context, row Member) bool {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	err := n.store.Announce(ctx, n.ownRow())
+	err := n.store.Announce(ctx, row)
 	if err != nil {
 		n.Log.Warn("row_not_written", "error", err.Error())
 	}
@@ -191,11 +194,21 @@
 }
 
 // membersPause returns how long to wait between two requests for changes of the hosts' rows.
-// It grows with the number of hosts, so that their total request rate is bounded.
+// It grows with the number of hosts, so that their total request rate is bounded. That of hosts that are
+// alone, and of the few that answer them, does so less.
 func (n *Node) membersPause() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return membersPauseFor(len(n.memberRows))
+	pause := membersPauseFor(len(n.memberRows))
+	switch {
+	case pause == minMembersPause:
+		return pause
+	case n.members.IsAlone():
+		return min(pause, maxPauseAlone)
+	case n.members.ShouldAnswer("", n.cannotReadStore, n.Clock.Now()):
+		return minMembersPause
+	}
+	return pause
 }
 
 func membersPauseFor(hosts int) time.Duration {
@@ -209,6 +222,7 @@
 	}
 	n.recordUnreadable(tableOfMembers, rows.Unreadable)
 	n.setRows(rows.Listed)
+	n.recordMembersPosition(rows.Position)
 	return rows.Position, nil
 }
 
@@ -221,9 +235,17 @@
 	if n.affectsRows(changes) {
 		n.setRows(n.rowsWith(changes))
 	}
+	n.recordMembersPosition(changes.Position)
+	n.handleMarks(changes)
 	return changes.Position, nil
 }
 
+func (n *Node) recordMembersPosition(position uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.membersPosition = position
+}
+
 // fetchNewer fetches from a peer what is newer there according to its heartbeat.
 func (n *Node) fetchNewer(address string, heartbeat *peerpb.Heartbeat) {
 	if current := n.configuration.Load(); current == nil || heartbeat.Version > current.snapshot.Revision {
