node: isolations are logged outside of the node's lock

One line tells the evidence by which a host that is alone stays isolated, when its kind changes; two hosts answer, in any order. A table test names what is logged of the begin and the end of an isolation.

go test -race ./pkg/node ./pkg/member passes.

--- a/pkg/node/inquiry.go
+++ b/pkg/node/inquiry.go
@@ -15,12 +15,25 @@
 	endedWithUnclearAnswer = "store_unreadable" // the store can't be asked whether the others live
 )
 
-// isolationLog is what was last logged of this host's isolation.
-type isolationLog struct {
+// contactEvidence is what shows a host that is alone that another one lives.
+type contactEvidence struct {
+	kind member.Evidence
+	by   string // the other host
+}
+
+// isolation is what was last logged of this host's isolation.
+type isolation struct {
 	isIsolated bool
-	since      time.Duration   // when the isolation began
-	evidence   member.Evidence // that others live, since this host is alone
-	by         string          // the host that gave it
+	since      time.Duration   // when it began
+	evidence   contactEvidence // since this host is alone
+}
+
+// isolationChange is the begin or the end of an isolation.
+type isolationChange struct {
+	began    bool
+	evidence contactEvidence // of a begin
+	reason   string          // of an end
+	lasted   time.Duration
 }
 
 // updateIsolation asks in the store whether other hosts of the domain live, if this host is alone, and logs
@@ -28,36 +41,46 @@
 func (n *Node) updateIsolation(now time.Duration) {
 	n.mu.Lock()
 	mark, asks := n.members.NextQuestion(n.membersPosition, now)
-	n.logIsolation(now)
+	change := n.observeIsolation(now)
 	n.mu.Unlock()
+	n.logIsolation(change)
 	if asks {
 		go n.ask(mark)
 	}
 }
 
-// logIsolation logs whether this host is isolated, if that has changed. n.mu is held.
-func (n *Node) logIsolation(now time.Duration) {
+// observeIsolation returns how this host's isolation has changed since the last call, or nil. n.mu is held.
+func (n *Node) observeIsolation(now time.Duration) *isolationChange {
 	isAlone, isIsolated, known := n.members.IsAlone(), n.members.IsIsolated(now), &n.isolation
 	if !isAlone {
-		known.evidence, known.by = member.NoEvidence, ""
+		known.evidence = contactEvidence{}
 	}
 	if isIsolated == known.isIsolated {
-		return
+		return nil
 	}
 	known.isIsolated = isIsolated
 	if isIsolated {
 		known.since = now
-		n.Log.Warn("host_isolated", "domain", n.settings.Domain, "evidence", known.evidence.String(), "by", known.by)
-		return
+		return &isolationChange{began: true, evidence: known.evidence}
 	}
-	reason := endedWithoutAnswer
+	change := &isolationChange{reason: endedWithoutAnswer, lasted: now - known.since}
 	switch {
 	case !isAlone:
-		reason = endedByContact
+		change.reason = endedByContact
 	case n.membersReadFails.Load() || n.questionFails.Load():
-		reason = endedWithUnclearAnswer
+		change.reason = endedWithUnclearAnswer
+	}
+	return change
+}
+
+func (n *Node) logIsolation(change *isolationChange) {
+	switch {
+	case change == nil:
+	case change.began:
+		n.Log.Warn("host_isolated", "domain", n.settings.Domain, "evidence", change.evidence.kind.String(), "by", change.evidence.by)
+	default:
+		n.Log.Warn("isolation_ended", "reason", change.reason, "isolated_ms", change.lasted.Milliseconds())
 	}
-	n.Log.Warn("isolation_ended", "reason", reason, "isolated_ms", (now - known.since).Milliseconds())
 }
 
 // ask writes a question into this node's row.
@@ -77,31 +100,42 @@
 	marked := slices.DeleteFunc(slices.Clone(changes.Listed), func(row Member) bool {
 		return row.Contact == member.ContactMark{} || row.Domain != n.settings.Domain || row.Name == n.settings.Name
 	})
-	if len(marked) > 0 && n.takeMarks(marked, changes.Position) {
+	if len(marked) == 0 {
+		return
+	}
+	n.mu.Lock()
+	now := n.Clock.Now()
+	confirmed := n.takeMarks(marked, changes.Position, now)
+	change := n.observeIsolation(now)
+	answers := slices.ContainsFunc(marked, func(row Member) bool {
+		return row.Contact.Asks > 0 && n.members.ShouldAnswer(row.Name, n.cannotReadStore, now)
+	})
+	n.mu.Unlock()
+	for _, evidence := range confirmed {
+		n.Log.Info("others_confirmed", "evidence", evidence.kind.String(), "by", evidence.by)
+	}
+	n.logIsolation(change)
+	if answers {
 		go n.announceMark(context.Background(), member.ContactMark{SeenUpTo: changes.Position})
 	}
 }
 
-// takeMarks records what marks show, and reports whether this host should answer one of them.
-func (n *Node) takeMarks(marked []Member, position uint64) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	now := n.Clock.Now()
+// takeMarks records what marks show, and returns the evidence that others live where its kind has changed. n.mu
+// is held.
+func (n *Node) takeMarks(marked []Member, position uint64, now time.Duration) []contactEvidence {
+	var changed []contactEvidence
 	for _, row := range marked {
-		evidence := n.members.HandleMark(row.Name, row.Contact, position, now)
-		if evidence == member.NoEvidence {
+		evidence := contactEvidence{kind: n.members.HandleMark(row.Name, row.Contact, position, now), by: row.Name}
+		if evidence.kind == member.NoEvidence {
 			continue
 		}
 		n.contactChanged()
-		if n.isolation.evidence != evidence || n.isolation.by != row.Name {
-			n.isolation.evidence, n.isolation.by = evidence, row.Name
-			n.Log.Info("others_confirmed", "evidence", evidence.String(), "by", row.Name)
+		if n.isolation.evidence.kind != evidence.kind { // two hosts answer, in any order
+			n.isolation.evidence = evidence
+			changed = append(changed, evidence)
 		}
 	}
-	n.logIsolation(now)
-	return slices.ContainsFunc(marked, func(row Member) bool {
-		return row.Contact.Asks > 0 && n.members.ShouldAnswer(row.Name, n.cannotReadStore, now)
-	})
+	return changed
 }
 
 // cannotReadStore reports whether the host at an address has said that it can't read the store. n.mu is held.
--- a/pkg/node/inquiry_test.go
+++ b/pkg/node/inquiry_test.go
@@ -162,3 +162,40 @@
 		})
 	}
 }
+
+// Guards against isolations of which the log doesn't tell why they began and ended.
+func TestWhatIsLoggedOfAnIsolation(t *testing.T) {
+	answer := markOf("b", member.ContactMark{SeenUpTo: 11}, 12)
+	tests := []struct {
+		name   string
+		before func(n *Node, clock *manualClock)
+		want   isolationChange
+	}{
+		{name: "no answer", before: func(_ *Node, clock *manualClock) { clock.now += member.IsolationLimit },
+			want: isolationChange{reason: endedWithoutAnswer, lasted: member.IsolationLimit}},
+		{name: "the store can't be read", before: func(n *Node, clock *manualClock) {
+			n.membersReadFails.Store(true)
+			clock.now += member.IsolationLimit
+		}, want: isolationChange{reason: endedWithUnclearAnswer, lasted: member.IsolationLimit}},
+		{name: "contact", before: func(n *Node, clock *manualClock) {
+			clock.now += time.Second
+			linkUp(n, "b", "z")
+		}, want: isolationChange{reason: endedByContact, lasted: time.Second}},
+		{name: "an answer to a host that serves alone", before: func(n *Node, clock *manualClock) {
+			clock.now += member.IsolationLimit
+			n.observeIsolation(clock.now)
+			n.takeMarks(answer.Listed, answer.Position, clock.now)
+		}, want: isolationChange{began: true, evidence: contactEvidence{kind: member.OtherServes, by: "b"}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			n, clock, _ := cutOffNode(t)
+			n.members.NextQuestion(n.membersPosition, clock.now)
+			c.Assert(*n.observeIsolation(clock.now), qt.Equals, isolationChange{began: true})
+			c.Assert(n.observeIsolation(clock.now), qt.IsNil, qt.Commentf("nothing has changed"))
+			test.before(n, clock)
+			c.Assert(*n.observeIsolation(clock.now), qt.Equals, test.want)
+		})
+	}
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -87,7 +87,7 @@
 	rowsRead   bool              // the nodes' rows have been read at least once
 
 	membersPosition uint64 // in the store's history up to which the nodes' rows have been read
-	isolation       isolationLog
+	isolation       isolation
 
 	leadingDomain string // domain whose reader follows the executor list for all domains; empty when not known
 
