node: a host that has stood still accepts new jobs after the announcements that it missed

Such a host now looks again after ResyncDelay (0.45 s from the end of a stall of over 0.4 s). A job that can't be confirmed in time any more is answered by 504 at once, and one that has been confirmed meanwhile isn't too late. A host that stands still again and again gives new jobs up, as in its searches. Weak hosts (10 of 52 ms, 60 of 310 ms) stand still for less.

TestAHostThatHasStoodStillAwaitsTheAnnouncementsThatItMissed failed in three rows before.

--- a/pkg/node/front.go
+++ b/pkg/node/front.go
@@ -108,7 +108,7 @@
 	if ended {
 		return outcome
 	}
-	if state.epoch == 1 && (f.isTooLate(j) || f.isLateAtSlowHost(j)) {
+	if state.epoch == 1 && (f.isTooLate(open) || f.isLateAtSlowHost(j)) {
 		return job.Outcome{Kind: job.Expired, Reason: reasonTooLate, Started: true}
 	}
 	f.markFollowed(open)
@@ -126,12 +126,12 @@
 
 // isTooLate reports whether to end a job for that reason. It isn't refused: a process that stood still
 // may not have read yet that another host holds an earlier submission open. A job that was searched for at other
-// fronts has been announced meanwhile.
-func (f *front) isTooLate(j *job.Job) bool {
-	resubmitAfter := f.node.settings.ResubmitAfter
+// fronts has been announced meanwhile, and so may one be that has waited for announcements.
+func (f *front) isTooLate(open *openJob) bool {
+	j, resubmitAfter := open.job, f.node.settings.ResubmitAfter
 	sentAfter := j.EarliestSending()
 	return sentAfter < j.Received && openjobs.IsAnnounced(j.Received, j.Deadline, resubmitAfter) &&
-		!openjobs.CanBeConfirmed(sentAfter, resubmitAfter, f.node.settings.StopTime, f.node.Clock.Now()) && len(f.node.domainsBeside()) > 0
+		!openjobs.CanBeConfirmed(sentAfter, resubmitAfter, f.node.settings.StopTime, f.node.Clock.Now()) && !f.isConfirmed(open) && len(f.node.domainsBeside()) > 0
 }
 
 // isLateAtSlowHost reports whether this process stands still so often that it would hold a job that it has
--- a/pkg/node/isolation.go
+++ b/pkg/node/isolation.go
@@ -86,3 +86,32 @@
 	case <-timer.C:
 	}
 }
+
+// awaitMissedAnnouncements waits until this host has received the announcements that it missed while it
+// stood still. It returns true and the outcome of a new job if that can't be.
+func (f *front) awaitMissedAnnouncements(ctx context.Context, open *openJob) (job.Outcome, bool) {
+	n := f.node
+	for {
+		now := n.Clock.Now()
+		syncedAt := n.stallSyncedAt(now)
+		switch {
+		case now >= syncedAt, f.isTooLate(open):
+			return job.Outcome{}, false
+		case n.standsStillOften():
+			return givenUp(errStandsStill.Error(), true), true
+		case !f.sleepUntil(ctx, syncedAt):
+			return abandoned(ctx, true), true // the job may be open elsewhere
+		}
+	}
+}
+
+// stallSyncedAt returns when this host has received the announcements of the others after it last stood
+// still for so long that they may have lost their links to it. A stall that ends now counts, as a request
+// may be read before the poll that notices it.
+func (n *Node) stallSyncedAt(now time.Duration) time.Duration {
+	endedAt, stalled := n.renewals.longStallEndedAt(now)
+	if !stalled || now >= endedAt+openjobs.ResyncDelay || len(n.domainsBeside()) == 0 {
+		return 0
+	}
+	return endedAt + openjobs.ResyncDelay
+}
--- a/pkg/node/join.go
+++ b/pkg/node/join.go
@@ -34,7 +34,13 @@
 	if outcome, isolated := f.awaitContact(ctx, j.ID); isolated {
 		return outcome, attempt{}, true
 	}
-	if own.RetryAfter == 0 && len(n.openJobTable.find(j.ID, n.Clock.Now())) == 0 {
+	isNew := func() bool { return own.RetryAfter == 0 && len(n.openJobTable.find(j.ID, n.Clock.Now())) == 0 }
+	if isNew() {
+		if outcome, ended := f.awaitMissedAnnouncements(ctx, open); ended {
+			return outcome, attempt{}, true
+		}
+	}
+	if isNew() {
 		return job.Outcome{}, attempt{epoch: 1, started: n.openJobTable.mayHaveRun(j.ID), namesRuns: true}, false
 	}
 	f.markStarted(open)
--- a/pkg/node/late_jobs_test.go
+++ b/pkg/node/late_jobs_test.go
@@ -319,3 +319,60 @@
 	}
 	c.Assert(givenUp, qt.Equals, 1)
 }
+
+// Guards against a second run by a host that has just stood still: others had lost their links to it, and
+// the announcements that it missed arrive later than the second sending.
+func TestAHostThatHasStoodStillAwaitsTheAnnouncementsThatItMissed(t *testing.T) {
+	const pollEach = 50 * time.Millisecond
+	type scenario struct {
+		testName string
+		stall    time.Duration
+		polls    int  // after the stall, before the job is received
+		isAlone  bool // there is no other host
+		waits    bool
+	}
+	scenarios := []scenario{
+		{testName: "no stall"},
+		{testName: "a weak host's stall", stall: 290 * time.Millisecond},
+		{testName: "a stall after which others may have lost it", stall: 700 * time.Millisecond, waits: true},
+		{testName: "the same, polled before", stall: 700 * time.Millisecond, polls: 1, waits: true},
+		{testName: "a while later", stall: 700 * time.Millisecond, polls: 8, waits: true},
+		{testName: "later", stall: 700 * time.Millisecond, polls: 9},
+		{testName: "no other host", stall: 700 * time.Millisecond, isAlone: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			n := newTestNode(c, &fakeStore{})
+			clock := &sharedClock{}
+			clock.at.Store(int64(time.Second))
+			n.Clock = clock
+			o := makeOwner(n, "z/1.0")
+			if !s.isAlone {
+				n.memberRows["b"] = Member{Name: "b", Domain: "z", PeerAddress: "127.0.0.1:2"}
+			}
+			for range 3 {
+				n.renewals.poll(time.Duration(clock.at.Add(int64(pollEach))))
+			}
+			clock.at.Add(int64(s.stall))
+			for range s.polls {
+				n.renewals.poll(n.Clock.Now())
+				clock.at.Add(int64(pollEach))
+			}
+			ended := submitLater(context.Background(), n)
+			isAccepted := func() bool {
+				o.mu.Lock()
+				defer o.mu.Unlock()
+				return len(o.waiters[joinID]) > 0
+			}
+			if s.waits {
+				time.Sleep(30 * time.Millisecond)
+				c.Assert(isAccepted(), qt.IsFalse)
+			} else {
+				eventually(c, isAccepted)
+			}
+			n.front.openJob(joinID).cancel(errCancelled)
+			<-ended
+		})
+	}
+}
--- a/pkg/node/lease_limits.go
+++ b/pkg/node/lease_limits.go
@@ -87,6 +87,13 @@
 	}
 }
 
+// isConfirmed reports whether each domain has confirmed the announcement of a job, or need not.
+func (f *front) isConfirmed(open *openJob) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return open.isConfirmed
+}
+
 // awaitConfirmed waits, if the limit of a job's lease is so near that no owner would keep the job, until
 // the limit is lifted. It returns false if it isn't, and the outcome of the job.
 func (f *front) awaitConfirmed(ctx context.Context, j *job.Job, state *attempt) (job.Outcome, bool) {
--- a/pkg/node/renewals.go
+++ b/pkg/node/renewals.go
@@ -176,6 +176,13 @@
 	return r.stalls.LongEndedSince(since, now)
 }
 
+// longStallEndedAt is Stalls.LongEndedAt.
+func (r *renewals) longStallEndedAt(now time.Duration) (at time.Duration, stalled bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stalls.LongEndedAt(now)
+}
+
 // standsStillOften is Stalls.StandsStillOften.
 func (r *renewals) standsStillOften(now time.Duration) bool {
 	r.mu.Lock()
--- a/pkg/openjobs/stalls.go
+++ b/pkg/openjobs/stalls.go
@@ -59,6 +59,15 @@
 	return s.hasGap(now, longStall) || s.longEndedAt > 0 && s.longEndedAt >= since
 }
 
+// LongEndedAt returns when the last long stall ended, which is now if none of the polls has noticed it
+// yet. It returns false if there was none.
+func (s *Stalls) LongEndedAt(now time.Duration) (at time.Duration, stalled bool) {
+	if s.hasGap(now, longStall) {
+		return now, true
+	}
+	return s.longEndedAt, s.longEndedAt > 0
+}
+
 // StandsStillOften reports whether the process stands still again and again for so long that it can't
 // follow jobs.
 func (s *Stalls) StandsStillOften(now time.Duration) bool {
