node: the front of a job that the network may have held up waits for the one that has it already

Within a domain the owners' announcements end that after 0.35 s or less.

Cause: a front counts a job's age from its receipt, and announces it 0.4 s later. Neither the kernel's time of arrival nor its own stalls tell of a delay on the way.

But a request that is the first one of its connection may be as old as that. The kernel has both times (tcp_info, which each job reads already). Up to 0.5 s the job's age counts from there. A job that may be older is announced at once, and its front hands it to an owner only once each domain has confirmed that and 0.2 s later. A front that holds the job open and learns of the other one announces it at once too, so that they meet before the first dispatch.

TestADelayedJobJoinsTheOneOfAFrontThatHasNotAnnouncedIt failed before.

--- a/pkg/job/job.go
+++ b/pkg/job/job.go
@@ -51,6 +51,7 @@
 	Steps       []Step
 	Received    time.Duration // on the clock of the process that holds this value
 	SentAfter   time.Duration // a lower bound of when its caller sent it, on the same clock; 0: none but Received is known
+	IsDelayed   bool          // the network may have held it up for so long that its caller has sent it again
 	Deadline    time.Duration // until when the caller waits
 	Stretch     float64       // factor on the critical path in the objective
 	Target      time.Duration // added to the objective
--- a/pkg/node/join.go
+++ b/pkg/node/join.go
@@ -40,6 +40,11 @@
 			return outcome, attempt{}, true
 		}
 	}
+	if j.IsDelayed && isNew() {
+		if outcome, ended := f.awaitMeeting(ctx, open); ended {
+			return outcome, attempt{}, true
+		}
+	}
 	if isNew() {
 		return job.Outcome{}, attempt{epoch: 1, started: n.openJobTable.mayHaveRun(j.ID), namesRuns: true}, false
 	}
--- a/pkg/node/late_jobs_test.go
+++ b/pkg/node/late_jobs_test.go
@@ -150,7 +150,7 @@
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			c.Assert(err, qt.IsNil)
 			arrived := make(chan time.Duration, 1)
-			server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { arrived <- n.arrivalOf(r.Context()) })}
+			server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { arrived <- n.arrivalOf(r.Context()).at })}
 			n.configureFront(server)
 			defer server.Close()
 			time.Sleep(time.Millisecond) // no request arrives at time 0
--- a/pkg/node/lease_limits.go
+++ b/pkg/node/lease_limits.go
@@ -112,6 +112,18 @@
 	return givenUp(errUnconfirmed.Error(), state.started), false
 }
 
+// awaitAllDomains waits until each domain has confirmed the announcement of a job, or need not, and
+// reports whether that was in time.
+func (f *front) awaitAllDomains(ctx context.Context, open *openJob) bool {
+	f.mu.Lock()
+	isConfirmed := open.isConfirmed
+	if !isConfirmed && open.confirmed == nil {
+		open.confirmed = make(chan struct{})
+	}
+	f.mu.Unlock()
+	return isConfirmed || f.sleepUntilConfirmed(ctx, open, f.node.leaseLimitOf(open.job))
+}
+
 // isLimitNear reports whether no owner would keep a job, as the limit of its lease is near. It returns the
 // open job, with which sleepUntilConfirmed may be called then.
 func (f *front) isLimitNear(j *job.Job) (*openJob, bool) {
--- a/pkg/node/openjobs.go
+++ b/pkg/node/openjobs.go
@@ -322,6 +322,9 @@
 func (n *Node) recordOpenJobs(front openjobs.Front, reporter string, jobs []openjobs.Announcement, relay bool) {
 	n.openJobTable.mu.Lock()
 	dropped := n.openJobTable.others.Record(front, reporter, jobs, relay, n.Clock.Now())
+	for _, announced := range jobs {
+		n.openJobTable.local.AnnounceNow(announced.ID)
+	}
 	n.openJobTable.mu.Unlock()
 	if dropped > 0 {
 		n.Log.Warn("open_jobs_dropped", "front", front.Address, "jobs", dropped, "remedy", "shorten long jobs, or add hosts to spread them over")
--- a/pkg/node/request_times.go
+++ b/pkg/node/request_times.go
@@ -16,35 +16,44 @@
 	return context.WithValue(ctx, connectionKey{}, connection)
 }
 
-// arrivalOf returns when the request with this context arrived at the machine, by the kernel, which runs
-// while this process stands still: when the last data of its connection did. It returns 0 if that is
-// unknown.
-func (n *Node) arrivalOf(ctx context.Context) time.Duration {
+// arrival is what the kernel tells of how a request has arrived at this machine. The kernel runs while this
+// process stands still.
+type arrival struct {
+	at time.Duration // when the last data of its connection arrived; 0 if unknown
+	// openBefore is for how long the connection had been open then, if nothing has been sent on it by this
+	// host: the caller may have sent the request at any time since. 0 for later requests.
+	openBefore time.Duration
+}
+
+// arrivalOf returns the arrival of the request with this context.
+func (n *Node) arrivalOf(ctx context.Context) arrival {
 	connection, ok := ctx.Value(connectionKey{}).(syscall.Conn)
 	if !ok {
-		return 0
+		return arrival{}
 	}
-	now := n.Clock.Now() // before the age is read, as this process may stand still in between
-	age, ok := dataAge(connection)
+	now := n.Clock.Now() // before the ages are read, as this process may stand still in between
+	info, ok := tcpInfo(connection)
 	if !ok {
-		return 0
+		return arrival{}
+	}
+	a := arrival{at: max(1, now-milliseconds(info.Last_data_recv))}
+	if info.Data_segs_out == 0 { // the kernel then counts from when the connection was opened
+		a.openBefore = max(0, milliseconds(info.Last_data_sent)-milliseconds(info.Last_data_recv))
 	}
-	return max(1, now-age)
+	return a
 }
 
-// dataAge returns how long ago the last data of a TCP connection arrived at this machine.
-func dataAge(connection syscall.Conn) (age time.Duration, ok bool) {
+func milliseconds(count uint32) time.Duration { return time.Duration(count) * time.Millisecond }
+
+// tcpInfo returns what the kernel tells of a TCP connection.
+func tcpInfo(connection syscall.Conn) (info *unix.TCPInfo, ok bool) {
 	raw, err := connection.SyscallConn()
 	if err != nil {
-		return 0, false
+		return nil, false
 	}
-	var info *unix.TCPInfo
 	var infoErr error
 	err = raw.Control(func(descriptor uintptr) {
 		info, infoErr = unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
-	if err != nil || infoErr != nil {
-		return 0, false
-	}
-	return time.Duration(info.Last_data_recv) * time.Millisecond, true
+	return info, err == nil && infoErr == nil
 }
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -6,6 +6,7 @@
 
 	"github.com/foxcroft/foxcroft/pkg/catalog"
 	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/openjobs"
 )
 
 // configurationPollInterval is how often a request that waits for a configuration checks for it.
@@ -54,7 +55,9 @@
 
 // Submit implements Service.
 func (n *Node) Submit(ctx context.Context, j *job.Job) job.Outcome {
-	j.SentAfter = n.renewals.earliestSending(j.Received, n.arrivalOf(ctx))
+	a := n.arrivalOf(ctx)
+	sentAfter, isDelayed := openjobs.SentBeforeDelay(j.Received, a.openBefore, n.settings.ResubmitAfter)
+	j.SentAfter, j.IsDelayed = min(sentAfter, n.renewals.earliestSending(j.Received, a.at)), isDelayed
 	return n.front.submit(ctx, j)
 }
 
--- a/pkg/openjobs/local_jobs.go
+++ b/pkg/openjobs/local_jobs.go
@@ -78,6 +78,18 @@
 	heap.Push(&l.unannounced, j)
 }
 
+// AnnounceNow has a job announced with the next batch, as another front that holds it open too has to know.
+func (l *LocalJobs) AnnounceNow(id string) {
+	j := l.open[id]
+	if j == nil || j.isAnnounced {
+		return
+	}
+	j.isClosed = true // in unannounced
+	due := &localJob{id: id, deadline: j.deadline}
+	l.open[id], l.isUrgent = due, true
+	heap.Push(&l.unannounced, due)
+}
+
 // Remove records that a job has ended here, and reports whether it had been announced, so
 // that other fronts may ask for its outcome.
 func (l *LocalJobs) Remove(id string) bool {
