--- a/pkg/openjobs/delays.go
+++ b/pkg/openjobs/delays.go
@@ -7,8 +7,9 @@
 // the connection had been opened, and most callers open one to use it at once.
 
 // meetTime is how long the announcements of two fronts that hold one job open take to meet, after the first of
-// them has been confirmed: the second front learns of the first one by it, and announces the job too.
-const meetTime = ScanInterval + 2*transitTime
+// them has been confirmed: a host relays it to the second front, which announces the job with its next
+// batch, by two messages.
+const meetTime = transitTime + ScanInterval + 2*transitTime
 
 // SentBeforeDelay returns a lower bound of when a request was sent that was received as the first one on a
 // connection, which had been open for a time before. It allows for maxReceiptDelay, and goes back no further
--- a/pkg/openjobs/explore_limits_test.go
+++ b/pkg/openjobs/explore_limits_test.go
@@ -43,7 +43,7 @@
 func (o *modelOpen) settle(domain string) {
 	delete(o.unconfirmedBy, domain)
 	if len(o.unconfirmedBy) == 0 && !o.isConfirmed {
-		o.isConfirmed = true
+		o.isConfirmed, o.confirmedAt = true, o.host.world.now
 		o.host.world.logf("host %d has its job confirmed", o.host.index)
 	}
 }
--- a/pkg/openjobs/explore_owners_test.go
+++ b/pkg/openjobs/explore_owners_test.go
@@ -119,7 +119,7 @@
 		c.owner, c.separatedSince = h.drawOwner(), 0
 	default:
 		w.logf("host %d loses host %d, the owner of its job", h.index, lost.index)
-		c.end(c.renewedAt(), true)
+		c.end(lost.lastActive(c.renewedAt()), true)
 		open := c.open
 		w.after(redispatchDelay, func() {
 			if open.isOpen() {
--- a/pkg/openjobs/explore_stalls_test.go
+++ b/pkg/openjobs/explore_stalls_test.go
@@ -81,6 +81,24 @@
 	}
 }
 
+// Guards against a simulation that would show nothing: hosts that don't wait for the announcements that they
+// missed start jobs twice.
+func TestExploredJobsRunTwiceIfHostsMissAnnouncements(t *testing.T) {
+	failed := 0
+	for seed := *firstSeed; seed < *firstSeed+uint64(*runCount); seed++ {
+		w := newStallingWorld(seed)
+		w.laterToStalled, w.ignoresMissed = true, true
+		w.run()
+		if w.ranTwice {
+			failed++
+		}
+	}
+	t.Logf("in %d of %d runs the job ran twice at once", failed, *runCount)
+	if failed == 0 && *runCount >= 100 {
+		t.Errorf("the simulated stalls hide no announcement")
+	}
+}
+
 // newStallingWorld returns a world with stalls as its only faults.
 func newStallingWorld(seed uint64) *world {
 	w := newWorld(seed)
@@ -113,10 +131,18 @@
 
 func (h *modelHost) isStalled() bool { return h.world.now < h.stalledUntil }
 
+// lastActive returns when the host last renewed leases as an owner, if a front did until a time.
+func (h *modelHost) lastActive(until time.Duration) time.Duration {
+	if h.isStalled() {
+		return min(until, h.stalledSince)
+	}
+	return until
+}
+
 // standStill stops the host for a while. Others that hear nothing of it lose their links to it.
 func (h *modelHost) standStill(lasts time.Duration) {
 	w := h.world
-	h.stalledUntil = w.now + lasts
+	h.stalledSince, h.stalledUntil = w.now, w.now+lasts
 	w.after(lasts, func() {
 		if !h.isStalled() {
 			h.stallEndedAt = w.now
@@ -200,11 +226,20 @@
 	return h.stalls.EarliestSending(h.world.now, arrived)
 }
 
+// stallSyncedAt returns when the host has received the announcements that it missed while it stood still.
+func (h *modelHost) stallSyncedAt() time.Duration {
+	endedAt, stalled := h.stalls.LongEndedAt(h.world.now)
+	if !stalled || h.world.ignoresMissed {
+		return 0
+	}
+	return endedAt + ResyncDelay
+}
+
 // endWithdrawn records that the runs of a job that its front gives up are stopped once its owner has been
 // told, or end with their leases. In a world with other faults the withdrawal may be lost.
 func (o *modelOpen) endWithdrawn(isDone bool) {
 	w, c := o.host.world, o.execution
-	if !w.onlyStalls || isDone {
+	if !w.onlyStalls && !w.onlyDelays || isDone {
 		return
 	}
 	c.stoppedBy = max(w.now, min(c.owner.stalledUntil, w.now+unrenewedRunTTL))
--- a/pkg/openjobs/explore_test.go
+++ b/pkg/openjobs/explore_test.go
@@ -149,6 +149,9 @@
 		}
 	}
 	h.deliver(delivery, batch, &confirmed)
+	if h.open != nil {
+		h.open.confirmAnnouncement()
+	}
 }
 
 // others returns the addresses of the other hosts of the domain.
@@ -196,9 +199,6 @@
 			h.sendWithReply(to, front, batch, func() { reached(address) })
 		}
 	}
-	if h.open != nil {
-		h.open.confirmAnnouncement()
-	}
 }
 
 // sendWithReply sends announcements to a host that replies to them.
@@ -251,6 +251,9 @@
 		return
 	}
 	h.table.Record(front, from.address(), jobs, relay, w.now)
+	for _, job := range jobs {
+		h.local.AnnounceNow(job.ID)
+	}
 	h.relayAnnouncements(from, front, jobs, relay)
 	holder := w.hosts[hostIndex(front)]
 	for _, job := range jobs {
@@ -305,18 +308,20 @@
 	return false
 }
 
-// receive handles a submission of the job that arrived at the host's machine at a time.
-func (h *modelHost) receive(name string, arrived time.Duration, answer func(ended bool)) {
+// receive handles a submission of the job that arrived at the host's machine at a time, on a connection that
+// had been open for a time before.
+func (h *modelHost) receive(name string, arrived, openBefore time.Duration, answer func(ended bool)) {
 	if h.open != nil {
 		h.open.waiters[name] = answer
 		return
 	}
-	sentAfter := h.earliestSending(arrived)
+	sentAfter, isDelayed := h.sentBeforeDelay(openBefore)
+	sentAfter = min(sentAfter, h.earliestSending(arrived))
 	if h.world.onlyStalls && h.ended == nil && !CanBeConfirmed(sentAfter, resubmitAfter, stopTime, h.world.now) {
 		h.world.logf("host %d refuses the job", h.index)
 		return
 	}
-	open := &modelOpen{host: h, process: h.process, waiters: map[string]func(bool){name: answer}, announcedTo: map[hostProcess]bool{}, notOpenAt: map[hostProcess]time.Duration{}, receivedAt: h.world.now, sentAfter: sentAfter, deadline: h.world.now + jobDeadline}
+	open := &modelOpen{host: h, process: h.process, waiters: map[string]func(bool){name: answer}, announcedTo: map[hostProcess]bool{}, notOpenAt: map[hostProcess]time.Duration{}, receivedAt: h.world.now, sentAfter: sentAfter, isDelayed: isDelayed, deadline: h.world.now + jobDeadline}
 	h.open = open
 	h.local.Add(jobID, sentAfter, h.world.now, h.world.now+jobDeadline)
 	h.world.after(jobDeadline, func() {
@@ -426,6 +431,10 @@
 	if len(entries) == 0 {
 		at, mayStart := o.search.Next(h.table, w.now)
 		switch {
+		case mayStart && o.awaitsMeeting():
+			w.after(retryInterval, o.round)
+		case mayStart && w.now < h.stallSyncedAt():
+			w.after(h.stallSyncedAt()-w.now, o.round)
 		case mayStart && h.isolatedSince > 0: // no owner is reachable
 			w.after(retryInterval, o.round)
 		case mayStart && o.hasAsked && w.now < h.rejoinedAt+ResyncDelay:
--- a/pkg/openjobs/explore_world_test.go
+++ b/pkg/openjobs/explore_world_test.go
@@ -52,6 +52,9 @@
 	lateReceipts      int  // submissions that were received after a stall
 	onlyStalls        bool // hosts stand still, and there are no other faults
 	laterToStalled    bool // the submissions after the first one go to the hosts that stand still, in place of the first one
+	ignoresMissed     bool // hosts that have stood still don't wait for the announcements that they missed
+	onlyDelays        bool // the network delays the first submission, and there are no other faults
+	knowsNoDelays     bool // fronts don't know for how long a connection was open before its first request
 	countsFromReceipt bool // fronts count from the receipt of a submission, not from its earliest sending
 }
 
@@ -82,6 +85,7 @@
 	heard    map[hostProcess]time.Duration // by front: the latest expiry that it has announced to this process
 
 	stalls       Stalls
+	stalledSince time.Duration // when it last began to stand still
 	stalledUntil time.Duration // it stands still until then
 	stallEndedAt time.Duration // when it last stood still; 0: never
 }
@@ -133,6 +137,8 @@
 
 	unconfirmedBy map[string]bool // domains that haven't confirmed the announcement, and have to
 	isConfirmed   bool            // all have
+	confirmedAt   time.Duration
+	isDelayed     bool // by SentBeforeDelay
 }
 
 func newWorld(seed uint64) *world {
@@ -428,12 +434,15 @@
 	if h.isStalled() {
 		w.lateReceipts++
 	}
-	arrived := w.now
-	h.afterReading(func() {
-		h.receive(name, arrived, func(ended bool) {
-			if ended {
-				isOpen = false
-			}
+	delay := w.drawDelay()
+	w.after(delay, func() {
+		arrived := w.now
+		h.afterReading(func() {
+			h.receive(name, arrived, delay, func(ended bool) {
+				if ended {
+					isOpen = false
+				}
+			})
 		})
 	})
 	w.after(w.between(0, 3*time.Second), breaks)
