--- a/pkg/node/delayed_jobs.go
+++ b/pkg/node/delayed_jobs.go
@@ -15,8 +15,8 @@
 // and the outcome of the job if that can't be.
 func (f *front) awaitMeeting(ctx context.Context, open *openJob) (job.Outcome, bool) {
 	n := f.node
-	if !n.isAnnounced(open.job) {
-		return job.Outcome{}, false // it ends before it can be sent again
+	if !n.isAnnounced(open.job) || n.isOnlyHost() {
+		return job.Outcome{}, false // it ends before it can be sent again, or comes here again
 	}
 	if !f.awaitAllDomains(ctx, open) && ctx.Err() == nil {
 		n.Log.Info("job_not_accepted", "job", open.job.ID, "reason", errUnconfirmed.Error())
