--- a/pkg/openjobs/explore_stalls_test.go
+++ b/pkg/openjobs/explore_stalls_test.go
@@ -64,6 +64,17 @@
 	}
 }
 
+// Guards against a second start by a host that has stood still again and again since before another one, which
+// does so as well, announced the job.
+func TestTwoHostsThatStandStillMostOfTheTimeRunAJobOnce(t *testing.T) {
+	w := newStallingWorld(20282)
+	w.laterToStalled = true
+	w.run()
+	if w.ranTwice {
+		t.Errorf("the job ran twice at once (%s):\n%s", strings.Join(w.situations, ", "), w)
+	}
+}
+
 // Guards against a simulation that would show nothing: if fronts count from the receipt, jobs run twice.
 func TestExploredJobsRunTwiceIfFrontsCountFromTheReceipt(t *testing.T) {
 	failed := 0
