node: hosts of earlier builds aren't counted among those that answer

Callers saw: tasks of one job run twice at once during an upgrade, where an owner of the new build was cut off from all hosts for long.

Cause: the first two hosts by name answer hosts that are alone. Those of earlier builds don't, and kept the others from answering.

Change: hosts write into their rows that they answer; only these count.

TestHostsThatDoNotAnswerAreNotCounted guards it.

--- a/pkg/member/inquiry.go
+++ b/pkg/member/inquiry.go
@@ -120,9 +120,9 @@
 }
 
 // ShouldAnswer reports whether this host answers the question of another one: it isn't isolated, and is
-// one of the first hosts among those that reach each other. cannot reports that the host at an address
-// doesn't reach the store.
-func (t *Table) ShouldAnswer(asker string, cannot func(address string) bool, now time.Duration) bool {
+// one of the first hosts among those that reach each other. cannot reports that a host doesn't reach the
+// store, or is of a build that doesn't answer.
+func (t *Table) ShouldAnswer(asker string, cannot func(peer Peer) bool, now time.Duration) bool {
 	hubs := t.HubSnapshot(now)
 	if t.self.Leaving || !hubs.IsHub(t.self.Address, t.self.Domain) || t.IsIsolated(now) {
 		return false
@@ -130,7 +130,7 @@
 	before := 0
 	for address, peer := range t.up {
 		if t.isOtherOfDomain(peer) && !peer.Leaving && peer.Name != asker && peer.Name < t.self.Name &&
-			hubs.IsHub(address, peer.Domain) && !cannot(address) {
+			hubs.IsHub(address, peer.Domain) && !cannot(peer) {
 			before++
 		}
 	}
--- a/pkg/member/inquiry_explore_test.go
+++ b/pkg/member/inquiry_explore_test.go
@@ -164,7 +164,7 @@
 		}
 	}
 	for host, mark := range latest {
-		cannot := func(string) bool { return false }
+		cannot := func(Peer) bool { return false }
 		answers = answers || host != h.index && mark.Asks > 0 && h.table.ShouldAnswer(inquiryHostName(host), cannot, w.now)
 	}
 	if answers {
--- a/pkg/member/inquiry_test.go
+++ b/pkg/member/inquiry_test.go
@@ -121,7 +121,7 @@
 				peer.Incarnation[0] = byte(i + 1)
 				table.LinkUp(peer)
 			}
-			cannot := func(address string) bool { return address == test.cannot }
+			cannot := func(peer Peer) bool { return peer.Name == test.cannot }
 			qt.Assert(t, table.ShouldAnswer(test.asker, cannot, 2*time.Second), qt.Equals, test.want)
 		})
 	}
--- a/pkg/node/inquiry.go
+++ b/pkg/node/inquiry.go
@@ -108,7 +108,7 @@
 	confirmed := n.takeMarks(marked, changes.Position, now)
 	change := n.observeIsolation(now)
 	answers := slices.ContainsFunc(marked, func(row Member) bool {
-		return row.Contact.Asks > 0 && n.members.ShouldAnswer(row.Name, n.cannotReadStore, now)
+		return row.Contact.Asks > 0 && n.members.ShouldAnswer(row.Name, n.cannotAnswer, now)
 	})
 	n.mu.Unlock()
 	for _, evidence := range confirmed {
@@ -138,5 +138,8 @@
 	return changed
 }
 
-// cannotReadStore reports whether the host at an address has said that it can't read the store. n.mu is held.
-func (n *Node) cannotReadStore(address string) bool { return n.storeUnreachable[address] }
+// cannotAnswer reports whether a host has said that it can't read the store, or is of a build that doesn't
+// answer. n.mu is held.
+func (n *Node) cannotAnswer(peer member.Peer) bool {
+	return n.storeUnreachable[peer.Address] || !n.memberRows[peer.Name].Answers
+}
--- a/pkg/node/inquiry_test.go
+++ b/pkg/node/inquiry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -141,18 +142,22 @@
 		want  time.Duration
 	}{
 		{name: "alone", want: maxPauseAlone},
-		{name: "the first of those that reach each other", links: []string{"h-000"}, want: minMembersPause},
-		{name: "a further one", links: []string{"a-1", "a-2"}, want: membersPauseFor(hosts + 1)},
+		{name: "the second of those that reach each other", links: []string{"h-000"}, want: minMembersPause},
+		{name: "a further one", links: []string{"h-000", "h-001"}, want: membersPauseFor(hosts + 1)},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			n := peerNode(t, "b", "z", 1)
+			n := peerNode(t, "z-1", "z", 1)
 			n.settings.Weight = 800 // a hub
 			rows := []Member{n.ownRow()}
 			for i := range hosts {
 				name := fmt.Sprintf("h-%03d", i)
-				rows = append(rows, Member{Name: name, Domain: "z", PeerAddress: name})
+				row := Member{Name: name, Domain: "z", PeerAddress: name, Answers: true}
+				if slices.Contains(test.links, name) {
+					row.Capacity.CPU = n.settings.Weight
+				}
+				rows = append(rows, row)
 			}
 			n.setRows(rows)
 			for _, name := range test.links {
@@ -199,3 +204,27 @@
 		})
 	}
 }
+
+// Guards against a domain in which nobody answers, as hosts of earlier builds come first.
+func TestHostsThatDoNotAnswerAreNotCounted(t *testing.T) {
+	for _, answer := range []bool{true, false} {
+		t.Run(fmt.Sprintf("they answer: %t", answer), func(t *testing.T) {
+			c := qt.New(t)
+			n := peerNode(t, "x", "z", 1)
+			store := &markStore{}
+			n.store = store
+			rows := []Member{n.ownRow()}
+			for _, name := range []string{"b", "c"} {
+				rows = append(rows, Member{Name: name, Domain: "z", PeerAddress: name, Answers: answer})
+				linkUp(n, name, "z")
+			}
+			n.setRows(rows)
+			n.handleMarks(markOf("d", member.ContactMark{Asks: 1}, 20))
+			if answer {
+				c.Assert(store.marks(), qt.HasLen, 0)
+				return
+			}
+			eventually(c, func() bool { return len(store.marks()) == 1 })
+		})
+	}
+}
--- a/pkg/node/ports.go
+++ b/pkg/node/ports.go
@@ -46,6 +46,7 @@
 	Domain      string
 	PeerAddress string
 	Capacity    ownership.Capacity
+	Answers     bool // it answers hosts that are alone; those of earlier builds don't
 	Contact     member.ContactMark
 }
 
--- a/pkg/node/sizes.go
+++ b/pkg/node/sizes.go
@@ -32,6 +32,7 @@
 		Domain:      n.settings.Domain,
 		PeerAddress: n.settings.PeerAddress,
 		Capacity:    n.ownCapacity(),
+		Answers:     true,
 	}
 }
 
--- a/pkg/node/snapshots.go
+++ b/pkg/node/snapshots.go
@@ -205,7 +205,7 @@
 		return pause
 	case n.members.IsAlone():
 		return min(pause, maxPauseAlone)
-	case n.members.ShouldAnswer("", n.cannotReadStore, n.Clock.Now()):
+	case n.members.ShouldAnswer("", n.cannotAnswer, n.Clock.Now()):
 		return minMembersPause
 	}
 	return pause
