relayd: the next piece of one opener's connection can come late

Plays of late hellos need one lost packet between two hosts; SetLoss hits connections by their number only.

--- a/pkg/standin/relayd/relay.go
+++ b/pkg/standin/relayd/relay.go
@@ -32,8 +32,9 @@
 	stranded int // those of which not even their end passes
 	taken    int // connections accepted so far
 	loss     Loss
-	heads    map[int][]byte  // what connections began with, by number
-	cutOf    map[string]bool // nothing passes of connections that began with one of these texts in their heads
+	heads    map[int][]byte           // what connections began with, by number
+	cutOf    map[string]bool          // nothing passes of connections that began with one of these texts in their heads
+	lateOf   map[string]time.Duration // by such a text, how late the next piece of such a connection comes
 }
 
 // headBytes is how much of what a connection began with is kept, to tell who opened it.
@@ -70,7 +71,7 @@
 
 // NewRelay makes a relay to an address.
 func NewRelay(to string, delay time.Duration) *Relay {
-	return &Relay{to: to, delay: delay, conns: map[net.Conn]bool{}, heads: map[int][]byte{}, cutOf: map[string]bool{}}
+	return &Relay{to: to, delay: delay, conns: map[net.Conn]bool{}, heads: map[int][]byte{}, cutOf: map[string]bool{}, lateOf: map[string]time.Duration{}}
 }
 
 // SetCut cuts the relay, or mends it. What was sent during a cut arrives after
@@ -92,6 +93,27 @@
 	r.cutOf[opener] = cut
 }
 
+// DelayNext has the next piece that comes on a connection of an opener, as of SetCutOf, come late, as
+// after a lost packet.
+func (r *Relay) DelayNext(opener string, late time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lateOf[opener] = late
+}
+
+// nextLate returns how late a piece towards the address comes by DelayNext.
+func (r *Relay) nextLate(number int) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for opener, late := range r.lateOf {
+		if bytes.Contains(r.heads[number], []byte(opener)) {
+			delete(r.lateOf, opener)
+			return late
+		}
+	}
+	return 0
+}
+
 // recordHead keeps what a connection begins with.
 func (r *Relay) recordHead(number int, piece []byte) {
 	r.mu.Lock()
@@ -257,15 +279,17 @@
 	passed := 0
 	for piece := range pieces {
 		passed++
+		var nextLate time.Duration
 		if towards {
 			r.recordHead(number, piece)
+			nextLate = r.nextLate(number)
 		}
 		cut, delay := r.state(towards, number)
 		for cut {
 			time.Sleep(cutPoll)
 			cut, delay = r.state(towards, number)
 		}
-		time.Sleep(delay + r.lateBy(number, passed))
+		time.Sleep(delay + r.lateBy(number, passed) + nextLate)
 		if wasReset.Load() {
 			break
 		}
--- a/pkg/standin/relayd/relay_test.go
+++ b/pkg/standin/relayd/relay_test.go
@@ -77,3 +77,17 @@
 	relay.SetCutOf("first", false)
 	c.Assert(passes(first), qt.IsTrue)
 }
+
+func TestOnlyTheNextPieceOfAnOpenerComesLate(t *testing.T) {
+	c := qt.New(t)
+	relay := NewRelay("", 0)
+	for number, head := range []string{"first", "other", "first again"} {
+		relay.recordHead(number, []byte(head))
+	}
+	relay.DelayNext("first", time.Second)
+	var late []time.Duration
+	for _, number := range []int{1, 2, 0} {
+		late = append(late, relay.nextLate(number))
+	}
+	c.Assert(late, qt.DeepEquals, []time.Duration{0, time.Second, 0})
+}
