node, ownership: a host asks others before it claims the cell of an owner that it has lost

Callers of hosts that a fault doesn't touch lost jobs (504 after the deadline) while weak hosts of a domain were cut from its strong ones, which own its cells, but from no other host.

Cause: a weak host that lost the links to all strong hosts ranked first among the hosts that it still reached, and claimed the cells. It and the owners fenced each other in turn.

Change: a heartbeat names the cells of the domain of which its sender reaches no owner. The reply of a host of the domain tells for each of them the owner that it hears by a link of its own, and how long ago. A host that has lost an owner claims once three others have told that they don't hear it, or after 0.4 s. While one has heard it within the suspicion time, the owner keeps the cell, and ranks as a candidate for the domain's other cells. What has been told is never passed on. A sign of life that may be the last one of a dead owner, and a link whose connection has ended, don't count. Then two of those that hear the owner are asked each interval, the others at the pace of idle links. A host that reaches no owner at all refuses jobs of which nothing has started at once in that time. Heartbeats are as long as before while all owners are in reach; hosts of earlier builds tell nothing, and aren't waited for.

Weighed: a question by a message of its own (the same answer for one more kind of message; the loss of a host has heartbeats sent at once anyway); what is heard in each heartbeat (bytes all the time, and old when an owner is lost).

--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -49,6 +49,7 @@
 	Usable      int    // slots that it may fill at once; 1 until it reports them
 
 	ConfirmsOpenJobs bool // it replies to announcements of open jobs
+	TellsOwners      bool // it tells which owners it hears, if it is asked
 }
 
 // Table is a host's view of the others. It is not safe for concurrent use.
@@ -147,6 +148,12 @@
 	t.up[peer.Address] = peer
 }
 
+// ListedAt returns the listed host at an address.
+func (t *Table) ListedAt(address string) (ListedHost, bool) {
+	host, listed := t.listed[address]
+	return host, listed
+}
+
 // UpAt returns the peer at an address whose link is up.
 func (t *Table) UpAt(address string) (Peer, bool) {
 	peer, up := t.up[address]
--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -200,7 +200,7 @@
 			return claim, true
 		}
 		left := limit - f.node.Clock.Now()
-		if left <= 0 || f.node.noOpenOwnerReachable() {
+		if left <= 0 || f.node.noOpenOwnerReachable() || !state.started && f.node.isCutFromOwners() {
 			return ownership.Claim{}, false
 		}
 		f.awaitChange(ctx, changed, min(left, ownerRecheckInterval))
@@ -225,7 +225,7 @@
 			return claim, true
 		}
 	}
-	if n.ownerless && n.Clock.Now() < startupGrace {
+	if len(n.unowned) > 0 && n.Clock.Now() < startupGrace {
 		return ownership.Claim{}, false
 	}
 	return ownership.Choose(n.openClaims(), n.settings.Domain, j.Service, maxTaskCPU(j))
--- a/pkg/node/front_test.go
+++ b/pkg/node/front_test.go
@@ -160,7 +160,9 @@
 			c := qt.New(t)
 			n := newTestNode(c, &fakeStore{})
 			n.Clock = &common.ManualClock{At: s.age}
-			n.ownerless = s.ownerless
+			if s.ownerless {
+				n.unowned = []string{n.settings.Domain}
+			}
 			load := ownership.Load{CapacityCPU: 1000, FreeCPU: 1000, Ready: true, Services: []string{"s"}}
 			n.claims.SetClaims("far:1", []ownership.Claim{{Cell: "far", Token: 1, Load: load}})
 			_, found := n.front.chooseOwner(&job.Job{Service: "s"}, &attempt{})
--- a/pkg/node/heartbeat.go
+++ b/pkg/node/heartbeat.go
@@ -79,13 +79,21 @@
 }
 
 // heartbeatFor returns the response to a peer's heartbeat. For a peer that hasn't read the
-// hosts' rows it contains the nodes of the peer's domain that are reachable from here.
+// hosts' rows it contains the nodes of the peer's domain that are reachable from here, and for one of this
+// domain that asks for them the owners that this host hears.
 func (n *Node) heartbeatFor(from *peerpb.Hello, heartbeat *peerpb.Heartbeat) *peerpb.Heartbeat {
 	own := n.Heartbeat()
-	if !heartbeat.Unlisted {
+	asksOwners := len(heartbeat.OwnerlessCells) > 0 && from.Domain == n.settings.Domain
+	if !heartbeat.Unlisted && !asksOwners {
 		return own
 	}
 	response := proto.Clone(own).(*peerpb.Heartbeat)
+	if asksOwners {
+		n.tellOwners(response, heartbeat)
+	}
+	if !heartbeat.Unlisted {
+		return response
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, p := range n.members.View(n.inc).Peers {
@@ -119,6 +127,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	heartbeat.Unlisted = !n.rowsRead
+	n.askForOwners(heartbeat)
 	heartbeat.Owners = n.heartbeats.ownersToAnnounce(n.claims.Owned(), owners, now)
 	if gossip {
 		for _, p := range n.members.View(n.inc).Domain() {
--- a/pkg/node/heartbeat_handling.go
+++ b/pkg/node/heartbeat_handling.go
@@ -55,7 +55,7 @@
 type heartbeatChanges struct {
 	claims    bool // the peer's claims
 	addresses bool // the hosts to keep links to
-	contact   bool // this host has heard of its domain since it lost a host of it
+	contact   bool // this host has heard of its domain since it lost a host of it, or of owners there that it doesn't reach
 }
 
 // recordHeartbeat records what a heartbeat reports of its sender and of other hosts. up is
@@ -86,6 +86,10 @@
 	if p.Incarnation != n.inc { // not this host by a second address
 		changes.contact = n.domainHeardAt <= n.domainLostAt
 		n.domainHeardAt = now
+		n.heardAt[address] = now
+		hasTold := n.recordHeardOwners(address, heartbeat, now)
+		awaitsAnswers := len(n.unowned) > 0 && n.witnesses == nil && now < n.ownerLostUntil
+		changes.contact = changes.contact || hasTold && awaitsAnswers
 	}
 	changes.addresses = n.members.AddDomainAddresses(heartbeat.Addresses, now) || changes.addresses
 	if heartbeat.ReadsList {
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -98,6 +98,7 @@
 		Weight:      uint32(n.settings.Weight),
 
 		ConfirmsOpenJobs: true,
+		TellsOwners:      true,
 	}
 }
 
@@ -105,7 +106,7 @@
 func (n *Node) LinkUp(address string, hello *peerpb.Hello) {
 	p := member.Peer{
 		Name: hello.Name, Domain: hello.Domain, Address: address, Leaving: hello.Leaving, Weight: int(hello.Weight),
-		ConfirmsOpenJobs: hello.ConfirmsOpenJobs,
+		ConfirmsOpenJobs: hello.ConfirmsOpenJobs, TellsOwners: hello.TellsOwners,
 	}
 	copy(p.Incarnation[:], hello.Incarnation)
 	n.mu.Lock()
@@ -143,11 +144,15 @@
 	if isOwner {
 		n.ownerLostUntil = n.Clock.Now() + ownerLossPeriod
 	}
-	n.claims.Forget(address)
+	n.claims.Lose(address, n.Clock.Now())
+	delete(n.heardAt, address)
 	delete(n.peerCounts, address)
 	delete(n.storeUnreachable, address)
 	n.mu.Unlock()
 	n.changed.signal()
+	if listing := n.executors.Load(); isOwner && listing != nil {
+		n.updateOwnerless(listing) // so that the heartbeats below ask for the owners that others hear
+	}
 	if isLost {
 		n.links.Nudge() // so that this host finds out soon whether it is cut off itself
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -87,7 +87,9 @@
 	leadingDomain string // domain whose reader follows the executor list for all domains; empty when not known
 
 	restarted          bool                     // the first read of the rows contained this node's own: it has restarted
-	ownerless          bool                     // a cell of this domain lacks an owner
+	unowned            []string                 // cells of this domain without an owner that this host reaches
+	witnesses          map[string]bool          // hosts by whose reports each such cell has an owner, by address; nil if one has none
+	heardAt            map[string]time.Duration // when hosts of this domain sent a heartbeat last, or replied to one, by address
 	reachesOthersSince time.Duration            // when this host first reached another one, after it had reached none of its domain or none at all
 	domainLostAt       time.Duration            // when the link to a host of this domain went down last
 	domainHeardAt      time.Duration            // when a host of this domain sent a heartbeat last, or replied to one
@@ -137,6 +139,7 @@
 		memberRows:       map[string]Member{},
 		lastReachable:    map[string]time.Duration{},
 		peerCounts:       map[string]map[string]int{},
+		heardAt:          map[string]time.Duration{},
 		storeUnreachable: map[string]bool{},
 		listReaders:      map[string]bool{},
 		owners:           map[string]*owner{},
@@ -144,7 +147,9 @@
 	self := member.Peer{Name: s.Name, Domain: s.Domain, Address: s.PeerAddress, Incarnation: inc}
 	n.members = member.NewTable(self, excludeAddress(s.Seeds, s.PeerAddress), linksToOtherDomains)
 	n.isHub.Store(true) // until the nodes' rows have been read
-	n.claims = ownership.NewTable(ownership.DefaultLimits(), c.Clock.Now())
+	limits := ownership.DefaultLimits()
+	limits.Heartbeat, limits.SuspectAfter = s.Heartbeat, s.SuspectAfter
+	n.claims = ownership.NewTable(limits, c.Clock.Now())
 	n.resizing = ownership.NewCellCounts()
 	link := settings.Link{Heartbeat: s.Heartbeat, SuspectAfter: s.SuspectAfter}
 	n.links = peer.NewSet(c, link, n, n.counters)
--- a/pkg/node/pace.go
+++ b/pkg/node/pace.go
@@ -21,7 +21,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	switch {
-	case n.ownerless && n.maybeSameDomain(address), dispatched:
+	case n.asksFrequently(address), dispatched:
 		return 1
 	case n.claims.OwnsIn(address, n.settings.Domain):
 		if n.isHub.Load() {
@@ -36,6 +36,15 @@
 	return distantOwnerSlowdown
 }
 
+// asksFrequently reports whether a cell of this domain has no owner that this host reaches, and a node may
+// tell whether others hear one, or may be lost as well. n.mu is held.
+func (n *Node) asksFrequently(address string) bool {
+	if n.witnesses != nil {
+		return n.witnesses[address]
+	}
+	return len(n.unowned) > 0 && n.maybeSameDomain(address)
+}
+
 // maybeSameDomain reports whether a node is of the own domain, or may be because the link to
 // it is not up. n.mu is held.
 func (n *Node) maybeSameDomain(address string) bool {
@@ -61,15 +70,18 @@
 }
 
 // updateOwnerless makes heartbeats on the domain's links frequent when a cell of this domain
-// has no owner, so that further unreachable hosts are detected soon.
+// has no owner, so that further unreachable hosts are detected soon, and others tell soon whether
+// they hear an owner. Once they do, only heartbeats to the witnesses are frequent.
 func (n *Node) updateOwnerless(listing *listing) {
 	cells := listing.cellsOf(n.settings.Domain)
 	n.mu.Lock()
-	ownerless := !n.claims.AllOwned(cells)
-	changed := ownerless && !n.ownerless
-	n.ownerless = ownerless
+	unowned := n.claims.Unowned(cells)
+	witnesses := n.claims.Witnesses(unowned, n.Clock.Now())
+	changed := len(unowned) > 0 && witnesses == nil && (len(n.unowned) == 0 || n.witnesses != nil)
+	n.unowned, n.witnesses = unowned, witnesses
 	n.mu.Unlock()
 	if changed {
+		n.heartbeats.invalidate()
 		n.links.Nudge()
 	}
 }
--- a/pkg/node/view.go
+++ b/pkg/node/view.go
@@ -14,11 +14,19 @@
 	hubs := n.members.HubSnapshot(now)
 	view.Self.Weight = weightOf(view.Self, hubs)
 	for _, p := range n.members.View(n.inc).Peers {
-		host := ownership.Host{Address: p.Address, Domain: p.Domain, Leaving: p.Leaving, Weight: p.Weight, HasReported: n.claims.HasReported(p.Address)}
+		host := ownership.Host{Address: p.Address, Domain: p.Domain, Leaving: p.Leaving, Weight: p.Weight, HasReported: n.claims.HasReported(p.Address), TellsOwners: p.TellsOwners}
 		host.Weight = weightOf(host, hubs)
 		view.Up = append(view.Up, host)
 		known[p.Address] = true
 	}
+	for _, address := range n.claims.HeardOwners(now) {
+		host := ownership.Host{Address: address, Domain: n.settings.Domain, Weight: n.settings.Weight, HasReported: true}
+		if listed, isListed := n.members.ListedAt(address); isListed {
+			host.Weight = listed.Weight
+		}
+		host.Weight = weightOf(host, hubs)
+		view.Heard = append(view.Heard, host)
+	}
 	for _, address := range n.members.Expected(now) {
 		known[address] = true
 	}
--- a/pkg/ownership/cells.go
+++ b/pkg/ownership/cells.go
@@ -72,15 +72,33 @@
 // countFromName returns the number of cells of a domain, which is part of the name of each
 // of its cells.
 func countFromName(cell string) int {
+	count, _ := Position(cell)
+	return count
+}
+
+// Position returns the number of cells of a cell's domain and its index among them, by its name.
+func Position(cell string) (count, index int) {
 	_, name, many := strings.Cut(cell[len(DomainOf(cell)):], "/")
 	if !many {
-		return 1
+		return 1, 0
 	}
-	count, err := strconv.Atoi(strings.SplitN(name, ".", 2)[0])
+	parts := strings.SplitN(name, ".", 2)
+	count, err := strconv.Atoi(parts[0])
 	if err != nil {
-		return 1 // no cell name: the domain's own name contains a slash
+		return 1, 0 // no cell name: the domain's own name contains a slash
 	}
-	return count
+	if len(parts) > 1 {
+		index, _ = strconv.Atoi(parts[1])
+	}
+	return count, index
+}
+
+// CellAt returns the name of the cell at a Position.
+func CellAt(domain string, count, index int) string {
+	if count <= 1 {
+		return domain
+	}
+	return cellName(domain, count, uint64(index))
 }
 
 // ClaimedCellCount returns the number of cells of a domain according to the newest claim on one
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -45,6 +45,7 @@
 	Leaving     bool // it is shutting down as planned, and hands over its cells
 	Weight      int  // thousandths of a core that it may use; 0 when unknown
 	HasReported bool // it has reported which cells it owns
+	TellsOwners bool // it tells which owners it hears, if it is asked
 }
 
 // View is the state of the hosts as seen by the host that decides. Expected counts this
@@ -54,6 +55,7 @@
 type View struct {
 	Self      Host
 	Up        []Host // other hosts whose links are up
+	Heard     []Host // owners of cells of this host's domain that it doesn't reach, and others do (Table.HeardOwners)
 	Expected  int    // number of hosts that should be running, this one included
 	Restarted bool   // this host had a row in the store before it started, so the other hosts have theirs too
 	// RowsRead reports whether this host has read the store's rows, and so knows which hosts
@@ -71,6 +73,9 @@
 	OtherDomain      time.Duration // without a reachable host of the domain, for hosts of other domains
 	Fenced           time.Duration // after an executor refused a claim because of a higher token; a multiple after consecutive refusals
 	PeersUnknown     time.Duration // after the start, for a host that has not read the rows and reaches no host of its domain
+	Answers          time.Duration // after the loss of an owner, for other hosts to tell whether they hear it
+	SuspectAfter     time.Duration // silence after which the link to an owner goes down
+	Heartbeat        time.Duration // the time between two signs of life of an owner
 	Retry            time.Duration // the same as Fenced soon after a restart, if no running host can hold the higher token (hasNoLiveHolder)
 }
 
@@ -84,6 +89,9 @@
 		OtherDomain:      3 * time.Second,
 		Fenced:           2 * time.Second,
 		PeersUnknown:     4 * time.Second,
+		Answers:          400 * time.Millisecond,
+		SuspectAfter:     600 * time.Millisecond,
+		Heartbeat:        150 * time.Millisecond,
 		Retry:            50 * time.Millisecond,
 	}
 }
@@ -98,6 +106,8 @@
 	newestTokens map[string]int64            // the highest token of any claim seen, by cell
 	effective    *effectiveClaims            // computed from claims; nil after these have changed
 	cells        map[string]*cellState
+	answers      map[string]map[string]answer // of other hosts, by address and cell
+	heardCells   map[string]map[string]bool   // cells by owner, as of the last updateHeard
 }
 
 type cellState struct {
@@ -105,11 +115,13 @@
 	domainEmptySince  time.Duration // when this host, of another domain, first reached no host of the cell's domain; reset only if it reaches one while the cell lacks an owner
 	noClaimBefore     time.Duration // earliest time of the next claim
 	consecutiveFences int           // refusals since the last accepted claim
+	ownerLostAt       time.Duration // when this host, or the hosts that it asks, lost the cell's owner last; 0 at first
+	isHeard           bool          // as of the last check, others hear an owner that this host doesn't reach
 }
 
 // NewTable returns a table for a process that started at now.
 func NewTable(limits Limits, now time.Duration) *Table {
-	return &Table{limits: limits, started: now, claims: map[string]map[string]Claim{}, reported: map[string]bool{}, newestTokens: map[string]int64{}, cells: map[string]*cellState{}}
+	return &Table{limits: limits, started: now, claims: map[string]map[string]Claim{}, reported: map[string]bool{}, newestTokens: map[string]int64{}, cells: map[string]*cellState{}, answers: map[string]map[string]answer{}}
 }
 
 // HasReported reports whether a reachable host has reported its claims.
@@ -199,13 +211,17 @@
 }
 
 // AllOwned reports whether each of the cells has an owner.
-func (t *Table) AllOwned(cells []string) bool {
+func (t *Table) AllOwned(cells []string) bool { return len(t.Unowned(cells)) == 0 }
+
+// Unowned returns those of the cells that have no owner.
+func (t *Table) Unowned(cells []string) []string {
+	var unowned []string
 	for _, cell := range cells {
 		if _, owned := t.Owner(cell); !owned {
-			return false
+			unowned = append(unowned, cell)
 		}
 	}
-	return true
+	return unowned
 }
 
 // FollowedCells returns the cells to whose owners a host keeps links: all cells of its own
@@ -260,7 +276,20 @@
 	domainHosts := hostsOf(view, domain)
 	inDomain := view.Self.Domain == domain
 	owner, owned := t.Owner(cell)
-	if owned && !t.shouldReplace(owner, cell, domain, view, inDomain) {
+	known := view
+	if inDomain && (!owned || !isUp(view, owner.Owner)) {
+		heard, isHeard := t.HeardOwnerOf(cell, now)
+		if state.isHeard && !isHeard {
+			state.ownerLostAt = now
+		}
+		if state.isHeard = isHeard; isHeard {
+			owner, owned = Claim{Cell: cell, Owner: heard.Owner}, true
+		}
+		t.updateHeard(now)
+		known.Up = slices.Concat(view.Up, view.Heard)
+		domainHosts = hostsOf(known, domain)
+	}
+	if owned && !t.shouldReplace(owner, cell, domain, known, inDomain) {
 		state.ownerlessSince = 0
 		return false
 	}
@@ -279,7 +308,7 @@
 	}
 	isolated := 2*(len(view.Up)+1) < view.Expected
 	if inDomain {
-		return t.ranksFirst(cell, view.Self, domainHosts) && (!isolated || now >= state.ownerlessSince+t.limits.Isolated)
+		return !t.awaitsAnswers(cell, domainHosts, now) && t.ranksFirst(cell, view.Self, domainHosts) && (!isolated || now >= state.ownerlessSince+t.limits.Isolated)
 	}
 	return !isolated && now >= state.domainEmptySince+t.limits.OtherDomain && t.ranksFirst(cell, view.Self, view.Up)
 }
@@ -332,6 +361,11 @@
 	return true // unreachable
 }
 
+// isUp reports whether the link to a host is up, or the host is this one.
+func isUp(view View, address string) bool {
+	return address == view.Self.Address || slices.ContainsFunc(view.Up, func(host Host) bool { return host.Address == address })
+}
+
 // allReported reports whether every expected host is reachable and has reported which cells
 // it owns. It is false when this host expects no other one.
 func allReported(view View) bool {
@@ -379,6 +413,11 @@
 	if claim, owned := t.Owner(cell); owned && claim.Owner == owner {
 		count--
 	}
+	for heard := range t.heardCells[owner] {
+		if heard != cell && !t.reported[owner] {
+			count++
+		}
+	}
 	return count
 }
 
--- a/pkg/peer/mux.go
+++ b/pkg/peer/mux.go
@@ -50,6 +50,8 @@
 // CloseChan returns a channel that is closed when the session shuts down.
 func (m *streamMux) CloseChan() <-chan struct{} { return m.session.CloseChan() }
 
+func (m *streamMux) isClosed() bool { return m.session.IsClosed() }
+
 // Close ends the streams, the session and its connection.
 func (m *streamMux) Close() error {
 	m.conn.streams.end()
--- a/pkg/peer/set.go
+++ b/pkg/peer/set.go
@@ -73,6 +73,17 @@
 	return nil
 }
 
+// IsConnected reports whether the link to an address is up and its connection hasn't ended. A link stays up
+// while it is resumed on another connection.
+func (s *Set) IsConnected(address string) bool {
+	link := s.Link(address)
+	if link == nil {
+		return false
+	}
+	current := link.session.Load()
+	return current != nil && !current.mux.isClosed()
+}
+
 // Nudge sends a heartbeat on every link at once.
 func (s *Set) Nudge() {
 	s.mu.RLock()
