openjobs: more hosts relay an announcement to one that was in reach a moment ago

Two runs of a task at once: the owner of a domain's second cell was cut from a front and from the four hosts that relay its announcements, heard three others, and took the second sending of a job for a new one.

Cause: at most four hosts relayed an announcement to one that didn't reply. The bound is for listed hosts that are dead, and held as well for one whose link still counted as up, or had gone down in a cut just before.

Change: up to eight hosts relay to a host that was in reach within 10 s, two every 0.1 s as before; for others it stays at four, so that a dead host costs no more after 10 s.

--- a/pkg/node/delivery.go
+++ b/pkg/node/delivery.go
@@ -111,7 +111,7 @@
 // host without cells counts as up for a long time.
 func (n *Node) deliverInDomain(sent *sentAnnouncement) {
 	asked := sent.inDomain(n.settings.Domain)
-	delivery := openjobs.NewDelivery(slices.Concat(asked, n.unreachableInDomain()))
+	delivery := openjobs.NewDelivery(asked, n.unreachableInDomain(), n.hasLostHostLately())
 	var relayed []*openJobsReply
 	for {
 		time.Sleep(openjobs.RelayAfter)
@@ -147,6 +147,16 @@
 	}
 }
 
+// lossPeriod is longer than cuts of single hosts last.
+const lossPeriod = 10 * time.Second
+
+// hasLostHostLately reports whether the link to a host of this domain has gone down within lossPeriod.
+func (n *Node) hasLostHostLately() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.domainLostAt > 0 && n.Clock.Now() < n.domainLostAt+lossPeriod
+}
+
 // unreachableInDomain returns the addresses of the hosts of this domain to which this host keeps a
 // link that is down.
 func (n *Node) unreachableInDomain() []string {
--- a/pkg/openjobs/delivery.go
+++ b/pkg/openjobs/delivery.go
@@ -13,10 +13,11 @@
 	// relaysPerRound is how many hosts relay an announcement at the same time. It is more than one, as
 	// a relay may be cut off from the same host.
 	relaysPerRound = 2
-	// maxRelays bounds the messages of an announcement while a listed host is dead, and maxRelayRounds
-	// how long its front waits for hosts that could relay it.
-	maxRelays      = 2 * relaysPerRound
+	// maxRelayRounds is how long a front waits for hosts that could relay an announcement.
 	maxRelayRounds = 4
+	// relaysToDead bounds the messages of an announcement while a listed host is dead. A host that was
+	// in reach a moment ago may be cut off from the first relays as well, and hear others.
+	relaysToDead = 2 * relaysPerRound
 )
 
 // Delivery tracks which hosts of its own domain have received an announcement of a front. A host that
@@ -25,14 +26,19 @@
 type Delivery struct {
 	missing map[string]bool // hosts that may not have received it, by address
 	asked   map[string]bool // relays
+	lately  map[string]bool // hosts that were in reach a moment ago
 	rounds  int
 }
 
-// NewDelivery returns the delivery of an announcement to some hosts, by their addresses.
-func NewDelivery(hosts []string) *Delivery {
-	d := &Delivery{missing: map[string]bool{}, asked: map[string]bool{}}
-	for _, host := range hosts {
-		d.missing[host] = true
+// NewDelivery returns the delivery of an announcement to some hosts, by their addresses: those to which the
+// links are up, and others that were in reach a moment ago (lostLately) or longer ago.
+func NewDelivery(reachable, unreachable []string, lostLately bool) *Delivery {
+	d := &Delivery{missing: map[string]bool{}, asked: map[string]bool{}, lately: map[string]bool{}}
+	for _, host := range reachable {
+		d.missing[host], d.lately[host] = true, true
+	}
+	for _, host := range unreachable {
+		d.missing[host], d.lately[host] = true, lostLately
 	}
 	return d
 }
@@ -55,8 +61,14 @@
 	if len(d.missing) == 0 || d.rounds > maxRelayRounds {
 		return nil, true
 	}
+	most := relaysToDead
+	for host := range d.missing {
+		if d.lately[host] {
+			most = maxRelayRounds * relaysPerRound
+		}
+	}
 	for _, host := range confirmed {
-		if !d.asked[host] && len(d.asked) < maxRelays && len(relays) < relaysPerRound {
+		if !d.asked[host] && len(d.asked) < most && len(relays) < relaysPerRound {
 			d.asked[host] = true
 			relays = append(relays, host)
 		}
--- a/pkg/openjobs/explore_test.go
+++ b/pkg/openjobs/explore_test.go
@@ -138,7 +138,7 @@
 		h.open.isAnnounced = true
 		h.open.trackDelivery()
 	}
-	delivery, confirmed := NewDelivery(h.others()), []string{}
+	delivery, confirmed := NewDelivery(h.others(), nil, false), []string{}
 	for i, other := range w.hosts {
 		switch {
 		case !w.isUp(h.index, i):
