member: a host that serves alone answers, whether or not it is a hub

In a domain of over 40 hosts that are all cut from each other, the first one by name serves. It answered only as a hub, and a weak one becomes a hub as hubs that can't be reached drop out, 20 per 1.5 s: with 200 hosts it served for 11 s without an answer, while the others, whose evidence lasts for 3 s, would have begun to serve as well. Hosts that reach each other answer by rank as before.

TestTheHostThatServesAloneAnswersInALargeDomain failed before.

--- a/pkg/member/inquiry.go
+++ b/pkg/member/inquiry.go
@@ -123,6 +123,9 @@
 // one of the first hosts among those that reach each other. cannot reports that a host doesn't reach the
 // store, or is of a build that doesn't answer.
 func (t *Table) ShouldAnswer(asker string, cannot func(peer Peer) bool, now time.Duration) bool {
+	if t.IsAlone() {
+		return !t.self.Leaving && !t.IsIsolated(now)
+	}
 	hubs := t.HubSnapshot(now)
 	if t.self.Leaving || !hubs.IsHub(t.self.Address, t.self.Domain) || t.IsIsolated(now) {
 		return false
--- a/pkg/member/inquiry_test.go
+++ b/pkg/member/inquiry_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -126,3 +127,36 @@
 		})
 	}
 }
+
+// Guards against hosts of a large domain that are all cut from each other, and of which all serve: the first one
+// by name serves, and has to answer the others though it is no hub.
+func TestTheHostThatServesAloneAnswersInALargeDomain(t *testing.T) {
+	var listed []ListedHost
+	for i := range 200 {
+		name := fmt.Sprintf("h%03d", i)
+		weight := 1000
+		if i == 0 {
+			weight = 192 // the first one by name is weak
+		}
+		listed = append(listed, ListedHost{Name: name, Domain: "z", Address: name, Weight: weight})
+	}
+	self := Peer{Name: "h000", Domain: "z", Address: "h000"}
+	self.Incarnation[0] = 1
+	table := NewTable(self, nil, 2)
+	table.SetListed(listed)
+	other := Peer{Name: "h001", Domain: "z", Address: "h001"}
+	other.Incarnation[0] = 2
+	table.LinkUp(other)
+	table.LinkDown("h001", time.Second)
+	refused := time.Duration(0)
+	for now := time.Second; now < 5*time.Minute; now += 100 * time.Millisecond {
+		table.Wanted(now)
+		if !table.IsIsolated(now) {
+			if table.ShouldAnswer("h100", func(Peer) bool { return false }, now) {
+				break
+			}
+			refused += 100 * time.Millisecond
+		}
+	}
+	qt.Assert(t, refused < IsolationLimit, qt.IsTrue, qt.Commentf("it serves and doesn't answer for %s", refused))
+}
