node: a host that is alone removes no rows, and takes answers from full reads

After 60 s in a cut a host removed the rows of the hosts that it didn't reach, though they answered its questions. It then missed nobody, counted as the only host of its domain, accepted jobs and claimed cells beside their owners. A host that is alone can't tell which rows are stale: it removes none, and counts their expiry from the end of that time.

An answer that arrived in a full read, as after the store has forgotten its history, was dropped.

TestAHostThatIsAloneRemovesNoRows and TestAnAnswerInAFullReadCounts failed before.

--- a/pkg/node/inquiry.go
+++ b/pkg/node/inquiry.go
@@ -138,6 +138,13 @@
 	return changed
 }
 
+// isAlone reports whether this host reaches no other one of its domain.
+func (n *Node) isAlone() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.members.IsAlone()
+}
+
 // cannotAnswer reports whether a host has said that it can't read the store, or is of a build that doesn't
 // answer. n.mu is held.
 func (n *Node) cannotAnswer(peer member.Peer) bool {
--- a/pkg/node/inquiry_test.go
+++ b/pkg/node/inquiry_test.go
@@ -228,3 +228,47 @@
 		})
 	}
 }
+
+// Guards against a host that is cut off for over a minute, removes the rows of the others, and counts as the only
+// one of its domain from then on.
+func TestAHostThatIsAloneRemovesNoRows(t *testing.T) {
+	c := qt.New(t)
+	n, clock, _ := cutOffNode(t)
+	n.mu.Lock()
+	for _, name := range []string{"b", "c"} {
+		n.memberRows[name] = Member{Name: name, Domain: "z", PeerAddress: name}
+	}
+	n.mu.Unlock()
+	c.Assert(n.isAlone(), qt.IsTrue)
+	for range 10 {
+		clock.now += rowsInterval
+		c.Assert(n.staleRows(clock.now), qt.HasLen, 0)
+	}
+	linkUp(n, "b", "z")
+	c.Assert(n.staleRows(clock.now), qt.HasLen, 0, qt.Commentf("the other one may come back as well"))
+	clock.now += rowExpiry + time.Second
+	c.Assert(n.staleRows(clock.now), qt.DeepEquals, []string{"c"})
+}
+
+// Guards against an answer that is lost as the store has forgotten its history, so that the rows are read whole.
+func TestAnAnswerInAFullReadCounts(t *testing.T) {
+	c := qt.New(t)
+	n, clock, _ := cutOffNode(t)
+	n.updateIsolation(clock.now)
+	rows := markOf("b", member.ContactMark{SeenUpTo: 11}, 12)
+	rows.Listed = append(rows.Listed, Member{Name: "c", Domain: "z", PeerAddress: "c"})
+	n.store = &fullReadStore{rows: rows}
+	_, err := n.readMembers(t.Context())
+	c.Assert(err, qt.IsNil)
+	c.Assert(n.isolation.evidence.kind, qt.Equals, member.OtherServes)
+}
+
+// fullReadStore answers full reads of the hosts' rows.
+type fullReadStore struct {
+	Store
+	rows MemberChanges
+}
+
+func (s *fullReadStore) Members(context.Context) (MemberChanges, error) { return s.rows, nil }
+
+func (s *fullReadStore) Announce(context.Context, Member) error { return nil }
--- a/pkg/node/rows.go
+++ b/pkg/node/rows.go
@@ -29,6 +29,12 @@
 func (n *Node) staleRows(now time.Duration) []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.members.IsAlone() {
+		for name := range n.memberRows {
+			n.lastReachable[name] = now
+		}
+		return nil // this node may be the one that is cut off
+	}
 	view := n.ownershipView()
 	if 2*(len(view.Up)+1) < view.Expected {
 		return nil // this node may be the unreachable one
--- a/pkg/node/snapshots.go
+++ b/pkg/node/snapshots.go
@@ -223,6 +223,9 @@
 	n.recordUnreadable(tableOfMembers, rows.Unreadable)
 	n.setRows(rows.Listed)
 	n.recordMembersPosition(rows.Position)
+	if n.isAlone() {
+		n.handleMarks(rows)
+	}
 	return rows.Position, nil
 }
 
