ownership: an owner that most hosts don't hear is replaced, and a host that starts asks as well

- One host that heard an owner kept it for all others without limit: while a strong host was cut from all others but a weak one, no other host took its cell over, and jobs waited for it until their deadlines.
Now the owner is overruled once more of the hosts that have told don't hear it than do, for 2 s.
- A host that had never reached the owner, such as one that starts during the cut, claimed without waiting for answers.
It waits as a host does that has lost the owner, unless all expected hosts have reported.
- A later loss of an owner that had come back within the check's interval didn't begin anew.

TestAnOwnerThatFewHostsHearIsReplaced and TestAHostThatHasNeverReachedAnOwnerAsksOthers failed before.

--- a/pkg/ownership/heard.go
+++ b/pkg/ownership/heard.go
@@ -66,6 +66,27 @@
 	return state == nil || state.ownerLostAt == 0 || heard.At > state.ownerLostAt-t.limits.SuspectAfter+t.limits.Heartbeat
 }
 
+// isOverruled reports whether the owner of a cell that some hosts hear has been out of reach of most of those
+// that have told for Limits.Denied. It is cut off rather than this host then, and jobs don't reach it.
+func (t *Table) isOverruled(cell string, isHeard bool, now time.Duration) bool {
+	hears, denies := 0, 0
+	for _, answers := range t.answers {
+		if told, hasTold := answers[cell]; hasTold && told.Owner != "" {
+			hears++
+		} else if hasTold {
+			denies++
+		}
+	}
+	state := t.state(cell)
+	switch {
+	case !isHeard || denies <= hears:
+		state.deniedSince = 0
+	case state.deniedSince == 0:
+		state.deniedSince = now
+	}
+	return state.deniedSince > 0 && now >= state.deniedSince+t.limits.Denied
+}
+
 // HeardOwners returns the addresses of the owners that this host doesn't reach, and others do, sorted.
 func (t *Table) HeardOwners(now time.Duration) []string {
 	owners := map[string]bool{}
@@ -126,11 +147,15 @@
 // enoughAnswers is how many hosts have to tell that they don't hear an owner either.
 const enoughAnswers = 3
 
-// awaitsAnswers reports whether a host that has lost a cell's owner should wait for what others hear. It
-// doesn't wait for all of them, as slow ones would delay each takeover.
-func (t *Table) awaitsAnswers(cell string, domainHosts []Host, now time.Duration) bool {
+// awaitsAnswers reports whether a host that has lost a cell's owner, or has never reached one, should wait for
+// what others hear. It doesn't wait for all of them, as slow ones would delay each takeover.
+func (t *Table) awaitsAnswers(cell string, view View, domainHosts []Host, now time.Duration) bool {
 	state := t.state(cell)
-	if state.ownerLostAt == 0 || now >= state.ownerLostAt+t.limits.Answers {
+	lostAt := state.ownerLostAt
+	if lostAt == 0 && !allReported(view) {
+		lostAt = state.ownerlessSince
+	}
+	if lostAt == 0 || now >= lostAt+t.limits.Answers {
 		return false
 	}
 	asked, answered := 0, 0
@@ -139,7 +164,7 @@
 			continue
 		}
 		asked++
-		if told, isAnswered := t.answers[host.Address][cell]; isAnswered && told.toldAt >= state.ownerLostAt {
+		if told, isAnswered := t.answers[host.Address][cell]; isAnswered && told.toldAt >= lostAt {
 			answered++
 		}
 	}
--- a/pkg/ownership/heard_test.go
+++ b/pkg/ownership/heard_test.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -118,3 +119,77 @@
 		qt.Assert(t, CellAt(DomainOf(cell), count, index), qt.Equals, cell)
 	}
 }
+
+// Guards against a cell that no host takes over for as long as one host hears its owner, which the others
+// don't reach.
+func TestAnOwnerThatFewHostsHearIsReplaced(t *testing.T) {
+	limits := DefaultLimits()
+	scenarios := []struct {
+		testName string
+		hear     int // of eight hosts
+		want     bool
+	}{
+		{testName: "one hears it", hear: 1, want: true},
+		{testName: "three hear it", hear: 3, want: true},
+		{testName: "half of them hear it", hear: 4},
+		{testName: "all hear it", hear: 8},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			table, others := NewTable(limits, 0), tellingHosts(8)
+			table.SetClaims("o", claimOf("o", 5))
+			view := View{Self: host("a", domain), Up: others, Expected: 10, RowsRead: true, Heard: []Host{host("o", domain)}}
+			table.Lose("o", later)
+			claimedAt := time.Duration(0)
+			for now := later; now < later+time.Minute && claimedAt == 0; now += 50 * time.Millisecond {
+				for i, other := range others {
+					heard := HeardOwner{Cell: domain}
+					if i < s.hear {
+						heard.Owner, heard.At = "o", now
+					}
+					table.SetHeard(other.Address, []HeardOwner{heard}, now)
+				}
+				if table.ShouldClaim(domain, domain, view, now) {
+					claimedAt = now
+				}
+			}
+			c.Assert(claimedAt > 0, qt.Equals, s.want)
+			if s.want {
+				c.Assert(claimedAt-later >= limits.Denied, qt.IsTrue)
+				c.Assert(claimedAt-later <= limits.Denied+limits.Answers+100*time.Millisecond, qt.IsTrue)
+			}
+		})
+	}
+}
+
+// Guards against a host that starts while it is cut from an owner that others hear, and claims its cell before
+// they can tell.
+func TestAHostThatHasNeverReachedAnOwnerAsksOthers(t *testing.T) {
+	c := qt.New(t)
+	limits := DefaultLimits()
+	table, others := NewTable(limits, 0), tellingHosts(8)
+	view := View{Self: host("a", domain), Up: others, Expected: 10, Restarted: true, RowsRead: true}
+	c.Assert(table.ShouldClaim(domain, domain, view, later), qt.IsFalse)
+	for _, other := range others[:3] {
+		table.SetHeard(other.Address, []HeardOwner{{Cell: domain}}, later+10*time.Millisecond)
+	}
+	c.Assert(table.ShouldClaim(domain, domain, view, later+20*time.Millisecond), qt.IsTrue, qt.Commentf("three don't hear an owner either"))
+
+	table = NewTable(limits, 0)
+	c.Assert(table.ShouldClaim(domain, domain, view, later), qt.IsFalse)
+	c.Assert(table.ShouldClaim(domain, domain, view, later+limits.Answers), qt.IsTrue, qt.Commentf("nobody answers"))
+	view.Expected = 9
+	c.Assert(NewTable(limits, 0).ShouldClaim(domain, domain, view, later), qt.IsTrue, qt.Commentf("all hosts have reported what they own"))
+}
+
+// tellingHosts returns weak hosts that tell which owners they hear, and have reported what they own.
+func tellingHosts(count int) []Host {
+	var hosts []Host
+	for i := range count {
+		h := host(fmt.Sprintf("w%d", i), domain)
+		h.Weight, h.TellsOwners, h.HasReported = 1, true, true
+		hosts = append(hosts, h)
+	}
+	return hosts
+}
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -74,6 +74,7 @@
 	Fenced           time.Duration // after an executor refused a claim because of a higher token; a multiple after consecutive refusals
 	PeersUnknown     time.Duration // after the start, for a host that has not read the rows and reaches no host of its domain
 	Answers          time.Duration // after the loss of an owner, for other hosts to tell whether they hear it
+	Denied           time.Duration // while most other hosts don't hear an owner that a few hear
 	SuspectAfter     time.Duration // silence after which the link to an owner goes down
 	Heartbeat        time.Duration // the time between two signs of life of an owner
 	Retry            time.Duration // the same as Fenced soon after a restart, if no running host can hold the higher token (hasNoLiveHolder)
@@ -90,6 +91,7 @@
 		Fenced:           2 * time.Second,
 		PeersUnknown:     4 * time.Second,
 		Answers:          400 * time.Millisecond,
+		Denied:           2 * time.Second,
 		SuspectAfter:     600 * time.Millisecond,
 		Heartbeat:        150 * time.Millisecond,
 		Retry:            50 * time.Millisecond,
@@ -116,6 +118,7 @@
 	noClaimBefore     time.Duration // earliest time of the next claim
 	consecutiveFences int           // refusals since the last accepted claim
 	ownerLostAt       time.Duration // when this host, or the hosts that it asks, lost the cell's owner last; 0 at first
+	deniedSince       time.Duration // since when most hosts that have told don't hear an owner that others hear; 0 while they do
 	isHeard           bool          // as of the last check, others hear an owner that this host doesn't reach
 }
 
@@ -279,6 +282,11 @@
 	known := view
 	if inDomain && (!owned || !isUp(view, owner.Owner)) {
 		heard, isHeard := t.HeardOwnerOf(cell, now)
+		candidates := view.Heard
+		if t.isOverruled(cell, isHeard, now) {
+			isHeard = false
+			candidates = slices.DeleteFunc(slices.Clone(view.Heard), func(host Host) bool { return host.Address == heard.Owner })
+		}
 		if state.isHeard && !isHeard {
 			state.ownerLostAt = now
 		}
@@ -286,8 +294,10 @@
 			owner, owned = Claim{Cell: cell, Owner: heard.Owner}, true
 		}
 		t.updateHeard(now)
-		known.Up = slices.Concat(view.Up, view.Heard)
+		known.Up = slices.Concat(view.Up, candidates)
 		domainHosts = hostsOf(known, domain)
+	} else if inDomain {
+		state.isHeard, state.deniedSince = false, 0
 	}
 	if owned && !t.shouldReplace(owner, cell, domain, known, inDomain) {
 		state.ownerlessSince = 0
@@ -308,7 +318,7 @@
 	}
 	isolated := 2*(len(view.Up)+1) < view.Expected
 	if inDomain {
-		return !t.awaitsAnswers(cell, domainHosts, now) && t.ranksFirst(cell, view.Self, domainHosts) && (!isolated || now >= state.ownerlessSince+t.limits.Isolated)
+		return !t.awaitsAnswers(cell, view, domainHosts, now) && t.ranksFirst(cell, view.Self, domainHosts) && (!isolated || now >= state.ownerlessSince+t.limits.Isolated)
 	}
 	return !isolated && now >= state.domainEmptySince+t.limits.OtherDomain && t.ranksFirst(cell, view.Self, view.Up)
 }
