node: a host that is cut from all owners answers 504, so that callers go to another host

Such a host answered 503 at once: by the protocol a job is not submitted again after that, so its caller lost it, though the other hosts of the domain serve. It answers 504 at once, as an isolated host does. Kept jobs wait for an owner as before.

--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -79,10 +79,11 @@
 
 // Reasons in outcomes of fronts and owners.
 const (
-	reasonUnreadableJob = "unreadable_job" // the job can't be carried out; nothing of it has run
-	reasonNotOwner      = "not_owner"      // the node does not own the cell; nothing of the job has run there
-	reasonNoOwner       = "no_owner"       // no owner was reachable in time
-	reasonDomainClosed  = "domain_closed"  // this domain is closed, and no owner of an open one is reachable
+	reasonUnreadableJob = "unreadable_job"  // the job can't be carried out; nothing of it has run
+	reasonNotOwner      = "not_owner"       // the node does not own the cell; nothing of the job has run there
+	reasonNoOwner       = "no_owner"        // no owner was reachable in time
+	reasonCutFromOwners = "cut_from_owners" // this host reaches no owner, and others do
+	reasonDomainClosed  = "domain_closed"   // this domain is closed, and no owner of an open one is reachable
 )
 
 // follow dispatches a job to one owner after another until it has ended.
@@ -173,11 +174,13 @@
 	if ctx.Err() != nil {
 		return abandoned(ctx, state.started)
 	}
-	reason := reasonNoOwner
-	if f.node.noOpenOwnerReachable() {
-		reason = reasonDomainClosed
+	switch {
+	case f.node.noOpenOwnerReachable():
+		return givenUp(reasonDomainClosed, state.started)
+	case !j.Kept && f.node.isCutFromOwners():
+		return givenUp(reasonCutFromOwners, true) // callers submit it again to another host after a 504 only
 	}
-	return givenUp(reason, state.started)
+	return givenUp(reasonNoOwner, state.started)
 }
 
 // ownerWaitLimit returns until when a job waits for an owner: as long as an owner found then
@@ -201,7 +204,7 @@
 			return claim, true
 		}
 		left := limit - f.node.Clock.Now()
-		if left <= 0 || f.node.noOpenOwnerReachable() || !state.started && f.node.isCutFromOwners() {
+		if left <= 0 || f.node.noOpenOwnerReachable() || !state.started && !j.Kept && f.node.isCutFromOwners() {
 			return ownership.Claim{}, false
 		}
 		f.awaitChange(ctx, changed, min(left, ownerRecheckInterval))
--- a/pkg/node/heard_owners_test.go
+++ b/pkg/node/heard_owners_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/catalog"
+	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/ownership"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
 	qt "github.com/frankban/quicktest"
@@ -97,7 +98,7 @@
 
 // Guards against callers that wait for an owner at a host that reaches none and claims no cell either, as others
 // hear their owners.
-func TestWhichJobsAHostThatIsCutFromOwnersRefusesAtOnce(t *testing.T) {
+func TestWhichJobsAHostThatIsCutFromOwnersAnswersAtOnce(t *testing.T) {
 	now := time.Hour
 	heard := ownership.HeardOwner{Cell: "z", Owner: "o", At: now}
 	scenarios := []struct {
@@ -105,7 +106,7 @@
 		heard      ownership.HeardOwner
 		ownerOfFar bool // an owner of another domain is reachable, and not ready
 		started    bool // a former owner may have started the job
-		want       bool // refused at once
+		want       bool // answered at once
 	}{
 		{testName: "another host hears the owner", heard: heard, want: true},
 		{testName: "nobody hears the owner", heard: ownership.HeardOwner{Cell: "z"}},
@@ -133,3 +134,16 @@
 		})
 	}
 }
+
+// Guards against jobs that end with a refusal at a host that is cut from all owners, though other hosts serve.
+func TestAHostThatIsCutFromOwnersSendsCallersToOthers(t *testing.T) {
+	c := qt.New(t)
+	n := peerNode(t, "a", "z", 1)
+	n.Clock = &manualClock{now: time.Hour}
+	outcome := func() job.Outcome { return n.front.outcomeWithoutOwner(t.Context(), submission(n), &attempt{}) }
+	c.Assert(outcome().Kind, qt.Equals, job.Refused)
+	n.claims.SetHeard("b", []ownership.HeardOwner{{Cell: "z", Owner: "o", At: time.Hour}}, time.Hour)
+	list := &catalog.Executors{Revision: 1, ByID: map[string]catalog.Executor{"i-1": listedExecutor("i-1", "10.0.0.1:80")}}
+	n.updateOwnerless(newListing(0, list, sizesOf(list), map[string]int{"z": 1}))
+	c.Assert(outcome(), qt.DeepEquals, job.Outcome{Kind: job.Expired, Reason: reasonCutFromOwners, Started: true})
+}
