node, ownership: one loop over the owners that others hear, one way to await a confirmation

HeardOwners and updateHeard filtered the same answers by the same rule; both take cellsHeard now. The channel that a confirmation closes was made in two places, and request_times.go had a conversion of its own beside common.Milliseconds. No change of behaviour: tests of pkg/ownership, and those of pkg/node on confirmations, delays, leases, heard owners and isolation pass; vet and staticcheck of both are clean.

--- a/pkg/node/lease_limits.go
+++ b/pkg/node/lease_limits.go
@@ -88,6 +88,13 @@
 	}
 }
 
+// expectConfirmation prepares the job for sleepUntilConfirmed. front.mu is held.
+func (o *openJob) expectConfirmation() {
+	if !o.isConfirmed && o.confirmed == nil {
+		o.confirmed = make(chan struct{})
+	}
+}
+
 // isConfirmed reports whether each domain has confirmed the announcement of a job, or need not.
 func (f *front) isConfirmed(open *openJob) bool {
 	f.mu.Lock()
@@ -118,9 +125,7 @@
 func (f *front) awaitAllDomains(ctx context.Context, open *openJob) bool {
 	f.mu.Lock()
 	isConfirmed := open.isConfirmed
-	if !isConfirmed && open.confirmed == nil {
-		open.confirmed = make(chan struct{})
-	}
+	open.expectConfirmation()
 	f.mu.Unlock()
 	return isConfirmed || f.sleepUntilConfirmed(ctx, open, f.node.leaseLimitOf(open.job))
 }
@@ -134,9 +139,7 @@
 	if open == nil || open.isConfirmed || j.Kept || f.node.Clock.Now() < cell.ReturnAt(f.node.leaseLimitOf(open.job), f.node.settings.StopTime) {
 		return nil, false
 	}
-	if open.confirmed == nil {
-		open.confirmed = make(chan struct{})
-	}
+	open.expectConfirmation()
 	return open, true
 }
 
--- a/pkg/node/request_times.go
+++ b/pkg/node/request_times.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/common"
 	"golang.org/x/sys/unix"
 )
 
@@ -36,15 +37,13 @@
 	if !ok {
 		return arrival{}
 	}
-	a := arrival{at: max(1, now-milliseconds(info.Last_data_recv))}
+	a := arrival{at: max(1, now-common.Milliseconds(int64(info.Last_data_recv)))}
 	if info.Data_segs_out == 0 { // the kernel then counts from when the connection was opened
-		a.openBefore = max(0, milliseconds(info.Last_data_sent)-milliseconds(info.Last_data_recv))
+		a.openBefore = max(0, common.Milliseconds(int64(info.Last_data_sent))-common.Milliseconds(int64(info.Last_data_recv)))
 	}
 	return a
 }
 
-func milliseconds(count uint32) time.Duration { return time.Duration(count) * time.Millisecond }
-
 // tcpInfo returns what the kernel tells of a TCP connection.
 func tcpInfo(connection syscall.Conn) (info *unix.TCPInfo, ok bool) {
 	raw, err := connection.SyscallConn()
--- a/pkg/ownership/heard.go
+++ b/pkg/ownership/heard.go
@@ -89,31 +89,24 @@
 
 // HeardOwners returns the addresses of the owners that this host doesn't reach, and others do, sorted.
 func (t *Table) HeardOwners(now time.Duration) []string {
-	owners := map[string]bool{}
-	for _, answers := range t.answers {
-		for _, heard := range answers {
-			if t.counts(heard.HeardOwner, now) {
-				owners[heard.Owner] = true
-			}
-		}
-	}
-	return slices.Sorted(maps.Keys(owners))
+	return slices.Sorted(maps.Keys(t.cellsHeard(now)))
 }
 
-// updateHeard updates the number of cells that unreachable hosts own by what others hear.
-func (t *Table) updateHeard(now time.Duration) {
-	t.heardCells = map[string]map[string]bool{}
+// cellsHeard returns the cells that hosts own which this host doesn't reach, and others do, by owner.
+func (t *Table) cellsHeard(now time.Duration) map[string]map[string]bool {
+	cells := map[string]map[string]bool{}
 	for _, answers := range t.answers {
 		for _, heard := range answers {
 			if !t.counts(heard.HeardOwner, now) {
 				continue
 			}
-			if t.heardCells[heard.Owner] == nil {
-				t.heardCells[heard.Owner] = map[string]bool{}
+			if cells[heard.Owner] == nil {
+				cells[heard.Owner] = map[string]bool{}
 			}
-			t.heardCells[heard.Owner][heard.Cell] = true
+			cells[heard.Owner][heard.Cell] = true
 		}
 	}
+	return cells
 }
 
 // maxWitnesses is how many hosts are asked frequently about the owner of a cell.
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -109,7 +109,7 @@
 	effective    *effectiveClaims            // computed from claims; nil after these have changed
 	cells        map[string]*cellState
 	answers      map[string]map[string]answer // of other hosts, by address and cell
-	heardCells   map[string]map[string]bool   // cells by owner, as of the last updateHeard
+	heardCells   map[string]map[string]bool   // cells by owner, as of the last check of a cell
 }
 
 type cellState struct {
@@ -293,7 +293,7 @@
 		if state.isHeard = isHeard; isHeard {
 			owner, owned = Claim{Cell: cell, Owner: heard.Owner}, true
 		}
-		t.updateHeard(now)
+		t.heardCells = t.cellsHeard(now)
 		known.Up = slices.Concat(view.Up, candidates)
 		domainHosts = hostsOf(known, domain)
 	} else if inDomain {
