--- a/review/world-2/jobs.go
+++ b/review/world-2/jobs.go
@@ -22,6 +22,7 @@
 	Count      int    `json:"count"`
 	CPU        int    `json:"cpu,omitempty"`
 	MemMB      int    `json:"mem_mb,omitempty"`
+	GPU        int    `json:"gpu,omitempty"`
 	EstimateMS int    `json:"estimate_ms,omitempty"`
 	After      []int  `json:"after_rev,omitempty"`
 	Label      string `json:"constraints,omitempty"`
--- a/review/world-2/rack.go
+++ b/review/world-2/rack.go
@@ -13,6 +13,10 @@
 
 // flow hands in kept jobs, one each interval, until its end, and returns those that were accepted.
 func (w *world) flow(lasts, interval time.Duration, make func() *keptJob) (wait func() []*keptJob) {
+	return w.flowTo(w.machines, lasts, interval, make)
+}
+
+func (w *world) flowTo(machines []*machine, lasts, interval time.Duration, make func() *keptJob) (wait func() []*keptJob) {
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	var jobs []*keptJob
@@ -20,7 +24,7 @@
 		for end := time.Now().Add(lasts); time.Now().Before(end); time.Sleep(interval) {
 			j := make()
 			group.Go(func() {
-				if w.post(j, w.alive()) {
+				if w.post(j, up(machines)) {
 					mu.Lock()
 					defer mu.Unlock()
 					jobs = append(jobs, j)
@@ -37,18 +41,7 @@
 }
 
 // alive returns the machines that run, as the balancer does.
-func (w *world) alive() []*machine {
-	var found []*machine
-	for _, m := range w.machines {
-		m.mu.Lock()
-		up := !m.down
-		m.mu.Unlock()
-		if up {
-			found = append(found, m)
-		}
-	}
-	return found
-}
+func (w *world) alive() []*machine { return up(w.machines) }
 
 // playRack has a rack crash for good. Other racks have workers of its kind, and nothing to do.
 func playRack(w *world, trouble bool) bool {
@@ -92,3 +85,14 @@
 	}
 	return found
 }
+
+// up returns those of some machines that run.
+func up(machines []*machine) []*machine {
+	var found []*machine
+	for _, m := range machines {
+		if !m.isDown() {
+			found = append(found, m)
+		}
+	}
+	return found
+}
--- a/review/world-2/world.go
+++ b/review/world-2/world.go
@@ -82,6 +82,7 @@
 	*standin.Executor
 	zone   string
 	labels []string
+	gpus   int
 
 	stateMu       sync.Mutex
 	crashed, dark bool
@@ -173,6 +174,9 @@
 		Labels: []string{kindOf(index), rackOf(zone, index)}, MaxHold: maxHold, LateBy: 2 * time.Second,
 		ClockAdd: time.Duration(zone*100+index) * time.Minute, ClockLoss: slow,
 	}, w.ledger)}
+	if index <= gpuWorkers {
+		e.gpus = gpusEach
+	}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		w.fail("%v", err)
@@ -181,6 +185,12 @@
 	w.workers = append(w.workers, e)
 }
 
+// The first workers of a zone have GPUs.
+const (
+	gpuWorkers = 2
+	gpusEach   = 4
+)
+
 // The workers of a rack are alike: the second rack of each zone has those of kind b.
 const workersARack = 8
 
@@ -220,23 +230,13 @@
 	e.Crash()
 }
 
-// comeBack begins the next life of a worker that has crashed.
-func (w *world) comeBack(e *worker) {
-	e.stateMu.Lock()
-	e.crashed = false
-	e.stateMu.Unlock()
-	w.setSilent(e, false)
-	w.note("worker %s is there", e.ID())
-}
-
 // beat writes the workers' rows. A row goes after three heartbeats of silence.
 func (w *world) beat() {
 	for {
 		w.workersM.Lock()
 		for _, e := range w.workers {
 			if !e.silent && !e.IsDown() {
-				e.Publish(w.store, "ready")
-				e.row, e.wrote = e.ID(), time.Now()
+				w.publish(e)
 			} else if e.row != "" && time.Since(e.wrote) > 3*heartbeat {
 				w.store.Remove("servers", e.row)
 				w.note("the row of worker %s lapses", e.row)
@@ -252,6 +252,17 @@
 	}
 }
 
+// publish writes a worker's row.
+func (w *world) publish(e *worker) {
+	document, id := e.Document("ready"), e.ID()
+	document["capacity"] = map[string]int{"cpu": workerCPU, "mem_mb": workerMemMB, "gpu": e.gpus}
+	if e.row != "" && e.row != id {
+		w.store.Remove("servers", e.row)
+	}
+	w.store.Put("servers", id, document)
+	e.row, e.wrote = id, time.Now()
+}
+
 func (w *world) setSilent(e *worker, silent bool) {
 	w.workersM.Lock()
 	defer w.workersM.Unlock()
@@ -374,40 +385,6 @@
 	return string(lines[len(lines)-1])
 }
 
-// logged returns the lines of a machine's log that contain a text.
-func (w *world) logged(m *machine, text string) []string {
-	data, _ := os.ReadFile(m.log.Name())
-	var found []string
-	for _, line := range strings.Split(string(data), "\n") {
-		if strings.Contains(line, text) {
-			found = append(found, line)
-		}
-	}
-	return found
-}
-
-// ownersOf returns the machines that have claimed a cell of a zone and not released it.
-func (w *world) ownersOf(zone string) []*machine {
-	var owners []*machine
-	for _, m := range w.machines {
-		claimed, released := 0, 0
-		for _, line := range w.logged(m, "cell_claimed") {
-			if strings.Contains(line, zone) {
-				claimed++
-			}
-		}
-		for _, line := range w.logged(m, "cell_released") {
-			if strings.Contains(line, zone) {
-				released++
-			}
-		}
-		if claimed > released {
-			owners = append(owners, m)
-		}
-	}
-	return owners
-}
-
 func (w *world) close() {
 	close(w.stop)
 	for _, m := range w.machines {
