--- a/review/world-2/world.go
+++ b/review/world-2/world.go
@@ -230,6 +230,15 @@
 	e.Crash()
 }
 
+// unlist has a worker's row go, and the worker serve on.
+func (w *world) unlist(e *worker) {
+	w.workersM.Lock()
+	defer w.workersM.Unlock()
+	e.silent = true
+	w.store.Remove("servers", e.row)
+	e.row = ""
+}
+
 // beat writes the workers' rows. A row goes after three heartbeats of silence.
 func (w *world) beat() {
 	for {
