--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 # disruption out. Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/world ] && [ -x target/foxcroft ] || exit 2
-exec target/review-2/world -case reclaim -record review/7/record.txt
+exec target/review-2/world -case gpu -record review/7/record.txt
--- a/review/world-2/jobs.go
+++ b/review/world-2/jobs.go
@@ -170,6 +170,8 @@
 
 // workersOf returns the workers of a zone.
 func (w *world) workersOf(zone string) []*worker {
+	w.workersM.Lock()
+	defer w.workersM.Unlock()
 	var found []*worker
 	for _, e := range w.workers {
 		if e.zone == zone {
