--- a/review/world-2/judge.go
+++ b/review/world-2/judge.go
@@ -31,10 +31,10 @@
 		if isIdle || a.status != 200 {
 			idleJobs++
 			w.note("job %s: %d of %d tasks done, state %q; nothing of it has run since %.3f", j.id, done, j.tasks(), j.state, idleSince.Sub(w.begin).Seconds())
-			w.noteRuns(j)
-			continue
+		} else {
+			w.note("job %s: %d of %d tasks done, state %q", j.id, done, j.tasks(), j.state)
 		}
-		w.note("job %s: %d of %d tasks done, state %q", j.id, done, j.tasks(), j.state)
+		w.noteRuns(j)
 	}
 	w.note("%d jobs accepted; %d of them have had nothing running for over %s, or aren't known; at most %.3f of the workers' processors were in use in this time",
 		len(jobs), idleJobs, idleBound, inUse)
--- a/review/world-2/odd.go
+++ b/review/world-2/odd.go
@@ -74,9 +74,7 @@
 				mu.Lock()
 				defer mu.Unlock()
 				answers[fmt.Sprint(a.status)]++
-				if a.status != http.StatusOK {
-					w.note("POST %s (best effort) at %s: %d %s after %d ms", id, m.name, a.status, a.body, a.took.Milliseconds())
-				}
+				w.note("POST %s (best effort, 2 tasks) at %s: %d %s after %d ms", id, m.name, a.status, a.body, a.took.Milliseconds())
 			})
 		}
 	})
