--- a/review/world-2/reclaim.go
+++ b/review/world-2/reclaim.go
@@ -10,8 +10,8 @@
 // serve on without their entries.
 const (
 	reclaimedTasks = 40
-	reclaimedWork  = 8400 * time.Millisecond
-	serveOn        = 8 * time.Second
+	reclaimedWork  = 9400 * time.Millisecond
+	serveOn        = 9 * time.Second
 )
 
 // playReclaim has all workers of a zone taken away: their entries go, and they serve on for a while.
