node, keeping: kept jobs leave a lost domain once its owners must have ended their runs

Cause: a follower waited for 18 s before it moved the job, and the next one for 18 s more for a confirmation by an owner that was gone. The 18 s stand for three silences, one behind the other (coordinator cut off, owner without renewals, leases), as an owner didn't look at its own contact. Followers counted anew after each change of coordinators.

Change: the kept jobs of a cell share a lease, which its owner extends by its own evidence only: answers of half of the hosts, or the cell's presence in the list that it has asked for. Hosts record when they last heard of owners. A cell that the list has lacked for 3.5 s, and of whose owner nobody has heard for 9.5 s, is vacant: its jobs move at once, and need no confirmation. Beside hosts of earlier builds the wait is 18 s, once. kept_awaits_cell names the evidence that is missing.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -135,6 +135,7 @@
 	listComplete     bool          // the listed executors are all that the former owner can have known
 	pausedUntil      time.Duration // no starts before
 	closed           bool          // operators have closed the cell to new work
+	keptLeaseLimit   time.Duration // when the lease of all kept jobs ends, see SetKeptLeaseEnd; 0 for no limit
 	lossyUntil       time.Duration // a call went unanswered recently
 	placedAt         time.Duration // time of the last placement
 	dirty            bool          // capacity or jobs have changed since the last placement
--- a/pkg/cell/joblease.go
+++ b/pkg/cell/joblease.go
@@ -88,7 +88,7 @@
 // leaseEnd returns the end, on our clock, of a job's lease; 0 when it is unknown.
 func (c *Cell) leaseEnd(w *jobState) time.Duration {
 	if c.hasNoLease(w) {
-		return noExpiry
+		return c.keptLeaseEnd()
 	}
 	return w.limitedLease(c.renewalEnd(w.renewedAt))
 }
@@ -197,11 +197,12 @@
 // unrenewed lists the jobs whose last renewal is too long ago, sorted by id. The time, 0.85 s by
 // default, leaves room for the renewal interval of slow fronts, up to 0.4 s, and for a stop to be
 // sent twice before the lease ends. Kept jobs without a lease are included when no coordinator has
-// asked for them for too long.
+// asked for them for too long, or when the lease of all kept jobs ends soon.
 func (c *Cell) unrenewed(now time.Duration) []*jobState {
 	var jobs []*jobState
 	for _, w := range c.jobs {
-		if now > max(w.renewedAt, w.submittedAt)+c.renewalTimeout(w) {
+		isOver := c.hasNoLease(w) && c.keptLeaseEndsSoon(now)
+		if isOver || now > max(w.renewedAt, w.submittedAt)+c.renewalTimeout(w) {
 			jobs = append(jobs, w)
 		}
 	}
--- a/pkg/cell/kept.go
+++ b/pkg/cell/kept.go
@@ -9,9 +9,11 @@
 
 // A kept job is a durable job that runs to completion whether or not its caller waits. Its
 // coordinator renews it as a front renews its callers' jobs. When the coordinator dies, the
-// runs continue until another one takes over. A kept job therefore has no lease and does not
-// limit the leases at executors. The exception is an owner whose process was suspended: it may
-// have been replaced, so a kept job there has a lease like any other until its next renewal.
+// runs continue until another one takes over. A kept job therefore has no lease of its own and does
+// not limit the leases at executors. There are two exceptions. An owner that is cut off may be
+// replaced, so all kept jobs there share a lease (kept_lease.go). And an owner whose process was
+// suspended may have been replaced, so a kept job there has a lease like any other until its next
+// renewal.
 
 const (
 	// keptRenewalTimeout is how long an owner keeps a kept job without a renewal by its
@@ -59,7 +61,7 @@
 // longer here; 0 when it is unknown.
 func (c *Cell) finalLeaseEnd(w *jobState) time.Duration {
 	if c.hasNoLease(w) {
-		return c.renewalEnd(c.lastEventAt)
+		return min(c.renewalEnd(c.lastEventAt), c.keptLeaseEnd())
 	}
 	return c.leaseEnd(w)
 }
--- a/pkg/keeping/awaiting_cell.go
+++ b/pkg/keeping/awaiting_cell.go
@@ -12,13 +12,15 @@
 	waitsForRelease   = "may_run_in_cell"   // it is not proven that nothing of the job can start there
 )
 
-// noteWait records that the job waits since a time to leave a cell. The first time, it logs why.
-func (f *follower) noteWait(since, now time.Duration, cell, reason string) {
-	if now < since+loggedCellWait || f.awaitsCell.Swap(true) {
+// noteWait records that the job waits since a time to leave a cell, and logs why each time that what the
+// cell lacks to be vacant changes.
+func (f *follower) noteWait(since, now time.Duration, cell, reason, lacks string) {
+	if now < since+loggedCellWait || f.awaitsCell.Swap(true) && f.lacks == lacks {
 		return
 	}
+	f.lacks = lacks
 	f.service().Log.Warn("kept_awaits_cell", "job", f.record.ID, "cell", cell, "to", f.record.Cell, "reason", reason,
-		"since_ms", (now - since).Milliseconds(), "removed", f.service().host.CellRemoved(cell))
+		"since_ms", (now - since).Milliseconds(), "lacks", lacks)
 }
 
 // AwaitingCell returns the number of jobs followed here that have waited for long to leave their
--- a/pkg/keeping/fakes_test.go
+++ b/pkg/keeping/fakes_test.go
@@ -1,6 +1,7 @@
 package keeping
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -121,6 +122,8 @@
 type fakeCells struct {
 	mu         sync.Mutex
 	removed    map[string]bool
+	vacant     map[string]bool
+	chosen     string              // the cell for new and moved jobs; empty for x
 	successors []string            // of removed cells
 	ownerless  map[string]bool     // cells without a reachable owner
 	unadopted  map[string]bool     // cells whose owners may not know all runs
@@ -164,7 +167,11 @@
 
 func (h *fakeHost) RowsUnreadable(_, _ string, rows int) { h.unreadable.Add(int32(rows)) }
 
-func (h *fakeHost) ChooseCell(*job.Job) (string, bool) { return "x", !h.noCell }
+func (h *fakeHost) ChooseCell(*job.Job) (string, bool) {
+	h.cells.mu.Lock()
+	defer h.cells.mu.Unlock()
+	return cmp.Or(h.cells.chosen, "x"), !h.noCell
+}
 
 func (h *fakeHost) CellRemoved(cell string) bool {
 	h.cells.mu.Lock()
@@ -172,6 +179,15 @@
 	return h.cells.removed[cell]
 }
 
+func (h *fakeHost) LacksVacancy(cell string) string {
+	h.cells.mu.Lock()
+	defer h.cells.mu.Unlock()
+	if h.cells.vacant[cell] {
+		return ""
+	}
+	return "anything"
+}
+
 func (h *fakeHost) Successors(cell string) ([]string, bool) {
 	h.cells.mu.Lock()
 	defer h.cells.mu.Unlock()
--- a/pkg/keeping/follow.go
+++ b/pkg/keeping/follow.go
@@ -44,6 +44,9 @@
 	ended          chan struct{} // closed when the end of the job is stored
 	ownerlessSince time.Duration // since when its cell has had no reachable owner; 0 while it has one
 
+	lacks           string        // what the cell that it waits to leave lacks to be vacant, as logged last
+	formerOwnerless time.Duration // since when the cell that the job was moved from is known to have had no reachable owner
+
 	stopped   atomic.Bool // it waits for its replacement or has ended
 	continues bool        // the owner keeps the job, which is dispatched again only to wait for its end
 
@@ -71,7 +74,7 @@
 		old.cancel()
 	}
 	ctx, cancel := context.WithCancel(p.service.ctx)
-	next := &follower{partition: p, record: f.Record, epoch: f.Epoch, asOf: f.AsOf, since: now, cancel: cancel, ended: make(chan struct{})}
+	next := &follower{partition: p, record: f.Record, epoch: f.Epoch, asOf: f.AsOf, since: now, formerOwnerless: now, cancel: cancel, ended: make(chan struct{})}
 	next.job, next.progress = jobOf(&f.Record, p.coordinator.Age(&f.Record, now), now)
 	next.begun.Store(len(next.progress) > 0)
 	if old != nil {
@@ -153,13 +156,13 @@
 		f.confirmReleased(ctx, now)
 		return false
 	}
-	f.ownerlessSince = 0
+	f.ownerlessSince, f.lacks = 0, ""
 	f.awaitsCell.Store(false)
 	return true
 }
 
 // awaitOwner waits for an owner of the job's cell. If the cell has been removed, the job
-// moves to another one: at once to a cell that has replaced its own.
+// moves to another one: at once to a cell that has replaced its own, or if the cell is vacant.
 func (f *follower) awaitOwner(ctx context.Context, now time.Duration) {
 	if f.ownerlessSince == 0 {
 		f.ownerlessSince = now
@@ -167,14 +170,25 @@
 	if f.moveToSuccessor(ctx) {
 		return
 	}
-	f.noteWait(f.ownerlessSince, now, f.record.Cell, waitsForSuccessor)
-	if now > f.ownerlessSince+cellRemovalDelay && f.service().host.CellRemoved(f.record.Cell) {
+	if f.hasVacated(f.record.Cell, f.ownerlessSince, now, waitsForSuccessor) {
 		f.moveToOtherCell(ctx)
 		return
 	}
 	f.awaitChange(ctx)
 }
 
+// hasVacated reports whether nothing of the job can run or start in a cell that has had no reachable
+// owner since a time. Otherwise it notes that the job waits for that, and for which reason.
+func (f *follower) hasVacated(cell string, since, now time.Duration, reason string) bool {
+	host := f.service().host
+	lacks := host.LacksVacancy(cell)
+	if lacks == "" || now > since+cellRemovalDelay && host.CellRemoved(cell) {
+		return true
+	}
+	f.noteWait(since, now, cell, reason, lacks)
+	return false
+}
+
 // awaitChange waits for a change of owners, for at most ownerCheckInterval.
 func (f *follower) awaitChange(ctx context.Context) {
 	timer := time.NewTimer(ownerCheckInterval)
@@ -216,10 +230,9 @@
 	switch {
 	case !ok && f.isReleasedBySuccessors(notifyCtx):
 		f.released = true
-	case !ok && now > f.since+cellRemovalDelay && f.service().host.CellRemoved(f.record.From):
-		f.released = true // the cell has been removed
+	case !ok && f.hasVacated(f.record.From, f.formerOwnerless, now, waitsForRelease):
+		f.released = true
 	case !ok:
-		f.noteWait(f.since, now, f.record.From, waitsForRelease)
 		f.awaitChange(ctx)
 	case len(runs) > 0:
 		f.namesRuns, f.ranBefore = false, true // it may have started them since it returned the job
@@ -338,7 +351,10 @@
 	moved := f.record
 	moved.Cell, moved.Epoch = to, f.epoch
 	moved.Job = encodeJob(f.job, progress)
-	f.left.Store(&handover{record: moved, progress: progress, progressAt: f.progressAt, namesRuns: f.namesRuns && f.dispatched.Load(), ranBefore: f.ranBefore})
+	f.left.Store(&handover{
+		record: moved, progress: progress, progressAt: f.progressAt, namesRuns: f.namesRuns && f.dispatched.Load(), ranBefore: f.ranBefore,
+		ownerlessSince: f.ownerlessSince,
+	})
 	f.service().Log.Info("kept_moves", "job", f.record.ID, "cell", f.record.Cell, "to", to, "epoch", f.epoch)
 	f.partition.do(func(co *kept.Coordinator, _ time.Duration) { co.Move(moved) })
 }
--- a/pkg/keeping/handover.go
+++ b/pkg/keeping/handover.go
@@ -36,6 +36,8 @@
 	progressAt time.Duration
 	namesRuns  bool
 	ranBefore  bool
+
+	ownerlessSince time.Duration // since when the former cell has had no reachable owner; 0 if it has one
 }
 
 // inherit takes over what the owner of the job's former cell has told of its runs, which its row
@@ -46,6 +48,9 @@
 		return
 	}
 	f.namesRuns, f.ranBefore = left.namesRuns, left.ranBefore
+	if left.ownerlessSince > 0 {
+		f.formerOwnerless = left.ownerlessSince
+	}
 	if left.namesRuns {
 		f.progress, f.progressAt = left.progress, left.progressAt
 	}
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -50,6 +50,7 @@
 
 	ConfirmsOpenJobs bool // it replies to announcements of open jobs
 	TellsOwners      bool // it tells which owners it hears, if it is asked
+	LimitsKeptRuns   bool // as an owner that is cut off, it ends the runs of kept jobs in time
 }
 
 // Table is a host's view of the others. It is not safe for concurrent use.
--- a/pkg/node/executors.go
+++ b/pkg/node/executors.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/catalog"
@@ -118,6 +119,8 @@
 		return listTask{idle: true, pause: firstListPollInterval}
 	case n.ownersNeedReading(owners):
 		return listTask{read: true, urgent: true, pause: urgentReadInterval}
+	case n.keptJobsNeedReading(owners):
+		return listTask{read: true, pause: readerInterval}
 	case reads && n.followsLeading():
 		return listTask{read: true, tryLeading: true, pause: followInterval}
 	case reads:
@@ -147,6 +150,12 @@
 	return false
 }
 
+// keptJobsNeedReading reports whether kept jobs at this host may depend on what it reads of the list, as it
+// may be cut off from other hosts.
+func (n *Node) keptJobsNeedReading(owners []*owner) bool {
+	return n.mayBeCutOff(n.Clock.Now()) && slices.ContainsFunc(owners, (*owner).hasKeptJobs)
+}
+
 // listConfirmationExpired reports whether the list hasn't been confirmed for too long.
 func (n *Node) listConfirmationExpired() bool {
 	return n.Clock.Now() > n.listConfirmedAt()+relayedListExpiry
@@ -318,6 +327,7 @@
 		next = newListing(askedAt, executors, sizes, n.cellCounts(sizes))
 		next.servicesChecked = checked
 		next.chooseFollowed(n.settings.Name, n.settings.Domain)
+		next.recordPresence(current, n.roster.Executors(), n.history.Vanished() > 0, n.Clock.Now())
 	} else {
 		next = current.withAskedAt(askedAt)
 	}
--- a/pkg/node/listing.go
+++ b/pkg/node/listing.go
@@ -17,6 +17,7 @@
 	sizes           map[string]int // number of executors by domain, see sizesOf
 	counts          map[string]int // number of cells by domain
 	cells           map[string][]catalog.Executor
+	presence        presence
 	followed        map[string]bool // cells of other domains whose owners this node keeps links to
 }
 
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -105,6 +105,7 @@
 
 		ConfirmsOpenJobs: true,
 		TellsOwners:      true,
+		LimitsKeptRuns:   true,
 	}
 }
 
@@ -112,7 +113,7 @@
 func (n *Node) LinkUp(address string, hello *peerpb.Hello) {
 	p := member.Peer{
 		Name: hello.Name, Domain: hello.Domain, Address: address, Leaving: hello.Leaving, Weight: int(hello.Weight),
-		ConfirmsOpenJobs: hello.ConfirmsOpenJobs, TellsOwners: hello.TellsOwners,
+		ConfirmsOpenJobs: hello.ConfirmsOpenJobs, TellsOwners: hello.TellsOwners, LimitsKeptRuns: hello.LimitsKeptRuns,
 	}
 	copy(p.Incarnation[:], hello.Incarnation)
 	n.mu.Lock()
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -66,6 +66,7 @@
 	changed               *broadcast    // signals a change of membership or claims
 	storeRecovered        *broadcast    // signals that the store answers again
 	listRequested         chan struct{} // requests an immediate read of the executor list
+	contactAt             atomic.Int64  // when this host was last in contact with half of the hosts, see kept_lease.go, as a time of the clock
 	contactUnsureUntil    atomic.Int64  // until when this host may be out of contact with its domain, see contact, as a time of the clock
 	viewVersion           atomic.Uint64 // increases when a host joins, leaves or begins to leave
 	heartbeats            heartbeats
@@ -88,6 +89,7 @@
 
 	membersPosition uint64 // in the store's history up to which the nodes' rows have been read
 	isolation       isolation
+	sightings       sightings
 
 	leadingDomain string // domain whose reader follows the executor list for all domains; empty when not known
 
@@ -145,6 +147,7 @@
 		lastReachable:    map[string]time.Duration{},
 		peerCounts:       map[string]map[string]int{},
 		heardAt:          map[string]time.Duration{},
+		sightings:        newSightings(),
 		storeUnreachable: map[string]bool{},
 		listReaders:      map[string]bool{},
 		owners:           map[string]*owner{},
@@ -265,6 +268,7 @@
 	nextClaim, nextLinks := time.Duration(0), time.Duration(0)
 	for {
 		interval := claimInterval
+		n.updateKeptLeases()
 		switch {
 		case n.tickOwners():
 			interval = tickInterval
@@ -287,6 +291,7 @@
 		n.announceOwnedJobs(n.Clock.Now())
 		if now := n.Clock.Now(); now >= nextLinks {
 			n.refreshLinks()
+			n.expireSightings(now)
 			nextLinks = now + linkRefreshInterval
 		}
 		if !common.Sleep(ctx, interval) {
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -56,6 +56,7 @@
 	calls    atomic.Uint64 // number of the last call, over all sessions
 	reports  *linkReports
 	number   atomic.Uint64 // sent in the hello; rises with each link to the address and each time that this one goes down
+	answered atomic.Int64  // when the newest heartbeat that was answered was sent, as a time of the clock; 0 for none
 	nudge    chan struct{} // requests an immediate heartbeat
 	redial   chan struct{} // requests an immediate attempt to open the link
 	cancel   context.CancelFunc
@@ -339,10 +340,12 @@
 func (l *Link) heartbeat(s *session) {
 	ctx, cancel := context.WithTimeout(context.Background(), replyTimeoutFactor*l.slowdown()*l.settings.SuspectAfter)
 	defer cancel()
+	sentAt := l.Clock.Now()
 	reply, err := l.Call(ctx, &peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: l.observer.Heartbeat()}}, 0)
 	if err != nil || reply.GetHeartbeat() == nil {
 		return
 	}
 	s.lastReceived.Store(int64(l.Clock.Now()))
+	l.answered.Store(max(l.answered.Load(), int64(sentAt)))
 	l.reports.heartbeatReply(l, reply)
 }
--- a/pkg/peer/set.go
+++ b/pkg/peer/set.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
@@ -84,6 +85,15 @@
 	return current != nil && !current.mux.isClosed()
 }
 
+// AnsweredAt returns when the newest heartbeat that the peer at an address has answered was sent, as a time
+// of this process's clock; 0 for none. The peer was reachable both ways after that.
+func (s *Set) AnsweredAt(address string) time.Duration {
+	if link := s.Link(address); link != nil {
+		return time.Duration(link.answered.Load())
+	}
+	return 0
+}
+
 // Nudge sends a heartbeat on every link at once.
 func (s *Set) Nudge() {
 	s.mu.RLock()
--- a/pkg/standin/relayd/relay.go
+++ b/pkg/standin/relayd/relay.go
@@ -33,10 +33,13 @@
 	taken    int // connections accepted so far
 	loss     Loss
 	heads    map[int][]byte           // what connections began with, by number
-	cutOf    map[string]bool          // nothing passes of connections that began with one of these texts in their heads
+	cutOf    map[string]ways          // which ways are cut of connections that began with one of these texts in their heads
 	lateOf   map[string]time.Duration // by such a text, how late the next piece of such a connection comes
 }
 
+// ways are those of a connection.
+type ways struct{ to, from bool }
+
 // headBytes is how much of what a connection began with is kept, to tell who opened it.
 const headBytes = 1 << 10
 
@@ -71,7 +74,7 @@
 
 // NewRelay makes a relay to an address.
 func NewRelay(to string, delay time.Duration) *Relay {
-	return &Relay{to: to, delay: delay, conns: map[net.Conn]bool{}, heads: map[int][]byte{}, cutOf: map[string]bool{}, lateOf: map[string]time.Duration{}}
+	return &Relay{to: to, delay: delay, conns: map[net.Conn]bool{}, heads: map[int][]byte{}, cutOf: map[string]ways{}, lateOf: map[string]time.Duration{}}
 }
 
 // SetCut cuts the relay, or mends it. What was sent during a cut arrives after
@@ -87,10 +90,13 @@
 
 // SetCutOf cuts or mends, both ways, the connections whose first bytes contain a text by
 // which their opener is known, such as its address.
-func (r *Relay) SetCutOf(opener string, cut bool) {
+func (r *Relay) SetCutOf(opener string, cut bool) { r.SetCutWaysOf(opener, cut, cut) }
+
+// SetCutWaysOf cuts or mends each way of such connections by itself.
+func (r *Relay) SetCutWaysOf(opener string, to, from bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.cutOf[opener] = cut
+	r.cutOf[opener] = ways{to: to, from: from}
 }
 
 // DelayNext has the next piece that comes on a connection of an opener, as of SetCutOf, come late, as
@@ -129,10 +135,11 @@
 	delete(r.heads, number)
 }
 
-// isCutOf reports whether a connection is of an opener that is cut. r.mu is held.
-func (r *Relay) isCutOf(number int) bool {
+// isCutOf reports whether a way of a connection is cut for its opener. r.mu is held.
+func (r *Relay) isCutOf(towards bool, number int) bool {
 	for opener, cut := range r.cutOf {
-		if cut && bytes.Contains(r.heads[number], []byte(opener)) {
+		isCut := towards && cut.to || !towards && cut.from
+		if isCut && bytes.Contains(r.heads[number], []byte(opener)) {
 			return true
 		}
 	}
@@ -203,9 +210,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if towards {
-		return r.cutTo || r.isCutOf(number), r.delay
+		return r.cutTo || r.isCutOf(towards, number), r.delay
 	}
-	return r.cutFrom || r.isCutOf(number), r.delay
+	return r.cutFrom || r.isCutOf(towards, number), r.delay
 }
 
 func (r *Relay) track(conn net.Conn, open bool) {
--- a/pkg/standin/relayd/relay_test.go
+++ b/pkg/standin/relayd/relay_test.go
@@ -76,6 +76,12 @@
 	c.Assert(passes(other), qt.IsTrue)
 	relay.SetCutOf("first", false)
 	c.Assert(passes(first), qt.IsTrue)
+	relay.SetCutWaysOf("other", false, true) // the echo stays away
+	_, err = other.Write([]byte("more"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(passes(other), qt.IsFalse)
+	relay.SetCutWaysOf("other", false, false)
+	c.Assert(passes(other), qt.IsTrue)
 }
 
 func TestOnlyTheNextPieceOfAnOpenerComesLate(t *testing.T) {
