cell, node: jobs leave, and aren't sent to, cells that have no executor for their tasks

Callers saw kept jobs as "running" that never ran again: the rack with their label was lost, and 16 executors with it were idle in other domains.

Cause: whether an executor can ever run a task was asked in parts. A cell returned a kept job only if it had no usable executor of the service, and hosts chose a cell by service and free processors.

Change: one predicate, catalog.Executor.Meets (service, label, processors, memory, GPUs). Owners return a kept job none of whose next tasks has had a usable executor that meets it for 1.5 s, while others are usable. Hosts choose among the cells whose listed executors can run what remains of a job. A moved job goes to another cell than its own. A job that no listed executor can run is refused at once, before it is kept.

TestAKeptJobIsReturnedWhenNoExecutorMeetsItsNeeds failed before for a label, a GPU, memory and processors; so did TestAKeptJobIsReturnedBeforeAStepThatCannotRunHere.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -115,18 +115,18 @@
 	order            Order
 	times            *taskTimes
 	pacer            *pacer
-	jobs             map[string]*jobState         // by job id
-	byParent         map[string][]*jobState       // by the id of the parent job, for the parts of split jobs
-	unmatchedDone    map[string]bool              // names of tasks listed as done whose jobs are not here yet
-	storeUnreachable bool                         // from this host
-	limitsRetaining  bool                         // kept tasks get half of the executors only, as of the last placement
-	keptJobs         int                          // number of kept jobs in jobs
-	bestEffortUntil  time.Duration                // until when best-effort jobs are expected, after the last one
-	histories        map[string]jobHistory        // of kept jobs, by id: the ends of tasks that executors retain
-	unpersisted      map[string][]*unpersistedEnd // of kept jobs, by id: the ends that executors have to retain
-	unlistedEnds     []*unpersistedEnd            // those of jobs that are not here, at executors that are forgotten
-	usableAt         map[string]time.Duration     // by service: when an executor of it was last usable
-	lastEventAt      time.Duration                // time of the newest event
+	jobs             map[string]*jobState                  // by job id
+	byParent         map[string][]*jobState                // by the id of the parent job, for the parts of split jobs
+	unmatchedDone    map[string]bool                       // names of tasks listed as done whose jobs are not here yet
+	storeUnreachable bool                                  // from this host
+	limitsRetaining  bool                                  // kept tasks get half of the executors only, as of the last placement
+	keptJobs         int                                   // number of kept jobs in jobs
+	bestEffortUntil  time.Duration                         // until when best-effort jobs are expected, after the last one
+	histories        map[string]jobHistory                 // of kept jobs, by id: the ends of tasks that executors retain
+	unpersisted      map[string][]*unpersistedEnd          // of kept jobs, by id: the ends that executors have to retain
+	unlistedEnds     []*unpersistedEnd                     // those of jobs that are not here, at executors that are forgotten
+	usableAt         map[catalog.Requirement]time.Duration // when an executor was last usable for such tasks of kept jobs
+	lastEventAt      time.Duration                         // time of the newest event
 	commands         []Command
 	finished         []Finished
 	notices          []Notice
@@ -159,7 +159,7 @@
 		unmatchedDone:  map[string]bool{},
 		histories:      map[string]jobHistory{},
 		unpersisted:    map[string][]*unpersistedEnd{},
-		usableAt:       map[string]time.Duration{},
+		usableAt:       map[catalog.Requirement]time.Duration{},
 	}
 }
 
--- a/pkg/cell/kept.go
+++ b/pkg/cell/kept.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/catalog"
 	"github.com/foxcroft/foxcroft/pkg/job"
 )
 
@@ -29,8 +30,12 @@
 	// pkg/keeping), and keptRenewalTimeout and a job lease follow.
 	keptRunsEndWithin = 16 * time.Second
 	// noExecutorTimeout is how long a kept job waits in a cell without a usable executor of
-	// its service. It is longer than most ejections and interruptions of executors.
+	// its service. It is longer than most interruptions of all executors, as by a takeover.
 	noExecutorTimeout = 3 * time.Second
+	// noFittingExecutorTimeout is the same while others are usable, but none can run the job's
+	// next tasks. It is longer than most ejections, and shorter than the time for which users let
+	// a job stand still beside idle executors, 3 s.
+	noFittingExecutorTimeout = 1500 * time.Millisecond
 )
 
 // ReasonNoUsableExecutor marks a kept job that was returned to its front because no executor here
@@ -80,20 +85,48 @@
 	return now < w.lostOwnerUntil && !c.adoptedFor(w)
 }
 
-// recordUsable records which services have a usable executor.
+// recordUsable records which tasks of the kept jobs here have a usable executor, by what they require, and which
+// of their services have any.
 func (c *Cell) recordUsable(now time.Duration) {
-	for _, e := range c.sorted {
-		if e.usable(now) {
-			c.usableAt[e.info.Service] = now
+	usableAt := make(map[catalog.Requirement]time.Duration, len(c.usableAt))
+	record := func(r catalog.Requirement) {
+		if _, recorded := usableAt[r]; recorded {
+			return
+		}
+		usableAt[r] = c.usableAt[r]
+		if slices.ContainsFunc(c.sorted, func(e *executor) bool { return e.usable(now) && e.info.Meets(r) }) {
+			usableAt[r] = now
+		}
+	}
+	for _, w := range c.jobs {
+		if !w.job.Kept {
+			continue
+		}
+		record(w.anyOfService())
+		for step, tasks := range w.steps {
+			if slices.ContainsFunc(tasks, (*task).isWaiting) {
+				record(w.requirement(step))
+			}
 		}
 	}
+	c.usableAt = usableAt
+}
+
+// anyOfService returns the requirement that all executors of the job's service meet.
+func (w *jobState) anyOfService() catalog.Requirement {
+	return catalog.Requirement{Service: w.job.Service}
 }
 
-// returnWithoutExecutor returns to their fronts the kept jobs without runs for which there has
-// been no usable executor for noExecutorTimeout.
+// requirement returns what a task of a step needs of an executor.
+func (w *jobState) requirement(step int) catalog.Requirement {
+	return catalog.RequirementOf(w.job, step)
+}
+
+// returnWithoutExecutor returns to their fronts the kept jobs without runs for whose next tasks there has been
+// no usable executor for too long.
 func (c *Cell) returnWithoutExecutor(now time.Duration) {
 	for _, w := range c.jobsWithoutExecutor(now) {
-		c.addNotice(Notice{Event: "job_stranded", Job: w.job.ID, Age: now - c.usableAt[w.job.Service]})
+		c.addNotice(Notice{Event: "job_stranded", Job: w.job.ID, Age: now - c.executorSeenAt(w)})
 		c.returnJob(w, ReasonNoUsableExecutor)
 	}
 }
@@ -111,8 +144,23 @@
 }
 
 func (c *Cell) lacksExecutor(w *jobState, now time.Duration) bool {
-	since := max(w.submittedAt, c.usableAt[w.job.Service])
-	return w.job.Kept && now >= since+noExecutorTimeout && !c.mayHaveUnknownRuns(w, now) && !w.hasRuns()
+	timeout := noExecutorTimeout
+	if c.usableAt[w.anyOfService()] == now {
+		timeout = noFittingExecutorTimeout
+	}
+	return w.job.Kept && now >= c.executorSeenAt(w)+timeout && !c.mayHaveUnknownRuns(w, now) && !w.hasRuns()
+}
+
+// executorSeenAt returns when an executor was last usable for a task of a job that may start now, at the earliest
+// when the job came.
+func (c *Cell) executorSeenAt(w *jobState) time.Duration {
+	seenAt := w.submittedAt
+	for step, tasks := range w.steps {
+		if w.stepReady(step) && slices.ContainsFunc(tasks, (*task).isWaiting) {
+			seenAt = max(seenAt, c.usableAt[w.requirement(step)])
+		}
+	}
+	return seenAt
 }
 
 // retryAnywhere lets a task of a kept job start again where it has failed, once it has failed on
--- a/pkg/cell/kept_test.go
+++ b/pkg/cell/kept_test.go
@@ -449,3 +449,71 @@
 	d.holdAnswered(1, HoldResponse{Clock: time.Minute}, 0)
 	c.Assert(d.cell.KnowsKeptRuns(0), qt.IsTrue)
 }
+
+// Guards against kept jobs that wait for good in a cell of whose executors none has what their next tasks ask for.
+func TestAKeptJobIsReturnedWhenNoExecutorMeetsItsNeeds(t *testing.T) {
+	label := func(s *job.Step) { s.Constraint = "kind-b" }
+	type scenario struct {
+		testName string
+		needs    func(s *job.Step) // of the first step
+		later    func(s *job.Step) // of a step after it; nil for none
+		has      func(e *catalog.Executor)
+		want     bool
+	}
+	scenarios := []scenario{
+		{testName: "a label", needs: label, want: true},
+		{testName: "a label that an executor has", needs: label, has: func(e *catalog.Executor) { e.Labels = []string{"kind-b"} }},
+		{testName: "a GPU", needs: func(s *job.Step) { s.Needs.GPU = 1 }, want: true},
+		{testName: "a GPU that an executor has", needs: func(s *job.Step) { s.Needs.GPU = 1 }, has: func(e *catalog.Executor) { e.Capacity.GPU = 1 }},
+		{testName: "more memory", needs: func(s *job.Step) { s.Needs.MemoryMB = 1 << 40 }, want: true},
+		{testName: "more processors", needs: func(s *job.Step) { s.Needs.CPU = 1 << 40 }, want: true},
+		{testName: "a label of a later step", needs: func(*job.Step) {}, later: label},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			e := testExecutor(0)
+			e.Labels = []string{"kind-a"}
+			if s.has != nil {
+				s.has(&e)
+			}
+			d := newDriver(c, e)
+			d.holdAnswered(0, HoldResponse{Clock: time.Minute}, d.now)
+			d.tick(time.Second)
+			j := keptJob("a", 1, d.now)
+			s.needs(&j.Steps[0])
+			if s.later != nil {
+				step := j.Steps[0]
+				step.After = []int{0}
+				s.later(&step)
+				j.Steps = append(j.Steps, step)
+			}
+			d.submit(j, 1)
+			var running []RunningTask
+			for _, start := range d.takeCommands(Start) {
+				d.startAnswered(start, Accepted)
+				running = append(running, listedRun(start))
+			}
+			d.runFor(noFittingExecutorTimeout+100*ms, running...)
+			c.Assert(d.finished["a"].Reason == ReasonNoUsableExecutor, qt.Equals, s.want)
+			c.Assert(running, qt.HasLen, map[bool]int{true: 0, false: 1}[s.want])
+		})
+	}
+}
+
+// A job of several steps leaves its cell once the next of them can't run here.
+func TestAKeptJobIsReturnedBeforeAStepThatCannotRunHere(t *testing.T) {
+	c := qt.New(t)
+	d := newAdoptedDriver(c, 1)
+	d.tick(time.Second)
+	j := keptJob("a", 1, d.now)
+	step := j.Steps[0]
+	step.After, step.Constraint = []int{0}, "kind-b"
+	j.Steps = append(j.Steps, step)
+	start := startOneTask(c, d, j)
+	d.runFor(noExecutorTimeout, listedRun(start))
+	d.holdAnswered(0, HoldResponse{Clock: time.Minute + d.now, Ended: []EndedTask{listedEnd(1, start, EndDone)}}, d.now)
+	d.runFor(100 * ms)
+	c.Assert(d.finished["a"].Reason, qt.Equals, ReasonNoUsableExecutor)
+	c.Assert(d.finished["a"].Progress[0].Done, qt.IsTrue)
+}
--- a/pkg/keeping/fakes_test.go
+++ b/pkg/keeping/fakes_test.go
@@ -111,6 +111,7 @@
 	wait         time.Duration // queueing time at the cell
 	seesMinority atomic.Bool
 	lacksHosts   atomic.Bool // some expected hosts are unreachable
+	unmeetable   atomic.Bool // no executor can run jobs
 	stillRunning []string    // moved jobs that still run in their previous cells
 	cells        fakeCells
 
@@ -179,6 +180,13 @@
 	return h.cells.removed[cell]
 }
 
+func (h *fakeHost) ChooseOtherCell(cell string, j *job.Job, _ []job.Progress) (string, bool) {
+	next, ok := h.ChooseCell(j)
+	return next, ok && next != cell
+}
+
+func (h *fakeHost) IsUnmeetable(*job.Job) bool { return h.unmeetable.Load() }
+
 func (h *fakeHost) LacksVacancy(cell string) string {
 	h.cells.mu.Lock()
 	defer h.cells.mu.Unlock()
@@ -201,7 +209,9 @@
 	return h.cells.ends, ok && len(runs) == 0
 }
 
-func (h *fakeHost) ChooseAmong(cells []string, _ *job.Job) (string, bool) { return cells[0], true }
+func (h *fakeHost) ChooseAmong(cells []string, _ *job.Job, _ []job.Progress) (string, bool) {
+	return cells[0], true
+}
 
 func (h *fakeHost) AskCoordinator(_ context.Context, _, _ string, j *job.Job, _ int) (kept.Answer, bool) {
 	return h.ask(j.ID)
--- a/pkg/keeping/follow.go
+++ b/pkg/keeping/follow.go
@@ -327,11 +327,11 @@
 // ReasonCancelled marks a job that its owner returned because it was cancelled.
 const ReasonCancelled = "kept_cancelled"
 
-// moveToOtherCell moves the job to a cell that accepts new work, if there is one, and
-// reports whether it did.
+// moveToOtherCell moves the job to another cell that accepts new work and can run it, if there is
+// one, and reports whether it did.
 func (f *follower) moveToOtherCell(ctx context.Context) bool {
-	next, ok := f.service().host.ChooseCell(f.job)
-	if !ok || next == f.record.Cell {
+	next, ok := f.service().host.ChooseOtherCell(f.record.Cell, f.job, f.progress)
+	if !ok {
 		common.Sleep(ctx, ownerCheckInterval)
 		return false
 	}
--- a/pkg/keeping/handover.go
+++ b/pkg/keeping/handover.go
@@ -26,7 +26,7 @@
 	// all executors obey it and none runs the job.
 	ReleaseMoved(ctx context.Context, cell, id string) ([]job.Progress, bool)
 	// ChooseAmong returns which of some cells should run a job, or false if none can.
-	ChooseAmong(cells []string, j *job.Job) (string, bool)
+	ChooseAmong(cells []string, j *job.Job, progress []job.Progress) (string, bool)
 }
 
 // handover is what a follower that moves a job to another cell leaves to the next one.
@@ -63,7 +63,7 @@
 	if !ok {
 		return false
 	}
-	next, ok := f.service().host.ChooseAmong(cells, f.job)
+	next, ok := f.service().host.ChooseAmong(cells, f.job, f.progress)
 	if !ok {
 		return false
 	}
--- a/pkg/keeping/service.go
+++ b/pkg/keeping/service.go
@@ -48,11 +48,15 @@
 	// end. Callers often ask just before the last task ends, and would ask again soon.
 	endWait    = 300 * time.Millisecond
 	retryDelay = time.Second
+	// UnmeetableRetryAfter is the retry delay suggested to callers of jobs that no target can run.
+	// Targets change by planned work, which takes longer than an overload.
+	UnmeetableRetryAfter = 5 * time.Second
 )
 
 // Reasons of refusals and of answers with the verdict Unknown.
 const (
 	ReasonNoOwner                 = "no_owner"
+	ReasonNoneCanRun              = "no_target_can_run_it" // none has the label, or the capacity, that a task asks for
 	ReasonOverloaded              = "overloaded"
 	ReasonCoordinatorUnresponsive = "keeper_silent"
 	ReasonRowsUnreadable          = "rows_unread"
@@ -98,6 +102,11 @@
 	AskState(ctx context.Context, address, id string, cancel bool, hops int) (kept.Answer, bool)
 	// ChooseCell returns the cell that should run a job, or false if there is none.
 	ChooseCell(j *job.Job) (string, bool)
+	// ChooseOtherCell returns the cell other than the given one that should run what remains of a
+	// job, or false if there is none that can.
+	ChooseOtherCell(cell string, j *job.Job, progress []job.Progress) (string, bool)
+	// IsUnmeetable reports whether a job has tasks that no listed target can ever run.
+	IsUnmeetable(j *job.Job) bool
 	// QueueDelay returns how long a job that is sent to a cell now waits in its queue, by the
 	// load that its owner reports.
 	QueueDelay(cell string) time.Duration
@@ -227,7 +236,10 @@
 // reached or cannot write.
 func (s *Service) Keep(ctx context.Context, j *job.Job) kept.Answer {
 	cell, ok := s.chooseCell(ctx, j)
-	if !ok {
+	switch {
+	case !ok && s.host.IsUnmeetable(j):
+		return s.recordAnswer("keep", j.ID, s.refuseUnlessKept(ctx, j.ID, ReasonNoneCanRun, UnmeetableRetryAfter))
+	case !ok:
 		return s.recordAnswer("keep", j.ID, s.refuseUnlessKept(ctx, j.ID, ReasonNoOwner, retryDelay))
 	}
 	if wait := s.host.QueueDelay(cell); s.endsTooLate(j, wait) {
@@ -304,6 +316,9 @@
 		if cell, ok := s.host.ChooseCell(j); ok {
 			return cell, true
 		}
+		if s.host.IsUnmeetable(j) {
+			return "", false
+		}
 		select {
 		case <-changed:
 		case <-time.After(ownerCheckInterval):
--- a/pkg/keeping/service_test.go
+++ b/pkg/keeping/service_test.go
@@ -476,3 +476,17 @@
 	within(c, host.notices) // the owner has been notified
 	c.Assert(s.pause(), qt.Equals, viewInterval)
 }
+
+// A job that no executor can run is refused before it is kept, and at once.
+func TestAJobThatNoExecutorCanRunIsNotKept(t *testing.T) {
+	c := qt.New(t)
+	host, store := newFakeHost(), newFakeStore()
+	host.noCell = true
+	host.unmeetable.Store(true)
+	s := startService(t.Cleanup, host, store)
+	began := s.Clock.Now()
+	answer := s.Keep(context.Background(), testJob("a"))
+	c.Assert(answer, qt.Equals, kept.Answer{Verdict: kept.Refused, Reason: ReasonNoneCanRun, RetryAfter: UnmeetableRetryAfter})
+	c.Assert(s.Clock.Now()-began < cellWait, qt.IsTrue)
+	c.Assert(s.Open(), qt.Equals, 0)
+}
--- a/pkg/node/attempt.go
+++ b/pkg/node/attempt.go
@@ -7,6 +7,7 @@
 	"github.com/foxcroft/foxcroft/pkg/cell"
 	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/job"
+	"github.com/foxcroft/foxcroft/pkg/keeping"
 	"github.com/foxcroft/foxcroft/pkg/openjobs"
 	"github.com/foxcroft/foxcroft/pkg/ownership"
 )
@@ -83,7 +84,8 @@
 	reasonNotOwner      = "not_owner"       // the node does not own the cell; nothing of the job has run there
 	reasonNoOwner       = "no_owner"        // no owner was reachable in time
 	reasonCutFromOwners = "cut_from_owners" // this host reaches no owner, and others do
-	reasonDomainClosed  = "domain_closed"   // this domain is closed, and no owner of an open one is reachable
+	reasonNoneCanRun    = keeping.ReasonNoneCanRun
+	reasonDomainClosed  = "domain_closed" // this domain is closed, and no owner of an open one is reachable
 )
 
 // follow dispatches a job to one owner after another until it has ended.
@@ -177,6 +179,8 @@
 	switch {
 	case f.node.noOpenOwnerReachable():
 		return givenUp(reasonDomainClosed, state.started)
+	case !state.started && f.node.executors.Load().isUnmeetable(j):
+		return job.Outcome{Kind: job.Refused, Reason: reasonNoneCanRun, RetryAfter: keeping.UnmeetableRetryAfter}
 	case !j.Kept && f.node.isCutFromOwners():
 		return givenUp(reasonCutFromOwners, true) // callers submit it again to another host after a 504 only
 	}
@@ -204,6 +208,9 @@
 			return claim, true
 		}
 		left := limit - f.node.Clock.Now()
+		if !state.started && f.node.executors.Load().isUnmeetable(j) {
+			return ownership.Claim{}, false
+		}
 		if left <= 0 || f.node.noOpenOwnerReachable() || !state.started && !j.Kept && f.node.isCutFromOwners() {
 			return ownership.Claim{}, false
 		}
@@ -232,7 +239,13 @@
 	if len(n.unowned) > 0 && n.Clock.Now() < startupGrace {
 		return ownership.Claim{}, false
 	}
-	return ownership.Choose(n.openClaims(), n.settings.Domain, j.Service, maxTaskCPU(j))
+	return n.chooseAmong(n.openClaims(), j, state.progress)
+}
+
+// chooseAmong selects one of some claims, on a cell that can run what remains of a job. n.mu is held.
+func (n *Node) chooseAmong(claims []ownership.Claim, j *job.Job, progress []job.Progress) (ownership.Claim, bool) {
+	eligible := n.executors.Load().eligible(claims, j, progress)
+	return ownership.Choose(eligible, n.settings.Domain, j.Service, maxTaskCPU(j))
 }
 
 func maxTaskCPU(j *job.Job) int64 {
--- a/pkg/node/kept_cells.go
+++ b/pkg/node/kept_cells.go
@@ -20,7 +20,7 @@
 }
 
 // ChooseAmong implements keeping.Host.
-func (h *keptHost) ChooseAmong(cells []string, j *job.Job) (string, bool) {
+func (h *keptHost) ChooseAmong(cells []string, j *job.Job, progress []job.Progress) (string, bool) {
 	h.node.mu.Lock()
 	defer h.node.mu.Unlock()
 	var claims []ownership.Claim
@@ -29,6 +29,6 @@
 			claims = append(claims, claim)
 		}
 	}
-	claim, ok := ownership.Choose(claims, h.node.settings.Domain, j.Service, maxTaskCPU(j))
+	claim, ok := h.node.chooseAmong(claims, j, progress)
 	return claim.Cell, ok
 }
--- a/pkg/node/kept_cells_test.go
+++ b/pkg/node/kept_cells_test.go
@@ -58,9 +58,9 @@
 		{Cell: "y", Token: 1, Load: load(900)}, {Cell: "z/2.0", Token: 2, Load: load(500)}, {Cell: "z/2.1", Token: 3, Load: load(800)},
 	})
 	host, j := &keptHost{node: n}, &job.Job{Service: "s"}
-	cell, ok := host.ChooseAmong([]string{"z/2.0", "z/2.1"}, j)
+	cell, ok := host.ChooseAmong([]string{"z/2.0", "z/2.1"}, j, nil)
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(cell, qt.Equals, "z/2.1")
-	_, ok = host.ChooseAmong([]string{"z/2.0", "z/2.1"}, &job.Job{Service: "other"})
+	_, ok = host.ChooseAmong([]string{"z/2.0", "z/2.1"}, &job.Job{Service: "other"}, nil)
 	c.Assert(ok, qt.IsFalse)
 }
--- a/pkg/node/kept_host.go
+++ b/pkg/node/kept_host.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -122,6 +123,19 @@
 	return claim.Cell, ok
 }
 
+// ChooseOtherCell implements keeping.Host.
+func (h *keptHost) ChooseOtherCell(cell string, j *job.Job, progress []job.Progress) (string, bool) {
+	n := h.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	others := slices.DeleteFunc(n.openClaims(), func(claim ownership.Claim) bool { return claim.Cell == cell })
+	claim, ok := n.chooseAmong(others, j, progress)
+	return claim.Cell, ok
+}
+
+// IsUnmeetable implements keeping.Host.
+func (h *keptHost) IsUnmeetable(j *job.Job) bool { return h.node.executors.Load().isUnmeetable(j) }
+
 // QueueDelay implements keeping.Host.
 func (h *keptHost) QueueDelay(cell string) time.Duration {
 	claim, ok := h.ownerOf(cell)
--- a/pkg/node/parts.go
+++ b/pkg/node/parts.go
@@ -22,7 +22,7 @@
 	n := f.node
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	claims := n.openClaims()
+	claims := n.executors.Load().eligible(n.openClaims(), j, nil)
 	chosen, ok := ownership.Choose(claims, n.settings.Domain, j.Service, step.Needs.CPU)
 	if !ok {
 		return nil
