cell, keeping: a kept task that has failed on all executors that can run it is tried again

Cause: failures are forgotten once no other executor is left that may run the task, which was asked by service and label. The 14 executors without GPUs counted as others.

Change: anyExecutorFor asks Executor.Meets. Tried again at once, the job would fail by its third start at a target that fails all.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -308,6 +308,7 @@
 	c.refuseUnmeetable(now)
 	c.recordUsable(now)
 	c.returnWithoutExecutor(now)
+	c.returnFailedOnAll(now)
 	c.advance(now)
 }
 
--- a/pkg/cell/job_state.go
+++ b/pkg/cell/job_state.go
@@ -19,6 +19,7 @@
 	lastRun           int64
 	current           *run // the run that may be active; nil when the task waits or is done
 	failedOn          []catalog.Incarnation
+	failedOnAllAt     time.Duration         // when it was found to have failed on all suitable executors; 0 if it hasn't
 	unclearOn         []catalog.Incarnation // executors that answered a start of it without saying whether it was carried out
 	stragglerRestarts int                   // runs that were stopped for being far behind
 	losses            losses
@@ -45,6 +46,7 @@
 	leastCPU       int64           // smallest processor need of its tasks
 	mayHaveStarted bool            // a task may have started, here or at a former owner
 	knownStarted   bool            // a task is known to have started
+	failedOnAll    bool            // as of the last check, see hasFailedOnAll
 }
 
 func newJobState(h Handover, times *taskTimes, now time.Duration) *jobState {
--- a/pkg/cell/placement.go
+++ b/pkg/cell/placement.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/catalog"
 	"github.com/foxcroft/foxcroft/pkg/job"
 )
 
@@ -82,7 +83,7 @@
 		} else if len(t.failedOn) == 0 && !t.isSuspect() {
 			fullStep = t.key.Step // the step's other tasks have the same needs
 		} else {
-			c.retryAnywhere(w, t)
+			c.retryAnywhere(w, t, now)
 		}
 	}
 }
@@ -135,10 +136,11 @@
 
 // suits reports whether a task may run on an executor.
 func (c *Cell) suits(e *executor, w *jobState, t *task, step *job.Step) bool {
-	if !e.isFor(w, step) || !e.free().Fits(step.Needs) {
+	r := w.requirement(t.key.Step)
+	if !e.info.Meets(r) || !e.free().Fits(step.Needs) {
 		return false
 	}
-	if e.health.onProbation() && (len(e.runs) > 0 || t.failures.count > 0 && c.anyExecutorFor(w, step, (*executor).isOffProbation)) {
+	if e.health.onProbation() && (len(e.runs) > 0 || t.failures.count > 0 && c.anyExecutorFor(r, (*executor).isOffProbation)) {
 		return false
 	}
 	if t.hasFailedOn(e) {
@@ -147,15 +149,10 @@
 	return step.AntiAffinity == 0 || e.countRunsOfStep(w, t.key.Step) < step.AntiAffinity
 }
 
-// isFor reports whether the executor is one for a step, by its service and its labels.
-func (e *executor) isFor(w *jobState, step *job.Step) bool {
-	return e.info.Service == w.job.Service && (step.Constraint == "" || e.info.HasLabel(step.Constraint))
-}
-
-// anyExecutorFor reports whether any listed executor that a step may run on, now or later, matches.
-func (c *Cell) anyExecutorFor(w *jobState, step *job.Step, matches func(e *executor) bool) bool {
+// anyExecutorFor reports whether any listed executor that such a task may run on, now or later, matches.
+func (c *Cell) anyExecutorFor(r catalog.Requirement, matches func(e *executor) bool) bool {
 	return slices.ContainsFunc(c.sorted, func(e *executor) bool {
-		return e.isFor(w, step) && e.listed && !e.ended && !e.info.Draining && matches(e)
+		return e.info.Meets(r) && e.listed && !e.ended && !e.info.Draining && matches(e)
 	})
 }
 
--- a/pkg/keeping/attempts_test.go
+++ b/pkg/keeping/attempts_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/cell"
 	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/kept"
 	qt "github.com/frankban/quicktest"
@@ -42,3 +43,36 @@
 	c.Assert(third.maxAttempts, qt.Equals, 3)
 	c.Assert(third.progress, qt.DeepEquals, []job.Progress{{Failures: 1, Run: 1, FailedRuns: []int64{1}}})
 }
+
+// The last attempt of a task that has failed on all targets of its cell is made in another cell that can run it, or in the
+// same one after a pause.
+func TestWhereTheLastAttemptOfAJobIsMade(t *testing.T) {
+	type scenario struct {
+		testName string
+		chosen   string // among the other cells; empty for none
+		wantCell string
+		pauses   bool
+	}
+	scenarios := []scenario{
+		{testName: "another cell can run it", chosen: "y", wantCell: "y"},
+		{testName: "no other cell can run it", wantCell: "x", pauses: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			host := newFakeHost()
+			service := startService(t.Cleanup, host, newFakeStore())
+			service.Keep(context.Background(), testJob("a"))
+			first := within(c, host.dispatches)
+			host.cells.change(func(f *fakeCells) { f.chosen = s.chosen })
+			failed := job.Progress{Failures: 2, FailedRuns: []int64{500, 501}, Run: 501}
+			returnedAt := time.Now()
+			first.end <- job.Outcome{Kind: job.Moved, Reason: cell.ReasonFailedOnAll, Started: true, NamesRuns: true, Progress: []job.Progress{failed}}
+			next := within(c, host.dispatches)
+			c.Assert(next.cell, qt.Equals, s.wantCell)
+			c.Assert(next.progress, qt.HasLen, 1)
+			c.Assert(next.progress[0].Failures, qt.Equals, 2)
+			c.Assert(time.Since(returnedAt) >= cell.LastAttemptPause, qt.Equals, s.pauses)
+		})
+	}
+}
--- a/pkg/keeping/follow.go
+++ b/pkg/keeping/follow.go
@@ -289,7 +289,13 @@
 func (f *follower) handleReturned(ctx context.Context, outcome job.Outcome) bool {
 	switch {
 	case cell.LeavesNoRuns(outcome.Reason):
-		return f.moveToOtherCell(ctx)
+		if f.moveToOtherCell(ctx) {
+			return true
+		}
+		if outcome.Reason == cell.ReasonFailedOnAll {
+			common.Sleep(ctx, cell.LastAttemptPause)
+		}
+		return false
 	case outcome.Reason == ReasonProgress:
 		f.checkpoint(outcome.Progress)
 		f.continues = true
