node: an owner that has released a cell and is in reach takes no wait

Cause: the last sign of life of the cell's owner counted although the owner is in reach and tells by its heartbeats that it owns the cell no more.

Change: sightings name the owner; one that this host reaches doesn't count.

The row "its owner has released it" of TestWhatACellLacksToBeVacant failed before.

--- a/pkg/node/vacancy.go
+++ b/pkg/node/vacancy.go
@@ -34,10 +34,15 @@
 // sightings records when owners and hosts were last seen, by this host or by others that tell it. n.mu
 // guards it.
 type sightings struct {
-	owners map[string]time.Duration // by cell
+	owners map[string]ownerSighting // by cell
 	hosts  map[string]hostSighting  // by address
 }
 
+type ownerSighting struct {
+	address string
+	at      time.Duration
+}
+
 type hostSighting struct {
 	domain         string
 	at             time.Duration
@@ -45,7 +50,7 @@
 }
 
 func newSightings() sightings {
-	return sightings{owners: map[string]time.Duration{}, hosts: map[string]hostSighting{}}
+	return sightings{owners: map[string]ownerSighting{}, hosts: map[string]hostSighting{}}
 }
 
 // record records what a heartbeat of a peer shows. Of owners to which this host has links itself, the word
@@ -53,11 +58,11 @@
 func (s *sightings) record(p *member.Peer, heartbeat *peerpb.Heartbeat, hasLink func(address string) bool, now time.Duration) {
 	s.hosts[p.Address] = hostSighting{domain: p.Domain, at: now, limitsKeptRuns: p.LimitsKeptRuns}
 	for _, claim := range heartbeat.Cells {
-		s.owners[claim.Cell] = now
+		s.owners[claim.Cell] = ownerSighting{address: p.Address, at: now}
 	}
 	for _, reported := range heartbeat.Owners {
 		if !hasLink(reported.Owner) {
-			s.owners[reported.Cell] = now
+			s.owners[reported.Cell] = ownerSighting{address: reported.Owner, at: now}
 		}
 	}
 }
@@ -66,15 +71,19 @@
 func (n *Node) expireSightings(now time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	maps.DeleteFunc(n.sightings.owners, func(_ string, at time.Duration) bool { return now > at+sightingRetention })
+	maps.DeleteFunc(n.sightings.owners, func(_ string, seen ownerSighting) bool { return now > seen.at+sightingRetention })
 	maps.DeleteFunc(n.sightings.hosts, func(_ string, seen hostSighting) bool { return now > seen.at+sightingRetention })
 }
 
 // lastOf returns the last sign of life of an owner of a cell, or of a host that may have become its owner:
-// one of the cell's domain that this host doesn't reach. It reports false if a host that was seen lets kept
-// runs go on for longer, as those of earlier builds do.
+// one of the cell's domain. Those that this host reaches tell it that they don't own the cell. It reports false
+// if a host that was seen lets kept runs go on for longer, as those of earlier builds do.
 func (s *sightings) lastOf(cell string, isReached func(address string) bool) (time.Duration, bool) {
-	last, domain := s.owners[cell], ownership.DomainOf(cell)
+	var last time.Duration
+	if owner := s.owners[cell]; !isReached(owner.address) {
+		last = owner.at
+	}
+	domain := ownership.DomainOf(cell)
 	for address, seen := range s.hosts {
 		if !seen.limitsKeptRuns {
 			return 0, false
--- a/pkg/node/vacancy_test.go
+++ b/pkg/node/vacancy_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"testing"
 	"time"
 
@@ -44,6 +45,7 @@
 		hosts     []sighted
 		expected  int // hosts
 		isOwned   bool
+		uptime    time.Duration // of this host; 0: long
 		listFails bool
 		want      string
 	}
@@ -57,12 +59,13 @@
 		{testName: "it has an owner", absentFor: long, isOwned: true, want: owned},
 		{testName: "its owner was lost lately", absentFor: long, hosts: []sighted{{ago: bound - time.Second, ownsCell: true}}, want: ownerSeenRecently},
 		{testName: "its owner was lost long ago", absentFor: long, hosts: []sighted{lost}},
-		{testName: "its owner has released it", absentFor: long, hosts: []sighted{{ago: bound + time.Second, isReached: true, ownsCell: true}}},
+		{testName: "its owner has released it", absentFor: long, hosts: []sighted{{ago: time.Second, isReached: true, ownsCell: true}}},
 		{testName: "another host of its domain was lost lately", absentFor: long, hosts: []sighted{lost, {ago: time.Second}}, want: ownerSeenRecently},
 		{testName: "another host of its domain is reached", absentFor: long, hosts: []sighted{lost, {ago: time.Second, isReached: true}}},
 		{testName: "a host of another domain was lost lately", absentFor: long, hosts: []sighted{lost, {ago: time.Second, otherDomain: true}}},
 		{testName: "another host tells of an owner", absentFor: long, hosts: []sighted{lost, {ago: time.Second, isReached: true, otherDomain: true, tellsOwner: true}}, want: ownerSeenRecently},
 		{testName: "a host of an earlier build was seen", absentFor: long, hosts: []sighted{lost, {ago: long, otherDomain: true, otherBuild: true}}, want: hostsOfOtherBuild},
+		{testName: "this host has started lately", absentFor: long, uptime: bound - time.Second, want: ownerSeenRecently},
 		{testName: "most hosts are out of reach", absentFor: long, hosts: []sighted{lost}, expected: 3, want: fewHostsReached},
 		{testName: "its domain is divided anew", absentFor: long, counts: map[string]int{"z": 2}, hosts: []sighted{lost}, want: dividedAnew},
 	}
@@ -70,7 +73,9 @@
 		t.Run(s.testName, func(t *testing.T) {
 			c := qt.New(t)
 			n := newTestNode(c, &fakeStore{})
-			now := n.Clock.Now()
+			clock := &manualClock{now: cmp.Or(s.uptime, time.Hour)}
+			n.Clock = clock
+			now := clock.now
 			publishListing(n, now-long-time.Second, true)
 			if s.absentFor > 0 {
 				publishListing(n, now-s.absentFor, false)
