cell: tasks that ask for no processors are started

Cause: the queue left out jobs without processor work, which it took for jobs without waiting tasks.

Change: it asks for waiting tasks.

TestTasksWithoutANeedOfProcessorsAreStarted failed before.

--- a/pkg/cell/job_state.go
+++ b/pkg/cell/job_state.go
@@ -168,6 +168,11 @@
 	return waiting
 }
 
+// hasWaitingTask reports whether a task is neither done nor started, though steps before it may have to be done first.
+func (w *jobState) hasWaitingTask() bool {
+	return slices.ContainsFunc(w.steps, func(tasks []*task) bool { return slices.ContainsFunc(tasks, (*task).isWaiting) })
+}
+
 func (w *jobState) allDone() bool {
 	for _, tasks := range w.steps {
 		for _, t := range tasks {
--- a/pkg/cell/queue.go
+++ b/pkg/cell/queue.go
@@ -39,8 +39,8 @@
 		if c.mayHaveUnknownRuns(w, now) || !c.mayStartTasks(w, now) {
 			continue
 		}
-		if s := w.candidate(now); s.WorkLeft > 0 {
-			entries = append(entries, entry{job: w, rank: c.order.Rank(s)})
+		if w.hasWaitingTask() {
+			entries = append(entries, entry{job: w, rank: c.order.Rank(w.candidate(now))})
 		}
 	}
 	slices.SortFunc(entries, func(a, b entry) int {
--- a/pkg/cell/queue_test.go
+++ b/pkg/cell/queue_test.go
@@ -80,3 +80,19 @@
 	c.Assert(d.finished["last"].Started, qt.IsFalse)
 	c.Assert(d.finished["last"].RetryAfter > 0, qt.IsTrue)
 }
+
+// Guards against jobs that are accepted and never started, as their tasks ask for no processors.
+func TestTasksWithoutANeedOfProcessorsAreStarted(t *testing.T) {
+	for _, kept := range []bool{true, false} {
+		t.Run(fmt.Sprintf("kept %t", kept), func(t *testing.T) {
+			c := qt.New(t)
+			d := newAdoptedDriver(c, 1)
+			d.tick(time.Second)
+			j := testJob("a", 3, d.now)
+			j.Kept = kept
+			j.Steps[0].Needs = job.Resources{}
+			d.submit(j, 1)
+			c.Assert(d.takeCommands(Start), qt.HasLen, 3)
+		})
+	}
+}
