peer: a message that can't be encoded is dropped, and its connection stays

Change: the messages that can't be encoded are left out and counted (peers_not_encoded of the log line traffic).

--- a/pkg/node/traffic.go
+++ b/pkg/node/traffic.go
@@ -52,7 +52,7 @@
 	elapsed := max((now.at - before.at).Seconds(), time.Millisecond.Seconds())
 	rate := func(now, before uint64) int64 { return int64(float64(now-before) / elapsed) }
 	fields := []any{"cells", len(n.allOwners()), "hub", n.isHub.Load(), "reads_list", n.isListReader.Load(),
-		"link_mbps", n.settings.LinkMbps, "round_trip_limit_ms", n.front.calls.roundTrips.Timeout().Milliseconds()}
+		"peers_not_encoded", n.counters.NotEncoded(), "link_mbps", n.settings.LinkMbps, "round_trip_limit_ms", n.front.calls.roundTrips.Timeout().Milliseconds()}
 	for i, purpose := range traffic.Purposes() {
 		fields = append(fields,
 			purpose.String()+"_in", rate(now.in[i], before.in[i]),
--- a/pkg/peer/counters.go
+++ b/pkg/peer/counters.go
@@ -34,8 +34,13 @@
 
 	frames [classCount]atomic.Uint64
 	bytes  [classCount]atomic.Uint64
+
+	notEncoded atomic.Uint64
 }
 
+// NotEncoded returns the number of messages that were dropped because they can't be encoded.
+func (c *Counters) NotEncoded() uint64 { return c.notEncoded.Load() }
+
 // Classes returns all classes.
 func Classes() []Class {
 	return []Class{ClassRecord, ClassCopy, ClassForward, ClassBorrow, ClassLend, ClassReturn, ClassSnapshot, ClassControl}
--- a/pkg/peer/mux_test.go
+++ b/pkg/peer/mux_test.go
@@ -78,3 +78,36 @@
 	_, err = stream.Read(make([]byte, 1))
 	c.Assert(err, qt.ErrorMatches, "i/o deadline reached")
 }
+
+// Guards against links that are opened again and again, as each of their connections ends with a message that can't be
+// encoded: an entry of another writer had a text that isn't UTF-8.
+func TestAMessageThatCannotBeEncodedLeavesTheOthers(t *testing.T) {
+	c := qt.New(t)
+	client, server := newMuxPair(t)
+	opened, err := client.Open()
+	c.Assert(err, qt.IsNil)
+	sender := newPipe(opened, &Counters{})
+	accepted, err := server.Accept()
+	c.Assert(err, qt.IsNil)
+	receiver := newPipe(accepted, &Counters{})
+	received := make(chan *peerpb.Message, 3)
+	go func() { _ = receiver.readLoop(func(m *peerpb.Message) { received <- m }) }()
+	odd := &peerpb.Message{Body: &peerpb.Message_Snapshot{Snapshot: &peerpb.Snapshot{Gone: []string{"caf\xe9"}}}}
+	for _, m := range []*peerpb.Message{record("first"), odd, record("last")} {
+		sender.send(m, 10*time.Millisecond)
+	}
+	for range 2 {
+		select {
+		case m := <-received:
+			c.Assert(m.GetSnapshot(), qt.IsNil)
+		case <-time.After(5 * time.Second):
+			c.Fatal("a message is missing")
+		}
+	}
+	c.Assert(sender.counters.NotEncoded(), qt.Equals, uint64(1))
+	select {
+	case <-sender.closed:
+		c.Fatal("the connection has ended")
+	default:
+	}
+}
--- a/pkg/peer/pipe.go
+++ b/pkg/peer/pipe.go
@@ -8,6 +8,7 @@
 
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 )
 
 const (
@@ -96,13 +97,33 @@
 	return batch, 0
 }
 
+// write sends a batch of messages, without those that can't be encoded, such as one with a text that isn't UTF-8.
+// They must not end the connection, which a new one would not mend.
 func (p *pipe) write(out *bufio.Writer, batch []*peerpb.Message) error {
 	n, err := protodelim.MarshalTo(out, &peerpb.Frame{Messages: batch})
-	if err != nil {
+	if err == nil {
+		p.counters.sent(batch, n)
+		return out.Flush()
+	}
+	encodable := encodableOf(batch)
+	if len(encodable) == len(batch) {
 		return err
 	}
-	p.counters.sent(batch, n)
-	return out.Flush()
+	p.counters.notEncoded.Add(uint64(len(batch) - len(encodable)))
+	if len(encodable) == 0 {
+		return nil
+	}
+	return p.write(out, encodable)
+}
+
+func encodableOf(batch []*peerpb.Message) []*peerpb.Message {
+	var encodable []*peerpb.Message
+	for _, m := range batch {
+		if _, err := proto.Marshal(m); err == nil {
+			encodable = append(encodable, m)
+		}
+	}
+	return encodable
 }
 
 // readLoop calls handle for each message until the stream ends.
