cell, node: kept jobs that wait for long move to a cell that has room

Cause: the cell is chosen by the load of the last heartbeat, and no job that waits is moved.

Change: an owner whose queue takes over 1 s returns kept jobs that have waited as long and have not run, while a cell without queued work has room. It counts room that it has granted as taken until the loads show it.

--- a/pkg/cell/kept.go
+++ b/pkg/cell/kept.go
@@ -53,7 +53,11 @@
 // LeavesNoRuns reports whether a job that was returned for a reason has no runs in the cell, so
 // that another cell may start it.
 func LeavesNoRuns(reason string) bool {
-	return reason == ReasonClosed || reason == ReasonNoUsableExecutor || reason == ReasonFailedOnAll
+	switch reason {
+	case ReasonClosed, ReasonNoUsableExecutor, ReasonFailedOnAll, ReasonRoomElsewhere:
+		return true
+	}
+	return false
 }
 
 // noExpiry is used as the lease end of a job that has no lease. Adding durations and clock
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -265,7 +265,7 @@
 // runCells ticks the cells that this node owns and claims cells that lack an
 // owner, until ctx ends.
 func (n *Node) runCells(ctx context.Context) {
-	nextClaim, nextLinks := time.Duration(0), time.Duration(0)
+	nextClaim, nextLinks, nextBalance := time.Duration(0), time.Duration(0), time.Duration(0)
 	for {
 		interval := claimInterval
 		n.updateKeptLeases()
@@ -286,6 +286,10 @@
 			n.dropUnresponsiveFronts(now)
 			nextClaim = now + n.nextClaimDelay()
 		}
+		if now := n.Clock.Now(); now >= nextBalance {
+			n.balanceWaiting(now)
+			nextBalance = now + balanceInterval
+		}
 		n.renewJobs(n.Clock.Now())
 		n.announceOpenJobs(n.Clock.Now())
 		n.announceOwnedJobs(n.Clock.Now())
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -70,6 +70,8 @@
 	takeoverComplete bool     // the executors obey this owner only
 	stopped          bool     // fenced or released: no longer owns the cell
 	announcedTo      []string // the hosts to which its jobs were announced last
+
+	grants []roomGrant // used by runCells only
 }
 
 func newOwner(n *Node, cellName string, token int64, now time.Duration) *owner {
