node: contact with other hosts is looked at ten times a second, by owners only

The lease of kept jobs was renewed at each tick of the cells, 40 times a second, with a view of all hosts each time, and the presence of cells in the list made each domain's division anew for each executor.

--- a/pkg/cell/kept.go
+++ b/pkg/cell/kept.go
@@ -156,11 +156,14 @@
 }
 
 func (c *Cell) lacksExecutor(w *jobState, now time.Duration) bool {
+	if !w.job.Kept || now < w.submittedAt+noFittingExecutorTimeout {
+		return false
+	}
 	timeout := noExecutorTimeout
 	if c.usableAt[w.anyOfService()] == now {
 		timeout = noFittingExecutorTimeout
 	}
-	return w.job.Kept && now >= c.executorSeenAt(w)+timeout && !c.mayHaveUnknownRuns(w, now) && !w.hasRuns()
+	return now >= c.executorSeenAt(w)+timeout && !c.mayHaveUnknownRuns(w, now) && !w.hasRuns()
 }
 
 // executorSeenAt returns when an executor was last usable for a task of a job that may start now, at the earliest
--- a/pkg/node/claims.go
+++ b/pkg/node/claims.go
@@ -71,6 +71,7 @@
 	}
 	n.owners[cellName] = o
 	n.mu.Unlock()
+	n.updateContactAt(now)
 	o.updateKeptLease()
 	n.metrics.OwnershipChanged("claimed")
 	n.Log.Info("cell_claimed", "cell", cellName, "token", token, "former", o.formerOwner)
--- a/pkg/node/kept_lease.go
+++ b/pkg/node/kept_lease.go
@@ -34,9 +34,12 @@
 }
 
 // updateKeptLeases extends the leases of the kept jobs in the cells of this node.
-func (n *Node) updateKeptLeases() {
-	n.updateContactAt(n.Clock.Now())
-	for _, o := range n.allOwners() {
+func (n *Node) updateKeptLeases(now time.Duration) {
+	owners := n.allOwners()
+	if len(owners) > 0 {
+		n.updateContactAt(now)
+	}
+	for _, o := range owners {
 		o.updateKeptLease()
 	}
 }
--- a/pkg/node/listing.go
+++ b/pkg/node/listing.go
@@ -63,13 +63,9 @@
 		revision: executors.Revision, askedAt: askedAt, sizes: sizes, counts: counts,
 		cells: map[string][]catalog.Executor{},
 	}
-	divisions := map[string]ownership.Division{}
+	divisions := divisionsOf(counts)
 	for _, executor := range executors.ByID {
-		division, known := divisions[executor.Domain]
-		if !known {
-			division = ownership.NewDivision(executor.Domain, counts[executor.Domain])
-			divisions[executor.Domain] = division
-		}
+		division := divisions(executor.Domain)
 		name := division.CellOf(executor.Address)
 		if l.cells[name] == nil {
 			l.cells[name] = make([]catalog.Executor, 0, initialCellCapacity(sizes[executor.Domain], division.Count()))
@@ -79,6 +75,19 @@
 	return l
 }
 
+// divisionsOf returns the division of each domain by its number of cells. Each is made once.
+func divisionsOf(counts map[string]int) func(domain string) ownership.Division {
+	divisions := map[string]ownership.Division{}
+	return func(domain string) ownership.Division {
+		division, known := divisions[domain]
+		if !known {
+			division = ownership.NewDivision(domain, counts[domain])
+			divisions[domain] = division
+		}
+		return division
+	}
+}
+
 // initialCellCapacity returns the capacity to allocate for the executors of a cell. It
 // exceeds the mean by a third, since hashing spreads addresses unevenly.
 func initialCellCapacity(size, cells int) int { return size*4/(3*cells) + 1 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -268,7 +268,6 @@
 	nextClaim, nextLinks, nextBalance := time.Duration(0), time.Duration(0), time.Duration(0)
 	for {
 		interval := claimInterval
-		n.updateKeptLeases()
 		switch {
 		case n.tickOwners():
 			interval = tickInterval
@@ -278,6 +277,7 @@
 		if now := n.Clock.Now(); now >= nextClaim {
 			n.resizeCells()
 			n.updateIsolation(now)
+			n.updateKeptLeases(now)
 			n.claimCells(now)
 			n.refreshOwnClaims()
 			n.updateShortOfCapacity()
--- a/pkg/node/presence.go
+++ b/pkg/node/presence.go
@@ -21,8 +21,9 @@
 	l.presence = presence{absentSince: map[string]time.Duration{}, since: now}
 	if retains {
 		l.presence.cells = map[string]bool{}
+		divisions := divisionsOf(l.counts)
 		for _, executor := range list.ByID {
-			l.presence.cells[l.cellOf(&executor)] = true
+			l.presence.cells[divisions(executor.Domain).CellOf(executor.Address)] = true
 		}
 	}
 	if former == nil {
