--- a/pkg/cell/kept.go
+++ b/pkg/cell/kept.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/foxcroft/foxcroft/pkg/catalog"
 	"github.com/foxcroft/foxcroft/pkg/job"
 )
 
@@ -29,27 +28,8 @@
 	// it lives: a coordinator that is isolated with it renews them for 6 s (isolationTimeout in
 	// pkg/keeping), and keptRenewalTimeout and a job lease follow.
 	keptRunsEndWithin = 16 * time.Second
-	// noExecutorTimeout is how long a kept job waits in a cell without a usable executor of
-	// its service. It is longer than most interruptions of all executors, as by a takeover.
-	noExecutorTimeout = 3 * time.Second
-	// noFittingExecutorTimeout is the same while others are usable, but none can run the job's
-	// next tasks. It is longer than most ejections, and shorter than the time for which users let
-	// a job stand still beside idle executors, 3 s.
-	noFittingExecutorTimeout = 1500 * time.Millisecond
 )
 
-// ReasonNoUsableExecutor marks a kept job that was returned to its front because no executor here
-// can run it. It has no runs here, so any other cell may start it at once.
-const ReasonNoUsableExecutor = "no_usable_executor"
-
-// ReasonFailedOnAll marks a kept job that was returned to its front because a task with one attempt left has failed
-// on all suitable executors here. It has no runs here either.
-const ReasonFailedOnAll = "failed_on_all_targets"
-
-// LastAttemptPause is how long a task that has failed on all suitable executors, of whichever cell, waits before its
-// last attempt. These may fail all that they start for some seconds; users let a job stand still for 3 s.
-const LastAttemptPause = 2 * time.Second
-
 // LeavesNoRuns reports whether a job that was returned for a reason has no runs in the cell, so
 // that another cell may start it.
 func LeavesNoRuns(reason string) bool {
@@ -97,136 +77,6 @@
 	return now < w.lostOwnerUntil && !c.adoptedFor(w)
 }
 
-// recordUsable records which tasks of the kept jobs here have a usable executor, by what they require, and which
-// of their services have any.
-func (c *Cell) recordUsable(now time.Duration) {
-	usableAt := make(map[catalog.Requirement]time.Duration, len(c.usableAt))
-	record := func(r catalog.Requirement) {
-		if _, recorded := usableAt[r]; recorded {
-			return
-		}
-		usableAt[r] = c.usableAt[r]
-		if slices.ContainsFunc(c.sorted, func(e *executor) bool { return e.usable(now) && e.info.Meets(r) }) {
-			usableAt[r] = now
-		}
-	}
-	for _, w := range c.jobs {
-		if !w.job.Kept {
-			continue
-		}
-		record(w.anyOfService())
-		for step, tasks := range w.steps {
-			if slices.ContainsFunc(tasks, (*task).isWaiting) {
-				record(w.requirement(step))
-			}
-		}
-	}
-	c.usableAt = usableAt
-}
-
-// anyOfService returns the requirement that all executors of the job's service meet.
-func (w *jobState) anyOfService() catalog.Requirement {
-	return catalog.Requirement{Service: w.job.Service}
-}
-
-// requirement returns what a task of a step needs of an executor.
-func (w *jobState) requirement(step int) catalog.Requirement {
-	return catalog.RequirementOf(w.job, step)
-}
-
-// returnWithoutExecutor returns to their fronts the kept jobs without runs for whose next tasks there has been
-// no usable executor for too long.
-func (c *Cell) returnWithoutExecutor(now time.Duration) {
-	for _, w := range c.jobsWithoutExecutor(now) {
-		c.addNotice(Notice{Event: "job_stranded", Job: w.job.ID, Age: now - c.executorSeenAt(w)})
-		c.returnJob(w, ReasonNoUsableExecutor)
-	}
-}
-
-// jobsWithoutExecutor lists these jobs, sorted by id.
-func (c *Cell) jobsWithoutExecutor(now time.Duration) []*jobState {
-	var jobs []*jobState
-	for _, w := range c.jobs {
-		if c.lacksExecutor(w, now) {
-			jobs = append(jobs, w)
-		}
-	}
-	sortByID(jobs)
-	return jobs
-}
-
-func (c *Cell) lacksExecutor(w *jobState, now time.Duration) bool {
-	if !w.job.Kept || now < w.submittedAt+noFittingExecutorTimeout {
-		return false
-	}
-	timeout := noExecutorTimeout
-	if c.usableAt[w.anyOfService()] == now {
-		timeout = noFittingExecutorTimeout
-	}
-	return now >= c.executorSeenAt(w)+timeout && !c.mayHaveUnknownRuns(w, now) && !w.hasRuns()
-}
-
-// executorSeenAt returns when an executor was last usable for a task of a job that may start now, at the earliest
-// when the job came.
-func (c *Cell) executorSeenAt(w *jobState) time.Duration {
-	seenAt := w.submittedAt
-	for step, tasks := range w.steps {
-		if w.stepReady(step) && slices.ContainsFunc(tasks, (*task).isWaiting) {
-			seenAt = max(seenAt, c.usableAt[w.requirement(step)])
-		}
-	}
-	return seenAt
-}
-
-// retryAnywhere lets a task of a kept job start again where it has failed, once it has failed on all suitable
-// executors except those on probation. A kept job has no deadline that would end its wait for another executor.
-// The last attempt comes later than the others.
-func (c *Cell) retryAnywhere(w *jobState, t *task, now time.Duration) {
-	if !w.job.Kept {
-		return
-	}
-	if c.anyExecutorFor(w.requirement(t.key.Step), func(e *executor) bool { return e.isOffProbation() && !t.hasFailedOn(e) }) {
-		t.failedOnAllAt = 0
-		return
-	}
-	if t.failedOnAllAt == 0 {
-		t.failedOnAllAt = now
-	}
-	if w.isAtLastAttempt(t) && now < t.failedOnAllAt+LastAttemptPause {
-		w.failedOnAll = true
-		return
-	}
-	t.failedOn, t.failedOnAllAt = nil, 0
-	c.dirty = true
-}
-
-// isAtLastAttempt reports whether another failure of a task would fail its job.
-func (w *jobState) isAtLastAttempt(t *task) bool {
-	return t.failures.count > 0 && t.failures.count+1 >= w.job.MaxAttempts
-}
-
-// returnFailedOnAll returns to their fronts the kept jobs without runs that have a task which has failed on all
-// suitable executors here, and has one attempt left. Executors of another cell may be sound.
-func (c *Cell) returnFailedOnAll(now time.Duration) {
-	var jobs []*jobState
-	for _, w := range c.jobs {
-		w.failedOnAll = w.failedOnAll && w.hasFailedOnAll()
-		if w.failedOnAll && !c.mayHaveUnknownRuns(w, now) && !w.hasRuns() {
-			jobs = append(jobs, w)
-		}
-	}
-	sortByID(jobs)
-	for _, w := range jobs {
-		c.addNotice(Notice{Event: "job_failed_on_all", Job: w.job.ID, Age: now - w.submittedAt})
-		c.returnJob(w, ReasonFailedOnAll)
-	}
-}
-
-// hasFailedOnAll reports whether a waiting task has failed on all suitable executors and has one attempt left.
-func (w *jobState) hasFailedOnAll() bool {
-	return slices.ContainsFunc(w.waitingTasks(), func(t *task) bool { return t.failedOnAllAt > 0 && w.isAtLastAttempt(t) })
-}
-
 // isWaiting reports whether no task of the job has started. A kept job that a former owner had
 // counts as waiting unless a task is known to have started.
 func (w *jobState) isWaiting() bool {
--- a/pkg/keeping/awaiting_cell.go
+++ b/pkg/keeping/awaiting_cell.go
@@ -12,15 +12,15 @@
 	waitsForRelease   = "may_run_in_cell"   // it is not proven that nothing of the job can start there
 )
 
-// noteWait records that the job waits since a time to leave a cell, and logs why each time that what the
-// cell lacks to be vacant changes.
-func (f *follower) noteWait(since, now time.Duration, cell, reason, lacks string) {
-	if now < since+loggedCellWait || f.awaitsCell.Swap(true) && f.lacks == lacks {
+// noteWait records that the job waits since a time to leave a cell, and logs why, again whenever another obstacle
+// keeps the cell from being vacant.
+func (f *follower) noteWait(since, now time.Duration, cell, reason, obstacle string) {
+	if now < since+loggedCellWait || f.awaitsCell.Swap(true) && f.obstacle == obstacle {
 		return
 	}
-	f.lacks = lacks
+	f.obstacle = obstacle
 	f.service().Log.Warn("kept_awaits_cell", "job", f.record.ID, "cell", cell, "to", f.record.Cell, "reason", reason,
-		"since_ms", (now - since).Milliseconds(), "lacks", lacks)
+		"since_ms", (now - since).Milliseconds(), "obstacle", obstacle)
 }
 
 // AwaitingCell returns the number of jobs followed here that have waited for long to leave their
--- a/pkg/keeping/fakes_test.go
+++ b/pkg/keeping/fakes_test.go
@@ -187,7 +187,7 @@
 
 func (h *fakeHost) IsUnmeetable(*job.Job) bool { return h.unmeetable.Load() }
 
-func (h *fakeHost) LacksVacancy(cell string) string {
+func (h *fakeHost) VacancyObstacle(cell string) string {
 	h.cells.mu.Lock()
 	defer h.cells.mu.Unlock()
 	if h.cells.vacant[cell] {
--- a/pkg/keeping/follow.go
+++ b/pkg/keeping/follow.go
@@ -44,7 +44,7 @@
 	ended          chan struct{} // closed when the end of the job is stored
 	ownerlessSince time.Duration // since when its cell has had no reachable owner; 0 while it has one
 
-	lacks           string        // what the cell that it waits to leave lacks to be vacant, as logged last
+	obstacle        string        // why the cell that it waits to leave is not vacant, as logged last
 	formerOwnerless time.Duration // since when the cell that the job was moved from is known to have had no reachable owner
 
 	stopped   atomic.Bool // it waits for its replacement or has ended
@@ -156,7 +156,7 @@
 		f.confirmReleased(ctx, now)
 		return false
 	}
-	f.ownerlessSince, f.lacks = 0, ""
+	f.ownerlessSince, f.obstacle = 0, ""
 	f.awaitsCell.Store(false)
 	return true
 }
@@ -181,11 +181,11 @@
 // owner since a time. Otherwise it notes that the job waits for that, and for which reason.
 func (f *follower) hasVacated(cell string, since, now time.Duration, reason string) bool {
 	host := f.service().host
-	lacks := host.LacksVacancy(cell)
-	if lacks == "" || now > since+cellRemovalDelay && host.CellRemoved(cell) {
+	obstacle := host.VacancyObstacle(cell)
+	if obstacle == "" || now > since+cellRemovalDelay && host.CellRemoved(cell) {
 		return true
 	}
-	f.noteWait(since, now, cell, reason, lacks)
+	f.noteWait(since, now, cell, reason, obstacle)
 	return false
 }
 
--- a/pkg/keeping/isolation.go
+++ b/pkg/keeping/isolation.go
@@ -12,9 +12,10 @@
 // An isolated host may follow a job whose cell the others consider removed. Owners drop a
 // kept job some seconds after the last coordinator has asked for it, and leases end soon
 // after that. So a coordinator that reaches less than half of the hosts, and has had no
-// answer from the store for isolationTimeout, stops dispatching. The others wait for
-// cellRemovalDelay, which is longer than isolationTimeout, the owner's delay and a lease
-// together (6 s + 8 s + 1.5 s), before they move a job to another cell.
+// answer from the store for isolationTimeout, stops dispatching. Before the others move a job
+// to another cell they wait until its own is vacant (Host.VacancyObstacle), or, where hosts of
+// earlier builds may own it, for cellRemovalDelay, which is longer than isolationTimeout, the
+// owner's delay and a lease together (6 s + 8 s + 1.5 s).
 const (
 	isolationTimeout = 6 * time.Second
 	cellRemovalDelay = 18 * time.Second
--- a/pkg/keeping/service.go
+++ b/pkg/keeping/service.go
@@ -121,11 +121,11 @@
 	// true only at a host that can read the store and reaches more than half of the
 	// expected hosts.
 	CellRemoved(cell string) bool
-	// LacksVacancy returns what a cell lacks to be vacant, for logs; empty if it is vacant. Then nothing
-	// of a kept job can run or start there until a host claims it again: the store has listed none of
+	// VacancyObstacle returns why a cell isn't vacant, for logs; empty if it is. Then nothing of a kept
+	// job can run or start there until a host claims it again: the store has listed none of
 	// its executors for long, and no owner of it can be alive that still lets runs of kept jobs go on.
 	// It is empty only at a host that reaches more than half of the expected hosts.
-	LacksVacancy(cell string) string
+	VacancyObstacle(cell string) string
 	Successors
 	// OwnersChanged returns a channel that is closed when owners may have changed.
 	OwnersChanged() <-chan struct{}
--- a/pkg/node/vacancy.go
+++ b/pkg/node/vacancy.go
@@ -95,7 +95,7 @@
 	return last, true
 }
 
-// What a cell lacks to be vacant.
+// Why a cell isn't vacant.
 const (
 	listNotRead       = "list_not_read"
 	executorsListed   = "executors_listed"
@@ -107,8 +107,8 @@
 	ownerSeenRecently = "owner_seen_recently"
 )
 
-// LacksVacancy implements keeping.Host.
-func (h *keptHost) LacksVacancy(cell string) string {
+// VacancyObstacle implements keeping.Host.
+func (h *keptHost) VacancyObstacle(cell string) string {
 	n := h.node
 	listing := n.executors.Load()
 	now := n.Clock.Now()
--- a/pkg/node/vacancy_test.go
+++ b/pkg/node/vacancy_test.go
@@ -37,7 +37,7 @@
 
 // Guards against jobs that wait for long in a cell that is lost, and against those that leave one whose owner
 // may be alive and let their runs go on.
-func TestWhatACellLacksToBeVacant(t *testing.T) {
+func TestWhyACellIsNotVacant(t *testing.T) {
 	type scenario struct {
 		testName  string
 		absentFor time.Duration // 0: its executors are listed
@@ -95,7 +95,7 @@
 			for i := range s.expected {
 				n.members.AddAddresses([]string{"10.9.0." + string(rune('1'+i)) + ":1"}, now)
 			}
-			c.Assert((&keptHost{node: n}).LacksVacancy("z"), qt.Equals, s.want)
+			c.Assert((&keptHost{node: n}).VacancyObstacle("z"), qt.Equals, s.want)
 		})
 	}
 }
