node: a restarted owner counts as lost, and a released cell waits for its leases

By reading: a cell whose owner had been killed and was back at once, as another incarnation, counted as released by it, within the 1.04 s for which executors may hold leases of the former one; so did one that was left to another owner. Each needs executors that have left the list for 3.5 s and run on.

Change: sightings name the incarnation; an owner that is reached has released the cell once its leases have ended, 1.25 s later.

Rows of TestWhyACellIsNotVacant: the owner has restarted, or released it a moment ago, another host tells that this one owns it.

--- a/pkg/node/claims.go
+++ b/pkg/node/claims.go
@@ -6,6 +6,9 @@
 	"github.com/foxcroft/foxcroft/pkg/ownership"
 )
 
+// reasonCellGone is the reason for the release of a cell that no longer exists and has no jobs or runs.
+const reasonCellGone = "cell_is_gone"
+
 // claimCells claims the cells that this node should own now.
 func (n *Node) claimCells(now time.Duration) {
 	listing := n.executors.Load()
@@ -92,7 +95,7 @@
 		case domain != n.settings.Domain && n.domainHasNodes(domain):
 			n.release(o, "domain_is_back")
 		case !exists && !o.busy():
-			n.release(o, "cell_is_gone")
+			n.release(o, reasonCellGone)
 		}
 	}
 }
@@ -115,6 +118,7 @@
 		delete(n.owners, o.cell)
 	}
 	n.claims.SetClaims(n.settings.PeerAddress, nil)
+	n.sightings.recordRelease(o.cell, n.settings.PeerAddress, n.inc, reason == reasonCellGone, n.Clock.Now())
 	n.mu.Unlock()
 	n.metrics.OwnershipChanged(reason)
 	n.Log.Info("cell_released", "cell", o.cell, "token", o.token, "reason", reason)
--- a/pkg/node/heartbeat_handling.go
+++ b/pkg/node/heartbeat_handling.go
@@ -82,7 +82,7 @@
 	newNeighbour := n.members.AddAddresses(dialable(heartbeat.Neighbours, n.settings.PeerAddress), now)
 	changes.addresses = newOwner || newNeighbour
 	n.listReaders[address] = heartbeat.ReadsList
-	n.sightings.record(&p, heartbeat, n.isUp, now)
+	n.sightings.record(&p, heartbeat, n.reachedAt, now)
 	if p.Domain != n.settings.Domain {
 		return changes, true
 	}
--- a/pkg/node/vacancy.go
+++ b/pkg/node/vacancy.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/member"
+	"github.com/foxcroft/foxcroft/pkg/once"
 	"github.com/foxcroft/foxcroft/pkg/ownership"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
 )
@@ -39,8 +40,9 @@
 }
 
 type ownerSighting struct {
-	address string
-	at      time.Duration
+	address     string
+	incarnation once.Incarnation // zero when it is unknown
+	at          time.Duration
 }
 
 type hostSighting struct {
@@ -53,20 +55,30 @@
 	return sightings{owners: map[string]ownerSighting{}, hosts: map[string]hostSighting{}}
 }
 
-// record records what a heartbeat of a peer shows. Of owners to which this host has links itself, the word
-// of others doesn't count: they may not have noticed yet that these are lost.
-func (s *sightings) record(p *member.Peer, heartbeat *peerpb.Heartbeat, hasLink func(address string) bool, now time.Duration) {
+// record records what a heartbeat of a peer shows. Of owners that this host reaches itself, the word of others
+// doesn't count: they may not have noticed yet that these are lost, or have released the cell.
+func (s *sightings) record(p *member.Peer, heartbeat *peerpb.Heartbeat, reachedAt func(address string) (member.Peer, bool), now time.Duration) {
 	s.hosts[p.Address] = hostSighting{domain: p.Domain, at: now, limitsKeptRuns: p.LimitsKeptRuns}
 	for _, claim := range heartbeat.Cells {
-		s.owners[claim.Cell] = ownerSighting{address: p.Address, at: now}
+		s.owners[claim.Cell] = ownerSighting{address: p.Address, incarnation: p.Incarnation, at: now}
 	}
 	for _, reported := range heartbeat.Owners {
-		if !hasLink(reported.Owner) {
+		if _, isReached := reachedAt(reported.Owner); !isReached {
 			s.owners[reported.Cell] = ownerSighting{address: reported.Owner, at: now}
 		}
 	}
 }
 
+// recordRelease records that this host has released a cell. If it has left runs there, or another owner has fenced it,
+// the cell counts as that of a lost owner.
+func (s *sightings) recordRelease(cell, self string, inc once.Incarnation, isIdle bool, now time.Duration) {
+	released := ownerSighting{address: self, at: now}
+	if isIdle {
+		released.incarnation = inc
+	}
+	s.owners[cell] = released
+}
+
 // expireSightings removes old sightings.
 func (n *Node) expireSightings(now time.Duration) {
 	n.mu.Lock()
@@ -75,24 +87,31 @@
 	maps.DeleteFunc(n.sightings.hosts, func(_ string, seen hostSighting) bool { return now > seen.at+sightingRetention })
 }
 
-// lastOf returns the last sign of life of an owner of a cell, or of a host that may have become its owner:
-// one of the cell's domain. Those that this host reaches tell it that they don't own the cell. It reports false
-// if a host that was seen lets kept runs go on for longer, as those of earlier builds do.
-func (s *sightings) lastOf(cell string, isReached func(address string) bool) (time.Duration, bool) {
-	var last time.Duration
-	if owner := s.owners[cell]; !isReached(owner.address) {
-		last = owner.at
+// sightingBounds are how long after its last sighting the runs of an owner may be alive.
+type sightingBounds struct {
+	released time.Duration // if it is reached, and has released the cell: their leases end
+	lost     time.Duration // if it isn't
+}
+
+// runsEndBy returns when all kept runs in a cell without an owner have ended: those of its last owner, and those of
+// hosts of its domain that this host doesn't reach, which may have become its owner. It reports false if a host that
+// was seen lets kept runs go on for longer, as those of earlier builds do.
+func (s *sightings) runsEndBy(cell string, bounds sightingBounds, reachedAt func(address string) (member.Peer, bool)) (time.Duration, bool) {
+	owner := s.owners[cell]
+	endBy := owner.at + bounds.lost
+	if peer, isReached := reachedAt(owner.address); isReached && peer.Incarnation == owner.incarnation {
+		endBy = owner.at + bounds.released
 	}
 	domain := ownership.DomainOf(cell)
 	for address, seen := range s.hosts {
 		if !seen.limitsKeptRuns {
 			return 0, false
 		}
-		if seen.domain == domain && !isReached(address) {
-			last = max(last, seen.at)
+		if _, isReached := reachedAt(address); seen.domain == domain && !isReached {
+			endBy = max(endBy, seen.at+bounds.lost)
 		}
 	}
-	return last, true
+	return endBy, true
 }
 
 // Why a cell isn't vacant.
@@ -129,18 +148,21 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	last, isBounded := n.sightings.lastOf(cell, n.isUp)
+	bounds := sightingBounds{released: n.settleTime(), lost: n.keptRunsBound()}
+	endBy, isBounded := n.sightings.runsEndBy(cell, bounds, n.reachedAt)
 	switch {
 	case !isBounded:
 		return hostsOfOtherBuild
-	case now <= last+n.keptRunsBound():
+	case now <= endBy:
 		return ownerSeenRecently
 	}
 	return ""
 }
 
-// isUp reports whether the link to a host is up. n.mu is held.
-func (n *Node) isUp(address string) bool {
-	_, up := n.members.UpAt(address)
-	return up
+// reachedAt returns the host at an address, if it is this one or the link to it is up. n.mu is held.
+func (n *Node) reachedAt(address string) (member.Peer, bool) {
+	if address == n.settings.PeerAddress {
+		return member.Peer{Address: address, Domain: n.settings.Domain, Incarnation: n.inc}, true
+	}
+	return n.members.UpAt(address)
 }
--- a/pkg/node/vacancy_test.go
+++ b/pkg/node/vacancy_test.go
@@ -32,7 +32,9 @@
 	otherBuild  bool
 	otherDomain bool
 	ownsCell    bool
+	restarted   bool // it is reached in another incarnation
 	tellsOwner  bool // of the cell: a host to which this one has no link
+	tellsSelf   bool // that this host owns the cell
 }
 
 // Guards against jobs that wait for long in a cell that is lost, and against those that leave one whose owner
@@ -50,7 +52,8 @@
 		want      string
 	}
 	const long = 30 * time.Second
-	bound := newTestNode(qt.New(t), &fakeStore{}).keptRunsBound()
+	anyNode := newTestNode(qt.New(t), &fakeStore{})
+	bound, released := anyNode.keptRunsBound(), anyNode.settleTime()+10*time.Millisecond
 	lost := sighted{ago: bound + time.Second, ownsCell: true}
 	scenarios := []scenario{
 		{testName: "its executors are listed", hosts: []sighted{lost}, want: executorsListed},
@@ -59,11 +62,15 @@
 		{testName: "it has an owner", absentFor: long, isOwned: true, want: owned},
 		{testName: "its owner was lost lately", absentFor: long, hosts: []sighted{{ago: bound - time.Second, ownsCell: true}}, want: ownerSeenRecently},
 		{testName: "its owner was lost long ago", absentFor: long, hosts: []sighted{lost}},
-		{testName: "its owner has released it", absentFor: long, hosts: []sighted{{ago: time.Second, isReached: true, ownsCell: true}}},
+		{testName: "its owner has released it", absentFor: long, hosts: []sighted{{ago: released, isReached: true, ownsCell: true}}},
+		{testName: "its owner has released it a moment ago", absentFor: long, hosts: []sighted{{ago: 100 * time.Millisecond, isReached: true, ownsCell: true}}, want: ownerSeenRecently},
+		{testName: "its owner has restarted", absentFor: long, hosts: []sighted{{ago: released, isReached: true, restarted: true, ownsCell: true}}, want: ownerSeenRecently},
+		{testName: "its owner has restarted long ago", absentFor: long, hosts: []sighted{{ago: bound + time.Second, isReached: true, restarted: true, ownsCell: true}}},
 		{testName: "another host of its domain was lost lately", absentFor: long, hosts: []sighted{lost, {ago: time.Second}}, want: ownerSeenRecently},
 		{testName: "another host of its domain is reached", absentFor: long, hosts: []sighted{lost, {ago: time.Second, isReached: true}}},
 		{testName: "a host of another domain was lost lately", absentFor: long, hosts: []sighted{lost, {ago: time.Second, otherDomain: true}}},
 		{testName: "another host tells of an owner", absentFor: long, hosts: []sighted{lost, {ago: time.Second, isReached: true, otherDomain: true, tellsOwner: true}}, want: ownerSeenRecently},
+		{testName: "another host tells that this one owns it", absentFor: long, hosts: []sighted{lost, {ago: time.Second, isReached: true, otherDomain: true, tellsSelf: true}}},
 		{testName: "a host of an earlier build was seen", absentFor: long, hosts: []sighted{lost, {ago: long, otherDomain: true, otherBuild: true}}, want: hostsOfOtherBuild},
 		{testName: "this host has started lately", absentFor: long, uptime: bound - time.Second, want: ownerSeenRecently},
 		{testName: "most hosts are out of reach", absentFor: long, hosts: []sighted{lost}, expected: 3, want: fewHostsReached},
@@ -111,10 +118,16 @@
 	if h.ownsCell {
 		heartbeat.Cells = []*peerpb.CellLoad{{Cell: "z"}}
 	}
+	if h.tellsSelf {
+		heartbeat.Owners = []*peerpb.CellOwner{{Cell: "z", Owner: n.settings.PeerAddress}}
+	}
 	if h.tellsOwner {
 		heartbeat.Owners = []*peerpb.CellOwner{{Cell: "z", Owner: "10.7.0.1:1"}}
 	}
-	n.sightings.record(&p, heartbeat, n.isUp, now-h.ago)
+	n.sightings.record(&p, heartbeat, n.reachedAt, now-h.ago)
+	if h.restarted {
+		p.Incarnation[1]++
+	}
 	if h.isReached {
 		n.members.LinkUp(p)
 	}
