--- a/pkg/cell/explore_kept_resize_test.go
+++ b/pkg/cell/explore_kept_resize_test.go
@@ -183,7 +183,7 @@
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
 			var found []string
-			exploreKept(40, func(w *keptWorld) {
+			exploreKept(100, func(w *keptWorld) {
 				w.resizes = true
 				s.remove(w)
 			}, func(w *keptWorld) { found = append(found, w.violations...) })
