cell, node: one place each for three questions that the change asked twice

Whether any task of a step waits (anyWaiting, three uses), whether this host sees a majority (seesMajority, also CellRemoved), and the open claims beside a cell (openClaimsBeside, two uses). No change of behaviour.

Checked: tests of pkg/cell and pkg/node, staticcheck on both, TestSoakKeptJobsOfALostDomain and TestSoakABurstOfKeptJobsUsesAllDomains, one run each.

--- a/pkg/cell/job_state.go
+++ b/pkg/cell/job_state.go
@@ -170,9 +170,12 @@
 
 // hasWaitingTask reports whether a task is neither done nor started, though steps before it may have to be done first.
 func (w *jobState) hasWaitingTask() bool {
-	return slices.ContainsFunc(w.steps, func(tasks []*task) bool { return slices.ContainsFunc(tasks, (*task).isWaiting) })
+	return slices.ContainsFunc(w.steps, anyWaiting)
 }
 
+// anyWaiting reports whether any of some tasks is neither done nor started.
+func anyWaiting(tasks []*task) bool { return slices.ContainsFunc(tasks, (*task).isWaiting) }
+
 func (w *jobState) allDone() bool {
 	for _, tasks := range w.steps {
 		for _, t := range tasks {
--- a/pkg/cell/stranded.go
+++ b/pkg/cell/stranded.go
@@ -42,7 +42,7 @@
 		}
 		record(w.anyOfService())
 		for step, tasks := range w.steps {
-			if slices.ContainsFunc(tasks, (*task).isWaiting) {
+			if anyWaiting(tasks) {
 				record(w.requirement(step))
 			}
 		}
@@ -97,7 +97,7 @@
 func (c *Cell) executorSeenAt(w *jobState) time.Duration {
 	seenAt := w.submittedAt
 	for step, tasks := range w.steps {
-		if w.stepReady(step) && slices.ContainsFunc(tasks, (*task).isWaiting) {
+		if w.stepReady(step) && anyWaiting(tasks) {
 			seenAt = max(seenAt, c.usableAt[w.requirement(step)])
 		}
 	}
--- a/pkg/node/balancing.go
+++ b/pkg/node/balancing.go
@@ -53,8 +53,8 @@
 func (n *Node) idleClaimsBeside(cell string) []ownership.Claim {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return slices.DeleteFunc(n.openClaims(), func(claim ownership.Claim) bool {
-		return claim.Cell == cell || !claim.Load.Ready || claim.Load.QueuedWork > 0
+	return slices.DeleteFunc(n.openClaimsBeside(cell), func(claim ownership.Claim) bool {
+		return !claim.Load.Ready || claim.Load.QueuedWork > 0
 	})
 }
 
--- a/pkg/node/closures.go
+++ b/pkg/node/closures.go
@@ -54,6 +54,11 @@
 	return slices.DeleteFunc(n.claims.Owned(), n.closed)
 }
 
+// openClaimsBeside returns those on other cells than one. n.mu is held.
+func (n *Node) openClaimsBeside(cell string) []ownership.Claim {
+	return slices.DeleteFunc(n.openClaims(), func(claim ownership.Claim) bool { return claim.Cell == cell })
+}
+
 // noOpenOwnerReachable reports whether a job should not wait for an owner: this node's domain is
 // closed, and no owner of an open domain is reachable.
 func (n *Node) noOpenOwnerReachable() bool {
--- a/pkg/node/kept_host.go
+++ b/pkg/node/kept_host.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -128,8 +127,7 @@
 	n := h.node
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	others := slices.DeleteFunc(n.openClaims(), func(claim ownership.Claim) bool { return claim.Cell == cell })
-	claim, ok := n.chooseAmong(others, j, progress)
+	claim, ok := n.chooseAmong(n.openClaimsBeside(cell), j, progress)
 	return claim.Cell, ok
 }
 
@@ -186,6 +184,11 @@
 	if _, listed := listing.cells[cell]; listed {
 		return false
 	}
+	return h.seesMajority()
+}
+
+// seesMajority reports whether this host reaches more than half of the expected hosts.
+func (h *keptHost) seesMajority() bool {
 	reachable, expected := h.reachableHosts()
 	return 2*reachable > expected
 }
--- a/pkg/node/vacancy.go
+++ b/pkg/node/vacancy.go
@@ -143,7 +143,7 @@
 	case h.HasOwner(cell):
 		return owned
 	}
-	if reachable, expected := h.reachableHosts(); 2*reachable <= expected {
+	if !h.seesMajority() {
 		return fewHostsReached
 	}
 	n.mu.Lock()
