--- a/pkg/keeping/attempts_test.go
+++ b/pkg/keeping/attempts_test.go
@@ -60,10 +60,7 @@
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
 			c := qt.New(t)
-			host := newFakeHost()
-			service := startService(t.Cleanup, host, newFakeStore())
-			service.Keep(context.Background(), testJob("a"))
-			first := within(c, host.dispatches)
+			host, _, first := keepOne(c, t.Cleanup)
 			host.cells.change(func(f *fakeCells) { f.chosen = s.chosen })
 			failed := job.Progress{Failures: 2, FailedRuns: []int64{500, 501}, Run: 501}
 			returnedAt := time.Now()
--- a/pkg/keeping/fakes_test.go
+++ b/pkg/keeping/fakes_test.go
@@ -14,6 +14,7 @@
 	"github.com/foxcroft/foxcroft/pkg/job"
 	"github.com/foxcroft/foxcroft/pkg/kept"
 	"github.com/foxcroft/foxcroft/pkg/tables"
+	qt "github.com/frankban/quicktest"
 )
 
 // fakeStore is an in-memory store.
@@ -238,6 +239,14 @@
 	return append(runs, h.stillRunning...), ok && !h.noOwner
 }
 
+// keepOne returns a service that follows a job, its node, and the job's first dispatch.
+func keepOne(c *qt.C, cleanup func(func())) (*fakeHost, *Service, fakeDispatch) {
+	host := newFakeHost()
+	service := startService(cleanup, host, newFakeStore())
+	service.Keep(context.Background(), testJob("a"))
+	return host, service, within(c, host.dispatches)
+}
+
 // startService runs a service until the test ends.
 func startService(cleanup func(func()), host *fakeHost, store tables.Store) *Service {
 	s := NewService(common.NewTestCommon(), host, store, host)
--- a/pkg/keeping/handover_test.go
+++ b/pkg/keeping/handover_test.go
@@ -40,10 +40,7 @@
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
 			c := qt.New(t)
-			host := newFakeHost()
-			service := startService(t.Cleanup, host, newFakeStore())
-			service.Keep(context.Background(), testJob("a"))
-			first := within(c, host.dispatches)
+			host, _, first := keepOne(c, t.Cleanup)
 			host.cells.change(divide("x/2.0", "x/2.1"))
 			first.end <- s.outcome
 			next := within(c, host.dispatches)
@@ -85,10 +82,7 @@
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
 			c := qt.New(t)
-			host := newFakeHost()
-			service := startService(t.Cleanup, host, newFakeStore())
-			service.Keep(context.Background(), testJob("a"))
-			first := within(c, host.dispatches)
+			host, service, first := keepOne(c, t.Cleanup)
 			host.cells.change(divide("x/2.0", "x/2.1"))
 			host.cells.change(s.missing)
 			first.end <- fenced()
@@ -106,10 +100,7 @@
 // isn't started again.
 func TestAJobIsDispatchedWithTheEndsAtOtherNewCells(t *testing.T) {
 	c := qt.New(t)
-	host := newFakeHost()
-	service := startService(t.Cleanup, host, newFakeStore())
-	service.Keep(context.Background(), testJob("a"))
-	first := within(c, host.dispatches)
+	host, _, first := keepOne(c, t.Cleanup)
 	done := job.Progress{Key: job.TaskKey{Index: 1}, Done: true, Run: 501}
 	host.cells.change(divide("x/2.0", "x/2.1"))
 	host.cells.change(func(f *fakeCells) { f.ends = []job.Progress{done} })
@@ -120,10 +111,7 @@
 // A cell that is claimed again before the job has left it keeps the job.
 func TestAJobReturnsToItsCellIfItRunsThere(t *testing.T) {
 	c := qt.New(t)
-	host := newFakeHost()
-	service := startService(t.Cleanup, host, newFakeStore())
-	service.Keep(context.Background(), testJob("a"))
-	first := within(c, host.dispatches)
+	host, _, first := keepOne(c, t.Cleanup)
 	host.cells.change(divide("x/2.0", "x/2.1"))
 	host.cells.change(func(f *fakeCells) { f.unadopted = map[string]bool{"x/2.1": true} })
 	first.end <- fenced()
@@ -154,10 +142,7 @@
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
 			c := qt.New(t)
-			host := newFakeHost()
-			service := startService(t.Cleanup, host, newFakeStore())
-			service.Keep(context.Background(), testJob("a"))
-			first := within(c, host.dispatches)
+			host, service, first := keepOne(c, t.Cleanup)
 			c.Assert(service.Waiting()["route"], qt.Equals, 0, qt.Commentf("its owner counts it"))
 			host.cells.change(func(f *fakeCells) { f.ownerless = map[string]bool{"x": true} })
 			first.end <- s.outcome
--- a/pkg/keeping/vacancy_test.go
+++ b/pkg/keeping/vacancy_test.go
@@ -1,7 +1,6 @@
 package keeping
 
 import (
-	"context"
 	"testing"
 	"time"
 
@@ -24,10 +23,7 @@
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
 			c := qt.New(t)
-			host := newFakeHost()
-			service := startService(t.Cleanup, host, newFakeStore())
-			service.Keep(context.Background(), testJob("a"))
-			first := within(c, host.dispatches)
+			host, _, first := keepOne(c, t.Cleanup)
 			host.cells.change(func(f *fakeCells) {
 				f.ownerless, f.vacant = map[string]bool{"x": true}, map[string]bool{"x": true}
 				f.chosen = "y"
