--- /dev/null
+++ b/review/trial/mix.go
@@ -0,0 +1,437 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/foxcroft/foxcroft/platform/standin"
+)
+
+const (
+	mixCase   = 24 * time.Second // of traffic
+	mixAt     = 6 * time.Second
+	finishS   = 14 * time.Second
+	visibleMS = 3 * time.Second
+)
+
+// mix plays jobs that are to be kept beside the disruptions that EVENTS names, at a time drawn by SEED.
+func mix(w *world, trouble bool) bool {
+	w.start([]int{2, 2, 2}, []int{4, 4, 4})
+	seed, _ := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
+	random := rand.New(rand.NewPCG(seed, 9))
+	t := &traffic{w: w}
+	m := &mixture{traffic: t, random: rand.New(rand.NewPCG(seed, 10))}
+	stop := make(chan struct{})
+	watched := make(chan bool)
+	go func() { watched <- t.watchStandstill(stop) }()
+	var group sync.WaitGroup
+	group.Go(m.run)
+	time.Sleep(mixAt)
+	if trouble {
+		for _, name := range strings.Split(os.Getenv("EVENTS"), ",") {
+			event := events[name]
+			if event == nil {
+				panic("no event " + name)
+			}
+			group.Go(func() { event(w, random) })
+			time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
+		}
+	}
+	group.Wait()
+	broken := m.finish()
+	close(stop)
+	return <-watched || broken
+}
+
+// disrupt notes a disruption, which is in force until the function that it returns is called.
+func (w *world) disrupt(format string, args ...any) func() {
+	w.note("disruption: "+format, args...)
+	w.calmMu.Lock()
+	w.inForce++
+	w.calmMu.Unlock()
+	return func() {
+		w.calmMu.Lock()
+		w.inForce--
+		w.calmSince = time.Now()
+		w.calmMu.Unlock()
+		w.note("ends: "+format, args...)
+	}
+}
+
+// isCalm reports whether no disruption has been in force since a time.
+func (w *world) isCalm(since time.Time) bool {
+	w.calmMu.Lock()
+	defer w.calmMu.Unlock()
+	return w.inForce == 0 && w.calmSince.Before(since)
+}
+
+var events = map[string]func(w *world, random *rand.Rand){
+	"kill":    func(w *world, random *rand.Rand) { w.kill(random, 1) },
+	"kill2":   func(w *world, random *rand.Rand) { w.kill(random, 2) },
+	"killall": func(w *world, random *rand.Rand) { w.kill(random, 6) },
+	"zonekill": func(w *world, random *rand.Rand) {
+		zone := random.IntN(3)
+		done := w.disrupt("the machines of zone %d lose power for 5 s", zone)
+		var group sync.WaitGroup
+		for _, m := range w.machines[2*zone : 2*zone+2] {
+			m.signal(w, syscall.SIGKILL)
+			group.Go(func() { <-m.exited; time.Sleep(5 * time.Second); m.start(w) })
+		}
+		group.Wait()
+		done()
+	},
+	"zonegone": func(w *world, random *rand.Rand) {
+		zone := random.IntN(3)
+		done := w.disrupt("the machines of zone %d are lost for good", zone)
+		for _, m := range w.machines[2*zone : 2*zone+2] {
+			m.signal(w, syscall.SIGKILL)
+			m.gone.Store(true)
+		}
+		done()
+	},
+	"zonepair": func(w *world, random *rand.Rand) {
+		zone := random.IntN(3)
+		done := w.disrupt("the machines of zone %d are lost for good, and one of its executors", zone)
+		w.executors[4*zone+random.IntN(4)].DownWith(standin.ExecutorMute)
+		for _, m := range w.machines[2*zone : 2*zone+2] {
+			m.signal(w, syscall.SIGKILL)
+			m.gone.Store(true)
+		}
+		done()
+	},
+	"ownerpair": func(w *world, random *rand.Rand) {
+		zone := random.IntN(3)
+		done := w.disrupt("the machines of zone %d are killed and start again, and one of its executors is lost for good", zone)
+		w.executors[4*zone+random.IntN(4)].DownWith(standin.ExecutorMute)
+		var group sync.WaitGroup
+		for _, m := range w.machines[2*zone : 2*zone+2] {
+			m.signal(w, syscall.SIGKILL)
+			group.Go(func() { <-m.exited; time.Sleep(500 * time.Millisecond); m.start(w) })
+		}
+		group.Wait()
+		done()
+	},
+	"loseearly": func(w *world, random *rand.Rand) {
+		zone := random.IntN(3)
+		done := w.disrupt("an executor of zone %d is lost for good; 3.5 s later its machines are killed", zone)
+		w.executors[4*zone+random.IntN(4)].DownWith(standin.ExecutorMute)
+		time.Sleep(3500 * time.Millisecond)
+		var group sync.WaitGroup
+		for _, m := range w.machines[2*zone : 2*zone+2] {
+			m.signal(w, syscall.SIGKILL)
+			group.Go(func() { <-m.exited; time.Sleep(500 * time.Millisecond); m.start(w) })
+		}
+		group.Wait()
+		done()
+	},
+	"freeze": func(w *world, random *rand.Rand) {
+		m := w.machines[random.IntN(len(w.machines))]
+		done := w.disrupt("%s stands still for 3.5 s", m.name)
+		m.signal(w, syscall.SIGSTOP)
+		time.Sleep(3500 * time.Millisecond)
+		m.signal(w, syscall.SIGCONT)
+		done()
+	},
+	"crash": func(w *world, random *rand.Rand) {
+		e := w.executors[random.IntN(len(w.executors))]
+		done := w.disrupt("executor %s crashes for 4.5 s", e.Address())
+		e.DownWith(standin.ExecutorMute)
+		time.Sleep(4500 * time.Millisecond)
+		e.Up()
+		done()
+	},
+	"lose": func(w *world, random *rand.Rand) {
+		e := w.executors[random.IntN(len(w.executors))]
+		done := w.disrupt("executor %s is lost for good, silently", e.Address())
+		e.DownWith(standin.ExecutorMute)
+		done()
+	},
+	"loserefused": func(w *world, random *rand.Rand) {
+		e := w.executors[random.IntN(len(w.executors))]
+		done := w.disrupt("executor %s is lost for good, its address resets", e.Address())
+		e.Down()
+		done()
+	},
+	"late": func(w *world, random *rand.Rand) {
+		var late []*executor
+		for range 2 {
+			late = append(late, w.executors[random.IntN(len(w.executors))])
+		}
+		done := w.disrupt("orders to %s and %s are carried out late for 5.5 s", late[0].Address(), late[1].Address())
+		for _, e := range late {
+			e.SetFault(standin.ExecutorLate)
+		}
+		time.Sleep(5500 * time.Millisecond)
+		for _, e := range late {
+			e.SetFault(standin.ExecutorServes)
+		}
+		time.Sleep(3 * time.Second) // until the last late one is done
+		done()
+	},
+	"roll": func(w *world, random *rand.Rand) {
+		done := w.disrupt("half of the machines are stopped and started in turn")
+		var group sync.WaitGroup
+		for i, m := range w.machines {
+			if i%2 == random.IntN(1) {
+				continue
+			}
+			m.signal(w, syscall.SIGTERM)
+			group.Go(func() {
+				select {
+				case <-m.exited:
+				case <-time.After(graceS * time.Second):
+					m.signal(w, syscall.SIGKILL)
+					<-m.exited
+				}
+				m.start(w)
+			})
+			time.Sleep(1300 * time.Millisecond)
+		}
+		group.Wait()
+		done()
+	},
+	"storedown": func(w *world, random *rand.Rand) {
+		w.storeFault("down: 503", standin.StoreBusy, 4500*time.Millisecond)
+	},
+	"storesilent": func(w *world, random *rand.Rand) {
+		w.storeFault("silent", standin.StoreSilent, 4500*time.Millisecond)
+	},
+	"storelate": func(w *world, random *rand.Rand) {
+		done := w.disrupt("a third of the store's writes are done late and not answered for 4.5 s")
+		w.store.SetLate(4 * time.Second)
+		w.store.SetChance(standin.StoreLate, 0.35)
+		time.Sleep(4500 * time.Millisecond)
+		w.store.SetFault(standin.StoreServes, 0)
+		time.Sleep(4 * time.Second)
+		done()
+	},
+	"storelost": func(w *world, random *rand.Rand) {
+		done := w.disrupt("answers of a third of the store's writes are lost for 4.5 s")
+		w.store.SetChance(standin.StoreLosesAnswer, 0.35)
+		time.Sleep(4500 * time.Millisecond)
+		w.store.SetFault(standin.StoreServes, 0)
+		done()
+	},
+	"storenodes": func(w *world, random *rand.Rand) {
+		first := random.IntN(len(w.machines))
+		a, b := w.machines[first], w.machines[(first+1)%len(w.machines)]
+		done := w.disrupt("the store is silent to %s and %s for 9 s", a.name, b.name)
+		a.store.SetCut(true)
+		b.store.SetCut(true)
+		time.Sleep(9 * time.Second)
+		a.store.SetCut(false)
+		b.store.SetCut(false)
+		done()
+	},
+	"silence": func(w *world, random *rand.Rand) {
+		done := w.disrupt("all open connections to the store and to executors go silent")
+		for _, m := range w.machines {
+			m.store.Silence()
+		}
+		for _, e := range w.executors {
+			e.relay.Silence()
+		}
+		done()
+	},
+	"compact": func(w *world, random *rand.Rand) {
+		done := w.disrupt("the store forgets its history")
+		w.store.Compact()
+		done()
+	},
+	"drain": func(w *world, random *rand.Rand) {
+		e := w.executors[random.IntN(len(w.executors))]
+		done := w.disrupt("executor %s drains and leaves", e.Address())
+		e.mu.Lock()
+		e.state = "draining"
+		e.mu.Unlock()
+		e.Publish(w.store, "draining")
+		time.Sleep(3500 * time.Millisecond)
+		e.DownWith(standin.ExecutorMute)
+		done()
+	},
+}
+
+func (w *world) storeFault(what string, fault standin.StoreFault, length time.Duration) {
+	done := w.disrupt("the store is %s", what)
+	w.store.SetFault(fault, 0)
+	time.Sleep(length)
+	w.store.SetFault(standin.StoreServes, 0)
+	done()
+}
+
+// kill kills machines, which the platform starts again 0.5 s later.
+func (w *world) kill(random *rand.Rand, count int) {
+	done := w.disrupt("%d processes are killed", count)
+	var group sync.WaitGroup
+	for _, i := range random.Perm(len(w.machines))[:count] {
+		m := w.machines[i]
+		m.signal(w, syscall.SIGKILL)
+		group.Go(func() { <-m.exited; time.Sleep(500 * time.Millisecond); m.start(w) })
+	}
+	group.Wait()
+	done()
+}
+
+// mixture is the traffic of mix.
+type mixture struct {
+	*traffic
+	random *rand.Rand
+}
+
+func chain(steps, count, cpu, workMS int) []step {
+	var all []step
+	for i := range steps {
+		s := step{Count: count, CPU: cpu, MemMB: 64, EstimateMS: workMS}
+		if i > 0 {
+			s.After = []int{i - 1}
+		}
+		all = append(all, s)
+	}
+	return all
+}
+
+// run hands in jobs of some kinds, asks for them and cancels some.
+func (m *mixture) run() {
+	var group sync.WaitGroup
+	for end := time.Now().Add(mixCase); time.Now().Before(end); time.Sleep(90 * time.Millisecond) {
+		steps, count, work := 1, 2, 200
+		switch m.random.IntN(6) {
+		case 0:
+			steps, count, work = 2, 4, 60
+		case 1:
+			steps, count, work = 4, 1, 900
+		case 2:
+			steps, count, work = 16, 1, 300
+		case 3:
+			steps, count, work = 3, 2, 500
+		}
+		cancel, again := m.random.IntN(12) == 0, m.random.IntN(8) == 0
+		body := jobBody(work, 1000, "", false, chain(steps, count, 1000, work))
+		group.Go(func() {
+			j := m.send(newID(), steps*count, body)
+			if j == nil {
+				return
+			}
+			if again {
+				time.Sleep(700 * time.Millisecond)
+				m.w.ask(m.w.anyMachine(), http.MethodPost, j.id, body, 1500*time.Millisecond)
+			}
+			if cancel {
+				m.cancel(j)
+			}
+			m.follow(j)
+		})
+	}
+	group.Wait()
+}
+
+// follow asks for a job for some seconds.
+func (m *mixture) follow(j *keptJob) {
+	for range 6 {
+		time.Sleep(time.Duration(500+rand.IntN(1000)) * time.Millisecond)
+		if m.askState(j) {
+			return
+		}
+	}
+}
+
+// askState asks for the state of a job and reports whether it has ended.
+func (m *mixture) askState(j *keptJob) bool {
+	at := m.w.anyMachine()
+	asked := time.Now()
+	status, state := m.w.ask(at, http.MethodGet, j.id, nil, 1500*time.Millisecond)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case status == http.StatusGone && j.cancelSent.IsZero() && asked.After(j.accepted.Add(visibleMS)):
+		m.wrong("LOST: %s answers 410 for job %s", at.name, j.id)
+	case status == http.StatusOK:
+		if (state == "failed" || state == "cancelled" && j.cancelSent.IsZero()) && j.told != state {
+			m.wrong("LOST: job %s is shown as %q", j.id, state)
+		}
+		if state == "completed" && j.told != state {
+			done := 0
+			for _, run := range m.w.ledger.RunsOf(j.id) {
+				if run.How == "done" {
+					done++
+				}
+			}
+			if done < j.tasks {
+				m.wrong("MIXED: job %s is shown as completed, %d of %d tasks are done", j.id, done, j.tasks)
+			}
+		}
+		if (j.told == "completed" || j.told == "cancelled") && state != j.told {
+			m.w.note("job %s was %q and is %q", j.id, j.told, state)
+		}
+		j.told = state
+	}
+	return j.told == "completed" || j.told == "cancelled" || j.told == "failed"
+}
+
+func (m *mixture) wrong(format string, args ...any) {
+	m.wrongs++
+	if m.wrongs <= 12 {
+		m.w.note(format, args...)
+	}
+}
+
+// finish asks for all jobs until the time for that is over, and checks what has run.
+func (m *mixture) finish() bool {
+	end := time.Now().Add(finishS)
+	open := append([]*keptJob(nil), m.jobs...)
+	for len(open) > 0 && time.Now().Before(end) {
+		var left []*keptJob
+		for _, j := range open {
+			if !m.askState(j) {
+				left = append(left, j)
+			}
+		}
+		open = left
+		time.Sleep(200 * time.Millisecond)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, j := range open {
+		m.wrong("not ended in time: job %s of %d tasks is %q", j.id, j.tasks, j.told)
+	}
+	for _, problem := range m.w.ledger.Problems() {
+		m.wrong("TWICE: %s", strings.ReplaceAll(problem, "\n", "; "))
+	}
+	for _, j := range m.jobs {
+		for _, again := range m.w.ledger.StartedAgain(j.id, maxAttempts) {
+			m.wrong("TWICE or BUDGET: %s", again)
+		}
+		if j.cancelSent.IsZero() {
+			continue
+		}
+		from := j.cancelSent.Add(ackTime)
+		if !j.cancelled.IsZero() && j.cancelled.Before(from) {
+			from = j.cancelled.Add(cancelTime)
+		} else {
+			m.w.note("cancel of %s: answered %v", j.id, !j.cancelled.IsZero())
+		}
+		for _, run := range m.w.ledger.RunsOf(j.id) {
+			if run.Began.After(from.Add(noteSlack)) {
+				m.wrong("UNASKED: a task of job %s starts %.1f s after its cancel", j.id, run.Began.Sub(j.cancelSent).Seconds())
+			}
+		}
+	}
+	var waits []float64
+	for _, j := range m.jobs {
+		waits = append(waits, j.idleMax.Seconds())
+	}
+	sort.Float64s(waits)
+	worst := fmt.Sprint(waits[max(0, len(waits)-5):])
+	m.w.note("%d jobs accepted, %d sendings not; problems %d; longest standstills %s s", len(m.jobs), m.none, m.wrongs, worst)
+	return m.wrongs > 0
+}
