--- a/review/trial/mix.go
+++ b/review/trial/mix.go
@@ -32,10 +32,20 @@
 // majority plays them beside the loss of four of seven machines for good.
 func majority(w *world, trouble bool) bool { return playMix(w, trouble, []string{"most4"}) }
 
+func newRandom() *rand.Rand {
+	seed, _ := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
+	return rand.New(rand.NewPCG(seed, 9))
+}
+
 func playMix(w *world, trouble bool, names []string) bool {
 	w.start([]int{3, 2, 2}, []int{4, 4, 4})
 	seed, _ := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
-	random := rand.New(rand.NewPCG(seed, 9))
+	random := newRandom()
+	onCut = func(method, url string, after time.Duration, err error) {
+		if after > 200*time.Millisecond {
+			w.note("cut: %s %s after %.3f s: %v", method, url, after.Seconds(), err)
+		}
+	}
 	t := &traffic{w: w}
 	m := &mixture{traffic: t, random: rand.New(rand.NewPCG(seed, 10))}
 	stop := make(chan struct{})
@@ -106,6 +116,53 @@
 		}
 		done()
 	},
+	"zonelost": func(w *world, random *rand.Rand) {
+		zone := 1 + random.IntN(2)
+		done := w.disrupt("zone %d is lost for good, machines and executors", zone)
+		for _, e := range w.executors[4*zone : 4*zone+4] {
+			e.DownWith(standin.ExecutorMute)
+		}
+		for _, m := range w.machines[2*zone+1 : 2*zone+3] {
+			m.signal(w, syscall.SIGKILL)
+			m.gone.Store(true)
+		}
+		done()
+	},
+	"zonetasks": func(w *world, random *rand.Rand) {
+		zone := 1 + random.IntN(2)
+		done := w.disrupt("the executors of zone %d are lost for good", zone)
+		for _, e := range w.executors[4*zone : 4*zone+4] {
+			e.DownWith(standin.ExecutorMute)
+		}
+		done()
+	},
+	"remove": func(w *world, random *rand.Rand) {
+		done := w.disrupt("six of seven machines are stopped for good in turn")
+		var group sync.WaitGroup
+		for _, m := range w.machines[:6] {
+			m.gone.Store(true)
+			m.signal(w, syscall.SIGTERM)
+			group.Go(func() {
+				select {
+				case <-m.exited:
+				case <-time.After(graceS * time.Second):
+					m.signal(w, syscall.SIGKILL)
+					<-m.exited
+				}
+			})
+			time.Sleep(1300 * time.Millisecond)
+		}
+		group.Wait()
+		done()
+	},
+	"spread4": func(w *world, random *rand.Rand) {
+		done := w.disrupt("four machines are lost for good, one is left in each zone")
+		for _, i := range []int{0, 1, 3, 5} {
+			w.machines[i].signal(w, syscall.SIGKILL)
+			w.machines[i].gone.Store(true)
+		}
+		done()
+	},
 	"zonepair": func(w *world, random *rand.Rand) {
 		zone := 1 + random.IntN(2)
 		done := w.disrupt("the machines of zone %d are lost for good, and one of its executors", zone)
@@ -232,6 +289,28 @@
 		w.store.SetFault(standin.StoreServes, 0)
 		done()
 	},
+	"lapse": func(w *world, random *rand.Rand) {
+		done := w.disrupt("the store resets all calls for 4.5 s, and the rows of executors lapse")
+		w.lapsed.Store(true)
+		w.store.SetFault(standin.StoreResets, 0)
+		time.Sleep(2500 * time.Millisecond)
+		for _, e := range w.executors {
+			e.mu.Lock()
+			w.store.Remove("servers", e.listed)
+			e.mu.Unlock()
+		}
+		time.Sleep(2 * time.Second)
+		w.store.SetFault(standin.StoreServes, 0)
+		done()
+		for _, e := range w.executors {
+			go func() {
+				time.Sleep(time.Duration(rand.IntN(1800)) * time.Millisecond)
+				e.beat(w)
+			}()
+		}
+		time.Sleep(2 * time.Second)
+		w.lapsed.Store(false)
+	},
 	"storenodes": func(w *world, random *rand.Rand) {
 		first := random.IntN(len(w.machines))
 		a, b := w.machines[first], w.machines[(first+1)%len(w.machines)]
@@ -255,6 +334,22 @@
 		w.executorFault(random, "lose the answers to starts", standin.ExecutorLosesStarts)
 	},
 	"slow": func(w *world, random *rand.Rand) { w.executorFault(random, "answer slowly", standin.ExecutorSlow) },
+	"slownode": func(w *world, random *rand.Rand) {
+		m := w.machines[random.IntN(len(w.machines))]
+		done := w.disrupt("%s is 5.5 times slower for 5.5 s", m.name)
+		for end := time.Now().Add(5500 * time.Millisecond); time.Now().Before(end); {
+			_ = m.command.Process.Signal(syscall.SIGSTOP)
+			time.Sleep(82 * time.Millisecond)
+			_ = m.command.Process.Signal(syscall.SIGCONT)
+			time.Sleep(18 * time.Millisecond)
+		}
+		done()
+	},
+	"cut":          func(w *world, random *rand.Rand) { w.cut(random, 1, false, false) },
+	"cutstore":     func(w *world, random *rand.Rand) { w.cut(random, 1, true, false) },
+	"zonecut":      func(w *world, random *rand.Rand) { w.cut(random, 0, false, false) },
+	"zonecutstore": func(w *world, random *rand.Rand) { w.cut(random, 0, true, false) },
+	"cutoneway":    func(w *world, random *rand.Rand) { w.cut(random, 1, false, true) },
 	"silence": func(w *world, random *rand.Rand) {
 		done := w.disrupt("all open connections to the store and to executors go silent")
 		for _, m := range w.machines {
@@ -297,6 +392,38 @@
 	done()
 }
 
+// cut cuts one machine, or those of a zone, off from the others for 5.5 s, and from the store if it says so.
+func (w *world) cut(random *rand.Rand, count int, store, oneWay bool) {
+	inside := map[*machine]bool{w.machines[random.IntN(len(w.machines))]: true}
+	if count == 0 {
+		zone := 1 + random.IntN(2)
+		inside = map[*machine]bool{w.machines[2*zone+1]: true, w.machines[2*zone+2]: true}
+	}
+	var names []string
+	for m := range inside {
+		names = append(names, m.name)
+	}
+	done := w.disrupt("%v are cut off from the other machines for 5.5 s; from the store too: %v; one way: %v", names, store, oneWay)
+	set := func(cut bool) {
+		for a := range inside {
+			for _, b := range w.machines {
+				if inside[b] {
+					continue
+				}
+				a.peers.SetCutWaysOf(b.name, cut, cut && !oneWay)
+				b.peers.SetCutWaysOf(a.name, cut && !oneWay, cut)
+			}
+			if store {
+				a.store.SetCut(cut)
+			}
+		}
+	}
+	set(true)
+	time.Sleep(5500 * time.Millisecond)
+	set(false)
+	done()
+}
+
 // loseMachines has the first machines be lost for good, a whole zone first.
 func (w *world) loseMachines(count int) {
 	done := w.disrupt("%d of %d machines are lost for good", count, len(w.machines))
@@ -361,13 +488,25 @@
 		case 3:
 			steps, count, work = 3, 2, 500
 		}
+		times := 6
+		if m.random.IntN(2) == 0 {
+			times = 1 + m.random.IntN(2)
+		}
 		cancel, again := m.random.IntN(12) == 0, m.random.IntN(8) == 0
-		body := jobBody(work, 1000, "", false, chain(steps, count, 1000, work))
+		all := chain(steps, count, 1000, work)
+		spread := m.random.IntN(3) == 0 && count > 1
+		if spread {
+			for i := range all {
+				all[i].AntiAffinity = 1
+			}
+		}
+		body := jobBody(work, 1000, "", false, all)
 		group.Go(func() {
-			j := m.send(newID(), steps*count, body)
+			j := m.sendTimes(times, newID(), steps*count, body)
 			if j == nil {
 				return
 			}
+			j.spread = spread
 			if again {
 				time.Sleep(700 * time.Millisecond)
 				m.w.ask(m.w.anyMachine(), http.MethodPost, j.id, body, 1500*time.Millisecond)
@@ -424,6 +563,26 @@
 	return j.told == "completed" || j.told == "cancelled" || j.told == "failed"
 }
 
+// checkSpread checks that no two tasks of a step have run at once at one executor.
+func (m *mixture) checkSpread(j *keptJob) {
+	runs := m.w.ledger.RunsOf(j.id)
+	stepOf := func(task string) string { return task[:strings.LastIndex(task, ".")] }
+	for i, a := range runs {
+		for _, b := range runs[:i] {
+			if a.Executor != b.Executor || a.Task == b.Task || stepOf(a.Task) != stepOf(b.Task) {
+				continue
+			}
+			first, second := a, b
+			if second.Began.Before(first.Began) {
+				first, second = second, first
+			}
+			if first.Ended.IsZero() || first.Ended.After(second.Began) {
+				m.wrong("ROUTE: anti_affinity 1: %s %s and %s %s", first.Task, first.String(), second.Task, second.String())
+			}
+		}
+	}
+}
+
 // hasFailed reports whether a task of a job has used up its attempts.
 func (m *mixture) hasFailed(j *keptJob) bool {
 	for _, run := range m.w.ledger.RunsOf(j.id) {
@@ -467,6 +626,9 @@
 		for _, again := range m.w.ledger.StartedAgain(j.id, maxAttempts) {
 			m.wrong("TWICE or BUDGET: %s", again)
 		}
+		if j.spread {
+			m.checkSpread(j)
+		}
 		if j.cancelSent.IsZero() {
 			continue
 		}
@@ -482,6 +644,12 @@
 			}
 		}
 	}
+	for _, id := range m.refused {
+		if m.w.ledger.Started(id) {
+			m.wrong("REFUSED: job %s has started, and all its sendings were rejected", id)
+		}
+	}
+	m.w.note("jobs of which all sendings were rejected: %d", len(m.refused))
 	var waits []float64
 	for _, j := range m.jobs {
 		waits = append(waits, j.idleMax.Seconds())
--- a/review/trial/traffic.go
+++ b/review/trial/traffic.go
@@ -16,21 +16,29 @@
 	cancelSent time.Time
 	cancelled  time.Time // the cancel's 2xx or 410
 	told       string    // the state that was told last
+	spread     bool      // anti_affinity 1
 	idleMax    time.Duration
 }
 
 // traffic hands in jobs that are to be kept.
 type traffic struct {
-	w      *world
-	mu     sync.Mutex
-	jobs   []*keptJob
-	none   int // sendings that were not accepted
-	wrongs int
+	w       *world
+	mu      sync.Mutex
+	jobs    []*keptJob
+	none    int // sendings that were not accepted
+	wrongs  int
+	refused []string // jobs of which all sendings were rejected
 }
 
 // send hands a job in until it is accepted, or six sendings weren't.
 func (t *traffic) send(id string, tasks int, body []byte) *keptJob {
-	for range 6 {
+	return t.sendTimes(6, id, tasks, body)
+}
+
+// sendTimes hands a job in until it is accepted, or so many sendings weren't.
+func (t *traffic) sendTimes(times int, id string, tasks int, body []byte) *keptJob {
+	rejected := 0
+	for range times {
 		status, text := t.w.ask(t.w.anyMachine(), http.MethodPost, id, body, 1500*time.Millisecond)
 		t.mu.Lock()
 		if status == http.StatusOK {
@@ -40,6 +48,9 @@
 			return j
 		}
 		t.none++
+		if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusNotFound {
+			rejected++
+		}
 		few := t.none <= 10
 		t.mu.Unlock()
 		if few {
@@ -47,6 +58,11 @@
 		}
 		time.Sleep(retransmitMS * time.Millisecond)
 	}
+	if rejected == times {
+		t.mu.Lock()
+		t.refused = append(t.refused, id)
+		t.mu.Unlock()
+	}
 	return nil
 }
 
--- a/review/trial/world.go
+++ b/review/trial/world.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -52,6 +53,7 @@
 type machine struct {
 	name, zone, ip, settings string
 	store                    *relayd.Relay // in front of the store, for this machine
+	peers                    *relayd.Relay // in front of its peer address
 	log                      *os.File
 
 	mu      sync.Mutex
@@ -83,6 +85,7 @@
 	network   int
 	version   int
 
+	lapsed    atomic.Bool // executors write no rows
 	calmMu    sync.Mutex
 	inForce   int       // disruptions
 	calmSince time.Time // when the last one ended
@@ -254,6 +257,9 @@
 			return
 		case <-time.After(beatInterval):
 		}
+		if w.lapsed.Load() {
+			continue
+		}
 		for _, e := range w.executors {
 			e.beat(w)
 		}
@@ -302,6 +308,7 @@
 	m := &machine{zone: zoneName(zone), ip: fmt.Sprintf("127.%d.%d.%d", w.network, 1+zone, 1+index)}
 	m.name = fmt.Sprintf("edge-%s-%d", m.zone, index+1)
 	m.store = w.relay(fmt.Sprintf("%s:%d", m.ip, storePort), storeAddress)
+	m.peers = w.relay(m.peer(), fmt.Sprintf("%s:%d", m.ip, peerPort+1))
 	template, err := os.ReadFile("deploy/node.ini.tmpl")
 	if err != nil {
 		panic(err)
@@ -318,6 +325,7 @@
 		"{{bounds.max_hold_ms}}", "1000", "{{bounds.stop_timeout_ms}}", "50", "{{bounds.retransmit_ms}}", strconv.Itoa(retransmitMS),
 		"{{bounds.grace_s}}", strconv.Itoa(graceS), "{{limits.memory_mb}}", "284", "{{limits.cpu_share}}", "0.4", "{{limits.link_mbps}}", "1000.0",
 	).Replace(string(template))
+	text = strings.Replace(text, "[peers]\n", fmt.Sprintf("peers_listen = %s:%d\n[peers]\n", m.ip, peerPort+1), 1)
 	m.settings = filepath.Join(w.dir, m.name+".ini")
 	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
 		panic(err)
@@ -357,6 +365,8 @@
 	}
 }
 
+func (m *machine) peer() string { return fmt.Sprintf("%s:%d", m.ip, peerPort) }
+
 func (m *machine) front() string { return fmt.Sprintf("%s:%d", m.ip, frontPort) }
 
 func (m *machine) ready() bool {
@@ -387,6 +397,9 @@
 	})
 }
 
+// onCut is told of connections that end without an answer.
+var onCut func(method, url string, after time.Duration, err error)
+
 var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 
 // call sends one request; the status is 0 without a whole answer.
@@ -402,8 +415,12 @@
 	if body != nil {
 		request.Header.Set("Content-Type", "application/json")
 	}
+	sent := time.Now()
 	answer, err := client.Do(request)
 	if err != nil {
+		if !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, syscall.ECONNREFUSED) && onCut != nil {
+			onCut(method, url, time.Since(sent), err)
+		}
 		return 0, nil
 	}
 	defer answer.Body.Close()
@@ -447,6 +464,8 @@
 	EstimateMS int    `json:"estimate_ms"`
 	After      []int  `json:"after_rev,omitempty"`
 	Affinity   string `json:"affinity,omitempty"`
+
+	AntiAffinity int `json:"anti_affinity,omitempty"`
 }
 
 // jobBody returns the body of a job; the stand-in executors read the time and the processors of a task from its spec.
