--- a/review/trial/bigrow.go
+++ b/review/trial/bigrow.go
@@ -26,6 +26,7 @@
 	chainWorkMS     = 400
 	cancelPause     = 2 * time.Second
 	standstillLimit = 3 * time.Second
+	looseTime       = 10 * time.Second // a job that need not be kept has ended by then
 	calmBefore      = 4 * time.Second
 	settleTime      = 50 * time.Millisecond // stop_timeout_ms
 	noteSlack       = 200 * time.Millisecond
@@ -181,8 +182,21 @@
 		}
 		t.mu.Lock()
 		jobs := append([]*keptJob(nil), t.jobs...)
-		t.mu.Unlock()
 		used, now := 0, time.Now()
+		var loose []string
+		for id, sent := range t.loose {
+			if now.Sub(sent) < looseTime {
+				loose = append(loose, id)
+			}
+		}
+		t.mu.Unlock()
+		for _, id := range loose {
+			for _, run := range t.w.ledger.RunsOf(id) {
+				if run.Ended.IsZero() {
+					used++
+				}
+			}
+		}
 		still := map[string]*keptJob{}
 		for _, j := range jobs {
 			if over[j.id] {
--- a/review/trial/mix.go
+++ b/review/trial/mix.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -53,6 +54,9 @@
 	go func() { watched <- t.watchStandstill(stop) }()
 	var group sync.WaitGroup
 	group.Go(m.run)
+	if os.Getenv("WIDE") != "" {
+		group.Go(m.runBestEffort)
+	}
 	time.Sleep(mixAt)
 	if trouble {
 		for _, name := range names {
@@ -458,7 +462,8 @@
 // mixture is the traffic of mix.
 type mixture struct {
 	*traffic
-	random *rand.Rand
+	random           *rand.Rand
+	served, unserved int
 }
 
 func chain(steps, count, cpu, workMS int) []step {
@@ -506,7 +511,7 @@
 			if j == nil {
 				return
 			}
-			j.spread = spread
+			j.spread, j.width = spread, count
 			if again {
 				time.Sleep(700 * time.Millisecond)
 				m.w.ask(m.w.anyMachine(), http.MethodPost, j.id, body, 1500*time.Millisecond)
@@ -520,6 +525,71 @@
 	group.Wait()
 }
 
+// runBestEffort hands in jobs that need not be kept, some of them wide, and sends them again as clients do.
+func (m *mixture) runBestEffort() {
+	random := rand.New(rand.NewPCG(m.random.Uint64(), 3))
+	var group sync.WaitGroup
+	for end := time.Now().Add(mixCase); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		count, work, cpu, deadline := 8, 60, 1000, 1500*time.Millisecond
+		switch random.IntN(6) {
+		case 0:
+			count, work, deadline = 120, 100, 5*time.Second
+		case 1:
+			count, work, deadline = 60, 400, 6*time.Second
+		case 2:
+			count, work = 4, 400
+		}
+		steps := chain(1, count, cpu, work)
+		if random.IntN(3) == 0 && deadline > 2*time.Second {
+			steps = chain(3, count/3, cpu, work)
+		}
+		body := jobBody(work, cpu, "", true, steps)
+		leaves := random.IntN(4) == 0
+		group.Go(func() { m.sendBestEffort(body, deadline, leaves) })
+	}
+	group.Wait()
+}
+
+// sendBestEffort sends a job until it is answered or refused, at most until its deadline. A client that leaves breaks
+// its connection off once, and sends the job again.
+func (m *mixture) sendBestEffort(body []byte, deadline time.Duration, leaves bool) {
+	id, end, rejected, sendings := newID(), time.Now().Add(deadline), 0, 0
+	m.mu.Lock()
+	if m.loose == nil {
+		m.loose = map[string]time.Time{}
+	}
+	m.loose[id] = time.Now()
+	m.mu.Unlock()
+	for time.Until(end) > 100*time.Millisecond && sendings < 4 {
+		wait := time.Until(end)
+		if leaves && sendings == 0 {
+			wait = time.Duration(100+rand.IntN(600)) * time.Millisecond
+		}
+		sendings++
+		ctx, cancel := context.WithTimeout(context.Background(), wait)
+		header := http.Header{"Deadline-Remaining": {strconv.FormatInt(time.Until(end).Milliseconds(), 10)}}
+		status, _ := call(ctx, http.MethodPost, "http://"+m.w.anyMachine().front()+prefix+id, body, header)
+		cancel()
+		if status == http.StatusOK {
+			m.mu.Lock()
+			m.served++
+			m.mu.Unlock()
+			return
+		}
+		if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+			rejected++
+			break
+		}
+		time.Sleep(retransmitMS * time.Millisecond)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unserved++
+	if rejected == sendings {
+		m.refused = append(m.refused, id)
+	}
+}
+
 // follow asks for a job for some seconds.
 func (m *mixture) follow(j *keptJob) {
 	for range 6 {
@@ -583,6 +653,32 @@
 	}
 }
 
+// checkOrder checks that no task of a chain has begun before all tasks of the step before it had ended well.
+func (m *mixture) checkOrder(j *keptJob) {
+	runs := m.w.ledger.RunsOf(j.id)
+	stepOf := func(task string) int {
+		step, _ := strconv.Atoi(strings.Split(task, ".")[2])
+		return step
+	}
+	doneAt := map[string]time.Time{}
+	for _, run := range runs {
+		if at, known := doneAt[run.Task]; run.How == "done" && (!known || run.Ended.Before(at)) {
+			doneAt[run.Task] = run.Ended
+		}
+	}
+	for _, run := range runs {
+		before := 0
+		for task, at := range doneAt {
+			if stepOf(task) == stepOf(run.Task)-1 && at.Before(run.Began) {
+				before++
+			}
+		}
+		if stepOf(run.Task) > 0 && before < j.width {
+			m.wrong("ORDER: %s begins after %d of %d tasks of the step before", run.Task, before, j.width)
+		}
+	}
+}
+
 // hasFailed reports whether a task of a job has used up its attempts.
 func (m *mixture) hasFailed(j *keptJob) bool {
 	for _, run := range m.w.ledger.RunsOf(j.id) {
@@ -629,6 +725,7 @@
 		if j.spread {
 			m.checkSpread(j)
 		}
+		m.checkOrder(j)
 		if j.cancelSent.IsZero() {
 			continue
 		}
@@ -649,6 +746,7 @@
 			m.wrong("REFUSED: job %s has started, and all its sendings were rejected", id)
 		}
 	}
+	m.w.note("jobs that need not be kept: served %d, not %d", m.served, m.unserved)
 	m.w.note("jobs of which all sendings were rejected: %d", len(m.refused))
 	var waits []float64
 	for _, j := range m.jobs {
--- a/review/trial/traffic.go
+++ b/review/trial/traffic.go
@@ -16,6 +16,7 @@
 	cancelSent time.Time
 	cancelled  time.Time // the cancel's 2xx or 410
 	told       string    // the state that was told last
+	width      int       // tasks of a step
 	spread     bool      // anti_affinity 1
 	idleMax    time.Duration
 }
@@ -27,7 +28,8 @@
 	jobs    []*keptJob
 	none    int // sendings that were not accepted
 	wrongs  int
-	refused []string // jobs of which all sendings were rejected
+	loose   map[string]time.Time // jobs that need not be kept, and when they were sent
+	refused []string             // jobs of which all sendings were rejected
 }
 
 // send hands a job in until it is accepted, or six sendings weren't.
