--- a/review/trial/main.go
+++ b/review/trial/main.go
@@ -27,6 +27,7 @@
 	"big-row":          bigRow,
 	"cancel-elsewhere": cancelElsewhere,
 	"majority-lost":    majority,
+	"replaced":         replaced,
 	"mix":              mix,
 }
 
--- a/review/trial/mix.go
+++ b/review/trial/mix.go
@@ -38,6 +38,10 @@
 	return rand.New(rand.NewPCG(seed, 9))
 }
 
+// replaced plays them beside two machines that are replaced, one after the other, and the loss of a zone's machines
+// some seconds later.
+func replaced(w *world, trouble bool) bool { return playMix(w, trouble, []string{"replaced"}) }
+
 func playMix(w *world, trouble bool, names []string) bool {
 	w.start([]int{3, 2, 2}, []int{4, 4, 4})
 	seed, _ := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
@@ -167,6 +171,23 @@
 		}
 		done()
 	},
+	"ownerlost": func(w *world, random *rand.Rand) {
+		done := w.disrupt("two of the three machines of zone 0 are lost for good, and one of its executors")
+		w.executors[random.IntN(4)].DownWith(standin.ExecutorMute)
+		for _, i := range random.Perm(3)[:2] {
+			w.machines[i].signal(w, syscall.SIGKILL)
+			w.machines[i].gone.Store(true)
+		}
+		done()
+	},
+	"zone0gone": func(w *world, random *rand.Rand) {
+		done := w.disrupt("the three machines of zone 0 are lost for good")
+		for _, m := range w.machines[:3] {
+			m.signal(w, syscall.SIGKILL)
+			m.gone.Store(true)
+		}
+		done()
+	},
 	"zonepair": func(w *world, random *rand.Rand) {
 		zone := 1 + random.IntN(2)
 		done := w.disrupt("the machines of zone %d are lost for good, and one of its executors", zone)
@@ -202,6 +223,30 @@
 		group.Wait()
 		done()
 	},
+	"replaced": func(w *world, random *rand.Rand) {
+		for zone := 1; zone <= 2; zone++ {
+			m := w.machines[2*zone+1]
+			done := w.disrupt("%s is lost for good, and an empty one comes at another address", m.name)
+			m.signal(w, syscall.SIGKILL)
+			m.gone.Store(true)
+			time.Sleep(time.Second)
+			fresh := w.makeMachine(zone, 5)
+			fresh.start(w)
+			w.addToMachines(fresh)
+			for !fresh.ready() {
+				time.Sleep(50 * time.Millisecond)
+			}
+			done()
+			time.Sleep(2 * time.Second)
+		}
+		time.Sleep(4 * time.Second)
+		done := w.disrupt("the three machines of zone 0 are lost for good")
+		for _, m := range w.machines[:3] {
+			m.signal(w, syscall.SIGKILL)
+			m.gone.Store(true)
+		}
+		done()
+	},
 	"most4": func(w *world, random *rand.Rand) { w.loseMachines(4) },
 	"most5": func(w *world, random *rand.Rand) { w.loseMachines(5) },
 	"most6": func(w *world, random *rand.Rand) { w.loseMachines(6) },
--- a/review/trial/world.go
+++ b/review/trial/world.go
@@ -82,8 +82,11 @@
 	machines  []*machine
 	executors []*executor
 	stop      chan struct{}
-	network   int
-	version   int
+
+	storeAddress string
+	machinesMu   sync.Mutex // guards changes of machines
+	network      int
+	version      int
 
 	lapsed    atomic.Bool // executors write no rows
 	calmMu    sync.Mutex
@@ -92,6 +95,7 @@
 
 	noteMu    sync.Mutex
 	closeOnce sync.Once
+	closed    atomic.Bool    // no process is started any more
 	refused   map[string]int // transactions that were over a limit of the store, by reason
 }
 
@@ -142,9 +146,9 @@
 	}
 	end := time.Now().Add(15 * time.Second)
 	for _, m := range w.machines {
-		for !m.ready() {
-			if time.Now().After(end) {
-				panic(m.name + " isn't ready")
+		for !m.ready() || m.hasEnded() {
+			if time.Now().After(end) || m.hasEnded() {
+				panic(m.name + " isn't ready, or its addresses are in use")
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
@@ -305,9 +309,28 @@
 func zoneName(zone int) string { return "zone-" + string(rune('a'+zone)) }
 
 func (w *world) addMachine(zone, index int, storeAddress string) {
+	w.storeAddress = storeAddress
+	w.addToMachines(w.makeMachine(zone, index))
+}
+
+// addToMachines adds a machine to those that the balancer chooses from.
+func (w *world) addToMachines(m *machine) {
+	w.machinesMu.Lock()
+	defer w.machinesMu.Unlock()
+	w.machines = append(w.machines[:len(w.machines):len(w.machines)], m)
+}
+
+// allMachines returns the machines that there are now.
+func (w *world) allMachines() []*machine {
+	w.machinesMu.Lock()
+	defer w.machinesMu.Unlock()
+	return w.machines
+}
+
+func (w *world) makeMachine(zone, index int) *machine {
 	m := &machine{zone: zoneName(zone), ip: fmt.Sprintf("127.%d.%d.%d", w.network, 1+zone, 1+index)}
 	m.name = fmt.Sprintf("edge-%s-%d", m.zone, index+1)
-	m.store = w.relay(fmt.Sprintf("%s:%d", m.ip, storePort), storeAddress)
+	m.store = w.relay(fmt.Sprintf("%s:%d", m.ip, storePort), w.storeAddress)
 	m.peers = w.relay(m.peer(), fmt.Sprintf("%s:%d", m.ip, peerPort+1))
 	template, err := os.ReadFile("deploy/node.ini.tmpl")
 	if err != nil {
@@ -333,13 +356,16 @@
 	if m.log, err = os.Create(filepath.Join(w.dir, m.name+".log")); err != nil {
 		panic(err)
 	}
-	w.machines = append(w.machines, m)
+	return m
 }
 
 // start runs the program as the deploy file does.
 func (m *machine) start(w *world) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if w.closed.Load() || m.command != nil && !m.hasEnded() {
+		return // two disruptions have met the same machine
+	}
 	command := exec.Command("target/foxcroft", "node")
 	command.Env = append(os.Environ(), "FOXCROFT_NODE_FILE="+m.settings)
 	command.Stdout, command.Stderr = m.log, m.log
@@ -369,6 +395,16 @@
 
 func (m *machine) front() string { return fmt.Sprintf("%s:%d", m.ip, frontPort) }
 
+// hasEnded reports whether the process has ended.
+func (m *machine) hasEnded() bool {
+	select {
+	case <-m.exited:
+		return true
+	default:
+		return false
+	}
+}
+
 func (m *machine) ready() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 	defer cancel()
@@ -379,8 +415,9 @@
 // close ends all processes and drops the folder.
 func (w *world) close() {
 	w.closeOnce.Do(func() {
+		w.closed.Store(true)
 		close(w.stop)
-		for _, m := range w.machines {
+		for _, m := range w.allMachines() {
 			m.mu.Lock()
 			if m.command != nil {
 				_ = m.command.Process.Signal(syscall.SIGCONT)
@@ -448,7 +485,8 @@
 // anyMachine returns a machine that the balancer may choose.
 func (w *world) anyMachine() *machine {
 	for {
-		if m := w.machines[rand.IntN(len(w.machines))]; !m.gone.Load() {
+		all := w.allMachines()
+		if m := all[rand.IntN(len(all))]; !m.gone.Load() {
 			return m
 		}
 	}
