--- a/review/trial/mix.go
+++ b/review/trial/mix.go
@@ -43,7 +43,11 @@
 func replaced(w *world, trouble bool) bool { return playMix(w, trouble, []string{"replaced"}) }
 
 func playMix(w *world, trouble bool, names []string) bool {
-	w.start([]int{3, 2, 2}, []int{4, 4, 4})
+	executors := []int{4, 4, 4}
+	if unguarded {
+		executors = []int{2, 2, 2} // so that they are full
+	}
+	w.start([]int{3, 2, 2}, executors)
 	seed, _ := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
 	random := newRandom()
 	onCut = func(method, url string, after time.Duration, err error) {
@@ -760,6 +764,11 @@
 	for _, j := range open {
 		m.wrong("not ended in time: job %s of %d tasks is %q", j.id, j.tasks, j.told)
 	}
+	for _, e := range m.w.executors {
+		if over := e.OverRoom(); over > 0 {
+			m.wrong("LIMIT: %d starts over the room of %s", over, e.Address())
+		}
+	}
 	for _, problem := range m.w.ledger.Problems() {
 		m.wrong("TWICE: %s", strings.ReplaceAll(problem, "\n", "; "))
 	}
--- a/review/trial/world.go
+++ b/review/trial/world.go
@@ -99,6 +99,9 @@
 	refused   map[string]int // transactions that were over a limit of the store, by reason
 }
 
+// unguarded has executors start whatever they are told, and the configuration say so.
+var unguarded = os.Getenv("UNGUARDED") != ""
+
 // newWorld prepares a world; start runs it.
 func newWorld(record string) (*world, error) {
 	file, err := os.Create(record)
@@ -243,7 +246,7 @@
 	address, behind := fmt.Sprintf("%s:%d", ip, executorPort), fmt.Sprintf("%s:%d", ip, executorPort+1)
 	e := &executor{zone: zoneName(zone), state: "ready", Executor: standin.NewExecutor(standin.ExecutorOptions{
 		Service: service, Address: address, Zone: zoneName(zone), CPU: executorCPU, MemMB: 32768,
-		Labels: []string{"a", fmt.Sprintf("r%d-%d", zone+1, index/8)}, MaxHold: time.Second, LateBy: 3 * time.Second,
+		Labels: []string{"a", fmt.Sprintf("r%d-%d", zone+1, index/8)}, MaxHold: time.Second, Unguarded: unguarded, LateBy: 3 * time.Second,
 		ClockAdd: time.Duration(len(w.executors)) * time.Hour,
 	}, w.ledger)}
 	listener := w.listen(behind)
@@ -294,7 +297,7 @@
 	}
 	w.store.Put("op", "config", map[string]any{
 		"version": w.version, "routes": routes,
-		"services": []map[string]any{{"name": service, "max_conns": 64, "admission_check": true}},
+		"services": []map[string]any{{"name": service, "max_conns": 64, "admission_check": !unguarded}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": bodyBytes},
 	})
 }
