--- /dev/null
+++ b/review/calm/main.go
@@ -0,0 +1,285 @@
+//go:build review
+
+// Command calm plays kept jobs in a small deployment, and judges the rule LOST: in calm, an
+// accepted job whose turn has come must not stand still beside free capacity.
+//
+//	calm CASE RECORD
+//
+// It ends with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With
+// TROUBLE=0 nothing is disrupted.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"log"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/foxcroft/foxcroft/platform/standin"
+)
+
+const (
+	// standStill and calmBefore are the figures of the rule.
+	standStill = 3 * time.Second
+	calmBefore = 4 * time.Second
+)
+
+// scenario plays one case and returns the jobs, the begin of the calm, and its end.
+type scenario func(w *world, trouble bool) (played, error)
+
+type played struct {
+	jobs     []*keptJob
+	calmFrom time.Time
+	calmTo   time.Time
+}
+
+var scenarios = map[string]scenario{"crash": crashOnce, "drain": drainOnce, "series": crashInSeries, "added": addExecutors}
+
+func main() {
+	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: calm crash|drain|series|added RECORD")
+		os.Exit(2)
+	}
+	file, err := os.Create(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	record := log.New(file, "", log.Ltime|log.Lmicroseconds)
+	os.Exit(play(scenarios[os.Args[1]], record))
+}
+
+func play(s scenario, record *log.Logger) int {
+	trouble := os.Getenv("TROUBLE") != "0"
+	record.Printf("trouble: %t", trouble)
+	w, err := newWorld(record)
+	if err != nil {
+		return notRun(record, err)
+	}
+	defer w.close()
+	record.Printf("all %d hosts are ready", len(w.hosts))
+	p, err := s(w, trouble)
+	if err != nil {
+		return notRun(record, err)
+	}
+	return judge(w, p)
+}
+
+func notRun(record *log.Logger, err error) int {
+	record.Printf("result: not run: %v", err)
+	fmt.Println("not run:", err)
+	return 2
+}
+
+// handIn hands jobs in until so many are accepted.
+func handIn(w *world, count int, work time.Duration, cpu int64) ([]*keptJob, error) {
+	var accepted []*keptJob
+	for range 3 * count {
+		if len(accepted) == count {
+			return accepted, nil
+		}
+		j := newJob(work, cpu, 1)
+		if w.submit(j); !j.accepted.IsZero() {
+			accepted = append(accepted, j)
+		}
+	}
+	return nil, fmt.Errorf("%w: only %d of %d jobs were accepted", errNotRun, len(accepted), count)
+}
+
+// awaitRunning waits until each job has a run.
+func awaitRunning(w *world, jobs []*keptJob, limit time.Duration) error {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		running := 0
+		for _, runs := range w.active(jobs) {
+			running += len(runs)
+		}
+		if running == len(jobs) {
+			return nil
+		}
+	}
+	return fmt.Errorf("%w: not all jobs run after %s", errNotRun, limit)
+}
+
+// busiest returns the executor that runs most.
+func busiest(w *world, jobs []*keptJob) *executor {
+	var most *executor
+	count := 0
+	for id, runs := range w.active(jobs) {
+		if e := w.executorOf(id); e != nil && len(runs) > count {
+			most, count = e, len(runs)
+		}
+	}
+	return most
+}
+
+// crashOnce has one executor crash, once.
+func crashOnce(w *world, trouble bool) (played, error) {
+	jobs, err := handIn(w, 60, 50*time.Second, 500)
+	if err != nil {
+		return played{}, err
+	}
+	if err := awaitRunning(w, jobs, 5*time.Second); err != nil {
+		return played{}, err
+	}
+	time.Sleep(time.Second)
+	if e := busiest(w, jobs); trouble {
+		w.record.Printf("executor %s runs %d tasks", e.ID(), len(w.active(jobs)[e.ID()]))
+		w.crash(e, 3*time.Second)
+	}
+	time.Sleep(rowLife + heartbeat/2) // the row of the former life has gone, too
+	calm := time.Now()
+	w.record.Printf("calm from now on")
+	time.Sleep(16 * time.Second)
+	return played{jobs: jobs, calmFrom: calm, calmTo: time.Now()}, nil
+}
+
+// drainOnce has one executor be emptied and taken away, and come again.
+func drainOnce(w *world, trouble bool) (played, error) {
+	jobs, err := handIn(w, 60, 50*time.Second, 500)
+	if err != nil {
+		return played{}, err
+	}
+	if err := awaitRunning(w, jobs, 5*time.Second); err != nil {
+		return played{}, err
+	}
+	time.Sleep(time.Second)
+	if e := busiest(w, jobs); trouble {
+		w.record.Printf("executor %s runs %d tasks", e.ID(), len(w.active(jobs)[e.ID()]))
+		w.drain(e, 3*time.Second)
+	}
+	time.Sleep(3*time.Second + heartbeat)
+	calm := time.Now()
+	w.record.Printf("calm from now on")
+	time.Sleep(16 * time.Second)
+	return played{jobs: jobs, calmFrom: calm, calmTo: time.Now()}, nil
+}
+
+// addExecutors has a full service, in which some jobs wait, get empty executors in one zone.
+func addExecutors(w *world, trouble bool) (played, error) {
+	full := len(w.executors) * executorCPU / 1000
+	jobs, err := handInAtOnce(w, full, 70*time.Second, 1000)
+	if err != nil {
+		return played{}, err
+	}
+	if err := awaitRunning(w, jobs, 5*time.Second); err != nil {
+		return played{}, err
+	}
+	waiting, err := handIn(w, 9, 10*time.Second, 1000)
+	if err != nil {
+		return played{}, err
+	}
+	time.Sleep(2 * time.Second)
+	if trouble {
+		for i := 1; i <= len(w.executors)/12*3; i++ { // a quarter: 3 beside 12
+			if err := w.addExecutor(2, executorsPerZone+i); err != nil {
+				return played{}, err
+			}
+			w.record.Printf("trouble: an empty executor is added in zone 2")
+			time.Sleep(700 * time.Millisecond)
+		}
+	}
+	calm := time.Now()
+	w.record.Printf("calm from now on")
+	time.Sleep(16 * time.Second)
+	return played{jobs: append(jobs, waiting...), calmFrom: calm, calmTo: time.Now()}, nil
+}
+
+// handInAtOnce hands jobs in, several at a time.
+func handInAtOnce(w *world, count int, work time.Duration, cpu int64) ([]*keptJob, error) {
+	const atOnce = 8
+	var group sync.WaitGroup
+	all, errs := make([][]*keptJob, atOnce), make([]error, atOnce)
+	for i := range atOnce {
+		group.Go(func() { all[i], errs[i] = handIn(w, count/atOnce, work, cpu) })
+	}
+	group.Wait()
+	return slices.Concat(all...), errors.Join(errs...)
+}
+
+// crashInSeries has the executor of one task crash, five times in turn.
+func crashInSeries(w *world, trouble bool) (played, error) {
+	jobs, err := handIn(w, 1, 20*time.Second, 1000)
+	if err != nil {
+		return played{}, err
+	}
+	if err := awaitRunning(w, jobs, 5*time.Second); err != nil {
+		return played{}, err
+	}
+	for range 5 {
+		time.Sleep(time.Second)
+		if err := awaitRunning(w, jobs, 12*time.Second); err != nil {
+			return played{}, err
+		}
+		time.Sleep(500 * time.Millisecond)
+		if e := busiest(w, jobs); trouble && e != nil {
+			w.crash(e, 1500*time.Millisecond)
+		}
+	}
+	time.Sleep(rowLife + heartbeat/2) // the row of the former life has gone, too
+	calm := time.Now()
+	w.record.Printf("calm from now on")
+	time.Sleep(15 * time.Second)
+	return played{jobs: jobs, calmFrom: calm, calmTo: time.Now()}, nil
+}
+
+// judge looks for jobs that had nothing running for standStill in the calm, after calmBefore, while
+// there was capacity for them twice over.
+func judge(w *world, p played) int {
+	from := p.calmFrom.Add(calmBefore)
+	free := w.free(p.jobs)
+	var room, left, most int64
+	for _, e := range w.executors {
+		w.record.Printf("executor %s of %s has %d of %d thousandths of a core free at the end", e.ID(), e.zone, free[e.ID()], executorCPU)
+		room, left, most = room+executorCPU, left+free[e.ID()], max(most, free[e.ID()])
+	}
+	w.record.Printf("%d of %d thousandths of a core are free at the end, %d of them on one executor", left, room, most)
+	broken := 0
+	for _, j := range p.jobs {
+		runs := w.ledger.RunsOf(j.id)
+		for _, run := range runs {
+			w.record.Printf("run: %s %s", run.Task, &run)
+		}
+		longest := longestPause(runs, from, p.calmTo)
+		if longest < standStill || 2*j.steps[0].CPU > most {
+			continue
+		}
+		broken++
+		w.ask(j)
+		w.record.Printf("LOST broken: job %s (%s) had nothing running for %s in the calm", j.id, j.state, longest.Round(time.Millisecond))
+	}
+	w.record.Printf("result: %d of %d accepted jobs stood still for %s or longer", broken, len(p.jobs), standStill)
+	fmt.Printf("%d of %d accepted jobs stood still\n", broken, len(p.jobs))
+	if broken > 0 {
+		return 1
+	}
+	return 0
+}
+
+// longestPause returns the longest time without a run of a job's only task between two times. After
+// a run has ended as done there is none.
+func longestPause(runs []standin.Run, from, to time.Time) time.Duration {
+	slices.SortFunc(runs, func(a, b standin.Run) int { return a.Began.Compare(b.Began) })
+	longest, idleSince := time.Duration(0), from
+	for _, run := range runs {
+		if began := minTime(run.Began, to); began.After(idleSince) {
+			longest = max(longest, began.Sub(idleSince))
+		}
+		if run.Ended.IsZero() || run.How == "done" {
+			return longest
+		}
+		if run.Ended.After(idleSince) {
+			idleSince = run.Ended
+		}
+	}
+	return max(longest, to.Sub(idleSince))
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
