--- a/review/calm/main.go
+++ b/review/calm/main.go
@@ -103,19 +103,20 @@
 	return fmt.Errorf("%w: not all jobs run after %s", errNotRun, limit)
 }
 
-// busiest returns the executor that runs most.
+// busiest returns the executor that runs most, the first of several.
 func busiest(w *world, jobs []*keptJob) *executor {
-	var most *executor
-	count := 0
-	for id, runs := range w.active(jobs) {
-		if e := w.executorOf(id); e != nil && len(runs) > count {
-			most, count = e, len(runs)
-		}
-	}
-	return most
+	active := w.active(jobs)
+	return slices.MaxFunc(w.executors, func(a, b *executor) int { return len(active[a.ID()]) - len(active[b.ID()]) })
+}
+
+// busiestOf is busiest among the executors of a zone.
+func busiestOf(w *world, zone string, jobs []*keptJob) *executor {
+	active := w.active(jobs)
+	of := slices.DeleteFunc(slices.Clone(w.executors), func(e *executor) bool { return e.zone != zone })
+	return slices.MaxFunc(of, func(a, b *executor) int { return len(active[a.ID()]) - len(active[b.ID()]) })
 }
 
-// crashOnce has one executor crash, once.
+// crashOnce has one executor of zone 1 crash, once.
 func crashOnce(w *world, trouble bool) (played, error) {
 	jobs, err := handIn(w, 60, 50*time.Second, 500)
 	if err != nil {
@@ -125,14 +126,21 @@
 		return played{}, err
 	}
 	time.Sleep(time.Second)
-	if e := busiest(w, jobs); trouble {
+	if e := busiestOf(w, zoneName(1), jobs); trouble {
 		w.record.Printf("executor %s runs %d tasks", e.ID(), len(w.active(jobs)[e.ID()]))
 		w.crash(e, 3*time.Second)
 	}
 	time.Sleep(rowLife + heartbeat/2) // the row of the former life has gone, too
 	calm := time.Now()
-	w.record.Printf("calm from now on")
-	time.Sleep(16 * time.Second)
+	w.record.Printf("calm from now on; some new jobs are handed in that only zone 1 can run")
+	for range 4 {
+		j := newJob(5*time.Second, 500, 1)
+		j.steps[0].Label = rackOf(1)
+		if w.submit(j); !j.accepted.IsZero() {
+			jobs = append(jobs, j)
+		}
+	}
+	time.Sleep(14 * time.Second)
 	return played{jobs: jobs, calmFrom: calm, calmTo: time.Now()}, nil
 }
 
@@ -239,10 +247,13 @@
 	broken := 0
 	for _, j := range p.jobs {
 		runs := w.ledger.RunsOf(j.id)
+		if len(runs) == 0 {
+			w.record.Printf("run: none of job %s", j.id)
+		}
 		for _, run := range runs {
 			w.record.Printf("run: %s %s", run.Task, &run)
 		}
-		longest := longestPause(runs, from, p.calmTo)
+		longest := longestPause(runs, later(from, j.accepted), p.calmTo)
 		if longest < standStill || 2*j.steps[0].CPU > most {
 			continue
 		}
@@ -277,6 +288,13 @@
 	return max(longest, to.Sub(idleSince))
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func minTime(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/review/calm/world.go
+++ b/review/calm/world.go
@@ -191,11 +191,13 @@
 	return nil
 }
 
+func rackOf(zone int) string { return "r" + strconv.Itoa(zone) }
+
 func zoneName(zone int) string { return "zone-" + strconv.Itoa(zone) }
 
 func (w *world) addExecutor(zone, index int) error {
 	address := fmt.Sprintf("127.%d.%d.%d:%d", w.network, 100+zone, index, executorPort)
-	e := &executor{state: "ready", zone: zoneName(zone), rack: "r" + strconv.Itoa(zone)}
+	e := &executor{state: "ready", zone: zoneName(zone), rack: rackOf(zone)}
 	e.Executor = standin.NewExecutor(standin.ExecutorOptions{
 		Service: service, Address: address, Zone: e.zone, CPU: executorCPU, MemMB: executorMB, Labels: []string{"a", e.rack},
 		MaxHold: maxHold, ClockAdd: time.Duration(len(w.executors)+1) * time.Hour,
