--- a/review/calm/main.go
+++ b/review/calm/main.go
@@ -36,11 +36,11 @@
 	calmTo   time.Time
 }
 
-var scenarios = map[string]scenario{"crash": crashOnce, "drain": drainOnce, "series": crashInSeries, "added": addExecutors}
+var scenarios = map[string]scenario{"crash": crashOnce, "drain": drainOnce, "leave": leaveSilently, "series": crashInSeries, "added": addExecutors, "burst": burstOfJobs}
 
 func main() {
 	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: calm crash|drain|series|added RECORD")
+		fmt.Fprintln(os.Stderr, "usage: calm crash|drain|leave|series|added|burst RECORD")
 		os.Exit(2)
 	}
 	file, err := os.Create(os.Args[2])
@@ -144,8 +144,16 @@
 	return played{jobs: jobs, calmFrom: calm, calmTo: time.Now()}, nil
 }
 
+// leavesAfter is how long an executor that leaves serves on: drain_ms, and a little longer.
+const leavesAfter = 2300 * time.Millisecond
+
 // drainOnce has one executor be emptied and taken away, and come again.
-func drainOnce(w *world, trouble bool) (played, error) {
+func drainOnce(w *world, trouble bool) (played, error) { return leaveOnce(w, trouble, true) }
+
+// leaveSilently is drainOnce without the word of it: the executor's row goes.
+func leaveSilently(w *world, trouble bool) (played, error) { return leaveOnce(w, trouble, false) }
+
+func leaveOnce(w *world, trouble, says bool) (played, error) {
 	jobs, err := handIn(w, 60, 50*time.Second, 500)
 	if err != nil {
 		return played{}, err
@@ -156,9 +164,9 @@
 	time.Sleep(time.Second)
 	if e := busiest(w, jobs); trouble {
 		w.record.Printf("executor %s runs %d tasks", e.ID(), len(w.active(jobs)[e.ID()]))
-		w.drain(e, 3*time.Second)
+		w.drain(e, says, leavesAfter)
 	}
-	time.Sleep(3*time.Second + heartbeat)
+	time.Sleep(leavesAfter + time.Second + heartbeat)
 	calm := time.Now()
 	w.record.Printf("calm from now on")
 	time.Sleep(16 * time.Second)
@@ -195,6 +203,56 @@
 	return played{jobs: append(jobs, waiting...), calmFrom: calm, calmTo: time.Now()}, nil
 }
 
+// Traffic of burstOfJobs: jobs that need much memory and little of the processor, in zone 1.
+const (
+	usualRate  = 14 // jobs a second
+	burstRate  = 25 // 1.8 times as many
+	burstLasts = time.Second
+	burstMB    = 8192 // four of them fit into an executor, 16 into a zone
+)
+
+// burstOfJobs has many users of one zone come at once.
+func burstOfJobs(w *world, trouble bool) (played, error) {
+	w.from = zoneName(1)
+	rate := usualRate
+	if trouble {
+		rate = burstRate
+		w.record.Printf("trouble: %.1f times as many jobs come in zone 1 for %s", float64(burstRate)/usualRate, burstLasts)
+	}
+	jobs := traffic(w, rate, burstLasts, func() *keptJob {
+		j := newJob(60*time.Second, 100, 1)
+		j.steps[0].MemMB = burstMB
+		return j
+	})
+	calm := time.Now()
+	w.record.Printf("calm from now on")
+	time.Sleep(16 * time.Second)
+	return played{jobs: jobs, calmFrom: calm, calmTo: time.Now()}, nil
+}
+
+// traffic hands jobs in at a steady rate, and returns those that were accepted.
+func traffic(w *world, rate int, lasts time.Duration, make func() *keptJob) []*keptJob {
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var accepted []*keptJob
+	count := int(lasts.Seconds() * float64(rate))
+	for range count {
+		j := make()
+		group.Go(func() {
+			w.submit(j)
+			mu.Lock()
+			defer mu.Unlock()
+			if !j.accepted.IsZero() {
+				accepted = append(accepted, j)
+			}
+		})
+		time.Sleep(lasts / time.Duration(count))
+	}
+	group.Wait()
+	w.record.Printf("%d of %d jobs of the traffic are accepted", len(accepted), count)
+	return accepted
+}
+
 // handInAtOnce hands jobs in, several at a time.
 func handInAtOnce(w *world, count int, work time.Duration, cpu int64) ([]*keptJob, error) {
 	const atOnce = 8
--- a/review/calm/world.go
+++ b/review/calm/world.go
@@ -283,23 +283,26 @@
 	})
 }
 
-// drain has an executor say that it drains, serve on for a while, end, and come again.
-func (w *world) drain(e *executor, serves time.Duration) {
+// drain has an executor say that it drains, serve on for a while, end, and come again. One that
+// says nothing has its row go instead.
+func (w *world) drain(e *executor, says bool, serves time.Duration) {
+	id := e.ID()
 	e.mu.Lock()
-	e.state = "draining"
+	e.state, e.silent = "draining", !says
 	e.mu.Unlock()
-	id := e.ID()
 	w.publish(e)
-	w.record.Printf("trouble: executor %s says draining, and serves on for %s", id, serves)
+	if says {
+		w.record.Printf("trouble: executor %s says draining, and serves on for %s", id, serves)
+	} else {
+		w.removeRow(id)
+		w.record.Printf("trouble: the row of executor %s goes, and it serves on for %s", id, serves)
+	}
 	time.AfterFunc(serves, func() {
 		e.mu.Lock()
 		e.silent, e.state = true, "ready"
 		e.mu.Unlock()
 		e.Down()
-		w.mu.Lock()
-		delete(w.rows, id)
-		w.store.Remove("servers", id)
-		w.mu.Unlock()
+		w.removeRow(id)
 		w.record.Printf("trouble: executor %s has left", id)
 		time.Sleep(time.Second)
 		e.mu.Lock()
@@ -307,9 +310,17 @@
 		e.mu.Unlock()
 		e.Up()
 		w.publish(e)
+		w.record.Printf("trouble: the executor at %s is back as %s", e.Address(), e.ID())
 	})
 }
 
+func (w *world) removeRow(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.rows, id)
+	w.store.Remove("servers", id)
+}
+
 // configure writes the configuration.
 func (w *world) configure() {
 	w.store.Put("op", "config", map[string]any{
