--- a/review/calm/main.go
+++ b/review/calm/main.go
@@ -36,11 +36,11 @@
 	calmTo   time.Time
 }
 
-var scenarios = map[string]scenario{"crash": crashOnce, "drain": drainOnce, "leave": leaveSilently, "series": crashInSeries, "added": addExecutors, "burst": burstOfJobs}
+var scenarios = map[string]scenario{"crash": crashOnce, "drain": drainOnce, "leave": leaveSilently, "series": crashInSeries, "added": addExecutors, "burst": burstOfJobs, "grey": greyExecutor, "gpu": burstBesideGPU}
 
 func main() {
 	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: calm crash|drain|leave|series|added|burst RECORD")
+		fmt.Fprintln(os.Stderr, "usage: calm crash|drain|leave|series|added|burst|grey|gpu RECORD")
 		os.Exit(2)
 	}
 	file, err := os.Create(os.Args[2])
@@ -203,6 +203,69 @@
 	return played{jobs: append(jobs, waiting...), calmFrom: calm, calmTo: time.Now()}, nil
 }
 
+// greyExecutor has one executor of a zone that is otherwise full fail all that it starts for a while.
+func greyExecutor(w *world, trouble bool) (played, error) {
+	forZone := func(work time.Duration) func() *keptJob {
+		return func() *keptJob {
+			j := newJob(work, 1000, 1)
+			j.steps[0].Label = rackOf(1)
+			return j
+		}
+	}
+	jobs := traffic(w, 24, 2*time.Second, forZone(75*time.Second)) // three of the four executors are full
+	if err := awaitRunning(w, jobs, 5*time.Second); err != nil {
+		return played{}, err
+	}
+	active := w.active(jobs)
+	grey := slices.IndexFunc(w.executors, func(e *executor) bool { return len(active[e.ID()]) == 0 })
+	e := w.executors[grey]
+	w.record.Printf("executor %s of %s runs nothing", e.ID(), e.zone)
+	if trouble {
+		w.record.Printf("trouble: executor %s fails all that it starts for %s", e.ID(), greyLasts)
+		e.SetFault(standin.ExecutorFails)
+	}
+	traffic(w, 2, time.Second, forZone(500*time.Millisecond))
+	time.Sleep(greyLasts - time.Second)
+	e.SetFault(standin.ExecutorServes)
+	w.record.Printf("executor %s is sound", e.ID())
+	time.Sleep(calmBefore)
+	calm := time.Now()
+	w.record.Printf("calm; more jobs are handed in")
+	jobs = append(jobs, traffic(w, 6, time.Second, forZone(60*time.Second))...)
+	time.Sleep(16 * time.Second)
+	return played{jobs: jobs, calmFrom: calm, calmTo: time.Now()}, nil
+}
+
+// greyLasts is how long an executor fails what it starts: 6.5 s, as on the site.
+const greyLasts = 6500 * time.Millisecond
+
+// Traffic of burstBesideGPU, in jobs a second of one core each. The usual one leaves cores free, and
+// 1.8 times as many take all 192.
+const (
+	usualCores = 30
+	burstCores = 54
+	coresLast  = 4 * time.Second
+)
+
+// burstBesideGPU has a burst take all processors, and jobs come that need a GPU and no processor.
+func burstBesideGPU(w *world, trouble bool) (played, error) {
+	rate := usualCores
+	if trouble {
+		rate = burstCores
+		w.record.Printf("trouble: %.1f times as many jobs come for %s", float64(burstCores)/usualCores, coresLast)
+	}
+	jobs := traffic(w, rate, coresLast, func() *keptJob { return newJob(60*time.Second, 1000, 1) })
+	calm := time.Now()
+	w.record.Printf("calm; jobs that need a GPU only are handed in")
+	jobs = append(jobs, traffic(w, 4, time.Second, func() *keptJob {
+		j := newJob(5*time.Second, 0, 1)
+		j.steps[0].GPU = 1
+		return j
+	})...)
+	time.Sleep(14 * time.Second)
+	return played{jobs: jobs, calmFrom: calm, calmTo: time.Now()}, nil
+}
+
 // Traffic of burstOfJobs: jobs that need much memory and little of the processor, in zone 1.
 const (
 	usualRate  = 14 // jobs a second
--- a/review/calm/world.go
+++ b/review/calm/world.go
@@ -40,6 +40,7 @@
 
 	executorCPU = 16000 // thousandths of a core, as on the site
 	executorMB  = 32768
+	executorGPU = 4
 	heartbeat   = 1500 * time.Millisecond
 	// rowLife is how long a row stays after the last heartbeat: three of them.
 	rowLife = 3 * heartbeat
@@ -199,7 +200,7 @@
 	address := fmt.Sprintf("127.%d.%d.%d:%d", w.network, 100+zone, index, executorPort)
 	e := &executor{state: "ready", zone: zoneName(zone), rack: rackOf(zone)}
 	e.Executor = standin.NewExecutor(standin.ExecutorOptions{
-		Service: service, Address: address, Zone: e.zone, CPU: executorCPU, MemMB: executorMB, Labels: []string{"a", e.rack},
+		Service: service, Address: address, Zone: e.zone, CPU: executorCPU, MemMB: executorMB, GPU: executorGPU, Labels: []string{"a", e.rack},
 		MaxHold: maxHold, ClockAdd: time.Duration(len(w.executors)+1) * time.Hour,
 	}, w.ledger)
 	if err := w.serve(address, e.Executor); err != nil {
@@ -408,8 +409,9 @@
 // step is a step of a job, as callers write it.
 type step struct {
 	Count    int    `json:"count"`
-	CPU      int64  `json:"cpu"`
-	MemMB    int64  `json:"mem_mb"`
+	CPU      int64  `json:"cpu,omitempty"`
+	MemMB    int64  `json:"mem_mb,omitempty"`
+	GPU      int64  `json:"gpu,omitempty"`
 	Estimate int64  `json:"estimate_ms"`
 	After    []int  `json:"after_rev,omitempty"`
 	Label    string `json:"constraints,omitempty"`
