--- a/review/calm/main.go
+++ b/review/calm/main.go
@@ -22,6 +22,8 @@
 )
 
 const (
+	// asked is of how many jobs that stood still the state is asked.
+	asked = 5
 	// standStill and calmBefore are the figures of the rule.
 	standStill = 3 * time.Second
 	calmBefore = 4 * time.Second
@@ -55,7 +57,11 @@
 func play(s scenario, record *log.Logger) int {
 	trouble := os.Getenv("TROUBLE") != "0"
 	record.Printf("trouble: %t", trouble)
-	w, err := newWorld(record)
+	size := small
+	if os.Args[1] == "crash" {
+		size = likeSite
+	}
+	w, err := newWorld(record, size)
 	if err != nil {
 		return notRun(record, err)
 	}
@@ -116,32 +122,32 @@
 	return slices.MaxFunc(of, func(a, b *executor) int { return len(active[a.ID()]) - len(active[b.ID()]) })
 }
 
-// crashOnce has one executor of zone 1 crash, once.
+// crashOnce has one executor of each zone crash, once and at the same time.
 func crashOnce(w *world, trouble bool) (played, error) {
-	jobs, err := handIn(w, 60, 50*time.Second, 500)
+	jobs, err := handInAtOnce(w, 120, 60*time.Second, 500)
 	if err != nil {
 		return played{}, err
 	}
-	if err := awaitRunning(w, jobs, 5*time.Second); err != nil {
+	if err := awaitRunning(w, jobs, 8*time.Second); err != nil {
 		return played{}, err
 	}
 	time.Sleep(time.Second)
-	if e := busiestOf(w, zoneName(1), jobs); trouble {
-		w.record.Printf("executor %s runs %d tasks", e.ID(), len(w.active(jobs)[e.ID()]))
-		w.crash(e, 3*time.Second)
+	for zone := range w.shape.hosts {
+		e := busiestOf(w, zoneName(zone+1), jobs)
+		w.record.Printf("executor %s of %s runs %d tasks", e.ID(), e.zone, len(w.active(jobs)[e.ID()]))
+		if trouble {
+			w.crash(e, 3*time.Second)
+		}
 	}
-	time.Sleep(rowLife + heartbeat/2) // the row of the former life has gone, too
+	time.Sleep(rowLife + heartbeat/2) // the rows of the former lives have gone, too
 	calm := time.Now()
-	w.record.Printf("calm from now on; some new jobs are handed in that only zone 1 can run")
-	for range 4 {
-		j := newJob(5*time.Second, 500, 1)
-		j.steps[0].Label = rackOf(1)
-		if w.submit(j); !j.accepted.IsZero() {
-			jobs = append(jobs, j)
-		}
+	w.record.Printf("calm from now on; some new jobs are handed in")
+	later, err := handIn(w, 12, 5*time.Second, 500)
+	if err != nil {
+		return played{}, err
 	}
 	time.Sleep(14 * time.Second)
-	return played{jobs: jobs, calmFrom: calm, calmTo: time.Now()}, nil
+	return played{jobs: append(jobs, later...), calmFrom: calm, calmTo: time.Now()}, nil
 }
 
 // leavesAfter is how long an executor that leaves serves on: drain_ms, and a little longer.
@@ -190,7 +196,7 @@
 	time.Sleep(2 * time.Second)
 	if trouble {
 		for i := 1; i <= len(w.executors)/12*3; i++ { // a quarter: 3 beside 12
-			if err := w.addExecutor(2, executorsPerZone+i); err != nil {
+			if err := w.addExecutor(2, w.shape.executors+i); err != nil {
 				return played{}, err
 			}
 			w.record.Printf("trouble: an empty executor is added in zone 2")
@@ -359,9 +365,11 @@
 func judge(w *world, p played) int {
 	from := p.calmFrom.Add(calmBefore)
 	free := w.free(p.jobs)
+	running := w.active(p.jobs)
 	var room, left, most int64
 	for _, e := range w.executors {
-		w.record.Printf("executor %s of %s has %d of %d thousandths of a core free at the end", e.ID(), e.zone, free[e.ID()], executorCPU)
+		w.record.Printf("executor %s of %s runs %d tasks and has %d of %d thousandths of a core free at the end",
+			e.ID(), e.zone, len(running[e.ID()]), free[e.ID()], executorCPU)
 		room, left, most = room+executorCPU, left+free[e.ID()], max(most, free[e.ID()])
 	}
 	w.record.Printf("%d of %d thousandths of a core are free at the end, %d of them on one executor", left, room, most)
@@ -378,8 +386,9 @@
 		if longest < standStill || 2*j.steps[0].CPU > most {
 			continue
 		}
-		broken++
-		w.ask(j)
+		if broken++; broken <= asked {
+			w.ask(j)
+		}
 		w.record.Printf("LOST broken: job %s (%s) had nothing running for %s in the calm", j.id, j.state, longest.Round(time.Millisecond))
 	}
 	w.record.Printf("result: %d of %d accepted jobs stood still for %s or longer", broken, len(p.jobs), standStill)
--- a/review/calm/world.go
+++ b/review/calm/world.go
@@ -28,11 +28,18 @@
 // A small deployment on loopback addresses: the project's program as separate processes, the
 // project's stand-ins of the store and the executors, and an operator.
 
-const (
-	zones            = 3
-	hostsPerZone     = 2
-	executorsPerZone = 4
+// shape is the size of a deployment.
+type shape struct {
+	hosts     []int // of each zone
+	executors int   // a zone
+}
 
+var (
+	small    = shape{hosts: []int{2, 2, 2}, executors: 4}
+	likeSite = shape{hosts: []int{4, 3, 2}, executors: 16} // as andina-mezcla
+)
+
+const (
 	service  = "formula-desk"
 	hostName = "orders.example"
 	prefix   = "/orders/"
@@ -114,6 +121,7 @@
 }
 
 type world struct {
+	shape     shape
 	dir       string
 	network   int
 	store     *standin.Store
@@ -129,13 +137,13 @@
 	rows map[string]time.Time // rows of executors by id: when they were written last
 }
 
-func newWorld(record *log.Logger) (*world, error) {
+func newWorld(record *log.Logger, size shape) (*world, error) {
 	dir, err := os.MkdirTemp("", "foxcroft-review-")
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNotRun, err)
 	}
 	w := &world{
-		dir: dir, store: standin.NewStore(), ledger: standin.NewLedger(), record: record, stop: make(chan struct{}),
+		shape: size, dir: dir, store: standin.NewStore(), ledger: standin.NewLedger(), record: record, stop: make(chan struct{}),
 		rows:   map[string]time.Time{},
 		client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
@@ -151,8 +159,8 @@
 	if err != nil {
 		return err
 	}
-	for zone := 1; zone <= zones; zone++ {
-		for i := 1; i <= executorsPerZone; i++ {
+	for zone := 1; zone <= len(w.shape.hosts); zone++ {
+		for i := 1; i <= w.shape.executors; i++ {
 			if err := w.addExecutor(zone, i); err != nil {
 				return err
 			}
@@ -160,9 +168,9 @@
 	}
 	w.configure()
 	go w.beat()
-	for zone := 1; zone <= zones; zone++ {
-		for i := 1; i <= hostsPerZone; i++ {
-			if err := w.startHost(zone, i, storeAddress); err != nil {
+	for zone, hosts := range w.shape.hosts {
+		for i := 1; i <= hosts; i++ {
+			if err := w.startHost(zone+1, i, storeAddress); err != nil {
 				return err
 			}
 		}
