--- a/review/calm/main.go
+++ b/review/calm/main.go
@@ -274,9 +274,9 @@
 
 // Traffic of burstOfJobs: jobs that need much memory and little of the processor, in zone 1.
 const (
-	usualRate  = 14 // jobs a second
-	burstRate  = 25 // 1.8 times as many
-	burstLasts = time.Second
+	usualRate  = 30 // jobs a second
+	burstRate  = 54 // 1.8 times as many
+	burstLasts = 500 * time.Millisecond
 	burstMB    = 8192 // four of them fit into an executor, 16 into a zone
 )
 
@@ -366,13 +366,14 @@
 	from := p.calmFrom.Add(calmBefore)
 	free := w.free(p.jobs)
 	running := w.active(p.jobs)
-	var room, left, most int64
+	var left int64
 	for _, e := range w.executors {
-		w.record.Printf("executor %s of %s runs %d tasks and has %d of %d thousandths of a core free at the end",
-			e.ID(), e.zone, len(running[e.ID()]), free[e.ID()], executorCPU)
-		room, left, most = room+executorCPU, left+free[e.ID()], max(most, free[e.ID()])
+		r := free[e.ID()]
+		left += r.cpu
+		w.record.Printf("executor %s of %s, with labels a and %s, runs %d tasks at the end and has %d thousandths of a core, %d MB and %d GPUs left",
+			e.ID(), e.zone, e.rack, len(running[e.ID()]), r.cpu, r.memMB, r.gpu)
 	}
-	w.record.Printf("%d of %d thousandths of a core are free at the end, %d of them on one executor", left, room, most)
+	w.record.Printf("%d of %d thousandths of a core are free at the end", left, len(w.executors)*executorCPU)
 	broken := 0
 	for _, j := range p.jobs {
 		runs := w.ledger.RunsOf(j.id)
@@ -383,7 +384,7 @@
 			w.record.Printf("run: %s %s", run.Task, &run)
 		}
 		longest := longestPause(runs, later(from, j.accepted), p.calmTo)
-		if longest < standStill || 2*j.steps[0].CPU > most {
+		if longest < standStill || !hasRoomTwice(w, free, j.steps[0]) {
 			continue
 		}
 		if broken++; broken <= asked {
@@ -399,6 +400,13 @@
 	return 0
 }
 
+// hasRoomTwice reports whether an executor that can run a step has room for it twice.
+func hasRoomTwice(w *world, free map[string]room, s step) bool {
+	return slices.ContainsFunc(w.executors, func(e *executor) bool {
+		return (s.Label == "" || s.Label == e.rack) && free[e.ID()].holdsTwice(s)
+	})
+}
+
 // longestPause returns the longest time without a run of a job's only task between two times. After
 // a run has ended as done there is none.
 func longestPause(runs []standin.Run, from, to time.Time) time.Duration {
--- a/review/calm/world.go
+++ b/review/calm/world.go
@@ -513,18 +513,29 @@
 	return runs
 }
 
-// free returns the free thousandths of a core of each executor, by id.
-func (w *world) free(jobs []*keptJob) map[string]int64 {
-	free := map[string]int64{}
+// room is what an executor has, or has left.
+type room struct{ cpu, memMB, gpu int64 }
+
+var wholeRoom = room{cpu: executorCPU, memMB: executorMB, gpu: executorGPU}
+
+// holdsTwice reports whether the tasks of a step fit twice.
+func (r room) holdsTwice(s step) bool {
+	return 2*s.CPU <= r.cpu && 2*s.MemMB <= r.memMB && 2*s.GPU <= r.gpu
+}
+
+// free returns what each executor that serves has left, by id.
+func (w *world) free(jobs []*keptJob) map[string]room {
+	free := map[string]room{}
 	for _, e := range w.executors {
 		if !e.IsDown() {
-			free[e.ID()] = executorCPU
+			free[e.ID()] = wholeRoom
 		}
 	}
 	for _, j := range jobs {
 		for _, run := range w.ledger.RunsOf(j.id) {
-			if run.Ended.IsZero() {
-				free[run.Executor] -= j.steps[0].CPU // all steps of a job ask for the same
+			if left, up := free[run.Executor]; up && run.Ended.IsZero() {
+				s := j.steps[0] // jobs have one step
+				free[run.Executor] = room{cpu: left.cpu - s.CPU, memMB: left.memMB - s.MemMB, gpu: left.gpu - s.GPU}
 			}
 		}
 	}
