Claim the cells of a domain without hosts from a minority of hosts

Cause: ownership.ShouldClaim let a host claim a cell of another domain only while it reached at least half of the hosts that have rows. Rows of hosts that are lost with their whole domain stay, so no survivor ever counts as in contact.

Change: evidence in place of the count alone. (1) A host that reaches less than half asks in the store, by a mark in its row, whether hosts of the domain live; those that don't reach it answer by a mark in theirs. The domain counts as lost once a question that was asked 2 s after the first one is read back without an answer before it: the store orders both. Hosts of earlier builds don't answer, so their domains never count as lost. (2) Hosts whose machines refuse connections have ended, and don't count as out of reach for a second from then. Where neither holds, as with an unreadable store and silent hosts, nothing changes: the host claims nothing. A needless claim stays safe, as the executors obey the higher token.

The tests' cellsToClaim is now mayBeClaimed(claimCandidates); their expectations are unchanged.

--- a/pkg/member/inquiry.go
+++ b/pkg/member/inquiry.go
@@ -26,6 +26,10 @@
 type ContactMark struct {
 	Asks     uint64 // the number of its question whether others live; 0: it doesn't ask
 	SeenUpTo uint64 // it isn't isolated, and has read the rows up to this position in the store's history; 0: not told
+
+	// Hosts of other domains go by these, see domainInquiry.
+	AsksDomains uint64 // the number of its question whether hosts of other domains live; 0: it doesn't ask
+	LivesUpTo   uint64 // it was running when it had read the rows up to this position, whether or not it is isolated; 0: not told
 }
 
 // Evidence is what shows a host that is alone that others of its domain live.
@@ -45,6 +49,7 @@
 // inquiry is the state of a host's questions while it is alone.
 type inquiry struct {
 	isOpen bool
+	mark   ContactMark   // the last question
 	asked  uint64        // number of the last question
 	since  uint64        // marks count that were written after this position in the store's history had been read
 	nextAt time.Duration // of the next question
@@ -70,9 +75,25 @@
 	return maxTurn * time.Duration(before) / time.Duration(max(len(hosts), maxMeshSize))
 }
 
-// NextQuestion returns the mark to write into this host's row if it is alone and should ask now whether
-// others live. position is that in the store's history up to which it has read the rows; 0 before that.
+// NextQuestion returns the mark to write into this host's row if it should ask now whether others live: of its
+// own domain, if it is alone, or of the domains of AskAbout. position is that in the store's history up to which
+// it has read the rows; 0 before that.
 func (t *Table) NextQuestion(position uint64, now time.Duration) (ContactMark, bool) {
+	mark, asks := t.nextQuestion(position, now)
+	if t.nextDomainQuestion(position, now) {
+		asks = true
+		if t.inquiry.isOpen {
+			mark = t.inquiry.mark // so that this question doesn't overwrite it unread
+		}
+	}
+	if !asks {
+		return ContactMark{}, false
+	}
+	return t.withDomainQuestion(mark), true
+}
+
+// nextQuestion is NextQuestion for the own domain.
+func (t *Table) nextQuestion(position uint64, now time.Duration) (ContactMark, bool) {
 	if position == 0 || t.self.Leaving || !t.IsAlone() {
 		t.inquiry.isOpen = false
 		return ContactMark{}, false
@@ -87,7 +108,7 @@
 	if !t.IsIsolated(now) {
 		mark.SeenUpTo, interval = position, aloneAskInterval
 	}
-	t.inquiry.nextAt = now + interval
+	t.inquiry.mark, t.inquiry.nextAt = mark, now+interval
 	return mark, true
 }
 
@@ -123,11 +144,16 @@
 // one of the first hosts among those that reach each other. cannot reports that a host doesn't reach the
 // store, or is of a build that doesn't answer.
 func (t *Table) ShouldAnswer(asker string, cannot func(peer Peer) bool, now time.Duration) bool {
-	if t.IsAlone() {
-		return !t.self.Leaving && !t.IsIsolated(now)
+	return !t.IsIsolated(now) && t.isAnswerer(asker, cannot, now)
+}
+
+// isAnswerer reports whether this host is alone, or one of the first hosts among those that reach each other.
+func (t *Table) isAnswerer(asker string, cannot func(peer Peer) bool, now time.Duration) bool {
+	if t.self.Leaving || t.IsAlone() {
+		return !t.self.Leaving
 	}
 	hubs := t.HubSnapshot(now)
-	if t.self.Leaving || !hubs.IsHub(t.self.Address, t.self.Domain) || t.IsIsolated(now) {
+	if !hubs.IsHub(t.self.Address, t.self.Domain) {
 		return false
 	}
 	before := 0
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -66,6 +66,8 @@
 	aloneSince       time.Duration            // when the last link to a host of the own domain went down, if none is up; 0 until one was up
 	confirmedAt      time.Duration            // when a mark last showed that another host of the own domain lives, while this one was alone
 	inquiry          inquiry                  // whether others live, while this host is alone
+	domainInquiry    domainInquiry            // whether hosts of domains live of which this host reaches none
+	refusedAt        map[string]time.Duration // by address: when a connection was refused last, until the link is up
 	domains          map[string]rankedHosts   // listed hosts by domain
 	remoteLinks      []string                 // hosts of other domains to keep links to
 }
@@ -82,6 +84,7 @@
 		up:               map[string]Peer{},
 		leftAt:           map[string]time.Duration{},
 		unreachableSince: map[string]time.Duration{},
+		refusedAt:        map[string]time.Duration{},
 	}
 }
 
@@ -148,6 +151,7 @@
 func (t *Table) LinkUp(peer Peer) {
 	delete(t.leftAt, peer.Address)
 	delete(t.unreachableSince, peer.Address)
+	delete(t.refusedAt, peer.Address)
 	t.up[peer.Address] = peer
 }
 
--- a/pkg/node/claims.go
+++ b/pkg/node/claims.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/ownership"
@@ -16,9 +18,9 @@
 		return
 	}
 	n.updateOwnerless(listing)
-	names := n.cellsToClaim(listing, now)
-	n.foreignDomains.retainOnly(names)
-	for _, name := range names {
+	candidates := n.claimCandidates(listing, now)
+	n.gatherEvidenceOfLoss(slices.Collect(maps.Keys(candidates)), now)
+	for _, name := range mayBeClaimed(candidates) {
 		domain := ownership.DomainOf(name)
 		if domain != n.settings.Domain && !n.mayClaimForeign(domain, now) {
 			continue
@@ -32,24 +34,36 @@
 	n.yieldCells(listing)
 }
 
-// cellsToClaim returns the cells that this node should claim in its current view. While it may be
-// cut off from its domain it claims none there: their owners may serve all other hosts.
-func (n *Node) cellsToClaim(listing *listing, now time.Duration) []string {
+// mayBeClaimed returns the candidates that may be claimed now.
+func mayBeClaimed(candidates map[string]ownership.Readiness) []string {
+	var names []string
+	for name, readiness := range candidates {
+		if readiness == ownership.MayClaim {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// claimCandidates returns the cells that this node should claim in its current view, now or once the hosts of
+// their domain count as lost. While it may be cut off from its own domain it claims none there: their owners may
+// serve all other hosts.
+func (n *Node) claimCandidates(listing *listing, now time.Duration) map[string]ownership.Readiness {
 	contact := n.contact()
 	mayBeCutOff := contact.isolated || now < contact.unsureUntil
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	view := n.ownershipView()
-	var names []string
+	candidates := map[string]ownership.Readiness{}
 	for name := range listing.cells {
-		if mayBeCutOff && ownership.DomainOf(name) == n.settings.Domain {
+		if n.owners[name] != nil || mayBeCutOff && ownership.DomainOf(name) == n.settings.Domain {
 			continue
 		}
-		if n.owners[name] == nil && n.claims.ShouldClaim(name, ownership.DomainOf(name), view, now) {
-			names = append(names, name)
+		if readiness := n.claims.ReadinessFor(name, ownership.DomainOf(name), view, now); readiness != ownership.NotCandidate {
+			candidates[name] = readiness
 		}
 	}
-	return names
+	return candidates
 }
 
 func (n *Node) shouldClaim(name string, now time.Duration) bool {
--- a/pkg/node/foreign.go
+++ b/pkg/node/foreign.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -14,7 +15,8 @@
 // claim its executors. Such a node first probes whether the executors are reachable, by
 // a hold request without a token, which changes nothing. It claims them only after they
 // have been reachable for minReachable: after a network partition, the links to the
-// domain's nodes come back within that time.
+// domain's nodes come back within that time. A node that reaches less than half of the
+// nodes also asks in the store whether those of the domain live (member.Table.AskAbout).
 const (
 	probeInterval      = 300 * time.Millisecond
 	probeTimeout       = 250 * time.Millisecond
@@ -82,6 +84,36 @@
 	}
 }
 
+// gatherEvidenceOfLoss looks for evidence that the nodes of other domains are lost, while this node is the one
+// that should claim their cells.
+func (n *Node) gatherEvidenceOfLoss(cells []string, now time.Duration) {
+	n.foreignDomains.retainOnly(cells)
+	domains := map[string]bool{}
+	for _, name := range cells {
+		if domain := ownership.DomainOf(name); domain != n.settings.Domain && !domains[domain] {
+			domains[domain] = true
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if view := n.ownershipView(); !view.ReachesFew() {
+		clear(domains)
+	}
+	maps.DeleteFunc(domains, func(domain string, _ bool) bool { return !n.answersDomains(domain) })
+	n.members.AskAbout(slices.Collect(maps.Keys(domains)), n.membersPosition, now)
+}
+
+// answersDomains reports whether all nodes of another domain answer questions of this one in the store. Those of
+// earlier builds don't. n.mu is held.
+func (n *Node) answersDomains(domain string) bool {
+	for _, row := range n.memberRows {
+		if row.Domain == domain && !row.AnswersDomains {
+			return false
+		}
+	}
+	return true
+}
+
 // mayClaimForeign reports whether this node may claim cells of another domain that has no
 // reachable nodes. Until it may, it probes the domain's executors periodically.
 func (n *Node) mayClaimForeign(domain string, now time.Duration) bool {
--- a/pkg/node/foreign_test.go
+++ b/pkg/node/foreign_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/foxcroft/foxcroft/pkg/catalog"
 	"github.com/foxcroft/foxcroft/pkg/cell"
+	"github.com/foxcroft/foxcroft/pkg/member"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -68,3 +69,64 @@
 		})
 	}
 }
+
+// Guards against hosts that never claim the cells of a domain without hosts, as they reach less than half of all
+// hosts and take themselves for cut off.
+func TestAHostThatReachesFewAsksAboutADomainWithoutHosts(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		row      Member // of the domain
+		want     bool
+	}{
+		{testName: "its hosts answer such questions", row: Member{Name: "d", Domain: "y", AnswersDomains: true}, want: true},
+		{testName: "one is of an earlier build", row: Member{Name: "d", Domain: "y"}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			c := qt.New(t)
+			n, clock, store := cutOffNode(t)
+			linkUp(n, "b", "z")
+			n.LinkDown("d")
+			n.LinkDown("e")
+			n.mu.Lock()
+			n.memberRows[s.row.Name] = s.row
+			n.members.SetListed([]member.ListedHost{{Name: "c", Domain: "z", Address: "c"}, {Name: "d", Domain: "y", Address: "d"}, {Name: "e", Domain: "y", Address: "e"}})
+			n.mu.Unlock()
+			list := &catalog.Executors{Revision: 1, ByID: map[string]catalog.Executor{"i-1": {ID: "i-1", Domain: "y", Address: "10.0.0.1:80"}}}
+			n.executors.Store(newListing(0, list, sizesOf(list), map[string]int{"y": 1}))
+			n.front.calls.executors = &answeringExecutors{verdict: cell.Accepted}
+			n.gatherEvidenceOfLoss([]string{"y"}, clock.now)
+			clock.now += time.Second
+			n.updateIsolation(clock.now)
+			if !s.want {
+				c.Assert(n.asksDomains(), qt.IsFalse)
+				return
+			}
+			eventually(c, func() bool { return len(store.marks()) == 1 })
+			c.Assert(store.marks()[0].AsksDomains, qt.Equals, uint64(1))
+			n.handleMarks(MemberChanges{Position: 12, Listed: []Member{{Name: "d", Domain: "y", Contact: member.ContactMark{LivesUpTo: 11}}}})
+			c.Assert(n.members.LostDomains(), qt.HasLen, 0)
+		})
+	}
+}
+
+// Guards against a host of a lost domain's neighbours that is asked by others and leaves them without an answer, and
+// against answers to hosts that it reaches.
+func TestAHostAnswersOtherDomainsThatDontReachIt(t *testing.T) {
+	for _, asker := range []struct {
+		name  string
+		wants int
+	}{{name: "f", wants: 1}, {name: "d"}} {
+		c := qt.New(t)
+		n, _, store := cutOffNode(t)
+		question := Member{Name: asker.name, Domain: "y", PeerAddress: asker.name, Contact: member.ContactMark{AsksDomains: 1}}
+		n.handleMarks(MemberChanges{Position: 12, Listed: []Member{question}})
+		if asker.wants > 0 {
+			eventually(c, func() bool { return len(store.marks()) == asker.wants })
+			c.Assert(store.marks()[0].LivesUpTo, qt.Equals, uint64(12))
+			continue
+		}
+		time.Sleep(50 * time.Millisecond)
+		c.Assert(store.marks(), qt.HasLen, 0)
+	}
+}
--- a/pkg/node/heard_owners_test.go
+++ b/pkg/node/heard_owners_test.go
@@ -43,7 +43,7 @@
 	cut.LinkDown(address)
 	wants := func() bool {
 		cut.updateOwnerless(listing)
-		return len(cut.cellsToClaim(listing, cut.Clock.Now())) > 0
+		return len(mayBeClaimed(cut.claimCandidates(listing, cut.Clock.Now()))) > 0
 	}
 	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		c.Assert(wants(), qt.IsFalse, qt.Commentf("the other host hears the owner: %t; this one: %t", hearsOwner(other), hearsOwner(cut)))
--- a/pkg/node/inquiry.go
+++ b/pkg/node/inquiry.go
@@ -36,8 +36,8 @@
 	lasted   time.Duration
 }
 
-// updateIsolation asks in the store whether other hosts of the domain live, if this host is alone, and logs
-// when an isolation begins or ends.
+// updateIsolation asks in the store whether other hosts live, if this host can't tell by its links, and logs when
+// an isolation begins or ends.
 func (n *Node) updateIsolation(now time.Duration) {
 	n.mu.Lock()
 	mark, asks := n.members.NextQuestion(n.membersPosition, now)
@@ -97,29 +97,68 @@
 
 // handleMarks takes the marks of changed rows: they may show that others live, or ask for an answer.
 func (n *Node) handleMarks(changes MemberChanges) {
-	marked := slices.DeleteFunc(slices.Clone(changes.Listed), func(row Member) bool {
-		return row.Contact == member.ContactMark{} || row.Domain != n.settings.Domain || row.Name == n.settings.Name
-	})
+	marked := slices.DeleteFunc(slices.Clone(changes.Listed), func(row Member) bool { return row.Contact == member.ContactMark{} })
 	if len(marked) == 0 {
 		return
 	}
+	ofDomain := slices.DeleteFunc(slices.Clone(marked), func(row Member) bool {
+		return row.Domain != n.settings.Domain || row.Name == n.settings.Name
+	})
 	n.mu.Lock()
 	now := n.Clock.Now()
-	confirmed := n.takeMarks(marked, changes.Position, now)
+	confirmed := n.takeMarks(ofDomain, changes.Position, now)
+	domains := n.takeDomainMarks(marked, now)
 	change := n.observeIsolation(now)
-	answers := slices.ContainsFunc(marked, func(row Member) bool {
+	toOwn := slices.ContainsFunc(ofDomain, func(row Member) bool {
 		return row.Contact.Asks > 0 && n.members.ShouldAnswer(row.Name, n.cannotAnswer, now)
 	})
+	toDomains := slices.ContainsFunc(marked, func(row Member) bool {
+		return row.Contact.AsksDomains > 0 && row.Domain != n.settings.Domain && n.members.ShouldAnswerDomain(row.Name, row.PeerAddress, n.cannotAnswer, now)
+	})
+	answer := n.members.Answer(changes.Position, toOwn, toDomains)
 	n.mu.Unlock()
 	for _, evidence := range confirmed {
 		n.Log.Info("others_confirmed", "evidence", evidence.kind.String(), "by", evidence.by)
 	}
+	domains.log(n)
 	n.logIsolation(change)
-	if answers {
-		go n.announceMark(context.Background(), member.ContactMark{SeenUpTo: changes.Position})
+	if toOwn || toDomains {
+		go n.announceMark(context.Background(), answer)
 	}
 }
 
+// domainEvidence is what marks show of other domains about which this host asks.
+type domainEvidence struct {
+	lost []string          // they have not answered
+	live map[string]string // hosts that show for the first time that their domains live, by domain
+}
+
+func (e *domainEvidence) log(n *Node) {
+	for _, domain := range e.lost {
+		n.Log.Warn("domain_counts_as_lost", "domain", domain)
+	}
+	for domain, by := range e.live {
+		n.Log.Info("domain_lives", "domain", domain, "by", by)
+	}
+}
+
+// takeDomainMarks records what marks show of other domains. Those of the domains come first, as they may have been
+// written before the question that is read back with them. n.mu is held.
+func (n *Node) takeDomainMarks(marked []Member, now time.Duration) domainEvidence {
+	evidence := domainEvidence{live: map[string]string{}}
+	for _, row := range marked {
+		if n.members.HandleDomainMark(row.Domain, row.Contact) {
+			evidence.live[row.Domain] = row.Name
+		}
+	}
+	for _, row := range marked {
+		if row.Name == n.settings.Name {
+			evidence.lost = n.members.HandleOwnMark(row.Contact, now)
+		}
+	}
+	return evidence
+}
+
 // takeMarks records what marks show, and returns the evidence that others live where its kind has changed. n.mu
 // is held.
 func (n *Node) takeMarks(marked []Member, position uint64, now time.Duration) []contactEvidence {
@@ -145,6 +184,13 @@
 	return n.members.IsAlone()
 }
 
+// asksDomains reports whether this host asks in the store whether hosts of other domains live.
+func (n *Node) asksDomains() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.members.AsksDomains()
+}
+
 // cannotAnswer reports whether a host has said that it can't read the store, or is of a build that doesn't
 // answer. n.mu is held.
 func (n *Node) cannotAnswer(peer member.Peer) bool {
--- a/pkg/node/inquiry_test.go
+++ b/pkg/node/inquiry_test.go
@@ -87,7 +87,7 @@
 			n.handleMarks(test.changes)
 			clock.now += member.IsolationLimit - 500*time.Millisecond
 			c.Assert(n.contact().isolated, qt.Equals, test.want)
-			c.Assert(len(n.cellsToClaim(listing, clock.now)) == 0, qt.Equals, test.want)
+			c.Assert(len(mayBeClaimed(n.claimCandidates(listing, clock.now))) == 0, qt.Equals, test.want)
 		})
 	}
 }
--- a/pkg/node/isolation_test.go
+++ b/pkg/node/isolation_test.go
@@ -175,12 +175,12 @@
 	list := &catalog.Executors{Revision: 1, ByID: map[string]catalog.Executor{"i-1": listedExecutor("i-1", "10.0.0.1:80")}}
 	listing := newListing(0, list, sizesOf(list), map[string]int{"z": 1})
 	n.LinkDown("b")
-	c.Assert(n.cellsToClaim(listing, n.Clock.Now()), qt.HasLen, 0)
+	c.Assert(mayBeClaimed(n.claimCandidates(listing, n.Clock.Now())), qt.HasLen, 0)
 	n.mu.Lock()
 	n.domainHeardAt = n.Clock.Now() + 1
 	n.rowsRead = true
 	n.mu.Unlock()
-	c.Assert(n.cellsToClaim(listing, n.Clock.Now()), qt.HasLen, 1)
+	c.Assert(mayBeClaimed(n.claimCandidates(listing, n.Clock.Now())), qt.HasLen, 1)
 }
 
 // Guards against a second start by a host that was cut off from its domain, while its links to other
@@ -211,11 +211,11 @@
 	listing := newListing(0, list, sizesOf(list), map[string]int{"z": 1})
 	clock.now += time.Minute
 	n.LinkDown("b")
-	c.Assert(n.cellsToClaim(listing, n.Clock.Now()), qt.HasLen, 0)
+	c.Assert(mayBeClaimed(n.claimCandidates(listing, n.Clock.Now())), qt.HasLen, 0)
 	clock.now += 300 * time.Millisecond
 	n.LinkDown("c")
 	c.Assert(n.contact().isolated, qt.IsTrue)
-	c.Assert(n.cellsToClaim(listing, n.Clock.Now()), qt.HasLen, 0)
+	c.Assert(mayBeClaimed(n.claimCandidates(listing, n.Clock.Now())), qt.HasLen, 0)
 	clock.now += member.IsolationLimit
-	c.Assert(n.cellsToClaim(listing, n.Clock.Now()), qt.HasLen, 1, qt.Commentf("the others count as lost"))
+	c.Assert(mayBeClaimed(n.claimCandidates(listing, n.Clock.Now())), qt.HasLen, 1, qt.Commentf("the others count as lost"))
 }
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -171,6 +171,13 @@
 	}
 }
 
+// ConnectionRefused implements peer.RefusalObserver.
+func (n *Node) ConnectionRefused(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.members.ConnectionRefused(address, n.Clock.Now())
+}
+
 // LinkAccepted implements peer.Handler.
 func (n *Node) LinkAccepted(from *peerpb.Hello) {
 	n.mu.Lock()
--- a/pkg/node/ports.go
+++ b/pkg/node/ports.go
@@ -48,6 +48,8 @@
 	Capacity    ownership.Capacity
 	Answers     bool // it answers hosts that are alone; those of earlier builds don't
 	Contact     member.ContactMark
+
+	AnswersDomains bool // it answers hosts that ask about other domains; those of earlier builds don't
 }
 
 // MemberChanges holds changes of the nodes' rows.
--- a/pkg/node/sizes.go
+++ b/pkg/node/sizes.go
@@ -33,6 +33,8 @@
 		PeerAddress: n.settings.PeerAddress,
 		Capacity:    n.ownCapacity(),
 		Answers:     true,
+
+		AnswersDomains: true,
 	}
 }
 
--- a/pkg/node/snapshots.go
+++ b/pkg/node/snapshots.go
@@ -203,7 +203,7 @@
 	switch {
 	case pause == minMembersPause:
 		return pause
-	case n.members.IsAlone():
+	case n.members.IsAlone(), n.members.AsksDomains():
 		return min(pause, maxPauseAlone)
 	case n.members.ShouldAnswer("", n.cannotAnswer, n.Clock.Now()):
 		return minMembersPause
@@ -223,7 +223,7 @@
 	n.recordUnreadable(tableOfMembers, rows.Unreadable)
 	n.setRows(rows.Listed)
 	n.recordMembersPosition(rows.Position)
-	if n.isAlone() {
+	if n.isAlone() || n.asksDomains() {
 		n.handleMarks(rows)
 	}
 	return rows.Position, nil
--- a/pkg/node/view.go
+++ b/pkg/node/view.go
@@ -28,8 +28,12 @@
 		view.Heard = append(view.Heard, host)
 	}
 	for _, address := range n.members.Expected(now) {
+		if !known[address] && n.members.HasEnded(address, now) {
+			view.Ended++
+		}
 		known[address] = true
 	}
+	view.LostDomains = n.members.LostDomains()
 	view.Expected = len(known)
 	view.Restarted = n.restarted
 	view.RowsRead = n.rowsRead
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -61,8 +61,15 @@
 	// RowsRead reports whether this host has read the store's rows, and so knows which hosts
 	// it should reach.
 	RowsRead bool
+	Ended    int // expected hosts that aren't reached, and whose processes are known to have ended
+	// LostDomains are the other domains of which no host has answered this one in the store (member.Table.LostDomains).
+	LostDomains map[string]bool
 }
 
+// ReachesFew reports whether the host reaches less than half of the expected hosts, without those that have ended.
+// It may be cut off, or have outlived them.
+func (v *View) ReachesFew() bool { return 2*(len(v.Up)+1+v.Ended) < v.Expected }
+
 // Limits are the waits before a claim. A host that has restarted (View.Restarted) and has
 // the reports of all expected hosts does not wait after its start.
 type Limits struct {
@@ -273,8 +280,24 @@
 	return state
 }
 
+// Readiness is whether a host should claim a cell.
+type Readiness uint8
+
+const (
+	NotCandidate Readiness = iota
+	// AwaitsLoss: it is the host that should claim a cell of another domain once the hosts of that one count as
+	// lost. Meanwhile it may look for evidence.
+	AwaitsLoss
+	MayClaim
+)
+
 // ShouldClaim reports whether this host should claim a cell of a domain now.
 func (t *Table) ShouldClaim(cell, domain string, view View, now time.Duration) bool {
+	return t.ReadinessFor(cell, domain, view, now) == MayClaim
+}
+
+// ReadinessFor returns whether this host should claim a cell of a domain.
+func (t *Table) ReadinessFor(cell, domain string, view View, now time.Duration) Readiness {
 	state := t.state(cell)
 	domainHosts := hostsOf(view, domain)
 	inDomain := view.Self.Domain == domain
@@ -301,26 +324,35 @@
 	}
 	if owned && !t.shouldReplace(owner, cell, domain, known, inDomain) {
 		state.ownerlessSince = 0
-		return false
+		return NotCandidate
 	}
 	if state.ownerlessSince == 0 {
 		state.ownerlessSince = now
 	}
 	if len(domainHosts) > 0 && !inDomain {
 		state.domainEmptySince = 0
-		return false
+		return NotCandidate
 	}
 	if !inDomain && state.domainEmptySince == 0 {
 		state.domainEmptySince = now
 	}
 	if view.Self.Leaving || t.tooEarly(view, now) || now < state.noClaimBefore {
-		return false
+		return NotCandidate
 	}
-	isolated := 2*(len(view.Up)+1) < view.Expected
 	if inDomain {
-		return !t.awaitsAnswers(cell, view, domainHosts, now) && t.ranksFirst(cell, view.Self, domainHosts) && (!isolated || now >= state.ownerlessSince+t.limits.Isolated)
+		mayBeCutOff := view.ReachesFew() && now < state.ownerlessSince+t.limits.Isolated
+		if mayBeCutOff || t.awaitsAnswers(cell, view, domainHosts, now) || !t.ranksFirst(cell, view.Self, domainHosts) {
+			return NotCandidate
+		}
+		return MayClaim
+	}
+	switch {
+	case !t.ranksFirst(cell, view.Self, view.Up):
+		return NotCandidate
+	case now < state.domainEmptySince+t.limits.OtherDomain, view.ReachesFew() && !view.LostDomains[domain]:
+		return AwaitsLoss
 	}
-	return !isolated && now >= state.domainEmptySince+t.limits.OtherDomain && t.ranksFirst(cell, view.Self, view.Up)
+	return MayClaim
 }
 
 // tooEarly reports whether this host may have started too recently to know the current
--- a/pkg/ownership/ownership_test.go
+++ b/pkg/ownership/ownership_test.go
@@ -55,6 +55,11 @@
 		{testName: "the domain is empty, but for less than the limit", view: View{Self: host("a", "there"), Expected: 1}, earlierCheck: later, now: later + time.Second},
 		{testName: "the domain is empty for longer than the limit", view: View{Self: host("a", "there"), Expected: 1}, earlierCheck: later, now: later + 4*time.Second, want: true},
 		{testName: "an isolated host reaches no host of the domain", view: View{Self: host("a", "there"), Expected: 5}, earlierCheck: later, now: later + 10*time.Second},
+		{testName: "most hosts are out of reach, and the domain has not answered in the store", view: View{Self: host("a", "there"), Expected: 5, LostDomains: map[string]bool{domain: true}}, earlierCheck: later, now: later + 4*time.Second, want: true},
+		{testName: "most hosts are out of reach, and another domain has not answered in the store", view: View{Self: host("a", "there"), Expected: 5, LostDomains: map[string]bool{"elsewhere": true}}, earlierCheck: later, now: later + 10*time.Second},
+		{testName: "the domain has not answered in the store, but is empty for less than the limit", view: View{Self: host("a", "there"), Expected: 5, LostDomains: map[string]bool{domain: true}}, earlierCheck: later, now: later + 2*time.Second},
+		{testName: "most hosts have ended", view: View{Self: host("a", "there"), Expected: 5, Ended: 2}, earlierCheck: later, now: later + 4*time.Second, want: true},
+		{testName: "some hosts have ended, and most are out of reach", view: View{Self: host("a", "there"), Expected: 5, Ended: 1}, earlierCheck: later, now: later + 10*time.Second},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
@@ -70,6 +75,20 @@
 	}
 }
 
+// Guards against evidence of a loss that is sought only once a cell may be claimed, so that the waits add up.
+func TestAHostLooksForEvidenceWhileItWaitsForALoss(t *testing.T) {
+	c := qt.New(t)
+	view := View{Self: host("a", "there"), Up: []Host{host("b", "elsewhere")}, Expected: 5}
+	table := NewTable(DefaultLimits(), 0)
+	c.Assert(table.ReadinessFor(domain, domain, view, later), qt.Equals, AwaitsLoss)
+	c.Assert(table.ReadinessFor(domain, domain, view, later+time.Minute), qt.Equals, AwaitsLoss)
+	view.LostDomains = map[string]bool{domain: true}
+	c.Assert(table.ReadinessFor(domain, domain, view, later+time.Minute), qt.Equals, MayClaim)
+	other := view
+	other.Self, other.Up = view.Up[0], []Host{view.Self}
+	c.Assert(NewTable(DefaultLimits(), 0).ReadinessFor(domain, domain, other, later), qt.Equals, NotCandidate, qt.Commentf("one host of all"))
+}
+
 func TestOnlyOneHostOfADomainClaims(t *testing.T) {
 	hosts := []Host{host("a", domain), host("b", domain), host("c", domain)}
 	claims := 0
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -8,12 +8,14 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/foxcroft/foxcroft/pkg/common"
 	"github.com/foxcroft/foxcroft/pkg/errkind"
 	"github.com/foxcroft/foxcroft/pkg/peerpb"
 	"github.com/foxcroft/foxcroft/pkg/settings"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -44,6 +46,12 @@
 	LinkResumed(address string, hello *peerpb.Hello)
 }
 
+// RefusalObserver is an Observer that is notified when a peer's machine refuses a connection, as no process
+// listens there.
+type RefusalObserver interface {
+	ConnectionRefused(address string)
+}
+
 // Link is the outgoing side of the connection to one peer. It dials again
 // whenever the connection is lost.
 type Link struct {
@@ -150,6 +158,7 @@
 		s, err := l.open(min(dialTimeout, l.settings.SuspectAfter))
 		if err != nil {
 			l.Log.Debug("link_failed", "error", err.Error())
+			l.reportRefusal(err)
 			l.awaitRedial(ctx, common.Jitter(backoff, common.Unit()))
 			backoff = min(2*backoff, longestBackoff, l.settings.SuspectAfter/2)
 			continue
@@ -167,6 +176,13 @@
 	}
 }
 
+// reportRefusal notifies the observer if err is a refused connection.
+func (l *Link) reportRefusal(err error) {
+	if observer, ok := l.observer.(RefusalObserver); ok && errors.Is(err, syscall.ECONNREFUSED) {
+		observer.ConnectionRefused(l.address)
+	}
+}
+
 // awaitRedial waits until the next attempt to open the link, at most for a time.
 func (l *Link) awaitRedial(ctx context.Context, most time.Duration) {
 	timer := time.NewTimer(most)
