Probe the executors of a domain while its hosts may be lost

Callers saw: after the loss of a domain's hosts its kept jobs stood still for 6.2 s, 0.8 s below what the users' rule allows.

Cause: two waits behind each other. A host waited for 3 s without a reachable host of the domain (Limits.OtherDomain), and only then began to probe the executors, which have to be reachable for 2 s.

Change: the probes begin when the domain is empty, so both waits run from the same moment. Neither is shorter: a claim still needs 3 s without a host, and 2 s of reachable executors, so that links come back after a partition before the domain is claimed. As the node may wait for the store's evidence after that, it goes on probing, once a second.

--- a/pkg/node/foreign.go
+++ b/pkg/node/foreign.go
@@ -17,8 +17,10 @@
 // have been reachable for minReachable: after a network partition, the links to the
 // domain's nodes come back within that time. A node that reaches less than half of the
 // nodes also asks in the store whether those of the domain live (member.Table.AskAbout).
+// Both begin when the links are lost, and run beside ownership.Limits.OtherDomain.
 const (
 	probeInterval      = 300 * time.Millisecond
+	reprobeInterval    = time.Second // of a domain that may be claimed, while the node waits for other evidence
 	probeTimeout       = 250 * time.Millisecond
 	maxProbedExecutors = 2
 	minReachable       = 2 * time.Second // before a claim
@@ -63,7 +65,10 @@
 	}
 	mayClaim = state.reachableSince > 0 && now >= state.reachableSince+minReachable
 	probeDue = now >= state.nextProbe
-	if probeDue {
+	switch {
+	case probeDue && mayClaim:
+		state.nextProbe = now + reprobeInterval
+	case probeDue:
 		state.nextProbe = now + probeInterval
 	}
 	return mayClaim, probeDue
@@ -92,6 +97,7 @@
 	for _, name := range cells {
 		if domain := ownership.DomainOf(name); domain != n.settings.Domain && !domains[domain] {
 			domains[domain] = true
+			n.mayClaimForeign(domain, now)
 		}
 	}
 	n.mu.Lock()
@@ -115,10 +121,10 @@
 }
 
 // mayClaimForeign reports whether this node may claim cells of another domain that has no
-// reachable nodes. Until it may, it probes the domain's executors periodically.
+// reachable nodes. It probes the domain's executors periodically.
 func (n *Node) mayClaimForeign(domain string, now time.Duration) bool {
 	mayClaim, probeDue := n.foreignDomains.due(domain, now)
-	if probeDue && !mayClaim {
+	if probeDue {
 		go n.probe(domain)
 	}
 	return mayClaim
--- a/pkg/node/foreign_test.go
+++ b/pkg/node/foreign_test.go
@@ -30,6 +30,38 @@
 	c.Assert(probeDue, qt.IsTrue)
 }
 
+// Guards against a claim by probes that were answered long ago, as the node has waited for other evidence since.
+func TestADomainIsProbedUntilItIsClaimed(t *testing.T) {
+	c := qt.New(t)
+	f := newForeignDomains()
+	f.due("far", time.Minute)
+	f.recordProbe("far", true, time.Minute)
+	reachable := time.Minute + minReachable
+	mayClaim, probeDue := f.due("far", reachable)
+	c.Assert(mayClaim && probeDue, qt.IsTrue)
+	_, probeDue = f.due("far", reachable+reprobeInterval-1)
+	c.Assert(probeDue, qt.IsFalse)
+	_, probeDue = f.due("far", reachable+reprobeInterval)
+	c.Assert(probeDue, qt.IsTrue)
+	f.recordProbe("far", false, reachable+reprobeInterval)
+	mayClaim, _ = f.due("far", reachable+reprobeInterval)
+	c.Assert(mayClaim, qt.IsFalse)
+}
+
+// Guards against probes that begin only once a cell may be claimed, so that the waits add up.
+func TestADomainIsProbedWhileItsHostsMayBeLost(t *testing.T) {
+	c := qt.New(t)
+	n := newTestNode(c, &fakeStore{})
+	n.executors.Store(newListing(0, &catalog.Executors{ByID: map[string]catalog.Executor{"a": {ID: "a", Domain: "far", Address: "10.0.0.1:80"}}}, nil, nil))
+	n.front.calls.executors = &answeringExecutors{verdict: cell.Accepted}
+	n.gatherEvidenceOfLoss([]string{"far"}, n.Clock.Now())
+	eventually(c, func() bool {
+		n.foreignDomains.mu.Lock()
+		defer n.foreignDomains.mu.Unlock()
+		return n.foreignDomains.domains["far"].reachableSince > 0
+	})
+}
+
 // answeringExecutors answers every hold request with the same verdict.
 type answeringExecutors struct {
 	Executors
