Let jobs leave a lost cell where most hosts have ended

Callers saw: where the executors of the lost domain go as well, its kept jobs never run again (kept_awaits_cell, obstacle few_hosts_reached).

VacancyObstacle asked for contact with most hosts that have rows. What that guards against: an owner that is cut off extends the lease of its kept jobs while it reaches half of the hosts; if the host that concludes reaches most of them, one of these would tell it of the owner.

Change: hosts that are known to have ended no longer count. As they can't be in contact with an owner, the two majorities still meet in a running host. The store's silence can't take this place: hosts that are cut off together with an owner, and from the store, keep its runs going. So a majority that has lost its power still keeps such jobs waiting.

The majorities have to meet at the time of the owner's last contact, which may be keptRunsBound ago, so the host must have reached most hosts for that long and a second (how long a refusal counts), without having stood still. Before, a host that had just come into contact with most hosts could conclude at once.

--- a/pkg/node/kept_host.go
+++ b/pkg/node/kept_host.go
@@ -184,13 +184,12 @@
 	if _, listed := listing.cells[cell]; listed {
 		return false
 	}
-	return h.seesMajority()
-}
-
-// seesMajority reports whether this host reaches more than half of the expected hosts.
-func (h *keptHost) seesMajority() bool {
-	reachable, expected := h.reachableHosts()
-	return 2*reachable > expected
+	if reachable, expected := h.reachableHosts(); 2*reachable > expected {
+		return true
+	}
+	h.node.mu.Lock()
+	defer h.node.mu.Unlock()
+	return h.node.hasLastingMajority(h.node.Clock.Now())
 }
 
 // OwnersChanged implements keeping.Host.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -90,6 +90,7 @@
 	membersPosition uint64 // in the store's history up to which the nodes' rows have been read
 	isolation       isolation
 	sightings       sightings
+	majority        majority
 
 	leadingDomain string // domain whose reader follows the executor list for all domains; empty when not known
 
@@ -277,6 +278,7 @@
 		if now := n.Clock.Now(); now >= nextClaim {
 			n.resizeCells()
 			n.updateIsolation(now)
+			n.updateMajority(now)
 			n.updateKeptLeases(now)
 			n.claimCells(now)
 			n.refreshOwnClaims()
--- a/pkg/node/vacancy.go
+++ b/pkg/node/vacancy.go
@@ -143,11 +143,11 @@
 	case h.HasOwner(cell):
 		return owned
 	}
-	if !h.seesMajority() {
-		return fewHostsReached
-	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if view := n.ownershipView(); !view.ReachesMost() {
+		return fewHostsReached
+	}
 	bounds := sightingBounds{released: n.settleTime(), lost: n.keptRunsBound()}
 	endBy, isBounded := n.sightings.runsEndBy(cell, bounds, n.reachedAt)
 	switch {
@@ -155,6 +155,8 @@
 		return hostsOfOtherBuild
 	case now <= endBy:
 		return ownerSeenRecently
+	case !n.hasLastingMajority(now):
+		return fewHostsReached
 	}
 	return ""
 }
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -70,6 +70,9 @@
 // It may be cut off, or have outlived them.
 func (v *View) ReachesFew() bool { return 2*(len(v.Up)+1+v.Ended) < v.Expected }
 
+// ReachesMost reports whether the host reaches more than half of the expected hosts, without those that have ended.
+func (v *View) ReachesMost() bool { return 2*(len(v.Up)+1+v.Ended) > v.Expected }
+
 // Limits are the waits before a claim. A host that has restarted (View.Restarted) and has
 // the reports of all expected hosts does not wait after its start.
 type Limits struct {
