Remove the rows of domains without reachable hosts

Cause: hosts removed rows of their own domain only, so those of a domain that had lost all hosts stayed for good. Each counted as an expected host, and made it harder for the others to reach half of them from then on.

Change: a host that reaches at least half of the hosts also removes rows of another domain of which it reaches none, after a minute in which it has dialled them. Hosts that live write their rows again, and count as reachable from then, so that rows don't go and come at each check.

--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -39,6 +39,10 @@
 		listed = append(listed, member.ListedHost{Name: row.Name, Domain: row.Domain, Address: row.PeerAddress, Weight: row.Capacity.CPU})
 	}
 	n.mu.Lock()
+	maps.DeleteFunc(n.lastReachable, func(name string, _ time.Duration) bool {
+		_, listed := n.memberRows[name]
+		return !listed // it was removed, and counts as reachable if it is written again
+	})
 	n.memberRows = byName
 	n.leadingDomain = leadingDomain(byName)
 	own, announced := byName[n.settings.Name]
--- a/pkg/node/rows.go
+++ b/pkg/node/rows.go
@@ -15,8 +15,8 @@
 	rowExpiry    = 60 * time.Second // since the node was last reachable
 )
 
-// runRows removes the rows of nodes of this domain that have been unreachable for longer
-// than rowExpiry, so that rows of replaced machines don't accumulate.
+// runRows removes the rows of nodes that have been unreachable for longer than rowExpiry, so that rows of
+// replaced machines don't accumulate: of this domain, and of other ones of which no node is reachable.
 func (n *Node) runRows(ctx context.Context) {
 	for common.Sleep(ctx, common.Jitter(rowsInterval, common.Unit())) {
 		for _, name := range n.staleRows(n.Clock.Now()) {
@@ -36,20 +36,26 @@
 		return nil // this node may be the one that is cut off
 	}
 	view := n.ownershipView()
-	if 2*(len(view.Up)+1) < view.Expected {
+	if view.ReachesFew() {
 		return nil // this node may be the unreachable one
 	}
-	up := map[string]bool{n.settings.PeerAddress: true}
+	up, reached := map[string]bool{n.settings.PeerAddress: true}, map[string]bool{}
 	for _, host := range view.Up {
-		up[host.Address] = true
+		up[host.Address], reached[host.Domain] = true, true
+	}
+	dialled := map[string]bool{}
+	for _, address := range n.members.Expected(now) {
+		dialled[address] = true
 	}
 	var stale []string
 	for name, row := range n.memberRows {
+		isForeign := row.Domain != n.settings.Domain
 		_, known := n.lastReachable[name]
-		if up[row.PeerAddress] || !known {
+		// This node can't tell whether one to which it keeps no link is reachable.
+		if up[row.PeerAddress] || !known || isForeign && !dialled[row.PeerAddress] {
 			n.lastReachable[name] = now
 		}
-		if row.Domain == n.settings.Domain && now > n.lastReachable[name]+rowExpiry {
+		if now > n.lastReachable[name]+rowExpiry && !(isForeign && reached[row.Domain]) {
 			stale = append(stale, name)
 		}
 	}
