Have kept jobs wait for an owner that may live in the larger part

Cause: the next owner of a cell waits for 16 s for executors that don't answer it, then starts kept jobs that were there. That rests on the former owner being in the smaller part, whose coordinators stop. A cell that is claimed as its domain is silent in the store may have an owner in the larger part, without the store, whose kept runs go on. At executors that only this one reaches the same tasks ran twice at once.

Change: in a cell that was claimed from a minority, kept jobs that the former owner may run wait until each executor that it can know has answered, and those that leave the list unanswered count as running them, from when its hosts went out of reach. Once the host reaches most hosts, the 16 s begin.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -17,7 +17,10 @@
 
 // KnowsKeptRuns reports whether no run of a kept job can be alive that this owner does not know.
 func (c *Cell) KnowsKeptRuns(now time.Duration) bool {
-	return c.allAdopted() || now > c.claimedAt+keptRunsEndWithin && c.allFormerLeasesOver(now)
+	if c.ownerMayLive {
+		return c.allAdopted() && !c.lacksAnswers()
+	}
+	return c.allAdopted() || now > max(c.claimedAt, c.ownerBoundedAt)+keptRunsEndWithin && c.allFormerLeasesOver(now)
 }
 
 // CountAdopted returns how many of the known executors have answered this owner, and how many have
@@ -115,7 +118,7 @@
 	if !h.NamesRuns && c.mayHaveRunsAtVanished(w) {
 		w.notBefore = max(w.notBefore, until)
 	}
-	if c.adoptedFor(w) {
+	if c.adoptedFor(w) && !c.lacksAnswers() {
 		return
 	}
 	w.unadoptedUntil = until
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -132,6 +132,8 @@
 	notices          []Notice
 	fenced           bool
 	forgotAt         time.Duration // when an executor was last forgotten that had never answered; 0 for none
+	ownerMayLive     bool          // see ExpectLivingOwner
+	ownerBoundedAt   time.Duration // when this host reached most hosts again after ExpectLivingOwner; 0 if it has not
 	listComplete     bool          // the listed executors are all that the former owner can have known
 	pausedUntil      time.Duration // no starts before
 	closed           bool          // operators have closed the cell to new work
--- a/pkg/cell/kept.go
+++ b/pkg/cell/kept.go
@@ -74,6 +74,9 @@
 // mayBeAtLostOwner reports whether a lost owner that lives may still renew runs of a kept job at
 // executors that have not answered this one.
 func (c *Cell) mayBeAtLostOwner(w *jobState, now time.Duration) bool {
+	if c.ownerMayLive {
+		return w.lostOwnerUntil > 0 && (!c.adoptedFor(w) || c.lacksAnswers())
+	}
 	return now < w.lostOwnerUntil && !c.adoptedFor(w)
 }
 
--- a/pkg/cell/kept_test.go
+++ b/pkg/cell/kept_test.go
@@ -403,9 +403,15 @@
 		lost          bool
 		unlistedAfter time.Duration // the silent executor leaves the list; 0 for never
 		answersAfter  time.Duration // 0 for never
-		startsAfter   time.Duration
+		mayLive       bool          // the cell was claimed from a minority
+		boundedAfter  time.Duration // it reaches most hosts again; 0 for never
+		startsAfter   time.Duration // 0: not within longestWait
 	}
 	scenarios := []scenario{
+		{testName: "its owner may live", lost: true, mayLive: true},
+		{testName: "its owner may live, and the executor answers", lost: true, mayLive: true, answersAfter: 3 * time.Second, startsAfter: 3 * time.Second},
+		{testName: "its owner may live, and the executor leaves the list", lost: true, mayLive: true, unlistedAfter: 5 * time.Second},
+		{testName: "its owner may live until most hosts are reached", lost: true, mayLive: true, boundedAfter: 2 * time.Second, startsAfter: 2*time.Second + keptRunsEndWithin},
 		{testName: "its owner was lost", lost: true, startsAfter: keptRunsEndWithin},
 		{testName: "the executor answers", lost: true, answersAfter: 3 * time.Second, startsAfter: 3 * time.Second},
 		{testName: "the executor leaves the list", lost: true, unlistedAfter: 5 * time.Second, startsAfter: 5 * time.Second},
@@ -415,12 +421,21 @@
 		t.Run(s.testName, func(t *testing.T) {
 			c := qt.New(t)
 			d := newDriver(c, testExecutor(0), testExecutor(1))
+			if s.mayLive {
+				d.cell.ExpectLivingOwner(false, 0)
+			}
 			d.holdAnswered(0, HoldResponse{Clock: time.Minute}, 0)
 			d.cell.HoldAnswered(testIncarnation(1), HoldResponse{Verdict: Unanswered}, 0, 0)
 			d.cell.Submit(Handover{Job: keptJob("a", 1, d.now), Epoch: 2, RenewedAt: d.renewal(), NamesRuns: !s.lost}, d.now)
 			for d.takeActions(); len(d.takeCommands(Start)) == 0; {
+				if s.startsAfter == 0 && d.now >= longestWait {
+					return
+				}
 				c.Assert(d.now < longestWait, qt.IsTrue)
 				d.tick(10 * ms)
+				if s.boundedAfter > 0 && d.now == s.boundedAfter {
+					d.cell.BoundFormerOwner(d.now)
+				}
 				d.holdAnswered(0, HoldResponse{Clock: time.Minute + d.now}, d.now)
 				silent := HoldResponse{Verdict: Unanswered}
 				if s.answersAfter > 0 && d.now >= s.answersAfter {
--- a/pkg/node/claims.go
+++ b/pkg/node/claims.go
@@ -19,7 +19,7 @@
 	}
 	n.updateOwnerless(listing)
 	candidates := n.claimCandidates(listing, now)
-	n.gatherEvidenceOfLoss(slices.Collect(maps.Keys(candidates)), now)
+	n.gatherEvidenceOfLoss(slices.Collect(maps.Keys(candidates)), listing, now)
 	for _, name := range mayBeClaimed(candidates) {
 		domain := ownership.DomainOf(name)
 		if domain != n.settings.Domain && !n.mayClaimForeign(domain, now) {
@@ -87,7 +87,11 @@
 		o.formerOwner = former.Owner
 	}
 	n.owners[cellName] = o
+	o.isFromMinority = ownership.DomainOf(cellName) != n.settings.Domain && n.reachesFew()
 	n.mu.Unlock()
+	if o.isFromMinority {
+		o.expectLivingOwner(now)
+	}
 	n.updateContactAt(now)
 	o.updateKeptLease()
 	n.metrics.OwnershipChanged("claimed")
--- a/pkg/node/foreign.go
+++ b/pkg/node/foreign.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/catalog"
 	"github.com/foxcroft/foxcroft/pkg/cell"
 	"github.com/foxcroft/foxcroft/pkg/ownership"
 )
@@ -35,6 +36,7 @@
 type foreignDomain struct {
 	reachableSince time.Duration // 0 while the executors are unreachable
 	nextProbe      time.Duration
+	executors      map[catalog.Incarnation]bool // those that were listed when its nodes were found to be unreachable
 }
 
 func newForeignDomains() *foreignDomains {
@@ -74,6 +76,43 @@
 	return mayClaim, probeDue
 }
 
+// observe records which executors of a domain are listed, when its nodes are first found to be unreachable. Listings
+// retain those that have left the store's list a few seconds before.
+func (f *foreignDomains) observe(domain string, listing *listing) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.domains[domain] != nil {
+		return
+	}
+	f.domains[domain] = &foreignDomain{executors: incarnationsOf(listing.inDomain(domain))}
+}
+
+// lacksExecutors reports whether executors of a domain have left the list since its nodes were found to be
+// unreachable.
+func (f *foreignDomains) lacksExecutors(domain string, listing *listing) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	state := f.domains[domain]
+	if state == nil {
+		return true // unknown
+	}
+	listed := incarnationsOf(listing.inDomain(domain))
+	for incarnation := range state.executors {
+		if !listed[incarnation] {
+			return true
+		}
+	}
+	return false
+}
+
+func incarnationsOf(executors []catalog.Executor) map[catalog.Incarnation]bool {
+	incarnations := make(map[catalog.Incarnation]bool, len(executors))
+	for _, executor := range executors {
+		incarnations[executor.Incarnation()] = true
+	}
+	return incarnations
+}
+
 // recordProbe records the result of a probe.
 func (f *foreignDomains) recordProbe(domain string, reached bool, now time.Duration) {
 	f.mu.Lock()
@@ -91,18 +130,19 @@
 
 // gatherEvidenceOfLoss looks for evidence that the nodes of other domains are lost, while this node is the one
 // that should claim their cells.
-func (n *Node) gatherEvidenceOfLoss(cells []string, now time.Duration) {
+func (n *Node) gatherEvidenceOfLoss(cells []string, listing *listing, now time.Duration) {
 	n.foreignDomains.retainOnly(cells)
 	domains := map[string]bool{}
 	for _, name := range cells {
 		if domain := ownership.DomainOf(name); domain != n.settings.Domain && !domains[domain] {
 			domains[domain] = true
+			n.foreignDomains.observe(domain, listing)
 			n.mayClaimForeign(domain, now)
 		}
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if view := n.ownershipView(); !view.ReachesFew() {
+	if !n.reachesFew() {
 		clear(domains)
 	}
 	maps.DeleteFunc(domains, func(domain string, _ bool) bool { return !n.answersDomains(domain) })
--- a/pkg/node/foreign_test.go
+++ b/pkg/node/foreign_test.go
@@ -48,13 +48,35 @@
 	c.Assert(mayClaim, qt.IsFalse)
 }
 
+// Guards against kept jobs that start again beside an owner in the larger part, which may run them at an executor that
+// has left the list since this node lost the domain.
+func TestExecutorsThatAreLostWithADomainAreKnown(t *testing.T) {
+	c := qt.New(t)
+	listingOf := func(ids ...string) *listing {
+		list := &catalog.Executors{ByID: map[string]catalog.Executor{}}
+		for _, id := range ids {
+			list.ByID[id] = catalog.Executor{ID: id, Domain: "far", Address: id + ":80"}
+		}
+		return newListing(0, list, nil, nil)
+	}
+	f := newForeignDomains()
+	c.Assert(f.lacksExecutors("far", listingOf("a")), qt.IsTrue, qt.Commentf("not observed"))
+	f.observe("far", listingOf("a", "b"))
+	f.observe("far", listingOf("a"))
+	c.Assert(f.lacksExecutors("far", listingOf("a", "b", "c")), qt.IsFalse)
+	c.Assert(f.lacksExecutors("far", listingOf("a", "c")), qt.IsTrue)
+	f.retainOnly(nil)
+	f.observe("far", listingOf("a"))
+	c.Assert(f.lacksExecutors("far", listingOf("a")), qt.IsFalse, qt.Commentf("its nodes were reachable again"))
+}
+
 // Guards against probes that begin only once a cell may be claimed, so that the waits add up.
 func TestADomainIsProbedWhileItsHostsMayBeLost(t *testing.T) {
 	c := qt.New(t)
 	n := newTestNode(c, &fakeStore{})
 	n.executors.Store(newListing(0, &catalog.Executors{ByID: map[string]catalog.Executor{"a": {ID: "a", Domain: "far", Address: "10.0.0.1:80"}}}, nil, nil))
 	n.front.calls.executors = &answeringExecutors{verdict: cell.Accepted}
-	n.gatherEvidenceOfLoss([]string{"far"}, n.Clock.Now())
+	n.gatherEvidenceOfLoss([]string{"far"}, n.executors.Load(), n.Clock.Now())
 	eventually(c, func() bool {
 		n.foreignDomains.mu.Lock()
 		defer n.foreignDomains.mu.Unlock()
@@ -127,7 +149,7 @@
 			list := &catalog.Executors{Revision: 1, ByID: map[string]catalog.Executor{"i-1": {ID: "i-1", Domain: "y", Address: "10.0.0.1:80"}}}
 			n.executors.Store(newListing(0, list, sizesOf(list), map[string]int{"y": 1}))
 			n.front.calls.executors = &answeringExecutors{verdict: cell.Accepted}
-			n.gatherEvidenceOfLoss([]string{"y"}, clock.now)
+			n.gatherEvidenceOfLoss([]string{"y"}, n.executors.Load(), clock.now)
 			clock.now += time.Second
 			n.updateIsolation(clock.now)
 			if !s.want {
--- a/pkg/node/majority.go
+++ b/pkg/node/majority.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"github.com/foxcroft/foxcroft/pkg/cell"
 	"github.com/foxcroft/foxcroft/pkg/member"
+	"github.com/foxcroft/foxcroft/pkg/ownership"
 )
 
 // maxMajorityGap is the longest time between two checks for which this host counts as having reached most hosts
@@ -20,12 +22,37 @@
 // updateMajority checks whether this host reaches most hosts.
 func (n *Node) updateMajority(now time.Duration) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	view := n.ownershipView()
-	if !view.ReachesMost() || now > n.majority.checkedAt+maxMajorityGap {
+	reachesMost := view.ReachesMost()
+	if !reachesMost || now > n.majority.checkedAt+maxMajorityGap {
 		n.majority.lackedAt = now
 	}
 	n.majority.checkedAt = now
+	var bounded []*owner
+	for _, o := range n.owners {
+		if reachesMost && o.isFromMinority {
+			o.isFromMinority = false
+			bounded = append(bounded, o)
+		}
+	}
+	n.mu.Unlock()
+	for _, o := range bounded {
+		o.do(func(state *cell.Cell, now time.Duration) { state.BoundFormerOwner(now) })
+	}
+}
+
+// reachesFew reports whether this host reaches less than half of the hosts. n.mu is held.
+func (n *Node) reachesFew() bool {
+	view := n.ownershipView()
+	return view.ReachesFew()
+}
+
+// expectLivingOwner has the cell of an owner that was claimed from a minority expect that its former owner lives.
+func (o *owner) expectLivingOwner(now time.Duration) {
+	lacksSome := o.node.foreignDomains.lacksExecutors(ownership.DomainOf(o.cell), o.node.executors.Load())
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.state.ExpectLivingOwner(lacksSome, now)
 }
 
 // hasLastingMajority reports whether this host has reached most of the hosts that have not ended for so long that
