Answer other domains in the store whether or not they are reached

A host left a question of another domain unanswered if its own link to the asker was up. Where connections open in one direction only, the asker reaches nobody of the domain while these reach it, and would have taken the domain for lost.

Now the first two hosts of each domain answer in any case: at most two writes a second a domain, while a host that reaches less than half of the others asks.

--- a/pkg/member/domain_inquiry.go
+++ b/pkg/member/domain_inquiry.go
@@ -4,8 +4,8 @@
 
 // A host that reaches less than half of the hosts, and none of another domain, can't tell by its links whether
 // it is cut off from that domain or has outlived its hosts. It asks in the platform's store, by a mark in its
-// own row, and running hosts of the domain that don't reach it answer by a mark in theirs. The domain counts as
-// lost once nobody has answered for domainAnswerTimeout.
+// own row, and running hosts of the domain answer by a mark in theirs. The domain counts as lost once nobody has
+// answered for domainAnswerTimeout.
 
 const (
 	// domainAnswerTimeout is how long hosts of another domain have to answer, from when the asker has read its
@@ -139,10 +139,9 @@
 func (t *Table) AsksDomains() bool { return len(t.domainInquiry.domains) > 0 }
 
 // ShouldAnswerDomain reports whether this host answers a question that a host of another domain asks about other
-// domains. One that it reaches has seen already that this domain lives.
-func (t *Table) ShouldAnswerDomain(asker, address string, cannot func(peer Peer) bool, now time.Duration) bool {
-	_, isReached := t.up[address]
-	return !isReached && t.isAnswerer(asker, cannot, now)
+// domains, isolated or not. That it reaches the asker doesn't show that the asker reaches it.
+func (t *Table) ShouldAnswerDomain(cannot func(peer Peer) bool, now time.Duration) bool {
+	return t.isAnswerer("", cannot, now)
 }
 
 // Answer returns the mark that answers others. position is that in the store's history up to which this host has
--- a/pkg/node/inquiry.go
+++ b/pkg/node/inquiry.go
@@ -113,7 +113,7 @@
 		return row.Contact.Asks > 0 && n.members.ShouldAnswer(row.Name, n.cannotAnswer, now)
 	})
 	toDomains := slices.ContainsFunc(marked, func(row Member) bool {
-		return row.Contact.AsksDomains > 0 && row.Domain != n.settings.Domain && n.members.ShouldAnswerDomain(row.Name, row.PeerAddress, n.cannotAnswer, now)
+		return row.Contact.AsksDomains > 0 && row.Domain != n.settings.Domain && n.members.ShouldAnswerDomain(n.cannotAnswer, now)
 	})
 	answer := n.members.Answer(changes.Position, toOwn, toDomains)
 	n.mu.Unlock()
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -60,7 +60,9 @@
 	claimedAt   time.Duration
 	formerOwner string // address of the previous owner, which is notified once the executors are fenced; empty when none
 
-	isFromMinority bool // this node reached less than half of the others when it claimed the cell of another domain, and has not reached most since; node.mu guards it
+	// isFromMinority is set if this node reached less than half of the nodes when it claimed the cell, which is of
+	// another domain, and has not reached most since. node.mu guards it.
+	isFromMinority bool
 
 	mu               sync.Mutex
 	state            *cell.Cell
