Count the wait for a bounded former owner from the claim

Cause: KnowsKeptRuns took the later one of the claim and the moment since when the former owner is bounded, which was 0 until that was set. The clocks of real processes begin at 0, so nothing changes for these.

Change: the moment is that of the claim until BoundFormerOwner moves it. TestWhenAllRunsOfKeptJobsAreKnownBesideALivingOwner is new.

--- a/pkg/cell/adopt.go
+++ b/pkg/cell/adopt.go
@@ -20,7 +20,7 @@
 	if c.ownerMayLive {
 		return c.allAdopted() && !c.lacksAnswers()
 	}
-	return c.allAdopted() || now > max(c.claimedAt, c.ownerBoundedAt)+keptRunsEndWithin && c.allFormerLeasesOver(now)
+	return c.allAdopted() || now > c.ownerBoundedAt+keptRunsEndWithin && c.allFormerLeasesOver(now)
 }
 
 // CountAdopted returns how many of the known executors have answered this owner, and how many have
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -133,7 +133,7 @@
 	fenced           bool
 	forgotAt         time.Duration // when an executor was last forgotten that had never answered; 0 for none
 	ownerMayLive     bool          // see ExpectLivingOwner
-	ownerBoundedAt   time.Duration // when this host reached most hosts again after ExpectLivingOwner; 0 if it has not
+	ownerBoundedAt   time.Duration // since when the former owner ends its kept runs within keptRunsEndWithin: the claim, or BoundFormerOwner
 	listComplete     bool          // the listed executors are all that the former owner can have known
 	pausedUntil      time.Duration // no starts before
 	closed           bool          // operators have closed the cell to new work
@@ -147,15 +147,16 @@
 // tokens that the claimer has seen.
 func New(params Params, token int64, now time.Duration) *Cell {
 	return &Cell{
-		params:    params,
-		token:     token,
-		claimedAt: now,
-		executors: map[catalog.Incarnation]*executor{},
-		order:     params.Order(),
-		times:     newTaskTimes(),
-		pacer:     newPacer(params.LinkRate),
-		jobs:      map[string]*jobState{},
-		byParent:  map[string][]*jobState{},
+		params:         params,
+		token:          token,
+		claimedAt:      now,
+		ownerBoundedAt: now,
+		executors:      map[catalog.Incarnation]*executor{},
+		order:          params.Order(),
+		times:          newTaskTimes(),
+		pacer:          newPacer(params.LinkRate),
+		jobs:           map[string]*jobState{},
+		byParent:       map[string][]*jobState{},
 
 		formerSuspects: formerSuspects{},
 		unmatchedDone:  map[string]bool{},
--- a/pkg/cell/kept_test.go
+++ b/pkg/cell/kept_test.go
@@ -465,6 +465,22 @@
 	c.Assert(d.cell.KnowsKeptRuns(0), qt.IsTrue)
 }
 
+// The same where the former owner may live among most hosts, and an executor has left the list without an answer.
+func TestWhenAllRunsOfKeptJobsAreKnownBesideALivingOwner(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver(c, testExecutor(0), testExecutor(1))
+	d.cell.ExpectLivingOwner(false, 0)
+	d.holdAnswered(0, HoldResponse{Clock: time.Minute}, 0)
+	c.Assert(d.cell.KnowsKeptRuns(time.Hour), qt.IsFalse, qt.Commentf("an executor has not answered"))
+	d.holdAnswered(1, HoldResponse{Clock: time.Minute}, 0)
+	c.Assert(d.cell.KnowsKeptRuns(0), qt.IsTrue)
+	d.cell.ExpectLivingOwner(true, time.Second)
+	c.Assert(d.cell.KnowsKeptRuns(time.Hour), qt.IsFalse, qt.Commentf("one has left the list before the claim"))
+	bounded := time.Minute
+	d.cell.BoundFormerOwner(bounded)
+	c.Assert(d.cell.KnowsKeptRuns(bounded), qt.IsTrue, qt.Commentf("those on the list have answered"))
+}
+
 // Guards against kept jobs that wait for good in a cell of whose executors none has what their next tasks ask for.
 func TestAKeptJobIsReturnedWhenNoExecutorMeetsItsNeeds(t *testing.T) {
 	label := func(s *job.Step) { s.Constraint = "kind-b" }
--- a/pkg/node/foreign_test.go
+++ b/pkg/node/foreign_test.go
@@ -138,11 +138,14 @@
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
 			c := qt.New(t)
-			n, clock, store := cutOffNode(t)
-			linkUp(n, "b", "z")
-			n.LinkDown("d")
-			n.LinkDown("e")
+			n, store := peerNode(t, "a", "z", 1), &markStore{}
+			n.store = store
+			clock := linkTwoDomains(n)
 			n.mu.Lock()
+			n.rowsRead, n.membersPosition = true, 10
+			for _, lost := range []string{"c", "d", "e"} {
+				n.members.LinkDown(lost, clock.now)
+			}
 			n.memberRows[s.row.Name] = s.row
 			n.members.SetListed([]member.ListedHost{{Name: "c", Domain: "z", Address: "c"}, {Name: "d", Domain: "y", Address: "d"}, {Name: "e", Domain: "y", Address: "e"}})
 			n.mu.Unlock()
@@ -150,8 +153,7 @@
 			n.executors.Store(newListing(0, list, sizesOf(list), map[string]int{"y": 1}))
 			n.front.calls.executors = &answeringExecutors{verdict: cell.Accepted}
 			n.gatherEvidenceOfLoss([]string{"y"}, n.executors.Load(), clock.now)
-			clock.now += time.Second
-			n.updateIsolation(clock.now)
+			n.updateIsolation(clock.now + time.Second) // the clock stays, as probes read it
 			if !s.want {
 				c.Assert(n.asksDomains(), qt.IsFalse)
 				return
