Await the links to other domains once half of the hosts are reached again

Eight runs lapsed and ran again; none ran twice at once.

Logs: zone-1 answers in the store throughout (domain_lives); at the end of the cut the link to zone-2-1 is up at 01.261, which makes 4 of 7, zone-1 is claimed at 01.264, and the links to its hosts are up from 01.281 on.

Change: a host that has reached less than half of the hosts claims cells of other domains 2 s after that has ended at the earliest, unless the store shows that the domain is lost.

TestAHostThatWasCutOffAwaitsTheLinksToOtherDomains failed before.

--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -81,6 +81,7 @@
 	AllReported      time.Duration // the same for a host that has not restarted, if all expected hosts have reported: rows of other new hosts may be missing
 	Isolated         time.Duration // without an owner, for a host that reaches less than half of the expected hosts
 	OtherDomain      time.Duration // without a reachable host of the domain, for hosts of other domains
+	HalfReached      time.Duration // since a host reaches half of the hosts again, before it claims cells of other domains: links to these come up meanwhile
 	Fenced           time.Duration // after an executor refused a claim because of a higher token; a multiple after consecutive refusals
 	PeersUnknown     time.Duration // after the start, for a host that has not read the rows and reaches no host of its domain
 	Answers          time.Duration // after the loss of an owner, for other hosts to tell whether they hear it
@@ -98,6 +99,7 @@
 		AllReported:      350 * time.Millisecond,
 		Isolated:         2 * time.Second,
 		OtherDomain:      3 * time.Second,
+		HalfReached:      2 * time.Second,
 		Fenced:           2 * time.Second,
 		PeersUnknown:     4 * time.Second,
 		Answers:          400 * time.Millisecond,
@@ -120,6 +122,7 @@
 	cells        map[string]*cellState
 	answers      map[string]map[string]answer // of other hosts, by address and cell
 	heardCells   map[string]map[string]bool   // cells by owner, as of the last check of a cell
+	reachedFewAt time.Duration                // when this host last reached less than half of the hosts, as of the checks of cells; 0 for never
 }
 
 type cellState struct {
@@ -301,6 +304,9 @@
 
 // ReadinessFor returns whether this host should claim a cell of a domain.
 func (t *Table) ReadinessFor(cell, domain string, view View, now time.Duration) Readiness {
+	if view.ReachesFew() {
+		t.reachedFewAt = now
+	}
 	state := t.state(cell)
 	domainHosts := hostsOf(view, domain)
 	inDomain := view.Self.Domain == domain
@@ -352,12 +358,19 @@
 	switch {
 	case !t.ranksFirst(cell, view.Self, view.Up):
 		return NotCandidate
-	case now < state.domainEmptySince+t.limits.OtherDomain, view.ReachesFew() && !view.LostDomains[domain]:
+	case now < state.domainEmptySince+t.limits.OtherDomain:
+		return AwaitsLoss
+	case t.hasReachedFewLately(now) && !view.LostDomains[domain]:
 		return AwaitsLoss
 	}
 	return MayClaim
 }
 
+// hasReachedFewLately reports whether this host reached less than half of the hosts a moment ago, or does so now.
+func (t *Table) hasReachedFewLately(now time.Duration) bool {
+	return t.reachedFewAt > 0 && now < t.reachedFewAt+t.limits.HalfReached
+}
+
 // tooEarly reports whether this host may have started too recently to know the current
 // owners. It waits for the reports of all expected hosts at most until AfterStart, since
 // the store may still have rows of hosts that were removed for good.
--- a/pkg/ownership/ownership_test.go
+++ b/pkg/ownership/ownership_test.go
@@ -89,6 +89,24 @@
 	c.Assert(NewTable(DefaultLimits(), 0).ReadinessFor(domain, domain, other, later), qt.Equals, NotCandidate, qt.Commentf("one host of all"))
 }
 
+// Guards against a host that was cut off, reaches half of the hosts again, and claims the cells of a domain whose
+// links are about to come up.
+func TestAHostThatWasCutOffAwaitsTheLinksToOtherDomains(t *testing.T) {
+	c := qt.New(t)
+	table := NewTable(DefaultLimits(), 0)
+	few := View{Self: host("a", "there"), Expected: 3}
+	half := View{Self: host("a", "there"), Up: []Host{host("b", "elsewhere")}, Expected: 3}
+	c.Assert(table.ShouldClaim(domain, domain, few, later), qt.IsFalse)
+	mended := later + time.Minute
+	c.Assert(table.ShouldClaim(domain, domain, few, mended), qt.IsFalse)
+	ranked := table.ranksFirst(domain, half.Self, half.Up)
+	c.Assert(table.ShouldClaim(domain, domain, half, mended+DefaultLimits().HalfReached-1), qt.IsFalse)
+	c.Assert(table.ShouldClaim(domain, domain, half, mended+DefaultLimits().HalfReached), qt.Equals, ranked)
+	c.Assert(ranked, qt.IsTrue, qt.Commentf("choose other names"))
+	few.LostDomains = map[string]bool{domain: true}
+	c.Assert(table.ShouldClaim(domain, domain, few, mended+time.Minute), qt.IsTrue, qt.Commentf("the store's evidence needs no such wait"))
+}
+
 func TestOnlyOneHostOfADomainClaims(t *testing.T) {
 	hosts := []Host{host("a", domain), host("b", domain), host("c", domain)}
 	claims := 0
