Build no view of the hosts while no other domain may be claimed

gatherEvidenceOfLoss runs at each search for cells without an owner, ten times a second, and asked whether this host reaches few others even if no cell of another domain was a candidate, which is the usual case. The answer only empties the list of domains, so nothing changes where it is empty.

--- a/pkg/node/foreign.go
+++ b/pkg/node/foreign.go
@@ -142,7 +142,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.reachesFew() {
+	if len(domains) > 0 && !n.reachesFew() {
 		clear(domains)
 	}
 	maps.DeleteFunc(domains, func(domain string, _ bool) bool { return !n.answersDomains(domain) })
